--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,64 @@
+// Package store is the interface to the platform's key-value service. The
+// service offers compare-and-swap, leases and watches; it counts each call, a
+// waiting watch as one, and it has outages.
+package store
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// MaxValueBytes is the largest value that the service holds.
+const MaxValueBytes = 1 << 20
+
+// Errors of the service, as seen by its callers. Match them with errors.Is.
+var (
+	// ErrNotFound means that the key does not exist.
+	ErrNotFound = errors.New("store: key not found")
+	// ErrConflict means that the key's revision was not the expected one. The
+	// write did not take effect.
+	ErrConflict = errors.New("store: revision conflict")
+	// ErrUnavailable means that the service did not carry out the call.
+	ErrUnavailable = errors.New("store: unavailable")
+	// ErrUnknownOutcome means that a write may or may not have taken effect.
+	ErrUnknownOutcome = errors.New("store: outcome of the write is unknown")
+	// ErrLeaseExpired means that the lease no longer exists.
+	ErrLeaseExpired = errors.New("store: lease expired")
+	// ErrTooLarge means that the value exceeds MaxValueBytes.
+	ErrTooLarge = errors.New("store: value too large")
+)
+
+// LeaseID names a lease. Zero means no lease.
+type LeaseID uint64
+
+// KV is one key with its value and the revision of its last change. Revisions
+// grow with every write of the service.
+type KV struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+}
+
+// Store is the platform's key-value service. Calls honour the context's
+// deadline; an implementation adds its own where the context has none.
+type Store interface {
+	// Get returns the key, or ErrNotFound.
+	Get(ctx context.Context, key string) (KV, error)
+	// List returns all keys with the prefix, ordered by key.
+	List(ctx context.Context, prefix string) ([]KV, error)
+	// CompareAndSwap writes value if the key's revision is expect; 0 means
+	// that the key must not exist. The key disappears with its lease.
+	CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease LeaseID) (KV, error)
+	// Delete removes the key if its revision is expect.
+	Delete(ctx context.Context, key string, expect uint64) error
+	// Grant creates a lease that lasts ttl unless it is kept alive.
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// KeepAlive extends the lease by its ttl, or returns ErrLeaseExpired.
+	KeepAlive(ctx context.Context, lease LeaseID) error
+	// Revoke ends the lease and removes its keys.
+	Revoke(ctx context.Context, lease LeaseID) error
+	// Watch waits until the key's revision differs from after and returns it.
+	// It returns ErrNotFound when the key was removed.
+	Watch(ctx context.Context, key string, after uint64) (KV, error)
+}
--- /dev/null
+++ b/wire/agent.go
@@ -0,0 +1,123 @@
+package wire
+
+import "time"
+
+// AgentConfig is the part of the operators' configuration that an agent needs.
+type AgentConfig struct {
+	Generation uint64
+	// OutOfService lists the data centres in which no task may start.
+	OutOfService []string
+}
+
+// OpenSessionRequest opens a session and fences the entry's earlier ones.
+type OpenSessionRequest struct {
+	Session Session
+	Config  AgentConfig
+	Acked   []TaskKey
+}
+
+// TaskKey names one start: the session in which it was sent and its sequence.
+type TaskKey struct {
+	Session  uint64
+	Sequence uint64
+}
+
+// StartedTask is a record of a task that the agent started and that the entry
+// has not acknowledged.
+type StartedTask struct {
+	Key      TaskKey
+	Finished bool
+	Result   Result // set when Finished
+}
+
+// OpenSessionReply lists what the agent started in the entry's earlier
+// sessions. A task that is absent never started, unless Truncated is set.
+type OpenSessionReply struct {
+	Agent     AgentRef
+	Started   []StartedTask
+	Truncated bool // the agent evicted records of this entry
+	Load      Load
+}
+
+// RunRequest asks for one start.
+type RunRequest struct {
+	Session  Session
+	Sequence uint64
+	Task     Task
+	Backlog  Backlog
+	Acked    []TaskKey
+}
+
+// RunReply arrives when the task is finished or refused.
+type RunReply struct {
+	Agent  Incarnation
+	Result Result
+	Load   Load
+}
+
+// AwaitRequest asks for the result of a started task after a new session was opened.
+type AwaitRequest struct {
+	Session Session
+	Key     TaskKey
+}
+
+// CancelRequest withdraws queued tasks and stops running ones.
+type CancelRequest struct {
+	Session Session
+	Keys    []TaskKey
+}
+
+// CancelReply lists the tasks that had not started and never will.
+type CancelReply struct {
+	Withdrawn []TaskKey
+	Load      Load
+}
+
+// AnnounceRequest tells an agent about an entry's backlog and configuration.
+type AnnounceRequest struct {
+	Session Session
+	Backlog Backlog
+	Config  *AgentConfig // nil when unchanged
+	Acked   []TaskKey
+}
+
+// AnnounceReply carries the agent's load.
+type AnnounceReply struct{ Load Load }
+
+// Empty is the argument or reply of calls that need none.
+type Empty struct{}
+
+// HeartbeatRequest keeps an agent known to an entry.
+type HeartbeatRequest struct {
+	Agent      AgentRef
+	Load       Load
+	Leaving    bool
+	Healthy    bool // the upstream answered its last health check
+	Generation uint64
+	// ConfirmAge is the age of the agent's freshest confirmation, so that an
+	// entry which cannot read the store can learn from an agent that another
+	// entry confirmed. Negative when there is none.
+	ConfirmAge time.Duration
+}
+
+// HeartbeatReply answers a HeartbeatRequest.
+type HeartbeatReply struct {
+	Entry      EntryRef
+	Generation uint64
+	ConfirmAge time.Duration // negative when there is no confirmation
+	Config     *AgentConfig  // nil unless the agent's generation was lower
+	Entries    []EntryRef    // entries known, the sender included
+	Backlog    Backlog
+	Acked      []TaskKey
+	Stopping   bool // the entry accepts no new jobs
+}
+
+// OfferRequest offers free slots to an entry that announced backlog.
+type OfferRequest struct {
+	Agent       string
+	Incarnation Incarnation
+	Load        Load
+}
+
+// OfferReply says whether the entry had a use for the offer.
+type OfferReply struct{ Used bool }
--- /dev/null
+++ b/wire/task.go
@@ -0,0 +1,95 @@
+package wire
+
+import "time"
+
+// Header is one HTTP header field. A slice keeps repeated fields and their order.
+type Header struct{ Name, Value string }
+
+// Request is the HTTP request that a task makes at its upstream.
+type Request struct {
+	Method string
+	Path   string // path and query, beginning with a slash
+	Header []Header
+	Body   []byte
+}
+
+// Response is the upstream's whole answer to one task.
+type Response struct {
+	Status int
+	Header []Header
+	Body   []byte
+}
+
+// Task is one start that an entry asks an agent to make.
+type Task struct {
+	Job         string
+	Index       int
+	Attempt     int // 0 for the first; only tasks marked idempotent have more
+	Template    string
+	Account     string
+	Urgency     int // 0 is most urgent
+	Needs       Resources
+	Request     Request
+	MaxResponse int64         // bytes
+	Remaining   time.Duration // until the job's deadline, when the message was sent
+	// AnyStatus makes every whole upstream answer below 500 a result, as a
+	// forwarded request needs it; otherwise only 2xx succeeds.
+	AnyStatus bool
+}
+
+// Outcome of one task at an agent.
+type Outcome int
+
+const (
+	// OutcomeUnknown means that the task may have run.
+	OutcomeUnknown Outcome = iota
+	// OutcomeDone means that the upstream answered and Response is whole.
+	OutcomeDone
+	// OutcomeFailed means that the task ran and failed.
+	OutcomeFailed
+	// OutcomeNotRun means that the task never started and never will.
+	OutcomeNotRun
+)
+
+// Reason says why a task was not run, failed, or has an unknown outcome.
+type Reason string
+
+// Reasons that agents and entries give.
+const (
+	ReasonFenced        Reason = "session_fenced"
+	ReasonBusy          Reason = "agent_busy"
+	ReasonLeaving       Reason = "agent_leaving"
+	ReasonOutOfService  Reason = "data_centre_out_of_service"
+	ReasonUnconfirmed   Reason = "configuration_unconfirmed"
+	ReasonDeadline      Reason = "deadline_exceeded"
+	ReasonCancelled     Reason = "cancelled"
+	ReasonNeverFits     Reason = "resources_do_not_fit"
+	ReasonUpstreamError Reason = "upstream_error"
+	ReasonUpstreamGone  Reason = "upstream_unreachable"
+	ReasonTooLarge      Reason = "result_too_large"
+	ReasonAgentLost     Reason = "agent_lost"
+	ReasonRecordLost    Reason = "start_record_lost"
+)
+
+// Result is what became of one task at an agent.
+type Result struct {
+	Outcome  Outcome
+	Reason   Reason
+	Detail   string
+	Response Response
+	Took     time.Duration // from start to whole answer at the agent
+}
+
+// Load is an agent's state as piggybacked on its messages.
+type Load struct {
+	Sequence uint64 // grows with every change; the higher one is newer
+	Running  int
+	Queued   int
+	Free     Resources
+}
+
+// Backlog is what an entry has waiting, as agents need it to offer free slots.
+type Backlog struct {
+	Tasks   int
+	Urgency int // of the most urgent waiting task
+}
