config: parse, validate and index the operators' document

Cause: the document had types but nothing that reads, checks or looks them up.

Change: Parse is strict and reports all problems at once, each with the field's path and the accepted values; internal/strictjson does the decoding. Encode, Equal and EqualContent define when two documents are the same. View indexes a document once for lookups by token hash and name and for distances. Template names are unique over all accounts.

--- /dev/null
+++ b/config/parse.go
@@ -0,0 +1,144 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"chicorytray.example/chicorytray/internal/strictjson"
+)
+
+// MaxDocumentBytes is the largest document that the platform's service holds.
+const MaxDocumentBytes = 1 << 20
+
+// Error lists every problem of a document.
+type Error struct{ Problems []strictjson.Problem }
+
+// Error formats the problems, one on each line.
+func (e *Error) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = p.String()
+	}
+	return "config: invalid document: " + strings.Join(lines, "\nconfig: invalid document: ")
+}
+
+// Parse decodes and validates a document. Unknown fields are errors. All
+// problems are reported at once, as an *Error.
+func Parse(data []byte) (*Document, error) {
+	if len(data) > MaxDocumentBytes {
+		return nil, tooLarge(len(data))
+	}
+	d := new(Document)
+	problems := strictjson.Decode(data, d)
+	// A field that could not be decoded would be reported a second time by
+	// the validation of its zero value.
+	undecoded := make(map[string]bool, len(problems))
+	for _, p := range problems {
+		undecoded[p.Field] = true
+	}
+	if !undecoded[""] {
+		for _, p := range validate(d) {
+			if !covered(undecoded, p.Field) {
+				problems = append(problems, p)
+			}
+		}
+	}
+	if len(problems) > 0 {
+		return nil, &Error{problems}
+	}
+	return d, nil
+}
+
+// covered reports whether field or a field around it is in set.
+func covered(set map[string]bool, field string) bool {
+	for field != "" {
+		if set[field] {
+			return true
+		}
+		field = field[:max(0, strings.LastIndexAny(field, ".["))]
+	}
+	return false
+}
+
+// Validate checks the document. All problems are reported at once, as an
+// *Error.
+func (d *Document) Validate() error {
+	if problems := validate(d); len(problems) > 0 {
+		return &Error{problems}
+	}
+	return nil
+}
+
+// Encode returns the document as JSON on one line. Parse of the result gives
+// an equal document if d is valid.
+func (d *Document) Encode() ([]byte, error) {
+	data, err := d.marshal("")
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > MaxDocumentBytes {
+		return nil, tooLarge(len(data))
+	}
+	return data, nil
+}
+
+// EncodeIndent returns the document as JSON for people to read and edit.
+func (d *Document) EncodeIndent() ([]byte, error) { return d.marshal("  ") }
+
+func (d *Document) marshal(indent string) ([]byte, error) {
+	c := *d
+	// Parse accepts no null.
+	if c.DataCentres == nil {
+		c.DataCentres = []DataCentre{}
+	}
+	if c.Accounts == nil {
+		c.Accounts = []Account{}
+	}
+	if c.Templates == nil {
+		c.Templates = []Template{}
+	}
+	c.Accounts = append([]Account{}, c.Accounts...)
+	for i := range c.Accounts {
+		if c.Accounts[i].TokenSHA256 == nil {
+			c.Accounts[i].TokenSHA256 = []string{}
+		}
+	}
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	e.SetIndent("", indent)
+	if err := e.Encode(&c); err != nil {
+		return nil, fmt.Errorf("config: encode: %w", err)
+	}
+	return bytes.TrimRight(b.Bytes(), "\n"), nil
+}
+
+func tooLarge(n int) error {
+	return &Error{[]strictjson.Problem{{
+		Fault: fmt.Sprintf("%d bytes; at most %d are accepted", n, MaxDocumentBytes),
+	}}}
+}
+
+// Equal reports whether both documents say the same, their generation and
+// WriteID included.
+func (d *Document) Equal(o *Document) bool {
+	if d == nil || o == nil {
+		return d == o
+	}
+	a, errA := d.marshal("")
+	b, errB := o.marshal("")
+	return errA == nil && errB == nil && bytes.Equal(a, b)
+}
+
+// EqualContent reports whether both documents say the same apart from their
+// generation and WriteID.
+func (d *Document) EqualContent(o *Document) bool {
+	if d == nil || o == nil {
+		return d == o
+	}
+	a, b := *d, *o
+	a.Generation, a.WriteID = b.Generation, b.WriteID
+	return a.Equal(&b)
+}
--- /dev/null
+++ b/config/view.go
@@ -0,0 +1,156 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"time"
+
+	"chicorytray.example/chicorytray/wire"
+)
+
+// FarDistance is the one-way delay assumed between data centres for which the
+// document gives none. It exceeds every delay that a document may give, so
+// that such data centres are tried last.
+const FarDistance = time.Minute
+
+// View is a document with an index for lookups. It is immutable and safe for
+// concurrent use; the document must not be changed afterwards.
+type View struct {
+	document     *Document
+	dataCentres  map[string]*DataCentre
+	accounts     map[string]*Account
+	byToken      map[string]*Account
+	templates    map[string]*Template
+	tasks        map[string]map[string]*Task
+	outOfService []string
+}
+
+// NewView builds the index of a valid document.
+func NewView(d *Document) *View {
+	v := &View{
+		document:    d,
+		dataCentres: make(map[string]*DataCentre, len(d.DataCentres)),
+		accounts:    make(map[string]*Account, len(d.Accounts)),
+		byToken:     make(map[string]*Account, len(d.Accounts)),
+		templates:   make(map[string]*Template, len(d.Templates)),
+		tasks:       make(map[string]map[string]*Task, len(d.Templates)),
+	}
+	for i := range d.DataCentres {
+		dc := &d.DataCentres[i]
+		v.dataCentres[dc.Name] = dc
+		if !dc.InService {
+			v.outOfService = append(v.outOfService, dc.Name)
+		}
+	}
+	slices.Sort(v.outOfService)
+	for i := range d.Accounts {
+		a := &d.Accounts[i]
+		v.accounts[a.Name] = a
+		for _, hash := range a.TokenSHA256 {
+			v.byToken[hash] = a
+		}
+	}
+	for i := range d.Templates {
+		t := &d.Templates[i]
+		v.templates[t.Name] = t
+		tasks := make(map[string]*Task, len(t.Tasks))
+		for j := range t.Tasks {
+			tasks[t.Tasks[j].Name] = &t.Tasks[j]
+		}
+		v.tasks[t.Name] = tasks
+	}
+	return v
+}
+
+// HashToken returns the hash under which an account lists a bearer token.
+func HashToken(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// Document returns the indexed document, which must not be changed.
+func (v *View) Document() *Document { return v.document }
+
+// Generation returns the document's generation.
+func (v *View) Generation() uint64 { return v.document.Generation }
+
+// Account returns the account that lists the token hash; see HashToken.
+func (v *View) Account(tokenHash string) (*Account, bool) {
+	a, ok := v.byToken[tokenHash]
+	return a, ok
+}
+
+// AccountNamed returns the account of that name.
+func (v *View) AccountNamed(name string) (*Account, bool) {
+	a, ok := v.accounts[name]
+	return a, ok
+}
+
+// Template returns the template of that name. Names are unique over all
+// accounts; the caller checks the template's account.
+func (v *View) Template(name string) (*Template, bool) {
+	t, ok := v.templates[name]
+	return t, ok
+}
+
+// Task returns a task definition of a template.
+func (v *View) Task(template, name string) (*Task, bool) {
+	t, ok := v.tasks[template][name]
+	return t, ok
+}
+
+// DataCentre returns the data centre of that name.
+func (v *View) DataCentre(name string) (*DataCentre, bool) {
+	dc, ok := v.dataCentres[name]
+	return dc, ok
+}
+
+// InService reports whether tasks may start in the data centre; false for one
+// that the document does not list.
+func (v *View) InService(name string) bool {
+	dc, ok := v.dataCentres[name]
+	return ok && dc.InService
+}
+
+// OutOfService returns the names of the data centres out of service, sorted.
+func (v *View) OutOfService() []string { return slices.Clone(v.outOfService) }
+
+// AgentConfig returns the part of the document that agents need.
+func (v *View) AgentConfig() wire.AgentConfig {
+	return wire.AgentConfig{Generation: v.Generation(), OutOfService: v.OutOfService()}
+}
+
+// Distance returns the one-way delay between two data centres: 0 within one,
+// the opposite direction's delay when only that is given, else FarDistance.
+func (v *View) Distance(from, to string) time.Duration {
+	if from == to {
+		return 0
+	}
+	for _, pair := range [2][2]string{{from, to}, {to, from}} {
+		dc, ok := v.dataCentres[pair[0]]
+		if !ok {
+			continue
+		}
+		if ms, ok := dc.DelaysMS[pair[1]]; ok {
+			return time.Duration(ms * float64(time.Millisecond))
+		}
+	}
+	return FarDistance
+}
+
+// TasksPerJob returns the largest number of tasks of a job.
+func (l Limits) TasksPerJob() int {
+	if l.MaxTasksPerJob == 0 {
+		return DefaultMaxTasksPerJob
+	}
+	return l.MaxTasksPerJob
+}
+
+// QueuedTasks returns the largest number of tasks queued at one entry.
+func (l Limits) QueuedTasks() int {
+	if l.MaxQueuedTasks == 0 {
+		return DefaultMaxQueuedTasks
+	}
+	return l.MaxQueuedTasks
+}
--- /dev/null
+++ b/internal/strictjson/decode.go
@@ -0,0 +1,264 @@
+// Package strictjson decodes JSON documents that people write. Unlike
+// encoding/json it reports every problem of a document at once, each with the
+// path of its field, and it accepts no unknown field, repeated field, null,
+// differently cased name or trailing data.
+package strictjson
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+)
+
+// maxQuoted is the number of bytes of a rejected value shown in a problem.
+const maxQuoted = 40
+
+// Problem is one fault of a document.
+type Problem struct {
+	// Field is the path of the field, for example "templates[2].kind"; empty
+	// when the fault concerns the whole document.
+	Field string
+	// Fault says what is wrong and what is accepted.
+	Fault string
+}
+
+// String formats the problem on one line.
+func (p Problem) String() string {
+	if p.Field == "" {
+		return p.Fault
+	}
+	return p.Field + ": " + p.Fault
+}
+
+// Decode fills the struct that into points to and returns all problems.
+// Fields with problems keep their values.
+func Decode(data []byte, into any) []Problem {
+	if !utf8.Valid(data) {
+		return []Problem{{Fault: "not valid UTF-8"}}
+	}
+	var probe json.RawMessage
+	if err := json.Unmarshal(data, &probe); err != nil {
+		return []Problem{{Fault: syntaxFault(data, err)}}
+	}
+	d := &decoder{}
+	d.value("", probe, reflect.ValueOf(into).Elem())
+	return d.problems
+}
+
+func syntaxFault(data []byte, err error) string {
+	var syntax *json.SyntaxError
+	if !errors.As(err, &syntax) {
+		return "not valid JSON: " + err.Error()
+	}
+	before := data[:min(int(syntax.Offset), len(data))]
+	line := bytes.Count(before, []byte{'\n'}) + 1
+	column := len(before) - bytes.LastIndexByte(before, '\n') - 1
+	return fmt.Sprintf("not valid JSON at line %d, column %d: %v", line, column, err)
+}
+
+type decoder struct{ problems []Problem }
+
+func (d *decoder) add(path, format string, args ...any) {
+	d.problems = append(d.problems, Problem{path, fmt.Sprintf(format, args...)})
+}
+
+// value decodes raw, which is valid JSON, into v.
+func (d *decoder) value(path string, raw json.RawMessage, v reflect.Value) {
+	raw = bytes.TrimSpace(raw)
+	if string(raw) == "null" {
+		d.add(path, "null is not accepted; leave the field out or give %s", kindName(v))
+		return
+	}
+	if u, ok := v.Addr().Interface().(json.Unmarshaler); ok {
+		if err := u.UnmarshalJSON(raw); err != nil {
+			d.add(path, "%v", err)
+		}
+		return
+	}
+	switch v.Kind() {
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		d.value(path, raw, v.Elem())
+	case reflect.Struct:
+		d.object(path, raw, v)
+	case reflect.Map:
+		d.mapping(path, raw, v)
+	case reflect.Slice:
+		d.array(path, raw, v)
+	default:
+		d.scalar(path, raw, v)
+	}
+}
+
+// member is one name and value of an object, in the document's order.
+type member struct {
+	name string
+	raw  json.RawMessage
+}
+
+// members returns the object's members; a repeated name is a problem.
+func (d *decoder) members(path string, raw json.RawMessage, v reflect.Value) ([]member, bool) {
+	if raw[0] != '{' {
+		d.wrongKind(path, raw, v)
+		return nil, false
+	}
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	_, _ = dec.Token()
+	var list []member
+	seen := map[string]bool{}
+	for dec.More() {
+		token, _ := dec.Token()
+		name, _ := token.(string)
+		var m member
+		m.name = name
+		if err := dec.Decode(&m.raw); err != nil {
+			d.add(join(path, name), "%v", err)
+			return list, true
+		}
+		if seen[name] {
+			d.add(join(path, name), "given more than once")
+			continue
+		}
+		seen[name] = true
+		list = append(list, m)
+	}
+	return list, true
+}
+
+func (d *decoder) object(path string, raw json.RawMessage, v reflect.Value) {
+	list, ok := d.members(path, raw, v)
+	if !ok {
+		return
+	}
+	fields, names := fieldsOf(v.Type())
+	for _, m := range list {
+		if i, ok := fields[m.name]; ok {
+			d.value(join(path, m.name), m.raw, v.Field(i))
+			continue
+		}
+		d.add(join(path, m.name), "unknown field; accepted here: %s", strings.Join(names, ", "))
+	}
+}
+
+func (d *decoder) mapping(path string, raw json.RawMessage, v reflect.Value) {
+	list, ok := d.members(path, raw, v)
+	if !ok {
+		return
+	}
+	v.Set(reflect.MakeMapWithSize(v.Type(), len(list)))
+	for _, m := range list {
+		elem := reflect.New(v.Type().Elem()).Elem()
+		d.value(join(path, m.name), m.raw, elem)
+		v.SetMapIndex(reflect.ValueOf(m.name).Convert(v.Type().Key()), elem)
+	}
+}
+
+func (d *decoder) array(path string, raw json.RawMessage, v reflect.Value) {
+	if raw[0] != '[' {
+		d.wrongKind(path, raw, v)
+		return
+	}
+	var items []json.RawMessage
+	if err := json.Unmarshal(raw, &items); err != nil {
+		d.add(path, "%v", err)
+		return
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(items), len(items)))
+	for i, item := range items {
+		d.value(fmt.Sprintf("%s[%d]", path, i), item, v.Index(i))
+	}
+}
+
+func (d *decoder) scalar(path string, raw json.RawMessage, v reflect.Value) {
+	text := string(raw)
+	switch {
+	case v.Kind() == reflect.String && raw[0] == '"':
+		var s string
+		_ = json.Unmarshal(raw, &s)
+		v.SetString(s)
+		return
+	case v.Kind() == reflect.Bool && (text == "true" || text == "false"):
+		v.SetBool(text == "true")
+		return
+	case v.CanInt():
+		if n, err := strconv.ParseInt(text, 10, v.Type().Bits()); err == nil {
+			v.SetInt(n)
+			return
+		}
+	case v.CanUint():
+		if n, err := strconv.ParseUint(text, 10, v.Type().Bits()); err == nil {
+			v.SetUint(n)
+			return
+		}
+	case v.CanFloat() && raw[0] != '"':
+		if f, err := strconv.ParseFloat(text, v.Type().Bits()); err == nil {
+			v.SetFloat(f)
+			return
+		}
+	}
+	d.wrongKind(path, raw, v)
+}
+
+func (d *decoder) wrongKind(path string, raw json.RawMessage, v reflect.Value) {
+	d.add(path, "%s is not accepted; give %s", quoted(raw), kindName(v))
+}
+
+func quoted(raw json.RawMessage) string {
+	if len(raw) > maxQuoted {
+		return strings.ToValidUTF8(string(raw[:maxQuoted]), "") + "..."
+	}
+	return string(raw)
+}
+
+func kindName(v reflect.Value) string {
+	switch {
+	case v.Kind() == reflect.Struct || v.Kind() == reflect.Map:
+		return "an object"
+	case v.Kind() == reflect.Slice:
+		return "an array"
+	case v.Kind() == reflect.String:
+		return "a string"
+	case v.Kind() == reflect.Bool:
+		return "true or false"
+	case v.CanInt():
+		return "a whole number"
+	case v.CanUint():
+		return "a whole number of at least 0"
+	case v.CanFloat():
+		return "a number"
+	}
+	return "a value of type " + v.Type().String()
+}
+
+// fieldsOf maps the JSON names of a struct's fields to their indexes.
+func fieldsOf(t reflect.Type) (map[string]int, []string) {
+	fields := make(map[string]int, t.NumField())
+	var names []string
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		if !f.IsExported() || name == "-" {
+			continue
+		}
+		if name == "" {
+			name = f.Name
+		}
+		fields[name] = i
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return fields, names
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
