--- /dev/null
+++ b/internal/storestub/handler.go
@@ -0,0 +1,143 @@
+package storestub
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"chicorytray.example/chicorytray/store"
+	"chicorytray.example/chicorytray/store/storeapi"
+)
+
+// maxRequestBytes holds the largest value in base64 and its envelope.
+const maxRequestBytes = 2 * store.MaxValueBytes
+
+// Handler serves the service over HTTP. A lost answer closes the connection
+// without a response.
+func (s *Stub) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+storeapi.PathKey, s.serveGet)
+	mux.HandleFunc("PUT "+storeapi.PathKey, s.servePut)
+	mux.HandleFunc("DELETE "+storeapi.PathKey, s.serveDelete)
+	mux.HandleFunc("GET "+storeapi.PathKeys, s.serveList)
+	mux.HandleFunc("GET "+storeapi.PathWatch, s.serveWatch)
+	mux.HandleFunc("POST "+storeapi.PathLease, s.serveGrant)
+	mux.HandleFunc("PUT "+storeapi.PathLease, s.serveKeepAlive)
+	mux.HandleFunc("DELETE "+storeapi.PathLease, s.serveRevoke)
+	return mux
+}
+
+func (s *Stub) serveGet(w http.ResponseWriter, r *http.Request) {
+	kv, err := s.Get(r.Context(), r.FormValue(storeapi.ParamKey))
+	reply(w, storeapi.KV(kv), err)
+}
+
+func (s *Stub) serveWatch(w http.ResponseWriter, r *http.Request) {
+	after, ok := number(w, r, storeapi.ParamAfter)
+	if !ok {
+		return
+	}
+	kv, err := s.Watch(r.Context(), r.FormValue(storeapi.ParamKey), after)
+	reply(w, storeapi.KV(kv), err)
+}
+
+func (s *Stub) serveList(w http.ResponseWriter, r *http.Request) {
+	list, err := s.List(r.Context(), r.FormValue(storeapi.ParamPrefix))
+	keys := storeapi.Keys{Keys: make([]storeapi.KV, len(list))}
+	for i, kv := range list {
+		keys.Keys[i] = storeapi.KV(kv)
+	}
+	reply(w, keys, err)
+}
+
+func (s *Stub) servePut(w http.ResponseWriter, r *http.Request) {
+	expect, ok := number(w, r, storeapi.ParamExpect)
+	if !ok {
+		return
+	}
+	var lease uint64
+	if r.URL.Query().Has(storeapi.ParamLease) {
+		if lease, ok = number(w, r, storeapi.ParamLease); !ok {
+			return
+		}
+	}
+	var body storeapi.Value
+	if !decode(w, r, &body) {
+		return
+	}
+	key := r.URL.Query().Get(storeapi.ParamKey)
+	kv, err := s.CompareAndSwap(r.Context(), key, expect, body.Value, store.LeaseID(lease))
+	reply(w, storeapi.KV{Key: kv.Key, Revision: kv.Revision}, err)
+}
+
+func (s *Stub) serveDelete(w http.ResponseWriter, r *http.Request) {
+	if expect, ok := number(w, r, storeapi.ParamExpect); ok {
+		reply(w, storeapi.Empty{}, s.Delete(r.Context(), r.URL.Query().Get(storeapi.ParamKey), expect))
+	}
+}
+
+func (s *Stub) serveGrant(w http.ResponseWriter, r *http.Request) {
+	var body storeapi.Grant
+	if !decode(w, r, &body) {
+		return
+	}
+	lease, err := s.Grant(r.Context(), time.Duration(body.TTLMS)*time.Millisecond)
+	reply(w, storeapi.Lease{Lease: lease}, err)
+}
+
+func (s *Stub) serveKeepAlive(w http.ResponseWriter, r *http.Request) {
+	if lease, ok := number(w, r, storeapi.ParamLease); ok {
+		reply(w, storeapi.Empty{}, s.KeepAlive(r.Context(), store.LeaseID(lease)))
+	}
+}
+
+func (s *Stub) serveRevoke(w http.ResponseWriter, r *http.Request) {
+	if lease, ok := number(w, r, storeapi.ParamLease); ok {
+		reply(w, storeapi.Empty{}, s.Revoke(r.Context(), store.LeaseID(lease)))
+	}
+}
+
+func number(w http.ResponseWriter, r *http.Request, name string) (uint64, bool) {
+	n, err := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
+	if err != nil {
+		http.Error(w, name+": want a whole number", http.StatusBadRequest)
+	}
+	return n, err == nil
+}
+
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(into)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+	return err == nil
+}
+
+func reply(w http.ResponseWriter, answer any, err error) {
+	status := http.StatusOK
+	if err != nil {
+		if errors.Is(err, store.ErrUnknownOutcome) {
+			panic(http.ErrAbortHandler)
+		}
+		answer, status = failure(err)
+	}
+	data, err := json.Marshal(answer)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
+
+func failure(err error) (storeapi.Error, int) {
+	for _, f := range storeapi.Failures {
+		if errors.Is(err, f.Err) {
+			return storeapi.Error{Code: f.Code}, f.Status
+		}
+	}
+	return storeapi.Error{Code: "internal"}, http.StatusInternalServerError
+}
--- /dev/null
+++ b/store/storeapi/api.go
@@ -0,0 +1,89 @@
+// Package storeapi defines the HTTP/JSON messages of the platform's key-value
+// service. The adapter and the stand-in share it.
+//
+//	GET    /v1/key?key=K                      KV
+//	GET    /v1/keys?prefix=P                  Keys
+//	PUT    /v1/key?key=K&expect=N[&lease=L]   Value → KV without the value
+//	DELETE /v1/key?key=K&expect=N             Empty
+//	GET    /v1/watch?key=K&after=N            KV, when the revision differs
+//	POST   /v1/lease                          Grant → Lease
+//	PUT    /v1/lease?lease=L                  Empty; extends the lease
+//	DELETE /v1/lease?lease=L                  Empty
+//
+// Success is status 200. A failure has one of the codes below in an Error, and
+// says that the call was not carried out.
+package storeapi
+
+import (
+	"net/http"
+
+	"chicorytray.example/chicorytray/store"
+)
+
+// Paths of the service.
+const (
+	PathKey   = "/v1/key"
+	PathKeys  = "/v1/keys"
+	PathWatch = "/v1/watch"
+	PathLease = "/v1/lease"
+)
+
+// Query parameters.
+const (
+	ParamKey    = "key"
+	ParamPrefix = "prefix"
+	ParamExpect = "expect"
+	ParamLease  = "lease"
+	ParamAfter  = "after"
+)
+
+// KV is a key, its value in base64 and its revision.
+type KV struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+}
+
+// Keys is a list of keys, ordered by key.
+type Keys struct {
+	Keys []KV `json:"keys"`
+}
+
+// Value is the body of a write, in base64.
+type Value struct {
+	Value []byte `json:"value"`
+}
+
+// Grant asks for a lease; its TTL is in milliseconds.
+type Grant struct {
+	TTLMS int64 `json:"ttl_ms"`
+}
+
+// Lease names a lease.
+type Lease struct {
+	Lease store.LeaseID `json:"lease"`
+}
+
+// Empty is the answer of calls that return nothing.
+type Empty struct{}
+
+// Error is the body of a failure.
+type Error struct {
+	Code string `json:"error"`
+}
+
+// Failure pairs an error of package store with its code and HTTP status.
+type Failure struct {
+	Err    error
+	Code   string
+	Status int
+}
+
+// Failures are all failures that the service reports.
+var Failures = []Failure{
+	{store.ErrNotFound, "not_found", http.StatusNotFound},
+	{store.ErrConflict, "conflict", http.StatusConflict},
+	{store.ErrLeaseExpired, "lease_expired", http.StatusGone},
+	{store.ErrTooLarge, "too_large", http.StatusRequestEntityTooLarge},
+	{store.ErrUnavailable, "unavailable", http.StatusServiceUnavailable},
+}
