store: add the contract suite and run it on stand-in and adapter

Cause: callers rely on what each error of the store says about a write, for every implementation.

The suite found one fault: a failure sent with status 200 was taken for a success; answers are now decoded strictly.

--- a/store/httpstore/call.go
+++ b/store/httpstore/call.go
@@ -124,10 +124,7 @@
 		return fmt.Errorf("httpstore: answer exceeds %d bytes", maxAnswerBytes)
 	}
 	if response.StatusCode == http.StatusOK {
-		if err := json.Unmarshal(data, answer); err != nil {
-			return fmt.Errorf("httpstore: answer: %w", err)
-		}
-		return nil
+		return decodeSuccess(data, answer)
 	}
 	var body storeapi.Error
 	if json.Unmarshal(data, &body) == nil {
@@ -139,3 +136,24 @@
 	}
 	return fmt.Errorf("httpstore: unexpected status %s", response.Status)
 }
+
+// decodeSuccess is strict, so that a failure reported with a wrong status is
+// not taken for a success with empty fields.
+func decodeSuccess(data []byte, answer any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(answer); err != nil {
+		return fmt.Errorf("httpstore: answer: %w", err)
+	}
+	switch a := answer.(type) {
+	case *storeapi.KV:
+		if a.Revision == 0 {
+			return errors.New("httpstore: answer without a revision")
+		}
+	case *storeapi.Lease:
+		if a.Lease == 0 {
+			return errors.New("httpstore: answer without a lease")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/store/storetest/cases.go
@@ -0,0 +1,241 @@
+package storetest
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"testing/synctest"
+	"time"
+
+	"chicorytray.example/chicorytray/internal/storestub"
+	"chicorytray.example/chicorytray/store"
+)
+
+func is(err, want error) bool {
+	return errors.Is(err, want) || err == nil && want == nil
+}
+
+var cases = []struct {
+	name string
+	run  func(c *checker)
+}{
+	{"revisions grow and values read back", readsBack},
+	{"unusual keys and values", unusualKeys},
+	{"a write at a wrong revision conflicts", conflicts},
+	{"delete", deletes},
+	{"list by prefix in order", lists},
+	{"value size", valueSize},
+	{"returned values are copies", copies},
+	{"a lease that expires takes its keys", leaseExpires},
+	{"a lease that is kept alive stays", leaseKeptAlive},
+	{"revoke", revokes},
+	{"a key written without the lease outlives it", leaseDetached},
+	{"a watch returns the current state if it differs", watchDiffers},
+	{"a watch waits and counts as one call", watchWaits},
+	{"a watch sees removal", watchRemoval},
+	{"a watch ends with its context", watchEnds},
+	{"a call with an ended context is not carried out", endedContext},
+}
+
+func readsBack(c *checker) {
+	first := c.put("a", 0, "1", 0)
+	c.holds("a", "1")
+	second := c.put("a", first.Revision, "2", 0)
+	if first.Revision == 0 || second.Revision <= first.Revision {
+		c.Errorf("revisions %d, then %d", first.Revision, second.Revision)
+	}
+	if kv := c.get("a"); kv.Revision != second.Revision || second.Key != "a" || string(second.Value) != "2" {
+		c.Errorf("write returned %+v, read %+v", second, kv)
+	}
+	other := c.put("b", 0, "3", 0)
+	if other.Revision <= second.Revision {
+		c.Errorf("revision %d of another key is not above %d", other.Revision, second.Revision)
+	}
+	c.missing("c")
+}
+
+func unusualKeys(c *checker) {
+	for _, key := range []string{"a b/c?d=é%2F&e#f", "entries/ab", "claims//0", "+"} {
+		kv := c.put(key, 0, "\x00\xff\"", 0)
+		c.holds(key, "\x00\xff\"")
+		c.wants("delete", c.Store.Delete(c.ctx(), key, kv.Revision), nil)
+		c.missing(key)
+	}
+	c.put("empty", 0, "", 0)
+	c.holds("empty", "")
+}
+
+func conflicts(c *checker) {
+	kv := c.put("a", 0, "1", 0)
+	for _, expect := range []uint64{0, kv.Revision + 1} {
+		_, err := c.Store.CompareAndSwap(c.ctx(), "a", expect, []byte("2"), 0)
+		c.wants("write", err, store.ErrConflict)
+	}
+	_, err := c.Store.CompareAndSwap(c.ctx(), "b", kv.Revision, []byte("2"), 0)
+	c.wants("write of a missing key", err, store.ErrConflict)
+	c.holds("a", "1")
+	c.missing("b")
+}
+
+func deletes(c *checker) {
+	kv := c.put("a", 0, "1", 0)
+	c.wants("wrong revision", c.Store.Delete(c.ctx(), "a", kv.Revision+1), store.ErrConflict)
+	c.holds("a", "1")
+	c.wants("delete", c.Store.Delete(c.ctx(), "a", kv.Revision), nil)
+	c.missing("a")
+	c.wants("missing key", c.Store.Delete(c.ctx(), "a", kv.Revision), store.ErrNotFound)
+	if again := c.put("a", 0, "2", 0); again.Revision <= kv.Revision {
+		c.Errorf("revision %d after a removal is not above %d", again.Revision, kv.Revision)
+	}
+}
+
+func lists(c *checker) {
+	for _, key := range []string{"p/b", "q", "p/a", "p", "p/a/c"} {
+		c.put(key, 0, key, 0)
+	}
+	list, err := c.Store.List(c.ctx(), "p/")
+	c.wants("list", err, nil)
+	var keys []string
+	for _, kv := range list {
+		keys = append(keys, kv.Key)
+		if string(kv.Value) != kv.Key || kv.Revision == 0 {
+			c.Errorf("list returned %+v", kv)
+		}
+	}
+	if len(keys) != 3 || keys[0] != "p/a" || keys[1] != "p/a/c" || keys[2] != "p/b" {
+		c.Errorf("listed %q", keys)
+	}
+	list, err = c.Store.List(c.ctx(), "none/")
+	if err != nil || len(list) != 0 {
+		c.Errorf("empty prefix: %v, %v", list, err)
+	}
+}
+
+func valueSize(c *checker) {
+	largest := bytes.Repeat([]byte{0xfe}, store.MaxValueBytes)
+	kv := c.put("a", 0, string(largest), 0)
+	c.holds("a", string(largest))
+	_, err := c.Store.CompareAndSwap(c.ctx(), "a", kv.Revision, append(largest, 0), 0)
+	c.wants("value over the limit", err, store.ErrTooLarge)
+	c.holds("a", string(largest))
+}
+
+func copies(c *checker) {
+	value := []byte("1")
+	if _, err := c.Store.CompareAndSwap(c.ctx(), "a", 0, value, 0); err != nil {
+		c.Fatal(err)
+	}
+	value[0] = '2'
+	c.get("a").Value[0] = '3'
+	c.holds("a", "1")
+}
+
+func leaseExpires(c *checker) {
+	lease := c.grant(10 * time.Second)
+	c.put("a", 0, "1", lease)
+	time.Sleep(9 * time.Second)
+	c.holds("a", "1")
+	time.Sleep(2 * time.Second)
+	c.missing("a")
+	c.wants("keep alive", c.Store.KeepAlive(c.ctx(), lease), store.ErrLeaseExpired)
+	_, err := c.Store.CompareAndSwap(c.ctx(), "a", 0, []byte("2"), lease)
+	c.wants("write under an expired lease", err, store.ErrLeaseExpired)
+	c.missing("a")
+}
+
+func leaseKeptAlive(c *checker) {
+	lease := c.grant(10 * time.Second)
+	c.put("a", 0, "1", lease)
+	for range 4 {
+		time.Sleep(7 * time.Second)
+		c.wants("keep alive", c.Store.KeepAlive(c.ctx(), lease), nil)
+	}
+	c.holds("a", "1")
+}
+
+func revokes(c *checker) {
+	lease := c.grant(10 * time.Second)
+	c.put("a", 0, "1", lease)
+	c.put("b", 0, "1", 0)
+	c.wants("revoke", c.Store.Revoke(c.ctx(), lease), nil)
+	c.missing("a")
+	c.holds("b", "1")
+	c.wants("second revoke", c.Store.Revoke(c.ctx(), lease), store.ErrLeaseExpired)
+}
+
+func leaseDetached(c *checker) {
+	lease := c.grant(10 * time.Second)
+	kv := c.put("a", 0, "1", lease)
+	c.put("a", kv.Revision, "2", 0)
+	time.Sleep(20 * time.Second)
+	c.holds("a", "2")
+}
+
+func watchDiffers(c *checker) {
+	kv := c.put("a", 0, "1", 0)
+	for _, after := range []uint64{0, kv.Revision - 1, kv.Revision + 5} {
+		if after == kv.Revision {
+			continue
+		}
+		got, err := c.Store.Watch(c.ctx(), "a", after)
+		if err != nil || got.Revision != kv.Revision || string(got.Value) != "1" {
+			c.Errorf("watch after %d: %+v, %v", after, got, err)
+		}
+	}
+}
+
+func watchWaits(c *checker) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	created := c.watch(ctx, 0)
+	time.Sleep(time.Second)
+	kv := c.put("a", 0, "1", 0)
+	if got := <-created; got.err != nil || got.kv.Revision != kv.Revision {
+		c.Errorf("watch of a missing key: %+v", got)
+	}
+	changed := c.watch(ctx, kv.Revision)
+	c.put("b", 0, "1", 0)
+	synctest.Wait()
+	select {
+	case got := <-changed:
+		c.Fatalf("watch returned on another key's change: %+v", got)
+	default:
+	}
+	c.put("a", kv.Revision, "2", 0)
+	if got := <-changed; got.err != nil || string(got.kv.Value) != "2" {
+		c.Errorf("watch: %+v", got)
+	}
+	if n := c.Stub.Calls()[storestub.Watch]; n != 2 {
+		c.Errorf("2 watches were counted as %d calls", n)
+	}
+}
+
+func watchRemoval(c *checker) {
+	lease := c.grant(time.Second)
+	kv := c.put("a", 0, "1", lease)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	got := <-c.watch(ctx, kv.Revision)
+	c.wants("watch", got.err, store.ErrNotFound)
+}
+
+func watchEnds(c *checker) {
+	kv := c.put("a", 0, "1", 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := c.watch(ctx, kv.Revision)
+	synctest.Wait()
+	cancel()
+	got := <-done
+	c.wants("watch", got.err, store.ErrUnavailable)
+	c.wants("watch", got.err, context.Canceled)
+}
+
+func endedContext(c *checker) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := c.Store.CompareAndSwap(ctx, "a", 0, []byte("1"), 0)
+	c.wants("write", err, store.ErrUnavailable)
+	_, err = c.Store.Get(ctx, "a")
+	c.wants("read", err, store.ErrUnavailable)
+	c.missing("a")
+}
