claims: claim idempotency keys by compare-and-swap

Cause: a submission repeated at another entry with the same Idempotency-Key must not start a second job.

Change: Shard is the pure document of one of 256 shards, bounded to 960 KiB.

--- /dev/null
+++ b/claims/claimer_test.go
@@ -0,0 +1,209 @@
+package claims_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/claims"
+	"chicorytray.example/chicorytray/internal/storestub"
+	"chicorytray.example/chicorytray/store"
+)
+
+func claimOf(key, job string) claims.Claim {
+	return claims.Claim{Key: key, Account: "bureau", Fingerprint: "f-" + job, Job: job}
+}
+
+// newClaimer returns a Claimer whose jitter depends on the seed only.
+func newClaimer(s store.Store, seed uint64) *claims.Claimer {
+	var mu sync.Mutex
+	source := rand.New(rand.NewPCG(seed, 0))
+	return claims.New(claims.Options{Store: s, Jitter: func(d time.Duration) time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		return time.Duration(source.Int64N(int64(d)))
+	}})
+}
+
+// stored returns the job that owns the key in the store; empty for none.
+func stored(s *storestub.Stub, key string) string {
+	c := claimOf(key, "reader")
+	kv, _ := s.Peek(c.ShardKey())
+	shard, err := claims.DecodeShard(kv.Value)
+	if err != nil {
+		return err.Error()
+	}
+	owner, _ := shard.Owner(c)
+	return owner.Job
+}
+
+// sameShard returns n keys of one shard.
+func sameShard(n int) []string {
+	first := claimOf("key", "j").ShardKey()
+	keys := []string{"key"}
+	for i := 0; len(keys) < n; i++ {
+		if key := fmt.Sprintf("key-%d", i); claimOf(key, "j").ShardKey() == first {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// inBubble runs a test in virtual time with a stand-in and two Claimers, as
+// two entries have them.
+func inBubble(t *testing.T, test func(c *qt.C, s *storestub.Stub, a, b *claims.Claimer)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := storestub.New()
+		a, b := newClaimer(s, 1), newClaimer(s, 2)
+		defer a.Close()
+		defer b.Close()
+		test(qt.New(t), s, a, b)
+	})
+}
+
+// Guards against two jobs under one key, and against a repeated submission that
+// does not learn whose answer to wait for.
+func TestSecondClaimLearnsTheOwner(t *testing.T) {
+	inBubble(t, func(c *qt.C, _ *storestub.Stub, a, b *claims.Claimer) {
+		ctx := context.Background()
+		owner, won, err := a.Claim(ctx, claimOf("k", "job-1"))
+		c.Assert(err, qt.IsNil)
+		c.Check(won, qt.IsTrue)
+		c.Check(owner, qt.Equals, claimOf("k", "job-1"))
+		for _, claimer := range []*claims.Claimer{a, b} {
+			owner, won, err = claimer.Claim(ctx, claimOf("k", "job-2"))
+			c.Assert(err, qt.IsNil)
+			c.Check(won, qt.IsFalse)
+			c.Check(owner, qt.Equals, claimOf("k", "job-1"))
+		}
+		other := claimOf("k", "job-3")
+		other.Account = "office"
+		_, won, err = b.Claim(ctx, other)
+		c.Assert(err, qt.IsNil)
+		c.Check(won, qt.IsTrue, qt.Commentf("keys of two accounts are separate"))
+	})
+}
+
+// Guards against a key that stays taken after its job was refused.
+func TestReleaseFreesTheKeyOfItsOwnerOnly(t *testing.T) {
+	inBubble(t, func(c *qt.C, s *storestub.Stub, a, b *claims.Claimer) {
+		ctx := context.Background()
+		_, _, err := a.Claim(ctx, claimOf("k", "job-1"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(b.Release(ctx, claimOf("k", "job-2")), qt.IsNil)
+		c.Check(stored(s, "k"), qt.Equals, "job-1")
+		c.Assert(a.Release(ctx, claimOf("k", "job-1")), qt.IsNil)
+		c.Check(stored(s, "k"), qt.Equals, "")
+		_, won, err := b.Claim(ctx, claimOf("k", "job-2"))
+		c.Assert(err, qt.IsNil)
+		c.Check(won, qt.IsTrue)
+	})
+}
+
+// Guards against a claim that outlives its retention period, and one that is
+// dropped within it by an entry whose clock is ahead.
+func TestRetention(t *testing.T) {
+	inBubble(t, func(c *qt.C, s *storestub.Stub, a, b *claims.Claimer) {
+		ctx := context.Background()
+		_, _, err := a.Claim(ctx, claimOf("k", "job-1"))
+		c.Assert(err, qt.IsNil)
+		time.Sleep(claims.DefaultRetention + claims.MaxClockSkew)
+		_, won, err := b.Claim(ctx, claimOf("k", "job-2"))
+		c.Assert(err, qt.IsNil)
+		c.Check(won, qt.IsFalse)
+		time.Sleep(2 * time.Second)
+		_, won, err = b.Claim(ctx, claimOf("k", "job-2"))
+		c.Assert(err, qt.IsNil)
+		c.Check(won, qt.IsTrue)
+	})
+}
+
+// Guards against one write for each claim, which would exhaust the store's
+// several hundred writes a second.
+func TestClaimsInFlightShareWrites(t *testing.T) {
+	inBubble(t, func(c *qt.C, s *storestub.Stub, a, _ *claims.Claimer) {
+		s.SetLatency(5 * time.Millisecond)
+		var group sync.WaitGroup
+		for i, key := range sameShard(100) {
+			group.Go(func() {
+				_, won, err := a.Claim(context.Background(), claimOf(key, fmt.Sprintf("job-%d", i)))
+				if err != nil || !won {
+					t.Errorf("claim %d: won %v, %v", i, won, err)
+				}
+			})
+		}
+		group.Wait()
+		if n := s.Calls()[storestub.CompareAndSwap]; n > 2 {
+			t.Errorf("100 claims took %d writes", n)
+		}
+	})
+}
+
+// Guards against an error that says too little or too much about what happened.
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		inject func(*storestub.Stub)
+		won    bool
+		want   error
+		cause  error
+		stored string // the owner a minute later
+	}{
+		{"down", func(s *storestub.Stub) { s.SetDown(true) }, false, claims.ErrNotClaimed, store.ErrUnavailable, ""},
+		{"too slow to read", func(s *storestub.Stub) { s.SetLatency(10 * time.Second) }, false, claims.ErrNotClaimed, store.ErrUnavailable, ""},
+		{"answers lost", func(s *storestub.Stub) { s.LoseAnswers(3) }, true, nil, nil, "job-1"},
+		{"write held up", func(s *storestub.Stub) { s.HoldWrites(3, 2*time.Second) }, true, nil, nil, "job-1"},
+		{"write held up beyond the deadline", func(s *storestub.Stub) { s.HoldWrites(1000, 4*time.Second) }, false, claims.ErrUnsettled, context.DeadlineExceeded, ""},
+		{"stale reads", func(s *storestub.Stub) {
+			s.SetStale(true)
+			s.Put(claimOf("k", "").ShardKey(), []byte(`{"v":1,"claims":{}}`))
+		}, false, claims.ErrNotClaimed, claims.ErrContention, ""},
+		{"unreadable shard", func(s *storestub.Stub) { s.Put(claimOf("k", "").ShardKey(), []byte("{}")) }, false, claims.ErrNotClaimed, claims.ErrUnreadable, "claims: stored shard is unreadable: format version 0"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, func(c *qt.C, s *storestub.Stub, a, _ *claims.Claimer) {
+				test.inject(s)
+				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+				defer cancel()
+				_, won, err := a.Claim(ctx, claimOf("k", "job-1"))
+				c.Check(won, qt.Equals, test.won)
+				c.Check(err, qt.ErrorIs, test.want)
+				c.Check(err, qt.ErrorIs, test.cause)
+				s.SetDown(false)
+				s.SetLatency(0)
+				s.SetStale(false)
+				s.HoldWrites(0, 0)
+				time.Sleep(time.Minute)
+				c.Check(stored(s, "k"), qt.Equals, test.stored)
+			})
+		})
+	}
+}
+
+// Guards against goroutines that outlive Close, and against a doubtful claim
+// being reported as one that did not happen because the Claimer was closed.
+func TestClose(t *testing.T) {
+	inBubble(t, func(c *qt.C, s *storestub.Stub, a, _ *claims.Claimer) {
+		s.HoldWrites(1000, time.Minute)
+		done := make(chan error)
+		go func() {
+			_, _, err := a.Claim(context.Background(), claimOf("k", "job-1"))
+			done <- err
+		}()
+		time.Sleep(time.Second)
+		a.Close()
+		err := <-done
+		c.Check(err, qt.ErrorIs, claims.ErrUnsettled)
+		c.Check(err, qt.ErrorIs, claims.ErrClosed)
+		_, _, err = a.Claim(context.Background(), claimOf("k", "job-2"))
+		c.Check(err, qt.ErrorIs, claims.ErrNotClaimed)
+		c.Check(err, qt.ErrorIs, claims.ErrClosed)
+	})
+}
--- /dev/null
+++ b/claims/property_test.go
@@ -0,0 +1,171 @@
+package claims_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"chicorytray.example/chicorytray/claims"
+	"chicorytray.example/chicorytray/internal/storestub"
+)
+
+const (
+	propertyEntries = 3
+	propertyKeys    = 3
+)
+
+// step is one event of a schedule. Times are in milliseconds.
+type step struct {
+	At    int
+	Fault string // empty for a submission
+	Count int    // writes hit by the fault
+	For   int    // duration of the fault
+
+	Entry, Key, Patience int
+	Release              bool // a winner gives the claim up at once
+}
+
+func drawSteps(t *rapid.T) []step {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+		s := step{At: rapid.IntRange(0, 3000).Draw(t, "at")}
+		if rapid.IntRange(0, 2).Draw(t, "kind") == 0 {
+			s.Fault = rapid.SampledFrom([]string{"lose", "hold", "stale", "down", "slow"}).Draw(t, "fault")
+			s.Count = rapid.IntRange(1, 4).Draw(t, "count")
+			s.For = rapid.IntRange(1, 4000).Draw(t, "for")
+			return s
+		}
+		s.Entry = rapid.IntRange(0, propertyEntries-1).Draw(t, "entry")
+		s.Key = rapid.IntRange(0, propertyKeys-1).Draw(t, "key")
+		s.Patience = rapid.IntRange(1, 5000).Draw(t, "patience")
+		s.Release = rapid.Bool().Draw(t, "release")
+		return s
+	}), 1, 40).Draw(t, "steps")
+}
+
+// world runs a schedule and records violations.
+type world struct {
+	stub     *storestub.Stub
+	claimers []*claims.Claimer
+	keys     []string
+
+	mu        sync.Mutex
+	holder    map[string]string // winning job by key, until it is released
+	submitted map[string]string // key by job
+	faults    []string
+}
+
+func (w *world) violated(format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf(format, args...))
+}
+
+func (w *world) inject(s step) {
+	d := time.Duration(s.For) * time.Millisecond
+	switch s.Fault {
+	case "lose":
+		w.stub.LoseAnswers(s.Count)
+	case "hold":
+		w.stub.HoldWrites(s.Count, d)
+	case "stale":
+		w.stub.SetStale(true)
+		time.Sleep(d)
+		w.stub.SetStale(false)
+	case "down":
+		w.stub.SetDown(true)
+		time.Sleep(d)
+		w.stub.SetDown(false)
+	case "slow":
+		w.stub.SetLatency(d / 2)
+		time.Sleep(d)
+		w.stub.SetLatency(0)
+	}
+}
+
+func (w *world) submit(s step, job string) {
+	key := w.keys[s.Key]
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.Patience)*time.Millisecond)
+	defer cancel()
+	w.mu.Lock()
+	w.submitted[job] = key
+	w.mu.Unlock()
+	owner, won, err := w.claimers[s.Entry].Claim(ctx, claimOf(key, job))
+	w.mu.Lock()
+	switch {
+	case err != nil:
+		if won || errors.Is(err, claims.ErrNotClaimed) == errors.Is(err, claims.ErrUnsettled) {
+			w.violated("%s: won %v with error %v", job, won, err)
+		}
+	case !won:
+		if w.submitted[owner.Job] != key || owner != claimOf(key, owner.Job) || owner.Job == job {
+			w.violated("%s lost %s to %+v", job, key, owner)
+		}
+	default:
+		if other := w.holder[key]; other != "" {
+			w.violated("%s and %s both won %s", other, job, key)
+		}
+		w.holder[key] = job
+	}
+	release := won && s.Release
+	if release {
+		delete(w.holder, key)
+	}
+	w.mu.Unlock()
+	if release {
+		// An error leaves the release to the Claimer's background work.
+		_ = w.claimers[s.Entry].Release(ctx, claimOf(key, job))
+	}
+}
+
+func (w *world) run(steps []step) {
+	var group sync.WaitGroup
+	for i, s := range steps {
+		group.Go(func() {
+			time.Sleep(time.Duration(s.At) * time.Millisecond)
+			if s.Fault != "" {
+				w.inject(s)
+				return
+			}
+			w.submit(s, fmt.Sprintf("job-%d", i))
+		})
+	}
+	group.Wait()
+	w.stub.LoseAnswers(0)
+	w.stub.HoldWrites(0, 0)
+	time.Sleep(time.Minute) // held writes and background work end
+	for _, key := range w.keys {
+		if got := stored(w.stub, key); got != w.holder[key] {
+			w.violated("the store has owner %q of %s, but %q was told that it won", got, key, w.holder[key])
+		}
+	}
+	for _, c := range w.claimers {
+		c.Close()
+	}
+}
+
+// Guards against a duplicated order: two jobs that are both told that they own
+// a key, or an answer about a claim that the store contradicts, under any
+// interleaving of submissions with faults of the store. After the faults, a
+// key is owned exactly by the winner that did not release it; claims reported
+// as failed or unsettled must be gone.
+func TestAtMostOneWinnerAndTruthfulAnswers(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := drawSteps(rt)
+		var faults []string
+		synctest.Test(t, func(*testing.T) {
+			w := &world{stub: storestub.New(), keys: sameShard(propertyKeys), holder: map[string]string{}, submitted: map[string]string{}}
+			for i := range propertyEntries {
+				w.claimers = append(w.claimers, newClaimer(w.stub, uint64(i)))
+			}
+			w.run(steps)
+			faults = w.faults
+		})
+		if len(faults) > 0 {
+			rt.Fatalf("%q", faults)
+		}
+	})
+}
--- /dev/null
+++ b/claims/shard.go
@@ -0,0 +1,230 @@
+// Package claims records which job owns an idempotency key. Claims are kept
+// in the platform's key-value service, in 256 documents that are changed by
+// compare-and-swap, so that at most one job owns a key whichever entry it
+// was submitted to.
+package claims
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+const (
+	// Prefix of the keys under which the shards are stored.
+	Prefix = "claims/"
+	// ShardCount is the number of shards. One shard holds about 6,000
+	// claims, so that all hold 1.5 million within the retention period.
+	ShardCount = 256
+	// MaxShardBytes bounds an encoded shard. It leaves a margin below the
+	// 1 MB that the service holds.
+	MaxShardBytes = 960 << 10
+	// MaxClockSkew is added to the retention period, because the entry that
+	// removes a claim may have a clock ahead of the one that made it.
+	MaxClockSkew = time.Minute
+
+	maxKeyBytes         = 255
+	maxAccountBytes     = 63
+	maxFingerprintBytes = 128
+	maxJobBytes         = 200
+
+	formatVersion = 1
+	// idBytes of the hash of account and key identify a claim in its shard;
+	// 128 bits make accidental collisions negligible.
+	idBytes = 16
+	// recordOverhead is the size of a record in JSON without its id,
+	// fingerprint and job: punctuation, names and a number of 20 digits.
+	recordOverhead = len(`"":{"f":"","j":"","e":},`) + 20
+	// emptyShardBytes is the size of a shard without records.
+	emptyShardBytes = len(`{"v":1,"claims":{}}`)
+)
+
+// Errors of shards.
+var (
+	// ErrShardFull means that the shard has no room for another claim.
+	ErrShardFull = merry.Sentinel("claims: shard is full")
+	// ErrInvalidClaim means that a claim has a missing or unusable field.
+	ErrInvalidClaim = merry.Sentinel("claims: invalid claim")
+	// ErrUnreadable means that a stored shard cannot be decoded. It is never
+	// overwritten, because it may hold claims.
+	ErrUnreadable = merry.Sentinel("claims: stored shard is unreadable")
+)
+
+// Claim says that a job owns an idempotency key of an account.
+type Claim struct {
+	Key     string
+	Account string
+	// Fingerprint of the request. A submission with another fingerprint is
+	// not a repetition.
+	Fingerprint string
+	// Job is the identifier of the owning job; it is unique.
+	Job string
+}
+
+// validate checks lengths, and that fingerprint and job need no escaping in
+// JSON, which keeps the size of a shard predictable.
+func (c Claim) validate() error {
+	fields := []struct {
+		name, value string
+		longest     int
+		plain       bool
+	}{
+		{"key", c.Key, maxKeyBytes, false},
+		{"account", c.Account, maxAccountBytes, false},
+		{"fingerprint", c.Fingerprint, maxFingerprintBytes, true},
+		{"job", c.Job, maxJobBytes, true},
+	}
+	for _, f := range fields {
+		if f.value == "" || len(f.value) > f.longest {
+			return invalid("%s has %d bytes; want 1 to %d", f.name, len(f.value), f.longest)
+		}
+		if f.plain && strings.ContainsFunc(f.value, needsEscape) {
+			return invalid("%s has a space or one of the characters \" \\ < > & or is not ASCII", f.name)
+		}
+	}
+	return nil
+}
+
+func invalid(format string, args ...any) error {
+	return merry.Wrap(ErrInvalidClaim, merry.AppendMessagef(format, args...), merry.NoCaptureStack())
+}
+
+func needsEscape(r rune) bool {
+	return r <= ' ' || r >= 0x7f || strings.ContainsRune(`"\<>&`, r)
+}
+
+// hash identifies the key of an account.
+func (c Claim) hash() [sha256.Size]byte {
+	return sha256.Sum256([]byte(c.Account + "\x00" + c.Key))
+}
+
+// ShardKey returns the store's key of the shard that holds the claim.
+func (c Claim) ShardKey() string {
+	h := c.hash()
+	return fmt.Sprintf("%s%02x", Prefix, h[sha256.Size-1])
+}
+
+func (c Claim) id() string {
+	h := c.hash()
+	return base64.RawURLEncoding.EncodeToString(h[:idBytes])
+}
+
+// record is a stored claim. Account and key are known from its id.
+type record struct {
+	Fingerprint string `json:"f"`
+	Job         string `json:"j"`
+	// Expires is the end of the retention period in Unix seconds.
+	Expires int64 `json:"e"`
+}
+
+// Shard is the set of claims in one document.
+type Shard struct {
+	records map[string]record
+	size    int // upper bound of the encoded size
+}
+
+type document struct {
+	Version int               `json:"v"`
+	Claims  map[string]record `json:"claims"`
+}
+
+// DecodeShard reads a stored shard; no data is an empty one. It fails with
+// ErrUnreadable.
+func DecodeShard(data []byte) (*Shard, error) {
+	s := &Shard{records: map[string]record{}, size: emptyShardBytes}
+	if len(data) == 0 {
+		return s, nil
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	var doc document
+	if err := d.Decode(&doc); err != nil {
+		return nil, merry.Wrap(ErrUnreadable, merry.WithCause(err), merry.NoCaptureStack())
+	}
+	if doc.Version != formatVersion {
+		return nil, merry.Wrap(ErrUnreadable, merry.AppendMessagef("format version %d", doc.Version), merry.NoCaptureStack())
+	}
+	for id, r := range doc.Claims {
+		s.records[id] = r
+		s.size += r.size(id)
+	}
+	return s, nil
+}
+
+// Encode returns the shard as stored.
+func (s *Shard) Encode() ([]byte, error) {
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	if err := e.Encode(document{formatVersion, s.records}); err != nil {
+		return nil, merry.Prepend(err, "claims: encode")
+	}
+	return bytes.TrimRight(b.Bytes(), "\n"), nil
+}
+
+func (r record) size(id string) int {
+	return recordOverhead + len(id) + len(r.Fingerprint) + len(r.Job)
+}
+
+// Len returns the number of claims.
+func (s *Shard) Len() int { return len(s.records) }
+
+// Claim records that the job owns the key, unless a job owns it already, and
+// returns the owner and whether it is the claim's job. The claim is kept for
+// the retention period and MaxClockSkew. The caller expires claims first. It
+// fails with ErrInvalidClaim or ErrShardFull.
+func (s *Shard) Claim(now time.Time, retention time.Duration, c Claim) (owner Claim, won bool, err error) {
+	if err := c.validate(); err != nil {
+		return Claim{}, false, err
+	}
+	if owner, ok := s.Owner(c); ok {
+		return owner, owner.Job == c.Job, nil
+	}
+	id := c.id()
+	r := record{c.Fingerprint, c.Job, now.Add(retention + MaxClockSkew).Unix()}
+	if s.size+r.size(id) > MaxShardBytes {
+		return Claim{}, false, ErrShardFull
+	}
+	s.records[id] = r
+	s.size += r.size(id)
+	return c, true, nil
+}
+
+// Owner returns the claim of c's key.
+func (s *Shard) Owner(c Claim) (Claim, bool) {
+	r, ok := s.records[c.id()]
+	return Claim{c.Key, c.Account, r.Fingerprint, r.Job}, ok
+}
+
+// Release removes the claim if its job owns the key, and reports whether it did.
+func (s *Shard) Release(c Claim) bool {
+	owner, ok := s.Owner(c)
+	if !ok || owner.Job != c.Job {
+		return false
+	}
+	s.remove(c.id())
+	return true
+}
+
+// Expire removes the claims whose retention period is over and returns their
+// number.
+func (s *Shard) Expire(now time.Time) int {
+	before := len(s.records)
+	for id, r := range s.records {
+		if r.Expires < now.Unix() {
+			s.remove(id)
+		}
+	}
+	return before - len(s.records)
+}
+
+func (s *Shard) remove(id string) {
+	s.size -= s.records[id].size(id)
+	delete(s.records, id)
+}
