claims: settle doubtful writes by stale reads alone, test failed batches

Change: the doubt revision is gone; a read older than one seen before decides nothing. A directed test fails a batch between its read and its write.

--- a/claims/claimer_test.go
+++ b/claims/claimer_test.go
@@ -207,3 +207,43 @@
 		c.Check(err, qt.ErrorIs, claims.ErrClosed)
 	})
 }
+
+// Guards against a claim that loses to, or a release that relies on, a change
+// of its own batch when that batch is then not written.
+func TestOperationsOfAFailedBatch(t *testing.T) {
+	inBubble(t, func(c *qt.C, s *storestub.Stub, a, _ *claims.Claimer) {
+		const latency = 10 * time.Millisecond
+		ctx := context.Background()
+		keys := sameShard(2)
+		_, _, err := a.Claim(ctx, claimOf(keys[1], "job-1"))
+		c.Assert(err, qt.IsNil)
+		s.SetLatency(latency)
+
+		// The filler's read takes one latency. The batch after it is read by
+		// 2 and written by 3, when the store is down.
+		var group sync.WaitGroup
+		group.Go(func() { _, _, _ = a.Claim(ctx, claimOf(keys[1], "filler")) })
+		time.Sleep(latency / 2)
+		claimErrs, releaseErrs := make([]error, 2), make([]error, 2)
+		for i := range 2 {
+			group.Go(func() { _, _, claimErrs[i] = a.Claim(ctx, claimOf(keys[0], fmt.Sprintf("job-%d", i+2))) })
+			group.Go(func() {
+				ctx, cancel := context.WithTimeout(ctx, 10*latency)
+				defer cancel()
+				releaseErrs[i] = a.Release(ctx, claimOf(keys[1], "job-1"))
+			})
+		}
+		time.Sleep(2 * latency)
+		s.SetDown(true)
+		group.Wait()
+		for i := range 2 {
+			c.Check(claimErrs[i], qt.ErrorIs, claims.ErrNotClaimed)
+			c.Check(releaseErrs[i], qt.ErrorIs, claims.ErrUnsettled)
+		}
+		c.Check(stored(s, keys[0]), qt.Equals, "")
+		c.Check(stored(s, keys[1]), qt.Equals, "job-1")
+		s.SetDown(false)
+		time.Sleep(time.Minute)
+		c.Check(stored(s, keys[1]), qt.Equals, "", qt.Commentf("the release goes on in the background"))
+	})
+}
--- a/claims/worker.go
+++ b/claims/worker.go
@@ -17,10 +17,7 @@
 	created  time.Time
 	done     chan struct{}
 	attempts int
-	// inDoubt is set when a write of this operation has an unknown outcome;
-	// doubt is the highest revision that such a write expected.
-	inDoubt  bool
-	doubt    uint64
+	inDoubt  bool // a write of this operation had an unknown outcome
 	resolved bool // to be finished with the values below
 	owner    Claim
 	won      bool
@@ -42,13 +39,6 @@
 	return notClaimed(cause)
 }
 
-// settled reports whether no doubtful write can take effect any more. Such a
-// write expected the revision doubt, and revisions only grow. A lower revision
-// proves nothing, because the read may be stale.
-func (op *operation) settled(revision uint64) bool {
-	return !op.inDoubt || revision > op.doubt
-}
-
 // seen returns the highest revision of the shard that this Claimer knows of,
 // with a read at the given revision included.
 func (c *Claimer) seen(shard string, revision uint64) uint64 {
@@ -101,7 +91,7 @@
 	content.Expire(time.Now())
 	ops = c.dropAbandoned(ops)
 	b := batch{
-		content: content, revision: kv.Revision, changed: map[string]bool{},
+		content: content, changed: map[string]bool{},
 		stale: kv.Revision < c.seen(shard, kv.Revision),
 	}
 	for _, op := range ops {
@@ -125,7 +115,7 @@
 		op.attempts++
 		op.resolved = err == nil
 		if err != nil && !notWritten(err) {
-			op.inDoubt, op.doubt = true, max(op.doubt, kv.Revision)
+			op.inDoubt = true
 		}
 	}
 	ops, more := c.finishResolved(ops)
@@ -148,24 +138,25 @@
 	return kv, content, err
 }
 
-// batch is a shard as read at a revision, with the changes of one write.
+// batch is a shard as read, with the changes of one write.
 type batch struct {
-	content  *Shard
-	revision uint64
-	changed  map[string]bool // ids of claims that differ from the stored ones
-	stale    bool            // the read is older than what this Claimer saw before
+	content *Shard
+	changed map[string]bool // ids of claims that differ from the stored ones
+	stale   bool            // the read is older than what this Claimer saw before
 }
 
 // decides reports whether the shard as read can decide that the operation's
-// job does not own the key.
+// job does not own the key. A doubtful write of the operation expected a
+// revision that this Claimer had read. It cannot take effect at a later one,
+// and at an earlier one the read is stale.
 func (b *batch) decides(op *operation) bool {
-	return !b.stale && !b.changed[op.claim.id()] && op.settled(b.revision)
+	return !b.stale && !b.changed[op.claim.id()]
 }
 
 // apply changes the shard for one operation. The operation is resolved if the
 // shard as read decides it; otherwise it is decided once the batch is written.
-// An operation with an unsettled write is written even without a change, as is
-// one after a stale read: the new revision then settles it.
+// After a stale read the shard is written even without a change: the new
+// revision then decides.
 func (b *batch) apply(op *operation, retention time.Duration) {
 	op.resolved, op.err = false, nil
 	id := op.claim.id()
@@ -185,7 +176,7 @@
 	op.owner, op.won, op.err = b.content.Claim(time.Now(), retention, op.claim)
 	if op.err != nil {
 		op.err = notClaimed(op.err)
-		op.resolved = b.decides(op)
+		op.resolved = b.decides(op) && !op.inDoubt
 		return
 	}
 	b.changed[id] = true
