--- /dev/null
+++ b/quota/quota.go
@@ -0,0 +1,233 @@
+// Package quota divides the limit of a client account among the entries that
+// serve it, without a call to the store.
+//
+// Every entry counts the tasks that its callers ask for and publishes the
+// rates in the heartbeats that entries exchange anyway. Each entry computes
+// its own share from what it published and what it heard:
+//
+//	share = limit × ((1 − FloorShare) × own / (own + others) + FloorShare / entries)
+//
+// where own is the lowest demand that the entry published in the last two
+// intervals, and others is the sum over its peers of the highest demand heard
+// from each in the same time. An entry thus raises its share only after its
+// peers had time to lower theirs, and lowers it at once.
+//
+// While every entry hears every other within one interval, the shares add up
+// to at most the limit. The stated errors are:
+//
+//   - A new entry takes NewcomerShare × limit / entries at once. Until its
+//     peers heard it, the sum exceeds the limit by at most that for each new
+//     entry, for at most one interval.
+//   - Entries that are cut from each other drop each other after
+//     Options.Silence. Each group that still hears itself then divides the
+//     whole limit, so with k groups up to k × limit is in use. Before the
+//     drop the sum stays below the limit. After the cut heals, the sum is
+//     within the limit again one interval after the first heartbeats.
+//   - An entry that stopped keeps its last share until it is dropped.
+//
+// Shares reads no clock and takes no lock; the caller serialises its calls.
+package quota
+
+import "time"
+
+// Defaults of Options and constants of the division.
+const (
+	// DefaultInterval between heartbeats of entries.
+	DefaultInterval = time.Second
+	// silentIntervals without a heartbeat drop an entry. Three let one
+	// heartbeat get lost and the next be late.
+	silentIntervals = 3
+	// windowIntervals is the time over which the lowest own and the highest
+	// heard demand count. Two cover a message delay of up to one interval.
+	windowIntervals = 2
+	// FloorShare of a limit is divided equally, so that an entry without
+	// recent demand can serve the next job at once.
+	FloorShare = 0.1
+	// NewcomerShare of an equal part is what an entry takes before its peers
+	// had time to hear it.
+	NewcomerShare = 0.5
+	// baseDemand in tasks a second is added to every demand, which makes the
+	// division equal when no entry has any.
+	baseDemand = 1.0
+	// smoothing is the weight of the newest interval in the published rate.
+	smoothing = 0.5
+	// negligible demand in tasks a second is not published.
+	negligible = 0.01
+)
+
+// Options of Shares. A zero field takes its default.
+type Options struct {
+	Self     string        // this entry's identifier
+	Interval time.Duration // between heartbeats
+	Silence  time.Duration // without a heartbeat after which an entry is dropped
+}
+
+// Shares computes this entry's shares.
+type Shares struct {
+	options Options
+	counts  map[string]int // tasks asked for since the last snapshot
+	rates   map[string]float64
+	own     []snapshot            // published, oldest first
+	peers   map[string][]snapshot // heard, oldest first
+	started time.Time             // first publication
+}
+
+// snapshot is the demand by account at a time, in tasks a second.
+type snapshot struct {
+	at     time.Time
+	demand map[string]float64
+}
+
+// New returns the shares of an entry that has heard of no other yet.
+func New(o Options) *Shares {
+	if o.Interval <= 0 {
+		o.Interval = DefaultInterval
+	}
+	if o.Silence <= 0 {
+		o.Silence = silentIntervals * o.Interval
+	}
+	return &Shares{
+		options: o,
+		counts:  make(map[string]int),
+		rates:   make(map[string]float64),
+		peers:   make(map[string][]snapshot),
+	}
+}
+
+// Count records that callers of an account asked for tasks, whether they were
+// accepted or refused.
+func (s *Shares) Count(_ time.Time, account string, tasks int) {
+	s.counts[account] += tasks
+}
+
+// Demand returns this entry's demand by account in tasks a second, to be
+// published to its peers. It changes at most twice an interval, so that all
+// peers get the same numbers however often it is called. The caller must not
+// change the map.
+func (s *Shares) Demand(now time.Time) map[string]float64 {
+	if len(s.own) == 0 {
+		s.started = now
+		s.own = append(s.own, snapshot{now, map[string]float64{}})
+		return s.own[0].demand
+	}
+	last := s.own[len(s.own)-1]
+	elapsed := now.Sub(last.at)
+	if elapsed < s.options.Interval/2 {
+		return last.demand
+	}
+	s.updateRates(elapsed)
+	published := make(map[string]float64, len(s.rates))
+	for account, rate := range s.rates {
+		published[account] = rate
+	}
+	s.own = append(s.trim(s.own, now), snapshot{now, published})
+	return published
+}
+
+// Observe records the demand that another entry published. A heartbeat of
+// this entry itself is ignored. The map is kept and must not be changed.
+func (s *Shares) Observe(now time.Time, entry string, demand map[string]float64) {
+	if entry == s.options.Self {
+		return
+	}
+	s.peers[entry] = append(s.trim(s.peers[entry], now), snapshot{now, demand})
+}
+
+// Forget drops an entry that said it stops.
+func (s *Shares) Forget(entry string) { delete(s.peers, entry) }
+
+// Share returns this entry's part of an account's limit. A limit of 0 or less
+// means no limit and is returned as 0.
+func (s *Shares) Share(now time.Time, account string, limit float64) float64 {
+	if limit <= 0 {
+		return 0
+	}
+	own := baseDemand + s.lowestOwn(now, account)
+	total := own
+	entries := 1
+	for id, heard := range s.peers {
+		if now.Sub(heard[len(heard)-1].at) > s.options.Silence {
+			delete(s.peers, id)
+			continue
+		}
+		entries++
+		total += baseDemand + s.highest(heard, now, account)
+	}
+	n := float64(entries)
+	share := limit * ((1-FloorShare)*own/total + FloorShare/n)
+	if s.isNew(now) {
+		// Peers do not count this entry yet, and it may not have heard them.
+		return limit * NewcomerShare / n
+	}
+	return share
+}
+
+// Entries returns the number of entries among which limits are divided now.
+func (s *Shares) Entries(now time.Time) int {
+	n := 1
+	for _, heard := range s.peers {
+		if now.Sub(heard[len(heard)-1].at) <= s.options.Silence {
+			n++
+		}
+	}
+	return n
+}
+
+// isNew holds until the peers had one interval to hear this entry.
+func (s *Shares) isNew(now time.Time) bool {
+	return s.started.IsZero() || now.Sub(s.started) < s.options.Interval
+}
+
+func (s *Shares) updateRates(elapsed time.Duration) {
+	for account := range s.counts {
+		if _, ok := s.rates[account]; !ok {
+			s.rates[account] = 0
+		}
+	}
+	for account, rate := range s.rates {
+		newest := float64(s.counts[account]) / elapsed.Seconds()
+		rate += smoothing * (newest - rate)
+		if rate < negligible {
+			delete(s.rates, account)
+			continue
+		}
+		s.rates[account] = rate
+	}
+	clear(s.counts)
+}
+
+func (s *Shares) lowestOwn(now time.Time, account string) float64 {
+	if len(s.own) == 0 {
+		return 0
+	}
+	lowest := s.own[len(s.own)-1].demand[account]
+	for _, o := range s.own {
+		if s.inWindow(o, now) {
+			lowest = min(lowest, o.demand[account])
+		}
+	}
+	return lowest
+}
+
+func (s *Shares) highest(heard []snapshot, now time.Time, account string) float64 {
+	highest := heard[len(heard)-1].demand[account]
+	for _, o := range heard {
+		if s.inWindow(o, now) {
+			highest = max(highest, o.demand[account])
+		}
+	}
+	return highest
+}
+
+func (s *Shares) inWindow(o snapshot, now time.Time) bool {
+	return now.Sub(o.at) <= windowIntervals*s.options.Interval
+}
+
+// trim drops snapshots that left the window, so that at most a handful are
+// kept for each entry.
+func (s *Shares) trim(list []snapshot, now time.Time) []snapshot {
+	for len(list) > 0 && !s.inWindow(list[0], now) {
+		list = list[1:]
+	}
+	return list
+}
