--- a/admission/admission.go
+++ b/admission/admission.go
@@ -45,6 +45,10 @@
 const (
 	// DefaultMaxQueuedTasks bounds the queue of one process.
 	DefaultMaxQueuedTasks = 100000
+	// DefaultDeadlineShare of a job's deadline may be used up by the expected
+	// time; the rest covers errors of the estimate and more urgent jobs that
+	// arrive later.
+	DefaultDeadlineShare = 0.8
 	// MinRetryAfter is the least wait proposed to a caller; Retry-After
 	// counts whole seconds.
 	MinRetryAfter = time.Second
@@ -103,6 +107,8 @@
 	// MaxAccountQueued bounds the queued tasks of one account; 0 means only
 	// MaxQueuedTasks.
 	MaxAccountQueued int
+	// DeadlineShare of the deadline that the expected time may use up.
+	DeadlineShare float64
 }
 
 // Controller decides about jobs.
@@ -117,6 +123,9 @@
 	if o.MaxQueuedTasks <= 0 {
 		o.MaxQueuedTasks = DefaultMaxQueuedTasks
 	}
+	if o.DeadlineShare <= 0 {
+		o.DeadlineShare = DefaultDeadlineShare
+	}
 	return &Controller{options: o, buckets: make(map[string]*bucket)}
 }
 
@@ -145,12 +154,13 @@
 	}
 	own := max(r.Expected, scale(r.Expected, float64(r.Tasks)/speed))
 	finish := wait + own
+	usable := scale(r.Deadline, c.options.DeadlineShare)
 	// With an empty queue a job is always tried: a wrong estimate that
 	// refuses every job of a template would never be corrected.
-	if finish > r.Deadline && s.QueuedTasks > 0 {
-		return refuse(ReasonDeadline, min(wait, finish-r.Deadline))
+	if finish > usable && s.QueuedTasks > 0 {
+		return refuse(ReasonDeadline, min(wait, finish-usable))
 	}
-	if late := c.accountDelay(r, s) - r.Deadline; late > 0 && s.AccountQueued+s.AccountRunning > 0 {
+	if late := c.accountDelay(r, s) - usable; late > 0 && s.AccountQueued+s.AccountRunning > 0 {
 		return refuse(ReasonAccountLimit, late)
 	}
 	if s.AccountRate > 0 {
--- /dev/null
+++ b/placement/policies.go
@@ -0,0 +1,98 @@
+package placement
+
+// Random picks any agent with room, in any data centre that the class allows.
+// It is the baseline that the other policies are measured against.
+type Random struct{}
+
+// Name implements Policy.
+func (Random) Name() string { return "random" }
+
+// Choose implements Policy.
+func (Random) Choose(v View, q Query) (id string, ok bool) {
+	c, ok := anyZone(v, q)
+	return c.ID, ok
+}
+
+// PowerOfTwo picks two agents with room at random and takes the one with more
+// free slots, or the nearer one of equals.
+type PowerOfTwo struct{}
+
+// Name implements Policy.
+func (PowerOfTwo) Name() string { return "power_of_two" }
+
+// Choose implements Policy.
+func (PowerOfTwo) Choose(v View, q Query) (id string, ok bool) {
+	a, ok := anyZone(v, q)
+	if !ok {
+		return "", false
+	}
+	if b, other := anyZone(v, q); other && (b.Score > a.Score || b.Score == a.Score && b.Distance < a.Distance) {
+		return b.ID, true
+	}
+	return a.ID, true
+}
+
+// anyZone returns a random agent with room. Zones are drawn by their number of
+// open agents, so that all agents are equally likely. If the one drawn has no
+// fitting agent, the others follow in order.
+func anyZone(v View, q Query) (Candidate, bool) {
+	zones, open := v.Zones(), 0
+	for i := range zones {
+		open += v.Open(i, q.Class)
+	}
+	if open == 0 {
+		return Candidate{}, false
+	}
+	first, n := 0, v.IntN(open)
+	for n >= v.Open(first, q.Class) {
+		n -= v.Open(first, q.Class)
+		first++
+	}
+	for i := range zones {
+		if c, ok := v.Random((first+i)%zones, q, 0); ok {
+			return c, true
+		}
+	}
+	return Candidate{}, false
+}
+
+// IdleFirst picks an agent with a free slot in the nearest data centre that has
+// one: the agent with most free slots, or one of a few others with a free slot
+// whose rack has fewer tasks of the same job. Only when no agent anywhere has a
+// free slot does it use room in the agents' queues, again nearest first.
+type IdleFirst struct{}
+
+// spreadCandidates are compared by the tasks of the job in their racks. A free
+// slot serves a task equally soon on every agent of a data centre, so the
+// spread costs no response time.
+const spreadCandidates = 4
+
+// Name implements Policy.
+func (IdleFirst) Name() string { return "idle_first" }
+
+// Choose implements Policy.
+func (IdleFirst) Choose(v View, q Query) (id string, ok bool) {
+	for _, above := range []float64{freeSlot, 0} {
+		for i := range v.Zones() {
+			if c, ok := v.Best(i, q, above); ok {
+				return spread(v, i, q, c, above).ID, true
+			}
+		}
+	}
+	return "", false
+}
+
+// spread replaces the best agent by one of a few others whose rack has fewer
+// tasks of the job.
+func spread(v View, zone int, q Query, best Candidate, above float64) Candidate {
+	if q.RackTasks == nil {
+		return best
+	}
+	for n := 1; n < spreadCandidates && best.rackLoad > 0; n++ {
+		c, ok := v.Random(zone, q, above)
+		if ok && (c.rackLoad < best.rackLoad || c.rackLoad == best.rackLoad && c.Score > best.Score) {
+			best = c
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/placement/search.go
@@ -0,0 +1,120 @@
+package placement
+
+import (
+	"math/bits"
+	"time"
+)
+
+// A search visits at most visitsBase + visitsPerLevel × levels nodes. Without
+// resources and agents to avoid it visits two nodes on each level. It visits
+// more where the agents with free slots lack a resource that their neighbours
+// in the tree have. The limit keeps every decision logarithmic; a search that
+// reaches it says that there is no room, and the next one begins elsewhere. A
+// zone of up to 100 agents is always searched completely.
+const (
+	visitsBase     = 128
+	visitsPerLevel = 32
+)
+
+// View lets a policy look up usable agents. Zones are data centres, nearest first.
+type View struct{ t *Table }
+
+// Zones returns the number of zones.
+func (v View) Zones() int { return len(v.t.zones) }
+
+// Distance returns the one-way delay to a zone.
+func (v View) Distance(zone int) time.Duration { return v.t.zones[zone].key.distance }
+
+// Open returns the number of agents with room in a zone, or 0 if the class may
+// not run there. Resources are not considered.
+func (v View) Open(zone int, c Class) int {
+	z := v.t.zones[zone]
+	if !c.allows(z.key.dataCentre) {
+		return 0
+	}
+	return z.tree.root().open
+}
+
+// IntN returns a random number from 0 to n-1.
+func (v View) IntN(n int) int { return v.t.random.IntN(n) }
+
+// Best returns the agent with the highest score above the given one that fits
+// the query. Among equals it chooses at random.
+func (v View) Best(zone int, q Query, above float64) (Candidate, bool) {
+	return v.search(zone, q, above, true)
+}
+
+// Random returns an agent with a score above the given one that fits the query.
+// Above 0, without needs and agents to avoid, all such agents are equally likely.
+func (v View) Random(zone int, q Query, above float64) (Candidate, bool) {
+	return v.search(zone, q, above, false)
+}
+
+// search is one walk down the tree of a zone.
+type search struct {
+	tree   *tree
+	query  Query
+	view   View
+	best   bool // look for the highest score instead of any
+	above  float64
+	visits int
+	found  *agent
+}
+
+func (v View) search(zone int, q Query, above float64, best bool) (Candidate, bool) {
+	z := v.t.zones[zone]
+	if !q.Class.allows(z.key.dataCentre) || len(z.tree.nodes) == 0 {
+		return Candidate{}, false
+	}
+	levels := bits.Len(uint(len(z.tree.nodes)))
+	s := search{tree: &z.tree, query: q, view: v, best: best, above: above, visits: visitsBase + visitsPerLevel*levels}
+	s.walk(1)
+	if s.found == nil {
+		return Candidate{}, false
+	}
+	c := Candidate{ID: s.found.ID, Rack: s.found.Rack, Score: s.above, Distance: s.found.Distance}
+	if q.RackTasks != nil {
+		c.rackLoad = q.RackTasks(c.Rack)
+	}
+	return c, true
+}
+
+// walk visits a subtree and reports whether the search is over.
+func (s *search) walk(i int) bool {
+	n := &s.tree.nodes[i]
+	if n.best <= s.above || !s.query.Class.Needs.Fits(n.capacityFree) {
+		return false
+	}
+	if s.visits--; s.visits < 0 {
+		return true
+	}
+	leaves := len(s.tree.nodes) / 2
+	if i >= leaves {
+		a := s.tree.agents[i-leaves]
+		if s.query.Avoid != nil && s.query.Avoid(a.ID) {
+			return false
+		}
+		s.found, s.above = a, n.best
+		return !s.best
+	}
+	first := 2*i + s.side(&s.tree.nodes[2*i], &s.tree.nodes[2*i+1])
+	return s.walk(first) || s.walk(first^1)
+}
+
+// side returns 0 if the left child should be visited first and 1 for the right.
+func (s *search) side(left, right *node) int {
+	a, b := left.open, right.open
+	if s.best {
+		if left.best != right.best {
+			if left.best > right.best {
+				return 0
+			}
+			return 1
+		}
+		a, b = left.ties, right.ties
+	}
+	if s.view.IntN(a+b) < a {
+		return 0
+	}
+	return 1
+}
--- /dev/null
+++ b/placement/table.go
@@ -0,0 +1,287 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// tableSeed makes the choice among equal agents repeatable in tests. The
+// agents' loads differ between processes, so equal seeds do not make several
+// entries choose alike; SetSeed separates them from the start.
+const tableSeed = 1
+
+// Table holds the agents that a process knows.
+type Table struct {
+	policy Policy
+	agents map[string]*agent
+	zones  []*zone // nearest first
+	random *rand.Rand
+}
+
+// zoneKey groups agents that are equally near. Agents of one data centre
+// usually have the same distance.
+type zoneKey struct {
+	dataCentre string
+	distance   time.Duration
+}
+
+// zone holds the agents of one data centre.
+type zone struct {
+	key    zoneKey
+	tree   tree
+	shapes map[shape]int // number of agents by capacity, usable or not
+}
+
+// shape is what decides whether an agent can ever run a task.
+type shape struct {
+	capacity Resources
+	hasSlots bool
+}
+
+// agent is an Agent with what is known about its load.
+type agent struct {
+	Agent
+	zone   *zone
+	leaf   int // in zone.tree
+	usable bool
+	weight float64
+
+	reported    bool
+	load        Load
+	sent        int // since the newest report
+	sentNeeds   Resources
+	outstanding int // sent and not settled
+	heldNeeds   Resources
+}
+
+// NewTable returns an empty table that chooses by the policy.
+func NewTable(p Policy) *Table {
+	t := &Table{policy: p, agents: make(map[string]*agent)}
+	t.SetSeed(tableSeed)
+	return t
+}
+
+// SetSeed sets the seed of choices among equal agents. Processes that share
+// agents should use different seeds.
+func (t *Table) SetSeed(seed uint64) { t.random = rand.New(rand.NewPCG(seed, tableSeed)) }
+
+// Upsert adds an agent or replaces its description. A new agent is usable and
+// has weight 1. The load and the report's sequence are reset unless the
+// incarnation is known; usability and weight of a known agent are kept.
+func (t *Table) Upsert(a Agent) {
+	known, ok := t.agents[a.ID]
+	if !ok {
+		known = &agent{usable: true, weight: 1}
+		t.agents[a.ID] = known
+	} else {
+		t.leaveZone(known)
+		if a.Incarnation == 0 || a.Incarnation != known.Incarnation {
+			*known = agent{usable: known.usable, weight: known.weight}
+		}
+	}
+	known.Agent = a
+	t.enterZone(known)
+	t.update(known)
+}
+
+// Remove forgets an agent.
+func (t *Table) Remove(id string) {
+	if a, ok := t.agents[id]; ok {
+		t.leaveZone(a)
+		delete(t.agents, id)
+	}
+}
+
+// SetUsable says whether tasks may be sent to the agent: it is in service, not
+// leaving, not suspect and not ejected.
+func (t *Table) SetUsable(id string, usable bool) {
+	if a, ok := t.agents[id]; ok {
+		a.usable = usable
+		t.update(a)
+	}
+}
+
+// SetWeight sets the part of its slots, above 0 and up to 1, that an agent is
+// offered; a slow upstream gets less than 1. At least one slot is used.
+func (t *Table) SetWeight(id string, share float64) {
+	if a, ok := t.agents[id]; ok && !math.IsNaN(share) {
+		a.weight = min(max(share, minWeight), 1)
+		t.update(a)
+	}
+}
+
+// minWeight keeps a slow upstream in use with one task at a time, so that its
+// recovery is noticed.
+const minWeight = 0.01
+
+// Report records an agent's load and whether it was newer than the last one.
+// For the load in a reply, call Settled first.
+func (t *Table) Report(id string, l Load) bool {
+	a, ok := t.agents[id]
+	if !ok || (a.reported && l.Sequence <= a.load.Sequence) {
+		return false
+	}
+	a.reported, a.load = true, l
+	a.sent, a.sentNeeds = 0, Resources{}
+	t.update(a)
+	return true
+}
+
+// Sent records that a task with these needs was sent to the agent.
+func (t *Table) Sent(id string, n Resources) {
+	if a, ok := t.agents[id]; ok {
+		a.sent++
+		a.sentNeeds = a.sentNeeds.Plus(n)
+		a.outstanding++
+		a.heldNeeds = a.heldNeeds.Plus(n)
+		t.update(a)
+	}
+}
+
+// Settled records that the reply for a task was received, or that it was
+// proved that the task was not sent.
+func (t *Table) Settled(id string, n Resources) {
+	a, ok := t.agents[id]
+	if !ok || a.outstanding == 0 {
+		return
+	}
+	a.outstanding--
+	a.heldNeeds = least(a.heldNeeds, a.heldNeeds.Minus(n))
+	if a.outstanding == 0 {
+		a.heldNeeds = Resources{}
+	}
+	a.sent = min(a.sent, a.outstanding)
+	a.sentNeeds = least(a.sentNeeds, a.heldNeeds)
+	t.update(a)
+}
+
+// Len returns the number of known agents.
+func (t *Table) Len() int { return len(t.agents) }
+
+// Rack returns an agent's rack, or "" when the agent is unknown.
+func (t *Table) Rack(id string) string {
+	if a, ok := t.agents[id]; ok {
+		return a.Rack
+	}
+	return ""
+}
+
+// Slots returns the slots of the usable agents in the class's data centres,
+// reduced by their weights.
+func (t *Table) Slots(c Class) int {
+	slots := 0
+	for _, z := range t.zones {
+		if c.allows(z.key.dataCentre) {
+			slots += z.tree.root().slots
+		}
+	}
+	return slots
+}
+
+// Feasible reports whether some usable agent is estimated to have room for a
+// task of the class now.
+func (t *Table) Feasible(c Class) bool {
+	v := View{t}
+	for i := range t.zones {
+		if _, ok := v.Random(i, Query{Class: c}, 0); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// Choose picks an agent for a task of the class by the table's policy.
+func (t *Table) Choose(c Class, avoid func(id string) bool) (id string, ok bool) {
+	return t.ChooseFor(Query{Class: c, Avoid: avoid})
+}
+
+// ChooseFor picks an agent for a query, which may also spread a job over racks.
+func (t *Table) ChooseFor(q Query) (id string, ok bool) {
+	return t.policy.Choose(View{t}, q)
+}
+
+func (t *Table) enterZone(a *agent) {
+	key := zoneKey{a.DataCentre, a.Distance}
+	i, found := slices.BinarySearchFunc(t.zones, key, func(z *zone, k zoneKey) int { return compareZones(z.key, k) })
+	if !found {
+		t.zones = slices.Insert(t.zones, i, &zone{key: key, shapes: make(map[shape]int)})
+	}
+	a.zone = t.zones[i]
+	a.leaf = a.zone.tree.add(a)
+	a.zone.shapes[a.shape()]++
+}
+
+func (t *Table) leaveZone(a *agent) {
+	z := a.zone
+	z.tree.remove(a.leaf)
+	s := a.shape()
+	if z.shapes[s]--; z.shapes[s] == 0 {
+		delete(z.shapes, s)
+	}
+	if len(z.shapes) == 0 {
+		t.zones = slices.DeleteFunc(t.zones, func(o *zone) bool { return o == z })
+	}
+}
+
+func compareZones(a, b zoneKey) int {
+	if a.distance != b.distance {
+		return int(min(max(a.distance-b.distance, -1), 1))
+	}
+	return strings.Compare(a.dataCentre, b.dataCentre)
+}
+
+func (t *Table) update(a *agent) { a.zone.tree.set(a.leaf, a.node()) }
+
+func (a *agent) shape() shape { return shape{a.Capacity, a.Slots > 0} }
+
+// node returns the agent's state as a leaf of the tree.
+func (a *agent) node() node {
+	n := node{capacityFree: a.free()}
+	if !a.usable || a.Slots <= 0 {
+		return n
+	}
+	n.slots = max(int(math.Ceil(float64(a.Slots)*a.weight)), 1)
+	load := max(a.load.Running+a.load.Queued+a.sent, a.outstanding)
+	switch idle := n.slots - load; {
+	case idle > 0:
+		n.best = freeSlot + float64(idle)*a.weight
+	case a.weight == 1 && idle+a.QueueLimit > 0:
+		// A slow upstream gets no queued tasks: beyond its reduced slots they
+		// would start at once.
+		n.best = float64(idle+a.QueueLimit) / float64(a.QueueLimit+1)
+	default:
+		return n
+	}
+	n.ties, n.open = 1, 1
+	return n
+}
+
+// free is the estimate of the agent's free resources, never negative: a task
+// without needs fits even where usage is above the capacity.
+func (a *agent) free() Resources {
+	free := a.Capacity
+	if a.reported {
+		free = least(free, a.load.Free)
+	}
+	free = least(free.Minus(a.sentNeeds), a.Capacity.Minus(a.heldNeeds))
+	return most(free, Resources{})
+}
+
+func least(a, b Resources) Resources {
+	return Resources{
+		Accelerators: min(a.Accelerators, b.Accelerators),
+		MemoryMB:     min(a.MemoryMB, b.MemoryMB),
+		MilliCPU:     min(a.MilliCPU, b.MilliCPU),
+	}
+}
+
+func most(a, b Resources) Resources {
+	return Resources{
+		Accelerators: max(a.Accelerators, b.Accelerators),
+		MemoryMB:     max(a.MemoryMB, b.MemoryMB),
+		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
+	}
+}
--- /dev/null
+++ b/queue/order.go
@@ -0,0 +1,323 @@
+package queue
+
+import (
+	"slices"
+	"time"
+)
+
+// level holds the waiting jobs of one urgency.
+type level struct {
+	urgency int
+	classes map[string]*class
+}
+
+// class holds the waiting jobs of one urgency and class, by account.
+type class struct {
+	name   string
+	shares heap[*share]
+}
+
+// share holds the waiting jobs of one account in one class of a level.
+type share struct {
+	account *account
+	jobs    heap[*job]
+	index   int // in class.shares
+	class   *class
+}
+
+// account is kept while it has waiting jobs, and afterwards while its attained
+// work is ahead of the account served last.
+type account struct {
+	name     string
+	attained float64  // seconds of work; int64 nanoseconds would overflow within weeks at 8,000 slots
+	shares   []*share // in every level and class where it waits
+}
+
+// job is a Job with the state of its tasks.
+type job struct {
+	Job
+	urgency   int // after promotions
+	step      time.Duration
+	promoteAt time.Time
+	passed    time.Duration // limit of the part of the key that depends on work
+	arrived   time.Duration // since the queue's first job
+	arrival   uint64        // order of arrival
+	waiting   map[int]bool  // true: in front or back; false: given out
+	front     []int         // returned tasks, the next one last
+	back      []int
+	next      int // first unread position of back
+
+	share                               *share // nil while detached
+	shareIndex, agingIndex, expiryIndex int
+	expired                             bool
+}
+
+func (q *Queue) newJob(j Job, now time.Time) *job {
+	if j.Arrived.IsZero() {
+		j.Arrived = now
+	}
+	if q.epoch.IsZero() {
+		q.epoch = j.Arrived
+	}
+	q.arrivals++
+	j.Urgency = max(j.Urgency, 0)
+	j.Expected = max(j.Expected, 0)
+	n := &job{
+		Job: j, urgency: j.Urgency,
+		step: q.options.AgingStep, passed: q.options.MaxPassed,
+		arrived: j.Arrived.Sub(q.epoch), arrival: q.arrivals,
+		waiting: make(map[int]bool),
+	}
+	if !j.Deadline.IsZero() {
+		half := max(j.Deadline.Sub(j.Arrived)/2, 0)
+		n.passed = min(n.passed, half)
+		n.step = min(n.step, half/time.Duration(max(j.Urgency, 1)))
+	}
+	n.promoteAt = j.Arrived.Add(n.step)
+	return n
+}
+
+func (j *job) queued() int { return len(j.front) + len(j.back) - j.next }
+
+// pop takes out the job's next task.
+func (j *job) pop() int {
+	if last := len(j.front) - 1; last >= 0 {
+		index := j.front[last]
+		j.front = j.front[:last]
+		return index
+	}
+	index := j.back[j.next]
+	j.next++
+	if j.next == len(j.back) {
+		j.back, j.next = j.back[:0], 0
+	}
+	return index
+}
+
+// key orders the jobs of an account. Arrival and work are added, so a waiting
+// job gains on every later one at the same speed and the order of two jobs
+// changes only when their work does.
+func (j *job) key() time.Duration {
+	remaining := time.Duration(j.queued()) * j.Expected
+	return j.arrived + min(remaining, j.passed)
+}
+
+func jobLess(a, b *job) bool {
+	if ka, kb := a.key(), b.key(); ka != kb {
+		return ka < kb
+	}
+	return a.arrival < b.arrival
+}
+
+func shareLess(a, b *share) bool {
+	if a.account.attained != b.account.attained {
+		return a.account.attained < b.account.attained
+	}
+	return a.account.name < b.account.name
+}
+
+// roomCache asks once for each class.
+type roomCache struct {
+	ask   func(class string) bool
+	known map[string]bool
+}
+
+func (r *roomCache) has(class string) bool {
+	if r.ask == nil {
+		return true
+	}
+	room, ok := r.known[class]
+	if !ok {
+		room = r.ask(class)
+		if r.known == nil {
+			r.known = make(map[string]bool)
+		}
+		r.known[class] = room
+	}
+	return room
+}
+
+// best returns the share to serve, or nil if no class of the level has room.
+// Classes that could not come first are not asked for.
+func (l *level) best(rooms *roomCache) *share {
+	var best *share
+	for name, c := range l.classes {
+		s := c.shares.top()
+		if best != nil && !before(s, best) {
+			continue
+		}
+		if rooms.has(name) {
+			best = s
+		}
+	}
+	return best
+}
+
+// before orders the first shares of two classes.
+func before(a, b *share) bool {
+	if a.account != b.account {
+		return shareLess(a, b)
+	}
+	return jobLess(a.jobs.top(), b.jobs.top())
+}
+
+// attach puts a job with waiting tasks where its urgency, class and account
+// say, or moves it there after its work changed.
+func (q *Queue) attach(j *job) {
+	if j.queued() == 0 || j.expired {
+		return
+	}
+	if j.share != nil {
+		j.share.jobs.fix(j.shareIndex)
+		return
+	}
+	s := q.shareOf(j)
+	s.jobs.push(j)
+	j.share = s
+	if j.urgency > 0 {
+		q.aging.push(j)
+	}
+	if !j.Deadline.IsZero() {
+		q.expiry.push(j)
+	}
+}
+
+// detach takes a job out of the order.
+func (q *Queue) detach(j *job) {
+	s := j.share
+	if s == nil {
+		return
+	}
+	if j.urgency > 0 {
+		q.aging.remove(j.agingIndex)
+	}
+	if !j.Deadline.IsZero() {
+		q.expiry.remove(j.expiryIndex)
+	}
+	s.jobs.remove(j.shareIndex)
+	j.share = nil
+	if s.jobs.len() == 0 {
+		q.dropShare(s, j.urgency)
+	}
+}
+
+func (q *Queue) shareOf(j *job) *share {
+	c := q.classOf(j)
+	a := q.accountOf(j.Account)
+	for _, s := range a.shares {
+		if s.class == c {
+			return s
+		}
+	}
+	s := &share{account: a, class: c, jobs: heap[*job]{
+		less:     jobLess,
+		position: func(j *job) *int { return &j.shareIndex },
+	}}
+	a.shares = append(a.shares, s)
+	c.shares.push(s)
+	return s
+}
+
+func (q *Queue) classOf(j *job) *class {
+	i, found := q.findLevel(j.urgency)
+	if !found {
+		q.levels = slices.Insert(q.levels, i, &level{urgency: j.urgency, classes: make(map[string]*class)})
+	}
+	l := q.levels[i]
+	c, ok := l.classes[j.Class]
+	if !ok {
+		c = &class{name: j.Class, shares: heap[*share]{
+			less:     shareLess,
+			position: func(s *share) *int { return &s.index },
+		}}
+		l.classes[j.Class] = c
+	}
+	return c
+}
+
+func (q *Queue) findLevel(urgency int) (int, bool) {
+	return slices.BinarySearchFunc(q.levels, urgency, func(l *level, u int) int { return l.urgency - u })
+}
+
+// accountOf returns the account. One that had nothing waiting starts level
+// with the account served last, so that it neither waits for past work of
+// others nor takes all slots for its idle time.
+func (q *Queue) accountOf(name string) *account {
+	a, ok := q.accounts[name]
+	if !ok {
+		q.sweep()
+		a = &account{name: name}
+		q.accounts[name] = a
+	}
+	if len(a.shares) == 0 {
+		a.attained = max(a.attained, q.virtual)
+	}
+	return a
+}
+
+// sweep forgets accounts without waiting jobs that would start at the same
+// attained work if they came back. It runs when the number of accounts
+// doubled, so its cost for each new account is constant.
+func (q *Queue) sweep() {
+	if len(q.accounts) < q.sweepAt {
+		return
+	}
+	for name, a := range q.accounts {
+		if len(a.shares) == 0 && a.attained <= q.virtual {
+			delete(q.accounts, name)
+		}
+	}
+	q.sweepAt = max(2*len(q.accounts), minSweep)
+}
+
+func (q *Queue) dropShare(s *share, urgency int) {
+	s.class.shares.remove(s.index)
+	a := s.account
+	a.shares = slices.DeleteFunc(a.shares, func(o *share) bool { return o == s })
+	if s.class.shares.len() > 0 {
+		return
+	}
+	i, _ := q.findLevel(urgency)
+	delete(q.levels[i].classes, s.class.name)
+	if len(q.levels[i].classes) == 0 {
+		q.levels = slices.Delete(q.levels, i, i+1)
+	}
+}
+
+// raise lifts an account's attained work to at least the given one.
+func (q *Queue) raise(a *account, least float64) {
+	if a.attained < least {
+		a.attained = least
+		a.reorder()
+	}
+}
+
+func (a *account) reorder() {
+	for _, s := range a.shares {
+		s.class.shares.fix(s.index)
+	}
+}
+
+// advance promotes the jobs whose time has come and takes out those whose
+// deadline passed.
+func (q *Queue) advance(now time.Time) {
+	for q.expiry.len() > 0 && !q.expiry.top().Deadline.After(now) {
+		j := q.expiry.top()
+		q.detach(j)
+		j.expired = true
+		q.expired = append(q.expired, j.ID)
+	}
+	for q.aging.len() > 0 && !q.aging.top().promoteAt.After(now) {
+		q.promote(q.aging.top(), now)
+	}
+}
+
+// promote moves a job as many steps as its waiting time allows.
+func (q *Queue) promote(j *job, now time.Time) {
+	q.detach(j)
+	for j.urgency > 0 && !j.promoteAt.After(now) {
+		j.urgency--
+		j.promoteAt = j.promoteAt.Add(j.step)
+	}
+	q.attach(j)
+}
--- /dev/null
+++ b/queue/queue.go
@@ -0,0 +1,239 @@
+// Package queue keeps waiting tasks and says which one is next.
+//
+// The order is
+//
+//  1. urgency: 0 before 1. A waiting job is promoted by one step each
+//     Options.AgingStep, and sooner if needed to reach urgency 0 by half of
+//     its time to the deadline;
+//  2. fairness between client accounts: the one whose tasks attained the least
+//     work is served first. An account that had nothing waiting starts level
+//     with the account served last, so idle time is not saved up;
+//  3. within an account, the job with the least remaining work, where every
+//     second that a job waited counts as a second of work less. A job is passed
+//     by later ones for at most half of its time to the deadline, or
+//     Options.MaxPassed if that is shorter.
+//
+// Tasks of one class have the same placement constraints. Next asks once for
+// each class that could come next whether there is room, and skips all jobs of
+// a class without room at once. Its cost grows with the number of classes that
+// wait and with the logarithm of the number of jobs, not with the tasks.
+//
+// A job is kept until Remove, also when all its tasks were given out, because
+// a task can come back by Return. Queue reads no clock and takes no lock; the
+// caller serialises its calls.
+package queue
+
+import (
+	"slices"
+	"time"
+)
+
+// Defaults of Options.
+const (
+	// DefaultAgingStep is about twice the longest common task, so a job
+	// waits for several rounds of more urgent work before it is promoted.
+	DefaultAgingStep = 2 * time.Second
+	// DefaultMaxPassed lets jobs of up to 10 s of work be ordered by size.
+	DefaultMaxPassed = 10 * time.Second
+	// DefaultMaxCredit is the work by which an account that could not run,
+	// for lack of room, may be ahead of others afterwards.
+	DefaultMaxCredit = 10 * time.Second
+	// minSweep accounts are kept without a search for idle ones.
+	minSweep = 256
+)
+
+// Options of a Queue. A zero field takes its default.
+type Options struct {
+	AgingStep time.Duration // waiting time that promotes a job by one urgency
+	MaxPassed time.Duration // longest time for which later, smaller jobs of the account pass a job
+	MaxCredit time.Duration // work that an account without room can save up
+}
+
+// TaskRef names one task.
+type TaskRef struct {
+	Job   string
+	Index int
+}
+
+// Job describes the tasks that are added together.
+type Job struct {
+	ID      string
+	Account string
+	Class   string // tasks of one class have the same placement constraints
+	Urgency int    // 0 is most urgent; negative counts as 0
+	Arrived time.Time
+	// Deadline after which the job's tasks are no longer given out; zero
+	// means none.
+	Deadline time.Time
+	Expected time.Duration // learned duration of one task
+}
+
+// Queue holds the waiting tasks.
+type Queue struct {
+	options  Options
+	jobs     map[string]*job
+	accounts map[string]*account
+	levels   []*level // with waiting tasks, by urgency
+	aging    heap[*job]
+	expiry   heap[*job]
+	expired  []string // not yet reported by Expired
+	tasks    int
+	work     time.Duration
+	virtual  float64 // attained work of the account served last, in seconds
+	arrivals uint64
+	epoch    time.Time // arrival of the first job
+	sweepAt  int       // number of accounts at which idle ones are forgotten
+}
+
+// New returns an empty queue.
+func New(o Options) *Queue {
+	if o.AgingStep <= 0 {
+		o.AgingStep = DefaultAgingStep
+	}
+	if o.MaxPassed <= 0 {
+		o.MaxPassed = DefaultMaxPassed
+	}
+	if o.MaxCredit <= 0 {
+		o.MaxCredit = DefaultMaxCredit
+	}
+	return &Queue{
+		options:  o,
+		jobs:     make(map[string]*job),
+		accounts: make(map[string]*account),
+		sweepAt:  minSweep,
+		aging: heap[*job]{
+			less:     func(a, b *job) bool { return a.promoteAt.Before(b.promoteAt) },
+			position: func(j *job) *int { return &j.agingIndex },
+		},
+		expiry: heap[*job]{
+			less:     func(a, b *job) bool { return a.Deadline.Before(b.Deadline) },
+			position: func(j *job) *int { return &j.expiryIndex },
+		},
+	}
+}
+
+// Add puts tasks of a job in the queue. Tasks of a known job are added behind
+// its other tasks and its description is kept; indexes that are waiting
+// already are ignored. An index that was given out is queued again.
+func (q *Queue) Add(now time.Time, j Job, indexes []int) {
+	known, ok := q.jobs[j.ID]
+	if !ok {
+		known = q.newJob(j, now)
+		q.jobs[j.ID] = known
+	}
+	for _, i := range indexes {
+		if known.waiting[i] {
+			continue
+		}
+		known.waiting[i] = true
+		known.back = append(known.back, i)
+		q.added(known, 1)
+	}
+	q.attach(known)
+}
+
+// Return puts a task that was proved not started back at the front of its job.
+// A task of a removed job, or one that was not given out, is ignored.
+func (q *Queue) Return(ref TaskRef) {
+	j, ok := q.jobs[ref.Job]
+	if !ok {
+		return
+	}
+	if waiting, given := j.waiting[ref.Index]; waiting || !given {
+		return
+	}
+	j.waiting[ref.Index] = true
+	j.front = append(j.front, ref.Index)
+	q.added(j, 1)
+	q.attach(j)
+}
+
+// Next takes out the task to send next. feasible reports whether a task of the
+// class can be placed now; nil means that all can. The caller reports the work
+// of the task by Started before it calls Next again.
+func (q *Queue) Next(now time.Time, feasible func(class string) bool) (TaskRef, bool) {
+	q.advance(now)
+	rooms := roomCache{ask: feasible}
+	for _, l := range q.levels {
+		if s := l.best(&rooms); s != nil {
+			return q.take(s), true
+		}
+	}
+	return TaskRef{}, false
+}
+
+func (q *Queue) take(s *share) TaskRef {
+	a := s.account
+	q.virtual = max(q.virtual, a.attained)
+	// An account that was held back by lack of room catches up only so far.
+	q.raise(a, q.virtual-q.options.MaxCredit.Seconds())
+	j := s.jobs.top()
+	index := j.pop()
+	j.waiting[index] = false
+	q.added(j, -1)
+	if j.queued() == 0 {
+		q.detach(j)
+	} else {
+		s.jobs.fix(j.shareIndex)
+	}
+	return TaskRef{Job: j.ID, Index: index}
+}
+
+// Started records work of a task that was sent for the account. A negative
+// work corrects an earlier record, for example when the task came back.
+func (q *Queue) Started(account string, work time.Duration) {
+	a, ok := q.accounts[account]
+	if !ok {
+		return
+	}
+	a.attained = max(a.attained+work.Seconds(), 0)
+	a.reorder()
+}
+
+// Remove drops a job and returns the indexes that were waiting, in ascending
+// order. It must be called for every job when the job ends.
+func (q *Queue) Remove(id string) []int {
+	j, ok := q.jobs[id]
+	if !ok {
+		return nil
+	}
+	delete(q.jobs, id)
+	withdrawn := make([]int, 0, j.queued())
+	for j.queued() > 0 {
+		withdrawn = append(withdrawn, j.pop())
+	}
+	slices.Sort(withdrawn)
+	q.tasks -= len(withdrawn)
+	q.work -= time.Duration(len(withdrawn)) * j.Expected
+	q.detach(j)
+	return withdrawn
+}
+
+// Expired returns the jobs with waiting tasks whose deadline passed, each
+// once. Their tasks are no longer given out, and are kept until Remove.
+func (q *Queue) Expired(now time.Time) []string {
+	q.advance(now)
+	expired := q.expired
+	q.expired = nil
+	return slices.DeleteFunc(expired, func(id string) bool { return q.jobs[id] == nil })
+}
+
+// Len returns the number of waiting tasks.
+func (q *Queue) Len() int { return q.tasks }
+
+// Work returns the expected duration of all waiting tasks together.
+func (q *Queue) Work() time.Duration { return q.work }
+
+// MostUrgent returns the urgency of the first waiting task, promotions by
+// aging included.
+func (q *Queue) MostUrgent() (urgency int, ok bool) {
+	if len(q.levels) == 0 {
+		return 0, false
+	}
+	return q.levels[0].urgency, true
+}
+
+func (q *Queue) added(j *job, tasks int) {
+	q.tasks += tasks
+	q.work += time.Duration(tasks) * j.Expected
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -12,18 +12,20 @@
 // from each in the same time. An entry thus raises its share only after its
 // peers had time to lower theirs, and lowers it at once.
 //
-// While every entry hears every other within one interval, the shares add up
-// to at most the limit. The stated errors are:
+// While every entry hears every other, and the time between two heartbeats plus
+// their delay is at most two intervals, the shares add up to at most the limit.
+// The stated errors are:
 //
-//   - A new entry takes NewcomerShare × limit / entries at once. Until its
-//     peers heard it, the sum exceeds the limit by at most that for each new
-//     entry, for at most one interval.
+//   - A new entry takes NewcomerShare × limit / entries at once, for two
+//     intervals. Until its peers heard it, the sum exceeds the limit by at most
+//     that for each new entry.
 //   - Entries that are cut from each other drop each other after
 //     Options.Silence. Each group that still hears itself then divides the
-//     whole limit, so with k groups up to k × limit is in use. Before the
-//     drop the sum stays below the limit. After the cut heals, the sum is
-//     within the limit again one interval after the first heartbeats.
-//   - An entry that stopped keeps its last share until it is dropped.
+//     whole limit, so with k groups up to k × limit is in use. Before the drop
+//     the sum stays within the limit as long as no entry raises its demand.
+//     After the cut heals, the sum is within the limit again once every entry
+//     heard every other.
+//   - An entry that stopped keeps its share until it is dropped or forgotten.
 //
 // Shares reads no clock and takes no lock; the caller serialises its calls.
 package quota
@@ -40,6 +42,8 @@
 	// windowIntervals is the time over which the lowest own and the highest
 	// heard demand count. Two cover a message delay of up to one interval.
 	windowIntervals = 2
+	// ownWindowIntervals is longer by the age of a snapshot when it is sent.
+	ownWindowIntervals = 2.5
 	// FloorShare of a limit is divided equally, so that an entry without
 	// recent demand can serve the next job at once.
 	FloorShare = 0.1
@@ -120,7 +124,7 @@
 	for account, rate := range s.rates {
 		published[account] = rate
 	}
-	s.own = append(s.trim(s.own, now), snapshot{now, published})
+	s.own = append(trim(s.own, now, s.ownWindow()), snapshot{now, published})
 	return published
 }
 
@@ -130,7 +134,7 @@
 	if entry == s.options.Self {
 		return
 	}
-	s.peers[entry] = append(s.trim(s.peers[entry], now), snapshot{now, demand})
+	s.peers[entry] = append(trim(s.peers[entry], now, s.window()), snapshot{now, demand})
 }
 
 // Forget drops an entry that said it stops.
@@ -155,11 +159,15 @@
 	}
 	n := float64(entries)
 	share := limit * ((1-FloorShare)*own/total + FloorShare/n)
-	if s.isNew(now) {
-		// Peers do not count this entry yet, and it may not have heard them.
-		return limit * NewcomerShare / n
+	newcomer := limit * NewcomerShare / n
+	switch age := s.age(now); {
+	case age < s.options.Interval:
+		return newcomer // it may not have heard its peers yet
+	case age < windowIntervals*s.options.Interval:
+		return max(share, newcomer) // its peers have not heard its demand yet
+	default:
+		return share
 	}
-	return share
 }
 
 // Entries returns the number of entries among which limits are divided now.
@@ -173,9 +181,12 @@
 	return n
 }
 
-// isNew holds until the peers had one interval to hear this entry.
-func (s *Shares) isNew(now time.Time) bool {
-	return s.started.IsZero() || now.Sub(s.started) < s.options.Interval
+// age is the time since the first publication.
+func (s *Shares) age(now time.Time) time.Duration {
+	if s.started.IsZero() {
+		return 0
+	}
+	return now.Sub(s.started)
 }
 
 func (s *Shares) updateRates(elapsed time.Duration) {
@@ -202,7 +213,7 @@
 	}
 	lowest := s.own[len(s.own)-1].demand[account]
 	for _, o := range s.own {
-		if s.inWindow(o, now) {
+		if within(o, now, s.ownWindow()) {
 			lowest = min(lowest, o.demand[account])
 		}
 	}
@@ -212,21 +223,25 @@
 func (s *Shares) highest(heard []snapshot, now time.Time, account string) float64 {
 	highest := heard[len(heard)-1].demand[account]
 	for _, o := range heard {
-		if s.inWindow(o, now) {
+		if within(o, now, s.window()) {
 			highest = max(highest, o.demand[account])
 		}
 	}
 	return highest
 }
 
-func (s *Shares) inWindow(o snapshot, now time.Time) bool {
-	return now.Sub(o.at) <= windowIntervals*s.options.Interval
+func (s *Shares) window() time.Duration { return windowIntervals * s.options.Interval }
+
+func (s *Shares) ownWindow() time.Duration {
+	return time.Duration(ownWindowIntervals * float64(s.options.Interval))
 }
 
+func within(o snapshot, now time.Time, window time.Duration) bool { return now.Sub(o.at) <= window }
+
 // trim drops snapshots that left the window, so that at most a handful are
 // kept for each entry.
-func (s *Shares) trim(list []snapshot, now time.Time) []snapshot {
-	for len(list) > 0 && !s.inWindow(list[0], now) {
+func trim(list []snapshot, now time.Time, window time.Duration) []snapshot {
+	for len(list) > 0 && !within(list[0], now, window) {
 		list = list[1:]
 	}
 	return list
