Add rpcconn: net/rpc connections with limits and typed errors

The processes need calls whose failure says whether the request was sent, and net/rpc offers neither timers, size limits nor recovery of handler panics. Messages are length-prefixed frames over net/rpc with own codecs; all methods go through one dispatcher that recovers panics.

--- /dev/null
+++ b/rpcconn/client.go
@@ -0,0 +1,275 @@
+package rpcconn
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/rpc"
+	"reflect"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"chicorytray.example/chicorytray/wire"
+)
+
+// Dialer opens connections. It is safe for concurrent use.
+type Dialer struct {
+	Options
+	// Dial opens the transport; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// Connect dials the address and exchanges hellos. No call was sent when it
+// returns an error.
+func (d *Dialer) Connect(ctx context.Context, address string) (*Client, error) {
+	opts := d.withDefaults()
+	dial := d.Dial
+	if dial == nil {
+		dial = func(ctx context.Context, address string) (net.Conn, error) {
+			var nd net.Dialer
+			return nd.DialContext(ctx, "tcp", address)
+		}
+	}
+	raw, err := dial(ctx, address)
+	if err != nil {
+		return nil, because(ErrNotSent, ended(ctx, translate(err)))
+	}
+	meter := newMeteredConn(raw)
+	// The hello's own deadline bounds the exchange; ctx can end it earlier.
+	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
+	conn, err := secureClient(ctx, meter, address, opts)
+	if err == nil {
+		err = greet(conn, opts)
+	}
+	if !stop() && err == nil {
+		err = because(ErrClosed, ctx.Err())
+	}
+	if err != nil {
+		_ = raw.Close()
+		return nil, because(ErrNotSent, ended(ctx, err))
+	}
+	return newClient(newFrameConn(conn, meter, opts)), nil
+}
+
+// ended names the end of ctx as the cause where it is.
+func ended(ctx context.Context, err error) error {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return because(ErrTimeout, err)
+	case ctx.Err() != nil:
+		return because(context.Canceled, err)
+	}
+	return err
+}
+
+func secureClient(ctx context.Context, c net.Conn, address string, o Options) (net.Conn, error) {
+	if o.TLS == nil {
+		return c, nil
+	}
+	t := tls.Client(c, clientTLS(o.TLS, address))
+	_ = c.SetDeadline(time.Now().Add(o.HelloTimeout))
+	if err := t.HandshakeContext(ctx); err != nil {
+		return nil, translate(err)
+	}
+	return t, nil
+}
+
+// Client makes calls over one connection. It is safe for concurrent use.
+type Client struct {
+	codec *clientCodec
+	rpc   *rpc.Client
+	calls atomic.Int64
+}
+
+func newClient(f *frameConn) *Client {
+	cc := &clientCodec{frame: f, methods: map[uint64]string{}, done: make(chan struct{})}
+	return &Client{codec: cc, rpc: rpc.NewClientWithCodec(cc)}
+}
+
+// Outstanding returns the number of calls that wait for a reply.
+func (c *Client) Outstanding() int { return int(c.calls.Load()) }
+
+// LastReceived returns when the connection last carried a byte to this side;
+// at first, when it was opened.
+func (c *Client) LastReceived() time.Time { return c.codec.frame.meter.received() }
+
+// Done is closed when the connection is closed or broken.
+func (c *Client) Done() <-chan struct{} { return c.codec.done }
+
+// Close ends the connection. Calls that wait for a reply get ErrClosed.
+func (c *Client) Close() error {
+	if err := c.rpc.Close(); err != nil && !errors.Is(err, rpc.ErrShutdown) {
+		return translate(err)
+	}
+	return nil
+}
+
+// Ping makes a call that carries nothing, to learn whether the connection
+// still does.
+func (c *Client) Ping(ctx context.Context) error {
+	return c.Call(ctx, PingMethod, &wire.Empty{}, &wire.Empty{})
+}
+
+// States of a call. Only one of its writer and its caller can leave
+// stateWaiting, so a call given up there is never written.
+const (
+	stateWaiting int32 = iota
+	stateWriting
+	stateAbandoned
+)
+
+// outgoing passes a call's arguments to the codec through net/rpc.
+type outgoing struct {
+	args  any
+	state atomic.Int32
+}
+
+// Call sends a request and waits for its reply, the end of ctx or the end of
+// the connection. The caller must not change args before the call ended at the
+// peer; reply is written only when Call returns nil. Errors match ErrTimeout,
+// ErrClosed, ErrTooLarge, ErrEncoding, context.Canceled or *RemoteError, and
+// ErrNotSent where that is proved.
+func (c *Client) Call(ctx context.Context, method string, args, reply any) error {
+	if d := c.codec.frame.opts.CallTimeout; d > 0 {
+		if _, ok := ctx.Deadline(); !ok {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, d)
+			defer cancel()
+		}
+	}
+	c.calls.Add(1)
+	defer c.calls.Add(-1)
+	out := &outgoing{args: args}
+	// A reply that arrives after the call was given up must not write into
+	// memory that the caller uses again.
+	target := reflect.New(reflect.TypeOf(reply).Elem())
+	done := make(chan *rpc.Call, 1)
+	// net/rpc writes in the calling goroutine, which would hold up the timer.
+	go c.rpc.Go(method, out, target.Interface(), done)
+	select {
+	case call := <-done:
+		if call.Error != nil {
+			return callError(method, call.Error, out)
+		}
+		reflect.ValueOf(reply).Elem().Set(target.Elem())
+		return nil
+	case <-ctx.Done():
+		err := error(context.Canceled)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			err = because(ErrTimeout, ctx.Err())
+		}
+		if out.state.CompareAndSwap(stateWaiting, stateAbandoned) {
+			err = because(ErrNotSent, err)
+		}
+		return err
+	}
+}
+
+// callError translates net/rpc's errors.
+func callError(method string, err error, out *outgoing) error {
+	var remote rpc.ServerError
+	if errors.As(err, &remote) {
+		if string(remote) == replyTooLarge {
+			return because(ErrTooLarge, &RemoteError{method, replyTooLarge})
+		}
+		return &RemoteError{Method: method, Message: string(remote)}
+	}
+	if errors.Is(err, rpc.ErrShutdown) {
+		err = because(ErrClosed, err)
+	}
+	if !errors.Is(err, ErrClosed) && !errors.Is(err, ErrNotSent) {
+		// net/rpc replaces errors of reading a reply by text.
+		err = because(ErrProtocol, err)
+	}
+	if out.state.Load() != stateWriting && !errors.Is(err, ErrNotSent) {
+		err = because(ErrNotSent, err)
+	}
+	return err
+}
+
+// clientCodec implements rpc.ClientCodec.
+type clientCodec struct {
+	frame   *frameConn
+	current header
+	size    int
+
+	mu      sync.Mutex
+	methods map[uint64]string // of calls without a reply, by sequence
+
+	once sync.Once
+	done chan struct{}
+}
+
+// WriteRequest sends a request; net/rpc serialises the calls.
+func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	out, ok := body.(*outgoing)
+	if !ok {
+		return because(ErrNotSent, errors.New("call bypassed Client"))
+	}
+	if !out.state.CompareAndSwap(stateWaiting, stateWriting) {
+		return because(ErrNotSent, context.Canceled)
+	}
+	c.mu.Lock()
+	c.methods[r.Seq] = r.ServiceMethod
+	c.mu.Unlock()
+	size, err := c.frame.write(header{Seq: r.Seq, Method: r.ServiceMethod}, out.args)
+	if err != nil {
+		c.take(r.Seq)
+		return err
+	}
+	c.frame.opts.Counters.sent(r.ServiceMethod, size)
+	return nil
+}
+
+// ReadResponseHeader waits for a reply. It never returns io.EOF, for which
+// net/rpc substitutes errors of its own.
+func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
+	h, size, err := c.frame.read()
+	if err != nil {
+		_ = c.Close()
+		return err
+	}
+	c.current, c.size = h, size
+	r.Seq, r.Error = h.Seq, h.Error
+	method, known := c.take(h.Seq)
+	if !known {
+		_ = c.Close()
+		return merry.Prependf(ErrProtocol, "reply to unknown call %d", h.Seq)
+	}
+	c.frame.opts.Counters.received(method, size)
+	return nil
+}
+
+// ReadResponseBody decodes the reply, or skips it when body is nil.
+func (c *clientCodec) ReadResponseBody(body any) error {
+	if c.current.Error != "" {
+		return nil
+	}
+	err := c.frame.readBody(body)
+	if err != nil {
+		_ = c.Close()
+	}
+	return err
+}
+
+// Close ends the connection.
+func (c *clientCodec) Close() error {
+	var err error
+	c.once.Do(func() {
+		close(c.done)
+		err = c.frame.conn.Close()
+	})
+	return err
+}
+
+func (c *clientCodec) take(seq uint64) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m, ok := c.methods[seq]
+	delete(c.methods, seq)
+	return m, ok
+}
--- /dev/null
+++ b/rpcconn/codec.go
@@ -0,0 +1,111 @@
+package rpcconn
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/ugorji/go/codec"
+)
+
+// Codec names an encoding of messages.
+type Codec string
+
+// Codecs.
+const (
+	CodecGob     Codec = "gob"
+	CodecMsgpack Codec = "msgpack"
+)
+
+// maxInitialLength bounds the elements that msgpack allocates on the word of a
+// length prefix, before it has read them.
+const maxInitialLength = 1024
+
+// Numbers of the codecs in the hello.
+const (
+	codecNumberGob     = 1
+	codecNumberMsgpack = 2
+)
+
+func (c Codec) number() (byte, error) {
+	switch c {
+	case CodecGob:
+		return codecNumberGob, nil
+	case CodecMsgpack:
+		return codecNumberMsgpack, nil
+	}
+	return 0, fmt.Errorf("rpcconn: codec %q is not one of gob, msgpack", string(c))
+}
+
+// encoder appends encoded values to a buffer.
+type encoder interface{ Encode(v any) error }
+
+// decoder reads values out of one frame at a time.
+type decoder interface {
+	reset(frame []byte)
+	decode(v any) error
+	skip() error
+	rest() int // bytes of the frame not yet read; -1 if the codec cannot tell
+}
+
+func newEncoder(c Codec, out *bytes.Buffer) encoder {
+	if c == CodecMsgpack {
+		return codec.NewEncoder(out, msgpackHandle())
+	}
+	return gob.NewEncoder(out)
+}
+
+func newDecoder(c Codec) decoder {
+	if c == CodecMsgpack {
+		return &msgpackDecoder{dec: codec.NewDecoderBytes(nil, msgpackHandle())}
+	}
+	d := &gobDecoder{}
+	d.dec = gob.NewDecoder(&d.in)
+	return d
+}
+
+func msgpackHandle() *codec.MsgpackHandle {
+	h := &codec.MsgpackHandle{WriteExt: true}
+	// Field names would double the size of heartbeats; the protocol version
+	// guards the field order.
+	h.StructToArray = true
+	h.MaxInitLen = maxInitialLength
+	return h
+}
+
+type gobDecoder struct {
+	in  bytes.Reader
+	dec *gob.Decoder
+}
+
+func (d *gobDecoder) reset(frame []byte) { d.in.Reset(frame) }
+func (d *gobDecoder) decode(v any) error { return recovered(func() error { return d.dec.Decode(v) }) }
+func (d *gobDecoder) rest() int          { return d.in.Len() }
+
+// skip decodes the value all the same, because it may define types that later
+// messages use.
+func (d *gobDecoder) skip() error { return d.decode(nil) }
+
+type msgpackDecoder struct{ dec *codec.Decoder }
+
+func (d *msgpackDecoder) reset(frame []byte) { d.dec.ResetBytes(frame) }
+func (d *msgpackDecoder) decode(v any) error {
+	return recovered(func() error { return d.dec.Decode(v) })
+}
+func (d *msgpackDecoder) rest() int   { return -1 }
+func (d *msgpackDecoder) skip() error { return nil }
+
+// recovered turns a panic of a decoder into an error, so that a peer cannot
+// end the process with a malformed message.
+func recovered(decode func() error) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = merry.Prependf(ErrProtocol, "decoder panic: %v", r)
+		}
+	}()
+	if err := decode(); err != nil {
+		return because(ErrProtocol, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/rpcconn/hello.go
@@ -0,0 +1,121 @@
+package rpcconn
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"net"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"chicorytray.example/chicorytray/wire"
+)
+
+const defaultVersion = wire.ProtocolVersion
+
+// A hello is 4 bytes of magic, 2 bytes of version, 1 byte of codec and 1 byte
+// of verdict. The dialling side sends its own first; the accepting side
+// answers with its own version and codec and its verdict.
+const (
+	helloBytes     = 8
+	helloMethod    = "hello"
+	verdictNone    = 0 // of the dialling side
+	verdictAccept  = 1
+	verdictRefused = 2
+)
+
+var helloMagic = [4]byte{'C', 'T', 'R', 'Y'}
+
+type hello struct {
+	Magic   [4]byte
+	Version uint16
+	Codec   byte
+	Verdict byte
+}
+
+func (h hello) encode() []byte {
+	var b bytes.Buffer
+	// A write of fixed-size fields into a buffer cannot fail.
+	_ = binary.Write(&b, binary.BigEndian, h)
+	return b.Bytes()
+}
+
+func readHello(r io.Reader) (hello, error) {
+	var h hello
+	var b [helloBytes]byte
+	if _, err := io.ReadFull(r, b[:]); err != nil {
+		return h, translate(err)
+	}
+	_ = binary.Read(bytes.NewReader(b[:]), binary.BigEndian, &h)
+	if h.Magic != helloMagic {
+		return h, merry.Prepend(ErrProtocol, "hello has a wrong magic number")
+	}
+	return h, nil
+}
+
+func (o Options) hello(verdict byte) (hello, error) {
+	n, err := o.Codec.number()
+	return hello{helloMagic, o.Version, n, verdict}, err
+}
+
+// greet performs the dialling side of the hello.
+func greet(c net.Conn, o Options) error {
+	own, err := o.hello(verdictNone)
+	if err != nil {
+		return err
+	}
+	_ = c.SetDeadline(time.Now().Add(o.HelloTimeout))
+	if _, err := c.Write(own.encode()); err != nil {
+		return translate(err)
+	}
+	peer, err := readHello(c)
+	if err != nil {
+		return err
+	}
+	o.Counters.sent(helloMethod, helloBytes)
+	o.Counters.received(helloMethod, helloBytes)
+	if err := compare(own, peer); err != nil {
+		return err
+	}
+	if peer.Verdict != verdictAccept {
+		return merry.Prepend(ErrProtocol, "peer refused the hello")
+	}
+	return c.SetDeadline(time.Time{})
+}
+
+// welcome performs the accepting side of the hello.
+func welcome(c net.Conn, o Options) error {
+	_ = c.SetDeadline(time.Now().Add(o.HelloTimeout))
+	peer, err := readHello(c)
+	if err != nil {
+		return err
+	}
+	own, err := o.hello(verdictAccept)
+	if err != nil {
+		return err
+	}
+	mismatch := compare(own, peer)
+	if mismatch != nil {
+		own.Verdict = verdictRefused
+	}
+	if _, err := c.Write(own.encode()); err != nil {
+		return translate(err)
+	}
+	o.Counters.received(helloMethod, helloBytes)
+	o.Counters.sent(helloMethod, helloBytes)
+	if mismatch != nil {
+		return mismatch
+	}
+	return c.SetDeadline(time.Time{})
+}
+
+func compare(own, peer hello) error {
+	if own.Version != peer.Version {
+		return merry.Prependf(ErrVersion, "own version %d, peer's version %d", own.Version, peer.Version)
+	}
+	if own.Codec != peer.Codec {
+		return merry.Prependf(ErrVersion, "own codec %d, peer's codec %d", own.Codec, peer.Codec)
+	}
+	return nil
+}
--- /dev/null
+++ b/rpcconn/options.go
@@ -0,0 +1,55 @@
+package rpcconn
+
+import (
+	"crypto/tls"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Options of both sides of a connection. The zero value is usable.
+type Options struct {
+	// Codec is CodecGob (default) or CodecMsgpack. Both sides must agree.
+	Codec Codec
+	// MaxMessageBytes limits one message in both directions. 0 means
+	// DefaultMaxMessageBytes.
+	MaxMessageBytes int64
+	// WriteTimeout bounds the write of one message; a connection that exceeds
+	// it is closed. 0 means DefaultWriteTimeout.
+	WriteTimeout time.Duration
+	// HelloTimeout bounds the TLS handshake and the hello. 0 means
+	// DefaultHelloTimeout.
+	HelloTimeout time.Duration
+	// CallTimeout applies to calls whose context has no deadline. 0 means none.
+	CallTimeout time.Duration
+	// TLS enables mutual TLS; see LoadTLS. Nil means plain TCP.
+	TLS *tls.Config
+	// Counters receives the traffic; nil means that it is not counted.
+	Counters *Counters
+	// Logger receives connection errors and handler panics.
+	Logger zerolog.Logger
+	// Version of the protocol; 0 means wire.ProtocolVersion.
+	Version uint16
+}
+
+func (o Options) withDefaults() Options {
+	if o.Codec == "" {
+		o.Codec = CodecGob
+	}
+	if o.MaxMessageBytes <= 0 {
+		o.MaxMessageBytes = DefaultMaxMessageBytes
+	}
+	if o.WriteTimeout <= 0 {
+		o.WriteTimeout = DefaultWriteTimeout
+	}
+	if o.HelloTimeout <= 0 {
+		o.HelloTimeout = DefaultHelloTimeout
+	}
+	if o.Counters == nil {
+		o.Counters = NewCounters()
+	}
+	if o.Version == 0 {
+		o.Version = defaultVersion
+	}
+	return o
+}
--- /dev/null
+++ b/rpcconn/server.go
@@ -0,0 +1,311 @@
+package rpcconn
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"chicorytray.example/chicorytray/wire"
+)
+
+// replyTooLarge is the error of a call whose reply exceeds the size limit.
+const replyTooLarge = "reply exceeds the message size limit"
+
+// acceptPause is the pause after a failed accept, so that a process without
+// free file descriptors does not spin.
+const acceptPause = 50 * time.Millisecond
+
+// Server answers calls on the connections of its listeners.
+type Server struct {
+	opts     Options
+	handlers map[string]handler
+
+	mu     sync.Mutex
+	active int           // calls read whose reply is not yet written
+	idle   chan struct{} // closed when active is 0
+	conns  map[net.Conn]struct{}
+}
+
+// handler decodes and runs one method.
+type handler struct {
+	newArgs func() any
+	run     func(ctx context.Context, args any) (any, error)
+}
+
+// NewServer returns a server without methods other than PingMethod.
+func NewServer(o Options) *Server {
+	s := &Server{opts: o.withDefaults(), handlers: map[string]handler{}, conns: map[net.Conn]struct{}{}}
+	s.idle = make(chan struct{})
+	close(s.idle)
+	Handle(s, PingMethod, func(context.Context, *wire.Empty, *wire.Empty) error { return nil })
+	return s
+}
+
+// Handle registers fn for the method, named "Service.Method". The context ends
+// with the connection. Handlers run concurrently; a panic fails only its call.
+// Register everything before Serve.
+func Handle[A, R any](s *Server, method string, fn func(ctx context.Context, args *A, reply *R) error) {
+	s.handlers[method] = handler{
+		newArgs: func() any { return new(A) },
+		run: func(ctx context.Context, args any) (any, error) {
+			reply := new(R)
+			err := fn(ctx, args.(*A), reply)
+			return reply, err
+		},
+	}
+}
+
+// Serve accepts connections until ctx ends or the listener is closed, then
+// closes all connections and waits for the handlers. It returns nil after ctx
+// ended.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	for {
+		c, err := l.Accept()
+		switch {
+		case err == nil:
+			wg.Go(func() { s.ServeConn(ctx, c) })
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return because(ErrClosed, err)
+		default:
+			s.opts.Logger.Warn().Err(err).Msg("accept_failed")
+			select {
+			case <-time.After(acceptPause):
+			case <-ctx.Done():
+			}
+		}
+	}
+}
+
+// Drain waits until every call that was read has been answered.
+func (s *Server) Drain(ctx context.Context) error {
+	s.mu.Lock()
+	idle := s.idle
+	s.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return because(ErrTimeout, ctx.Err())
+	}
+}
+
+func (s *Server) begin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.active == 0 {
+		s.idle = make(chan struct{})
+	}
+	s.active++
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active--
+	if s.active == 0 {
+		close(s.idle)
+	}
+}
+
+// ServeConn answers calls on one connection until it or ctx ends.
+func (s *Server) ServeConn(ctx context.Context, raw net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
+	defer stop()
+	meter := newMeteredConn(raw)
+	conn, err := s.secure(ctx, meter)
+	if err == nil {
+		err = welcome(conn, s.opts)
+	}
+	if err != nil {
+		_ = raw.Close()
+		s.opts.Logger.Info().Err(err).Str("peer", remote(raw)).Msg("hello_failed")
+		return
+	}
+	codec := &serverCodec{
+		server: s, frame: newFrameConn(conn, meter, s.opts), ctx: ctx, cancel: cancel,
+		methods: map[uint64]string{}, peer: remote(raw),
+	}
+	r := rpc.NewServer()
+	// The name and signature suit net/rpc, so registration cannot fail.
+	_ = r.RegisterName(dispatchService, dispatcher{s})
+	r.ServeCodec(codec)
+}
+
+func (s *Server) secure(ctx context.Context, c net.Conn) (net.Conn, error) {
+	if s.opts.TLS == nil {
+		return c, nil
+	}
+	t := tls.Server(c, s.opts.TLS)
+	_ = c.SetDeadline(time.Now().Add(s.opts.HelloTimeout))
+	if err := t.HandshakeContext(ctx); err != nil {
+		return nil, translate(err)
+	}
+	return t, nil
+}
+
+func remote(c net.Conn) string {
+	if a := c.RemoteAddr(); a != nil {
+		return a.String()
+	}
+	return ""
+}
+
+// All methods go through one net/rpc service, because net/rpc offers no place
+// to recover a handler's panic.
+const (
+	dispatchService = "rpcconn"
+	dispatchMethod  = dispatchService + ".Dispatch"
+)
+
+// unknownMethod stands for all methods without a handler, so that a peer cannot
+// make the counters grow.
+const unknownMethod = "unknown"
+
+type dispatcher struct{ server *Server }
+
+// inbound is one call on its way through net/rpc.
+type inbound struct {
+	ctx     context.Context
+	method  string
+	handler handler
+	args    any
+}
+
+// Dispatch runs a call's handler. Its parameters are the only form that
+// net/rpc accepts for values of any type.
+func (d dispatcher) Dispatch(args *any, reply *any) (err error) {
+	call, ok := (*args).(*inbound)
+	if !ok {
+		return errors.New("no call")
+	}
+	defer func() {
+		if r := recover(); r != nil {
+			d.server.opts.Logger.Error().Str("method", call.method).Str("panic", fmt.Sprint(r)).
+				Str("stack", string(debug.Stack())).Msg("handler_panic")
+			err = errors.New("handler panic")
+		}
+	}()
+	*reply, err = call.handler.run(call.ctx, call.args)
+	return err
+}
+
+// serverCodec implements rpc.ServerCodec.
+type serverCodec struct {
+	server  *Server
+	frame   *frameConn
+	ctx     context.Context
+	cancel  context.CancelFunc
+	peer    string
+	current header
+
+	mu      sync.Mutex
+	methods map[uint64]string // of calls without a reply, by sequence
+}
+
+// ReadRequestHeader waits for a request and directs it to the dispatcher. An
+// error ends net/rpc's loop.
+func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	h, size, err := c.frame.read()
+	if err != nil {
+		c.fail(err)
+		return err
+	}
+	c.current = h
+	r.Seq, r.ServiceMethod = h.Seq, h.Method
+	method := h.Method
+	if _, ok := c.server.handlers[method]; ok {
+		r.ServiceMethod = dispatchMethod
+	} else {
+		method = unknownMethod
+		r.ServiceMethod = dispatchService + ".Unknown"
+	}
+	c.mu.Lock()
+	_, twice := c.methods[h.Seq]
+	c.methods[h.Seq] = method
+	c.mu.Unlock()
+	if twice {
+		err := because(ErrProtocol, errors.New("sequence used twice"))
+		c.fail(err)
+		return err
+	}
+	c.server.begin()
+	c.server.opts.Counters.received(method, size)
+	return nil
+}
+
+// ReadRequestBody decodes the arguments of the current request.
+func (c *serverCodec) ReadRequestBody(body any) error {
+	target, ok := body.(*any)
+	if !ok {
+		return c.frame.readBody(nil)
+	}
+	h := c.server.handlers[c.current.Method]
+	args := h.newArgs()
+	if err := c.frame.readBody(args); err != nil {
+		return err
+	}
+	*target = &inbound{ctx: c.ctx, method: c.current.Method, handler: h, args: args}
+	return nil
+}
+
+// WriteResponse sends a reply; net/rpc serialises the calls.
+func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	defer c.server.end()
+	c.mu.Lock()
+	method := c.methods[r.Seq]
+	delete(c.methods, r.Seq)
+	c.mu.Unlock()
+	h := header{Seq: r.Seq, Error: r.Error}
+	if method == unknownMethod {
+		h.Error = "unknown method"
+	}
+	var reply any
+	if p, ok := body.(*any); ok && r.Error == "" {
+		reply = *p
+	}
+	size, err := c.frame.write(h, reply)
+	if errors.Is(err, ErrTooLarge) || errors.Is(err, ErrEncoding) {
+		c.server.opts.Logger.Error().Err(err).Str("method", method).Msg("reply_not_sent")
+		h.Error = replyTooLarge
+		if errors.Is(err, ErrEncoding) {
+			h.Error = "reply cannot be encoded"
+		}
+		size, err = c.frame.write(h, nil)
+	}
+	if err != nil {
+		c.fail(err)
+		return err
+	}
+	c.server.opts.Counters.sent(method, size)
+	return nil
+}
+
+// Close ends the connection.
+func (c *serverCodec) Close() error {
+	c.cancel()
+	return c.frame.conn.Close()
+}
+
+// fail closes the connection and ends the contexts of its handlers.
+func (c *serverCodec) fail(err error) {
+	if c.ctx.Err() == nil {
+		c.server.opts.Logger.Debug().Err(err).Str("peer", c.peer).Msg("connection_ended")
+	}
+	_ = c.Close()
+}
