Add ledger, gate and membership

An agent must refuse late and repeated starts, start nothing without a fresh configuration, and know which entries are alive. The three packages decide this from their arguments alone.

--- /dev/null
+++ b/gate/gate_test.go
@@ -0,0 +1,117 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"chicorytray.example/chicorytray/wire"
+)
+
+var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// Guards against a start without a fresh confirmation or out of service.
+func TestMay(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		age       time.Duration // None: never confirmed
+		inService bool
+		want      wire.Reason
+	}{
+		{"never confirmed", None, true, wire.ReasonUnconfirmed},
+		{"fresh", 0, true, ""},
+		{"just inside", 2*time.Second - 1, true, ""},
+		{"at the limit", 2 * time.Second, true, wire.ReasonUnconfirmed},
+		{"too old", time.Minute, true, wire.ReasonUnconfirmed},
+		{"out of service", 0, false, wire.ReasonOutOfService},
+		{"too old and out of service", time.Minute, false, wire.ReasonUnconfirmed},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			g := New(2 * time.Second)
+			if tc.age != None {
+				g.Confirm(epoch)
+			}
+			ok, reason := g.May(epoch.Add(max(0, tc.age)), tc.inService)
+			c.Check(reason, qt.Equals, tc.want)
+			c.Check(ok, qt.Equals, tc.want == "")
+		})
+	}
+}
+
+// Guards against a confirmation that counts as younger than the entry's read,
+// and against an older one replacing a fresher one.
+func TestConfirmationCountsDelayAsAge(t *testing.T) {
+	c := qt.New(t)
+	g := New(2 * time.Second)
+	at, ok := Confirmation(epoch, 300*time.Millisecond)
+	c.Assert(ok, qt.IsTrue)
+	g.Confirm(at)
+	g.Confirm(at.Add(-time.Second))
+	c.Check(g.Age(epoch.Add(time.Second)), qt.Equals, 1300*time.Millisecond)
+	c.Check(g.Expiry(), qt.Equals, epoch.Add(1700*time.Millisecond))
+	_, ok = Confirmation(epoch, None)
+	c.Check(ok, qt.IsFalse)
+}
+
+// Guards against a gate that opens on the wrong side of a network partition,
+// or closes during a store outage.
+func TestEffectiveAge(t *testing.T) {
+	three := []string{"a", "b", "c"}
+	old := 10 * time.Second
+	for _, tc := range []struct {
+		name  string
+		o     Observation
+		age   time.Duration
+		basis Basis
+	}{
+		{"own read", Observation{StoreReachable: true, OwnAge: 1, OwnDataCentre: "a", Members: three}, 1, BasisOwn},
+		{"never confirmed", Observation{OwnAge: None, OwnDataCentre: "a"}, None, BasisNone},
+		{"never confirmed in an outage", Observation{OwnAge: None, OwnDataCentre: "a", Members: three, Heard: three}, None, BasisNone},
+		{"a peer reads", Observation{OwnAge: old, OwnDataCentre: "a", Members: three, Heard: three,
+			Peers: []PeerObservation{{Age: 5, StoreReachable: true}}}, 5, BasisPeer},
+		{"a peer reads but is older", Observation{OwnAge: old, OwnDataCentre: "a", Members: three, Heard: three,
+			Peers: []PeerObservation{{Age: 2 * old, StoreReachable: true}}}, old, BasisOwn},
+		{"an agent heard of a fresher read", Observation{OwnAge: old, OwnDataCentre: "a", Members: three,
+			AgentAges: []time.Duration{None, 7}}, 7, BasisPeer},
+		{"outage heard from two of three", Observation{OwnAge: old, OwnDataCentre: "a", Members: three, Heard: []string{"b"}}, 0, BasisOutage},
+		{"outage with one data centre", Observation{OwnAge: old, OwnDataCentre: "a"}, 0, BasisOutage},
+		{"cut off alone", Observation{OwnAge: old, OwnDataCentre: "a", Members: three}, old, BasisOwn},
+		{"exactly half", Observation{OwnAge: old, OwnDataCentre: "a", Members: []string{"a", "b", "c", "d"}, Heard: []string{"b"}}, old, BasisOwn},
+		{"strangers do not count", Observation{OwnAge: old, OwnDataCentre: "a", Members: three, Heard: []string{"x", "y", "z"}}, old, BasisOwn},
+		{"repeats count once", Observation{OwnAge: old, OwnDataCentre: "a", Members: three, Heard: []string{"a", "a"}}, old, BasisOwn},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			age, basis := EffectiveAge(tc.o)
+			c.Check(age, qt.Equals, tc.age)
+			c.Check(basis, qt.Equals, tc.basis)
+		})
+	}
+}
+
+// Guards against two sides of a partition that both take the store to be out.
+func TestAtMostOneSideOfAPartitionSeesAnOutage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 11).Draw(t, "data centres")
+		sides := rapid.SliceOfN(rapid.IntRange(0, 2), n, n).Draw(t, "side of each")
+		outage := map[int]bool{}
+		for i := range n {
+			o := Observation{OwnAge: time.Second, OwnDataCentre: string(rune('a' + i))}
+			for j, side := range sides {
+				o.Members = append(o.Members, string(rune('a'+j)))
+				if side == sides[i] {
+					o.Heard = append(o.Heard, string(rune('a'+j)))
+				}
+			}
+			if _, basis := EffectiveAge(o); basis == BasisOutage {
+				outage[sides[i]] = true
+			}
+		}
+		if len(outage) > 1 {
+			t.Fatalf("%d sides see an outage", len(outage))
+		}
+	})
+}
--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,314 @@
+package ledger
+
+import (
+	"cmp"
+	"container/list"
+	"slices"
+	"time"
+
+	"chicorytray.example/chicorytray/wire"
+)
+
+// Ledger is an agent's record of task starts. It is not safe for concurrent
+// use.
+type Ledger struct {
+	incarnation wire.Incarnation
+	maxRecords  int
+	owners      map[Owner]*owner
+	records     int
+	finished    *list.List // of recordRef, in order of finishing
+	stats       Stats
+}
+
+// owner is what the ledger knows of one entry process.
+type owner struct {
+	session uint64 // number of the current or last session
+	open    bool
+	heard   time.Time
+	used    sequences
+	queued  map[uint64]wire.Task // of the current session, by sequence
+	records map[wire.TaskKey]*record
+	// truncated is the session in which records were last evicted; 0 for
+	// none. It is cleared when the entry uses a later session, because the
+	// reply that opened it reported the eviction.
+	truncated uint64
+}
+
+// record is one started task.
+type record struct {
+	result   wire.Result
+	position *list.Element // in Ledger.finished; nil while the task runs
+}
+
+type recordRef struct {
+	owner Owner
+	key   wire.TaskKey
+}
+
+// New returns an empty ledger of the agent process. At most maxRecords started
+// tasks are kept; running ones are never evicted.
+func New(incarnation wire.Incarnation, maxRecords int) *Ledger {
+	return &Ledger{
+		incarnation: incarnation, maxRecords: maxRecords,
+		owners: map[Owner]*owner{}, finished: list.New(),
+	}
+}
+
+// Incarnation returns the agent process whose starts are recorded.
+func (l *Ledger) Incarnation() wire.Incarnation { return l.incarnation }
+
+// Open makes s the entry's current session and fences its earlier ones. It
+// returns ErrFenced if s is not newer than the current session, which happens
+// when a message arrives late. Sessions are numbered from 1.
+func (l *Ledger) Open(s wire.Session, now time.Time) (OpenResult, error) {
+	id := OwnerOf(s)
+	o, known := l.owners[id]
+	if s.Number == 0 || known && s.Number <= o.session {
+		return OpenResult{}, ErrFenced
+	}
+	if !known {
+		o = &owner{records: map[wire.TaskKey]*record{}}
+		// Without memory of an entry's earlier sessions their starts are unknown.
+		if s.Number > 1 {
+			o.truncated = s.Number - 1
+		}
+		l.owners[id] = o
+	}
+	if known {
+		l.stats.Fencing++
+	}
+	withdrawn := l.dropQueued(id, o)
+	o.session, o.open, o.heard = s.Number, true, now
+	o.used, o.queued = sequences{}, map[uint64]wire.Task{}
+	return OpenResult{Started: o.started(), Truncated: o.truncated > 0, Withdrawn: withdrawn}, nil
+}
+
+// started lists the owner's records, ordered by key.
+func (o *owner) started() []wire.StartedTask {
+	out := make([]wire.StartedTask, 0, len(o.records))
+	for key, r := range o.records {
+		out = append(out, wire.StartedTask{Key: key, Finished: r.position != nil, Result: r.result})
+	}
+	slices.SortFunc(out, func(a, b wire.StartedTask) int { return compareKeys(a.Key, b.Key) })
+	return out
+}
+
+func compareKeys(a, b wire.TaskKey) int {
+	return cmp.Or(cmp.Compare(a.Session, b.Session), cmp.Compare(a.Sequence, b.Sequence))
+}
+
+// dropQueued removes the owner's queued tasks, ordered by sequence.
+func (l *Ledger) dropQueued(id Owner, o *owner) []Withdrawn {
+	var out []Withdrawn
+	for seq, task := range o.queued {
+		out = append(out, Withdrawn{id, wire.TaskKey{Session: o.session, Sequence: seq}, task})
+	}
+	slices.SortFunc(out, func(a, b Withdrawn) int { return compareKeys(a.Key, b.Key) })
+	l.stats.Queued -= len(out)
+	o.queued = nil
+	return out
+}
+
+// current returns the owner of s if s is its open session.
+func (l *Ledger) current(s wire.Session) (*owner, error) {
+	o, ok := l.owners[OwnerOf(s)]
+	if !ok || !o.open || o.session != s.Number {
+		return nil, ErrFenced
+	}
+	return o, nil
+}
+
+// Use records that a valid message arrived in session s. It returns ErrFenced
+// if s is not the entry's open session.
+func (l *Ledger) Use(s wire.Session, now time.Time) error {
+	o, err := l.current(s)
+	if err != nil {
+		return err
+	}
+	o.heard = now
+	if o.truncated < s.Number {
+		o.truncated = 0
+	}
+	return nil
+}
+
+// Heard records that the entry process answered on another connection.
+func (l *Ledger) Heard(id Owner, now time.Time) {
+	if o, ok := l.owners[id]; ok && o.open {
+		o.heard = now
+	}
+}
+
+// Enqueue accepts a task that may be started later. Errors are ErrFenced,
+// ErrWithdrawn for a task that was withdrawn before it arrived, and
+// ErrDuplicate.
+func (l *Ledger) Enqueue(s wire.Session, seq uint64, t wire.Task) error {
+	o, err := l.current(s)
+	if err != nil {
+		return err
+	}
+	if !o.used.use(seq) {
+		return ErrDuplicate
+	}
+	o.queued[seq] = t
+	l.stats.Queued++
+	return nil
+}
+
+// Start moves a queued task to the started ones. This is the only way in which
+// a task becomes started. Errors are ErrFenced, ErrDuplicate if it was started
+// before, and ErrWithdrawn if it is not queued.
+func (l *Ledger) Start(s wire.Session, seq uint64) error {
+	o, err := l.current(s)
+	if err != nil {
+		return err
+	}
+	key := wire.TaskKey{Session: s.Number, Sequence: seq}
+	if _, ok := o.records[key]; ok {
+		return ErrDuplicate
+	}
+	if _, ok := o.queued[seq]; !ok {
+		return ErrWithdrawn
+	}
+	delete(o.queued, seq)
+	o.records[key] = &record{}
+	l.records++
+	l.stats.Queued--
+	l.stats.Running++
+	l.evict()
+	return nil
+}
+
+// Withdraw removes a task that has not started and reports whether it never
+// will. A task that has not arrived yet is refused when it does. The result is
+// false for a started task, and for one whose fate the ledger no longer knows.
+func (l *Ledger) Withdraw(s wire.Session, key wire.TaskKey) bool {
+	o, err := l.current(s)
+	if err != nil {
+		return false
+	}
+	if _, ok := o.records[key]; ok {
+		return false
+	}
+	if key.Session != s.Number {
+		// Opening a session dropped the queue of the earlier ones; a missing
+		// record means "never started" only until it was acknowledged or evicted.
+		return false
+	}
+	if _, ok := o.queued[key.Sequence]; ok {
+		delete(o.queued, key.Sequence)
+		l.stats.Queued--
+		return true
+	}
+	return o.used.use(key.Sequence)
+}
+
+// Finish stores the result of a started task until it is acknowledged. It
+// works in fenced sessions too, and returns ErrUnknown for a task that does
+// not run.
+func (l *Ledger) Finish(id Owner, key wire.TaskKey, result wire.Result) error {
+	o, ok := l.owners[id]
+	if !ok {
+		return ErrUnknown
+	}
+	r, ok := o.records[key]
+	if !ok || r.position != nil {
+		return ErrUnknown
+	}
+	r.result = result
+	r.position = l.finished.PushBack(recordRef{id, key})
+	l.stats.Running--
+	l.stats.Finished++
+	l.evict()
+	return nil
+}
+
+// Result returns the stored result of a started task, or ErrUnknown.
+func (l *Ledger) Result(id Owner, key wire.TaskKey) (result wire.Result, finished bool, err error) {
+	o, ok := l.owners[id]
+	if !ok {
+		return wire.Result{}, false, ErrUnknown
+	}
+	r, ok := o.records[key]
+	if !ok {
+		return wire.Result{}, false, ErrUnknown
+	}
+	return r.result, r.position != nil, nil
+}
+
+// Acknowledge drops the records of finished tasks whose results the entry has.
+func (l *Ledger) Acknowledge(id Owner, keys []wire.TaskKey) {
+	o, ok := l.owners[id]
+	if !ok {
+		return
+	}
+	for _, key := range keys {
+		if r, ok := o.records[key]; ok && r.position != nil {
+			l.remove(o, key, r)
+		}
+	}
+}
+
+// Lapse ends the sessions in which nothing was heard for the time after, and
+// returns the queued tasks that it dropped. Their owners' records stay.
+func (l *Ledger) Lapse(now time.Time, after time.Duration) []Withdrawn {
+	var out []Withdrawn
+	for id, o := range l.owners {
+		silence := now.Sub(o.heard)
+		if o.open && silence > after {
+			o.open = false
+			l.stats.Lapsed++
+			out = append(out, l.dropQueued(id, o)...)
+		}
+		if !o.open && silence > max(forgetAfter, after) {
+			l.forget(id, o)
+		}
+	}
+	return out
+}
+
+// forget drops an owner's records, unless a task still runs.
+func (l *Ledger) forget(id Owner, o *owner) {
+	running := false
+	for key, r := range o.records {
+		if r.position == nil {
+			running = true
+			continue
+		}
+		l.remove(o, key, r)
+		o.truncated = o.session
+	}
+	if !running {
+		delete(l.owners, id)
+	}
+}
+
+// evict drops the records that finished first while there are too many.
+func (l *Ledger) evict() {
+	for l.records > l.maxRecords && l.finished.Len() > 0 {
+		ref := l.finished.Front().Value.(recordRef)
+		o := l.owners[ref.owner]
+		l.remove(o, ref.key, o.records[ref.key])
+		o.truncated = o.session
+		l.stats.Evicted++
+	}
+}
+
+func (l *Ledger) remove(o *owner, key wire.TaskKey, r *record) {
+	l.finished.Remove(r.position)
+	delete(o.records, key)
+	l.records--
+	l.stats.Finished--
+}
+
+// Stats returns the ledger's sizes and totals.
+func (l *Ledger) Stats() Stats {
+	s := l.stats
+	s.Entries = len(l.owners)
+	for _, o := range l.owners {
+		if o.open {
+			s.Sessions++
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/ledger/sequences.go
@@ -0,0 +1,58 @@
+package ledger
+
+// maxGaps is the number of used sequences above the first unused one that are
+// kept singly. Entries number their tasks upwards and have at most a few
+// hundred under way at one agent.
+const maxGaps = 4096
+
+// sequences is a set of used sequence numbers in bounded memory. Beyond its
+// bound it counts unused low numbers as used, which refuses their tasks.
+type sequences struct {
+	floor uint64 // all numbers up to here are used
+	above map[uint64]struct{}
+}
+
+// use adds n and reports whether it was unused.
+func (s *sequences) use(n uint64) bool {
+	if s.used(n) {
+		return false
+	}
+	if s.above == nil {
+		s.above = map[uint64]struct{}{}
+	}
+	s.above[n] = struct{}{}
+	s.raise()
+	if len(s.above) > maxGaps {
+		s.compact()
+	}
+	return true
+}
+
+func (s *sequences) used(n uint64) bool {
+	if n <= s.floor {
+		return true
+	}
+	_, ok := s.above[n]
+	return ok
+}
+
+// raise moves the floor over the numbers that follow it.
+func (s *sequences) raise() {
+	for {
+		if _, ok := s.above[s.floor+1]; !ok {
+			return
+		}
+		s.floor++
+		delete(s.above, s.floor)
+	}
+}
+
+// compact moves the floor up to the lowest number above it, over the gap.
+func (s *sequences) compact() {
+	lowest := ^uint64(0)
+	for n := range s.above {
+		lowest = min(lowest, n)
+	}
+	s.floor = lowest - 1
+	s.raise()
+}
--- /dev/null
+++ b/membership/subset.go
@@ -0,0 +1,86 @@
+package membership
+
+import (
+	"cmp"
+	"encoding/binary"
+	"hash/fnv"
+	"slices"
+	"strings"
+
+	"chicorytray.example/chicorytray/wire"
+)
+
+// Subset chooses the entries that the agent self announces itself to: all
+// while there are at most limit, otherwise limit of them by rendezvous
+// hashing. Half of the places, rounded up, go to entries of the agent's own
+// data centre first; the rest go to the others, so that the loss of that data
+// centre does not separate the agent from all entries. Places that one part
+// cannot fill go to the other. The result is ordered by identifier. A change
+// of the list changes the subset of an agent by at most the entries that came
+// or went.
+func Subset(self string, selfDataCentre string, entries []wire.EntryRef, limit int) []wire.EntryRef {
+	entries = newest(entries)
+	if limit <= 0 {
+		return nil
+	}
+	if len(entries) > limit {
+		entries = choose(self, selfDataCentre, entries, limit)
+	}
+	byID(entries)
+	return entries
+}
+
+func byID(entries []wire.EntryRef) {
+	slices.SortFunc(entries, func(a, b wire.EntryRef) int { return strings.Compare(a.ID, b.ID) })
+}
+
+// newest returns one reference for each identifier, the last one listed.
+func newest(entries []wire.EntryRef) []wire.EntryRef {
+	at := map[string]int{}
+	var out []wire.EntryRef
+	for _, e := range entries {
+		if i, ok := at[e.ID]; ok {
+			out[i] = e
+			continue
+		}
+		at[e.ID] = len(out)
+		out = append(out, e)
+	}
+	return out
+}
+
+func choose(self, dataCentre string, entries []wire.EntryRef, limit int) []wire.EntryRef {
+	scores := make(map[string]uint64, len(entries))
+	for _, e := range entries {
+		scores[e.ID] = score(self, e.ID)
+	}
+	slices.SortFunc(entries, func(a, b wire.EntryRef) int {
+		return cmp.Or(cmp.Compare(scores[b.ID], scores[a.ID]), strings.Compare(a.ID, b.ID))
+	})
+	var own, others []wire.EntryRef
+	for _, e := range entries {
+		if e.DataCentre == dataCentre {
+			own = append(own, e)
+		} else {
+			others = append(others, e)
+		}
+	}
+	local := min((limit+1)/2, len(own))
+	remote := min(limit-local, len(others))
+	local = limit - remote
+	return append(own[:local:local], others[:remote]...)
+}
+
+// score is the rendezvous weight of an entry for an agent.
+func score(self, entry string) uint64 {
+	h := fnv.New64a()
+	_ = binary.Write(h, binary.BigEndian, uint32(len(self))) // separates the two names
+	_, _ = h.Write([]byte(self))
+	_, _ = h.Write([]byte(entry))
+	x := h.Sum64()
+	// FNV leaves the high bits of similar short names close together; this is
+	// the finalizer of SplitMix64.
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/rpcconn/client.go
+++ b/rpcconn/client.go
@@ -158,7 +158,7 @@
 		reflect.ValueOf(reply).Elem().Set(target.Elem())
 		return nil
 	case <-ctx.Done():
-		err := error(context.Canceled)
+		err := context.Canceled
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			err = because(ErrTimeout, ctx.Err())
 		}
@@ -181,7 +181,7 @@
 	if errors.Is(err, rpc.ErrShutdown) {
 		err = because(ErrClosed, err)
 	}
-	if !errors.Is(err, ErrClosed) && !errors.Is(err, ErrNotSent) {
+	if !errors.Is(err, ErrClosed) && !errors.Is(err, ErrNotSent) && !errors.Is(err, ErrTooLarge) {
 		// net/rpc replaces errors of reading a reply by text.
 		err = because(ErrProtocol, err)
 	}
