--- /dev/null
+++ b/settings/duration.go
@@ -0,0 +1,27 @@
+package settings
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// acceptedDuration is the text that errors give for a malformed duration.
+const acceptedDuration = `a string with a unit, for example "500ms" or "2s"`
+
+// MarshalJSON writes d as a string with a unit.
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(d.Of().String()) }
+
+// UnmarshalJSON reads a string with a unit. A bare number is an error because
+// its unit would be a guess.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return &Problem{Value: string(data), Accepted: acceptedDuration}
+	}
+	v, err := time.ParseDuration(text)
+	if err != nil {
+		return &Problem{Value: text, Accepted: acceptedDuration}
+	}
+	*d = Duration(v)
+	return nil
+}
--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,131 @@
+package settings
+
+import (
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Defaults that both kinds of process share.
+const (
+	mib = 1 << 20
+	// DefaultMaxMessageBytes bounds one message between processes. It holds a
+	// request body of the default size together with its headers.
+	DefaultMaxMessageBytes = 16 * mib
+	// DefaultStoreCallsPerSecond is the call budget of one process: 40 entries
+	// that spend all of it stay within the store's 2,000 reads a second.
+	DefaultStoreCallsPerSecond = 50
+	// DefaultQueueLimit and DefaultConnections of an agent.
+	DefaultQueueLimit  = 2
+	DefaultConnections = 64
+)
+
+// DefaultTiming returns the intervals of section 5 of the design page.
+func DefaultTiming() Timing {
+	return Timing{
+		Heartbeat:     Duration(500 * time.Millisecond),
+		PeerHeartbeat: Duration(time.Second),
+		ConfigRead:    Duration(time.Second),
+		Suspect:       Duration(1500 * time.Millisecond),
+		Gate:          Duration(2 * time.Second),
+		Lapse:         Duration(3 * time.Second),
+		Reconcile:     Duration(5 * time.Second),
+		PingAfter:     Duration(time.Second),
+		PingTimeout:   Duration(500 * time.Millisecond),
+		CallTimeout:   Duration(time.Second),
+		StoreTimeout:  Duration(time.Second),
+		LeaseTTL:      Duration(10 * time.Second),
+		StopNotice:    Duration(5 * time.Second),
+	}
+}
+
+// DefaultLimits returns the limits of section 10 of the design page.
+func DefaultLimits() Limits {
+	return Limits{
+		MaxBodyBytes:    8 * mib,
+		MaxResultBytes:  mib,
+		MaxAnswerBytes:  64 * mib,
+		MaxHeaderBytes:  64 << 10,
+		MaxDeadline:     Duration(time.Minute),
+		MaxMessageBytes: DefaultMaxMessageBytes,
+		AnswerRetention: Duration(time.Minute),
+		ClaimRetention:  Duration(10 * time.Minute),
+	}
+}
+
+// DefaultEntry returns the settings of an entry whose file gives nothing. The
+// identity, the addresses and the store are missing, so it is not valid yet.
+func DefaultEntry() Entry {
+	return Entry{
+		Store:     Store{MaxCallsPerSecond: DefaultStoreCallsPerSecond},
+		Timing:    DefaultTiming(),
+		Limits:    DefaultLimits(),
+		Codec:     CodecGob,
+		Placement: PlacementIdleFirst,
+		Log:       Log{Level: "info"},
+	}
+}
+
+// DefaultAgent returns the settings of an agent whose file gives nothing. The
+// identity, the addresses, the slots and the store are missing, so it is not
+// valid yet.
+func DefaultAgent() Agent {
+	return Agent{
+		QueueLimit:      DefaultQueueLimit,
+		Connections:     DefaultConnections,
+		MaxEntries:      16,
+		MaxRecords:      10000,
+		MaxMessageBytes: DefaultMaxMessageBytes,
+		Store:           Store{MaxCallsPerSecond: DefaultStoreCallsPerSecond},
+		Timing:          DefaultTiming(),
+		Codec:           CodecGob,
+		Log:             Log{Level: "info"},
+	}
+}
+
+// LoadEntry reads and checks the settings of an entry. The error is an *Error
+// with every problem of the file, or says why the file could not be read.
+func LoadEntry(path string) (Entry, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Entry{}, merry.Prepend(err, "settings")
+	}
+	return parseEntry(path, data)
+}
+
+// LoadAgent reads and checks the settings of an agent, like LoadEntry.
+func LoadAgent(path string) (Agent, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Agent{}, merry.Prepend(err, "settings")
+	}
+	return parseAgent(path, data)
+}
+
+func parseEntry(file string, data []byte) (Entry, error) {
+	e := DefaultEntry()
+	d := decode(data, &e)
+	d.problems.merge(e.problems())
+	if err := d.problems.err(file); err != nil {
+		return Entry{}, err
+	}
+	return e, nil
+}
+
+func parseAgent(file string, data []byte) (Agent, error) {
+	a := DefaultAgent()
+	d := decode(data, &a)
+	// The defaults follow the number of slots where it contradicts them.
+	if !d.present["queue_limit"] {
+		a.QueueLimit = min(a.QueueLimit, max(a.Slots, 0))
+	}
+	if !d.present["connections"] {
+		a.Connections = max(a.Connections, a.Slots)
+	}
+	d.problems.merge(a.problems())
+	if err := d.problems.err(file); err != nil {
+		return Agent{}, err
+	}
+	return a, nil
+}
--- /dev/null
+++ b/settings/timing.go
@@ -0,0 +1,64 @@
+package settings
+
+import (
+	"fmt"
+	"time"
+)
+
+// maxInterval keeps sums of intervals far from overflow.
+const maxInterval = Duration(24 * time.Hour)
+
+func (ps *problems) positive(field string, d Duration) {
+	if d <= 0 || d > maxInterval {
+		ps.add(field, d.Of().String(), "more than 0s and at most 24h")
+	}
+}
+
+// longer requires d > bound; of names what bound consists of.
+func (ps *problems) longer(field string, d Duration, bound time.Duration, of string) {
+	if d.Of() <= bound || d > maxInterval {
+		ps.add(field, d.Of().String(), fmt.Sprintf("more than %s (%s) and at most 24h", bound, of))
+	}
+}
+
+// timing checks the intervals one by one and then against each other. The
+// second part is left out when the first fails, because its text would mislead.
+func (ps *problems) timing(t Timing) {
+	before := len(*ps)
+	for _, f := range []struct {
+		field string
+		value Duration
+	}{
+		{"timing.heartbeat", t.Heartbeat}, {"timing.peer_heartbeat", t.PeerHeartbeat},
+		{"timing.config_read", t.ConfigRead}, {"timing.suspect", t.Suspect},
+		{"timing.gate", t.Gate}, {"timing.lapse", t.Lapse}, {"timing.reconcile", t.Reconcile},
+		{"timing.ping_after", t.PingAfter}, {"timing.ping_timeout", t.PingTimeout},
+		{"timing.call_timeout", t.CallTimeout}, {"timing.store_timeout", t.StoreTimeout},
+		{"timing.lease_ttl", t.LeaseTTL},
+	} {
+		ps.positive(f.field, f.value)
+	}
+	if t.StopNotice < 0 || t.StopNotice > maxInterval {
+		ps.add("timing.stop_notice", t.StopNotice.Of().String(), "0s to 24h")
+	}
+	if len(*ps) == before {
+		ps.timingOrder(t)
+	}
+}
+
+func (ps *problems) timingOrder(t Timing) {
+	// A gate shorter than one read and one heartbeat would close between two
+	// regular confirmations.
+	ps.longer("timing.gate", t.Gate, t.ConfigRead.Of()+t.Heartbeat.Of(), "config_read + heartbeat")
+	if t.Gate.Of() > maxGate {
+		ps.add("timing.gate", t.Gate.Of().String(), fmt.Sprintf("at most %s, the bound for starts in a data centre out of service", maxGate))
+	}
+	// One lost heartbeat must not make a peer suspect.
+	ps.longer("timing.suspect", t.Suspect, max(2*t.Heartbeat.Of(), t.PeerHeartbeat.Of()), "two heartbeats and one peer_heartbeat")
+	ps.longer("timing.lapse", t.Lapse, t.Suspect.Of(), "suspect")
+	ps.longer("timing.reconcile", t.Reconcile, t.Lapse.Of(), "lapse")
+	// A dead connection must be replaced before the agent ends the session.
+	ps.longer("timing.lapse", t.Lapse, t.PingAfter.Of()+t.PingTimeout.Of(), "ping_after + ping_timeout")
+	// The lease is renewed at a third of its TTL, and one renewal may time out.
+	ps.longer("timing.lease_ttl", t.LeaseTTL, 3*t.StoreTimeout.Of(), "three store_timeout")
+}
--- a/settings/types.go
+++ b/settings/types.go
@@ -10,6 +10,25 @@
 	"chicorytray.example/chicorytray/wire"
 )
 
+// Codecs of messages between processes.
+const (
+	CodecGob     = "gob"
+	CodecMsgpack = "msgpack"
+)
+
+// Policies that an entry may use to choose an agent for a task.
+const (
+	PlacementRandom     = "random"
+	PlacementTwoChoices = "two_choices"
+	PlacementIdleFirst  = "idle_first"
+	PlacementPull       = "pull"
+)
+
+// Placements returns the accepted names of placement policies.
+func Placements() []string {
+	return []string{PlacementIdleFirst, PlacementTwoChoices, PlacementRandom, PlacementPull}
+}
+
 // Duration is written in JSON as a string with a unit, for example "500ms".
 type Duration time.Duration
 
@@ -89,14 +108,16 @@
 	PeerAddress   string `json:"peer_address"`
 	AdminAddress  string `json:"admin_address"`
 	// Seeds are peer addresses of entries, used while the store is out.
-	Seeds     []string `json:"seeds,omitempty"`
-	Store     Store    `json:"store"`
-	Timing    Timing   `json:"timing"`
-	Limits    Limits   `json:"limits"`
-	Codec     string   `json:"codec"` // "gob" (default) or "msgpack"
-	CallerTLS TLS      `json:"caller_tls"`
-	PeerTLS   TLS      `json:"peer_tls"`
-	Log       Log      `json:"log"`
+	Seeds  []string `json:"seeds,omitempty"`
+	Store  Store    `json:"store"`
+	Timing Timing   `json:"timing"`
+	Limits Limits   `json:"limits"`
+	Codec  string   `json:"codec"` // "gob" (default) or "msgpack"
+	// Placement is the policy that chooses an agent. Default "idle_first".
+	Placement string `json:"placement"`
+	CallerTLS TLS    `json:"caller_tls"`
+	PeerTLS   TLS    `json:"peer_tls"`
+	Log       Log    `json:"log"`
 }
 
 // Limits on what callers may send and receive.
--- /dev/null
+++ b/settings/validate.go
@@ -0,0 +1,189 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"strings"
+	"time"
+)
+
+// maxGate is the bound of guarantee 3: no task starts in a data centre later
+// than 3 s after operators took it out of service.
+const maxGate = 3 * time.Second
+
+// name is the form of identifiers, which appear in store keys, in job
+// identifiers and in logs.
+var name = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$`)
+
+const (
+	acceptedName    = "1 to 63 letters, digits, dots, hyphens or underscores, beginning with a letter or digit"
+	acceptedAddress = "an IP address with a port from 1 to 65535, for example 127.0.0.1:7101"
+)
+
+// Validate checks e as LoadEntry does; the error is an *Error.
+func (e Entry) Validate() error { return e.problems().err("") }
+
+// Validate checks a as LoadAgent does; the error is an *Error.
+func (a Agent) Validate() error { return a.problems().err("") }
+
+func (e Entry) problems() problems {
+	var ps problems
+	ps.name("id", e.ID)
+	ps.name("data_centre", e.DataCentre)
+	ps.listen("caller_address", e.CallerAddress)
+	ps.advertised("peer_address", e.PeerAddress)
+	ps.advertised("admin_address", e.AdminAddress)
+	ps.distinct([]string{"caller_address", "peer_address", "admin_address"},
+		[]string{e.CallerAddress, e.PeerAddress, e.AdminAddress})
+	ps.seeds(e.Seeds)
+	ps.store(e.Store)
+	ps.timing(e.Timing)
+	ps.limits(e.Limits)
+	ps.oneOf("codec", e.Codec, CodecGob, CodecMsgpack)
+	ps.oneOf("placement", e.Placement, Placements()...)
+	ps.tls("caller_tls", e.CallerTLS, false)
+	ps.tls("peer_tls", e.PeerTLS, true)
+	ps.oneOf("log.level", e.Log.Level, "debug", "info", "warn", "error")
+	return ps
+}
+
+func (a Agent) problems() problems {
+	var ps problems
+	ps.name("id", a.ID)
+	ps.name("data_centre", a.DataCentre)
+	ps.name("rack", a.Rack)
+	ps.name("worker", a.Worker)
+	ps.advertised("peer_address", a.PeerAddress)
+	ps.advertised("admin_address", a.AdminAddress)
+	ps.advertised("upstream", a.Upstream)
+	ps.distinct([]string{"peer_address", "admin_address", "upstream"},
+		[]string{a.PeerAddress, a.AdminAddress, a.Upstream})
+	if a.HealthPath != "" && !strings.HasPrefix(a.HealthPath, "/") {
+		ps.add("health_path", a.HealthPath, "empty, or a path beginning with a slash")
+	}
+	ps.within("slots", int64(a.Slots), 1, 10000)
+	ps.within("queue_limit", int64(a.QueueLimit), 0, int64(a.Slots))
+	ps.within("connections", int64(a.Connections), int64(a.Slots), 100000)
+	ps.atLeast("capacity.accelerators", int64(a.Capacity.Accelerators), 0)
+	ps.atLeast("capacity.memory_mb", a.Capacity.MemoryMB, 0)
+	ps.atLeast("capacity.milli_cpu", a.Capacity.MilliCPU, 0)
+	ps.atLeast("max_entries", int64(a.MaxEntries), 1)
+	ps.atLeast("max_records", int64(a.MaxRecords), 1)
+	ps.atLeast("max_message_bytes", a.MaxMessageBytes, mib)
+	ps.seeds(a.Seeds)
+	ps.store(a.Store)
+	ps.timing(a.Timing)
+	ps.oneOf("codec", a.Codec, CodecGob, CodecMsgpack)
+	ps.tls("peer_tls", a.PeerTLS, true)
+	ps.oneOf("log.level", a.Log.Level, "debug", "info", "warn", "error")
+	return ps
+}
+
+func (ps *problems) name(field, value string) {
+	if !name.MatchString(value) {
+		ps.add(field, value, acceptedName)
+	}
+}
+
+func (ps *problems) oneOf(field, value string, accepted ...string) {
+	for _, a := range accepted {
+		if value == a {
+			return
+		}
+	}
+	ps.add(field, value, strings.Join(accepted, ", "))
+}
+
+func (ps *problems) within(field string, value, low, high int64) {
+	if value < low || value > high {
+		ps.add(field, fmt.Sprint(value), fmt.Sprintf("%d to %d", low, high))
+	}
+}
+
+func (ps *problems) atLeast(field string, value, low int64) {
+	if value < low {
+		ps.add(field, fmt.Sprint(value), fmt.Sprintf("%d or more", low))
+	}
+}
+
+// listen checks an address that is only listened on.
+func (ps *problems) listen(field, value string) {
+	if a, err := netip.ParseAddrPort(value); err != nil || a.Port() == 0 {
+		ps.add(field, value, acceptedAddress)
+	}
+}
+
+// advertised checks an address that other processes dial, so that it must name
+// one interface.
+func (ps *problems) advertised(field, value string) {
+	a, err := netip.ParseAddrPort(value)
+	if err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
+		ps.add(field, value, acceptedAddress+"; not 0.0.0.0 or ::, because other processes dial it")
+	}
+}
+
+func (ps *problems) distinct(fields, values []string) {
+	for i := range values {
+		for j := range i {
+			if values[i] != "" && values[i] == values[j] {
+				ps.add(fields[i], values[i], "an address other than that of "+fields[j])
+				return
+			}
+		}
+	}
+}
+
+func (ps *problems) seeds(seeds []string) {
+	for i, s := range seeds {
+		ps.advertised(fmt.Sprintf("seeds[%d]", i), s)
+	}
+}
+
+func (ps *problems) store(s Store) {
+	const accepted = `http or https with an IP address and a port, for example "http://127.0.0.1:7000"`
+	u, err := url.Parse(s.URL)
+	switch {
+	case err != nil || (u.Scheme != "http" && u.Scheme != "https"), u.Path != "" && u.Path != "/",
+		u.RawQuery != "", u.Fragment != "", u.User != nil:
+		ps.add("store.url", s.URL, accepted)
+	default:
+		if a, err := netip.ParseAddrPort(u.Host); err != nil || a.Port() == 0 {
+			ps.add("store.url", s.URL, accepted)
+		}
+	}
+	if !(s.MaxCallsPerSecond > 0) {
+		ps.add("store.max_calls_per_second", fmt.Sprint(s.MaxCallsPerSecond), "more than 0")
+	}
+}
+
+func (ps *problems) tls(field string, t TLS, mutual bool) {
+	if t == (TLS{}) {
+		return
+	}
+	for _, f := range []struct {
+		name, value string
+		required    bool
+	}{{"cert_file", t.CertFile, true}, {"key_file", t.KeyFile, true}, {"ca_file", t.CAFile, mutual}} {
+		if f.required && f.value == "" {
+			ps.add(field+"."+f.name, "", "the path of a PEM file, since another file of "+field+" is given")
+		}
+	}
+}
+
+func (ps *problems) limits(l Limits) {
+	ps.atLeast("limits.max_body_bytes", l.MaxBodyBytes, 1)
+	ps.atLeast("limits.max_result_bytes", l.MaxResultBytes, 1)
+	ps.atLeast("limits.max_answer_bytes", l.MaxAnswerBytes, l.MaxResultBytes)
+	ps.atLeast("limits.max_header_bytes", int64(l.MaxHeaderBytes), 1<<10)
+	ps.positive("limits.max_deadline", l.MaxDeadline)
+	ps.positive("limits.answer_retention", l.AnswerRetention)
+	ps.longer("limits.claim_retention", l.ClaimRetention, l.MaxDeadline.Of(), "limits.max_deadline")
+	// One message carries a task's request, or its result with headers.
+	largest := max(l.MaxBodyBytes, l.MaxResultBytes)
+	if l.MaxMessageBytes < mib || l.MaxMessageBytes-int64(l.MaxHeaderBytes) < largest {
+		ps.add("limits.max_message_bytes", fmt.Sprint(l.MaxMessageBytes),
+			fmt.Sprintf("%d or more, and not less than the largest body or result plus max_header_bytes", mib))
+	}
+}
--- a/wire/identity.go
+++ b/wire/identity.go
@@ -59,9 +59,9 @@
 
 // Resources of a worker or needed by a task, beside the slot.
 type Resources struct {
-	Accelerators int
-	MemoryMB     int64
-	MilliCPU     int64
+	Accelerators int   `json:"accelerators"`
+	MemoryMB     int64 `json:"memory_mb"`
+	MilliCPU     int64 `json:"milli_cpu"`
 }
 
 // Fits reports whether r can be taken out of free.
