--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,169 @@
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	minimalEntry = `{"id":"e1","data_centre":"dc1","caller_address":"127.0.0.1:7100",
+		"peer_address":"127.0.0.1:7101","admin_address":"127.0.0.1:7102","store":{"url":"http://127.0.0.1:7000"}}`
+	minimalAgent = `{"id":"a1","data_centre":"dc1","rack":"r1","worker":"w1","peer_address":"127.0.0.1:7201",
+		"admin_address":"127.0.0.1:7202","upstream":"127.0.0.1:7300","slots":8,"store":{"url":"http://127.0.0.1:7000"}}`
+)
+
+// with replaces one part of a document, or adds a field at its end.
+func with(document, add string) string {
+	return strings.TrimSuffix(document, "}") + "," + add + "}"
+}
+
+// Guards against defaults that differ from those documented in types.go.
+func TestDefaultsApplyToAbsentFields(t *testing.T) {
+	c := qt.New(t)
+	e, err := parseEntry("e.json", []byte(minimalEntry))
+	c.Assert(err, qt.IsNil)
+	c.Check(e.Timing, qt.Equals, DefaultTiming())
+	c.Check(e.Limits, qt.Equals, DefaultLimits())
+	c.Check(e.Codec, qt.Equals, "gob")
+	c.Check(e.Log.Level, qt.Equals, "info")
+	a, err := parseAgent("a.json", []byte(with(minimalAgent, `"timing":{"reconcile":"7s"},"queue_limit":0`)))
+	c.Assert(err, qt.IsNil)
+	c.Check(a.Timing.Reconcile.Of(), qt.Equals, 7*time.Second)
+	c.Check(a.Timing.Gate.Of(), qt.Equals, 2*time.Second)
+	c.Check(a.QueueLimit, qt.Equals, 0)
+	c.Check(a.MaxEntries, qt.Equals, 16)
+}
+
+// Guards against defaults that contradict a small or large number of slots.
+func TestDefaultsFollowSlots(t *testing.T) {
+	c := qt.New(t)
+	small, err := parseAgent("a.json", []byte(strings.Replace(minimalAgent, `"slots":8`, `"slots":1`, 1)))
+	c.Assert(err, qt.IsNil)
+	c.Check(small.QueueLimit, qt.Equals, 1)
+	large, err := parseAgent("a.json", []byte(strings.Replace(minimalAgent, `"slots":8`, `"slots":100`, 1)))
+	c.Assert(err, qt.IsNil)
+	c.Check(large.Connections, qt.Equals, 100)
+}
+
+// Guards against a faulty file being accepted, and against errors that do not
+// name the field.
+func TestFaultyEntryFilesAreRejected(t *testing.T) {
+	for _, tc := range []struct{ name, document, field string }{
+		{"unknown field", with(minimalEntry, `"speed":1`), "speed"},
+		{"field in other case", with(minimalEntry, `"Codec":"gob"`), "Codec"},
+		{"unknown nested field", with(minimalEntry, `"timing":{"gat":"2s"}`), "timing.gat"},
+		{"repeated field", with(minimalEntry, `"id":"e2"`), "id"},
+		{"null", with(minimalEntry, `"limits":null`), "limits"},
+		{"duration without unit", with(minimalEntry, `"timing":{"gate":2}`), "timing.gate"},
+		{"duration with unknown unit", with(minimalEntry, `"timing":{"gate":"2 s"}`), "timing.gate"},
+		{"fraction", with(minimalEntry, `"limits":{"max_body_bytes":1.5}`), "limits.max_body_bytes"},
+		{"text after the document", minimalEntry + "{}", "(document)"},
+		{"not an object", "[]", "(document)"},
+		{"empty", "", "(document)"},
+		{"host name", with(minimalEntry, `"seeds":["localhost:7101"]`), "seeds[0]"},
+		{"store by host name", strings.Replace(minimalEntry, "http://127.0.0.1:7000", "http://store:7000", 1), "store.url"},
+		{"wildcard peer address", strings.Replace(minimalEntry, "127.0.0.1:7101", "0.0.0.0:7101", 1), "peer_address"},
+		{"shared address", strings.Replace(minimalEntry, ":7102", ":7101", 1), "admin_address"},
+		{"identifier with slash", strings.Replace(minimalEntry, `"e1"`, `"e/1"`, 1), "id"},
+		{"gate too short", with(minimalEntry, `"timing":{"gate":"1500ms"}`), "timing.gate"},
+		{"gate over the bound", with(minimalEntry, `"timing":{"gate":"4s"}`), "timing.gate"},
+		{"suspect too short", with(minimalEntry, `"timing":{"suspect":"1s"}`), "timing.suspect"},
+		{"lapse before suspect", with(minimalEntry, `"timing":{"suspect":"3s"}`), "timing.lapse"},
+		{"reconcile before lapse", with(minimalEntry, `"timing":{"reconcile":"3s"}`), "timing.reconcile"},
+		{"ping slower than lapse", with(minimalEntry, `"timing":{"ping_timeout":"2s"}`), "timing.lapse"},
+		{"negative interval", with(minimalEntry, `"timing":{"heartbeat":"-1s"}`), "timing.heartbeat"},
+		{"message smaller than a body", with(minimalEntry, `"limits":{"max_message_bytes":1048576}`), "limits.max_message_bytes"},
+		{"key without certificate", with(minimalEntry, `"peer_tls":{"key_file":"k","ca_file":"c"}`), "peer_tls.cert_file"},
+		{"peer certificate without CA", with(minimalEntry, `"peer_tls":{"cert_file":"c","key_file":"k"}`), "peer_tls.ca_file"},
+		{"codec", with(minimalEntry, `"codec":"json"`), "codec"},
+		{"placement", with(minimalEntry, `"placement":"best"`), "placement"},
+		{"level", with(minimalEntry, `"log":{"level":"loud"}`), "log.level"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			e, err := parseEntry("e.json", []byte(tc.document))
+			var all *Error
+			c.Assert(errors.As(err, &all), qt.IsTrue, qt.Commentf("error: %v", err))
+			c.Check(e, qt.DeepEquals, Entry{})
+			fields := map[string]bool{}
+			for _, p := range all.Problems {
+				fields[p.Field] = true
+				c.Check(p.Accepted, qt.Not(qt.Equals), "")
+			}
+			c.Check(fields[tc.field], qt.IsTrue, qt.Commentf("%v", err))
+			c.Check(err, qt.ErrorMatches, `(?s)e\.json: .*`)
+		})
+	}
+}
+
+// Guards against the same gaps in an agent's file.
+func TestFaultyAgentFilesAreRejected(t *testing.T) {
+	c := qt.New(t)
+	for _, tc := range []struct{ document, field string }{
+		{strings.Replace(minimalAgent, `"slots":8`, `"slots":0`, 1), "slots"},
+		{with(minimalAgent, `"queue_limit":9`), "queue_limit"},
+		{with(minimalAgent, `"connections":7`), "connections"},
+		{with(minimalAgent, `"capacity":{"memory_mb":-1}`), "capacity.memory_mb"},
+		{with(minimalAgent, `"health_path":"health"`), "health_path"},
+		{with(minimalAgent, `"max_records":0`), "max_records"},
+		{strings.Replace(minimalAgent, "127.0.0.1:7300", "portal:80", 1), "upstream"},
+	} {
+		_, err := parseAgent("a.json", []byte(tc.document))
+		c.Check(err, qt.ErrorMatches, `(?s).*a\.json: `+strings.ReplaceAll(tc.field, ".", `\.`)+`: .*`)
+	}
+}
+
+// Guards against errors that come one at a time.
+func TestAllErrorsAreReportedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	_, err := parseEntry("e.json", []byte(`{"id":"", "codec":"x", "speed":1, "timing":{"gate":2}}`))
+	for _, field := range []string{"id", "codec", "speed", "timing.gate", "caller_address", "data_centre", "store.url"} {
+		c.Check(strings.Contains(err.Error(), "e.json: "+field+": "), qt.IsTrue, qt.Commentf("%s in %v", field, err))
+	}
+}
+
+// Guards against files that cannot be read counting as empty.
+func TestLoadReadsFiles(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(c.Mkdir(), "a.json")
+	_, err := LoadAgent(path)
+	c.Check(errors.Is(err, os.ErrNotExist), qt.IsTrue)
+	_, err = LoadEntry(path)
+	c.Check(errors.Is(err, os.ErrNotExist), qt.IsTrue)
+	c.Assert(os.WriteFile(path, []byte(minimalAgent), 0o600), qt.IsNil)
+	a, err := LoadAgent(path)
+	c.Assert(err, qt.IsNil)
+	c.Check(a.ID, qt.Equals, "a1")
+}
+
+// Guards against panics of the decoder, and against a valid file that changes
+// when it is written and read again.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(minimalEntry))
+	f.Add([]byte(minimalAgent))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if e, err := parseEntry("f", data); err == nil {
+			again, err := json.Marshal(e)
+			qt.Assert(t, err, qt.IsNil)
+			e2, err := parseEntry("f", again)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, e2.Timing, qt.Equals, e.Timing)
+			qt.Assert(t, e2.ID, qt.Equals, e.ID)
+		}
+		if a, err := parseAgent("f", data); err == nil {
+			again, err := json.Marshal(a)
+			qt.Assert(t, err, qt.IsNil)
+			a2, err := parseAgent("f", again)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, a2.Capacity, qt.Equals, a.Capacity)
+			qt.Assert(t, a2.Slots, qt.Equals, a.Slots)
+		}
+	})
+}
