Add the upstream stand-in

Guarantees about starts need evidence that does not come from the daemons. The stand-in records each start with its task, attempt and times, bounds concurrency by slots, and shows faults on request.

--- /dev/null
+++ b/internal/upstreamstub/record.go
@@ -0,0 +1,88 @@
+package upstreamstub
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Start is one task that reached an upstream.
+type Start struct {
+	Task       string        // header Chicorytray-Task; empty when absent
+	Attempt    string        // header Chicorytray-Attempt
+	Key        string        // chosen by the caller in the task's body
+	Upstream   string        // Options.Name
+	DataCentre string        // Options.DataCentre
+	At         time.Time     // arrival of the request
+	Began      time.Time     // a slot was taken; zero while waiting
+	Ended      time.Time     // zero while running
+	Service    time.Duration // true duration, without any slowdown
+	Completed  bool          // the whole answer was written
+}
+
+// Record holds the starts at one or several upstreams. It is safe for
+// concurrent use.
+type Record struct {
+	mu     sync.Mutex
+	starts []*Start
+}
+
+// NewRecord returns an empty record.
+func NewRecord() *Record { return &Record{} }
+
+func (r *Record) add(s Start) *Start {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.starts = append(r.starts, &s)
+	return &s
+}
+
+func (r *Record) update(s *Start, change func(*Start)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(s)
+}
+
+// Starts returns a copy of all starts in the order of arrival.
+func (r *Record) Starts() []Start {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]Start, len(r.starts))
+	for i, s := range r.starts {
+		out[i] = *s
+	}
+	return out
+}
+
+// Count returns the number of starts of each task, by Chicorytray-Task.
+func (r *Record) Count() map[string]int {
+	counts := map[string]int{}
+	for _, s := range r.Starts() {
+		counts[s.Task]++
+	}
+	return counts
+}
+
+// Duplicates returns the tasks that started more than once, sorted. Attempts
+// with different numbers are not duplicates: an idempotent task may have
+// several. Tasks are compared by Chicorytray-Task and by the caller's key.
+func (r *Record) Duplicates() []string {
+	seen := map[string]int{}
+	for _, s := range r.Starts() {
+		if s.Task != "" {
+			seen["task "+s.Task+" attempt "+s.Attempt]++
+		}
+		if s.Key != "" {
+			seen["key "+s.Key+" attempt "+s.Attempt]++
+		}
+	}
+	var out []string
+	for name, n := range seen {
+		if n > 1 {
+			out = append(out, name)
+		}
+	}
+	slices.SortFunc(out, strings.Compare)
+	return out
+}
--- /dev/null
+++ b/internal/upstreamstub/stub.go
@@ -0,0 +1,278 @@
+package upstreamstub
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Paths that are not tasks.
+const (
+	// HealthPath answers 200, or 503 while the upstream leaves.
+	HealthPath = "/health"
+	// StartsPath lists the starts as JSON.
+	StartsPath = "/stub/starts"
+	// FaultsPath shows the faults in force on GET and replaces them on POST.
+	FaultsPath = "/stub/faults"
+)
+
+// maxBodyBytes of a task that the stand-in reads.
+const maxBodyBytes = 16 << 20
+
+// defaultService is the service time when neither the request gives one nor
+// Options draw one.
+const defaultService = 100 * time.Millisecond
+
+// Options of a stand-in.
+type Options struct {
+	Name       string
+	DataCentre string
+	// Slots is the number of tasks served at a time; more wait.
+	Slots int
+	// Seed of the draws.
+	Seed uint64
+	// Draw gives service times where the request does not; nil means 100 ms.
+	Draw func(*rand.Rand) time.Duration
+	// Record may be shared by several stand-ins; nil means one of its own.
+	Record *Record
+}
+
+// Request is the body by which a task says how it wants to be served. A body
+// of another form is served with a drawn time.
+type Request struct {
+	Key         string  `json:"key,omitempty"`          // recorded with the start
+	ServiceMS   float64 `json:"service_ms,omitempty"`   // milliseconds; 0 draws one
+	AnswerBytes int     `json:"answer_bytes,omitempty"` // length of filler in the answer
+	Fail        bool    `json:"fail,omitempty"`         // answer 500 after the service time
+}
+
+// Encode returns r as a task's body.
+func (r Request) Encode() string {
+	data, err := json.Marshal(r)
+	if err != nil { // strings and finite numbers only
+		panic(err)
+	}
+	return string(data)
+}
+
+// Answer is the body of a successful answer.
+type Answer struct {
+	Task       string  `json:"task"`
+	Key        string  `json:"key,omitempty"`
+	Upstream   string  `json:"upstream"`
+	DataCentre string  `json:"data_centre"`
+	ServiceMS  float64 `json:"service_ms"`
+	Filler     string  `json:"filler,omitempty"`
+}
+
+// Faults that a stand-in shows. The zero value means none.
+type Faults struct {
+	Fail  bool    `json:"fail,omitempty"`  // answer 500 at once
+	Hang  bool    `json:"hang,omitempty"`  // never answer
+	Half  bool    `json:"half,omitempty"`  // cut each answer off in the middle
+	Slow  float64 `json:"slow,omitempty"`  // multiply service times; 0 and 1 do nothing
+	Leave bool    `json:"leave,omitempty"` // 503 on HealthPath
+}
+
+// Stub is the HTTP handler of a stand-in.
+type Stub struct {
+	options Options
+	record  *Record
+	slots   chan struct{}
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	faults  Faults
+	waiting int
+	most    int
+}
+
+// New returns a stand-in without faults. It panics when Slots is not positive.
+func New(o Options) *Stub {
+	if o.Slots < 1 {
+		panic("upstreamstub: Slots must be at least 1")
+	}
+	if o.Record == nil {
+		o.Record = NewRecord()
+	}
+	if o.Draw == nil {
+		o.Draw = func(*rand.Rand) time.Duration { return defaultService }
+	}
+	return &Stub{
+		options: o, record: o.Record, slots: make(chan struct{}, o.Slots),
+		random: rand.New(rand.NewPCG(o.Seed, 0)),
+	}
+}
+
+// Record returns the record of starts.
+func (s *Stub) Record() *Record { return s.record }
+
+// SetFaults replaces the faults in force. Tasks that run keep theirs.
+func (s *Stub) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Faults returns the faults in force.
+func (s *Stub) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// MostInSystem returns the greatest number of tasks that were at the upstream
+// at once. More than Slots means that a caller sent too many.
+func (s *Stub) MostInSystem() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.most
+}
+
+// ServeHTTP serves one request.
+func (s *Stub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case HealthPath:
+		s.health(w)
+	case StartsPath:
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.record.Starts())
+	case FaultsPath:
+		s.serveFaults(w, r)
+	default:
+		s.task(w, r)
+	}
+}
+
+func (s *Stub) health(w http.ResponseWriter) {
+	if s.Faults().Leave {
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+func (s *Stub) serveFaults(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost {
+		var f Faults
+		dec := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes))
+		dec.DisallowUnknownFields()
+		if err := dec.Decode(&f); err != nil {
+			http.Error(w, "faults: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.SetFaults(f)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.Faults())
+}
+
+// task serves one task. The start is recorded as soon as the request has
+// arrived, because from then on its effects cannot be taken back.
+func (s *Stub) task(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		return // the request did not arrive whole
+	}
+	var req Request
+	_ = json.Unmarshal(body, &req) // other bodies are served with a drawn time
+	service := s.service(r, req)
+	start := s.record.add(Start{
+		Task: r.Header.Get("Chicorytray-Task"), Attempt: r.Header.Get("Chicorytray-Attempt"), Key: req.Key,
+		Upstream: s.options.Name, DataCentre: s.options.DataCentre, At: time.Now(), Service: service,
+	})
+	s.enter(1)
+	defer s.enter(-1)
+	select {
+	case s.slots <- struct{}{}:
+	case <-r.Context().Done():
+		s.record.update(start, func(t *Start) { t.Ended = time.Now() })
+		return
+	}
+	defer func() { <-s.slots }()
+	s.record.update(start, func(t *Start) { t.Began = time.Now() })
+	completed := false
+	defer func() {
+		s.record.update(start, func(t *Start) { t.Ended, t.Completed = time.Now(), completed })
+	}()
+	completed = s.serve(w, r, req, service)
+}
+
+// enter counts the tasks in the system.
+func (s *Stub) enter(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting += n
+	s.most = max(s.most, s.waiting)
+}
+
+// service returns the time given by the query or the body, else a drawn one.
+func (s *Stub) service(r *http.Request, req Request) time.Duration {
+	ms := req.ServiceMS
+	if q, err := strconv.ParseFloat(r.URL.Query().Get("service_ms"), 64); err == nil {
+		ms = q
+	}
+	if ms > 0 {
+		return time.Duration(ms * float64(time.Millisecond))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.options.Draw(s.random)
+}
+
+// serve runs one task in its slot and reports whether a whole answer was
+// written.
+func (s *Stub) serve(w http.ResponseWriter, r *http.Request, req Request, service time.Duration) bool {
+	f := s.Faults()
+	if f.Fail {
+		http.Error(w, "stand-in fails every task", http.StatusInternalServerError)
+		return false
+	}
+	took := service
+	if f.Slow > 0 {
+		took = time.Duration(float64(service) * f.Slow)
+	}
+	timer := time.NewTimer(took)
+	defer timer.Stop()
+	expired := timer.C
+	if f.Hang {
+		expired = nil
+	}
+	select {
+	case <-expired:
+	case <-r.Context().Done():
+		return false
+	}
+	if req.Fail {
+		http.Error(w, "task asked to fail", http.StatusInternalServerError)
+		return false
+	}
+	return s.answer(w, r, req, service, f.Half)
+}
+
+func (s *Stub) answer(w http.ResponseWriter, r *http.Request, req Request, service time.Duration, half bool) bool {
+	data, err := json.Marshal(Answer{
+		Task: r.Header.Get("Chicorytray-Task"), Key: req.Key, Upstream: s.options.Name,
+		DataCentre: s.options.DataCentre, ServiceMS: float64(service) / float64(time.Millisecond),
+		Filler: strings.Repeat("x", max(req.AnswerBytes, 0)),
+	})
+	if err != nil {
+		http.Error(w, fmt.Sprintf("encode: %v", err), http.StatusInternalServerError)
+		return false
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	if half {
+		_, _ = w.Write(data[:len(data)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler) // closes the connection without the rest
+	}
+	_, err = w.Write(data)
+	return err == nil
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -132,7 +132,7 @@
 // Guards against files that cannot be read counting as empty.
 func TestLoadReadsFiles(t *testing.T) {
 	c := qt.New(t)
-	path := filepath.Join(c.Mkdir(), "a.json")
+	path := filepath.Join(t.TempDir(), "a.json")
 	_, err := LoadAgent(path)
 	c.Check(errors.Is(err, os.ErrNotExist), qt.IsTrue)
 	_, err = LoadEntry(path)
