Add network delays and processes to the development deployment

Daemons in one process on loopback see no distance and cannot be killed one by one. Connections dialled through a Process get the delay between two locations, and killing a Process closes everything that it has open.

--- /dev/null
+++ b/internal/dev/network.go
@@ -0,0 +1,164 @@
+package dev
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+// ClientLocation is the location of callers in a Network.
+const ClientLocation = "clients"
+
+// errProcessEnded is the error of dialling from a process that was killed.
+var errProcessEnded = errors.New("dev: process was killed")
+
+// Network gives connections on loopback the delays between locations. A
+// location is a data centre or ClientLocation.
+type Network struct {
+	between time.Duration // one way between data centres
+	clients time.Duration // one way between clients and any data centre
+
+	mu     sync.Mutex
+	places map[string]string // location by listening address
+}
+
+// NewNetwork returns a network with these one-way delays.
+func NewNetwork(between, clients time.Duration) *Network {
+	return &Network{between: between, clients: clients, places: map[string]string{}}
+}
+
+// Place says where the listener with this address is.
+func (n *Network) Place(address, location string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.places[address] = location
+}
+
+// Delay returns the one-way delay from a location to a listening address.
+func (n *Network) Delay(from, address string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	to, known := n.places[address]
+	switch {
+	case !known || to == from:
+		return 0
+	case from == ClientLocation || to == ClientLocation:
+		return n.clients
+	default:
+		return n.between
+	}
+}
+
+// Process is the network side of one process at a location. Killing it closes
+// everything that it has open at once.
+type Process struct {
+	network  *Network
+	location string
+
+	mu     sync.Mutex
+	open   map[net.Conn]struct{}
+	listen []net.Listener
+	killed bool
+}
+
+// Process returns a new process at the location.
+func (n *Network) Process(location string) *Process {
+	return &Process{network: n, location: location, open: map[net.Conn]struct{}{}}
+}
+
+// Dial connects to an address with the delay of the distance.
+func (p *Process) Dial(ctx context.Context, address string) (net.Conn, error) {
+	delay := p.network.Delay(p.location, address)
+	if delay > 0 { // the handshake takes one round trip
+		t := time.NewTimer(2 * delay)
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	tracked, err := p.track(c)
+	if err != nil {
+		return nil, err
+	}
+	return newDelayedConn(tracked, delay), nil
+}
+
+// Listen listens on a free loopback port and places its address.
+func (p *Process) Listen() (net.Listener, error) { return p.ListenOn("127.0.0.1:0") }
+
+// ListenOn listens on an address and places it.
+func (p *Process) ListenOn(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	p.network.Place(l.Addr().String(), p.location)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listen = append(p.listen, l)
+	return &trackedListener{l, p}, nil
+}
+
+// Kill closes all listeners and connections of the process, as the operating
+// system does when a process ends, and makes later dials fail.
+func (p *Process) Kill() {
+	p.mu.Lock()
+	p.killed = true
+	open, listen := p.open, p.listen
+	p.open, p.listen = map[net.Conn]struct{}{}, nil
+	p.mu.Unlock()
+	for _, l := range listen {
+		_ = l.Close()
+	}
+	for c := range open {
+		_ = c.Close()
+	}
+}
+
+func (p *Process) track(c net.Conn) (net.Conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.killed {
+		_ = c.Close()
+		return nil, errProcessEnded
+	}
+	t := &trackedConn{Conn: c, process: p}
+	p.open[t] = struct{}{}
+	return t, nil
+}
+
+type trackedConn struct {
+	net.Conn
+	process *Process
+}
+
+// Close closes the connection and forgets it.
+func (t *trackedConn) Close() error {
+	t.process.mu.Lock()
+	delete(t.process.open, t)
+	t.process.mu.Unlock()
+	return t.Conn.Close()
+}
+
+type trackedListener struct {
+	net.Listener
+	process *Process
+}
+
+// Accept returns the next connection.
+func (l *trackedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.process.track(c)
+}
