--- /dev/null
+++ b/internal/dev/load/caller.go
@@ -0,0 +1,215 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"chicorytray.example/chicorytray/internal/dev"
+	"chicorytray.example/chicorytray/internal/upstreamstub"
+)
+
+// Outcomes as the caller sees them. The first three are those of the answer.
+const (
+	outcomeDone      = "done"
+	outcomeNotRun    = "not_run"
+	outcomeUnknown   = "unknown"
+	outcomeCancelled = "cancelled" // given up by the caller
+	outcomeBroken    = "broken"    // no whole answer arrived
+)
+
+const (
+	// answerTimeout exceeds every deadline of the deployments' templates.
+	answerTimeout = 90 * time.Second
+	// avoidFor is how long the caller's side leaves out an entry that refused
+	// a connection, as a load balancer does.
+	avoidFor = time.Second
+	// connectionsPerEntry that callers keep open.
+	connectionsPerEntry = 4096
+)
+
+// Result is what the caller of one job saw.
+type Result struct {
+	Job      *Job
+	Answered time.Duration // since the start of the run
+	Entry    string
+	Status   int
+	Outcome  string
+	Reason   string
+	// Wrong says how a successful answer differs from what was asked for.
+	Wrong string
+}
+
+// caller submits jobs over HTTP, each to the next entry in turn.
+type caller struct {
+	layout  dev.Layout
+	entries []dev.Endpoint
+	client  *http.Client
+	begin   time.Time
+	turn    atomic.Uint64
+
+	mu    sync.Mutex
+	avoid map[string]time.Time // until when, by entry
+}
+
+func newCaller(l dev.Layout, entries []dev.Endpoint, dial func(context.Context, string) (net.Conn, error)) *caller {
+	return &caller{
+		layout: l, entries: entries, avoid: map[string]time.Time{},
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
+			MaxIdleConnsPerHost: connectionsPerEntry,
+			DisableCompression:  true,
+		}},
+	}
+}
+
+type taskRequest struct {
+	Name string `json:"name"`
+	Body string `json:"body"`
+}
+
+type jobRequest struct {
+	Template   string        `json:"template"`
+	Tasks      []taskRequest `json:"tasks"`
+	ExpectedMS int64         `json:"expected_ms"`
+}
+
+// answerBody is the union of a successful answer and a problem document.
+type answerBody struct {
+	Job     string `json:"job"`
+	Results []struct {
+		Status int    `json:"status"`
+		Body   string `json:"body"`
+	} `json:"results"`
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+}
+
+func (c *caller) body(j *Job) []byte {
+	req := jobRequest{Template: j.Template, ExpectedMS: j.DeclaredMS}
+	for i, d := range j.Tasks {
+		task := upstreamstub.Request{Key: j.Key(i), ServiceMS: float64(d) / float64(time.Millisecond)}
+		req.Tasks = append(req.Tasks, taskRequest{
+			Name: c.layout.Names.Tasks[i%len(c.layout.Names.Tasks)], Body: task.Encode(),
+		})
+	}
+	data, err := json.Marshal(req)
+	if err != nil { // strings and numbers only
+		panic(err)
+	}
+	return data
+}
+
+// submit sends one job and waits for its answer. A refused connection is tried
+// at each entry, since nothing was sent on it.
+func (c *caller) submit(j *Job, body []byte) Result {
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	if j.CancelAfter > 0 {
+		timer := time.AfterFunc(j.CancelAfter, cancel)
+		defer timer.Stop()
+	}
+	var res Result
+	for range c.entries {
+		e := c.pick()
+		var refused bool
+		res, refused = c.attempt(ctx, e, j, body)
+		if !refused {
+			break
+		}
+		c.mu.Lock()
+		c.avoid[e.ID] = time.Now().Add(avoidFor)
+		c.mu.Unlock()
+	}
+	res.Answered = time.Since(c.begin)
+	return res
+}
+
+func (c *caller) pick() dev.Endpoint {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := uint64(len(c.entries))
+	first := c.entries[c.turn.Add(1)%n]
+	for i := range n {
+		e := c.entries[(c.turn.Load()+i)%n]
+		if time.Now().After(c.avoid[e.ID]) {
+			return e
+		}
+	}
+	return first
+}
+
+func (c *caller) attempt(ctx context.Context, e dev.Endpoint, j *Job, body []byte) (res Result, refused bool) {
+	res = Result{Job: j, Entry: e.ID, Outcome: outcomeBroken}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Callers+"/v1/jobs", bytes.NewReader(body))
+	if err != nil {
+		res.Reason = err.Error()
+		return res, false
+	}
+	req.GetBody = nil // never replayed by net/http
+	req.Header.Set("Authorization", "Bearer "+dev.Token(j.Account))
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.client.Do(req)
+	if err == nil {
+		defer func() { _ = resp.Body.Close() }()
+		res.Status = resp.StatusCode
+		var data []byte
+		if data, err = io.ReadAll(resp.Body); err == nil {
+			c.judge(&res, data)
+			return res, false
+		}
+	}
+	res.Reason = errorClass(err)
+	if j.CancelAfter > 0 && errors.Is(err, context.Canceled) {
+		res.Outcome, res.Reason = outcomeCancelled, ""
+	}
+	var op *net.OpError
+	return res, errors.As(err, &op) && op.Op == "dial"
+}
+
+// errorClass keeps addresses out of the report, so that equal causes add up.
+func errorClass(err error) string {
+	var op *net.OpError
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return "no answer in time"
+	case errors.As(err, &op):
+		return op.Op + ": " + op.Err.Error()
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return "connection closed"
+	}
+	return "connection failed"
+}
+
+// judge sets the outcome from a whole answer and checks that a successful one
+// is complete and belongs to this job.
+func (c *caller) judge(res *Result, data []byte) {
+	var a answerBody
+	if err := json.Unmarshal(data, &a); err != nil {
+		res.Outcome, res.Reason = outcomeBroken, "answer is not JSON"
+		return
+	}
+	if res.Status != http.StatusOK {
+		res.Outcome, res.Reason = a.Outcome, a.Reason
+		return
+	}
+	res.Outcome = outcomeDone
+	if len(a.Results) != len(res.Job.Tasks) {
+		res.Wrong = "wrong number of results"
+		return
+	}
+	for i, r := range a.Results {
+		var t upstreamstub.Answer
+		if err := json.Unmarshal([]byte(r.Body), &t); err != nil || t.Key != res.Job.Key(i) || r.Status != http.StatusOK {
+			res.Wrong = "result of another task"
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/dev/load/doc.go
@@ -0,0 +1,7 @@
+// Package load is an open-loop load tool for a development deployment. It
+// draws a plan of jobs from a seed, sends each at its intended time whether or
+// not earlier ones were answered, applies events such as a data centre taken
+// out of service, and reports what callers and stand-in upstreams saw.
+//
+// Only the numbers of messages come from the daemons.
+package load
--- /dev/null
+++ b/internal/dev/load/plot.go
@@ -0,0 +1,77 @@
+package load
+
+import (
+	"image/color"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// Size of the plot in points.
+const (
+	plotWidth  vg.Length = 680
+	plotHeight vg.Length = 340
+)
+
+// plotBins is the number of steps that one point of the plot averages.
+const plotBins = 5
+
+// Plot draws the work done over time to a file; its extension, .svg or .png,
+// selects the format.
+func (r *Report) Plot(file string) error {
+	p := plot.New()
+	p.Title.Text = "Work done, " + r.Deployment
+	p.X.Label.Text = "time (s)"
+	p.Y.Label.Text = "tasks running"
+	p.Y.Min = 0
+	p.Legend.Top = true
+	for _, l := range []struct {
+		name   string
+		values []float64
+		colour color.Color
+	}{
+		{"slots in service", r.timeline.slots, color.Gray{Y: 160}},
+		{"possible", r.timeline.possible, color.RGBA{R: 230, G: 140, A: 255}},
+		{"work done", r.timeline.done, color.RGBA{B: 200, A: 255}},
+	} {
+		line, err := plotter.NewLine(points(l.values))
+		if err != nil {
+			return err
+		}
+		line.Color = l.colour
+		p.Add(line)
+		p.Legend.Add(l.name, line)
+	}
+	top := 0.0
+	for _, v := range r.timeline.slots {
+		top = max(top, v/step.Seconds())
+	}
+	for _, e := range r.events {
+		x := e.done.Seconds()
+		line, err := plotter.NewLine(plotter.XYs{{X: x, Y: 0}, {X: x, Y: top}})
+		if err != nil {
+			return err
+		}
+		line.Color, line.Dashes = color.RGBA{R: 200, A: 255}, []vg.Length{vg.Points(3), vg.Points(3)}
+		p.Add(line)
+		p.Legend.Add(e.String(), line)
+	}
+	return p.Save(plotWidth, plotHeight, file)
+}
+
+// points averages the steps to rates.
+func points(values []float64) plotter.XYs {
+	var out plotter.XYs
+	for i := 0; i+plotBins <= len(values); i += plotBins {
+		sum := 0.0
+		for _, v := range values[i : i+plotBins] {
+			sum += v
+		}
+		out = append(out, plotter.XY{
+			X: (float64(i) + plotBins/2.0) * step.Seconds(),
+			Y: sum / (plotBins * step.Seconds()),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/dev/load/run.go
@@ -0,0 +1,143 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"chicorytray.example/chicorytray/internal/dev"
+	"chicorytray.example/chicorytray/internal/upstreamstub"
+)
+
+// System is what the load tool needs of a deployment.
+type System interface {
+	Endpoints() []dev.Endpoint
+	DialAsCaller(ctx context.Context, address string) (net.Conn, error)
+	// SetInService returns when the store accepted the change.
+	SetInService(ctx context.Context, dataCentre string, in bool) error
+	KillWorker(id string) error
+	SetWorkerFaults(id string, f upstreamstub.Faults) error
+	KillEntry(id string) error
+	SetStoreOut(out bool)
+	Record() *upstreamstub.Record
+	StoreCalls() int
+	Messages() map[string]dev.Traffic
+}
+
+// eventTimeout bounds one change of the configuration.
+const eventTimeout = 5 * time.Second
+
+// applied is an event with the time at which it had taken effect.
+type applied struct {
+	Event
+	asked, done time.Duration
+	err         error
+}
+
+// observation is everything that a run produced.
+type observation struct {
+	options  Options
+	begin    time.Time
+	results  []Result
+	events   []applied
+	starts   []upstreamstub.Start
+	doubles  []string
+	calls    int // of the store, until the end of the arrivals
+	messages map[string]dev.Traffic
+}
+
+// Run sends the planned jobs to the system, applies the events and returns the
+// report when every job was answered.
+func Run(ctx context.Context, s System, o Options) (*Report, error) {
+	jobs := Plan(o)
+	if len(jobs) == 0 {
+		return nil, fmt.Errorf("the load gives no job; accepted: a load and a duration of more than 0")
+	}
+	c := newCaller(o.Layout, s.Endpoints(), s.DialAsCaller)
+	bodies := make([][]byte, len(jobs)) // encoded before the clock starts
+	for i, j := range jobs {
+		bodies[i] = c.body(j)
+	}
+	before, callsBefore := s.Messages(), s.StoreCalls()
+	obs := &observation{options: o, begin: time.Now(), results: make([]Result, len(jobs))}
+	c.begin = obs.begin
+
+	var events sync.WaitGroup
+	events.Go(func() { obs.events = applyEvents(ctx, s, o.Events, obs.begin) })
+	var answers sync.WaitGroup
+	for i, j := range jobs {
+		if err := sleepUntil(ctx, obs.begin.Add(j.At)); err != nil {
+			return nil, err
+		}
+		answers.Go(func() { obs.results[i] = c.submit(j, bodies[i]) })
+	}
+	if err := sleepUntil(ctx, obs.begin.Add(o.Duration)); err != nil {
+		return nil, err
+	}
+	obs.calls = s.StoreCalls() - callsBefore
+	answers.Wait()
+	events.Wait()
+	obs.messages = difference(s.Messages(), before)
+	obs.starts, obs.doubles = s.Record().Starts(), s.Record().Duplicates()
+	return obs.report(), nil
+}
+
+func sleepUntil(ctx context.Context, t time.Time) error {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func applyEvents(ctx context.Context, s System, events []Event, begin time.Time) []applied {
+	var out []applied
+	for _, e := range events {
+		if err := sleepUntil(ctx, begin.Add(e.At)); err != nil {
+			return out
+		}
+		a := applied{Event: e, asked: time.Since(begin)}
+		a.err = apply(ctx, s, e)
+		a.done = time.Since(begin)
+		out = append(out, a)
+	}
+	return out
+}
+
+func apply(ctx context.Context, s System, e Event) error {
+	ctx, cancel := context.WithTimeout(ctx, eventTimeout)
+	defer cancel()
+	switch e.Action {
+	case ActionOut, ActionIn:
+		return s.SetInService(ctx, e.Target, e.Action == ActionIn)
+	case ActionKillWorker:
+		return s.KillWorker(e.Target)
+	case ActionFailWorker:
+		return s.SetWorkerFaults(e.Target, upstreamstub.Faults{Fail: true})
+	case ActionSlowWorker:
+		return s.SetWorkerFaults(e.Target, upstreamstub.Faults{Slow: e.Factor})
+	case ActionStoreOut, ActionStoreIn:
+		s.SetStoreOut(e.Action == ActionStoreOut)
+		return nil
+	case ActionKillEntry:
+		return s.KillEntry(e.Target)
+	}
+	return fmt.Errorf("action %q is not known", e.Action)
+}
+
+func difference(after, before map[string]dev.Traffic) map[string]dev.Traffic {
+	out := map[string]dev.Traffic{}
+	for method, t := range after {
+		b := before[method]
+		out[method] = dev.Traffic{
+			Requests: t.Requests - b.Requests, Replies: t.Replies - b.Replies,
+			Wasted: t.Wasted - b.Wasted, Bytes: t.Bytes - b.Bytes,
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/dev/load/timeline.go
@@ -0,0 +1,194 @@
+package load
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"chicorytray.example/chicorytray/internal/upstreamstub"
+)
+
+// step is the resolution of the timeline.
+const step = 50 * time.Millisecond
+
+// timeline holds what the slots could do and did in each step, in seconds of
+// task time.
+type timeline struct {
+	slots    []float64 // slots of workers that are alive and in service
+	possible []float64 // the smaller of slots and tasks that wait or run
+	done     []float64 // work done in those slots, by true durations
+	outside  []float64 // work done elsewhere, by tasks that had started before
+}
+
+// timeline samples the run until the end of the arrivals.
+func (o *observation) timeline() *timeline {
+	n := int((o.options.Duration + step - 1) / step)
+	t := &timeline{
+		slots: make([]float64, n), possible: make([]float64, n),
+		done: make([]float64, n), outside: make([]float64, n),
+	}
+	available := o.availability(n)
+	for _, alive := range available {
+		for i := range n {
+			if alive[i] {
+				t.slots[i] += float64(o.options.Layout.Slots) * step.Seconds()
+			}
+		}
+	}
+	ended := map[string]time.Duration{}
+	for _, s := range o.starts {
+		if !s.Ended.IsZero() {
+			ended[s.Key] = s.Ended.Sub(o.begin)
+		}
+		o.addWork(t, s, available[s.Upstream])
+	}
+	waiting := o.waiting(n, ended)
+	for i := range n {
+		t.possible[i] = min(t.slots[i], max(waiting[i]-t.outside[i], t.done[i]))
+	}
+	return t
+}
+
+// availability says for each worker and step whether it is alive and in
+// service.
+func (o *observation) availability(n int) map[string][]bool {
+	out := map[string][]bool{}
+	for _, w := range o.options.Layout.WorkerList() {
+		alive := slices.Repeat([]bool{true}, n)
+		for _, e := range o.events {
+			on := false
+			switch {
+			case e.Action == ActionKillWorker && e.Target == w.ID:
+			case e.Action == ActionOut && e.Target == w.DataCentre:
+			case e.Action == ActionIn && e.Target == w.DataCentre:
+				on = true
+			default:
+				continue
+			}
+			for i := int(e.done / step); i < n; i++ {
+				alive[i] = on && !o.killedBefore(w.ID, e.done)
+			}
+		}
+		out[w.ID] = alive
+	}
+	return out
+}
+
+func (o *observation) killedBefore(worker string, at time.Duration) bool {
+	return slices.ContainsFunc(o.events, func(e applied) bool {
+		return e.Action == ActionKillWorker && e.Target == worker && e.done < at
+	})
+}
+
+// addWork spreads the true duration of a completed task over the time that it
+// held its slot.
+func (o *observation) addWork(t *timeline, s upstreamstub.Start, alive []bool) {
+	if !s.Completed || alive == nil {
+		return
+	}
+	from, to := s.Began.Sub(o.begin), s.Ended.Sub(o.begin)
+	rate := s.Service.Seconds() / max(to-from, time.Nanosecond).Seconds()
+	spread(len(t.done), from, to, func(i int, d time.Duration) {
+		if alive[i] {
+			t.done[i] += rate * d.Seconds()
+		} else {
+			t.outside[i] += rate * d.Seconds()
+		}
+	})
+}
+
+// waiting returns the task time that tasks of accepted jobs waited or ran in
+// each step.
+func (o *observation) waiting(n int, ended map[string]time.Duration) []float64 {
+	out := make([]float64, n)
+	for _, r := range o.results {
+		if r.Outcome == outcomeNotRun || r.Job.Unrunnable {
+			continue
+		}
+		for i := range r.Job.Tasks {
+			end := r.Answered
+			if e, ok := ended[r.Job.Key(i)]; ok && e < end {
+				end = e
+			}
+			spread(n, r.Job.At, end, func(i int, d time.Duration) { out[i] += d.Seconds() })
+		}
+	}
+	return out
+}
+
+// spread calls add with the part of [from, to) that falls into each step.
+func spread(n int, from, to time.Duration, add func(i int, d time.Duration)) {
+	for i := max(0, int(from/step)); i < n; i++ {
+		begin := time.Duration(i) * step
+		if begin >= to {
+			return
+		}
+		if d := min(to, begin+step) - max(from, begin); d > 0 {
+			add(i, d)
+		}
+	}
+}
+
+// Window is the work done in a period near an event.
+type Window struct {
+	Event       string  `json:"event"`
+	FromS       float64 `json:"from_s"`
+	ToS         float64 `json:"to_s"`
+	TaskSeconds float64 `json:"task_seconds"`
+	// OfSlots is the share of all slots that were alive and in service.
+	OfSlots float64 `json:"of_slots"`
+	// OfPossible is the share of what these slots could do with the tasks
+	// that were waiting or running.
+	OfPossible float64 `json:"of_possible"`
+}
+
+func (t *timeline) window(name string, from, to time.Duration) Window {
+	first, last := max(0, int(from/step)), min(len(t.done), int(to/step))
+	w := Window{Event: name, FromS: from.Seconds(), ToS: to.Seconds()}
+	var slots, possible float64
+	for i := first; i < last; i++ {
+		w.TaskSeconds += t.done[i]
+		slots += t.slots[i]
+		possible += t.possible[i]
+	}
+	w.OfSlots, w.OfPossible = ratio(w.TaskSeconds, slots), ratio(w.TaskSeconds, possible)
+	return w
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+// nearEvent is the length of the windows next to an event. Full use has to
+// resume within 2 s of a data centre's return.
+const nearEvent = 2 * time.Second
+
+// windows returns, for each event, the time before it, right after it, and
+// from then to the next event.
+func (o *observation) windows(t *timeline) []Window {
+	end := o.options.Duration
+	out := []Window{t.window("whole run", 0, end)}
+	for i, e := range o.events {
+		name := strings.SplitN(e.String(), "@", 2)[0]
+		next := end
+		if i+1 < len(o.events) {
+			next = min(next, o.events[i+1].done)
+		}
+		for _, w := range []struct {
+			name     string
+			from, to time.Duration
+		}{
+			{"before ", max(0, e.done-nearEvent), e.done},
+			{"after ", e.done, min(next, e.done+nearEvent)},
+			{"later after ", e.done + nearEvent, next},
+		} {
+			if w.to-w.from >= step {
+				out = append(out, t.window(w.name+name, w.from, w.to))
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/dev/traffic.go
@@ -0,0 +1,19 @@
+package dev
+
+// Endpoint is one entry as callers and operators reach it.
+type Endpoint struct {
+	ID      string
+	Callers string // IP:port for callers
+	Peers   string // IP:port for other processes
+	Admin   string // IP:port for operators
+}
+
+// Traffic counts the messages of one method over all processes. Each message
+// is counted once, at its sender.
+type Traffic struct {
+	Requests int64
+	Replies  int64
+	// Wasted are the messages that led to no start and carried no needed answer.
+	Wasted int64
+	Bytes  int64
+}
