store: keep an entry registered under a lease

Cause: entries announce themselves under entries/<id>; a lease can expire while its holder is paused, and two processes can have one name.

Change: Registrar renews at a third of the TTL with 10 % jitter, checks that the key still holds its value, and registers again after a lost lease or key. A new process replaces what an earlier one left; a process that held the key before waits while another holds it. Entries lists the registrations. The adapter's tests cover the sealed connection and a gateway's JSON error.

--- a/store/httpstore/client_test.go
+++ b/store/httpstore/client_test.go
@@ -93,6 +93,7 @@
 		{"not JSON", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"},
 		{"gateway error", "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n"},
 		{"unavailable from a gateway", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nbusy"},
+		{"conflict from a gateway", "HTTP/1.1 409 Conflict\r\nContent-Length: 18\r\n\r\n{\"message\":\"busy\"}"},
 		{"code and status differ", "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{\"error\":\"conflict\"}"},
 		{"redirect", "HTTP/1.1 307 Temporary Redirect\r\nLocation: /v1/key?key=b\r\nContent-Length: 0\r\n\r\n"},
 	}
--- /dev/null
+++ b/store/httpstore/conn_test.go
@@ -0,0 +1,33 @@
+package httpstore
+
+import (
+	"net"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a request being written after its call was reported as not
+// sent: net/http writes from another goroutine than the call's.
+func TestSealedConnectionWritesNothing(t *testing.T) {
+	c := qt.New(t)
+	near, far := net.Pipe()
+	received := make(chan int, 1)
+	go func() {
+		n, _ := far.Read(make([]byte, 10))
+		received <- n
+	}()
+	conn := &sealableConn{Conn: near}
+	c.Check(conn.seal(conn.count()), qt.IsTrue)
+	_, err := conn.Write([]byte("late"))
+	c.Check(err, qt.ErrorIs, net.ErrClosed)
+	c.Check(<-received, qt.Equals, 0)
+
+	near, far = net.Pipe()
+	go func() { _, _ = far.Read(make([]byte, 10)) }()
+	conn = &sealableConn{Conn: near}
+	before := conn.count()
+	_, err = conn.Write([]byte("sent"))
+	c.Assert(err, qt.IsNil)
+	c.Check(conn.seal(before), qt.IsFalse, qt.Commentf("the request was written"))
+}
--- /dev/null
+++ b/store/registrar.go
@@ -0,0 +1,257 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"chicorytray.example/chicorytray/wire"
+)
+
+// EntriesPrefix precedes the identifiers of entries in the keys of their
+// registrations.
+const EntriesPrefix = "entries/"
+
+// Bounds of a Registrar's waits.
+const (
+	// renewalsPerTTL leaves two further attempts when a renewal fails.
+	renewalsPerTTL = 3
+	// renewalJitter is the share of the interval by which it is shortened at
+	// random, so that entries started together do not call together.
+	renewalJitter = 0.1
+	minRetry      = 100 * time.Millisecond
+	// defaultCallTimeout of one call of the service.
+	defaultCallTimeout = time.Second
+)
+
+// ErrReplaced means that another process has registered under the same key.
+var ErrReplaced = merry.Sentinel("store: another process holds the registration")
+
+// RegistrarOptions configure a Registrar.
+type RegistrarOptions struct {
+	Store Store
+	Key   string
+	Value []byte
+	// TTL of the lease, which is renewed at a third of it.
+	TTL time.Duration
+	// CallTimeout of one call of the service. 0 means 1 s.
+	CallTimeout time.Duration
+	// Jitter returns a random duration below its argument; nil uses a random
+	// source.
+	Jitter func(time.Duration) time.Duration
+	// Changed, if set, is called when the registration is made or removed
+	// (err is nil), is lost (ErrLeaseExpired, ErrNotFound or ErrReplaced), or
+	// cannot be made or renewed (another error).
+	Changed func(err error)
+}
+
+// Registrar keeps one key registered under a lease.
+type Registrar struct {
+	options RegistrarOptions
+	lease   LeaseID // 0 while there is none
+	// held is set once the key was registered. The first registration
+	// replaces what an earlier process of this name left; later ones do not,
+	// because then the other process is the newer one.
+	held bool
+
+	mu         sync.Mutex
+	registered bool
+}
+
+// NewRegistrar returns a Registrar; Run starts it.
+func NewRegistrar(o RegistrarOptions) *Registrar {
+	if o.CallTimeout == 0 {
+		o.CallTimeout = defaultCallTimeout
+	}
+	if o.Jitter == nil {
+		o.Jitter = rand.N[time.Duration]
+	}
+	if o.Changed == nil {
+		o.Changed = func(error) {}
+	}
+	return &Registrar{options: o}
+}
+
+// NewEntryRegistrar returns a Registrar for an entry; options' Key and Value
+// are set from ref.
+func NewEntryRegistrar(ref wire.EntryRef, o RegistrarOptions) (*Registrar, error) {
+	value, err := json.Marshal(ref)
+	if err != nil {
+		return nil, merry.Prepend(err, "store: encode registration")
+	}
+	o.Key, o.Value = EntriesPrefix+ref.ID, value
+	return NewRegistrar(o), nil
+}
+
+// Entries returns the entries that are registered, ordered by identifier.
+// Registrations that are not an entry's are left out and counted.
+func Entries(ctx context.Context, s Store) (refs []wire.EntryRef, invalid int, err error) {
+	list, err := s.List(ctx, EntriesPrefix)
+	if err != nil {
+		return nil, 0, err
+	}
+	for _, kv := range list {
+		var ref wire.EntryRef
+		if json.Unmarshal(kv.Value, &ref) != nil || ref.ID == "" || ref.ID != strings.TrimPrefix(kv.Key, EntriesPrefix) {
+			invalid++
+			continue
+		}
+		refs = append(refs, ref)
+	}
+	return refs, invalid, nil
+}
+
+// Registered reports whether the key was registered at the last renewal.
+func (r *Registrar) Registered() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.registered
+}
+
+// Run registers the key and renews the registration until ctx ends. The
+// registration stays; Remove ends it.
+func (r *Registrar) Run(ctx context.Context) {
+	interval := r.options.TTL / renewalsPerTTL
+	failures := 0
+	for ctx.Err() == nil {
+		err := r.renew(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		wait := interval - r.options.Jitter(time.Duration(renewalJitter*float64(interval)))
+		if err == nil {
+			failures = 0
+		} else {
+			failures++
+			wait = r.backoff(failures, interval)
+		}
+		sleep(ctx, wait)
+	}
+}
+
+// Remove ends the registration by revoking its lease. Call it after Run has
+// returned. After an error the registration ends with its lease.
+func (r *Registrar) Remove(ctx context.Context) error {
+	if r.lease == 0 {
+		return nil
+	}
+	err := r.call(ctx, func(ctx context.Context) error { return r.options.Store.Revoke(ctx, r.lease) })
+	if err != nil && !errors.Is(err, ErrLeaseExpired) {
+		return err
+	}
+	r.lease = 0
+	r.report(nil, false)
+	return nil
+}
+
+// renew extends the lease and checks the key, or registers the key again.
+func (r *Registrar) renew(ctx context.Context) error {
+	err := r.check(ctx)
+	if errors.Is(err, ErrLeaseExpired) || errors.Is(err, ErrNotFound) {
+		r.report(err, false)
+		err = r.register(ctx)
+	}
+	r.report(err, err == nil || r.Registered() && !errors.Is(err, ErrReplaced))
+	return err
+}
+
+// report records whether the key is registered and tells the owner about
+// changes and failures.
+func (r *Registrar) report(err error, registered bool) {
+	r.mu.Lock()
+	changed := r.registered != registered
+	r.registered = registered
+	r.mu.Unlock()
+	r.held = r.held || registered
+	if changed || err != nil && !errors.Is(err, ErrLeaseExpired) && !errors.Is(err, ErrNotFound) {
+		r.options.Changed(err)
+	}
+}
+
+// check extends the lease and looks whether the key holds this process's
+// value. The key is read because a service restored from a backup may know the
+// lease and have lost the key.
+func (r *Registrar) check(ctx context.Context) error {
+	if r.lease == 0 {
+		return ErrLeaseExpired
+	}
+	err := r.call(ctx, func(ctx context.Context) error { return r.options.Store.KeepAlive(ctx, r.lease) })
+	if err != nil {
+		if errors.Is(err, ErrLeaseExpired) {
+			r.lease = 0
+		}
+		return err
+	}
+	kv, err := r.read(ctx)
+	if err == nil && !bytes.Equal(kv.Value, r.options.Value) {
+		return ErrReplaced
+	}
+	return err
+}
+
+// register writes the key under a lease. A write with an unknown outcome is
+// settled by the next renewal's check, under the same lease.
+func (r *Registrar) register(ctx context.Context) error {
+	if r.lease == 0 {
+		err := r.call(ctx, func(ctx context.Context) (err error) {
+			r.lease, err = r.options.Store.Grant(ctx, r.options.TTL)
+			return err
+		})
+		if err != nil {
+			r.lease = 0
+			return err
+		}
+	}
+	kv, err := r.read(ctx)
+	if err != nil && !errors.Is(err, ErrNotFound) {
+		return err
+	}
+	if err == nil && r.held && !bytes.Equal(kv.Value, r.options.Value) {
+		return ErrReplaced
+	}
+	return r.call(ctx, func(ctx context.Context) error {
+		_, err := r.options.Store.CompareAndSwap(ctx, r.options.Key, kv.Revision, r.options.Value, r.lease)
+		return err
+	})
+}
+
+// read returns the key as registered.
+func (r *Registrar) read(ctx context.Context) (kv KV, err error) {
+	err = r.call(ctx, func(ctx context.Context) error {
+		kv, err = r.options.Store.Get(ctx, r.options.Key)
+		return err
+	})
+	return kv, err
+}
+
+func (r *Registrar) call(ctx context.Context, f func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, r.options.CallTimeout)
+	defer cancel()
+	return f(ctx)
+}
+
+// backoff returns the wait after a number of failures: exponential with full
+// jitter, and never longer than the interval of renewals.
+func (r *Registrar) backoff(failures int, interval time.Duration) time.Duration {
+	limit := interval
+	if shift := failures - 1; shift < 16 { // minRetry<<16 is about two hours
+		limit = min(interval, minRetry<<shift)
+	}
+	return r.options.Jitter(limit)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/store/registrar_test.go
@@ -0,0 +1,214 @@
+package store_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/internal/storestub"
+	"chicorytray.example/chicorytray/store"
+	"chicorytray.example/chicorytray/wire"
+)
+
+const ttl = 10 * time.Second
+
+// pausable delays its holder's calls while it is paused, as a process that is
+// not scheduled.
+type pausable struct {
+	store.Store
+	resumed chan struct{}
+}
+
+func (p *pausable) KeepAlive(ctx context.Context, lease store.LeaseID) error {
+	<-p.resumed
+	return p.Store.KeepAlive(context.WithoutCancel(ctx), lease)
+}
+
+// registrar runs a Registrar of entry-1 with the given incarnation.
+type registrar struct {
+	*store.Registrar
+	events []error
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func start(c *qt.C, s store.Store, incarnation wire.Incarnation) *registrar {
+	r := &registrar{done: make(chan struct{})}
+	var err error
+	r.Registrar, err = store.NewEntryRegistrar(
+		wire.EntryRef{ID: "entry-1", Incarnation: incarnation, Address: "127.0.0.1:1"},
+		store.RegistrarOptions{
+			Store: s, TTL: ttl,
+			Jitter:  func(d time.Duration) time.Duration { return d / 2 },
+			Changed: func(err error) { r.events = append(r.events, err) },
+		})
+	c.Assert(err, qt.IsNil)
+	var ctx context.Context
+	ctx, r.cancel = context.WithCancel(context.Background())
+	go func() { defer close(r.done); r.Run(ctx) }()
+	synctest.Wait()
+	return r
+}
+
+func (r *registrar) stop() {
+	r.cancel()
+	<-r.done
+}
+
+// registered returns the incarnation that the store shows; 0 for none.
+func registered(c *qt.C, s store.Store) wire.Incarnation {
+	refs, invalid, err := store.Entries(context.Background(), s)
+	c.Assert(err, qt.IsNil)
+	c.Check(invalid, qt.Equals, 0)
+	if len(refs) == 0 {
+		return 0
+	}
+	return refs[0].Incarnation
+}
+
+func bubble(t *testing.T, test func(c *qt.C, s *storestub.Stub)) {
+	synctest.Test(t, func(t *testing.T) { test(qt.New(t), storestub.New()) })
+}
+
+// Guards against a registration that ends while its process runs, one that
+// outlives a stop, and renewals that cost more calls than planned.
+func TestRegistrationLastsUntilItIsRemoved(t *testing.T) {
+	bubble(t, func(c *qt.C, s *storestub.Stub) {
+		r := start(c, s, 1)
+		c.Check(r.Registered(), qt.IsTrue)
+		c.Check(registered(c, s), qt.Equals, wire.Incarnation(1))
+		time.Sleep(time.Minute)
+		c.Check(registered(c, s), qt.Equals, wire.Incarnation(1))
+		c.Check(s.Calls()[storestub.KeepAlive] <= 20, qt.IsTrue, qt.Commentf("%v", s.Calls()))
+		c.Check(s.Calls()[storestub.CompareAndSwap], qt.Equals, 1)
+
+		r.stop()
+		c.Check(registered(c, s), qt.Equals, wire.Incarnation(1), qt.Commentf("the end of Run leaves the registration"))
+		c.Assert(r.Remove(context.Background()), qt.IsNil)
+		c.Check(registered(c, s), qt.Equals, wire.Incarnation(0))
+		c.Check(r.Registered(), qt.IsFalse)
+		c.Check(r.events, qt.HasLen, 2)
+	})
+}
+
+// Guards against an entry that stays invisible after a pause in which its lease
+// expired.
+func TestLeaseExpiresWhileItsHolderIsPaused(t *testing.T) {
+	bubble(t, func(c *qt.C, s *storestub.Stub) {
+		p := &pausable{s, make(chan struct{})}
+		r := start(c, p, 1)
+		time.Sleep(3 * ttl)
+		c.Check(registered(c, s), qt.Equals, wire.Incarnation(0))
+		close(p.resumed)
+		synctest.Wait()
+		c.Check(registered(c, s), qt.Equals, wire.Incarnation(1))
+		c.Check(r.Registered(), qt.IsTrue)
+		c.Assert(r.events, qt.HasLen, 3)
+		c.Check(r.events[1], qt.ErrorIs, store.ErrLeaseExpired)
+		c.Check(r.events[2], qt.IsNil)
+		r.stop()
+	})
+}
+
+// Guards against two processes of one name that replace each other for ever: a
+// new process takes over at once, and a paused older one does not take back.
+func TestNewerProcessKeepsTheKey(t *testing.T) {
+	bubble(t, func(c *qt.C, s *storestub.Stub) {
+		p := &pausable{s, make(chan struct{})}
+		older := start(c, p, 1)
+		time.Sleep(3 * ttl)
+		newer := start(c, s, 2)
+		c.Check(registered(c, s), qt.Equals, wire.Incarnation(2))
+		close(p.resumed)
+		for range 30 {
+			time.Sleep(time.Second)
+			c.Check(registered(c, s), qt.Equals, wire.Incarnation(2))
+		}
+		c.Check(older.Registered(), qt.IsFalse)
+		synctest.Wait()
+		c.Check(older.events[len(older.events)-1], qt.ErrorIs, store.ErrReplaced)
+
+		third := start(c, s, 3)
+		c.Check(registered(c, s), qt.Equals, wire.Incarnation(3), qt.Commentf("takes over before the lease expires"))
+		time.Sleep(ttl)
+		c.Check(newer.Registered(), qt.IsFalse)
+		third.stop()
+		c.Assert(third.Remove(context.Background()), qt.IsNil)
+		time.Sleep(ttl)
+		c.Check(registered(c, s), qt.Not(qt.Equals), wire.Incarnation(0), qt.Commentf("a remaining process registers again"))
+		older.stop()
+		newer.stop()
+	})
+}
+
+// Guards against a registration that is not made, or made twice, because of a
+// fault of the service.
+func TestRegistrationSurvivesFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		inject func(s *storestub.Stub)
+		fault  time.Duration
+	}{
+		{"down", func(s *storestub.Stub) { s.SetDown(true) }, time.Minute},
+		{"slow", func(s *storestub.Stub) { s.SetLatency(30 * time.Second) }, time.Minute},
+		{"answers lost", func(s *storestub.Stub) { s.LoseAnswers(4) }, 0},
+		{"writes held up", func(s *storestub.Stub) { s.HoldWrites(4, 5*time.Second) }, 0},
+		{"leases expired", (*storestub.Stub).ExpireLeases, 0},
+		{"restored", func(s *storestub.Stub) { s.Restore(storestub.New().Snapshot()) }, 0},
+		{"key removed", func(s *storestub.Stub) {
+			kv, _ := s.Peek(store.EntriesPrefix + "entry-1")
+			_ = s.Delete(context.Background(), kv.Key, kv.Revision)
+		}, 0},
+		{"stale reads", func(s *storestub.Stub) { s.ExpireLeases(); s.SetStale(true) }, 5 * time.Second},
+	}
+	for _, test := range cases {
+		for _, when := range []time.Duration{0, 5 * time.Second} {
+			t.Run(test.name+" after "+when.String(), func(t *testing.T) {
+				bubble(t, func(c *qt.C, s *storestub.Stub) {
+					if when == 0 {
+						test.inject(s)
+					}
+					r := start(c, s, 1)
+					if when > 0 {
+						time.Sleep(when)
+						test.inject(s)
+					}
+					time.Sleep(test.fault)
+					s.SetDown(false)
+					s.SetLatency(0)
+					s.SetStale(false)
+					time.Sleep(3 * ttl)
+					c.Check(registered(c, s), qt.Equals, wire.Incarnation(1))
+					c.Check(r.Registered(), qt.IsTrue)
+					r.stop()
+					c.Assert(r.Remove(context.Background()), qt.IsNil)
+					c.Check(registered(c, s), qt.Equals, wire.Incarnation(0))
+				})
+			})
+		}
+	}
+}
+
+// Guards against a foreign value under the prefix making all entries unknown.
+func TestEntriesLeavesOutForeignValues(t *testing.T) {
+	c := qt.New(t)
+	s := storestub.New()
+	ref := wire.EntryRef{ID: "b", Incarnation: 7, Admin: "127.0.0.1:2", DataCentre: "anping"}
+	value, err := json.Marshal(ref)
+	c.Assert(err, qt.IsNil)
+	s.Put(store.EntriesPrefix+"b", value)
+	s.Put(store.EntriesPrefix+"a", value)
+	s.Put(store.EntriesPrefix+"c", []byte("x"))
+	refs, invalid, err := store.Entries(context.Background(), s)
+	c.Assert(err, qt.IsNil)
+	c.Check(refs, qt.DeepEquals, []wire.EntryRef{ref})
+	c.Check(invalid, qt.Equals, 2)
+	s.SetDown(true)
+	_, _, err = store.Entries(context.Background(), s)
+	c.Check(errors.Is(err, store.ErrUnavailable), qt.IsTrue)
+}
