--- /dev/null
+++ b/cmd/chicorytray-entry/run.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"github.com/rs/zerolog"
+
+	"chicorytray.example/chicorytray/entry"
+	"chicorytray.example/chicorytray/observe"
+	"chicorytray.example/chicorytray/settings"
+	"chicorytray.example/chicorytray/store/httpstore"
+)
+
+// runCommand serves until a signal.
+type runCommand struct{ file string }
+
+func (*runCommand) Name() string     { return "run" }
+func (*runCommand) Synopsis() string { return "serve until SIGTERM or SIGINT" }
+func (*runCommand) Usage() string {
+	return `run -settings FILE: serve until SIGTERM or SIGINT
+
+The first signal begins a planned stop that finishes all jobs; a second one
+ends the process at once. SIGUSR1 writes the state to standard error.
+`
+}
+
+func (c *runCommand) SetFlags(f *flag.FlagSet) { settingsFlag(f, &c.file) }
+
+func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	s, err := settings.LoadEntry(c.file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	log := observe.NewLogger(os.Stderr, s.Log.Level)
+	scope, handler, closer := observe.NewMetrics("entry")
+	defer func() { _ = closer.Close() }()
+	kv, err := httpstore.New(httpstore.Options{
+		URL: s.Store.URL, MaxCallsPerSecond: s.Store.MaxCallsPerSecond, CallTimeout: s.Timing.StoreTimeout.Of(),
+		WatchTimeout: entry.WatchTimeout + s.Timing.StoreTimeout.Of(), // the entry ends it first
+	})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	defer kv.Close()
+	e, err := entry.New(entry.Options{Settings: s, Store: kv, Logger: log, Metrics: scope, MetricsHandler: handler})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	defer observe.DumpOnSignal(os.Stderr, func() any { return e.State() })()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go observe.ReportCost(ctx, scope, e.ControlBytes)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go stopOnSignal(e, log, signals, cancel)
+	if err := e.Run(ctx); err != nil {
+		log.Error().Err(err).Msg("entry failed")
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// stopOnSignal begins a planned stop at the first signal and ends the process
+// at the second.
+func stopOnSignal(e *entry.Entry, log zerolog.Logger, signals <-chan os.Signal, end context.CancelFunc) {
+	first := <-signals
+	log.Info().Str("signal", first.String()).Msg("planned stop requested")
+	go func() {
+		second := <-signals
+		log.Warn().Str("signal", second.String()).Msg("ended at once; open jobs are lost")
+		end()
+	}()
+	_ = e.Stop(context.Background())
+}
--- /dev/null
+++ b/entry/admit.go
@@ -0,0 +1,182 @@
+package entry
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"chicorytray.example/chicorytray/admission"
+	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/placement"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// accountUse counts an account's tasks at this entry.
+type accountUse struct {
+	running int // at agents
+	waiting int // in the queue
+}
+
+// reservations are the tasks that were admitted and are not queued yet, so
+// that jobs admitted at the same moment count against each other.
+type reservations struct {
+	tasks int
+	work  time.Duration
+}
+
+func (r *reservations) add(j *job) {
+	r.tasks += j.count
+	r.work += time.Duration(j.count) * j.expected
+}
+
+func (r *reservations) release(j *job) {
+	r.tasks -= j.count
+	r.work -= time.Duration(j.count) * j.expected
+}
+
+// admit asks the dispatcher whether the job is accepted.
+func (e *Entry) admit(s *submission) error {
+	id := ""
+	if s.claim != nil {
+		id = s.claim.Job
+	} else {
+		id = e.newJobID()
+	}
+	var err error
+	if !e.dispatcher.ask(func(d *dispatcher) { err = d.admit(s, id) }) {
+		return retryLater(time.Second, reasonStopping, "the entry is stopping")
+	}
+	return err
+}
+
+// admit refuses the submission or creates its job.
+func (d *dispatcher) admit(s *submission, id string) error {
+	if d.stopping {
+		return retryLater(time.Second, reasonStopping, "the entry is stopping")
+	}
+	j := d.newJob(s)
+	d.shares.Count(d.now, j.account, j.count)
+	if err := d.checkRunnable(j); err != nil {
+		return err
+	}
+	if err := d.decide(s, j); err != nil {
+		return err
+	}
+	j.id = id
+	d.jobs[id] = j
+	d.openJobs++
+	d.reserved.add(j)
+	s.job = j
+	d.log.Info().Str("job", j.id).Str("account", j.account).Str("template", j.template.Name).
+		Str("request_id", j.requestID).Int("tasks", j.count).Msg("job accepted")
+	return nil
+}
+
+func (d *dispatcher) newJob(s *submission) *job {
+	n := taskCount(s)
+	declared := time.Duration(s.request.ExpectedMS) * time.Millisecond
+	if declared == 0 {
+		declared = time.Duration(s.template.ExpectedMS) * time.Millisecond
+	}
+	if d.accounts[s.account.Name] == nil {
+		d.accounts[s.account.Name] = &accountUse{}
+	}
+	return &job{
+		keyed: s.claim != nil, account: s.account.Name, requestID: s.requestID, template: s.template,
+		class:    d.classOf(s.template).Class,
+		expected: d.durations.Expected(s.template.Name, declared),
+		arrived:  s.arrived, deadline: s.arrived.Add(s.deadline), count: n, open: n,
+		states: make([]taskState, n), at: make([]location, n), mayRan: make([]bool, n),
+		results: make([]wire.Result, n), done: make(chan struct{}),
+	}
+}
+
+// checkRunnable refuses a job that no known agent can ever run.
+func (d *dispatcher) checkRunnable(j *job) error {
+	err := d.table.CanEverRun(j.class)
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, placement.ErrNoAgents) || d.now.Sub(d.began) < d.timing.Lapse.Of() {
+		// Agents that were not heard yet may be able to run it.
+		return retryLater(time.Second, wire.Reason(admission.ReasonNoUpstream), "%v", err)
+	}
+	return notRun(http.StatusUnprocessableEntity, reasonNeverRuns, "%v", err)
+}
+
+func (d *dispatcher) decide(s *submission, j *job) error {
+	use := d.accounts[j.account]
+	queued := d.queue.Len() + d.reserved.tasks
+	if limit := s.view.Document().Limits.QueuedTasks(); queued+j.count > limit {
+		return retryLater(time.Second, wire.Reason(admission.ReasonQueueFull), "the queue holds %d tasks; the limit is %d", queued, limit)
+	}
+	decision := d.admission.Decide(d.now, admission.Request{
+		Account: j.account, Urgency: j.template.Urgency, Tasks: j.count,
+		Expected: j.expected, Deadline: j.deadline.Sub(d.now),
+	}, admission.State{
+		QueuedTasks: queued, QueuedWork: d.queue.Work() + d.reserved.work, Slots: d.table.Slots(j.class),
+		AccountRunning: use.running, AccountQueued: use.waiting,
+		AccountShare: d.shares.Share(d.now, j.account, float64(s.account.MaxRunningTasks)),
+		AccountRate:  d.shares.Share(d.now, j.account, s.account.MaxTasksPerSecond),
+	})
+	if decision.Accept {
+		return nil
+	}
+	p := retryLater(decision.RetryAfter, wire.Reason(decision.Reason), "the job was refused before any task started")
+	switch decision.Reason {
+	case admission.ReasonAccountLimit, admission.ReasonAccountRate:
+		p.Status, p.Title = http.StatusTooManyRequests, http.StatusText(http.StatusTooManyRequests)
+	}
+	return p
+}
+
+// mayStart applies this entry's share of the account's running tasks. One task
+// may always run, so that a small share does not stop an account.
+func (d *dispatcher) mayStart(name string) bool {
+	account := d.account(name)
+	if account == nil || account.MaxRunningTasks == 0 {
+		return true // an account that was removed finishes its accepted jobs
+	}
+	share := d.shares.Share(d.now, name, float64(account.MaxRunningTasks))
+	return float64(d.accounts[name].running) < max(1, share)
+}
+
+// account returns the account of that name; nil when it was removed.
+func (d *dispatcher) account(name string) *config.Account {
+	if d.view == nil {
+		return nil
+	}
+	account, _ := d.view.AccountNamed(name)
+	return account
+}
+
+// countStart records that a task of the job is sent.
+func (d *dispatcher) countStart(j *job, a *agent) {
+	j.racks.Add(a.ref.Rack)
+	use := d.accounts[j.account]
+	use.running++
+	use.waiting--
+	d.budget.Request(d.now)
+	d.queue.Started(j.account, j.expected)
+	d.admission.Started(d.now, j.expected, d.table.Slots(j.class), d.queue.Len() > 0)
+	d.metrics.tasksSent.Inc(1)
+}
+
+// className identifies the placement constraints of a template and its
+// account. Jobs accepted before a change of the template keep their class.
+func className(t *config.Template) string {
+	var b strings.Builder
+	b.WriteString(t.Account)
+	n := t.Needs
+	for _, v := range []int64{int64(n.Accelerators), n.MemoryMB, n.MilliCPU} {
+		b.WriteByte('/')
+		b.WriteString(strconv.FormatInt(v, 10))
+	}
+	for _, dc := range t.DataCentres {
+		b.WriteByte('/')
+		b.WriteString(dc)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/entry/agents.go
@@ -0,0 +1,289 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/placement"
+	"chicorytray.example/chicorytray/wire"
+)
+
+const (
+	// openBackoffBase and openBackoffMax bound the wait before another attempt
+	// to open a session. The first attempts are close together because most
+	// broken connections can be replaced at once.
+	openBackoffBase = 20 * time.Millisecond
+	openBackoffMax  = time.Second
+	// forgetAgentAfter is the silence after which an agent without open tasks
+	// is removed. It outlasts a restart, so that a returning agent keeps its
+	// statistics.
+	forgetAgentAfter = 30 * time.Second
+)
+
+// Reasons for closing a connection to an agent.
+var (
+	errFenced     = errors.New("entry: the agent ended the session")
+	errWrongAgent = errors.New("entry: another agent's address")
+)
+
+// agentConn is a connection to an agent.
+type agentConn interface {
+	Call(ctx context.Context, method string, args, reply any) error
+	LastReceived() time.Time
+	Close() error
+}
+
+// agentDialer connects to the address of an agent.
+type agentDialer func(ctx context.Context, address string) (agentConn, error)
+
+// agent is what the dispatcher knows about one agent.
+type agent struct {
+	ref     wire.AgentRef
+	session *session
+	conn    agentConn // of the open session; nil when there is none
+
+	weight     float64
+	heard      time.Time // last heartbeat, or reply to OpenSession
+	leaving    bool
+	unhealthy  bool
+	suspect    bool
+	ejected    bool
+	refusing   bool // refused a task for a lasting reason; cleared by its next heartbeat
+	busy       bool // refused a task for lack of room; cleared by the next sign of room
+	generation uint64
+	confirmAge time.Duration // negative when it has none
+
+	opens     int // attempts since a session was open
+	retryOpen time.Time
+	pinging   bool
+	described placement.Agent // in the placement table
+	usable    bool            // may get tasks when it has room
+	announced time.Time
+}
+
+// drop closes the connection. Calls on it fail and put their tasks in doubt.
+func (a *agent) drop() {
+	if a.conn != nil {
+		_ = a.conn.Close()
+		a.conn = nil
+	}
+}
+
+// heartbeat handles Entry.Heartbeat.
+func (d *dispatcher) heartbeat(req wire.HeartbeatRequest) wire.HeartbeatReply {
+	a := d.agents[req.Agent.ID]
+	if a == nil {
+		a = &agent{ref: req.Agent, session: newSession(d.self, req.Agent.Incarnation), weight: 1}
+		d.agents[req.Agent.ID] = a
+		d.detector.Track(req.Agent.ID)
+		d.log.Info().Str("agent", a.ref.ID).Str("address", a.ref.Address).Str("data_centre", a.ref.DataCentre).
+			Msg("agent announced itself")
+	}
+	if req.Agent.Incarnation != a.ref.Incarnation {
+		d.log.Warn().Str("agent", a.ref.ID).Msg("agent was replaced by another process")
+		a.drop()
+		a.opens, a.retryOpen = 0, time.Time{}
+		d.apply(a, a.session.replaced(req.Agent.Incarnation))
+	}
+	a.ref, a.heard = req.Agent, d.now
+	a.leaving, a.unhealthy, a.refusing, a.busy = req.Leaving, !req.Healthy, false, false
+	a.generation, a.confirmAge = req.Generation, req.ConfirmAge
+	d.describe(a)
+	d.table.Report(a.ref.ID, req.Load)
+	d.refresh(a)
+	if a.session.state == sessionClosed {
+		d.open(a)
+	}
+	return d.heartbeatReply(a)
+}
+
+func (d *dispatcher) heartbeatReply(a *agent) wire.HeartbeatReply {
+	r := wire.HeartbeatReply{
+		Entry: d.self, ConfirmAge: d.confirmAge(), Entries: d.peers(),
+		Backlog: d.currentBacklog(), Stopping: d.stopping,
+	}
+	if a.session.state == sessionOpen {
+		// A lost reply leaves the records at the agent until the next
+		// session is opened, which lists them again.
+		r.Acked = a.session.takeAcked()
+	}
+	if d.view != nil {
+		r.Generation = d.view.Generation()
+		if a.generation < r.Generation {
+			c := d.view.AgentConfig()
+			r.Config = &c
+		}
+	}
+	return r
+}
+
+// describe updates the agent's description in the placement table.
+func (d *dispatcher) describe(a *agent) {
+	t := placement.Agent{
+		ID: a.ref.ID, DataCentre: a.ref.DataCentre, Rack: a.ref.Rack, Worker: a.ref.Worker,
+		Incarnation: a.ref.Incarnation, Slots: a.ref.Slots, QueueLimit: a.ref.QueueLimit, Capacity: a.ref.Capacity, Distance: config.FarDistance,
+	}
+	if d.view != nil {
+		t.Distance = d.view.Distance(d.self.DataCentre, a.ref.DataCentre)
+	}
+	if t != a.described {
+		a.described = t
+		d.table.Upsert(t)
+	}
+}
+
+// refresh tells the placement table whether the agent may get new tasks.
+func (d *dispatcher) refresh(a *agent) {
+	usable := a.session.state == sessionOpen && a.conn != nil &&
+		!a.leaving && !a.unhealthy && !a.suspect && !a.ejected && !a.refusing && d.inService(a.ref.DataCentre)
+	a.usable = usable
+	d.table.SetUsable(a.ref.ID, usable && !a.busy)
+}
+
+func (d *dispatcher) inService(dataCentre string) bool {
+	return d.view != nil && d.view.InService(dataCentre)
+}
+
+// open starts an attempt to open the next session on a new connection.
+func (d *dispatcher) open(a *agent) {
+	if a.session.state == sessionOpening || d.now.Before(a.retryOpen) {
+		return
+	}
+	a.drop()
+	a.opens++
+	id := a.session.begin(d.now, d.timing.Reconcile.Of())
+	req := wire.OpenSessionRequest{Session: id}
+	if d.view != nil {
+		req.Config = d.view.AgentConfig()
+	}
+	address := a.ref.Address
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), d.timing.CallTimeout.Of())
+		defer cancel()
+		var reply wire.OpenSessionReply
+		conn, err := d.dial(ctx, address)
+		if err == nil {
+			if err = conn.Call(ctx, "Agent.OpenSession", &req, &reply); err != nil {
+				_ = conn.Close()
+			}
+		}
+		ok := d.post(func(d *dispatcher) { d.openedSession(a, id.Number, conn, reply, err) })
+		if !ok && err == nil {
+			_ = conn.Close()
+		}
+	}()
+}
+
+// openedSession handles the end of an attempt.
+func (d *dispatcher) openedSession(a *agent, number uint64, conn agentConn, reply wire.OpenSessionReply, err error) {
+	s := a.session
+	if err == nil && reply.Agent.ID != a.ref.ID {
+		_ = conn.Close()
+		err = fmt.Errorf("%w: agent %q answers at %s", errWrongAgent, reply.Agent.ID, a.ref.Address)
+	}
+	if s.id.Number != number || s.state != sessionOpening || d.agents[a.ref.ID] != a {
+		if err == nil {
+			_ = conn.Close()
+		}
+		return
+	}
+	if err != nil {
+		s.state = sessionClosed
+		limit := min(openBackoffMax, openBackoffBase<<min(a.opens, 10))
+		a.retryOpen = d.now.Add(rand.N(limit))
+		d.log.Debug().Str("agent", a.ref.ID).Uint64("session", number).Err(err).Msg("session not opened")
+		return
+	}
+	a.conn, a.opens, a.retryOpen, a.heard = conn, 0, time.Time{}, d.now
+	a.ref = reply.Agent
+	d.apply(a, s.opened(number, reply))
+	d.describe(a)
+	d.table.Report(a.ref.ID, reply.Load)
+	d.refresh(a)
+}
+
+// doubt handles any sign that a message to or from the agent may be lost.
+func (d *dispatcher) doubt(a *agent, number uint64, why error) {
+	if a.session.state != sessionOpen || a.session.id.Number != number {
+		return // a newer session is open or being opened already
+	}
+	d.log.Info().Str("agent", a.ref.ID).Uint64("session", number).Int("tasks", len(a.session.tasks)).Err(why).
+		Msg("session in doubt")
+	a.session.doubt(d.now, d.timing.Reconcile.Of())
+	a.drop()
+	a.retryOpen = time.Time{}
+	d.refresh(a)
+	d.open(a)
+}
+
+// checkAgent does what depends on the silence of an agent.
+func (d *dispatcher) checkAgent(a *agent) {
+	silent := d.now.Sub(a.heard)
+	if suspect := silent > d.timing.Suspect.Of(); suspect != a.suspect {
+		a.suspect = suspect
+		if suspect {
+			d.metrics.agentsSuspect.Inc(1)
+			d.log.Warn().Str("agent", a.ref.ID).Dur("silent_ms", silent).Msg("agent is suspect")
+		}
+		d.refresh(a)
+	}
+	d.apply(a, a.session.expire(d.now))
+	if silent > forgetAgentAfter && len(a.session.tasks) == 0 {
+		a.drop()
+		d.table.Remove(a.ref.ID)
+		d.detector.Forget(a.ref.ID)
+		delete(d.agents, a.ref.ID)
+		return
+	}
+	if a.session.state == sessionClosed && (!a.suspect || len(a.session.tasks) > 0) {
+		d.open(a)
+	}
+	d.checkConnection(a)
+}
+
+// checkConnection pings a connection with open calls that received nothing,
+// because a connection may stop carrying data while new ones work.
+func (d *dispatcher) checkConnection(a *agent) {
+	if a.conn == nil || a.pinging || len(a.session.tasks) == 0 ||
+		d.now.Sub(a.conn.LastReceived()) < d.timing.PingAfter.Of() {
+		return
+	}
+	a.pinging = true
+	conn, number := a.conn, a.session.id.Number
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), d.timing.PingTimeout.Of())
+		defer cancel()
+		err := conn.Call(ctx, "Agent.Ping", &wire.Empty{}, &wire.Empty{})
+		d.post(func(d *dispatcher) {
+			a.pinging = false
+			if err != nil {
+				d.doubt(a, number, err)
+			}
+		})
+	}()
+}
+
+// reportHeard tells the store-outage rule where agents are known and heard.
+func (d *dispatcher) reportHeard() {
+	members, heard := map[string]bool{}, map[string]bool{}
+	for _, a := range d.agents {
+		members[a.ref.DataCentre] = true
+		if !a.suspect {
+			heard[a.ref.DataCentre] = true
+		}
+	}
+	d.confirm.agentsHeard(members, heard)
+}
+
+// report takes over the load that an agent reported with a reply.
+func (d *dispatcher) report(a *agent, l wire.Load) {
+	d.table.Report(a.ref.ID, l)
+	if a.busy {
+		a.busy = false
+		d.refresh(a)
+	}
+}
--- /dev/null
+++ b/entry/authenticate.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"chicorytray.example/chicorytray/config"
+)
+
+// authenticate finds the account whose token the caller sent and the template
+// that the submission names.
+func (e *Entry) authenticate(s *submission) error {
+	v, account, err := e.accountOf(s.token)
+	if err != nil {
+		return err
+	}
+	s.view, s.account = v, account
+	t, ok := v.Template(s.request.Template)
+	if !ok || t.Account != account.Name || t.Kind != s.kind {
+		return notRun(http.StatusNotFound, reasonNoTemplate, "account %s has no template %q of kind %s",
+			account.Name, s.request.Template, s.kind)
+	}
+	s.template = t
+	s.deadline = deadlineOf(s, e.settings.Limits.MaxDeadline.Of())
+	return nil
+}
+
+// accountOf checks the token alone.
+func (e *Entry) accountOf(token string) (*config.View, *config.Account, error) {
+	v := e.config.view()
+	if v == nil {
+		return nil, nil, retryLater(time.Second, reasonNoConfig, "this entry has no configuration yet")
+	}
+	account, ok := v.Account(config.HashToken(token))
+	if token == "" || !ok {
+		return nil, nil, notRun(http.StatusUnauthorized, reasonToken, "the bearer token is missing or not known")
+	}
+	return v, account, nil
+}
+
+// deadlineOf is the shortest of the settings' limit, the template's deadline
+// and the caller's.
+func deadlineOf(s *submission, longest time.Duration) time.Duration {
+	d := longest
+	if t := time.Duration(s.template.DeadlineMS) * time.Millisecond; t > 0 {
+		d = min(d, t)
+	}
+	if t := time.Duration(s.request.DeadlineMS) * time.Millisecond; t > 0 {
+		d = min(d, t)
+	}
+	return d
+}
--- /dev/null
+++ b/entry/config.go
@@ -0,0 +1,212 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/settings"
+	"chicorytray.example/chicorytray/store"
+)
+
+const (
+	// WatchTimeout ends a watch that returned nothing, because a watch can go
+	// silent.
+	WatchTimeout = 30 * time.Second
+	// backoffBase is half of the first bound of the wait after a failure.
+	backoffBase = 100 * time.Millisecond
+	// writeBackJitter spreads the entries that found a restored store, so
+	// that usually one of them writes.
+	writeBackJitter = 200 * time.Millisecond
+)
+
+// configuration holds the newest valid document and keeps it in line with the
+// store. It is safe for concurrent use.
+type configuration struct {
+	store   store.Store
+	timing  settings.Timing
+	log     zerolog.Logger
+	metrics metrics
+	confirm *confirmation
+	changed func(*config.View) // called in the order of generations
+
+	current atomic.Pointer[config.View]
+
+	mu       sync.Mutex
+	raw      []byte // of current
+	revision uint64 // of the store's key, as last seen
+}
+
+// view returns the configuration in force; nil when there is none.
+func (c *configuration) view() *config.View { return c.current.Load() }
+
+// generation returns the generation in force; 0 when there is none.
+func (c *configuration) generation() uint64 {
+	if v := c.view(); v != nil {
+		return v.Generation()
+	}
+	return 0
+}
+
+// document returns the configuration in force as JSON.
+func (c *configuration) document() (uint64, []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.generation(), c.raw
+}
+
+// apply puts a document in force if it is valid and newer. It returns an error
+// for an invalid one.
+func (c *configuration) apply(raw []byte, source string) error {
+	doc, err := config.Parse(raw)
+	if err != nil {
+		c.metrics.configInvalid.Inc(1)
+		c.log.Error().Str("source", source).Err(err).Msg("configuration rejected")
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var inForce *config.Document
+	if v := c.view(); v != nil {
+		inForce = v.Document()
+	}
+	if doc.Diverges(inForce) {
+		c.metrics.configDivergences.Inc(1)
+		c.log.Error().Uint64("generation", doc.Generation).Str("source", source).
+			Msg("two configurations have the same generation; the one in force stays")
+	}
+	if !doc.Supersedes(inForce) {
+		return nil
+	}
+	v := config.NewView(doc)
+	c.raw = raw
+	c.current.Store(v)
+	c.log.Info().Uint64("generation", doc.Generation).Str("source", source).Msg("configuration in force")
+	c.changed(v)
+	return nil
+}
+
+// run reads the key at the interval of the settings until ctx ends.
+func (c *configuration) run(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		wait := c.timing.ConfigRead.Of()
+		if err := c.read(ctx); err != nil {
+			// The wait never exceeds the interval: a change made after an
+			// outage must be seen in time.
+			failures++
+			wait = fullJitter(c.timing.ConfigRead.Of(), failures)
+		} else {
+			failures = 0
+		}
+		sleep(ctx, wait)
+	}
+}
+
+// read gets the key once. A successful read confirms the configuration as of
+// the moment at which it was sent.
+func (c *configuration) read(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, c.timing.StoreTimeout.Of())
+	defer cancel()
+	sent, known := time.Now(), c.generation()
+	kv, err := c.store.Get(callCtx, config.Key)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		if ctx.Err() == nil {
+			c.confirm.storeFailed(err)
+		}
+		return err
+	}
+	c.confirm.storeAnswered()
+	if c.take(ctx, kv, errors.Is(err, store.ErrNotFound), known) && c.view() != nil {
+		c.confirm.storeRead(sent)
+	}
+	return nil
+}
+
+// take handles what the store holds and reports whether that confirms the
+// configuration in force. A newer document is applied. A generation below
+// known, the one in force when the call was sent, means a restored store or a
+// stale answer: the document in force is written back, and only that write
+// confirms it.
+func (c *configuration) take(ctx context.Context, kv store.KV, missing bool, known uint64) bool {
+	c.mu.Lock()
+	c.revision = kv.Revision
+	c.mu.Unlock()
+	if missing {
+		if known > 0 {
+			c.writeBack(ctx, 0)
+		}
+		return false
+	}
+	doc, err := config.Parse(kv.Value)
+	if err == nil && doc.Generation < known {
+		c.writeBack(ctx, kv.Revision)
+		return false
+	}
+	return c.apply(kv.Value, "store") == nil && doc.Generation >= c.generation()
+}
+
+// writeBack stores the configuration in force over an older one. A conflict or
+// an unknown outcome is settled by the next read.
+func (c *configuration) writeBack(ctx context.Context, revision uint64) {
+	generation, raw := c.document()
+	c.metrics.regressions.Inc(1)
+	c.log.Error().Uint64("generation", generation).Msg("the store holds an older configuration; writing back")
+	sleep(ctx, rand.N(writeBackJitter))
+	callCtx, cancel := context.WithTimeout(ctx, c.timing.StoreTimeout.Of())
+	defer cancel()
+	sent := time.Now()
+	_, err := c.store.CompareAndSwap(callCtx, config.Key, revision, raw, 0)
+	if err == nil && generation == c.generation() {
+		c.confirm.storeRead(sent)
+	}
+}
+
+// watch waits for changes until ctx ends, so that most are seen at once.
+func (c *configuration) watch(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		after := c.revision
+		c.mu.Unlock()
+		known := c.generation()
+		callCtx, cancel := context.WithTimeout(ctx, WatchTimeout)
+		kv, err := c.store.Watch(callCtx, config.Key, after)
+		ended := callCtx.Err() != nil
+		cancel()
+		if err == nil {
+			failures = 0
+			if !c.take(ctx, kv, false, known) {
+				sleep(ctx, c.timing.ConfigRead.Of())
+			}
+			continue
+		}
+		if !ended {
+			failures++
+			sleep(ctx, fullJitter(c.timing.ConfigRead.Of(), failures))
+		}
+	}
+}
+
+// fullJitter returns a random wait below a bound that doubles with each
+// failure, so that processes that failed together do not return together.
+func fullJitter(most time.Duration, failures int) time.Duration {
+	limit := min(most, backoffBase<<min(failures, 16))
+	return rand.N(max(limit, 1))
+}
+
+// sleep waits for d or for the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/entry/counted.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"chicorytray.example/chicorytray/store"
+)
+
+// countedStore counts the calls to the store and their failures.
+type countedStore struct {
+	store.Store
+	metrics metrics
+}
+
+func (c countedStore) count(ctx context.Context, err error) {
+	c.metrics.storeCalls.Inc(1)
+	switch {
+	case err == nil, errors.Is(err, store.ErrNotFound), errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrLeaseExpired):
+	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(err, store.ErrUnknownOutcome):
+		c.metrics.storeUnknown.Inc(1)
+	default:
+		c.metrics.storeErrors.Inc(1)
+	}
+}
+
+// Get counts and passes on the call.
+func (c countedStore) Get(ctx context.Context, key string) (store.KV, error) {
+	kv, err := c.Store.Get(ctx, key)
+	c.count(ctx, err)
+	return kv, err
+}
+
+// List counts and passes on the call.
+func (c countedStore) List(ctx context.Context, prefix string) ([]store.KV, error) {
+	kvs, err := c.Store.List(ctx, prefix)
+	c.count(ctx, err)
+	return kvs, err
+}
+
+// CompareAndSwap counts and passes on the call.
+func (c countedStore) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease store.LeaseID) (store.KV, error) {
+	kv, err := c.Store.CompareAndSwap(ctx, key, expect, value, lease)
+	c.count(ctx, err)
+	return kv, err
+}
+
+// Grant counts and passes on the call.
+func (c countedStore) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	id, err := c.Store.Grant(ctx, ttl)
+	c.count(ctx, err)
+	return id, err
+}
+
+// KeepAlive counts and passes on the call.
+func (c countedStore) KeepAlive(ctx context.Context, lease store.LeaseID) error {
+	err := c.Store.KeepAlive(ctx, lease)
+	c.count(ctx, err)
+	return err
+}
+
+// Revoke counts and passes on the call.
+func (c countedStore) Revoke(ctx context.Context, lease store.LeaseID) error {
+	err := c.Store.Revoke(ctx, lease)
+	c.count(ctx, err)
+	return err
+}
+
+// Watch counts and passes on the call. A watch that ends without a change is
+// no failure.
+func (c countedStore) Watch(ctx context.Context, key string, after uint64) (store.KV, error) {
+	kv, err := c.Store.Watch(ctx, key, after)
+	if ctx.Err() != nil {
+		c.count(ctx, nil)
+	} else {
+		c.count(ctx, err)
+	}
+	return kv, err
+}
--- /dev/null
+++ b/entry/deduplicate.go
@@ -0,0 +1,188 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"chicorytray.example/chicorytray/wire"
+)
+
+const (
+	// claimTimeout bounds the wait for a claim. The store answers in
+	// milliseconds; a caller should not wait out a long outage.
+	claimTimeout = 3 * time.Second
+	// claimRounds bounds how often a repetition claims a key whose owner
+	// refused its submission.
+	claimRounds = 5
+	// ownerRounds bounds how often an owner that does not answer is asked.
+	ownerRounds = 3
+	// ownerPause between these rounds.
+	ownerPause = 500 * time.Millisecond
+)
+
+// claimer claims idempotency keys.
+type claimer interface {
+	Claim(ctx context.Context, c keyClaim) (owner keyClaim, won bool, err error)
+	Release(ctx context.Context, c keyClaim) error
+	Close()
+}
+
+// claimedJobs are submissions that claimed, or are about to claim, a key and
+// are not accepted yet. A repetition at another entry may ask for such a job
+// before it exists. It is safe for concurrent use.
+type claimedJobs struct {
+	mu   sync.Mutex
+	jobs map[string]*claimedJob
+}
+
+type claimedJob struct {
+	account string
+	decided chan struct{} // closed when the submission is accepted or refused
+	refused bool
+}
+
+// begin records that the job is going to be claimed.
+func (c *claimedJobs) begin(id, account string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs[id] = &claimedJob{account: account, decided: make(chan struct{})}
+}
+
+// accepted ends the record; the dispatcher knows the job now.
+func (c *claimedJobs) accepted(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if j := c.jobs[id]; j != nil {
+		close(j.decided)
+		delete(c.jobs, id)
+	}
+}
+
+// refuse records that nothing of the submission ran, for repetitions that
+// found its claim before it was released.
+func (c *claimedJobs) refuse(id string, keep time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[id]
+	if j == nil || j.refused {
+		return
+	}
+	j.refused = true
+	close(j.decided)
+	time.AfterFunc(keep, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.jobs, id)
+	})
+}
+
+// get returns the record of a submission that is not accepted.
+func (c *claimedJobs) get(id, account string) *claimedJob {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if j := c.jobs[id]; j != nil && j.account == account {
+		return j
+	}
+	return nil
+}
+
+// deduplicate claims the submission's Idempotency-Key. If another submission
+// owns it, this one starts nothing and gets the other's answer.
+func (e *Entry) deduplicate(ctx context.Context, s *submission) error {
+	if s.key == "" {
+		return nil
+	}
+	sum := sha256.Sum256(s.raw)
+	fingerprint := hex.EncodeToString(sum[:])
+	for range claimRounds {
+		c := keyClaim{Account: s.account.Name, Key: s.key, Fingerprint: fingerprint, Job: e.newJobID()}
+		owner, won, err := e.claimKey(ctx, c)
+		if err != nil {
+			return err
+		}
+		if won {
+			s.claim = &c
+			return nil
+		}
+		if owner.Fingerprint != fingerprint {
+			return notRun(http.StatusUnprocessableEntity, reasonKeyMismatch,
+				"the idempotency key was used with another request; this one was not run")
+		}
+		again, err := e.repeat(ctx, s, owner.Job)
+		if !again {
+			return err
+		}
+		sleep(ctx, ownerPause)
+	}
+	return retryLater(time.Second, reasonStoreOut, "the idempotency key could not be claimed; nothing was run")
+}
+
+// claimKey makes the claim. While it fails, nothing of the submission runs.
+func (e *Entry) claimKey(ctx context.Context, c keyClaim) (owner keyClaim, won bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	e.claimed.begin(c.Job, c.Account)
+	owner, won, err = e.claims.Claim(ctx, c)
+	if err != nil || !won {
+		e.claimed.refuse(c.Job, e.settings.Limits.AnswerRetention.Of())
+	}
+	switch {
+	case err == nil:
+		return owner, won, nil
+	case errors.Is(err, errInvalidClaim):
+		return owner, false, notRun(http.StatusBadRequest, reasonInvalid, "the idempotency key is not acceptable: %v", err)
+	default:
+		e.log.Warn().Str("job", c.Job).Err(err).Msg("idempotency key not claimed")
+		return owner, false, retryLater(time.Second, reasonStoreOut, "the idempotency key cannot be claimed now; nothing was run")
+	}
+}
+
+// repeat waits for the answer of the submission that owns the key. It reports
+// again when that submission was refused and its claim is being released.
+func (e *Entry) repeat(ctx context.Context, s *submission, job string) (again bool, err error) {
+	silent := 0
+	for ctx.Err() == nil {
+		r, err := e.askOwner(ctx, "Entry.Job", wire.JobRequest{Job: job, Account: s.account.Name, Wait: maxJobWait})
+		if p := (*problem)(nil); errors.As(err, &p) && p.Reason == reasonOwnerSilent {
+			if silent++; silent < ownerRounds {
+				sleep(ctx, ownerPause)
+				continue
+			}
+		}
+		switch {
+		case err != nil:
+			return false, err
+		case !r.Known && r.Outcome == string(OutcomeNotRun):
+			return true, nil
+		case r.Finished:
+			s.answer = answerOf(job, r)
+			return false, nil
+		}
+	}
+	return false, unknownOutcome(reasonInterrupted, "the caller disconnected")
+}
+
+// settleClaim ends the record of a claimed submission. The claim of one that
+// was refused is released, so that a repetition can run.
+func (e *Entry) settleClaim(s *submission, refused bool) {
+	if s.claim == nil {
+		return
+	}
+	if !refused {
+		e.claimed.accepted(s.claim.Job)
+		return
+	}
+	e.claimed.refuse(s.claim.Job, e.settings.Limits.AnswerRetention.Of())
+	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	go func() {
+		defer cancel()
+		if err := e.claims.Release(ctx, *s.claim); err != nil {
+			e.log.Warn().Str("job", s.claim.Job).Err(err).Msg("claim not released yet")
+		}
+	}()
+}
--- /dev/null
+++ b/entry/dispatcher.go
@@ -0,0 +1,204 @@
+package entry
+
+import (
+	"math"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chicorytray.example/chicorytray/admission"
+	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/ejection"
+	"chicorytray.example/chicorytray/estimate"
+	"chicorytray.example/chicorytray/placement"
+	"chicorytray.example/chicorytray/queue"
+	"chicorytray.example/chicorytray/quota"
+	"chicorytray.example/chicorytray/retry"
+	"chicorytray.example/chicorytray/settings"
+	"chicorytray.example/chicorytray/wire"
+)
+
+const (
+	// eventBuffer lets a burst of replies arrive without a switch of
+	// goroutines for each.
+	eventBuffer = 1024
+	// eventBatch bounds the events handled before tasks are placed.
+	eventBatch = 256
+	// tickInterval of the dispatcher's checks of silence, deadlines of
+	// reconciliation and start rates.
+	tickInterval = 50 * time.Millisecond
+)
+
+// event is an input of the dispatcher. It runs on the dispatcher's goroutine
+// and never blocks.
+type event func(d *dispatcher)
+
+// dispatcher owns the queue, the placement table, the sessions with agents
+// and the jobs. No other goroutine touches its fields.
+type dispatcher struct {
+	self    wire.EntryRef
+	timing  settings.Timing
+	limits  settings.Limits
+	log     zerolog.Logger
+	metrics metrics
+	dial    agentDialer
+	events  chan event
+	ended   chan struct{} // closed when the dispatcher takes no more events
+
+	now      time.Time // of the batch of events in progress
+	view     *config.View
+	confirm  *confirmation
+	stopping bool // new jobs are refused
+
+	queue     *queue.Queue
+	table     *placement.Table
+	admission *admission.Controller
+	shares    *quota.Shares
+	durations *estimate.Durations
+	detector  *ejection.Detector
+	budget    *retry.Budget
+
+	agents         map[string]*agent
+	jobs           map[string]*job
+	accounts       map[string]*accountUse
+	classes        map[string]*class
+	reserved       reservations
+	kept           retained      // answered jobs without a key
+	keyed          retained      // answered jobs that own a key
+	openJobs       int           // accepted and not answered
+	idle           chan struct{} // closed when openJobs is 0; nil while nobody waits
+	began          time.Time
+	ticked         time.Time
+	nextEvaluation time.Time
+	starts         []location
+	cancels        map[*agent][]wire.TaskKey
+	backlog        backlogState
+	peers          func() []wire.EntryRef // entries known, for agents
+}
+
+func newDispatcher(e *Entry) *dispatcher {
+	d := &dispatcher{
+		self: e.self, timing: e.settings.Timing, limits: e.settings.Limits, log: e.log, metrics: e.metrics, dial: e.dial,
+		events: make(chan event, eventBuffer), ended: make(chan struct{}),
+		confirm: e.confirm, peers: e.peers.entries,
+		queue: queue.New(queue.Options{}), table: placement.NewTable(policyOf(e.settings.Placement)),
+		admission: admission.New(admission.Options{MaxQueuedTasks: math.MaxInt}),
+		shares:    quota.New(quota.Options{Self: e.self.ID, Interval: e.settings.Timing.PeerHeartbeat.Of()}),
+		durations: estimate.New(estimate.Options{}), detector: ejection.New(ejection.Options{}),
+		budget: retry.New(retry.Options{}),
+		agents: map[string]*agent{}, jobs: map[string]*job{}, accounts: map[string]*accountUse{},
+		classes: map[string]*class{}, cancels: map[*agent][]wire.TaskKey{},
+	}
+	d.table.SetSeed(uint64(e.self.Incarnation))
+	return d
+}
+
+// policyOf returns the placement policy of that name in the settings.
+func policyOf(name string) placement.Policy {
+	switch name {
+	case settings.PlacementRandom:
+		return placement.Random{}
+	case settings.PlacementTwoChoices:
+		return placement.PowerOfTwo{}
+	default:
+		return placement.IdleFirst{}
+	}
+}
+
+// post hands an event to the dispatcher. It reports false when the dispatcher
+// has ended.
+func (d *dispatcher) post(ev event) bool {
+	select {
+	case d.events <- ev:
+		return true
+	case <-d.ended:
+		return false
+	}
+}
+
+// ask runs f on the dispatcher and waits for it. It reports false when the
+// dispatcher ended first; f may then still have run.
+func (d *dispatcher) ask(f event) bool {
+	done := make(chan struct{})
+	if !d.post(func(d *dispatcher) { f(d); close(done) }) {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-d.ended:
+		return false
+	}
+}
+
+// run handles events until stop is closed.
+func (d *dispatcher) run(stop <-chan struct{}) {
+	defer close(d.ended)
+	d.began = time.Now()
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-stop:
+			d.closeAll()
+			return
+		case ev := <-d.events:
+			d.now = time.Now()
+			ev(d)
+			d.drain()
+		case <-tick.C:
+			d.now = time.Now()
+			d.tick()
+		}
+		d.pump()
+		d.flushStarts()
+		d.flushCancels()
+		d.announceBacklog()
+	}
+}
+
+func (d *dispatcher) drain() {
+	for range eventBatch {
+		select {
+		case ev := <-d.events:
+			ev(d)
+		default:
+			return
+		}
+	}
+}
+
+// confirmAge is the age of the configuration's confirmation; negative for none.
+func (d *dispatcher) confirmAge() time.Duration {
+	age, _ := d.confirm.age(d.now)
+	return age
+}
+
+// tick does what depends on time alone.
+func (d *dispatcher) tick() {
+	if !d.ticked.IsZero() && d.now.Sub(d.ticked) > d.timing.Heartbeat.Of() {
+		d.log.Warn().Dur("pause_ms", d.now.Sub(d.ticked)).Msg("process was paused")
+		d.confirm.paused(d.now)
+	}
+	d.ticked = d.now
+	for _, a := range d.agents {
+		d.checkAgent(a)
+	}
+	d.evaluateAgents()
+	d.reportHeard()
+	d.forgetAnswers()
+	d.reportGauges()
+}
+
+// closeAll ends every job and connection; the process is about to exit.
+func (d *dispatcher) closeAll() {
+	d.now = time.Now()
+	for _, j := range d.jobs {
+		if !j.answered {
+			d.fail(j, closing{reason: reasonStopping, detail: "the entry stopped before the job was done"})
+		}
+	}
+	for _, a := range d.agents {
+		a.drop()
+	}
+}
--- /dev/null
+++ b/entry/ejection.go
@@ -0,0 +1,32 @@
+package entry
+
+import "chicorytray.example/chicorytray/ejection"
+
+// evaluateAgents applies what the detection of faulty upstreams decided.
+func (d *dispatcher) evaluateAgents() {
+	if d.now.Before(d.nextEvaluation) {
+		return
+	}
+	d.nextEvaluation = d.now.Add(d.timing.Heartbeat.Of())
+	for _, c := range d.detector.Evaluate(d.now) {
+		a := d.agents[c.Agent]
+		if a == nil {
+			continue
+		}
+		d.log.Warn().Str("agent", c.Agent).Str("change", c.Kind.String()).Float64("weight", c.Weight).
+			Float64("failure_rate", c.FailureRate).Float64("peer_rate", c.PeerRate).Float64("slowness", c.Slowness).
+			Msg("agent judged by its outcomes")
+		if c.Kind == ejection.Eject {
+			d.metrics.ejections.Inc(1)
+		}
+		if c.Kind == ejection.Weight {
+			d.metrics.weights.Inc(1)
+		}
+		a.ejected = c.Kind == ejection.Eject
+		a.weight = c.Weight
+		if !a.ejected {
+			d.table.SetWeight(c.Agent, c.Weight)
+		}
+		d.refresh(a)
+	}
+}
--- /dev/null
+++ b/entry/http.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"chicorytray.example/chicorytray/config"
+)
+
+const (
+	// headerTimeout bounds how long a caller may take to send its header.
+	headerTimeout = 10 * time.Second
+	// bodyTimeout bounds how long a caller may take to send its request.
+	bodyTimeout = 60 * time.Second
+	// idleTimeout closes kept-alive connections without a request.
+	idleTimeout = 120 * time.Second
+)
+
+// callerHandler serves the callers' address.
+func (e *Entry) callerHandler() http.Handler {
+	r := echo.New()
+	r.HideBanner, r.HidePort = true, true
+	r.HTTPErrorHandler = e.httpError
+	r.Use(func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			c.Response().Header().Set(headerRequestID, requestID(c.Request()))
+			return next(c)
+		}
+	})
+	r.POST("/v1/jobs", func(c echo.Context) error { return e.serve(c, config.KindJob) })
+	r.GET("/v1/jobs/:id", e.getJob)
+	r.DELETE("/v1/jobs/:id", e.deleteJob)
+	forward := func(c echo.Context) error { return e.serve(c, config.KindRequest) }
+	r.Any("/v1/requests/:template", forward)
+	r.Any("/v1/requests/:template/*", forward)
+	return r
+}
+
+// httpError answers what no handler answered: unknown paths and methods, and
+// panics of handlers. After an answer began nothing can be added to it.
+func (e *Entry) httpError(err error, c echo.Context) {
+	if c.Response().Committed {
+		e.log.Info().Err(err).Msg("answer not sent whole")
+		return
+	}
+	p := asProblem(err)
+	var h *echo.HTTPError
+	if errors.As(err, &h) {
+		p = notRun(h.Code, reasonInvalid, "%v", h.Message)
+	}
+	if werr := problemAnswer(p).write(c); werr != nil {
+		e.log.Info().Err(werr).Msg("answer not sent whole")
+	}
+}
+
+// callerServer returns the HTTP server of the callers' address. There is no
+// write timeout: an answer waits for the job, whose deadline bounds it.
+func (e *Entry) callerServer() *http.Server {
+	return &http.Server{
+		Handler:           e.callerHandler(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    e.settings.Limits.MaxHeaderBytes,
+		TLSConfig:         e.callerTLS,
+	}
+}
+
+func sinceArrival(s *submission) time.Duration { return time.Since(s.arrived) }
--- /dev/null
+++ b/entry/jobs.go
@@ -0,0 +1,121 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"chicorytray.example/chicorytray/wire"
+)
+
+// jobStatus is the body of GET for a running job and of DELETE.
+type jobStatus struct {
+	Job string `json:"job"`
+	// State is running or answered.
+	State string `json:"state"`
+	// Outcome is done, not_run, failed or unknown; empty while it runs.
+	Outcome string `json:"outcome,omitempty"`
+}
+
+// getJob serves GET /v1/jobs/{id}: the answer that the job's caller received,
+// or that the job still runs.
+func (e *Entry) getJob(c echo.Context) error {
+	id := c.Param("id")
+	r, err := e.findJob(c, id, "Entry.Job", 0)
+	if err != nil {
+		return problemAnswer(asProblem(err)).write(c)
+	}
+	if !r.Finished {
+		return c.JSON(http.StatusAccepted, jobStatus{Job: id, State: "running"})
+	}
+	return answerOf(id, r).write(c)
+}
+
+// deleteJob serves DELETE /v1/jobs/{id}: it cancels the job and says which
+// outcome it ended with.
+func (e *Entry) deleteJob(c echo.Context) error {
+	id := c.Param("id")
+	r, err := e.findJob(c, id, "Entry.CancelJob", maxJobWait)
+	if err != nil {
+		return problemAnswer(asProblem(err)).write(c)
+	}
+	st := jobStatus{Job: id, State: "running", Outcome: r.Outcome}
+	if r.Finished {
+		st.State = "answered"
+	}
+	return c.JSON(http.StatusOK, st)
+}
+
+func answerOf(id string, r wire.JobReply) *answer {
+	return &answer{
+		status: r.Status, contentType: r.ContentType, header: r.Header, body: r.Body,
+		retryAfter: r.RetryAfter, job: id,
+	}
+}
+
+// findJob makes the call for the caller's account at the entry that owns the
+// job. The error is a problem.
+func (e *Entry) findJob(c echo.Context, id, method string, wait time.Duration) (wire.JobReply, error) {
+	token, _ := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
+	_, account, err := e.accountOf(token)
+	if err != nil {
+		return wire.JobReply{}, err
+	}
+	return e.askOwner(c.Request().Context(), method, wire.JobRequest{Job: id, Account: account.Name, Wait: wait})
+}
+
+// askOwner makes one call at the entry that owns the job, which may be this one.
+func (e *Entry) askOwner(ctx context.Context, method string, req wire.JobRequest) (wire.JobReply, error) {
+	var reply wire.JobReply
+	entry, incarnation, ok := jobOwner(req.Job)
+	if !ok {
+		return reply, notRun(http.StatusNotFound, reasonNoJob, "%q is not a job identifier", req.Job)
+	}
+	var err error
+	if entry == e.self.ID && incarnation == e.self.Incarnation {
+		if method == "Entry.CancelJob" {
+			err = e.rpcCancelJob(ctx, &req, &reply)
+		} else {
+			err = e.rpcJob(ctx, &req, &reply)
+		}
+	} else {
+		err = e.callOwner(ctx, entry, incarnation, method, req, &reply)
+	}
+	if err == nil && !reply.Known && (method == "Entry.CancelJob" || reply.Outcome == "") {
+		p := unknownOutcome(reasonNoJob, "the job is not known; its answer is kept for a limited time")
+		p.Status, p.Title, p.Job = http.StatusNotFound, http.StatusText(http.StatusNotFound), req.Job
+		err = p
+	}
+	return reply, err
+}
+
+// callOwner asks another entry. When its process is gone, the job ended with
+// it and its tasks may have run.
+func (e *Entry) callOwner(ctx context.Context, entry string, inc wire.Incarnation, method string, req wire.JobRequest, reply *wire.JobReply) error {
+	gone := unknownOutcome(reasonInterrupted, "the entry that accepted the job is gone; its tasks may have run")
+	gone.Job = req.Job
+	ref, known := e.peers.find(entry)
+	if entry == e.self.ID || known && ref.Incarnation != inc {
+		return gone
+	}
+	silent := unknownOutcome(reasonOwnerSilent, "the entry that accepted the job does not answer now; its tasks may have run")
+	silent.Job, silent.retryAfter = req.Job, time.Second
+	if !known {
+		return silent
+	}
+	callCtx, cancel := context.WithTimeout(ctx, req.Wait+e.settings.Timing.CallTimeout.Of())
+	defer cancel()
+	conn, err := e.dial(callCtx, ref.Address)
+	if err == nil {
+		defer func() { _ = conn.Close() }()
+		err = conn.Call(callCtx, method, &req, reply)
+	}
+	if err != nil {
+		e.log.Info().Str("entry", entry).Str("job", req.Job).Err(err).Msg("owning entry not reached")
+		return silent
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,110 @@
+package entry
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"chicorytray.example/chicorytray/wire"
+)
+
+// metrics are the entry's counters and gauges, named as in section 11 of the
+// design page.
+type metrics struct {
+	scope                tally.Scope
+	tasksSent            tally.Counter
+	tasksUnknown         tally.Counter
+	retries              tally.Counter
+	sessionsFenced       tally.Counter
+	agentsSuspect        tally.Counter
+	ejections            tally.Counter
+	weights              tally.Counter
+	storeCalls           tally.Counter
+	storeErrors          tally.Counter
+	storeUnknown         tally.Counter
+	regressions          tally.Counter
+	refusedOutOfService  tally.Counter
+	gateClosed           tally.Counter
+	queueLength          tally.Gauge
+	jobsOpen             tally.Gauge
+	confirmationAge      tally.Gauge // seconds; -1 without a confirmation
+	configGeneration     tally.Gauge
+	answerTime           tally.Timer
+	configDivergences    tally.Counter
+	configInvalid        tally.Counter
+	registrationsExpired tally.Counter
+}
+
+func newMetrics(s tally.Scope) metrics {
+	if s == nil {
+		s = tally.NoopScope
+	}
+	return metrics{
+		scope:                s,
+		tasksSent:            s.Counter("tasks_sent"),
+		tasksUnknown:         s.Counter("tasks_unknown"),
+		retries:              s.Counter("retries"),
+		sessionsFenced:       s.Counter("sessions_fenced"),
+		agentsSuspect:        s.Counter("agents_suspect"),
+		ejections:            s.Counter("ejections"),
+		weights:              s.Counter("weights"),
+		storeCalls:           s.Counter("store_calls"),
+		storeErrors:          s.Counter("store_errors"),
+		storeUnknown:         s.Counter("store_unknown"),
+		regressions:          s.Counter("generation_regressions"),
+		refusedOutOfService:  s.Counter("refused_out_of_service"),
+		gateClosed:           s.Counter("gate_closed"),
+		queueLength:          s.Gauge("queue_length"),
+		jobsOpen:             s.Gauge("jobs_open"),
+		confirmationAge:      s.Gauge("confirmation_age"),
+		configGeneration:     s.Gauge("config_generation"),
+		answerTime:           s.Timer("answer_time"),
+		configDivergences:    s.Counter("config_divergences"),
+		configInvalid:        s.Counter("config_invalid"),
+		registrationsExpired: s.Counter("registrations_expired"),
+	}
+}
+
+// countRefusal counts an agent's refusal of a task by its reason.
+func (d *dispatcher) countRefusal(r wire.Reason) {
+	switch r {
+	case wire.ReasonOutOfService:
+		d.metrics.refusedOutOfService.Inc(1)
+	case wire.ReasonUnconfirmed:
+		d.metrics.gateClosed.Inc(1)
+	case wire.ReasonFenced:
+		d.metrics.sessionsFenced.Inc(1)
+	case wire.ReasonBusy:
+		d.metrics.scope.Counter("refused_busy").Inc(1)
+	}
+}
+
+func (d *dispatcher) reportGauges() {
+	d.metrics.queueLength.Update(float64(d.queue.Len()))
+	d.metrics.jobsOpen.Update(float64(d.openJobs))
+	age := -1.0
+	if a := d.confirmAge(); a >= 0 {
+		age = a.Seconds()
+	}
+	d.metrics.confirmationAge.Update(age)
+	if d.view != nil {
+		d.metrics.configGeneration.Update(float64(d.view.Generation()))
+	}
+}
+
+// observeAnswer counts the answer to a submission.
+func (e *Entry) observeAnswer(s *submission, a *answer) {
+	e.metrics.answerTime.Record(sinceArrival(s))
+	e.metrics.scope.Tagged(map[string]string{"class": statusClass(a.status)}).Counter("answers").Inc(1)
+}
+
+func statusClass(status int) string {
+	switch status / 100 {
+	case 2:
+		return "2xx"
+	case 3:
+		return "3xx"
+	case 4:
+		return "4xx"
+	default:
+		return "5xx"
+	}
+}
--- /dev/null
+++ b/entry/pipeline.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"errors"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"chicorytray.example/chicorytray/config"
+)
+
+// serve passes one submission through the filters. The filters place, start
+// and collect run on the dispatcher for each task, between queue and the
+// return of wait; see (*dispatcher).pump.
+func (e *Entry) serve(c echo.Context, kind config.Kind) error {
+	s, err := e.receive(c, kind)
+	if err == nil {
+		err = e.authenticate(s)
+	}
+	if err == nil {
+		err = checkTasks(s)
+	}
+	if err == nil {
+		err = e.deduplicate(c.Request().Context(), s) // sets s.answer for a repetition
+	}
+	if err == nil && s.answer == nil {
+		if err = e.admit(s); err == nil {
+			e.expand(s)
+			err = e.enqueue(s)
+		}
+		e.settleClaim(s, err != nil)
+	}
+	if err == nil && s.answer == nil {
+		e.wait(c.Request().Context(), s) // place, start and collect, for each task
+	}
+	return e.respond(c, s, err)
+}
+
+// respond is the last filter: it sends the answer, or the failure that ended
+// the submission.
+func (e *Entry) respond(c echo.Context, s *submission, err error) error {
+	a := s.answer
+	if err != nil {
+		a = problemAnswer(asProblem(err))
+	}
+	e.observeAnswer(s, a)
+	return a.write(c)
+}
+
+func asProblem(err error) *problem {
+	var p *problem
+	if errors.As(err, &p) {
+		return p
+	}
+	p = unknownOutcome(reasonInterrupted, "%v", err)
+	p.Status, p.Title = http.StatusInternalServerError, http.StatusText(http.StatusInternalServerError)
+	return p
+}
--- /dev/null
+++ b/entry/queue.go
@@ -0,0 +1,145 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"chicorytray.example/chicorytray/queue"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// backlogAnnounceAfter is the age of a backlog at which agents without tasks
+// of this entry are told. Most backlogs are gone sooner.
+const backlogAnnounceAfter = 20 * time.Millisecond
+
+// backlogAnnounceEvery bounds the announcements to one agent; heartbeat
+// replies carry the backlog as well.
+const backlogAnnounceEvery = 250 * time.Millisecond
+
+// enqueue hands the admitted job to the dispatcher.
+func (e *Entry) enqueue(s *submission) error {
+	if !e.dispatcher.ask(func(d *dispatcher) { d.enqueue(s.job) }) {
+		return retryLater(time.Second, reasonStopping, "the entry is stopping")
+	}
+	return nil
+}
+
+// wait returns when the job is answered. A caller that disconnects cancels its
+// job unless a repetition under the same key may ask for the answer.
+func (e *Entry) wait(ctx context.Context, s *submission) {
+	select {
+	case <-s.job.done:
+	case <-ctx.Done():
+		if s.key == "" {
+			e.dispatcher.post(func(d *dispatcher) { d.cancel(s.job, "the caller disconnected") })
+		}
+		<-s.job.done
+	}
+	s.answer = s.job.answer
+}
+
+func (d *dispatcher) enqueue(j *job) {
+	d.reserved.release(j)
+	if j.closing != nil { // cancelled between admission and here
+		d.finish(j)
+		return
+	}
+	indexes := make([]int, j.count)
+	for i := range indexes {
+		indexes[i] = i
+	}
+	d.accounts[j.account].waiting += j.count
+	d.queue.Add(d.now, queue.Job{
+		ID: j.id, Account: j.account, Class: j.class.Name, Urgency: j.template.Urgency,
+		Arrived: j.arrived, Deadline: j.deadline, Expected: j.expected,
+	}, indexes)
+	j.timer = time.AfterFunc(j.deadline.Sub(d.now), func() {
+		d.post(func(d *dispatcher) { d.timeUp(j) })
+	})
+	j.queued = true
+}
+
+// cancel ends a job on request. The answer waits until it is known which of
+// its tasks ran.
+func (d *dispatcher) cancel(j *job, detail string) {
+	c := closing{reason: wire.ReasonCancelled, detail: detail, settle: true}
+	switch {
+	case j.answered || j.closing != nil:
+	case !j.queued:
+		j.closing = &c // enqueue answers it
+		for i := range j.states {
+			j.settle(i, taskNotRun)
+		}
+	default:
+		d.fail(j, c)
+	}
+}
+
+// backlogState is what agents were told about the waiting tasks.
+type backlogState struct {
+	since time.Time // zero while there is none
+}
+
+func (d *dispatcher) currentBacklog() wire.Backlog {
+	urgency, ok := d.queue.MostUrgent()
+	if !ok {
+		return wire.Backlog{}
+	}
+	return wire.Backlog{Tasks: d.queue.Len(), Urgency: urgency}
+}
+
+// announceBacklog tells agents that work waits, so that they offer free slots.
+// Agents that run tasks of this entry learn it from the Run messages, and its
+// end from the reply to an offer or to a heartbeat.
+func (d *dispatcher) announceBacklog() {
+	if d.queue.Len() == 0 {
+		d.backlog.since = time.Time{}
+		return
+	}
+	if d.backlog.since.IsZero() {
+		d.backlog.since = d.now
+	}
+	if d.now.Sub(d.backlog.since) < backlogAnnounceAfter {
+		return
+	}
+	req := wire.AnnounceRequest{Backlog: d.currentBacklog()}
+	for _, a := range d.agents {
+		if len(a.session.tasks) == 0 && d.now.Sub(a.announced) >= backlogAnnounceEvery {
+			d.announce(a, req)
+		}
+	}
+}
+
+// announce sends one Announce message. Its loss does no harm: heartbeat
+// replies carry the same.
+func (d *dispatcher) announce(a *agent, req wire.AnnounceRequest) {
+	if a.conn == nil {
+		return
+	}
+	a.announced = d.now
+	req.Session = a.session.id
+	conn := a.conn
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), d.timing.CallTimeout.Of())
+		defer cancel()
+		var reply wire.AnnounceReply
+		if err := conn.Call(ctx, "Agent.Announce", &req, &reply); err == nil {
+			d.post(func(d *dispatcher) { d.report(a, reply.Load) })
+		}
+	}()
+}
+
+// offer handles Entry.Offer: an agent with free slots asks for work.
+func (d *dispatcher) offer(req wire.OfferRequest) bool {
+	a := d.agents[req.Agent]
+	if a == nil || a.ref.Incarnation != req.Incarnation {
+		return false
+	}
+	d.report(a, req.Load)
+	if d.queue.Len() == 0 {
+		return false
+	}
+	before := a.session.sequence
+	d.pump()
+	return a.session.sequence != before
+}
--- /dev/null
+++ b/entry/receive.go
@@ -0,0 +1,180 @@
+package entry
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// maxRequestID bounds the X-Request-Id that a caller chooses, in bytes.
+const maxRequestID = 128
+
+// maxIdempotencyKey bounds an Idempotency-Key, in bytes.
+const maxIdempotencyKey = 255
+
+// jobRequest is the body of POST /v1/jobs.
+type jobRequest struct {
+	Template string        `json:"template"`
+	Tasks    []taskRequest `json:"tasks,omitempty"`
+	// DeadlineMS shortens the template's deadline, in milliseconds.
+	DeadlineMS int64 `json:"deadline_ms,omitempty"`
+	// ExpectedMS is a hint about the duration of one task, in milliseconds.
+	ExpectedMS int64 `json:"expected_ms,omitempty"`
+}
+
+// taskRequest asks for one run of a task that the template defines. Without a
+// body the template's body is sent.
+type taskRequest struct {
+	Name       string            `json:"name"`
+	Header     map[string]string `json:"header,omitempty"`
+	Body       *string           `json:"body,omitempty"`
+	BodyBase64 []byte            `json:"body_base64,omitempty"`
+}
+
+// submission is what passes through the filters.
+type submission struct {
+	kind      config.Kind
+	requestID string
+	token     string
+	key       string // Idempotency-Key, empty without
+	request   jobRequest
+	forward   wire.Request // of KindRequest
+	raw       []byte       // what a repetition under the same key must equal
+	arrived   time.Time
+
+	view     *config.View // configuration in force when the token was checked
+	account  *config.Account
+	template *config.Template
+	deadline time.Duration
+	job      *job
+	claim    *keyClaim // set when the submission owns its key
+	answer   *answer
+}
+
+// receive reads the request whole, within the limits.
+func (e *Entry) receive(c echo.Context, kind config.Kind) (*submission, error) {
+	r := c.Request()
+	s := &submission{kind: kind, requestID: c.Response().Header().Get(headerRequestID), arrived: time.Now()}
+	s.token, _ = strings.CutPrefix(r.Header.Get(echo.HeaderAuthorization), "Bearer ")
+	s.key = r.Header.Get(headerKey)
+	if len(s.key) > maxIdempotencyKey {
+		return s, notRun(http.StatusBadRequest, reasonInvalid, "%s is longer than %d bytes", headerKey, maxIdempotencyKey)
+	}
+	body, err := readBody(r, e.settings.Limits.MaxBodyBytes)
+	if err != nil {
+		return s, err
+	}
+	if kind == config.KindRequest {
+		s.request.Template = c.Param("template")
+		s.forward = forwardedRequest(r, body, s.requestID)
+		s.raw = fmt.Appendf(nil, "%s %s\n%s", s.forward.Method, s.forward.Path, body)
+		return s, nil
+	}
+	s.raw = body
+	s.request, err = decodeJob(body)
+	return s, err
+}
+
+func readBody(r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength > limit {
+		return nil, notRun(http.StatusRequestEntityTooLarge, reasonTooLarge, "the body exceeds %d bytes", limit)
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, notRun(http.StatusBadRequest, reasonInvalid, "the body could not be read whole: %v", err)
+	}
+	if int64(len(body)) > limit {
+		return nil, notRun(http.StatusRequestEntityTooLarge, reasonTooLarge, "the body exceeds %d bytes", limit)
+	}
+	return body, nil
+}
+
+// decodeJob decodes strictly: an unknown field is an error, because a
+// misspelled one would silently change what runs.
+func decodeJob(body []byte) (jobRequest, error) {
+	var req jobRequest
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&req); err != nil {
+		return req, notRun(http.StatusBadRequest, reasonInvalid, "the body is not a job: %v", err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return req, notRun(http.StatusBadRequest, reasonInvalid, "the body holds more than one JSON value")
+	}
+	switch {
+	case req.Template == "":
+		return req, notRun(http.StatusBadRequest, reasonInvalid, "template is missing")
+	case req.DeadlineMS < 0:
+		return req, notRun(http.StatusBadRequest, reasonInvalid, "deadline_ms is negative")
+	case req.ExpectedMS < 0:
+		return req, notRun(http.StatusBadRequest, reasonInvalid, "expected_ms is negative")
+	}
+	for i, t := range req.Tasks {
+		if t.Name == "" {
+			return req, notRun(http.StatusBadRequest, reasonInvalid, "tasks[%d].name is missing", i)
+		}
+		if t.Body != nil && t.BodyBase64 != nil {
+			return req, notRun(http.StatusBadRequest, reasonInvalid, "tasks[%d] has both body and body_base64", i)
+		}
+	}
+	return req, nil
+}
+
+// forwardedRequest is the caller's request as the upstream receives it. The
+// token is the entry's own business and is not forwarded.
+func forwardedRequest(r *http.Request, body []byte, requestID string) wire.Request {
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/v1/requests/")
+	if _, rest, ok := strings.Cut(path, "/"); ok {
+		path = "/" + rest
+	} else {
+		path = "/"
+	}
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	out := wire.Request{Method: r.Method, Path: path, Body: body}
+	dropped := map[string]bool{}
+	for _, v := range r.Header.Values("Connection") {
+		for name := range strings.SplitSeq(v, ",") {
+			dropped[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	for name, values := range r.Header {
+		switch {
+		case hopHeaders[name], dropped[name], name == echo.HeaderAuthorization, name == echo.HeaderContentLength,
+			name == headerRequestID:
+			continue
+		}
+		for _, v := range values {
+			out.Header = append(out.Header, wire.Header{Name: name, Value: v})
+		}
+	}
+	out.Header = append(out.Header, wire.Header{Name: headerRequestID, Value: requestID})
+	return out
+}
+
+// requestID returns the caller's identifier when it is fit for a log line and
+// a header, else a new one.
+func requestID(r *http.Request) string {
+	id := r.Header.Get(headerRequestID)
+	if id == "" || len(id) > maxRequestID {
+		return rand.Text()
+	}
+	for _, b := range []byte(id) {
+		if b <= ' ' || b > '~' || b == '"' || b == '=' {
+			return rand.Text()
+		}
+	}
+	return id
+}
--- /dev/null
+++ b/entry/rpc.go
@@ -0,0 +1,184 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/rpcconn"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// maxJobWait bounds how long Entry.Job waits for an answer in one call. The
+// asking entry asks again.
+const maxJobWait = 10 * time.Second
+
+// rpcServer returns the server of the calls that other processes make.
+func (e *Entry) rpcServer(opts rpcconn.Options) *rpcconn.Server {
+	s := rpcconn.NewServer(opts)
+	rpcconn.Handle(s, "Entry.Heartbeat", e.rpcHeartbeat)
+	rpcconn.Handle(s, "Entry.Offer", e.rpcOffer)
+	rpcconn.Handle(s, "Entry.PeerHeartbeat", e.rpcPeerHeartbeat)
+	rpcconn.Handle(s, "Entry.FetchConfig", e.rpcFetchConfig)
+	rpcconn.Handle(s, "Entry.PushConfig", e.rpcPushConfig)
+	rpcconn.Handle(s, "Entry.Job", e.rpcJob)
+	rpcconn.Handle(s, "Entry.CancelJob", e.rpcCancelJob)
+	return s
+}
+
+func (e *Entry) rpcHeartbeat(_ context.Context, req *wire.HeartbeatRequest, reply *wire.HeartbeatReply) error {
+	if !e.dispatcher.ask(func(d *dispatcher) { *reply = d.heartbeat(*req) }) {
+		return ErrStopped
+	}
+	return nil
+}
+
+func (e *Entry) rpcOffer(_ context.Context, req *wire.OfferRequest, reply *wire.OfferReply) error {
+	if !e.dispatcher.ask(func(d *dispatcher) { reply.Used = d.offer(*req) }) {
+		return ErrStopped
+	}
+	return nil
+}
+
+func (e *Entry) rpcPeerHeartbeat(_ context.Context, req *wire.PeerHeartbeat, reply *wire.PeerHeartbeat) error {
+	e.peers.learn(req.Entry, true)
+	*reply = e.heartbeat()
+	return nil
+}
+
+// heartbeat describes this entry to its peers.
+func (e *Entry) heartbeat() wire.PeerHeartbeat {
+	now := time.Now()
+	age, _ := e.confirm.age(now)
+	b := wire.PeerHeartbeat{
+		Entry: e.self, Generation: e.config.generation(), ConfirmAge: age,
+		StoreReachable: e.confirm.storeReachable(), DataCentres: e.confirm.heardNow(now),
+	}
+	e.dispatcher.ask(func(d *dispatcher) {
+		b.Stopping = d.stopping
+		for account, tasks := range d.shares.Demand(d.now) {
+			b.Demand = append(b.Demand, wire.AccountDemand{Account: account, Tasks: tasks})
+		}
+	})
+	return b
+}
+
+// heardPeer takes over the demand that a peer reported.
+func (e *Entry) heardPeer(b wire.PeerHeartbeat) {
+	e.dispatcher.post(func(d *dispatcher) {
+		if b.Stopping {
+			d.shares.Forget(b.Entry.ID)
+			return
+		}
+		demand := make(map[string]float64, len(b.Demand))
+		for _, a := range b.Demand {
+			demand[a.Account] = a.Tasks
+		}
+		d.shares.Observe(d.now, b.Entry.ID, demand)
+	})
+}
+
+func (e *Entry) rpcFetchConfig(_ context.Context, req *wire.ConfigRequest, reply *wire.ConfigReply) error {
+	reply.Entries = e.peers.entries()
+	generation, raw := e.config.document()
+	reply.Generation = generation
+	if generation > req.Have {
+		reply.Document = raw
+	}
+	return nil
+}
+
+func (e *Entry) rpcPushConfig(_ context.Context, req *wire.PushConfigRequest, reply *wire.PushConfigReply) error {
+	err := e.config.apply(req.Document, "push")
+	reply.Generation = e.config.generation()
+	return err
+}
+
+func (e *Entry) rpcJob(ctx context.Context, req *wire.JobRequest, reply *wire.JobReply) error {
+	ctx, cancel := context.WithTimeout(ctx, min(req.Wait, maxJobWait))
+	defer cancel()
+	if c := e.claimed.get(req.Job, req.Account); c != nil {
+		select {
+		case <-c.decided:
+		case <-ctx.Done():
+			reply.Known, reply.Account = true, c.account
+			return nil
+		}
+		if c.refused {
+			reply.Outcome = string(OutcomeNotRun)
+			return nil
+		}
+	}
+	j, err := e.ownJob(req.Job, req.Account)
+	if err != nil || j == nil {
+		return err
+	}
+	select {
+	case <-j.done:
+	case <-ctx.Done():
+	}
+	*reply = jobReply(j)
+	return nil
+}
+
+func (e *Entry) rpcCancelJob(ctx context.Context, req *wire.JobRequest, reply *wire.JobReply) error {
+	j, err := e.ownJob(req.Job, req.Account)
+	if err != nil || j == nil {
+		return err
+	}
+	if !e.cancelOwn(j) {
+		return ErrStopped
+	}
+	return e.rpcJob(ctx, req, reply)
+}
+
+// ownJob returns a job of this entry; nil when it is not known or belongs to
+// another account.
+func (e *Entry) ownJob(id, account string) (j *job, err error) {
+	if !e.dispatcher.ask(func(d *dispatcher) { j = d.jobs[id] }) {
+		return nil, ErrStopped
+	}
+	if j != nil && j.account != account {
+		return nil, nil
+	}
+	return j, nil
+}
+
+func (e *Entry) cancelOwn(j *job) bool {
+	return e.dispatcher.ask(func(d *dispatcher) { d.cancel(j, "the job was cancelled") })
+}
+
+// jobReply describes a job; the answer is read only after done is closed.
+func jobReply(j *job) wire.JobReply {
+	r := wire.JobReply{Known: true, Account: j.account}
+	select {
+	case <-j.done:
+		a := j.answer
+		r.Finished, r.Outcome = true, j.final
+		r.Status, r.ContentType, r.Header, r.Body, r.RetryAfter = a.status, a.contentType, a.header, a.body, a.retryAfter
+	default:
+	}
+	return r
+}
+
+// changedConfig tells the dispatcher about a new configuration.
+func (e *Entry) changedConfig(v *config.View) {
+	e.dispatcher.post(func(d *dispatcher) { d.setView(v) })
+}
+
+// setView applies a configuration: data centres go out of service or come
+// back at once, and agents are told.
+func (d *dispatcher) setView(v *config.View) {
+	if d.view != nil && v.Generation() <= d.view.Generation() {
+		return
+	}
+	d.view = v
+	c := v.AgentConfig()
+	for _, a := range d.agents {
+		d.describe(a)
+		d.refresh(a)
+		if a.generation < c.Generation {
+			d.announce(a, wire.AnnounceRequest{Backlog: d.currentBacklog(), Config: &c})
+		}
+	}
+}
--- /dev/null
+++ b/entry/serve.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"chicorytray.example/chicorytray/observe"
+)
+
+// serveAll serves the three addresses until a planned stop is done, ctx ends
+// or one of them fails.
+func (e *Entry) serveAll(ctx context.Context, l listeners) error {
+	serveCtx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	callers := e.callerServer()
+	admin := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: observe.AdminHandler(observe.AdminOptions{
+		Ready: e.Ready, State: func() any { return e.State() }, Metrics: e.options.MetricsHandler,
+	})}
+	failed := make(chan error, 3)
+	var wg sync.WaitGroup
+	wg.Go(func() { failed <- serveHTTP(callers, l.callers, e.callerTLS != nil) })
+	wg.Go(func() { failed <- serveHTTP(admin, l.admin, false) })
+	wg.Go(func() { failed <- e.rpcServer(e.rpcOptions).Serve(serveCtx, l.peers) })
+	e.log.Info().Str("callers", l.callers.Addr().String()).Str("peers", l.peers.Addr().String()).
+		Str("admin", l.admin.Addr().String()).Msg("entry serves")
+
+	var err error
+	select {
+	case <-ctx.Done():
+		err = ctx.Err()
+	case err = <-failed:
+	case <-e.stop:
+		err = e.drain(ctx, callers)
+	}
+	_ = callers.Close()
+	_ = admin.Close()
+	cancel()
+	wg.Wait()
+	return err
+}
+
+func serveHTTP(s *http.Server, l net.Listener, secure bool) error {
+	var err error
+	if secure {
+		err = s.ServeTLS(l, "", "")
+	} else {
+		err = s.Serve(l)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Stop makes a planned stop: the entry reports that it is not ready, goes on
+// accepting jobs while the load balancer takes it out, then refuses new ones,
+// finishes its jobs and removes its registration. It returns when Run has
+// ended or ctx ends; ending ctx does not interrupt the stop.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.stopOnce.Do(func() {
+		e.notReady.Store(true)
+		close(e.stop)
+	})
+	if !e.running.Load() {
+		return nil
+	}
+	select {
+	case <-e.stopped:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// drain carries out the planned stop.
+func (e *Entry) drain(ctx context.Context, callers *http.Server) error {
+	e.log.Info().Dur("notice_ms", e.settings.Timing.StopNotice.Of()).Msg("planned stop began")
+	sleep(ctx, e.settings.Timing.StopNotice.Of())
+	var idle <-chan struct{}
+	if !e.dispatcher.ask(func(d *dispatcher) {
+		d.stopping = true
+		idle = d.whenIdle()
+	}) {
+		return ErrStopped
+	}
+	select {
+	case <-idle:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	// Deadlines bound the jobs, but not how slowly a caller reads its answer.
+	limit, cancel := context.WithTimeout(ctx, answerDrain)
+	defer cancel()
+	if err := callers.Shutdown(limit); err != nil {
+		e.log.Warn().Err(err).Msg("callers that did not read their answers were cut off")
+	}
+	e.registration.remove(ctx)
+	return ctx.Err()
+}
+
+// answerDrain bounds how long a stopping entry waits for callers that read
+// their answers slowly.
+const answerDrain = 30 * time.Second
--- /dev/null
+++ b/entry/session_test.go
@@ -0,0 +1,130 @@
+package entry
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/wire"
+)
+
+const reconcileLimit = 5 * time.Second
+
+// openSessionOf returns an open session and the moment at which it was opened.
+func openSessionOf(inc wire.Incarnation) (*session, time.Time) {
+	now := time.Unix(1000, 0)
+	s := newSession(wire.EntryRef{ID: "e1", Incarnation: 7}, inc)
+	id := s.begin(now, reconcileLimit)
+	s.opened(id.Number, wire.OpenSessionReply{Agent: wire.AgentRef{Incarnation: inc}})
+	return s, now
+}
+
+func describe(vs []verdict) string {
+	var out []string
+	for _, v := range vs {
+		kind := [...]string{"result", "not run", "unknown", "await"}[v.kind]
+		if v.kind == verdictUnknown {
+			kind += " " + string(v.result.Reason)
+		}
+		out = append(out, fmt.Sprintf("%d %s", v.task.index, kind))
+	}
+	slices.Sort(out)
+	return strings.Join(out, ", ")
+}
+
+// Guards against "not run" where a start is possible, against "unknown" where
+// a complete list proves the opposite, and against tasks without a verdict.
+func TestReconciliation(t *testing.T) {
+	done := wire.Result{Outcome: wire.OutcomeDone}
+	key := func(n uint64) wire.TaskKey { return wire.TaskKey{Session: 1, Sequence: n} }
+	same := wire.AgentRef{Incarnation: 1}
+	for _, tc := range []struct {
+		name  string
+		reply wire.OpenSessionReply
+		want  string
+		left  int
+	}{
+		{"nothing started", wire.OpenSessionReply{Agent: same}, "0 not run, 1 not run, 2 not run", 0},
+		{"one finished, one runs", wire.OpenSessionReply{Agent: same, Started: []wire.StartedTask{
+			{Key: key(1), Finished: true, Result: done}, {Key: key(2)}}}, "0 result, 1 await, 2 not run", 1},
+		{"truncated list", wire.OpenSessionReply{Agent: same, Truncated: true, Started: []wire.StartedTask{
+			{Key: key(1), Finished: true, Result: done}, {Key: key(2)}}}, "0 result, 1 await, 2 unknown start_record_lost", 1},
+		{"another process", wire.OpenSessionReply{Agent: wire.AgentRef{Incarnation: 2}},
+			"0 unknown agent_lost, 1 unknown agent_lost, 2 unknown agent_lost", 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			s, now := openSessionOf(1)
+			for i := range 3 {
+				s.send(&job{}, i, now)
+			}
+			s.doubt(now, reconcileLimit)
+			id := s.begin(now, reconcileLimit)
+			c.Check(describe(s.opened(id.Number, tc.reply)), qt.Equals, tc.want)
+			c.Check(s.tasks, qt.HasLen, tc.left)
+			c.Check(s.state, qt.Equals, sessionOpen)
+			c.Check(s.expire(now.Add(time.Hour)), qt.HasLen, 0)
+		})
+	}
+}
+
+// Guards against a late reply to an abandoned attempt deciding about tasks.
+func TestReplyToAnOlderAttemptIsIgnored(t *testing.T) {
+	c := qt.New(t)
+	s, now := openSessionOf(1)
+	s.send(&job{}, 0, now)
+	s.doubt(now, reconcileLimit)
+	first := s.begin(now, reconcileLimit)
+	s.state = sessionClosed
+	second := s.begin(now, reconcileLimit)
+	c.Check(second.Number > first.Number, qt.IsTrue)
+	c.Check(s.opened(first.Number, wire.OpenSessionReply{Agent: wire.AgentRef{Incarnation: 1}}), qt.HasLen, 0)
+	c.Check(s.tasks, qt.HasLen, 1)
+}
+
+// Guards against tasks that stay open for ever when an agent never answers.
+func TestTasksInDoubtExpire(t *testing.T) {
+	c := qt.New(t)
+	s, now := openSessionOf(1)
+	s.send(&job{}, 0, now)
+	s.doubt(now, reconcileLimit)
+	s.begin(now.Add(time.Second), reconcileLimit) // a further attempt does not extend the deadline
+	c.Check(s.expire(now.Add(reconcileLimit-1)), qt.HasLen, 0)
+	c.Check(describe(s.expire(now.Add(reconcileLimit))), qt.Equals, "0 unknown agent_lost")
+}
+
+// Guards against two verdicts about one task when its answer arrives twice,
+// before and after reconciliation.
+func TestEveryTaskGetsOneVerdict(t *testing.T) {
+	c := qt.New(t)
+	s, now := openSessionOf(1)
+	task := s.send(&job{}, 0, now)
+	s.doubt(now, reconcileLimit)
+	_, ok := s.answered(task.key, wire.Result{Outcome: wire.OutcomeDone})
+	c.Check(ok, qt.IsTrue)
+	_, ok = s.answered(task.key, wire.Result{Outcome: wire.OutcomeDone})
+	c.Check(ok, qt.IsFalse)
+	_, ok = s.neverSent(task.key)
+	c.Check(ok, qt.IsFalse)
+	id := s.begin(now, reconcileLimit)
+	c.Check(s.opened(id.Number, wire.OpenSessionReply{Agent: wire.AgentRef{Incarnation: 1}}), qt.HasLen, 0)
+}
+
+// Guards against start records that stay at the agent because the message
+// that acknowledged them was lost.
+func TestLostAcknowledgementIsRepeated(t *testing.T) {
+	c := qt.New(t)
+	s, now := openSessionOf(1)
+	task := s.send(&job{}, 0, now)
+	s.answered(task.key, wire.Result{Outcome: wire.OutcomeDone})
+	c.Check(s.takeAcked(), qt.DeepEquals, []wire.TaskKey{task.key})
+	s.doubt(now, reconcileLimit)
+	id := s.begin(now, reconcileLimit)
+	s.opened(id.Number, wire.OpenSessionReply{Agent: wire.AgentRef{Incarnation: 1},
+		Started: []wire.StartedTask{{Key: task.key, Finished: true}}})
+	c.Check(s.takeAcked(), qt.DeepEquals, []wire.TaskKey{task.key})
+}
--- /dev/null
+++ b/entry/start.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"chicorytray.example/chicorytray/rpcconn"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// start assigns a task to an agent. The message leaves with flushStarts.
+func (d *dispatcher) start(j *job, index int, a *agent) {
+	task := a.session.send(j, index, d.now)
+	j.states[index] = taskSent
+	j.at[index] = location{a, task}
+	d.countStart(j, a)
+	d.table.Sent(a.ref.ID, j.class.Needs)
+	d.starts = append(d.starts, location{a, task})
+}
+
+// flushStarts sends the assigned tasks. They leave after all of them were
+// placed, so that each message carries the backlog that really remains and no
+// agent offers slots for work that was placed a moment later.
+func (d *dispatcher) flushStarts() {
+	backlog := d.currentBacklog()
+	for _, l := range d.starts {
+		a, j, index := l.agent, l.task.job, l.task.index
+		if a.conn == nil || l.task.key.Session != a.session.id.Number {
+			continue // the session ended in this batch; the next one reconciles
+		}
+		t := j.tasks[index]
+		t.Remaining = j.deadline.Sub(d.now)
+		req := wire.RunRequest{
+			Session: a.session.id, Sequence: l.task.key.Sequence, Task: t,
+			Backlog: backlog, Acked: a.session.takeAcked(),
+		}
+		d.log.Debug().Str("job", j.id).Int("task", index).Int("attempt", t.Attempt).Str("agent", a.ref.ID).Msg("task sent")
+		d.call(a, l.task.key, t.Remaining, "Agent.Run", &req, req.Acked)
+	}
+	clear(d.starts)
+	d.starts = d.starts[:0]
+}
+
+// await asks for the result of a task that the agent reported as running.
+func (d *dispatcher) await(a *agent, task *sent) {
+	remaining := max(0, task.job.deadline.Sub(d.now))
+	req := wire.AwaitRequest{Session: a.session.id, Key: task.key}
+	d.call(a, task.key, remaining, "Agent.Await", &req, nil)
+}
+
+// call makes a call that ends with the task. The agent ends a task at its
+// deadline; a call that lasts longer than that and the lapse time was lost.
+func (d *dispatcher) call(a *agent, key wire.TaskKey, remaining time.Duration, method string, req any, acked []wire.TaskKey) {
+	conn, number := a.conn, a.session.id.Number
+	limit := remaining + d.timing.Lapse.Of()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		var reply wire.RunReply
+		err := conn.Call(ctx, method, req, &reply)
+		d.post(func(d *dispatcher) {
+			if err != nil {
+				a.session.acked = append(a.session.acked, acked...)
+				d.callFailed(a, number, key, err)
+				return
+			}
+			if v, ok := a.session.answered(key, reply.Result); ok {
+				d.apply(a, []verdict{v})
+			}
+			d.table.Report(a.ref.ID, reply.Load)
+			if a.busy && reply.Result.Reason != wire.ReasonBusy {
+				a.busy = false
+				d.refresh(a)
+			}
+		})
+	}()
+}
+
+// callFailed handles a Run or Await without a reply.
+func (d *dispatcher) callFailed(a *agent, number uint64, key wire.TaskKey, err error) {
+	switch {
+	case errors.Is(err, rpcconn.ErrNotSent) && (errors.Is(err, rpcconn.ErrTooLarge) || errors.Is(err, rpcconn.ErrEncoding)):
+		// No connection can carry this task.
+		if v, ok := a.session.neverSent(key); ok {
+			v.result.Reason = reasonTooLarge
+			d.apply(a, []verdict{v})
+		}
+		return
+	case errors.Is(err, rpcconn.ErrNotSent) && key.Session == number:
+		if v, ok := a.session.neverSent(key); ok {
+			d.apply(a, []verdict{v})
+		}
+	case errors.Is(err, rpcconn.ErrTooLarge):
+		// The agent's reply exceeds the limit of a message; asking again
+		// would fail again.
+		if v, ok := a.session.giveUp(key, wire.ReasonTooLarge); ok {
+			d.apply(a, []verdict{v})
+		}
+		return
+	case errors.Is(err, rpcconn.ErrTimeout):
+		if v, ok := a.session.giveUp(key, wire.ReasonDeadline); ok {
+			d.apply(a, []verdict{v})
+		}
+		return
+	}
+	d.doubt(a, number, err)
+}
+
+// flushCancels sends one Cancel message to each agent with tasks to cancel.
+func (d *dispatcher) flushCancels() {
+	for a, keys := range d.cancels {
+		delete(d.cancels, a)
+		if a.conn == nil || a.session.state != sessionOpen {
+			continue // the next session fences the queued ones; see cancelAgain
+		}
+		conn, number := a.conn, a.session.id.Number
+		req := wire.CancelRequest{Session: a.session.id, Keys: keys}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), d.timing.CallTimeout.Of())
+			defer cancel()
+			var reply wire.CancelReply
+			err := conn.Call(ctx, "Agent.Cancel", &req, &reply)
+			d.post(func(d *dispatcher) { d.cancelled(a, number, reply, err) })
+		}()
+	}
+}
+
+// cancelled handles the reply to a Cancel message.
+func (d *dispatcher) cancelled(a *agent, number uint64, reply wire.CancelReply, err error) {
+	if err != nil {
+		if !errors.Is(err, rpcconn.ErrTimeout) {
+			d.doubt(a, number, err)
+		}
+		return
+	}
+	for _, key := range reply.Withdrawn {
+		if v, ok := a.session.answered(key, notRunResult(wire.ReasonCancelled)); ok {
+			d.apply(a, []verdict{v})
+		}
+	}
+	d.report(a, reply.Load)
+}
--- /dev/null
+++ b/entry/state.go
@@ -0,0 +1,225 @@
+package entry
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// State is the dump of an entry for /debug/state and SIGUSR1. Times are ages or
+// remaining times in milliseconds. It holds neither tokens nor bodies.
+type State struct {
+	Entry         StateEntry         `json:"entry"`
+	Configuration StateConfiguration `json:"configuration"`
+	Queue         StateQueue         `json:"queue"`
+	Agents        []StateAgent       `json:"agents"`   // by identifier
+	Peers         []StatePeer        `json:"peers"`    // by identifier
+	Jobs          []StateJob         `json:"jobs"`     // open ones, oldest first
+	Accounts      []StateAccount     `json:"accounts"` // that sent jobs, by name
+}
+
+// StateEntry identifies the process.
+type StateEntry struct {
+	ID          string `json:"id"`
+	Incarnation string `json:"incarnation"`
+	DataCentre  string `json:"data_centre"`
+	Address     string `json:"address"`
+	Admin       string `json:"admin"`
+	Ready       bool   `json:"ready"`
+	Stopping    bool   `json:"stopping"`
+	UptimeMS    int64  `json:"uptime_ms"`
+}
+
+// StateConfiguration says which configuration is in force and how fresh it is.
+type StateConfiguration struct {
+	Generation uint64 `json:"generation"` // 0 for none
+	// ConfirmationAgeMS is -1 without a confirmation.
+	ConfirmationAgeMS int64 `json:"confirmation_age_ms"`
+	// Basis of the confirmation: none, own, peer or outage.
+	Basis          string   `json:"basis"`
+	StoreReachable bool     `json:"store_reachable"`
+	OutOfService   []string `json:"out_of_service"`
+}
+
+// StateQueue describes the waiting tasks.
+type StateQueue struct {
+	Tasks  int   `json:"tasks"`
+	WorkMS int64 `json:"work_ms"` // expected duration of all together
+	// MostUrgent is -1 when nothing waits.
+	MostUrgent int `json:"most_urgent"`
+}
+
+// StateAgent describes one agent.
+type StateAgent struct {
+	ID          string `json:"id"`
+	Incarnation string `json:"incarnation"`
+	DataCentre  string `json:"data_centre"`
+	Rack        string `json:"rack"`
+	Worker      string `json:"worker"`
+	Address     string `json:"address"`
+	Admin       string `json:"admin"`
+	Slots       int    `json:"slots"`
+	HeardMS     int64  `json:"heard_ms"`
+	Generation  uint64 `json:"generation"`
+	// ConfirmationAgeMS as the agent reported it; -1 without one.
+	ConfirmationAgeMS int64   `json:"confirmation_age_ms"`
+	Session           uint64  `json:"session"`
+	SessionState      string  `json:"session_state"` // closed, opening or open
+	OpenTasks         int     `json:"open_tasks"`    // of this entry
+	Usable            bool    `json:"usable"`
+	Leaving           bool    `json:"leaving"`
+	Healthy           bool    `json:"healthy"`
+	Suspect           bool    `json:"suspect"`
+	Ejected           bool    `json:"ejected"`
+	Weight            float64 `json:"weight"`
+}
+
+// StatePeer describes another entry.
+type StatePeer struct {
+	ID          string `json:"id"`
+	Incarnation string `json:"incarnation"`
+	DataCentre  string `json:"data_centre"`
+	Address     string `json:"address"`
+	Admin       string `json:"admin"`
+	// RepliedMS is the age of the last heartbeat with a reply; -1 for none.
+	RepliedMS  int64 `json:"replied_ms"`
+	Registered bool  `json:"registered"`
+	Stopping   bool  `json:"stopping"`
+}
+
+// StateJob describes an open job.
+type StateJob struct {
+	ID          string `json:"id"`
+	Account     string `json:"account"`
+	Template    string `json:"template"`
+	RequestID   string `json:"request_id"`
+	AgeMS       int64  `json:"age_ms"`
+	RemainingMS int64  `json:"remaining_ms"` // to the deadline
+	Tasks       int    `json:"tasks"`
+	Waiting     int    `json:"waiting"`
+	Sent        int    `json:"sent"`
+	Done        int    `json:"done"`
+	Failing     string `json:"failing,omitempty"` // reason of a job that ends without success
+}
+
+// StateAccount describes an account's tasks at this entry.
+type StateAccount struct {
+	Name    string `json:"name"`
+	Running int    `json:"running"`
+	Waiting int    `json:"waiting"`
+	// Share of the account's running tasks; 0 means no limit.
+	Share float64 `json:"share"`
+}
+
+// maxStateJobs bounds the jobs in a dump.
+const maxStateJobs = 1000
+
+// State returns a dump of the entry. After the entry ended it holds only what
+// does not belong to the dispatcher.
+func (e *Entry) State() State {
+	now := time.Now()
+	age, basis := e.confirm.age(now)
+	s := State{
+		Entry: StateEntry{
+			ID: e.self.ID, Incarnation: e.self.Incarnation.String(), DataCentre: e.self.DataCentre,
+			Address: e.self.Address, Admin: e.self.Admin, Ready: e.Ready() == nil,
+			UptimeMS: now.Sub(e.began).Milliseconds(),
+		},
+		Configuration: StateConfiguration{
+			Generation: e.config.generation(), ConfirmationAgeMS: ageMS(age), Basis: string(basis),
+			StoreReachable: e.confirm.storeReachable(),
+		},
+		Peers: e.peers.state(now),
+	}
+	if v := e.config.view(); v != nil {
+		s.Configuration.OutOfService = v.OutOfService()
+	}
+	if e.started() {
+		e.dispatcher.ask(func(d *dispatcher) { d.dump(&s) })
+	}
+	return s
+}
+
+// ageMS keeps the value -1 for "none".
+func ageMS(d time.Duration) int64 {
+	if d < 0 {
+		return -1
+	}
+	return d.Milliseconds()
+}
+
+func (d *dispatcher) dump(s *State) {
+	s.Entry.Stopping = d.stopping
+	s.Queue = StateQueue{Tasks: d.queue.Len(), WorkMS: d.queue.Work().Milliseconds(), MostUrgent: -1}
+	if u, ok := d.queue.MostUrgent(); ok {
+		s.Queue.MostUrgent = u
+	}
+	for _, a := range d.agents {
+		s.Agents = append(s.Agents, d.dumpAgent(a))
+	}
+	slices.SortFunc(s.Agents, func(a, b StateAgent) int { return strings.Compare(a.ID, b.ID) })
+	for _, j := range d.jobs {
+		if !j.answered && len(s.Jobs) < maxStateJobs {
+			s.Jobs = append(s.Jobs, d.dumpJob(j))
+		}
+	}
+	slices.SortFunc(s.Jobs, func(a, b StateJob) int { return int(b.AgeMS - a.AgeMS) })
+	for name, u := range d.accounts {
+		a := StateAccount{Name: name, Running: u.running, Waiting: u.waiting}
+		if account := d.account(name); account != nil {
+			a.Share = d.shares.Share(d.now, name, float64(account.MaxRunningTasks))
+		}
+		s.Accounts = append(s.Accounts, a)
+	}
+	slices.SortFunc(s.Accounts, func(a, b StateAccount) int { return strings.Compare(a.Name, b.Name) })
+}
+
+func (d *dispatcher) dumpAgent(a *agent) StateAgent {
+	return StateAgent{
+		ID: a.ref.ID, Incarnation: a.ref.Incarnation.String(), DataCentre: a.ref.DataCentre, Rack: a.ref.Rack,
+		Worker: a.ref.Worker, Address: a.ref.Address, Admin: a.ref.Admin, Slots: a.ref.Slots,
+		HeardMS: d.now.Sub(a.heard).Milliseconds(), Generation: a.generation, ConfirmationAgeMS: ageMS(a.confirmAge),
+		Session: a.session.id.Number, SessionState: a.session.state.String(), OpenTasks: len(a.session.tasks),
+		Usable: a.usable, Leaving: a.leaving, Healthy: !a.unhealthy, Suspect: a.suspect, Ejected: a.ejected,
+		Weight: a.weight,
+	}
+}
+
+func (d *dispatcher) dumpJob(j *job) StateJob {
+	s := StateJob{
+		ID: j.id, Account: j.account, Template: j.template.Name, RequestID: j.requestID,
+		AgeMS: d.now.Sub(j.arrived).Milliseconds(), RemainingMS: j.deadline.Sub(d.now).Milliseconds(), Tasks: j.count,
+	}
+	for _, st := range j.states {
+		switch st {
+		case taskWaiting:
+			s.Waiting++
+		case taskSent:
+			s.Sent++
+		case taskDone:
+			s.Done++
+		}
+	}
+	if j.closing != nil {
+		s.Failing = string(j.closing.reason)
+	}
+	return s
+}
+
+func (p *peers) state(now time.Time) []StatePeer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []StatePeer
+	for _, e := range p.known {
+		s := StatePeer{
+			ID: e.ref.ID, Incarnation: e.ref.Incarnation.String(), DataCentre: e.ref.DataCentre,
+			Address: e.ref.Address, Admin: e.ref.Admin, RepliedMS: -1, Registered: e.registered, Stopping: e.stopping,
+		}
+		if !e.replied.IsZero() {
+			s.RepliedMS = now.Sub(e.replied).Milliseconds()
+		}
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b StatePeer) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
--- a/wire/entry.go
+++ b/wire/entry.go
@@ -38,10 +38,12 @@
 // PushConfigReply carries the generation in force after the push.
 type PushConfigReply struct{ Generation uint64 }
 
-// JobRequest asks the entry that owns a job about it.
+// JobRequest asks the entry that owns a job about it. A job of another client
+// account is reported as not known.
 type JobRequest struct {
-	Job  string
-	Wait time.Duration // how long to wait for the answer; 0 answers at once
+	Job     string
+	Account string
+	Wait    time.Duration // how long to wait for the answer; 0 answers at once
 }
 
 // JobReply is a job's state or its answer. Status and Body are the HTTP answer
@@ -49,9 +51,11 @@
 type JobReply struct {
 	Known       bool
 	Finished    bool
+	Outcome     string // done, not_run, failed or unknown; empty while it runs
 	Account     string
 	Status      int
 	ContentType string
+	Header      []Header // of a forwarded request's answer
 	RetryAfter  time.Duration
 	Body        []byte
 }
