entry: resolve tasks whose session ended before they were sent

Cause: a task placed on an agent whose session ended in the same batch of events waited for the next session, and was unknown if the agent had lost its records, although it had never been sent. A deadline of more than 292 years in milliseconds overflowed.

Change: such a task is proved not run and queued again. Deadlines and hints from documents are limited before they are converted. Backlogs are announced once. The caller's read timeout ends with the body, and the write timeout covers the whole job.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -76,9 +76,9 @@
 
 func (d *dispatcher) newJob(s *submission) *job {
 	n := taskCount(s)
-	declared := time.Duration(s.request.ExpectedMS) * time.Millisecond
-	if declared == 0 {
-		declared = time.Duration(s.template.ExpectedMS) * time.Millisecond
+	ms := s.request.ExpectedMS
+	if ms == 0 {
+		ms = s.template.ExpectedMS
 	}
 	if d.accounts[s.account.Name] == nil {
 		d.accounts[s.account.Name] = &accountUse{}
@@ -86,7 +86,7 @@
 	return &job{
 		keyed: s.claim != nil, account: s.account.Name, requestID: s.requestID, template: s.template,
 		class:    d.classOf(s.template).Class,
-		expected: d.durations.Expected(s.template.Name, declared),
+		expected: d.durations.Expected(s.template.Name, milliseconds(ms, s.deadline)),
 		arrived:  s.arrived, deadline: s.arrived.Add(s.deadline), count: n, open: n,
 		states: make([]taskState, n), at: make([]location, n), mayRan: make([]bool, n),
 		results: make([]wire.Result, n), done: make(chan struct{}),
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -161,8 +161,8 @@
 		req.Config = d.view.AgentConfig()
 	}
 	address := a.ref.Address
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), d.timing.CallTimeout.Of())
+	d.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, d.timing.CallTimeout.Of())
 		defer cancel()
 		var reply wire.OpenSessionReply
 		conn, err := d.dial(ctx, address)
@@ -175,7 +175,7 @@
 		if !ok && err == nil {
 			_ = conn.Close()
 		}
-	}()
+	})
 }
 
 // openedSession handles the end of an attempt.
@@ -254,8 +254,8 @@
 	}
 	a.pinging = true
 	conn, number := a.conn, a.session.id.Number
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), d.timing.PingTimeout.Of())
+	d.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, d.timing.PingTimeout.Of())
 		defer cancel()
 		err := conn.Call(ctx, "Agent.Ping", &wire.Empty{}, &wire.Empty{})
 		d.post(func(d *dispatcher) {
@@ -264,7 +264,7 @@
 				d.doubt(a, number, err)
 			}
 		})
-	}()
+	})
 }
 
 // reportHeard tells the store-outage rule where agents are known and heard.
--- a/entry/authenticate.go
+++ b/entry/authenticate.go
@@ -42,11 +42,17 @@
 // and the caller's.
 func deadlineOf(s *submission, longest time.Duration) time.Duration {
 	d := longest
-	if t := time.Duration(s.template.DeadlineMS) * time.Millisecond; t > 0 {
-		d = min(d, t)
+	if ms := s.template.DeadlineMS; ms > 0 {
+		d = milliseconds(ms, d)
 	}
-	if t := time.Duration(s.request.DeadlineMS) * time.Millisecond; t > 0 {
-		d = min(d, t)
+	if ms := s.request.DeadlineMS; ms > 0 {
+		d = milliseconds(ms, d)
 	}
 	return d
 }
+
+// milliseconds converts a number from a document, at most to the given
+// duration; a larger number could overflow.
+func milliseconds(ms int64, most time.Duration) time.Duration {
+	return time.Duration(min(ms, most.Milliseconds())) * time.Millisecond
+}
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"context"
 	"math"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -42,6 +44,9 @@
 	log     zerolog.Logger
 	metrics metrics
 	dial    agentDialer
+	ctx     context.Context // of calls to agents; ends with the dispatcher
+	end     context.CancelFunc
+	calls   sync.WaitGroup
 	events  chan event
 	ended   chan struct{} // closed when the dispatcher takes no more events
 
@@ -89,6 +94,7 @@
 		agents: map[string]*agent{}, jobs: map[string]*job{}, accounts: map[string]*accountUse{},
 		classes: map[string]*class{}, cancels: map[*agent][]wire.TaskKey{},
 	}
+	d.ctx, d.end = context.WithCancel(context.Background())
 	d.table.SetSeed(uint64(e.self.Incarnation))
 	return d
 }
@@ -105,6 +111,11 @@
 	}
 }
 
+// spawn makes calls to an agent on a goroutine of their own.
+func (d *dispatcher) spawn(f func(ctx context.Context)) {
+	d.calls.Go(func() { f(d.ctx) })
+}
+
 // post hands an event to the dispatcher. It reports false when the dispatcher
 // has ended.
 func (d *dispatcher) post(ev event) bool {
@@ -117,7 +128,7 @@
 }
 
 // ask runs f on the dispatcher and waits for it. It reports false when the
-// dispatcher ended first; f may then still have run.
+// dispatcher ended before; f was not run then.
 func (d *dispatcher) ask(f event) bool {
 	done := make(chan struct{})
 	if !d.post(func(d *dispatcher) { f(d); close(done) }) {
@@ -127,12 +138,19 @@
 	case <-done:
 		return true
 	case <-d.ended:
+	}
+	select {
+	case <-done: // handled before the end
+		return true
+	default:
 		return false
 	}
 }
 
 // run handles events until stop is closed.
 func (d *dispatcher) run(stop <-chan struct{}) {
+	defer d.calls.Wait()
+	defer d.end()
 	defer close(d.ended)
 	d.began = time.Now()
 	tick := time.NewTicker(tickInterval)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -123,6 +123,7 @@
 	defer close(e.stopped)
 	l, err := e.listen()
 	if err != nil {
+		close(e.dispatcher.ended)
 		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/entry/http.go
+++ b/entry/http.go
@@ -15,6 +15,8 @@
 	headerTimeout = 10 * time.Second
 	// bodyTimeout bounds how long a caller may take to send its request.
 	bodyTimeout = 60 * time.Second
+	// answerTimeout bounds how long a caller may take to read its answer.
+	answerTimeout = 60 * time.Second
 	// idleTimeout closes kept-alive connections without a request.
 	idleTimeout = 120 * time.Second
 )
@@ -56,13 +58,15 @@
 	}
 }
 
-// callerServer returns the HTTP server of the callers' address. There is no
-// write timeout: an answer waits for the job, whose deadline bounds it.
+// callerServer returns the HTTP server of the callers' address. The write
+// timeout counts from the request's header, so it covers the body, the job and
+// the answer.
 func (e *Entry) callerServer() *http.Server {
 	return &http.Server{
 		Handler:           e.callerHandler(),
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
+		WriteTimeout:      bodyTimeout + e.settings.Limits.MaxDeadline.Of() + e.settings.Timing.CallTimeout.Of() + answerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    e.settings.Limits.MaxHeaderBytes,
 		TLSConfig:         e.callerTLS,
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -12,8 +12,8 @@
 // of this entry are told. Most backlogs are gone sooner.
 const backlogAnnounceAfter = 20 * time.Millisecond
 
-// backlogAnnounceEvery bounds the announcements to one agent; heartbeat
-// replies carry the backlog as well.
+// backlogAnnounceEvery bounds the announcements to one agent when backlogs
+// come and go.
 const backlogAnnounceEvery = 250 * time.Millisecond
 
 // enqueue hands the admitted job to the dispatcher.
@@ -78,6 +78,7 @@
 // backlogState is what agents were told about the waiting tasks.
 type backlogState struct {
 	since time.Time // zero while there is none
+	told  bool
 }
 
 func (d *dispatcher) currentBacklog() wire.Backlog {
@@ -88,23 +89,24 @@
 	return wire.Backlog{Tasks: d.queue.Len(), Urgency: urgency}
 }
 
-// announceBacklog tells agents that work waits, so that they offer free slots.
-// Agents that run tasks of this entry learn it from the Run messages, and its
-// end from the reply to an offer or to a heartbeat.
+// announceBacklog tells agents once that work waits, so that they offer free
+// slots. Agents that run tasks of this entry learn it from the Run messages,
+// all learn its course from the replies to heartbeats.
 func (d *dispatcher) announceBacklog() {
 	if d.queue.Len() == 0 {
-		d.backlog.since = time.Time{}
+		d.backlog = backlogState{}
 		return
 	}
 	if d.backlog.since.IsZero() {
 		d.backlog.since = d.now
 	}
-	if d.now.Sub(d.backlog.since) < backlogAnnounceAfter {
+	if d.backlog.told || d.now.Sub(d.backlog.since) < backlogAnnounceAfter {
 		return
 	}
+	d.backlog.told = true
 	req := wire.AnnounceRequest{Backlog: d.currentBacklog()}
 	for _, a := range d.agents {
-		if len(a.session.tasks) == 0 && d.now.Sub(a.announced) >= backlogAnnounceEvery {
+		if a.usable && len(a.session.tasks) == 0 && d.now.Sub(a.announced) >= backlogAnnounceEvery {
 			d.announce(a, req)
 		}
 	}
@@ -119,14 +121,14 @@
 	a.announced = d.now
 	req.Session = a.session.id
 	conn := a.conn
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), d.timing.CallTimeout.Of())
+	d.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, d.timing.CallTimeout.Of())
 		defer cancel()
 		var reply wire.AnnounceReply
 		if err := conn.Call(ctx, "Agent.Announce", &req, &reply); err == nil {
 			d.post(func(d *dispatcher) { d.report(a, reply.Load) })
 		}
-	}()
+	})
 }
 
 // offer handles Entry.Offer: an agent with free slots asks for work.
--- a/entry/receive.go
+++ b/entry/receive.go
@@ -66,6 +66,9 @@
 func (e *Entry) receive(c echo.Context, kind config.Kind) (*submission, error) {
 	r := c.Request()
 	s := &submission{kind: kind, requestID: c.Response().Header().Get(headerRequestID), arrived: time.Now()}
+	// The server's limit on the time to send a request must not end the wait
+	// for its answer. A test's recorder has no deadlines to change.
+	defer func() { _ = http.NewResponseController(c.Response()).SetReadDeadline(time.Time{}) }()
 	s.token, _ = strings.CutPrefix(r.Header.Get(echo.HeaderAuthorization), "Bearer ")
 	s.key = r.Header.Get(headerKey)
 	if len(s.key) > maxIdempotencyKey {
--- a/entry/start.go
+++ b/entry/start.go
@@ -26,8 +26,12 @@
 	backlog := d.currentBacklog()
 	for _, l := range d.starts {
 		a, j, index := l.agent, l.task.job, l.task.index
-		if a.conn == nil || l.task.key.Session != a.session.id.Number {
-			continue // the session ended in this batch; the next one reconciles
+		if a.conn == nil || l.task.key.Session != a.session.id.Number || j.closing != nil {
+			// The session or the job ended after the task was placed.
+			if v, ok := a.session.neverSent(l.task.key); ok {
+				d.apply(a, []verdict{v})
+			}
+			continue
 		}
 		t := j.tasks[index]
 		t.Remaining = j.deadline.Sub(d.now)
@@ -54,8 +58,8 @@
 func (d *dispatcher) call(a *agent, key wire.TaskKey, remaining time.Duration, method string, req any, acked []wire.TaskKey) {
 	conn, number := a.conn, a.session.id.Number
 	limit := remaining + d.timing.Lapse.Of()
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), limit)
+	d.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
 		var reply wire.RunReply
 		err := conn.Call(ctx, method, req, &reply)
@@ -74,7 +78,7 @@
 				d.refresh(a)
 			}
 		})
-	}()
+	})
 }
 
 // callFailed handles a Run or Await without a reply.
@@ -116,13 +120,13 @@
 		}
 		conn, number := a.conn, a.session.id.Number
 		req := wire.CancelRequest{Session: a.session.id, Keys: keys}
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), d.timing.CallTimeout.Of())
+		d.spawn(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, d.timing.CallTimeout.Of())
 			defer cancel()
 			var reply wire.CancelReply
 			err := conn.Call(ctx, "Agent.Cancel", &req, &reply)
 			d.post(func(d *dispatcher) { d.cancelled(a, number, reply, err) })
-		}()
+		})
 	}
 }
 
