wire: define the form of an entry's registration

Cause: entries write and agents and chicorytrayctl read registrations, and each would have needed its own copy of the format.

Change: RegistrationPrefix, RegistrationKey, EncodeRegistration and ParseRegistration in package wire.

--- a/entry/registration.go
+++ b/entry/registration.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
@@ -13,10 +12,6 @@
 	"chicorytray.example/chicorytray/wire"
 )
 
-// RegistrationPrefix precedes the identifier of an entry in the store's keys.
-// The value is a wire.EntryRef in JSON.
-const RegistrationPrefix = "entries/"
-
 // listInterval between readings of the registrations. New entries are learnt
 // sooner from peers; the list removes those that are gone.
 const listInterval = 10 * time.Second
@@ -71,7 +66,7 @@
 }
 
 func (r *registration) register(ctx context.Context) error {
-	value, err := json.Marshal(r.self)
+	value, err := wire.EncodeRegistration(r.self)
 	if err != nil {
 		return err
 	}
@@ -117,15 +112,15 @@
 // list reads the registrations of all entries.
 func (r *registration) list(ctx context.Context) error {
 	return r.call(ctx, func(ctx context.Context) error {
-		kvs, err := r.store.List(ctx, RegistrationPrefix)
+		kvs, err := r.store.List(ctx, wire.RegistrationPrefix)
 		if err != nil {
 			return err
 		}
 		refs := make([]wire.EntryRef, 0, len(kvs))
 		for _, kv := range kvs {
-			var ref wire.EntryRef
-			if err := json.Unmarshal(kv.Value, &ref); err != nil || RegistrationPrefix+ref.ID != kv.Key {
-				r.log.Warn().Str("key", kv.Key).Msg("registration ignored: it is not an entry's")
+			ref, err := wire.ParseRegistration(kv.Key, kv.Value)
+			if err != nil {
+				r.log.Warn().Err(err).Msg("registration ignored")
 				continue
 			}
 			refs = append(refs, ref)
@@ -146,7 +141,7 @@
 	r.lease = 0
 }
 
-func (r *registration) key() string { return RegistrationPrefix + r.self.ID }
+func (r *registration) key() string { return wire.RegistrationKey(r.self.ID) }
 
 func (r *registration) call(ctx context.Context, f func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, r.timing.StoreTimeout.Of())
