--- a/internal/upstreamstub/stub.go
+++ b/internal/upstreamstub/stub.go
@@ -37,7 +37,10 @@
 	Slots int
 	// Seed of the draws.
 	Seed uint64
-	// Draw gives service times where the request does not; nil means 100 ms.
+	// Service is the service time where the request gives none and Draw is
+	// nil; 0 means 100 ms.
+	Service time.Duration
+	// Draw draws service times where the request gives none.
 	Draw func(*rand.Rand) time.Duration
 	// Record may be shared by several stand-ins; nil means one of its own.
 	Record *Record
@@ -101,8 +104,11 @@
 	if o.Record == nil {
 		o.Record = NewRecord()
 	}
+	if o.Service <= 0 {
+		o.Service = defaultService
+	}
 	if o.Draw == nil {
-		o.Draw = func(*rand.Rand) time.Duration { return defaultService }
+		o.Draw = func(*rand.Rand) time.Duration { return o.Service }
 	}
 	return &Stub{
 		options: o, record: o.Record, slots: make(chan struct{}, o.Slots),
