Decode settings with strictjson

The configuration and the settings each had a strict decoder with the same rules. settings now uses internal/strictjson; its errors keep file, field and accepted values.

--- a/settings/duration.go
+++ b/settings/duration.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"time"
 )
 
@@ -16,12 +17,16 @@
 func (d *Duration) UnmarshalJSON(data []byte) error {
 	var text string
 	if err := json.Unmarshal(data, &text); err != nil {
-		return &Problem{Value: string(data), Accepted: acceptedDuration}
+		return durationError(string(data))
 	}
 	v, err := time.ParseDuration(text)
 	if err != nil {
-		return &Problem{Value: text, Accepted: acceptedDuration}
+		return durationError(text)
 	}
 	*d = Duration(v)
 	return nil
 }
+
+func durationError(value string) error {
+	return fmt.Errorf("%s is not accepted; accepted: %s", clip(value), acceptedDuration)
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -1,10 +1,13 @@
 package settings
 
 import (
+	"math"
 	"os"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"chicorytray.example/chicorytray/internal/strictjson"
 )
 
 // Defaults that both kinds of process share.
@@ -105,26 +108,31 @@
 
 func parseEntry(file string, data []byte) (Entry, error) {
 	e := DefaultEntry()
-	d := decode(data, &e)
-	d.problems.merge(e.problems())
-	if err := d.problems.err(file); err != nil {
+	ps := problems(strictjson.Decode(data, &e))
+	ps.merge(e.problems())
+	if err := ps.err(file); err != nil {
 		return Entry{}, err
 	}
 	return e, nil
 }
 
+// absent marks a number that the file does not give.
+const absent = math.MinInt32
+
 func parseAgent(file string, data []byte) (Agent, error) {
 	a := DefaultAgent()
-	d := decode(data, &a)
+	queue, connections := a.QueueLimit, a.Connections
+	a.QueueLimit, a.Connections = absent, absent
+	ps := problems(strictjson.Decode(data, &a))
 	// The defaults follow the number of slots where it contradicts them.
-	if !d.present["queue_limit"] {
-		a.QueueLimit = min(a.QueueLimit, max(a.Slots, 0))
+	if a.QueueLimit == absent {
+		a.QueueLimit = min(queue, max(a.Slots, 0))
 	}
-	if !d.present["connections"] {
-		a.Connections = max(a.Connections, a.Slots)
+	if a.Connections == absent {
+		a.Connections = max(connections, a.Slots)
 	}
-	d.problems.merge(a.problems())
-	if err := d.problems.err(file); err != nil {
+	ps.merge(a.problems())
+	if err := ps.err(file); err != nil {
 		return Agent{}, err
 	}
 	return a, nil
