--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/config"
 )
 
 const (
@@ -167,3 +169,18 @@
 		}
 	})
 }
+
+// Guards against examples that no longer match the settings.
+func TestExamplesAreValid(t *testing.T) {
+	c := qt.New(t)
+	_, err := LoadEntry("../examples/loopback/entry.json")
+	c.Check(err, qt.IsNil)
+	for _, name := range []string{"agent-1.json", "agent-2.json", "agent-3.json"} {
+		_, err := LoadAgent(filepath.Join("../examples/loopback", name))
+		c.Check(err, qt.IsNil)
+	}
+	data, err := os.ReadFile("../examples/loopback/config.json")
+	c.Assert(err, qt.IsNil)
+	_, err = config.Parse(data)
+	c.Check(err, qt.IsNil)
+}
