ctl: add the operators' tool

Cause: operators edit templates and take data centres out of service; a change has to be in force everywhere and must not overwrite another one.

Change: package ctl and cmd/chicorytrayctl with validate, show, apply, edit, out, in, status, dump and drain. The document is pushed to every entry reached, and the tool waits until all known processes report it or names those that do not.

A config.Error is now one line, as logs need it.

The tests use stand-ins for entries; a run against real entries was not made.

--- /dev/null
+++ b/cmd/chicorytrayctl/main.go
@@ -0,0 +1,20 @@
+// Command chicorytrayctl is the operators' tool: it validates, shows and
+// changes the configuration and shows the state of the processes. Run it
+// without arguments for its commands and exit codes.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"chicorytray.example/chicorytray/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := ctl.Run(ctx, os.Args[1:], ctl.Environment{})
+	stop()
+	os.Exit(code)
+}
--- a/config/parse.go
+++ b/config/parse.go
@@ -15,13 +15,13 @@
 // Error lists every problem of a document.
 type Error struct{ Problems []strictjson.Problem }
 
-// Error formats the problems, one on each line.
+// Error formats the problems on one line, as logs need it.
 func (e *Error) Error() string {
-	lines := make([]string, len(e.Problems))
+	texts := make([]string, len(e.Problems))
 	for i, p := range e.Problems {
-		lines[i] = p.String()
+		texts[i] = p.String()
 	}
-	return "config: invalid document: " + strings.Join(lines, "\nconfig: invalid document: ")
+	return "config: invalid document: " + strings.Join(texts, "; ")
 }
 
 // Parse decodes and validates a document. Unknown fields are errors. All
--- /dev/null
+++ b/ctl/commands.go
@@ -0,0 +1,169 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/store"
+	"chicorytray.example/chicorytray/store/httpstore"
+)
+
+const usageText = `chicorytrayctl changes and shows the configuration of chicorytray.
+
+Usage: chicorytrayctl [flags] COMMAND [arguments]
+
+Exit codes:
+  0  done
+  1  failure without a code of its own
+  2  wrong arguments; nothing was done
+  3  invalid document or change; nothing was changed
+  4  conflict with another change; nothing was changed
+  5  some known processes do not report the change
+  6  the store did not carry out the command; nothing was changed
+  7  it is unknown whether the change was accepted
+  8  a process holds a higher generation than the store; nothing was changed
+  9  a process is unknown or cannot be reached
+
+Commands:
+`
+
+// Environment is what a run of the tool depends on. Zero fields have the
+// values of a real process.
+type Environment struct {
+	Stdout, Stderr io.Writer
+	// Store replaces the one named by the flag -store.
+	Store store.Store
+	// Transport replaces TCP for admin addresses.
+	Transport http.RoundTripper
+}
+
+// globals are the flags before the command.
+type globals struct {
+	storeURL string
+	entries  string
+	json     bool
+	timeout  time.Duration
+	wait     time.Duration
+	env      Environment
+}
+
+// Run executes one command and returns the exit code.
+func Run(ctx context.Context, args []string, env Environment) int {
+	if env.Stdout == nil {
+		env.Stdout = os.Stdout
+	}
+	if env.Stderr == nil {
+		env.Stderr = os.Stderr
+	}
+	g := &globals{env: env}
+	flags := flag.NewFlagSet("chicorytrayctl", flag.ContinueOnError)
+	flags.SetOutput(env.Stderr)
+	flags.StringVar(&g.storeURL, "store", "", "URL of the store with an IP address, for example http://127.0.0.1:7000")
+	flags.StringVar(&g.entries, "entries", "", "admin addresses (IP:port) of entries, separated by commas; default: those registered in the store")
+	flags.BoolVar(&g.json, "json", false, "print JSON")
+	flags.DurationVar(&g.timeout, "timeout", DefaultCallTimeout, "bound on one call")
+	flags.DurationVar(&g.wait, "wait", DefaultWait, "bound on the wait until all processes report a change")
+	commander := subcommands.NewCommander(flags, "chicorytrayctl")
+	commander.Output, commander.Error = env.Stdout, env.Stderr
+	commander.Explain = func(w io.Writer) {
+		_, _ = io.WriteString(w, usageText)
+		commander.VisitCommands(func(_ *subcommands.CommandGroup, c subcommands.Command) {
+			_, _ = fmt.Fprintf(w, "  %-10s %s\n", c.Name(), c.Synopsis())
+		})
+		_, _ = io.WriteString(w, "\nFlags:\n")
+		flags.SetOutput(w)
+		flags.PrintDefaults()
+	}
+	for _, c := range commands(g) {
+		c.stderr = env.Stderr
+		commander.Register(c, "")
+	}
+	flags.Usage = func() { commander.Explain(env.Stderr) }
+	if err := flags.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return ExitOK
+		}
+		return ExitUsage
+	}
+	return int(commander.Execute(ctx))
+}
+
+// operator returns an Operator for the flags.
+func (g *globals) operator() (*Operator, error) {
+	o := Options{Store: g.env.Store, Transport: g.env.Transport, CallTimeout: g.timeout, Wait: g.wait}
+	if g.entries != "" {
+		o.Entries = strings.Split(g.entries, ",")
+	}
+	for _, admin := range o.Entries {
+		if _, err := netip.ParseAddrPort(admin); err != nil {
+			return nil, usageError(fmt.Sprintf("-entries: %q is not an IP address and port", admin))
+		}
+	}
+	if o.Store == nil {
+		if g.storeURL == "" {
+			return nil, usageError("-store is missing; give the store's URL, for example http://127.0.0.1:7000")
+		}
+		client, err := httpstore.New(httpstore.Options{URL: g.storeURL, CallTimeout: g.timeout})
+		if err != nil {
+			return nil, usageError(err.Error())
+		}
+		o.Store = client
+	}
+	return New(o), nil
+}
+
+// usageError is a fault of the command line.
+type usageError string
+
+func (e usageError) Error() string { return string(e) }
+
+func (g *globals) printer() printer { return printer{g.env.Stdout, g.json} }
+
+// fail prints an error where the caller looks for it: JSON on standard output,
+// text on standard error.
+func (g *globals) fail(err error) int {
+	var usage usageError
+	if errors.As(err, &usage) {
+		_, _ = fmt.Fprintln(g.env.Stderr, usage)
+		return ExitUsage
+	}
+	p := g.printer()
+	if !g.json {
+		p.out = g.env.Stderr
+	}
+	return p.fail(err)
+}
+
+// changed prints the result of a change.
+func (g *globals) changed(r Result, err error) int {
+	if r.Document != nil && (err == nil || !g.json) {
+		g.printer().result(r, err == nil)
+	}
+	if err != nil {
+		return g.fail(err)
+	}
+	return ExitOK
+}
+
+func readDocument(path string) (*config.Document, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, usageError(err.Error())
+	}
+	d, err := config.Parse(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return d, nil
+}
--- /dev/null
+++ b/ctl/confirm.go
@@ -0,0 +1,144 @@
+package ctl
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+
+	"chicorytray.example/chicorytray/config"
+)
+
+// PathConfig is the path of an entry's admin address that takes a document.
+const PathConfig = "/v1/config"
+
+// PathLeaving is the path of an agent's admin address that makes it leave.
+const PathLeaving = "/leaving"
+
+// confirm pushes an accepted document to the entries and waits until all known
+// processes report its generation. It fails with *UnconfirmedError.
+func (o *Operator) confirm(ctx context.Context, d *config.Document) (pushes []Push, err error) {
+	survey, err := o.Survey(ctx)
+	if err == nil {
+		pushes = o.push(ctx, survey, d)
+	}
+	return pushes, o.awaitProcesses(ctx, d.Generation, func(p Process) bool {
+		return p.Error == "" && p.Generation >= d.Generation
+	})
+}
+
+// push gives the document to every entry that can be reached. A failed push is
+// only reported, because entries read the store as well.
+func (o *Operator) push(ctx context.Context, survey Survey, d *config.Document) []Push {
+	results := []Push{}
+	data, err := d.Encode()
+	if err != nil {
+		return results
+	}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	slots := make(chan struct{}, maxCalls)
+	for _, p := range survey.Processes {
+		if p.Kind != kindEntry {
+			continue
+		}
+		group.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			_, err := o.request(ctx, http.MethodPut, p.Admin, PathConfig, data)
+			result := Push{Entry: p.ID}
+			if err != nil {
+				result.Error = err.Error()
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			results = append(results, result)
+		})
+	}
+	group.Wait()
+	slices.SortFunc(results, func(a, b Push) int { return strings.Compare(a.Entry, b.Entry) })
+	return results
+}
+
+// awaitProcesses surveys until every known process satisfies ok.
+func (o *Operator) awaitProcesses(ctx context.Context, generation uint64, ok func(Process) bool) error {
+	wait, cancel := context.WithTimeout(ctx, o.options.Wait)
+	defer cancel()
+	for {
+		survey, err := o.Survey(ctx)
+		lagging := []Process{}
+		for _, p := range survey.Processes {
+			if !ok(p) {
+				lagging = append(lagging, p)
+			}
+		}
+		if err != nil {
+			lagging = append(lagging, Process{Kind: kindEntry, ID: "(all)", Error: err.Error()})
+		}
+		if len(lagging) == 0 {
+			return nil
+		}
+		if !o.pause(wait) {
+			return &UnconfirmedError{generation, lagging}
+		}
+	}
+}
+
+// Dump returns the state of an entry or agent as it reports it.
+func (o *Operator) Dump(ctx context.Context, name string) ([]byte, error) {
+	survey, err := o.Survey(ctx)
+	if err != nil {
+		return nil, err
+	}
+	p, err := survey.find("", name)
+	if err != nil {
+		return nil, err
+	}
+	data, err := o.request(ctx, http.MethodGet, p.Admin, "/debug/state", nil)
+	if err != nil {
+		return nil, processError("%s %s: %v", p.Kind, p.ID, err)
+	}
+	return data, nil
+}
+
+// Drain makes an agent leave and waits until the entries know it. An agent
+// that leaves takes no new work and finishes what runs.
+func (o *Operator) Drain(ctx context.Context, name string) error {
+	survey, err := o.Survey(ctx)
+	if err != nil {
+		return err
+	}
+	p, err := survey.find(kindAgent, name)
+	if err != nil {
+		return err
+	}
+	if _, err := o.request(ctx, http.MethodPost, p.Admin, PathLeaving, nil); err != nil {
+		return processError("%s %s: %v", p.Kind, p.ID, err)
+	}
+	return o.awaitLeaving(ctx, p)
+}
+
+// awaitLeaving waits until every entry that is reached either sees the agent
+// leaving or no longer knows it.
+func (o *Operator) awaitLeaving(ctx context.Context, agent Process) error {
+	wait, cancel := context.WithTimeout(ctx, o.options.Wait)
+	defer cancel()
+	for {
+		survey, err := o.Survey(ctx)
+		var lagging []Process
+		for _, s := range survey.Entries {
+			for _, a := range s.Agents {
+				if a.ID == agent.ID && !a.Leaving {
+					lagging = append(lagging, s.process(Process{Kind: kindEntry, Admin: s.Entry.Admin}))
+				}
+			}
+		}
+		if err == nil && len(lagging) == 0 {
+			return nil
+		}
+		if !o.pause(wait) {
+			return &LeavingError{agent.ID, lagging}
+		}
+	}
+}
--- /dev/null
+++ b/ctl/output.go
@@ -0,0 +1,211 @@
+package ctl
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"chicorytray.example/chicorytray/config"
+)
+
+// printer writes results for people, or as one JSON object.
+type printer struct {
+	out  io.Writer
+	json bool
+}
+
+func (p printer) printf(format string, args ...any) { _, _ = fmt.Fprintf(p.out, format, args...) }
+
+func (p printer) object(v any) {
+	e := json.NewEncoder(p.out)
+	e.SetEscapeHTML(false)
+	e.SetIndent("", "  ")
+	_ = e.Encode(v)
+}
+
+// table writes rows in aligned columns; the first row is the heading.
+func (p printer) table(rows [][]any) {
+	w := tabwriter.NewWriter(p.out, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		for i, cell := range row {
+			if i > 0 {
+				_, _ = fmt.Fprint(w, "\t")
+			}
+			_, _ = fmt.Fprint(w, cell)
+		}
+		_, _ = fmt.Fprintln(w)
+	}
+	_ = w.Flush()
+}
+
+// validFile is the JSON form of a successful validation.
+type validFile struct {
+	Valid string `json:"valid"`
+}
+
+// drained is the JSON form of a successful drain.
+type drained struct {
+	Agent string `json:"draining"`
+}
+
+// failure is the JSON form of an error.
+type failure struct {
+	Error    string           `json:"error"`
+	ExitCode int              `json:"exit_code"`
+	Problems []string         `json:"problems,omitempty"`
+	Stored   *config.Document `json:"stored,omitempty"`
+	Proposed *config.Document `json:"proposed,omitempty"`
+	// Processes do not report the change.
+	Processes []Process `json:"processes,omitempty"`
+}
+
+// fail reports an error and returns its exit code.
+func (p printer) fail(err error) int {
+	f := failure{Error: err.Error(), ExitCode: ExitCode(err)}
+	var invalid *config.Error
+	var conflict *ConflictError
+	var unconfirmed *UnconfirmedError
+	if errors.As(err, &invalid) {
+		for _, problem := range invalid.Problems {
+			f.Problems = append(f.Problems, problem.String())
+		}
+	}
+	if errors.As(err, &conflict) {
+		f.Stored, f.Proposed = conflict.Stored, conflict.Proposed
+	}
+	if errors.As(err, &unconfirmed) {
+		f.Processes = unconfirmed.Processes
+	}
+	if p.json {
+		p.object(f)
+		return f.ExitCode
+	}
+	switch {
+	case invalid != nil:
+		// What precedes the problems names the file.
+		p.printf("%sinvalid document:\n", strings.TrimSuffix(err.Error(), invalid.Error()))
+		for _, problem := range f.Problems {
+			p.printf("  %s\n", problem)
+		}
+	case conflict != nil:
+		p.conflict(conflict)
+	case unconfirmed != nil:
+		p.printf("generation %d is stored, but not reported by:\n", unconfirmed.Generation)
+		for _, process := range unconfirmed.Processes {
+			p.printf("  %s\n", process)
+		}
+	default:
+		p.printf("%v\n", err)
+	}
+	return f.ExitCode
+}
+
+// conflict shows both versions by the fields in which they differ.
+func (p printer) conflict(c *ConflictError) {
+	p.printf("%v\nnothing was changed; the versions differ in:\n", c)
+	rows := [][]any{{"FIELD", "STORED", "YOURS"}}
+	for _, d := range Differences(c.Stored, c.Proposed) {
+		rows = append(rows, []any{d.Field, orNone(d.Before), orNone(d.After)})
+	}
+	p.table(rows)
+}
+
+func orNone(value string) string {
+	if value == "" {
+		return "(none)"
+	}
+	return value
+}
+
+// result reports an accepted change, or that nothing had to be changed.
+func (p printer) result(r Result, confirmed bool) {
+	if p.json {
+		p.object(struct {
+			Generation uint64 `json:"generation"`
+			WriteID    string `json:"write_id"`
+			Changed    bool   `json:"changed"`
+			Confirmed  bool   `json:"confirmed"`
+			Pushes     []Push `json:"pushes"`
+		}{r.Document.Generation, r.Document.WriteID, r.Changed, confirmed, r.Pushes})
+		return
+	}
+	if r.Changed {
+		p.printf("accepted as generation %d (write %s)\n", r.Document.Generation, r.Document.WriteID)
+	} else {
+		p.printf("unchanged: generation %d says the same\n", r.Document.Generation)
+	}
+	for _, push := range r.Pushes {
+		if push.Error != "" {
+			p.printf("not pushed to entry %s: %s\n", push.Entry, push.Error)
+		}
+	}
+	if confirmed {
+		p.printf("reported by all known processes\n")
+	}
+}
+
+// status is the JSON form of the command of that name.
+type status struct {
+	Generation  uint64              `json:"generation"`
+	WriteID     string              `json:"write_id"`
+	DataCentres []config.DataCentre `json:"data_centres"`
+	Survey
+}
+
+func (p printer) status(stored Stored, s Survey) {
+	var st status
+	if d := stored.Document; d != nil {
+		st = status{d.Generation, d.WriteID, d.DataCentres, s}
+	}
+	st.Survey = s
+	if p.json {
+		p.object(st)
+		return
+	}
+	p.printf("generation %d (write %s)\n\n", st.Generation, orNone(st.WriteID))
+	rows := [][]any{{"DATA CENTRE", "REGION", "STATE"}}
+	for _, dc := range st.DataCentres {
+		rows = append(rows, []any{dc.Name, dc.Region, serviceState(dc.InService)})
+	}
+	p.table(rows)
+	p.printf("\n")
+	rows = [][]any{{"ENTRY", "DATA CENTRE", "GENERATION", "CONFIRMED", "BASIS", "STORE", "QUEUED", "AGENTS"}}
+	for _, e := range s.Entries {
+		c := e.Configuration
+		rows = append(rows, []any{
+			e.Entry.ID, e.Entry.DataCentre, max(e.Generation, c.Generation), age(c.ConfirmationAgeMS), orNone(c.Basis),
+			map[bool]string{true: "reached", false: "not reached"}[c.StoreReachable], e.Queue.Tasks, len(e.Agents),
+		})
+	}
+	p.table(rows)
+	p.printf("\n")
+	rows = [][]any{{"KIND", "PROCESS", "DATA CENTRE", "ADMIN", "GENERATION", "STATE"}}
+	for _, process := range s.Processes {
+		state := process.State
+		if process.Error != "" {
+			state = "not reached: " + process.Error
+		}
+		if state == "" {
+			state = "ok"
+		}
+		rows = append(rows, []any{process.Kind, process.ID, process.DataCentre, process.Admin, process.Generation, state})
+	}
+	p.table(rows)
+}
+
+func serviceState(inService bool) string {
+	if inService {
+		return "in service"
+	}
+	return "out of service"
+}
+
+func age(ms int64) string {
+	if ms < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%d ms ago", ms)
+}
--- /dev/null
+++ b/ctl/subcommands.go
@@ -0,0 +1,203 @@
+package ctl
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+// command is one subcommand. run gets its arguments and returns an exit code.
+type command struct {
+	name, arguments, synopsis string
+	// least and most are the accepted numbers of arguments; most is negative
+	// for any number.
+	least, most int
+	flags       func(*flag.FlagSet)
+	run         func(ctx context.Context, args []string) int
+	stderr      io.Writer
+}
+
+// Name implements subcommands.Command.
+func (c *command) Name() string { return c.name }
+
+// Synopsis implements subcommands.Command.
+func (c *command) Synopsis() string { return c.synopsis }
+
+// Usage implements subcommands.Command.
+func (c *command) Usage() string {
+	return fmt.Sprintf("chicorytrayctl [flags] %s %s\n%s\n", c.name, c.arguments, c.synopsis)
+}
+
+// SetFlags implements subcommands.Command.
+func (c *command) SetFlags(f *flag.FlagSet) {
+	if c.flags != nil {
+		c.flags(f)
+	}
+}
+
+// Execute implements subcommands.Command.
+func (c *command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() < c.least || c.most >= 0 && f.NArg() > c.most {
+		_, _ = fmt.Fprint(c.stderr, c.Usage())
+		return ExitUsage
+	}
+	return subcommands.ExitStatus(c.run(ctx, f.Args()))
+}
+
+func commands(g *globals) []*command {
+	var patch string
+	return []*command{
+		{name: "validate", arguments: "FILE...", least: 1, most: -1, run: g.validate,
+			synopsis: "check documents without the store"},
+		{name: "show", most: 0, run: g.show,
+			synopsis: "print the stored document, which can be edited and applied"},
+		{name: "apply", arguments: "FILE", least: 1, most: 1, run: g.apply,
+			synopsis: "replace the document by one made from the stored version"},
+		{name: "edit", arguments: "[-patch FILE] [FIELD=VALUE...]", most: -1,
+			flags:    func(f *flag.FlagSet) { f.StringVar(&patch, "patch", "", "file with a JSON merge patch (RFC 7386)") },
+			run:      func(ctx context.Context, args []string) int { return g.edit(ctx, patch, args) },
+			synopsis: "change fields, for example templates[proof].urgency=1"},
+		{name: "out", arguments: "DATACENTRE", least: 1, most: 1, run: g.inService(false),
+			synopsis: "take a data centre out of service"},
+		{name: "in", arguments: "DATACENTRE", least: 1, most: 1, run: g.inService(true),
+			synopsis: "bring a data centre back into service"},
+		{name: "status", most: 0, run: g.status,
+			synopsis: "show the configuration, entries and agents"},
+		{name: "dump", arguments: "PROCESS", least: 1, most: 1, run: g.dump,
+			synopsis: "print the state of an entry or agent, by identifier"},
+		{name: "drain", arguments: "AGENT", least: 1, most: 1, run: g.drain,
+			synopsis: "make an agent take no new work and finish what runs"},
+	}
+}
+
+func (g *globals) validate(_ context.Context, files []string) int {
+	code := ExitOK
+	for _, path := range files {
+		_, err := readDocument(path)
+		switch {
+		case err != nil:
+			code = g.fail(err)
+		case g.json:
+			g.printer().object(validFile{path})
+		default:
+			g.printer().printf("%s: valid\n", path)
+		}
+	}
+	return code
+}
+
+func (g *globals) show(ctx context.Context, _ []string) int {
+	o, err := g.operator()
+	if err != nil {
+		return g.fail(err)
+	}
+	stored, err := o.Load(ctx)
+	if err != nil {
+		return g.fail(err)
+	}
+	if stored.Document == nil {
+		return g.fail(invalidChange("the store holds no document"))
+	}
+	data, err := stored.Document.EncodeIndent()
+	if err != nil {
+		return g.fail(err)
+	}
+	g.printer().printf("%s\n", data)
+	return ExitOK
+}
+
+func (g *globals) apply(ctx context.Context, args []string) int {
+	o, err := g.operator()
+	if err != nil {
+		return g.fail(err)
+	}
+	d, err := readDocument(args[0])
+	if err != nil {
+		return g.fail(err)
+	}
+	return g.changed(o.Apply(ctx, d))
+}
+
+func (g *globals) edit(ctx context.Context, patch string, assignments []string) int {
+	if (patch == "") == (len(assignments) == 0) {
+		return g.fail(usageError("edit: give either -patch FILE or FIELD=VALUE"))
+	}
+	o, err := g.operator()
+	if err != nil {
+		return g.fail(err)
+	}
+	change := Assignments(assignments)
+	if patch != "" {
+		data, err := os.ReadFile(patch)
+		if err != nil {
+			return g.fail(usageError(err.Error()))
+		}
+		change = MergePatch(data)
+	}
+	return g.changed(o.Edit(ctx, change))
+}
+
+func (g *globals) inService(inService bool) func(context.Context, []string) int {
+	return func(ctx context.Context, args []string) int {
+		o, err := g.operator()
+		if err != nil {
+			return g.fail(err)
+		}
+		return g.changed(o.SetInService(ctx, args[0], inService))
+	}
+}
+
+func (g *globals) status(ctx context.Context, _ []string) int {
+	o, err := g.operator()
+	if err != nil {
+		return g.fail(err)
+	}
+	stored, err := o.Load(ctx)
+	if err != nil {
+		return g.fail(err)
+	}
+	survey, err := o.Survey(ctx)
+	if err != nil {
+		return g.fail(err)
+	}
+	g.printer().status(stored, survey)
+	for _, p := range survey.Processes {
+		if p.Error != "" || p.Generation < stored.generation() {
+			return ExitUnconfirmed
+		}
+	}
+	return ExitOK
+}
+
+func (g *globals) dump(ctx context.Context, args []string) int {
+	o, err := g.operator()
+	if err != nil {
+		return g.fail(err)
+	}
+	data, err := o.Dump(ctx, args[0])
+	if err != nil {
+		return g.fail(err)
+	}
+	g.printer().printf("%s\n", data)
+	return ExitOK
+}
+
+func (g *globals) drain(ctx context.Context, args []string) int {
+	o, err := g.operator()
+	if err != nil {
+		return g.fail(err)
+	}
+	if err := o.Drain(ctx, args[0]); err != nil {
+		return g.fail(err)
+	}
+	if g.json {
+		g.printer().object(drained{args[0]})
+	} else {
+		g.printer().printf("agent %s is leaving: it takes no new work and finishes what runs\n", args[0])
+	}
+	return ExitOK
+}
