Count the age of the evidence in the store-outage rule

Cause: during an outage the confirmation age was 0 while a majority was heard within the suspect time, so an entry cut off then kept its gates open for 1.5 s + 2 s = 3.5 s, over the bound of 3 s. An entry that heard agents of other data centres but not their entries also took a partition for an outage, and a peer's confirmation counted before its newer configuration was fetched.

Change: the age is the time since the majority was last heard; agents report the newest store read they know of, which contradicts an outage; a peer with a higher generation confirms nothing until its document is here.

Result: the table in gate_test.go has these cases; the old rule gives age 0 in each of them (by reading, the old code was not run against the new table).

--- a/entry/agents.go
+++ b/entry/agents.go
@@ -55,7 +55,6 @@
 	refusing   bool // refused a task for a lasting reason; cleared by its next heartbeat
 	busy       bool // refused a task for lack of room; cleared by the next sign of room
 	generation uint64
-	confirmAge time.Duration // negative when it has none
 
 	opens     int // attempts since a session was open
 	retryOpen time.Time
@@ -91,7 +90,10 @@
 	}
 	a.ref, a.heard = req.Agent, d.now
 	a.leaving, a.unhealthy, a.refusing, a.busy = req.Leaving, !req.Healthy, false, false
-	a.generation, a.confirmAge = req.Generation, req.ConfirmAge
+	a.generation = req.Generation
+	if req.ReadAge >= 0 {
+		d.confirm.readElsewhere(d.now.Add(-req.ReadAge))
+	}
 	d.describe(a)
 	d.table.Report(a.ref.ID, req.Load)
 	d.refresh(a)
@@ -103,7 +105,7 @@
 
 func (d *dispatcher) heartbeatReply(a *agent) wire.HeartbeatReply {
 	r := wire.HeartbeatReply{
-		Entry: d.self, ConfirmAge: d.confirmAge(), Entries: d.peers(),
+		Entry: d.self, ConfirmAge: d.confirmAge(), ReadAge: d.confirm.readAge(d.now), Entries: d.peers(),
 		Backlog: d.currentBacklog(), Stopping: d.stopping,
 	}
 	if a.session.state == sessionOpen {
@@ -267,16 +269,16 @@
 	})
 }
 
-// reportHeard tells the store-outage rule where agents are known and heard.
+// reportHeard tells the store-outage rule when the agents of each data centre
+// were last heard.
 func (d *dispatcher) reportHeard() {
-	members, heard := map[string]bool{}, map[string]bool{}
+	heard := map[string]time.Time{}
 	for _, a := range d.agents {
-		members[a.ref.DataCentre] = true
-		if !a.suspect {
-			heard[a.ref.DataCentre] = true
+		if a.heard.After(heard[a.ref.DataCentre]) {
+			heard[a.ref.DataCentre] = a.heard
 		}
 	}
-	d.confirm.agentsHeard(members, heard)
+	d.confirm.agentsHeard(heard)
 }
 
 // report takes over the load that an agent reported with a reply.
--- a/entry/config.go
+++ b/entry/config.go
@@ -118,7 +118,7 @@
 	kv, err := c.store.Get(callCtx, config.Key)
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		if ctx.Err() == nil {
-			c.confirm.storeFailed(err)
+			c.confirm.storeFailed(sent, err)
 		}
 		return err
 	}
--- a/entry/confirm.go
+++ b/entry/confirm.go
@@ -15,9 +15,9 @@
 // confirmation judges how long ago the configuration in force was known to be
 // the newest. It is safe for concurrent use.
 //
-// Only ages from replies count, because the moment at which the request was
+// Only ages from replies confirm, because the moment at which the request was
 // sent bounds their delay. An age inside a request may have waited in a buffer
-// for any time, so those that agents and peers put in requests are not used.
+// for any time, so those that agents put in requests only contradict.
 type confirmation struct {
 	timing     settings.Timing
 	dataCentre string
@@ -25,9 +25,12 @@
 
 	mu        sync.Mutex
 	read      time.Time // when the newest successful read of the store was sent
+	failed    time.Time // when the newest failed read of the store was sent
 	reachable bool
 	peers     map[string]peerSeen
-	heard     []string // data centres of agents heard within the suspect time
+	heard     map[string]time.Time // when agents were last heard, by data centre
+	// elsewhere is the newest read of the store that agents reported.
+	elsewhere time.Time
 	// members are the data centres in which a process was ever known. They are
 	// kept while the process lives: a side of a partition that forgot the
 	// other side would count itself as the majority.
@@ -73,9 +76,11 @@
 	}
 }
 
-func (c *confirmation) storeFailed(err error) {
+// storeFailed records that a read, sent at that time, failed.
+func (c *confirmation) storeFailed(sent time.Time, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.failed = sent
 	if c.reachable {
 		c.log.Warn().Err(err).Msg("store is not reachable")
 	}
@@ -102,13 +107,24 @@
 	delete(c.peers, id)
 }
 
-// agentsHeard records the data centres of the known agents, and of those that
-// were heard within the suspect time.
-func (c *confirmation) agentsHeard(members, heard map[string]bool) {
+// agentsHeard records when agents of each data centre were last heard.
+func (c *confirmation) agentsHeard(heard map[string]time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	maps.Copy(c.members, members)
-	c.heard = slices.Sorted(maps.Keys(heard))
+	for dataCentre := range heard {
+		c.members[dataCentre] = true
+	}
+	c.heard = heard
+}
+
+// readElsewhere records a read of the store by another entry, of which an
+// agent heard.
+func (c *confirmation) readElsewhere(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.After(c.elsewhere) {
+		c.elsewhere = at
+	}
 }
 
 // paused records that this process did not run for a while.
@@ -133,6 +149,18 @@
 	return age, basis
 }
 
+// readAge returns the age of this entry's newest read of the store, or
+// gate.None. Reads by others are left out, so that a report never comes back
+// looking newer than it is.
+func (c *confirmation) readAge(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.read.IsZero() {
+		return gate.None
+	}
+	return max(0, now.Sub(c.read))
+}
+
 func (c *confirmation) observe(now time.Time) gate.Observation {
 	o := gate.Observation{
 		StoreReachable: c.reachable, OwnAge: gate.None, OwnDataCentre: c.dataCentre,
@@ -141,6 +169,12 @@
 	if !c.read.IsZero() {
 		o.OwnAge = now.Sub(c.read)
 	}
+	if !c.failed.IsZero() {
+		o.FailedAge = now.Sub(c.failed)
+	}
+	if !c.elsewhere.IsZero() {
+		o.AgentReadAges = []time.Duration{max(0, now.Sub(c.elsewhere))}
+	}
 	for _, p := range c.peers {
 		if now.Sub(p.sent) > c.timing.Suspect.Of() {
 			continue
@@ -154,26 +188,34 @@
 	return o
 }
 
-// dataCentresHeard lists the data centres in which a process was heard within
-// the suspect time.
-func (c *confirmation) dataCentresHeard(now time.Time) []string {
-	heard := map[string]bool{}
+// dataCentresHeard returns, for the data centres in which a process was heard
+// within the suspect time, how long ago that was.
+func (c *confirmation) dataCentresHeard(now time.Time) map[string]time.Duration {
+	heard := map[string]time.Duration{}
+	consider := func(dataCentre string, at time.Time) {
+		age := max(0, now.Sub(at))
+		if age > c.timing.Suspect.Of() {
+			return
+		}
+		if known, ok := heard[dataCentre]; !ok || age < known {
+			heard[dataCentre] = age
+		}
+	}
 	if now.Sub(c.resumed) > c.timing.Suspect.Of() {
-		for _, dc := range c.heard {
-			heard[dc] = true
+		for dataCentre, at := range c.heard {
+			consider(dataCentre, at)
 		}
 	}
 	for _, p := range c.peers {
-		if now.Sub(p.sent) <= c.timing.Suspect.Of() {
-			heard[p.dataCentre] = true
-		}
+		consider(p.dataCentre, p.sent)
 	}
-	return slices.Sorted(maps.Keys(heard))
+	return heard
 }
 
-// heardNow is dataCentresHeard for other goroutines.
+// heardNow lists the data centres in which a process was heard within the
+// suspect time.
 func (c *confirmation) heardNow(now time.Time) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.dataCentresHeard(now)
+	return slices.Sorted(maps.Keys(c.dataCentresHeard(now)))
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"chicorytray.example/chicorytray/gate"
 	"chicorytray.example/chicorytray/settings"
 	"chicorytray.example/chicorytray/wire"
 )
@@ -265,11 +266,16 @@
 	if err := e.conn.Call(ctx, "Entry.PeerHeartbeat", &beat, &reply); err != nil {
 		return err
 	}
-	p.replied(e, sent, reply)
+	var fetched error
+	if reply.Generation > p.config.generation() {
+		fetched = p.fetch(ctx, e.conn)
+	}
 	if reply.Generation > p.config.generation() {
-		return p.fetch(ctx, e.conn)
+		// The peer confirms a configuration that this entry does not have.
+		reply.ConfirmAge = gate.None
 	}
-	return nil
+	p.replied(e, sent, reply)
+	return fetched
 }
 
 func (p *peers) replied(e *peer, sent time.Time, reply wire.PeerHeartbeat) {
--- a/entry/state.go
+++ b/entry/state.go
@@ -61,8 +61,6 @@
 	Slots       int    `json:"slots"`
 	HeardMS     int64  `json:"heard_ms"`
 	Generation  uint64 `json:"generation"`
-	// ConfirmationAgeMS as the agent reported it; -1 without one.
-	ConfirmationAgeMS int64   `json:"confirmation_age_ms"`
 	Session           uint64  `json:"session"`
 	SessionState      string  `json:"session_state"` // closed, opening or open
 	OpenTasks         int     `json:"open_tasks"`    // of this entry
@@ -178,7 +176,7 @@
 	return StateAgent{
 		ID: a.ref.ID, Incarnation: a.ref.Incarnation.String(), DataCentre: a.ref.DataCentre, Rack: a.ref.Rack,
 		Worker: a.ref.Worker, Address: a.ref.Address, Admin: a.ref.Admin, Slots: a.ref.Slots,
-		HeardMS: d.now.Sub(a.heard).Milliseconds(), Generation: a.generation, ConfirmationAgeMS: ageMS(a.confirmAge),
+		HeardMS: d.now.Sub(a.heard).Milliseconds(), Generation: a.generation,
 		Session: a.session.id.Number, SessionState: a.session.state.String(), OpenTasks: len(a.session.tasks),
 		Usable: a.usable, Leaving: a.leaving, Healthy: !a.unhealthy, Suspect: a.suspect, Ejected: a.ejected,
 		Weight: a.weight,
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -59,7 +59,9 @@
 // Guards against a gate that opens on the wrong side of a network partition,
 // or closes during a store outage.
 func TestEffectiveAge(t *testing.T) {
+	type heard = map[string]time.Duration
 	three := []string{"a", "b", "c"}
+	all := heard{"a": 0, "b": 3, "c": 4}
 	old := 10 * time.Second
 	for _, tc := range []struct {
 		name  string
@@ -69,19 +71,24 @@
 	}{
 		{"own read", Observation{StoreReachable: true, OwnAge: 1, OwnDataCentre: "a", Members: three}, 1, BasisOwn},
 		{"never confirmed", Observation{OwnAge: None, OwnDataCentre: "a"}, None, BasisNone},
-		{"never confirmed in an outage", Observation{OwnAge: None, OwnDataCentre: "a", Members: three, Heard: three}, None, BasisNone},
-		{"a peer reads", Observation{OwnAge: old, OwnDataCentre: "a", Members: three, Heard: three,
+		{"never confirmed in an outage", Observation{OwnAge: None, OwnDataCentre: "a", Members: three, Heard: all}, None, BasisNone},
+		{"a peer reads", Observation{OwnAge: old, OwnDataCentre: "a", Members: three, Heard: all,
 			Peers: []PeerObservation{{Age: 5, StoreReachable: true}}}, 5, BasisPeer},
-		{"a peer reads but is older", Observation{OwnAge: old, OwnDataCentre: "a", Members: three, Heard: three,
+		{"a peer reads but is older", Observation{OwnAge: old, OwnDataCentre: "a", Members: three, Heard: all,
 			Peers: []PeerObservation{{Age: 2 * old, StoreReachable: true}}}, old, BasisOwn},
-		{"an agent heard of a fresher read", Observation{OwnAge: old, OwnDataCentre: "a", Members: three,
-			AgentAges: []time.Duration{None, 7}}, 7, BasisPeer},
-		{"outage heard from two of three", Observation{OwnAge: old, OwnDataCentre: "a", Members: three, Heard: []string{"b"}}, 0, BasisOutage},
+		{"an agent heard of a read after the own failure", Observation{OwnAge: old, OwnDataCentre: "a", Members: three, Heard: all,
+			FailedAge: time.Second, AgentReadAges: []time.Duration{None, 7}}, old, BasisOwn},
+		{"agents heard of reads before the own failure only", Observation{OwnAge: old, OwnDataCentre: "a", Members: three, Heard: all,
+			FailedAge: time.Second, AgentReadAges: []time.Duration{None, 2 * time.Second}}, 3, BasisOutage},
+		{"outage heard from two of three", Observation{OwnAge: old, OwnDataCentre: "a", Members: three, Heard: heard{"b": 9}}, 9, BasisOutage},
+		{"outage heard from two of five counts the later of the needed", Observation{OwnAge: old, OwnDataCentre: "a",
+			Members: []string{"a", "b", "c", "d", "e"}, Heard: heard{"b": 9, "c": 2, "d": 5}}, 5, BasisOutage},
+		{"evidence of an outage is older than the read", Observation{OwnAge: 4, OwnDataCentre: "a", Members: three, Heard: heard{"b": 9}}, 4, BasisOwn},
 		{"outage with one data centre", Observation{OwnAge: old, OwnDataCentre: "a"}, 0, BasisOutage},
 		{"cut off alone", Observation{OwnAge: old, OwnDataCentre: "a", Members: three}, old, BasisOwn},
-		{"exactly half", Observation{OwnAge: old, OwnDataCentre: "a", Members: []string{"a", "b", "c", "d"}, Heard: []string{"b"}}, old, BasisOwn},
-		{"strangers do not count", Observation{OwnAge: old, OwnDataCentre: "a", Members: three, Heard: []string{"x", "y", "z"}}, old, BasisOwn},
-		{"repeats count once", Observation{OwnAge: old, OwnDataCentre: "a", Members: three, Heard: []string{"a", "a"}}, old, BasisOwn},
+		{"exactly half", Observation{OwnAge: old, OwnDataCentre: "a", Members: []string{"a", "b", "c", "d"}, Heard: heard{"b": 0}}, old, BasisOwn},
+		{"strangers do not count", Observation{OwnAge: old, OwnDataCentre: "a", Members: three, Heard: heard{"x": 0, "y": 0, "z": 0}}, old, BasisOwn},
+		{"the own data centre counts once", Observation{OwnAge: old, OwnDataCentre: "a", Members: three, Heard: heard{"a": 0}}, old, BasisOwn},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			c := qt.New(t)
@@ -99,11 +106,11 @@
 		sides := rapid.SliceOfN(rapid.IntRange(0, 2), n, n).Draw(t, "side of each")
 		outage := map[int]bool{}
 		for i := range n {
-			o := Observation{OwnAge: time.Second, OwnDataCentre: string(rune('a' + i))}
+			o := Observation{OwnAge: time.Second, OwnDataCentre: string(rune('a' + i)), Heard: map[string]time.Duration{}}
 			for j, side := range sides {
 				o.Members = append(o.Members, string(rune('a'+j)))
 				if side == sides[i] {
-					o.Heard = append(o.Heard, string(rune('a'+j)))
+					o.Heard[string(rune('a'+j))] = 0
 				}
 			}
 			if _, basis := EffectiveAge(o); basis == BasisOutage {
--- a/gate/outage.go
+++ b/gate/outage.go
@@ -1,6 +1,9 @@
 package gate
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Basis says what an entry's confirmation rests on.
 type Basis string
@@ -29,38 +32,59 @@
 	// OwnAge is the age of the entry's last successful read, or None.
 	OwnAge time.Duration
 	Peers  []PeerObservation
-	// AgentAges are the ages that agents reported, which can come from other
-	// entries. None is allowed.
-	AgentAges []time.Duration
-	// Members are the data centres that have known members, Heard those in
-	// which a process was heard within the suspect time. OwnDataCentre counts
-	// as a member and as heard.
-	OwnDataCentre  string
-	Members, Heard []string
+	// FailedAge is the time since the entry's last read of the store that
+	// failed was sent. It matters only while the store is not reachable.
+	FailedAge time.Duration
+	// AgentReadAges are the ages of the newest read of the store by any entry,
+	// as agents reported them. Agents report them in requests, which may have
+	// been delayed, so they never confirm anything; they only show that the
+	// store is not out. None is allowed.
+	AgentReadAges []time.Duration
+	// Members are the data centres that have known members.
+	Members []string
+	// Heard holds, by data centre, the time since a process there was last
+	// heard; those not heard within the suspect time are left out.
+	// OwnDataCentre counts as a member and as heard now.
+	OwnDataCentre string
+	Heard         map[string]time.Duration
 }
 
 // EffectiveAge applies the store-outage rule: an entry that cannot read the
-// store uses the freshest confirmation it hears of. If no peer that it hears
-// can read the store either, and it hears more than half of the data centres
-// that have members, the store is taken to be out, and the age is 0, because
-// no change is accepted without the store. Otherwise the entry may be cut off,
-// and the age grows until the gates close. The age is None if there is no
-// confirmation.
+// store uses the freshest confirmation it hears of. If nobody that it hears
+// read the store since the entry's own read failed, and it hears more than
+// half of the data centres that have members, the store is taken to be out.
+// No change is accepted without the store, so the age is then only that of
+// this evidence: the time since the majority was last heard. Otherwise the
+// entry may be cut off, and the age grows until the gates close. The age is
+// None if there is no confirmation.
 func EffectiveAge(o Observation) (age time.Duration, basis Basis) {
 	age, basis = freshest(o)
-	if o.StoreReachable && o.OwnAge >= 0 {
+	if o.StoreReachable && o.OwnAge >= 0 || o.readElsewhere() {
+		return age, basis
+	}
+	// A process that was never confirmed has no configuration to keep using.
+	if basis == BasisNone {
 		return age, basis
 	}
+	if evidence, ok := majorityAge(o); ok && evidence < age {
+		return evidence, BasisOutage
+	}
+	return age, basis
+}
+
+// readElsewhere reports whether some other process can read the store.
+func (o Observation) readElsewhere() bool {
 	for _, p := range o.Peers {
 		if p.StoreReachable {
-			return age, basis
+			return true
 		}
 	}
-	// A process that was never confirmed has no configuration to keep using.
-	if basis != BasisNone && hearsMajority(o) {
-		return 0, BasisOutage
+	for _, a := range o.AgentReadAges {
+		if a >= 0 && a < o.FailedAge {
+			return true
+		}
 	}
-	return age, basis
+	return false
 }
 
 // freshest returns the lowest age; the own one wins a tie.
@@ -78,28 +102,26 @@
 	for _, p := range o.Peers {
 		consider(p.Age, BasisPeer)
 	}
-	for _, a := range o.AgentAges {
-		consider(a, BasisPeer)
-	}
 	return age, basis
 }
 
-func hearsMajority(o Observation) bool {
-	members := map[string]bool{o.OwnDataCentre: false}
+// majorityAge returns the time since processes in more than half of the data
+// centres were last heard; ok is false if too few were heard.
+func majorityAge(o Observation) (age time.Duration, ok bool) {
+	members := map[string]bool{o.OwnDataCentre: true}
 	for _, m := range o.Members {
-		members[m] = false
+		members[m] = true
 	}
-	members[o.OwnDataCentre] = true
-	for _, h := range o.Heard {
-		if _, ok := members[h]; ok {
-			members[h] = true
+	ages := []time.Duration{0}
+	for name, age := range o.Heard {
+		if members[name] && name != o.OwnDataCentre {
+			ages = append(ages, age)
 		}
 	}
-	heard := 0
-	for _, yes := range members {
-		if yes {
-			heard++
-		}
+	needed := len(members)/2 + 1
+	if len(ages) < needed {
+		return 0, false
 	}
-	return 2*heard > len(members)
+	slices.Sort(ages)
+	return ages[needed-1], true
 }
--- a/wire/agent.go
+++ b/wire/agent.go
@@ -94,17 +94,18 @@
 	Leaving    bool
 	Healthy    bool // the upstream answered its last health check
 	Generation uint64
-	// ConfirmAge is the age of the agent's freshest confirmation, so that an
-	// entry which cannot read the store can learn from an agent that another
-	// entry confirmed. Negative when there is none.
-	ConfirmAge time.Duration
+	// ReadAge is the age of the newest read of the store that the agent heard
+	// of from any entry; negative when there is none. It shows an entry that
+	// cannot read the store that others can.
+	ReadAge time.Duration
 }
 
 // HeartbeatReply answers a HeartbeatRequest.
 type HeartbeatReply struct {
 	Entry      EntryRef
 	Generation uint64
-	ConfirmAge time.Duration // negative when there is no confirmation
+	ConfirmAge time.Duration // by the store-outage rule; negative when there is no confirmation
+	ReadAge    time.Duration // of the newest read of the store known; negative when there is none
 	Config     *AgentConfig  // nil unless the agent's generation was lower
 	Entries    []EntryRef    // entries known, the sender included
 	Backlog    Backlog
