--- a/entry/state.go
+++ b/entry/state.go
@@ -51,25 +51,25 @@
 
 // StateAgent describes one agent.
 type StateAgent struct {
-	ID          string `json:"id"`
-	Incarnation string `json:"incarnation"`
-	DataCentre  string `json:"data_centre"`
-	Rack        string `json:"rack"`
-	Worker      string `json:"worker"`
-	Address     string `json:"address"`
-	Admin       string `json:"admin"`
-	Slots       int    `json:"slots"`
-	HeardMS     int64  `json:"heard_ms"`
-	Generation  uint64 `json:"generation"`
-	Session           uint64  `json:"session"`
-	SessionState      string  `json:"session_state"` // closed, opening or open
-	OpenTasks         int     `json:"open_tasks"`    // of this entry
-	Usable            bool    `json:"usable"`
-	Leaving           bool    `json:"leaving"`
-	Healthy           bool    `json:"healthy"`
-	Suspect           bool    `json:"suspect"`
-	Ejected           bool    `json:"ejected"`
-	Weight            float64 `json:"weight"`
+	ID           string  `json:"id"`
+	Incarnation  string  `json:"incarnation"`
+	DataCentre   string  `json:"data_centre"`
+	Rack         string  `json:"rack"`
+	Worker       string  `json:"worker"`
+	Address      string  `json:"address"`
+	Admin        string  `json:"admin"`
+	Slots        int     `json:"slots"`
+	HeardMS      int64   `json:"heard_ms"`
+	Generation   uint64  `json:"generation"`
+	Session      uint64  `json:"session"`
+	SessionState string  `json:"session_state"` // closed, opening or open
+	OpenTasks    int     `json:"open_tasks"`    // of this entry
+	Usable       bool    `json:"usable"`
+	Leaving      bool    `json:"leaving"`
+	Healthy      bool    `json:"healthy"`
+	Suspect      bool    `json:"suspect"`
+	Ejected      bool    `json:"ejected"`
+	Weight       float64 `json:"weight"`
 }
 
 // StatePeer describes another entry.
