--- a/entry/agents.go
+++ b/entry/agents.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"chicorytray.example/chicorytray/config"
@@ -22,6 +23,10 @@
 	// is removed. It outlasts a restart, so that a returning agent keeps its
 	// statistics.
 	forgetAgentAfter = 30 * time.Second
+	// tellEntriesEvery repeats the list of entries in a heartbeat reply, in
+	// case a reply was lost. In between it is sent only when it changed,
+	// because it would be most of the control traffic.
+	tellEntriesEvery = 10 * time.Second
 )
 
 // Reasons for closing a connection to an agent.
@@ -63,6 +68,8 @@
 	described placement.Agent // in the placement table
 	usable    bool            // may get tasks when it has room
 	announced time.Time
+	told      []wire.EntryRef // entries in the last heartbeat reply that listed them
+	toldAt    time.Time
 }
 
 // drop closes the connection. Calls on it fail and put their tasks in doubt.
@@ -86,7 +93,7 @@
 	if req.Agent.Incarnation != a.ref.Incarnation {
 		d.log.Warn().Str("agent", a.ref.ID).Msg("agent was replaced by another process")
 		a.drop()
-		a.opens, a.retryOpen = 0, time.Time{}
+		a.opens, a.retryOpen, a.toldAt = 0, time.Time{}, time.Time{}
 		d.apply(a, a.session.replaced(req.Agent.Incarnation))
 	}
 	a.ref, a.heard = req.Agent, d.now
@@ -103,8 +110,10 @@
 
 func (d *dispatcher) heartbeatReply(a *agent) wire.HeartbeatReply {
 	r := wire.HeartbeatReply{
-		Entry: d.self, ConfirmAge: d.confirmAge(), Entries: d.peers(),
-		Backlog: d.currentBacklog(), Stopping: d.stopping,
+		Entry: d.self, ConfirmAge: d.confirmAge(), Backlog: d.currentBacklog(), Stopping: d.stopping,
+	}
+	if known := d.peers(); d.now.Sub(a.toldAt) >= tellEntriesEvery || !slices.Equal(known, a.told) {
+		r.Entries, a.told, a.toldAt = known, known, d.now
 	}
 	if a.session.state == sessionOpen {
 		// A lost reply leaves the records at the agent until the next
