entry: claim idempotency keys through package claims

Cause: keyed submissions were refused until the package was merged.

Change: newClaimer returns a claims.Claimer over the entry's store.

--- a/entry/claims.go
+++ b/entry/claims.go
@@ -1,30 +1,18 @@
 package entry
 
 import (
-	"context"
-	"errors"
-
+	"chicorytray.example/chicorytray/claims"
 	"chicorytray.example/chicorytray/settings"
 	"chicorytray.example/chicorytray/store"
 )
 
 // keyClaim says that a job owns an idempotency key of an account.
-type keyClaim struct{ Key, Account, Fingerprint, Job string }
-
-var errInvalidClaim = errors.New("entry: invalid claim")
-
-// noClaims refuses every claim. It stands in until package claims is merged.
-type noClaims struct{}
+type keyClaim = claims.Claim
 
-func newClaimer(store.Store, settings.Entry) claimer { return noClaims{} }
+var errInvalidClaim = claims.ErrInvalidClaim
 
-// Claim reports that the key was not claimed.
-func (noClaims) Claim(context.Context, keyClaim) (keyClaim, bool, error) {
-	return keyClaim{}, false, errors.ErrUnsupported
+func newClaimer(kv store.Store, s settings.Entry) claimer {
+	return claims.New(claims.Options{
+		Store: kv, Retention: s.Limits.ClaimRetention.Of(), CallTimeout: s.Timing.StoreTimeout.Of(),
+	})
 }
-
-// Release does nothing.
-func (noClaims) Release(context.Context, keyClaim) error { return nil }
-
-// Close does nothing.
-func (noClaims) Close() {}
