--- a/entry/agents.go
+++ b/entry/agents.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"chicorytray.example/chicorytray/config"
@@ -22,6 +23,10 @@
 	// is removed. It outlasts a restart, so that a returning agent keeps its
 	// statistics.
 	forgetAgentAfter = 30 * time.Second
+	// tellEntriesEvery repeats the list of entries in a heartbeat reply, in
+	// case a reply was lost. In between it is sent only when it changed,
+	// because it would be most of the control traffic.
+	tellEntriesEvery = 10 * time.Second
 )
 
 // Reasons for closing a connection to an agent.
@@ -55,7 +60,6 @@
 	refusing   bool // refused a task for a lasting reason; cleared by its next heartbeat
 	busy       bool // refused a task for lack of room; cleared by the next sign of room
 	generation uint64
-	confirmAge time.Duration // negative when it has none
 
 	opens     int // attempts since a session was open
 	retryOpen time.Time
@@ -63,6 +67,8 @@
 	described placement.Agent // in the placement table
 	usable    bool            // may get tasks when it has room
 	announced time.Time
+	told      []wire.EntryRef // entries in the last heartbeat reply that listed them
+	toldAt    time.Time
 }
 
 // drop closes the connection. Calls on it fail and put their tasks in doubt.
@@ -86,12 +92,15 @@
 	if req.Agent.Incarnation != a.ref.Incarnation {
 		d.log.Warn().Str("agent", a.ref.ID).Msg("agent was replaced by another process")
 		a.drop()
-		a.opens, a.retryOpen = 0, time.Time{}
+		a.opens, a.retryOpen, a.toldAt = 0, time.Time{}, time.Time{}
 		d.apply(a, a.session.replaced(req.Agent.Incarnation))
 	}
 	a.ref, a.heard = req.Agent, d.now
 	a.leaving, a.unhealthy, a.refusing, a.busy = req.Leaving, !req.Healthy, false, false
-	a.generation, a.confirmAge = req.Generation, req.ConfirmAge
+	a.generation = req.Generation
+	if req.ReadAge >= 0 {
+		d.confirm.readElsewhere(d.now.Add(-req.ReadAge))
+	}
 	d.describe(a)
 	d.table.Report(a.ref.ID, req.Load)
 	d.refresh(a)
@@ -103,9 +112,12 @@
 
 func (d *dispatcher) heartbeatReply(a *agent) wire.HeartbeatReply {
 	r := wire.HeartbeatReply{
-		Entry: d.self, ConfirmAge: d.confirmAge(), Entries: d.peers(),
+		Entry: d.self, ConfirmAge: d.confirmAge(), ReadAge: d.confirm.readAge(d.now),
 		Backlog: d.currentBacklog(), Stopping: d.stopping,
 	}
+	if known := d.peers(); d.now.Sub(a.toldAt) >= tellEntriesEvery || !slices.Equal(known, a.told) {
+		r.Entries, a.told, a.toldAt = known, known, d.now
+	}
 	if a.session.state == sessionOpen {
 		// A lost reply leaves the records at the agent until the next
 		// session is opened, which lists them again.
@@ -267,16 +279,16 @@
 	})
 }
 
-// reportHeard tells the store-outage rule where agents are known and heard.
+// reportHeard tells the store-outage rule when the agents of each data centre
+// were last heard.
 func (d *dispatcher) reportHeard() {
-	members, heard := map[string]bool{}, map[string]bool{}
+	heard := map[string]time.Time{}
 	for _, a := range d.agents {
-		members[a.ref.DataCentre] = true
-		if !a.suspect {
-			heard[a.ref.DataCentre] = true
+		if a.heard.After(heard[a.ref.DataCentre]) {
+			heard[a.ref.DataCentre] = a.heard
 		}
 	}
-	d.confirm.agentsHeard(members, heard)
+	d.confirm.agentsHeard(heard)
 }
 
 // report takes over the load that an agent reported with a reply.
