store: give registrations a stable JSON form; ctl: say when none is known

Cause: a trial of chicorytrayctl with a real entry found no registered entry, because both sides encoded wire.EntryRef differently, and yet said that all known processes reported the change.

Change: EncodeEntry defines the form, with the incarnation as text, since JSON tools lose digits of integers above 2^53. ctl counts the known processes and says when there is none.

--- a/ctl/confirm.go
+++ b/ctl/confirm.go
@@ -16,16 +16,15 @@
 // PathLeaving is the path of an agent's admin address that makes it leave.
 const PathLeaving = "/leaving"
 
-// confirm pushes an accepted document to the entries and waits until all known
-// processes report its generation. It fails with *UnconfirmedError.
-func (o *Operator) confirm(ctx context.Context, d *config.Document) (pushes []Push, err error) {
+// confirm pushes the result's document to the entries and waits until all
+// known processes report its generation. It fails with *UnconfirmedError.
+func (o *Operator) confirm(ctx context.Context, r *Result) error {
 	survey, err := o.Survey(ctx)
 	if err == nil {
-		pushes = o.push(ctx, survey, d)
+		r.Pushes = o.push(ctx, survey, r.Document)
 	}
-	return pushes, o.awaitProcesses(ctx, d.Generation, func(p Process) bool {
-		return p.Error == "" && p.Generation >= d.Generation
-	})
+	r.Processes, err = o.awaitProcesses(ctx, r.Document.Generation)
+	return err
 }
 
 // push gives the document to every entry that can be reached. A failed push is
@@ -61,15 +60,16 @@
 	return results
 }
 
-// awaitProcesses surveys until every known process satisfies ok.
-func (o *Operator) awaitProcesses(ctx context.Context, generation uint64, ok func(Process) bool) error {
+// awaitProcesses surveys until every known process reports the generation, and
+// returns their number.
+func (o *Operator) awaitProcesses(ctx context.Context, generation uint64) (int, error) {
 	wait, cancel := context.WithTimeout(ctx, o.options.Wait)
 	defer cancel()
 	for {
 		survey, err := o.Survey(ctx)
 		lagging := []Process{}
 		for _, p := range survey.Processes {
-			if !ok(p) {
+			if p.Error != "" || p.Generation < generation {
 				lagging = append(lagging, p)
 			}
 		}
@@ -77,10 +77,10 @@
 			lagging = append(lagging, Process{Kind: kindEntry, ID: "(all)", Error: err.Error()})
 		}
 		if len(lagging) == 0 {
-			return nil
+			return len(survey.Processes), nil
 		}
 		if !o.pause(wait) {
-			return &UnconfirmedError{generation, lagging}
+			return len(survey.Processes), &UnconfirmedError{generation, lagging}
 		}
 	}
 }
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -95,7 +95,8 @@
 		}
 		d.net = network{d.a.admin: d.a, d.b.admin: d.b, agent.Admin: http.HandlerFunc(d.serveAgent)}
 		for _, e := range []*entry{d.a, d.b} {
-			value, _ := json.Marshal(wire.EntryRef{ID: e.id, Admin: e.admin})
+			value, err := store.EncodeEntry(wire.EntryRef{ID: e.id, Incarnation: 1, Admin: e.admin})
+			d.Assert(err, qt.IsNil)
 			d.stub.Put(store.EntriesPrefix+e.id, value)
 		}
 		test(d)
@@ -160,7 +161,9 @@
 func TestChangesAreStoredPushedAndConfirmed(t *testing.T) {
 	deploy(t, func(d *deployment) {
 		file := d.file(unchanged)
-		d.Check(d.run(ExitOK, "apply", file), qt.Contains, "accepted as generation 1")
+		out := d.run(ExitOK, "apply", file)
+		d.Check(out, qt.Contains, "accepted as generation 1")
+		d.Check(out, qt.Contains, "reported by all 3 known processes")
 		d.Check(d.a.generation, qt.Equals, uint64(1))
 		d.Check(d.b.generation, qt.Equals, uint64(1))
 		d.Check(d.run(ExitOK, "apply", file), qt.Contains, "unchanged: generation 1")
@@ -173,7 +176,7 @@
 
 		patch := filepath.Join(d.TempDir(), "patch.json")
 		d.Assert(os.WriteFile(patch, []byte(`{"limits":{"max_queued_tasks":7}}`), 0o600), qt.IsNil)
-		out := d.run(ExitOK, "-json", "edit", "-patch", patch)
+		out = d.run(ExitOK, "-json", "edit", "-patch", patch)
 		d.Check(out, qt.Contains, `"confirmed": true`)
 		d.Check(d.stored().Limits.MaxQueuedTasks, qt.Equals, 7)
 		d.Check(d.stored().Generation, qt.Equals, uint64(5))
@@ -184,6 +187,16 @@
 	})
 }
 
+// Guards against a change being called confirmed when no process was asked.
+func TestNoProcessIsKnown(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		d.stub.Restore(storestub.New().Snapshot())
+		out := d.run(ExitOK, "apply", d.file(unchanged))
+		d.Check(out, qt.Contains, "no process is known")
+		d.Check(out, qt.Not(qt.Contains), "reported by")
+	})
+}
+
 // Guards against an operator's change overwriting one that was made meanwhile.
 func TestConflictShowsBothVersionsAndChangesNothing(t *testing.T) {
 	deploy(t, func(d *deployment) {
--- a/ctl/document.go
+++ b/ctl/document.go
@@ -55,6 +55,9 @@
 	Changed  bool
 	// Pushes of the document to entries, by identifier.
 	Pushes []Push
+	// Processes is the number of known processes, which all report the
+	// document unless there was an error.
+	Processes int
 }
 
 // Push is the attempt to give an entry a document.
@@ -143,8 +146,7 @@
 		}
 		break
 	}
-	var err error
-	result.Pushes, err = o.confirm(ctx, result.Document)
+	err := o.confirm(ctx, &result)
 	return result, err
 }
 
--- a/ctl/output.go
+++ b/ctl/output.go
@@ -128,8 +128,9 @@
 			WriteID    string `json:"write_id"`
 			Changed    bool   `json:"changed"`
 			Confirmed  bool   `json:"confirmed"`
+			Processes  int    `json:"processes"`
 			Pushes     []Push `json:"pushes"`
-		}{r.Document.Generation, r.Document.WriteID, r.Changed, confirmed, r.Pushes})
+		}{r.Document.Generation, r.Document.WriteID, r.Changed, confirmed, r.Processes, r.Pushes})
 		return
 	}
 	if r.Changed {
@@ -142,8 +143,11 @@
 			p.printf("not pushed to entry %s: %s\n", push.Entry, push.Error)
 		}
 	}
-	if confirmed {
-		p.printf("reported by all known processes\n")
+	switch {
+	case confirmed && r.Processes == 0:
+		p.printf("no process is known, so none was asked whether it has the document\n")
+	case confirmed:
+		p.printf("reported by all %d known processes\n", r.Processes)
 	}
 }
 
--- a/store/registrar.go
+++ b/store/registrar.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
-	"strings"
+	"strconv"
 	"sync"
 	"time"
 
@@ -82,14 +82,48 @@
 // NewEntryRegistrar returns a Registrar for an entry; options' Key and Value
 // are set from ref.
 func NewEntryRegistrar(ref wire.EntryRef, o RegistrarOptions) (*Registrar, error) {
-	value, err := json.Marshal(ref)
+	value, err := EncodeEntry(ref)
 	if err != nil {
-		return nil, merry.Prepend(err, "store: encode registration")
+		return nil, err
 	}
 	o.Key, o.Value = EntriesPrefix+ref.ID, value
 	return NewRegistrar(o), nil
 }
 
+// entryValue is the JSON form of a registration. The incarnation is text,
+// because JSON tools lose digits of integers above 2^53.
+type entryValue struct {
+	ID          string `json:"id"`
+	Incarnation string `json:"incarnation"`
+	Address     string `json:"address"`
+	Admin       string `json:"admin"`
+	DataCentre  string `json:"data_centre"`
+}
+
+// EncodeEntry returns the value of an entry's registration.
+func EncodeEntry(ref wire.EntryRef) ([]byte, error) {
+	value, err := json.Marshal(entryValue{ref.ID, ref.Incarnation.String(), ref.Address, ref.Admin, ref.DataCentre})
+	if err != nil {
+		return nil, merry.Prepend(err, "store: encode registration")
+	}
+	return value, nil
+}
+
+// decodeEntry returns the entry that a key registers.
+func decodeEntry(kv KV) (wire.EntryRef, bool) {
+	var v entryValue
+	if json.Unmarshal(kv.Value, &v) != nil || v.ID == "" || EntriesPrefix+v.ID != kv.Key {
+		return wire.EntryRef{}, false
+	}
+	incarnation, err := strconv.ParseUint(v.Incarnation, 16, 64)
+	if err != nil || incarnation == 0 {
+		return wire.EntryRef{}, false
+	}
+	return wire.EntryRef{
+		ID: v.ID, Incarnation: wire.Incarnation(incarnation), Address: v.Address, Admin: v.Admin, DataCentre: v.DataCentre,
+	}, true
+}
+
 // Entries returns the entries that are registered, ordered by identifier.
 // Registrations that are not an entry's are left out and counted.
 func Entries(ctx context.Context, s Store) (refs []wire.EntryRef, invalid int, err error) {
@@ -98,8 +132,8 @@
 		return nil, 0, err
 	}
 	for _, kv := range list {
-		var ref wire.EntryRef
-		if json.Unmarshal(kv.Value, &ref) != nil || ref.ID == "" || ref.ID != strings.TrimPrefix(kv.Key, EntriesPrefix) {
+		ref, ok := decodeEntry(kv)
+		if !ok {
 			invalid++
 			continue
 		}
--- a/store/registrar_test.go
+++ b/store/registrar_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"testing"
 	"testing/synctest"
@@ -198,16 +197,17 @@
 func TestEntriesLeavesOutForeignValues(t *testing.T) {
 	c := qt.New(t)
 	s := storestub.New()
-	ref := wire.EntryRef{ID: "b", Incarnation: 7, Admin: "127.0.0.1:2", DataCentre: "anping"}
-	value, err := json.Marshal(ref)
+	ref := wire.EntryRef{ID: "b", Incarnation: 1<<63 + 1, Address: "127.0.0.1:1", Admin: "127.0.0.1:2", DataCentre: "anping"}
+	value, err := store.EncodeEntry(ref)
 	c.Assert(err, qt.IsNil)
 	s.Put(store.EntriesPrefix+"b", value)
 	s.Put(store.EntriesPrefix+"a", value)
 	s.Put(store.EntriesPrefix+"c", []byte("x"))
+	s.Put(store.EntriesPrefix+"d", []byte(`{"id":"d","incarnation":"0"}`))
 	refs, invalid, err := store.Entries(context.Background(), s)
 	c.Assert(err, qt.IsNil)
 	c.Check(refs, qt.DeepEquals, []wire.EntryRef{ref})
-	c.Check(invalid, qt.Equals, 2)
+	c.Check(invalid, qt.Equals, 3)
 	s.SetDown(true)
 	_, _, err = store.Entries(context.Background(), s)
 	c.Check(errors.Is(err, store.ErrUnavailable), qt.IsTrue)
