entry: count tasks that another task's failure ended as not failed

Cause: when one upstream fails fast and each job uses several upstreams, the tasks at the others are always cancelled. They had no outcomes, so the faulty upstream had no peers to be compared with and was never ejected: on a trial with one of five agents failing, 100 of 100 jobs of 5 tasks failed.

Change: such a task counts as not failed and says nothing about speed. Agents are judged at the tick after a failure instead of every 500 ms. Empty lists in the dump are [] instead of null.

--- a/entry/collect.go
+++ b/entry/collect.go
@@ -143,10 +143,19 @@
 	return detail
 }
 
-// observeOutcome feeds the detection of faulty upstreams.
+// observeOutcome feeds the detection of faulty upstreams. A task that ran
+// until another task's failure ended it counts as not failed: when one upstream
+// fails fast and every job uses several, the others are always cancelled and
+// would have no outcomes to compare with.
 func (d *dispatcher) observeOutcome(j *job, a *agent, v verdict, failed bool) {
 	if v.result.Reason == wire.ReasonCancelled {
-		return // says nothing about the upstream
+		if j.closing != nil && j.closing.reason != wire.ReasonCancelled {
+			d.detector.Observe(d.now, a.ref.ID, ejection.Outcome{Job: j.id})
+		}
+		return
+	}
+	if failed {
+		d.nextEvaluation = d.now // at the next tick: every further job may fail too
 	}
 	d.detector.Observe(d.now, a.ref.ID, ejection.Outcome{
 		Failed: failed, Took: v.result.Took, Expected: j.expected, Job: j.id,
--- a/entry/confirm.go
+++ b/entry/confirm.go
@@ -26,6 +26,7 @@
 	mu        sync.Mutex
 	read      time.Time // when the newest successful read of the store was sent
 	reachable bool
+	failed    bool // a read failed since the process began
 	peers     map[string]peerSeen
 	heard     []string // data centres of agents heard within the suspect time
 	// members are the data centres in which a process was ever known. They are
@@ -76,10 +77,10 @@
 func (c *confirmation) storeFailed(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.reachable {
+	if c.reachable || !c.failed {
 		c.log.Warn().Err(err).Msg("store is not reachable")
 	}
-	c.reachable = false
+	c.reachable, c.failed = false, true
 }
 
 func (c *confirmation) storeReachable() bool {
--- a/entry/state.go
+++ b/entry/state.go
@@ -129,10 +129,11 @@
 			Generation: e.config.generation(), ConfirmationAgeMS: ageMS(age), Basis: string(basis),
 			StoreReachable: e.confirm.storeReachable(),
 		},
-		Peers: e.peers.state(now),
+		Agents: []StateAgent{}, Peers: e.peers.state(now), Jobs: []StateJob{}, Accounts: []StateAccount{},
 	}
+	s.Configuration.OutOfService = []string{}
 	if v := e.config.view(); v != nil {
-		s.Configuration.OutOfService = v.OutOfService()
+		s.Configuration.OutOfService = append(s.Configuration.OutOfService, v.OutOfService()...)
 	}
 	if e.started() {
 		e.dispatcher.ask(func(d *dispatcher) { d.dump(&s) })
@@ -209,7 +210,7 @@
 func (p *peers) state(now time.Time) []StatePeer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []StatePeer
+	out := []StatePeer{}
 	for _, e := range p.known {
 		s := StatePeer{
 			ID: e.ref.ID, Incarnation: e.ref.Incarnation.String(), DataCentre: e.ref.DataCentre,
