--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -68,7 +68,7 @@
 	}
 	beat := func() {
 		for _, ref := range refs {
-			req := wire.HeartbeatRequest{Agent: ref, Healthy: true, ConfirmAge: -1}
+			req := wire.HeartbeatRequest{Agent: ref, Healthy: true, ReadAge: -1}
 			if err := e.rpcHeartbeat(context.Background(), &req, &wire.HeartbeatReply{}); err != nil {
 				b.Fatal(err)
 			}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -91,12 +91,11 @@
 			Admin: o.Settings.AdminAddress, DataCentre: o.Settings.DataCentre,
 		},
 	}
-	e.assemble()
-	return e, nil
+	return e, e.assemble()
 }
 
 // assemble builds the parts, which refer to each other.
-func (e *Entry) assemble() {
+func (e *Entry) assemble() error {
 	t := e.settings.Timing
 	e.confirm = newConfirmation(t, e.self.DataCentre, e.log)
 	e.config = &configuration{
@@ -106,12 +105,15 @@
 		self: e.self, timing: t, seeds: e.settings.Seeds, log: e.log, dial: e.dial, confirm: e.confirm, config: e.config,
 		beat: e.heartbeat, heard: e.heardPeer, known: map[string]*peer{}, wake: make(chan struct{}, 1),
 	}
-	e.registration = &registration{
-		store: e.options.Store, timing: t, self: e.self, log: e.log, metrics: e.metrics, listed: e.peers.listed,
+	var err error
+	e.registration, err = newRegistration(e.options.Store, t, e.self, e.log, e.metrics, e.peers.listed)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrOptions, err)
 	}
 	e.claimed.jobs = map[string]*claimedJob{}
 	e.claims = newClaimer(e.options.Store, e.settings)
 	e.dispatcher = newDispatcher(e)
+	return nil
 }
 
 // Run serves until Stop has finished or ctx ends. Ending ctx ends the entry at
--- a/entry/registration.go
+++ b/entry/registration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -16,135 +17,83 @@
 // sooner from peers; the list removes those that are gone.
 const listInterval = 10 * time.Second
 
-// registration keeps this entry's key in the store under a lease.
+// registration keeps this entry registered and reads who else is.
 type registration struct {
-	store   store.Store
-	timing  settings.Timing
-	self    wire.EntryRef
-	log     zerolog.Logger
-	metrics metrics
-	lease   store.LeaseID // 0 while not registered
-	listed  func([]wire.EntryRef)
+	registrar *store.Registrar
+	store     store.Store
+	timing    settings.Timing
+	log       zerolog.Logger
+	listed    func([]wire.EntryRef)
+	stop      chan struct{} // closed by remove
+	done      chan struct{} // closed when run has ended
 }
 
-// run registers and renews until ctx ends.
-func (r *registration) run(ctx context.Context) {
-	interval := r.timing.LeaseTTL.Of() / 3
-	failures := 0
-	var nextList time.Time
-	for ctx.Err() == nil {
-		err := r.step(ctx)
-		if err == nil && !time.Now().Before(nextList) {
-			if err = r.list(ctx); err == nil {
-				nextList = time.Now().Add(listInterval)
-			}
-		}
-		if err == nil {
-			failures = 0
-			sleep(ctx, interval)
-			continue
-		}
-		r.log.Debug().Err(err).Msg("registration not renewed")
-		failures++
-		sleep(ctx, fullJitter(interval, failures))
+func newRegistration(kv store.Store, t settings.Timing, self wire.EntryRef, log zerolog.Logger, m metrics, listed func([]wire.EntryRef)) (*registration, error) {
+	r := &registration{
+		store: kv, timing: t, log: log, listed: listed, stop: make(chan struct{}), done: make(chan struct{}),
 	}
-}
-
-// step renews the lease, or registers when there is none.
-func (r *registration) step(ctx context.Context) error {
-	if r.lease == 0 {
-		return r.register(ctx)
-	}
-	err := r.call(ctx, func(ctx context.Context) error { return r.store.KeepAlive(ctx, r.lease) })
-	if errors.Is(err, store.ErrLeaseExpired) {
-		r.metrics.registrationsExpired.Inc(1)
-		r.log.Warn().Msg("registration expired; registering again")
-		r.lease = 0
-		return r.register(ctx)
-	}
-	return err
-}
-
-func (r *registration) register(ctx context.Context) error {
-	value, err := wire.EncodeRegistration(r.self)
-	if err != nil {
-		return err
-	}
-	var lease store.LeaseID
-	err = r.call(ctx, func(ctx context.Context) (err error) {
-		lease, err = r.store.Grant(ctx, r.timing.LeaseTTL.Of())
-		return err
+	var err error
+	r.registrar, err = store.NewEntryRegistrar(self, store.RegistrarOptions{
+		Store: kv, TTL: t.LeaseTTL.Of(), CallTimeout: t.StoreTimeout.Of(),
+		Changed: func(err error) {
+			switch {
+			case err == nil:
+				log.Info().Bool("registered", r.registrar.Registered()).Msg("registration changed")
+			case errors.Is(err, store.ErrLeaseExpired), errors.Is(err, store.ErrNotFound):
+				m.registrationsExpired.Inc(1)
+				log.Warn().Err(err).Msg("registration lost; registering again")
+			case errors.Is(err, store.ErrReplaced):
+				log.Error().Err(err).Msg("another process uses this entry's identifier")
+			default:
+				log.Debug().Err(err).Msg("registration not renewed")
+			}
+		},
 	})
-	if err != nil {
-		return err
-	}
-	if err := r.put(ctx, value, lease); err != nil {
-		// Without its lease the key, if it was written after all, disappears.
-		_ = r.call(ctx, func(ctx context.Context) error { return r.store.Revoke(ctx, lease) })
-		return err
-	}
-	r.lease = lease
-	r.log.Info().Str("key", r.key()).Msg("registered")
-	return nil
+	return r, err
 }
 
-// put writes the key over whatever an earlier process of this name left.
-func (r *registration) put(ctx context.Context, value []byte, lease store.LeaseID) error {
-	var revision uint64
-	err := r.call(ctx, func(ctx context.Context) error {
-		kv, err := r.store.Get(ctx, r.key())
-		revision = kv.Revision
-		if errors.Is(err, store.ErrNotFound) {
-			revision = 0
-			return nil
-		}
-		return err
-	})
-	if err != nil {
-		return err
+// run registers, renews and lists until ctx ends or remove is called.
+func (r *registration) run(ctx context.Context) {
+	defer close(r.done)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() { r.registrar.Run(ctx) })
+	wg.Go(func() { r.list(ctx) })
+	select {
+	case <-r.stop:
+	case <-ctx.Done():
 	}
-	return r.call(ctx, func(ctx context.Context) error {
-		_, err := r.store.CompareAndSwap(ctx, r.key(), revision, value, lease)
-		return err
-	})
+	cancel()
+	wg.Wait()
 }
 
-// list reads the registrations of all entries.
-func (r *registration) list(ctx context.Context) error {
-	return r.call(ctx, func(ctx context.Context) error {
-		kvs, err := r.store.List(ctx, wire.RegistrationPrefix)
+// list reads the registrations of all entries at an interval.
+func (r *registration) list(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, r.timing.StoreTimeout.Of())
+		refs, invalid, err := store.Entries(callCtx, r.store)
+		cancel()
 		if err != nil {
-			return err
+			failures++
+			sleep(ctx, fullJitter(r.timing.LeaseTTL.Of(), failures))
+			continue
 		}
-		refs := make([]wire.EntryRef, 0, len(kvs))
-		for _, kv := range kvs {
-			ref, err := wire.ParseRegistration(kv.Key, kv.Value)
-			if err != nil {
-				r.log.Warn().Err(err).Msg("registration ignored")
-				continue
-			}
-			refs = append(refs, ref)
+		if invalid > 0 {
+			r.log.Warn().Int("count", invalid).Msg("registrations ignored: they are not an entry's")
 		}
+		failures = 0
 		r.listed(refs)
-		return nil
-	})
+		sleep(ctx, listInterval)
+	}
 }
 
 // remove ends the registration on a planned stop.
 func (r *registration) remove(ctx context.Context) {
-	if r.lease == 0 {
-		return
-	}
-	if err := r.call(ctx, func(ctx context.Context) error { return r.store.Revoke(ctx, r.lease) }); err != nil {
+	close(r.stop)
+	<-r.done
+	if err := r.registrar.Remove(ctx); err != nil {
 		r.log.Info().Err(err).Msg("registration not removed; its lease ends it")
 	}
-	r.lease = 0
-}
-
-func (r *registration) key() string { return wire.RegistrationKey(r.self.ID) }
-
-func (r *registration) call(ctx context.Context, f func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(ctx, r.timing.StoreTimeout.Of())
-	defer cancel()
-	return f(ctx)
 }
--- a/entry/state.go
+++ b/entry/state.go
@@ -51,27 +51,25 @@
 
 // StateAgent describes one agent.
 type StateAgent struct {
-	ID          string `json:"id"`
-	Incarnation string `json:"incarnation"`
-	DataCentre  string `json:"data_centre"`
-	Rack        string `json:"rack"`
-	Worker      string `json:"worker"`
-	Address     string `json:"address"`
-	Admin       string `json:"admin"`
-	Slots       int    `json:"slots"`
-	HeardMS     int64  `json:"heard_ms"`
-	Generation  uint64 `json:"generation"`
-	// ConfirmationAgeMS as the agent reported it; -1 without one.
-	ConfirmationAgeMS int64   `json:"confirmation_age_ms"`
-	Session           uint64  `json:"session"`
-	SessionState      string  `json:"session_state"` // closed, opening or open
-	OpenTasks         int     `json:"open_tasks"`    // of this entry
-	Usable            bool    `json:"usable"`
-	Leaving           bool    `json:"leaving"`
-	Healthy           bool    `json:"healthy"`
-	Suspect           bool    `json:"suspect"`
-	Ejected           bool    `json:"ejected"`
-	Weight            float64 `json:"weight"`
+	ID           string  `json:"id"`
+	Incarnation  string  `json:"incarnation"`
+	DataCentre   string  `json:"data_centre"`
+	Rack         string  `json:"rack"`
+	Worker       string  `json:"worker"`
+	Address      string  `json:"address"`
+	Admin        string  `json:"admin"`
+	Slots        int     `json:"slots"`
+	HeardMS      int64   `json:"heard_ms"`
+	Generation   uint64  `json:"generation"`
+	Session      uint64  `json:"session"`
+	SessionState string  `json:"session_state"` // closed, opening or open
+	OpenTasks    int     `json:"open_tasks"`    // of this entry
+	Usable       bool    `json:"usable"`
+	Leaving      bool    `json:"leaving"`
+	Healthy      bool    `json:"healthy"`
+	Suspect      bool    `json:"suspect"`
+	Ejected      bool    `json:"ejected"`
+	Weight       float64 `json:"weight"`
 }
 
 // StatePeer describes another entry.
@@ -179,7 +177,7 @@
 	return StateAgent{
 		ID: a.ref.ID, Incarnation: a.ref.Incarnation.String(), DataCentre: a.ref.DataCentre, Rack: a.ref.Rack,
 		Worker: a.ref.Worker, Address: a.ref.Address, Admin: a.ref.Admin, Slots: a.ref.Slots,
-		HeardMS: d.now.Sub(a.heard).Milliseconds(), Generation: a.generation, ConfirmationAgeMS: ageMS(a.confirmAge),
+		HeardMS: d.now.Sub(a.heard).Milliseconds(), Generation: a.generation,
 		Session: a.session.id.Number, SessionState: a.session.state.String(), OpenTasks: len(a.session.tasks),
 		Usable: a.usable, Leaving: a.leaving, Healthy: !a.unhealthy, Suspect: a.suspect, Ejected: a.ejected,
 		Weight: a.weight,
