entry: list the entries again once registered

Cause: listing and registering run side by side since the registration moved to store.Registrar.

Change: a completed registration triggers a further listing.

--- a/entry/registration.go
+++ b/entry/registration.go
@@ -24,13 +24,14 @@
 	timing    settings.Timing
 	log       zerolog.Logger
 	listed    func([]wire.EntryRef)
+	relist    chan struct{} // wakes list
 	stop      chan struct{} // closed by remove
 	done      chan struct{} // closed when run has ended
 }
 
 func newRegistration(kv store.Store, t settings.Timing, self wire.EntryRef, log zerolog.Logger, m metrics, listed func([]wire.EntryRef)) (*registration, error) {
 	r := &registration{
-		store: kv, timing: t, log: log, listed: listed, stop: make(chan struct{}), done: make(chan struct{}),
+		store: kv, timing: t, log: log, listed: listed, relist: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
 	}
 	var err error
 	r.registrar, err = store.NewEntryRegistrar(self, store.RegistrarOptions{
@@ -39,6 +40,12 @@
 			switch {
 			case err == nil:
 				log.Info().Bool("registered", r.registrar.Registered()).Msg("registration changed")
+				// Of two entries that start together, the one that registers
+				// last finds the other, which learns of it by a heartbeat.
+				select {
+				case r.relist <- struct{}{}:
+				default:
+				}
 			case errors.Is(err, store.ErrLeaseExpired), errors.Is(err, store.ErrNotFound):
 				m.registrationsExpired.Inc(1)
 				log.Warn().Err(err).Msg("registration lost; registering again")
@@ -85,7 +92,7 @@
 		}
 		failures = 0
 		r.listed(refs)
-		sleep(ctx, listInterval)
+		wait(ctx, r.relist, listInterval)
 	}
 }
 
