--- a/entry/confirm.go
+++ b/entry/confirm.go
@@ -80,11 +80,10 @@
 func (c *confirmation) storeFailed(sent time.Time, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.failed = sent
-	if c.reachable {
+	if c.reachable || c.failed.IsZero() {
 		c.log.Warn().Err(err).Msg("store is not reachable")
 	}
-	c.reachable = false
+	c.reachable, c.failed = false, sent
 }
 
 func (c *confirmation) storeReachable() bool {
