queue: test order, fairness, starvation and loss of tasks

The properties compare the queue with a model over random operations, bound the difference of attained work between accounts by one task, and bound the time in which a large job of low urgency is served beside a stream of small urgent jobs.

--- /dev/null
+++ b/queue/property_test.go
@@ -0,0 +1,202 @@
+package queue_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"chicorytray.example/chicorytray/queue"
+)
+
+// model is what a queue must hold after the same operations.
+type model struct {
+	now      time.Duration
+	jobs     map[string]queue.Job
+	waiting  map[queue.TaskRef]bool
+	given    map[queue.TaskRef]bool
+	reported map[string]bool
+}
+
+func (m *model) withdraw(id string) []int {
+	var indexes []int
+	for ref := range m.waiting {
+		if ref.Job == id {
+			indexes = append(indexes, ref.Index)
+		}
+	}
+	for _, refs := range []map[queue.TaskRef]bool{m.waiting, m.given} {
+		for ref := range refs {
+			if ref.Job == id {
+				delete(refs, ref)
+			}
+		}
+	}
+	slices.Sort(indexes)
+	return indexes
+}
+
+func (m *model) live(ref queue.TaskRef) bool {
+	deadline := m.jobs[ref.Job].Deadline
+	return !m.reported[ref.Job] && (deadline.IsZero() || deadline.After(at(m.now)))
+}
+
+// Guards against a task that is lost or given out twice, whatever the order of
+// operations, and against counters that drift from what waits.
+func TestNoTaskIsLostOrGivenTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := queue.New(queue.Options{})
+		m := &model{jobs: map[string]queue.Job{}, waiting: map[queue.TaskRef]bool{}, given: map[queue.TaskRef]bool{}, reported: map[string]bool{}}
+		ids := rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f"})
+		t.Repeat(map[string]func(*rapid.T){
+			"add": func(t *rapid.T) {
+				id := ids.Draw(t, "job")
+				j, known := m.jobs[id]
+				if !known {
+					j = queue.Job{
+						ID: id, Account: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "account"),
+						Class:   rapid.SampledFrom([]string{"p", "q"}).Draw(t, "class"),
+						Urgency: rapid.IntRange(0, 3).Draw(t, "urgency"), Arrived: at(m.now),
+						Expected: time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond,
+					}
+					if rapid.Bool().Draw(t, "limited") {
+						j.Deadline = at(m.now + time.Duration(rapid.IntRange(1, 9).Draw(t, "deadline"))*time.Second)
+					}
+					m.jobs[id] = j
+				}
+				for _, i := range rapid.SliceOfN(rapid.IntRange(0, 9), 0, 5).Draw(t, "indexes") {
+					q.Add(at(m.now), j, []int{i})
+					delete(m.given, queue.TaskRef{Job: id, Index: i})
+					m.waiting[queue.TaskRef{Job: id, Index: i}] = true
+				}
+			},
+			"next": func(t *rapid.T) {
+				room := rapid.SampledFrom([]string{"p", "q", "pq"}).Draw(t, "room")
+				feasible := func(class string) bool { return room == "pq" || room == class }
+				ref, ok := q.Next(at(m.now), feasible)
+				if ok {
+					if !m.waiting[ref] || !m.live(ref) || !feasible(m.jobs[ref.Job].Class) {
+						t.Fatalf("%v is not a task that can be given out", ref)
+					}
+					delete(m.waiting, ref)
+					m.given[ref] = true
+					q.Started(m.jobs[ref.Job].Account, m.jobs[ref.Job].Expected)
+					return
+				}
+				for ref := range m.waiting {
+					if m.live(ref) && feasible(m.jobs[ref.Job].Class) {
+						t.Fatalf("%v waits and was not given out", ref)
+					}
+				}
+			},
+			"return": func(t *rapid.T) {
+				ref := queue.TaskRef{Job: ids.Draw(t, "job"), Index: rapid.IntRange(0, 9).Draw(t, "index")}
+				q.Return(ref)
+				if m.given[ref] {
+					delete(m.given, ref)
+					m.waiting[ref] = true
+				}
+			},
+			"remove": func(t *rapid.T) {
+				id := ids.Draw(t, "job")
+				if got, want := q.Remove(id), m.withdraw(id); !slices.Equal(got, want) {
+					t.Fatalf("Remove(%s) = %v, want %v", id, got, want)
+				}
+				delete(m.jobs, id)
+				delete(m.reported, id)
+			},
+			"expire": func(t *rapid.T) {
+				m.now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "elapsed")) * time.Millisecond
+				for _, id := range q.Expired(at(m.now)) {
+					if m.reported[id] || m.jobs[id].Deadline.After(at(m.now)) {
+						t.Fatalf("%s was reported twice or early", id)
+					}
+					m.reported[id] = true
+				}
+			},
+			"": func(t *rapid.T) {
+				var work time.Duration
+				for ref := range m.waiting {
+					work += m.jobs[ref.Job].Expected
+				}
+				if q.Len() != len(m.waiting) || q.Work() != work {
+					t.Fatalf("Len %d, Work %v; want %d, %v", q.Len(), q.Work(), len(m.waiting), work)
+				}
+			},
+		})
+	})
+}
+
+// Guards against an account that gets more than its part while others wait:
+// attained work may differ by at most one task.
+func TestFairnessBetweenAccounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := queue.New(queue.Options{})
+		expected := map[string]time.Duration{}
+		attained := map[string]time.Duration{}
+		var longest time.Duration
+		for i := range rapid.IntRange(2, 6).Draw(t, "accounts") {
+			account := fmt.Sprint("account", i)
+			expected[account] = time.Duration(rapid.IntRange(10, 2000).Draw(t, "ms")) * time.Millisecond
+			attained[account] = 0
+			longest = max(longest, expected[account])
+			indexes := make([]int, 400)
+			for n := range indexes {
+				indexes[n] = n
+			}
+			for n := range rapid.IntRange(1, 3).Draw(t, "jobs") {
+				q.Add(start, queue.Job{ID: fmt.Sprint(account, "/", n), Account: account, Class: fmt.Sprint(n), Arrived: start, Expected: expected[account]}, indexes)
+			}
+		}
+		for range 300 {
+			ref, _ := q.Next(start, nil)
+			account := ref.Job[:len("account0")]
+			q.Started(account, expected[account])
+			attained[account] += expected[account]
+			least, most := attained[account], attained[account]
+			for _, work := range attained {
+				least, most = min(least, work), max(most, work)
+			}
+			if most-least > longest {
+				t.Fatalf("attained work %v differs by more than %v", attained, longest)
+			}
+		}
+	})
+}
+
+// Guards against starvation of a large job of low urgency by a stream of small
+// urgent ones, of its own account and others, that takes all slots.
+func TestNoJobStarves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const slot, tasks = 50 * time.Millisecond, 20
+		urgency := rapid.IntRange(0, 4).Draw(t, "urgency")
+		accounts := rapid.IntRange(1, 4).Draw(t, "accounts")
+		q := queue.New(queue.Options{AgingStep: time.Second, MaxPassed: 5 * time.Second})
+		indexes := make([]int, tasks)
+		for i := range indexes {
+			indexes[i] = i
+		}
+		q.Add(start, queue.Job{ID: "large", Account: "0", Urgency: urgency, Arrived: start, Expected: time.Second}, indexes)
+		accountOf := map[string]string{"large": "0"}
+		// Promotion, the time in which smaller jobs may pass, one slot in
+		// each round of accounts, and what arrived before that.
+		limit := time.Duration(urgency)*time.Second + 5*time.Second + 2*tasks*time.Duration(accounts+1)*slot + time.Second
+		left := tasks
+		for now := time.Duration(0); left > 0; now += slot {
+			if now > limit {
+				t.Fatalf("%d tasks were not given out within %v", left, limit)
+			}
+			id := fmt.Sprint("small", now)
+			account := fmt.Sprint(rapid.IntRange(0, accounts-1).Draw(t, "account"))
+			q.Add(at(now), queue.Job{ID: id, Account: account, Arrived: at(now), Expected: slot}, []int{0})
+			accountOf[id] = account
+			ref, _ := q.Next(at(now), nil)
+			if ref.Job == "large" {
+				left--
+			}
+			q.Started(accountOf[ref.Job], slot)
+		}
+	})
+}
