claims: limit the Claimer's calls of the store; ctl: test more races

Cause: an entry's calls share one budget of 50 a second. One claim takes two, so that 25 keyed submissions a second would keep the entry from reading the configuration, and after 2 s no task would start.

Change: the Claimer has a budget of its own, 30 calls a second by default. Claims above it wait and join the next batch of their shard. ctl gets tests for a write that never arrives, a change seen at an entry during the survey, and entries known only to peers; config for a token listed twice.

--- a/claims/claimer.go
+++ b/claims/claimer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"golang.org/x/time/rate"
 
 	"chicorytray.example/chicorytray/store"
 )
@@ -20,6 +21,11 @@
 	// n entries writing one shard at a time, a write loses to others about
 	// n-1 times at worst; jitter makes that rare.
 	DefaultMaxAttempts = 8
+	// DefaultMaxCallsPerSecond leaves 20 of a process's 50 calls a second to
+	// the reads of the configuration, without which no task starts.
+	DefaultMaxCallsPerSecond = 30.0
+	// callsPerAttempt are a read and a write.
+	callsPerAttempt = 2
 	// maxPending bounds the claims waiting for one shard. It is about the
 	// number of claims that fit a fifth of a shard.
 	maxPending = 1000
@@ -56,6 +62,9 @@
 	// MaxAttempts of a claim before it fails with ErrContention. 0 means
 	// DefaultMaxAttempts.
 	MaxAttempts int
+	// MaxCallsPerSecond of the store; at least 2. Claims above it wait, and
+	// join the next batch of their shard. 0 means DefaultMaxCallsPerSecond.
+	MaxCallsPerSecond float64
 	// Jitter returns a random duration below its argument; nil uses a random
 	// source.
 	Jitter func(time.Duration) time.Duration
@@ -68,6 +77,7 @@
 	ctx     context.Context // ends with Close
 	cancel  context.CancelFunc
 	workers sync.WaitGroup
+	budget  *rate.Limiter
 
 	mu        sync.Mutex
 	closed    bool
@@ -87,12 +97,16 @@
 	if o.MaxAttempts == 0 {
 		o.MaxAttempts = DefaultMaxAttempts
 	}
+	if o.MaxCallsPerSecond == 0 {
+		o.MaxCallsPerSecond = DefaultMaxCallsPerSecond
+	}
 	if o.Jitter == nil {
 		o.Jitter = rand.N[time.Duration]
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Claimer{
 		options: o, ctx: ctx, cancel: cancel,
+		budget: rate.NewLimiter(rate.Limit(o.MaxCallsPerSecond), max(callsPerAttempt, int(o.MaxCallsPerSecond))),
 		queues: map[string][]*operation{}, waiting: map[string]int{}, revisions: map[string]uint64{},
 	}
 }
@@ -191,17 +205,24 @@
 	return false
 }
 
+// idle ends the shard's worker if nothing is in progress or queued, and reports
+// whether it did.
+func (c *Claimer) idle(shard string, inProgress int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if inProgress+len(c.queues[shard]) > 0 {
+		return false
+	}
+	delete(c.queues, shard)
+	delete(c.waiting, shard)
+	return true
+}
+
 // take returns the operations in progress with those that were queued since.
-// Without any it ends the worker.
 func (c *Claimer) take(shard string, inProgress []*operation) []*operation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	all := slices.Concat(inProgress, c.queues[shard])
-	if len(all) == 0 {
-		delete(c.queues, shard)
-		delete(c.waiting, shard)
-		return nil
-	}
 	c.queues[shard] = nil
 	c.waiting[shard] = len(all)
 	return all
--- a/claims/claimer_test.go
+++ b/claims/claimer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -24,7 +25,7 @@
 func newClaimer(s store.Store, seed uint64) *claims.Claimer {
 	var mu sync.Mutex
 	source := rand.New(rand.NewPCG(seed, 0))
-	return claims.New(claims.Options{Store: s, Jitter: func(d time.Duration) time.Duration {
+	return claims.New(claims.Options{Store: s, MaxCallsPerSecond: 10_000, Jitter: func(d time.Duration) time.Duration {
 		mu.Lock()
 		defer mu.Unlock()
 		return time.Duration(source.Int64N(int64(d)))
@@ -145,6 +146,35 @@
 	})
 }
 
+// Guards against claims that use up the process's calls of the store, so that
+// the configuration is no longer read and no task starts.
+func TestClaimsKeepToTheirBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := storestub.New()
+		a := claims.New(claims.Options{Store: s, MaxCallsPerSecond: 10})
+		defer a.Close()
+		var group sync.WaitGroup
+		began := time.Now()
+		for i := range 40 {
+			group.Go(func() {
+				// Not a multiple of 200 ms, at which attempts begin: a claim in
+				// flight would end unsettled.
+				ctx, cancel := context.WithTimeout(context.Background(), 1900*time.Millisecond)
+				defer cancel()
+				_, won, err := a.Claim(ctx, claimOf(fmt.Sprint(i), fmt.Sprintf("job-%d", i)))
+				if won != (err == nil) || err != nil && !errors.Is(err, claims.ErrNotClaimed) {
+					t.Errorf("claim %d: won %v, %v", i, won, err)
+				}
+			})
+		}
+		group.Wait()
+		// A burst of 10 calls and 19 within 1.9 s, 2 for each claim.
+		if n := s.TotalCalls(); n != 28 || time.Since(began) > 2*time.Second {
+			t.Errorf("%d calls in %v, want 28", n, time.Since(began))
+		}
+	})
+}
+
 // Guards against an error that says too little or too much about what happened.
 func TestFaults(t *testing.T) {
 	cases := []struct {
--- a/claims/shard_test.go
+++ b/claims/shard_test.go
@@ -73,3 +73,29 @@
 		c.Check(errors.Is(err, claims.ErrUnreadable), qt.IsTrue, qt.Commentf(data))
 	}
 }
+
+// Measures one batch on a full shard, the cost that bounds keyed submissions.
+func BenchmarkBatchOnFullShard(b *testing.B) {
+	now := time.Unix(1_800_000_000, 0)
+	shard, _ := claims.DecodeShard(nil)
+	var err error
+	for i := 0; err == nil; i++ {
+		_, _, err = shard.Claim(now, time.Hour, claimOf(fmt.Sprint(i), fmt.Sprintf("entry-1.0123456789abcdef.%d", i)))
+	}
+	data, err := shard.Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.SetBytes(int64(len(data)))
+	b.ReportMetric(float64(shard.Len()), "claims")
+	for b.Loop() {
+		s, err := claims.DecodeShard(data)
+		if err != nil {
+			b.Fatal(err)
+		}
+		s.Expire(now)
+		if _, err := s.Encode(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/claims/worker.go
+++ b/claims/worker.go
@@ -60,9 +60,12 @@
 func (c *Claimer) work(shard string) {
 	var ops []*operation
 	failures := 0
-	for {
+	for !c.idle(shard, len(ops)) {
+		// Operations that arrive during the wait join those in progress. The
+		// wait fails only when the Claimer is closed.
+		_ = c.budget.WaitN(c.ctx, callsPerAttempt)
 		if ops = c.take(shard, ops); len(ops) == 0 {
-			return
+			continue // their callers stopped waiting
 		}
 		if c.ctx.Err() != nil {
 			ops = c.failWhere(ops, ErrClosed, func(*operation) bool { return true })
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -40,6 +40,8 @@
 			[]string{`templates[0].data_centres[0]: "tainan" is not a data centre; give one of annan, anping`, `templates[0].data_centres[2]: "anping" is listed more than once`}},
 		{"delay to itself and negative", `"annan": 0.5`, `"anping": -1`, []string{"delays_ms.anping: is the data centre itself", "delays_ms.anping: -1 is not accepted; give 0 to 10000"}},
 		{"token hash", `"token_sha256": ["`, `"token_sha256": ["secret", "`, []string{`accounts[0].token_sha256[0]: "secret" is not accepted; give 64 lower-case`}},
+		{"shared token", `"max_running_tasks": 40}`, `"max_running_tasks": 40}, {"name": "office", "token_sha256": ["` + HashToken("proof-token") + `"]}`,
+			[]string{"accounts[1].token_sha256[0]: is listed more than once"}},
 		{"unknown account", `"account": "bureau"`, `"account": "office"`, []string{`templates[0].account: "office" is not an account; give one of bureau`}},
 		{"kind", `"kind": "job"`, `"kind": "batch"`, []string{`templates[0].kind: "batch" is not accepted; give "job" or "request"`}},
 		{"request with tasks", `"kind": "job"`, `"kind": "request"`, []string{"templates[0].tasks: not accepted for kind"}},
--- a/ctl/confirm.go
+++ b/ctl/confirm.go
@@ -69,7 +69,7 @@
 		survey, err := o.Survey(ctx)
 		lagging := []Process{}
 		for _, p := range survey.Processes {
-			if p.Error != "" || p.Generation < generation {
+			if p.Generation < generation { // 0 for an entry that was not reached
 				lagging = append(lagging, p)
 			}
 		}
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -42,7 +42,9 @@
 	mu         sync.Mutex
 	id, admin  string
 	generation uint64
-	refuses    bool // pushed documents
+	refuses    bool   // pushed documents
+	asked      func() // called before the state is reported
+	peer       string // admin address of another entry
 	agents     []AgentState
 }
 
@@ -51,7 +53,13 @@
 	defer e.mu.Unlock()
 	switch r.Method + " " + r.URL.Path {
 	case "GET /debug/state":
+		if e.asked != nil {
+			e.asked()
+		}
 		var s EntryState
+		if e.peer != "" {
+			s.Peers = []PeerState{{ID: "peer", Admin: e.peer}}
+		}
 		s.Entry.ID, s.Entry.Admin, s.Entry.DataCentre, s.Entry.Ready = e.id, e.admin, "anping", true
 		s.Configuration.Generation = e.generation
 		s.Agents = e.agents
@@ -278,6 +286,7 @@
 		{"answer lost", func(_ *deployment, s *storestub.Stub) store.Store { s.LoseAnswers(1); return s }, ExitOK, true},
 		{"several answers lost", func(_ *deployment, s *storestub.Stub) store.Store { s.LoseAnswers(3); return s }, ExitOK, true},
 		{"write held up", func(_ *deployment, s *storestub.Stub) store.Store { s.HoldWrites(2, 3*time.Second); return s }, ExitOK, true},
+		{"write never arrives", func(_ *deployment, s *storestub.Stub) store.Store { s.HoldWrites(1, time.Hour); return s }, ExitOK, true},
 		{"another write instead", func(_ *deployment, s *storestub.Stub) store.Store {
 			return &replaced{Store: s, stub: s, generation: 2}
 		}, ExitConflict, false},
@@ -360,6 +369,38 @@
 	})
 }
 
+// Guards against another operator's change, seen at an entry first, being taken
+// for a restored store.
+func TestChangeDuringTheSurveyConflicts(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		d.run(ExitOK, "apply", d.file(unchanged))
+		other, err := d.stored().Successor(d.stored())
+		d.Assert(err, qt.IsNil)
+		other.Templates[0].Urgency = 8
+		value, err := other.Encode()
+		d.Assert(err, qt.IsNil)
+		d.a.asked = func() {
+			d.stub.Put(config.Key, value)
+			d.a.generation, d.a.asked = other.Generation, nil
+		}
+		out := d.run(ExitConflict, "edit", "templates[proof].urgency=5")
+		d.Check(out, qt.Matches, `(?s).*templates\[proof\].urgency +8 +5\n.*`)
+		d.Check(d.stored().Equal(other), qt.IsTrue)
+	})
+}
+
+// Guards against an entry that is not registered, and known to its peers only,
+// being left out.
+func TestPeersOfEntriesAreAsked(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		d.run(ExitOK, "apply", d.file(unchanged))
+		d.b.generation, d.a.peer, d.b.peer = 0, d.b.admin, d.a.admin
+		d.Check(d.run(ExitUnconfirmed, "-entries", d.a.admin, "status"), qt.Contains, "entry-b")
+		d.run(ExitOK, "-entries", d.a.admin, "out", "anping")
+		d.Check(d.b.generation, qt.Equals, uint64(2))
+	})
+}
+
 // Guards against an invalid document or a wrong command changing anything.
 func TestRefusedCommandsChangeNothing(t *testing.T) {
 	deploy(t, func(d *deployment) {
--- a/ctl/processes.go
+++ b/ctl/processes.go
@@ -78,10 +78,13 @@
 		Tasks int `json:"tasks"`
 	} `json:"queue"`
 	Agents []AgentState `json:"agents"`
-	Peers  []struct {
-		ID    string `json:"id"`
-		Admin string `json:"admin"`
-	} `json:"peers"`
+	Peers  []PeerState  `json:"peers"`
+}
+
+// PeerState is another entry in an entry's state.
+type PeerState struct {
+	ID    string `json:"id"`
+	Admin string `json:"admin"`
 }
 
 // AgentState is an agent in an entry's state.
