store: drop idle connections after a failed call

Cause: open connections can stop carrying data together while new ones work.

Change: after a call without an answer the adapter closes its idle connections. Tests also cover a Claimer after the store was restored.

--- a/claims/claimer_test.go
+++ b/claims/claimer_test.go
@@ -277,3 +277,26 @@
 		c.Check(stored(s, keys[1]), qt.Equals, "", qt.Commentf("the release goes on in the background"))
 	})
 }
+
+// Guards against a Claimer that takes every read for stale, and so claims
+// nothing, after the store was restored from a backup with lower revisions.
+func TestRestoredStore(t *testing.T) {
+	inBubble(t, func(c *qt.C, s *storestub.Stub, a, _ *claims.Claimer) {
+		ctx := context.Background()
+		backup := s.Snapshot()
+		keys := sameShard(3)
+		for i, key := range keys {
+			_, won, err := a.Claim(ctx, claimOf(key, fmt.Sprintf("job-%d", i)))
+			c.Assert(err, qt.IsNil)
+			c.Check(won, qt.IsTrue)
+		}
+		s.Restore(backup)
+		_, won, err := a.Claim(ctx, claimOf(keys[0], "job-9"))
+		c.Assert(err, qt.IsNil)
+		c.Check(won, qt.IsTrue, qt.Commentf("the backup has no claims"))
+		owner, won, err := a.Claim(ctx, claimOf(keys[0], "job-10"))
+		c.Assert(err, qt.IsNil)
+		c.Check(won, qt.IsFalse)
+		c.Check(owner.Job, qt.Equals, "job-9")
+	})
+}
--- a/claims/property_test.go
+++ b/claims/property_test.go
@@ -59,8 +59,8 @@
 	}), 1, 40).Draw(t, "steps")
 }
 
-// world runs a schedule and records violations.
-type world struct {
+// runner runs a schedule and records violations.
+type runner struct {
 	stub     *storestub.Stub
 	claimers []*claims.Claimer
 	keys     []string
@@ -73,11 +73,11 @@
 	faults    []string
 }
 
-func (w *world) violated(format string, args ...any) {
+func (w *runner) violated(format string, args ...any) {
 	w.faults = append(w.faults, fmt.Sprintf(format, args...))
 }
 
-func (w *world) inject(s step) {
+func (w *runner) inject(s step) {
 	d := time.Duration(s.For) * time.Millisecond
 	switch s.Fault {
 	case "lose":
@@ -99,7 +99,7 @@
 	}
 }
 
-func (w *world) submit(s step, job string) {
+func (w *runner) submit(s step, job string) {
 	key := w.keys[s.Key]
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.Patience)*time.Millisecond)
 	defer cancel()
@@ -136,7 +136,7 @@
 	}
 }
 
-func (w *world) run(steps []step) {
+func (w *runner) run(steps []step) {
 	w.stub.SetLatency(baseLatency * time.Millisecond)
 	var group sync.WaitGroup
 	for i, s := range steps {
@@ -180,7 +180,7 @@
 		steps := drawSteps(rt)
 		var faults []string
 		synctest.Test(t, func(*testing.T) {
-			w := &world{
+			w := &runner{
 				stub: storestub.New(), keys: sameShard(propertyKeys), holder: map[string]string{},
 				submitted: map[string]string{}, lostTo: map[string]string{}, failed: map[string]bool{},
 			}
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -2,6 +2,10 @@
 // in the platform's key-value service, in 256 documents that are changed by
 // compare-and-swap, so that at most one job owns a key whichever entry it
 // was submitted to.
+//
+// Two things are not covered. Claims made after a backup are lost when the
+// service is restored from it, and a key can then be claimed again. A claim is
+// kept too short by an entry whose clock is ahead by more than MaxClockSkew.
 package claims
 
 import (
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -423,7 +423,7 @@
 			{ExitUsage, "", []string{"out"}},
 			{ExitUsage, "", []string{"apply", "/nonexistent"}},
 			{ExitUsage, "IP address", []string{"-entries", "entry.example:1", "status"}},
-			{ExitUsage, "", []string{"frobnicate"}},
+			{ExitUsage, "", []string{"no-such-command"}},
 			{ExitProcess, `known are ["entry-a" "entry-b" "agent-1"]`, []string{"dump", "agent-2"}},
 			{ExitProcess, `known are ["agent-1"]`, []string{"drain", "entry-a"}},
 		}
--- a/store/httpstore/call.go
+++ b/store/httpstore/call.go
@@ -86,6 +86,9 @@
 	// RoundTrip, unlike http.Client, follows no redirects.
 	response, err := c.transport.RoundTrip(request)
 	if err != nil {
+		// Open connections can stop carrying data together while new ones
+		// work; without this each would cost a call its timeout.
+		c.transport.CloseIdleConnections()
 		if sent.preventSend() {
 			return fmt.Errorf("%w: %w", errNotSent, err)
 		}
--- a/store/httpstore/client_test.go
+++ b/store/httpstore/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -54,14 +55,21 @@
 	}
 }
 
-// serve runs the handler and returns a client of it.
-func serve(t *testing.T, h http.Handler, o httpstore.Options) *httpstore.Client {
+// serve runs the handler and returns a client of it, whose connections are
+// wrapped if wrap is given.
+func serve(t *testing.T, h http.Handler, o httpstore.Options, wrap ...func(net.Conn) net.Conn) *httpstore.Client {
 	t.Helper()
 	l := newPipeListener()
 	server := &http.Server{Handler: h}
 	done := make(chan struct{})
 	go func() { defer close(done); _ = server.Serve(l) }()
-	o.URL, o.Dial = address, l.dial
+	o.URL, o.Dial = address, func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := l.dial(ctx, address)
+		for _, w := range wrap {
+			conn = w(conn)
+		}
+		return conn, err
+	}
 	client, err := httpstore.New(o)
 	if err != nil {
 		t.Fatal(err)
@@ -239,6 +247,45 @@
 	})
 }
 
+// freezable is a connection that can stop carrying data without breaking.
+type freezable struct {
+	net.Conn
+	frozen *atomic.Bool
+}
+
+func (f freezable) Write(b []byte) (int, error) {
+	if f.frozen.Load() {
+		return len(b), nil
+	}
+	return f.Conn.Write(b)
+}
+
+// Guards against every open connection that no longer carries data costing a
+// call its timeout: the configuration would not be confirmed for seconds.
+func TestFrozenConnectionsCostOneCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		stub := storestub.New()
+		stub.Put("a", nil)
+		stub.SetLatency(10 * time.Millisecond)
+		frozen := new(atomic.Bool)
+		client := serve(t, stub.Handler(), httpstore.Options{}, func(conn net.Conn) net.Conn { return freezable{conn, frozen} })
+		var group sync.WaitGroup
+		for range 5 {
+			group.Go(func() { _, _ = client.Get(context.Background(), "a") })
+		}
+		group.Wait()
+		frozen.Store(true)
+		frozen = new(atomic.Bool) // for new connections
+		began := time.Now()
+		_, err := client.CompareAndSwap(context.Background(), "b", 0, nil, 0)
+		c.Check(err, qt.ErrorIs, store.ErrUnknownOutcome)
+		c.Check(time.Since(began), qt.Equals, httpstore.DefaultCallTimeout)
+		_, err = client.Get(context.Background(), "a")
+		c.Check(err, qt.IsNil)
+	})
+}
+
 // Guards against settings that would only fail later, at the first call.
 func TestNewRefusesBadURLs(t *testing.T) {
 	c := qt.New(t)
