entry: answer panics of handlers, log net/http messages as key=value

Cause: a panic of a handler broke the caller's connection, and net/http wrote lines of its own to standard error.

Change: the caller gets 500 with outcome unknown; messages go to the log. A stopping entry finishes the calls of other entries before it closes them.

--- a/entry/http.go
+++ b/entry/http.go
@@ -1,11 +1,16 @@
 package entry
 
 import (
+	"bytes"
 	"errors"
+	"fmt"
+	"log"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
 
 	"chicorytray.example/chicorytray/config"
 )
@@ -27,8 +32,9 @@
 	r.HideBanner, r.HidePort = true, true
 	r.HTTPErrorHandler = e.httpError
 	r.Use(func(next echo.HandlerFunc) echo.HandlerFunc {
-		return func(c echo.Context) error {
+		return func(c echo.Context) (err error) {
 			c.Response().Header().Set(headerRequestID, requestID(c.Request()))
+			defer func() { err = errors.Join(err, e.recovered(recover())) }()
 			return next(c)
 		}
 	})
@@ -41,6 +47,29 @@
 	return r
 }
 
+// recovered turns a panic of a handler into an error, so that the caller is
+// told that the outcome is unknown.
+func (e *Entry) recovered(v any) error {
+	if v == nil {
+		return nil
+	}
+	e.log.Error().Str("panic", fmt.Sprint(v)).Bytes("stack", debug.Stack()).Msg("handler failed")
+	return errPanic
+}
+
+var errPanic = errors.New("entry: internal failure")
+
+// httpLog passes the messages of net/http to the log.
+type httpLog struct{ zerolog.Logger }
+
+// Write logs one message.
+func (l httpLog) Write(p []byte) (int, error) {
+	l.Warn().Str("detail", string(bytes.TrimSpace(p))).Msg("http server")
+	return len(p), nil
+}
+
+func (e *Entry) httpErrorLog() *log.Logger { return log.New(httpLog{e.log}, "", 0) }
+
 // httpError answers what no handler answered: unknown paths and methods, and
 // panics of handlers. After an answer began nothing can be added to it.
 func (e *Entry) httpError(err error, c echo.Context) {
@@ -70,6 +99,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    e.settings.Limits.MaxHeaderBytes,
 		TLSConfig:         e.callerTLS,
+		ErrorLog:          e.httpErrorLog(),
 	}
 }
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chicorytray.example/chicorytray/observe"
+	"chicorytray.example/chicorytray/rpcconn"
 )
 
 // serveAll serves the three addresses until a planned stop is done, ctx ends
@@ -17,14 +18,15 @@
 	serveCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	callers := e.callerServer()
-	admin := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: observe.AdminHandler(observe.AdminOptions{
+	rpc := e.rpcServer(e.rpcOptions)
+	admin := &http.Server{ReadHeaderTimeout: headerTimeout, ErrorLog: e.httpErrorLog(), Handler: observe.AdminHandler(observe.AdminOptions{
 		Ready: e.Ready, State: func() any { return e.State() }, Metrics: e.options.MetricsHandler,
 	})}
 	failed := make(chan error, 3)
 	var wg sync.WaitGroup
 	wg.Go(func() { failed <- serveHTTP(callers, l.callers, e.callerTLS != nil) })
 	wg.Go(func() { failed <- serveHTTP(admin, l.admin, false) })
-	wg.Go(func() { failed <- e.rpcServer(e.rpcOptions).Serve(serveCtx, l.peers) })
+	wg.Go(func() { failed <- rpc.Serve(serveCtx, l.peers) })
 	e.log.Info().Str("callers", l.callers.Addr().String()).Str("peers", l.peers.Addr().String()).
 		Str("admin", l.admin.Addr().String()).Msg("entry serves")
 
@@ -34,7 +36,7 @@
 		err = ctx.Err()
 	case err = <-failed:
 	case <-e.stop:
-		err = e.drain(ctx, callers)
+		err = e.drain(ctx, callers, rpc)
 	}
 	_ = callers.Close()
 	_ = admin.Close()
@@ -77,7 +79,7 @@
 }
 
 // drain carries out the planned stop.
-func (e *Entry) drain(ctx context.Context, callers *http.Server) error {
+func (e *Entry) drain(ctx context.Context, callers *http.Server, rpc *rpcconn.Server) error {
 	e.log.Info().Dur("notice_ms", e.settings.Timing.StopNotice.Of()).Msg("planned stop began")
 	sleep(ctx, e.settings.Timing.StopNotice.Of())
 	var idle <-chan struct{}
@@ -99,6 +101,10 @@
 		e.log.Warn().Err(err).Msg("callers that did not read their answers were cut off")
 	}
 	e.registration.remove(ctx)
+	// Other entries may be reading the last answers for their callers.
+	calls, cancelCalls := context.WithTimeout(ctx, e.settings.Timing.CallTimeout.Of())
+	defer cancelCalls()
+	_ = rpc.Drain(calls)
 	return ctx.Err()
 }
 
