placement: test policies, sequences and the index against a plain list

A random sequence of operations is applied to a table and to a plain list of agents; Feasible and Choose must agree with the list. Removes a heap operation of queue.Next that never moved anything, because a job whose work shrinks stays first of its account.

--- /dev/null
+++ b/placement/property_test.go
@@ -0,0 +1,124 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"chicorytray.example/chicorytray/placement"
+)
+
+// reference is a plain list of agents with the room that a table should see.
+type reference struct {
+	agent  placement.Agent
+	usable bool
+	load   placement.Load
+	sent   []placement.Resources // not settled, the oldest first
+	since  int                   // of sent, after the report
+}
+
+func sum(list []placement.Resources) placement.Resources {
+	var total placement.Resources
+	for _, r := range list {
+		total = total.Plus(r)
+	}
+	return total
+}
+
+func (r *reference) fits(c placement.Class) bool {
+	if !r.usable || len(c.DataCentres) > 0 && c.DataCentres[0] != r.agent.DataCentre {
+		return false
+	}
+	load := max(r.load.Running+r.load.Queued+r.since, len(r.sent))
+	reported := r.load.Free.Minus(sum(r.sent[len(r.sent)-r.since:]))
+	held := r.agent.Capacity.Minus(sum(r.sent))
+	return load < r.agent.Slots+r.agent.QueueLimit && c.Needs.Fits(reported) && c.Needs.Fits(held)
+}
+
+// Guards against an index that disagrees with the agents: a choice must have
+// room, and Feasible must be true exactly when some agent has room.
+func TestTableAgreesWithAPlainList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := placement.NewTable(rapid.SampledFrom(policies).Draw(t, "policy"))
+		agents := map[string]*reference{}
+		ids := rapid.IntRange(0, 20)
+		needs := func(t *rapid.T) placement.Resources {
+			return placement.Resources{Accelerators: rapid.IntRange(0, 2).Draw(t, "accelerators"), MemoryMB: rapid.Int64Range(0, 3).Draw(t, "memory")}
+		}
+		var sequence uint64
+		t.Repeat(map[string]func(*rapid.T){
+			"upsert": func(t *rapid.T) {
+				id := fmt.Sprint(ids.Draw(t, "id"))
+				a := placement.Agent{
+					ID: id, DataCentre: rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "zone"),
+					Slots: rapid.IntRange(1, 3).Draw(t, "slots"), QueueLimit: rapid.IntRange(0, 1).Draw(t, "queue"),
+					Capacity: needs(t).Plus(needs(t)),
+					Distance: time.Duration(rapid.IntRange(0, 1).Draw(t, "distance")) * time.Millisecond,
+				}
+				table.Upsert(a)
+				known := agents[id]
+				agents[id] = &reference{agent: a, usable: known == nil || known.usable, load: placement.Load{Free: a.Capacity}}
+			},
+			"remove": func(t *rapid.T) {
+				id := fmt.Sprint(ids.Draw(t, "id"))
+				table.Remove(id)
+				delete(agents, id)
+			},
+			"usable": func(t *rapid.T) {
+				id, usable := fmt.Sprint(ids.Draw(t, "id")), rapid.Bool().Draw(t, "usable")
+				table.SetUsable(id, usable)
+				if r := agents[id]; r != nil {
+					r.usable = usable
+				}
+			},
+			"report": func(t *rapid.T) {
+				id := fmt.Sprint(ids.Draw(t, "id"))
+				if r := agents[id]; r != nil {
+					sequence++
+					r.load = placement.Load{Sequence: sequence, Running: rapid.IntRange(0, 3).Draw(t, "running"), Free: needs(t)}
+					r.since = 0
+					table.Report(id, r.load)
+				}
+			},
+			"choose": func(t *rapid.T) {
+				c := placement.Class{Needs: needs(t)}
+				if rapid.Bool().Draw(t, "restricted") {
+					c.DataCentres = []string{"y"}
+				}
+				avoided := fmt.Sprint(ids.Draw(t, "avoid"))
+				possible, others := false, false
+				for id, r := range agents {
+					possible = possible || r.fits(c)
+					others = others || r.fits(c) && id != avoided
+				}
+				if table.Feasible(c) != possible {
+					t.Fatalf("Feasible(%v) = %v", c, !possible)
+				}
+				id, ok := table.Choose(c, func(id string) bool { return id == avoided })
+				if ok != others || ok && (id == avoided || !agents[id].fits(c)) {
+					t.Fatalf("Choose(%v) = %q, %v; another than %s has room: %v", c, id, ok, avoided, others)
+				}
+				if ok {
+					table.Sent(id, c.Needs)
+					agents[id].sent = append(agents[id].sent, c.Needs)
+					agents[id].since++
+				}
+			},
+			"settle": func(t *rapid.T) {
+				id := fmt.Sprint(ids.Draw(t, "id"))
+				if r := agents[id]; r != nil && len(r.sent) > 0 {
+					n := r.sent[0]
+					r.sent = r.sent[1:]
+					// The table cannot tell which task was settled, so the
+					// reference settles one from before the report first.
+					if r.since > len(r.sent) {
+						r.since = len(r.sent)
+					}
+					table.Settled(id, n)
+				}
+			},
+		})
+	})
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -171,10 +171,9 @@
 	index := j.pop()
 	j.waiting[index] = false
 	q.added(j, -1)
+	// With less work left, the job stays the first of its account.
 	if j.queued() == 0 {
 		q.detach(j)
-	} else {
-		s.jobs.fix(j.shareIndex)
 	}
 	return TaskRef{Job: j.ID, Index: index}
 }
