--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,125 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"chicorytray.example/chicorytray/admission"
+)
+
+var start = time.Date(2026, 12, 1, 20, 0, 0, 0, time.UTC)
+
+// Guards against accepting a job that would miss its deadline or exceed a
+// limit, and against a refusal with the wrong reason or wait.
+func TestDecide(t *testing.T) {
+	request := admission.Request{Account: "a", Tasks: 10, Expected: time.Second, Deadline: 10 * time.Second}
+	busy := admission.State{Slots: 10, QueuedTasks: 60, QueuedWork: 60 * time.Second}
+	tests := []struct {
+		name   string
+		change func(*admission.Request, *admission.State)
+		want   admission.Reason
+		after  time.Duration
+	}{
+		{"fits", func(*admission.Request, *admission.State) {}, admission.ReasonAccepted, 0},
+		{"just too long a wait", func(_ *admission.Request, s *admission.State) { s.QueuedWork = 75 * time.Second }, admission.ReasonDeadline, time.Second},
+		{"far too long a wait", func(_ *admission.Request, s *admission.State) { s.QueuedWork = 200 * time.Second }, admission.ReasonDeadline, 13 * time.Second},
+		{"own work too long", func(r *admission.Request, _ *admission.State) { r.Tasks = 40 }, admission.ReasonDeadline, 2 * time.Second},
+		{"one long task", func(r *admission.Request, _ *admission.State) { r.Tasks, r.Expected = 1, time.Minute }, admission.ReasonDeadline, 6 * time.Second},
+		{"wrong estimate with an empty queue", func(r *admission.Request, s *admission.State) {
+			r.Expected = time.Hour
+			s.QueuedTasks, s.QueuedWork = 0, 0
+		}, admission.ReasonAccepted, 0},
+		{"estimate that would overflow", func(r *admission.Request, _ *admission.State) { r.Expected = 1 << 62 }, admission.ReasonDeadline, 6 * time.Second},
+		{"no upstream", func(_ *admission.Request, s *admission.State) { s.Slots = 0 }, admission.ReasonNoUpstream, time.Second},
+		{"queue full", func(_ *admission.Request, s *admission.State) { s.QueuedTasks = 95 }, admission.ReasonQueueFull, time.Second},
+		{"queue of the account full", func(_ *admission.Request, s *admission.State) { s.AccountQueued = 45 }, admission.ReasonAccountLimit, time.Second},
+		{"account's running tasks", func(_ *admission.Request, s *admission.State) { s.AccountShare, s.AccountRunning = 2, 10 }, admission.ReasonAccountLimit, 2 * time.Second},
+		{"account with a share but nothing running", func(_ *admission.Request, s *admission.State) { s.AccountShare = 0.1 }, admission.ReasonAccepted, 0},
+		{"no tasks", func(r *admission.Request, _ *admission.State) { r.Tasks = 0 }, admission.ReasonInvalid, 0},
+		{"deadline passed", func(r *admission.Request, _ *admission.State) { r.Deadline = 0 }, admission.ReasonInvalid, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r, s := request, busy
+			test.change(&r, &s)
+			d := admission.New(admission.Options{MaxQueuedTasks: 100, MaxAccountQueued: 50}).Decide(start, r, s)
+			c.Assert(d.Reason, qt.Equals, test.want)
+			c.Assert(d.Accept, qt.Equals, test.want == admission.ReasonAccepted)
+			c.Assert(d.RetryAfter, qt.Equals, test.after)
+		})
+	}
+}
+
+// Guards against an account that exceeds its rate, or that can never run a job
+// with more tasks than one second allows.
+func TestAccountRate(t *testing.T) {
+	c := qt.New(t)
+	a := admission.New(admission.Options{})
+	r := admission.Request{Account: "a", Tasks: 25, Expected: time.Millisecond, Deadline: time.Second}
+	s := admission.State{Slots: 100, AccountRate: 10}
+	c.Assert(a.Decide(start, r, s).Accept, qt.IsTrue) // 10 - 25 = -15
+	d := a.Decide(start, r, s)
+	c.Assert(d.Reason, qt.Equals, admission.ReasonAccountRate)
+	c.Assert(d.RetryAfter, qt.Equals, 2*time.Second)
+	c.Assert(a.Decide(start.Add(1400*time.Millisecond), r, s).Accept, qt.IsFalse)
+	c.Assert(a.Decide(start.Add(1600*time.Millisecond), r, s).Accept, qt.IsTrue)
+	r.Account = "b"
+	c.Assert(a.Decide(start, r, s).Accept, qt.IsTrue)
+}
+
+// Guards against a rate that counts idle time or ignores that other processes
+// use the same slots.
+func TestRateIsMeasuredWhileTasksWait(t *testing.T) {
+	c := qt.New(t)
+	a := admission.New(admission.Options{})
+	now := start
+	for range 100 { // a third of 10 slots, without backlog
+		now = now.Add(300 * time.Millisecond)
+		a.Started(now, time.Second, 10, false)
+	}
+	c.Assert(a.Rate(), qt.Equals, 1.0)
+	for range 200 { // 5 s of work a second from 10 slots, with backlog
+		now = now.Add(200 * time.Millisecond)
+		a.Started(now, time.Second, 10, true)
+	}
+	c.Assert(a.Rate() > 0.5 && a.Rate() < 0.65, qt.IsTrue, qt.Commentf("%v", a.Rate()))
+}
+
+// Guards against a later refusal of a job that waits less, and against a
+// Retry-After that no HTTP header can carry.
+func TestLessQueuedWorkNeverRefusesMore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seconds := func(name string) time.Duration {
+			return time.Duration(rapid.IntRange(1, 100000).Draw(t, name)) * time.Millisecond
+		}
+		r := admission.Request{Account: "a", Tasks: rapid.IntRange(1, 1500).Draw(t, "tasks"), Expected: seconds("expected"), Deadline: seconds("deadline")}
+		s := admission.State{Slots: rapid.IntRange(1, 8000).Draw(t, "slots"), QueuedTasks: 1, QueuedWork: 100 * seconds("work")}
+		a := admission.New(admission.Options{})
+		d := a.Decide(start, r, s)
+		if !d.Accept && (d.RetryAfter < time.Second || d.RetryAfter > time.Minute || d.RetryAfter%time.Second != 0) {
+			t.Fatalf("Retry-After %v", d.RetryAfter)
+		}
+		s.QueuedWork /= 2
+		if d.Accept && !a.Decide(start, r, s).Accept {
+			t.Fatal("refused with half of the work waiting")
+		}
+	})
+}
+
+func ExampleController_Decide() {
+	c := admission.New(admission.Options{})
+	r := admission.Request{Account: "reviews", Tasks: 20, Expected: 200 * time.Millisecond, Deadline: 5 * time.Second}
+	quiet := admission.State{Slots: 88, QueuedTasks: 40, QueuedWork: 8 * time.Second}
+	burst := admission.State{Slots: 88, QueuedTasks: 3000, QueuedWork: 600 * time.Second}
+	fmt.Println(c.Decide(time.Now(), r, quiet).Accept)
+	d := c.Decide(time.Now(), r, burst)
+	fmt.Println(d.Accept, d.Reason, d.RetryAfter)
+	// Output:
+	// true
+	// false deadline_unreachable 4s
+}
--- /dev/null
+++ b/ejection/ejection_test.go
@@ -0,0 +1,254 @@
+package ejection_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"chicorytray.example/chicorytray/ejection"
+)
+
+var start = time.Date(2026, 12, 1, 20, 0, 0, 0, time.UTC)
+
+// fleet applies the changes of a detector as a dispatcher does.
+type fleet struct {
+	*ejection.Detector
+	now    time.Time
+	agents []string
+	state  map[string]ejection.Kind
+	weight map[string]float64
+	jobs   int
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{Detector: ejection.New(ejection.Options{}), now: start, state: map[string]ejection.Kind{}, weight: map[string]float64{}}
+	for i := range n {
+		id := fmt.Sprintf("agent%02d", i)
+		f.agents = append(f.agents, id)
+		f.Track(id)
+		f.weight[id] = 1
+	}
+	return f
+}
+
+// round sends each agent in use one task of an own job and evaluates.
+func (f *fleet) round(outcome func(agent int) ejection.Outcome) {
+	f.now = f.now.Add(100 * time.Millisecond)
+	for i, id := range f.agents {
+		if f.state[id] == ejection.Eject {
+			continue
+		}
+		o := outcome(i)
+		f.jobs++
+		if o.Job == "" {
+			o.Job = fmt.Sprint("job", f.jobs)
+		}
+		f.Observe(f.now, id, o)
+	}
+	for _, c := range f.Evaluate(f.now) {
+		f.weight[c.Agent] = c.Weight
+		if c.Kind != ejection.Weight {
+			f.state[c.Agent] = c.Kind
+		}
+	}
+}
+
+func (f *fleet) ejected() []string {
+	var ids []string
+	for id, k := range f.state {
+		if k == ejection.Eject {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func failing(agents ...int) func(int) ejection.Outcome {
+	return func(i int) ejection.Outcome { return ejection.Outcome{Failed: slices.Contains(agents, i)} }
+}
+
+// Guards against a faulty upstream that keeps getting work, and against
+// ejections that punish agents for faults of jobs or of all upstreams.
+func TestWhoIsEjected(t *testing.T) {
+	all := []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10}
+	tests := []struct {
+		name    string
+		agents  int
+		rounds  int
+		outcome func(int) ejection.Outcome
+		want    []string
+	}{
+		{"one fails", 11, 4, failing(4), []string{"agent04"}},
+		{"too few failures", 11, 2, failing(4), nil},
+		{"cap of three in eleven", 11, 20, failing(0, 2, 4, 6), []string{"agent00", "agent02", "agent04"}},
+		{"all fail", 11, 20, failing(all...), nil},
+		{"most fail", 11, 20, failing(all[:7]...), nil},
+		{"cap leaves none in three", 3, 20, failing(0), nil},
+		{"one bad job", 11, 20, func(i int) ejection.Outcome {
+			return ejection.Outcome{Failed: i == 4, Job: "bad"}
+		}, nil},
+		{"a third of one agent's outcomes fails", 11, 60, func() func(int) ejection.Outcome {
+			calls := 0
+			return func(i int) ejection.Outcome {
+				calls++
+				return ejection.Outcome{Failed: i == 4 && calls/11%3 == 2}
+			}
+		}(), nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(test.agents)
+			for range test.rounds {
+				f.round(test.outcome)
+			}
+			qt.Assert(t, f.ejected(), qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// Guards against an upstream that fails after it worked for long: its earlier
+// successes must not delay the ejection by more than half of the history.
+func TestEjectionAfterLongSuccess(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(11)
+	for range 200 {
+		f.round(failing())
+	}
+	rounds := 0
+	for len(f.ejected()) == 0 && rounds < 100 {
+		f.round(failing(4))
+		rounds++
+	}
+	c.Assert(rounds, qt.Equals, 16)
+}
+
+// Guards against an ejected agent that never returns, returns without proof, or
+// is tried again at the same short interval for ever.
+func TestProbing(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(11)
+	var ejections []time.Duration
+	for f.now.Before(start.Add(40 * time.Second)) {
+		before := f.state["agent04"]
+		f.round(failing(4))
+		if f.state["agent04"] == ejection.Eject && before != ejection.Eject {
+			ejections = append(ejections, f.now.Sub(start).Truncate(time.Second))
+		}
+		if f.state["agent04"] == ejection.Probe {
+			c.Assert(f.weight["agent04"], qt.Equals, ejection.DefaultProbeWeight)
+		}
+	}
+	// Pauses of 5, 10 and 20 s, each with two more rounds to fail the probe.
+	c.Assert(ejections, qt.DeepEquals, []time.Duration{0, 5 * time.Second, 15 * time.Second, 35 * time.Second})
+	for range 410 {
+		f.round(failing())
+	}
+	c.Assert(f.state["agent04"], qt.Equals, ejection.Restore)
+	c.Assert(f.weight["agent04"], qt.Equals, 1.0)
+}
+
+// Guards against agents that stay ejected when the fault turns out to be common
+// to all.
+func TestCommonFaultEndsEjections(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(11)
+	for range 5 {
+		f.round(failing(4))
+	}
+	c.Assert(f.ejected(), qt.DeepEquals, []string{"agent04"})
+	for range 5 {
+		f.round(failing(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10))
+	}
+	c.Assert(f.ejected(), qt.HasLen, 0)
+}
+
+// Guards against a slow upstream that gets as much work as the others, keeps a
+// small weight after it recovered, or loses weight because all are slow.
+func TestSlowAgentsGetASmallerWeight(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(11)
+	taking := func(agent4, others time.Duration) func(int) ejection.Outcome {
+		return func(i int) ejection.Outcome {
+			took := others
+			if i == 4 {
+				took = agent4
+			}
+			return ejection.Outcome{Took: took, Expected: 100 * time.Millisecond}
+		}
+	}
+	for range 20 {
+		f.round(taking(400*time.Millisecond, 100*time.Millisecond))
+	}
+	c.Assert(f.weight["agent04"], qt.Equals, 0.25)
+	c.Assert(f.weight["agent05"], qt.Equals, 1.0)
+	for range 40 {
+		f.round(taking(400*time.Millisecond, 400*time.Millisecond))
+	}
+	c.Assert(f.weight["agent04"], qt.Equals, 1.0)
+	for range 40 {
+		f.round(taking(10*time.Second, 10*time.Millisecond))
+	}
+	c.Assert(f.weight["agent04"], qt.Equals, 0.1)
+}
+
+// Guards against more ejected agents than the cap, whatever happens, and
+// against changes that contradict the number of ejected agents.
+func TestEjectedShareNeverExceedsTheCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := ejection.New(ejection.Options{})
+		now := start
+		agents := map[string]bool{}
+		ejected := map[string]bool{}
+		bad := rapid.Uint32().Draw(t, "bad") & rapid.Uint32().Draw(t, "bad too")
+		job := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"observe": func(t *rapid.T) {
+				for range rapid.IntRange(1, 60).Draw(t, "outcomes") {
+					n := rapid.IntRange(0, 15).Draw(t, "agent")
+					id := fmt.Sprint(n)
+					agents[id] = true
+					job++
+					d.Observe(now, id, ejection.Outcome{Failed: bad>>n&1 == 1, Job: fmt.Sprint(job)})
+				}
+			},
+			"forget": func(t *rapid.T) {
+				id := fmt.Sprint(rapid.IntRange(0, 15).Draw(t, "agent"))
+				d.Forget(id)
+				delete(agents, id)
+				delete(ejected, id)
+			},
+			"evaluate": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 8000).Draw(t, "ms")) * time.Millisecond)
+				for _, c := range d.Evaluate(now) {
+					if c.Kind == ejection.Eject {
+						ejected[c.Agent] = true
+					} else {
+						delete(ejected, c.Agent)
+					}
+				}
+				if len(ejected) != d.Ejected() || 10*len(ejected) > 3*len(agents) {
+					t.Fatalf("%d agents of %d are ejected, the detector says %d", len(ejected), len(agents), d.Ejected())
+				}
+			},
+		})
+	})
+}
+
+func ExampleDetector() {
+	d := ejection.New(ejection.Options{})
+	now := time.Now()
+	for i := range 5 {
+		for _, agent := range []string{"a", "b", "c", "d"} {
+			d.Observe(now, agent, ejection.Outcome{Failed: agent == "c", Job: fmt.Sprint(agent, i)})
+		}
+	}
+	for _, change := range d.Evaluate(now) {
+		fmt.Printf("%s %s: %.0f%% failed, peers %.0f%%\n", change.Kind, change.Agent, 100*change.FailureRate, 100*change.PeerRate)
+	}
+	// Output: eject c: 100% failed, peers 0%
+}
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,206 @@
+package quota_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"chicorytray.example/chicorytray/quota"
+)
+
+var start = time.Date(2026, 12, 1, 20, 0, 0, 0, time.UTC)
+
+const (
+	account = "reviews"
+	limit   = 100.0
+)
+
+// fleet is a set of entries that exchange heartbeats every second.
+type fleet struct {
+	shares []*quota.Shares
+	now    time.Time
+	// hears says which entry's heartbeats reach which; nil means all.
+	hears func(from, to int) bool
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{now: start}
+	for range n {
+		f.join()
+	}
+	return f
+}
+
+func (f *fleet) join() {
+	f.shares = append(f.shares, quota.New(quota.Options{Self: fmt.Sprint(len(f.shares))}))
+}
+
+// second lets every entry count its demand, publish it and hear the others'.
+func (f *fleet) second(demand ...int) {
+	f.now = f.now.Add(time.Second)
+	for i, s := range f.shares {
+		if i < len(demand) {
+			s.Count(f.now, account, demand[i])
+		}
+		published := s.Demand(f.now)
+		for j, peer := range f.shares {
+			if f.hears == nil || f.hears(i, j) {
+				peer.Observe(f.now, fmt.Sprint(i), published)
+			}
+		}
+	}
+}
+
+func (f *fleet) share(i int) float64 { return f.shares[i].Share(f.now, account, limit) }
+
+func (f *fleet) sum() float64 {
+	sum := 0.0
+	for i := range f.shares {
+		sum += f.share(i)
+	}
+	return sum
+}
+
+func within(got, low, high float64) qt.Comment {
+	return qt.Commentf("%.2f is not within %.2f..%.2f", got, low, high)
+}
+
+// Guards against a division that ignores demand, or that starves an entry
+// without recent demand.
+func TestSharesFollowDemand(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(4)
+	for range 3 {
+		f.second()
+	}
+	for i := range f.shares {
+		c.Assert(f.share(i), qt.Equals, limit/4) // nobody asked yet
+	}
+	for range 10 {
+		f.second(300, 100)
+	}
+	for i, want := range []float64{69.7, 24.9, 2.7, 2.7} {
+		got := f.share(i)
+		c.Check(math.Abs(got-want) < 1, qt.IsTrue, within(got, want-1, want+1))
+	}
+	c.Assert(f.shares[0].Share(f.now, account, 0), qt.Equals, 0.0) // no limit
+}
+
+// Guards against a new entry that refuses its first jobs, and against an excess
+// above the stated error while its peers have not heard it.
+func TestNewEntryGetsAShareAtOnce(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(3)
+	for range 10 {
+		f.second(100, 100, 100)
+	}
+	f.join()
+	newcomer := f.shares[3]
+	for i := range 3 { // it hears its peers first
+		newcomer.Observe(f.now, fmt.Sprint(i), f.shares[i].Demand(f.now))
+	}
+	c.Assert(f.share(3), qt.Equals, limit*quota.NewcomerShare/4)
+	for range 10 {
+		excess := f.sum() - limit
+		c.Assert(excess <= limit*quota.NewcomerShare/4+1e-9, qt.IsTrue, qt.Commentf("excess %v", excess))
+		f.second(100, 100, 100, 100)
+	}
+	got := f.share(3)
+	c.Assert(got > 24 && got < 26, qt.IsTrue, within(got, 24, 26))
+}
+
+// Guards against an entry that keeps a part of the limit after it went silent
+// or said that it stops.
+func TestSilentEntriesAreDropped(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(3)
+	f.second()
+	f.hears = func(from, _ int) bool { return from != 2 }
+	for range 3 {
+		f.second()
+	}
+	c.Assert(f.shares[0].Entries(f.now), qt.Equals, 3)
+	f.second()
+	c.Assert(f.shares[0].Entries(f.now), qt.Equals, 2)
+	c.Assert(f.share(0), qt.Equals, limit/2)
+	f.shares[0].Forget("1")
+	c.Assert(f.share(0), qt.Equals, limit)
+}
+
+// Guards against a wrong statement of what a cut costs: each group divides the
+// whole limit, and the sum returns to it when the cut heals.
+func TestEntriesCutFromEachOther(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(4)
+	for range 5 {
+		f.second(50, 50, 50, 50)
+	}
+	f.hears = func(from, to int) bool { return from/2 == to/2 }
+	for range 5 {
+		f.second(50, 50, 50, 50)
+		c.Assert(f.sum() <= 2*limit+1e-9, qt.IsTrue)
+	}
+	c.Assert(math.Abs(f.sum()-2*limit) < 1e-6, qt.IsTrue)
+	f.hears = nil
+	f.second(50, 50, 50, 50)
+	c.Assert(f.sum() <= limit+1e-9, qt.IsTrue, qt.Commentf("%v", f.sum()))
+}
+
+// Guards against shares that add up to more than the limit while all entries
+// hear each other, whatever their demand and however late heartbeats are within
+// an interval.
+func TestSumStaysWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const tick = 100 * time.Millisecond
+		n := rapid.IntRange(2, 5).Draw(t, "entries")
+		f := newFleet(n)
+		type message struct {
+			from, to int
+			demand   map[string]float64
+		}
+		delayed := map[int][]message{}
+		last := map[[2]int]int{} // arrival of the newest message, which no later one overtakes
+		for step := range 120 {
+			f.now = f.now.Add(tick)
+			for i, s := range f.shares {
+				if rapid.IntRange(0, 9).Draw(t, "asks") == 0 {
+					s.Count(f.now, account, rapid.IntRange(0, 500).Draw(t, "tasks"))
+				}
+				if step%10 != i {
+					continue
+				}
+				for j := range f.shares {
+					arrival := max(step+rapid.IntRange(0, 10).Draw(t, "delay"), last[[2]int{i, j}])
+					last[[2]int{i, j}] = arrival
+					delayed[arrival] = append(delayed[arrival], message{i, j, s.Demand(f.now)})
+				}
+			}
+			for _, m := range delayed[step] {
+				f.shares[m.to].Observe(f.now, fmt.Sprint(m.from), m.demand)
+			}
+			// All have heard all others after the first two seconds, and the
+			// newcomers' shares end two seconds after the first heartbeat.
+			if sum := f.sum(); step > 30 && sum > limit+1e-9 {
+				t.Fatalf("the shares add up to %v at step %d", sum, step)
+			}
+		}
+	})
+}
+
+func ExampleShares() {
+	now := time.Now()
+	a, b := quota.New(quota.Options{Self: "a"}), quota.New(quota.Options{Self: "b"})
+	for range 8 { // one heartbeat a second
+		now = now.Add(time.Second)
+		a.Count(now, "reviews", 90)
+		b.Count(now, "reviews", 10)
+		a.Observe(now, "b", b.Demand(now))
+		b.Observe(now, "a", a.Demand(now))
+	}
+	fmt.Printf("%.0f + %.0f\n", a.Share(now, "reviews", 100), b.Share(now, "reviews", 100))
+	// Output: 85 + 15
+}
