--- a/ejection/ejection.go
+++ b/ejection/ejection.go
@@ -234,13 +234,13 @@
 	var changes []Change
 	judged := d.judge(now)
 	rates := sortedRates(judged)
-	common := commonFault(judged)
-	if common {
+	if commonFault(judged) {
+		// Probes say nothing about an agent now and are judged later.
 		changes = d.restoreEjected(now)
 	} else {
-		changes = append(d.endPauses(now), d.ejectWorst(now, judged, rates)...)
+		changes = append(d.endPauses(now), d.endProbes(now)...)
+		changes = append(changes, d.ejectWorst(now, judged, rates)...)
 	}
-	changes = append(changes, d.endProbes(now, common)...)
 	changes = append(changes, d.reweigh(judged)...)
 	changes = append(changes, d.keepCap(now)...)
 	slices.SortStableFunc(changes, func(a, b Change) int {
--- a/ejection/rules.go
+++ b/ejection/rules.go
@@ -143,15 +143,12 @@
 	return changes
 }
 
-// endProbes restores probed agents that succeeded and ejects those that failed,
-// unless most agents fail.
-func (d *Detector) endProbes(now time.Time, common bool) []Change {
+// endProbes restores probed agents that succeeded and ejects those that failed.
+func (d *Detector) endProbes(now time.Time) []Change {
 	var changes []Change
 	for _, a := range d.agents {
 		switch {
 		case a.state != probing:
-		case a.failures >= probeFailures && common:
-			a.successes, a.failures = 0, 0
 		case a.failures >= probeFailures:
 			if d.ejected < d.maxEjected() {
 				rate := float64(a.failures) / float64(a.failures+a.successes)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -8,9 +8,10 @@
 //	share = limit × ((1 − FloorShare) × own / (own + others) + FloorShare / entries)
 //
 // where own is the lowest demand that the entry published in the last two
-// intervals, and others is the sum over its peers of the highest demand heard
-// from each in the same time. An entry thus raises its share only after its
-// peers had time to lower theirs, and lowers it at once.
+// intervals, and others is the sum of the newest demand heard from each peer. An
+// entry thus raises its share only after its peers had time to lower theirs, and
+// lowers it at once: what a peer heard last is never below the own demand that
+// the entry counts.
 //
 // While every entry hears every other, and the time between two heartbeats plus
 // their delay is at most two intervals, the shares add up to at most the limit.
@@ -39,10 +40,12 @@
 	// silentIntervals without a heartbeat drop an entry. Three let one
 	// heartbeat get lost and the next be late.
 	silentIntervals = 3
-	// windowIntervals is the time over which the lowest own and the highest
-	// heard demand count. Two cover a message delay of up to one interval.
-	windowIntervals = 2
-	// ownWindowIntervals is longer by the age of a snapshot when it is sent.
+	// newIntervals is the time in which an entry is new: its peers hear it
+	// in the first and its demand in the second.
+	newIntervals = 2
+	// ownWindowIntervals is the time over which the lowest own demand counts.
+	// Two intervals cover a message delay of up to one, and half of one more
+	// the age of a snapshot when it is sent.
 	ownWindowIntervals = 2.5
 	// FloorShare of a limit is divided equally, so that an entry without
 	// recent demand can serve the next job at once.
@@ -71,9 +74,9 @@
 	options Options
 	counts  map[string]int // tasks asked for since the last snapshot
 	rates   map[string]float64
-	own     []snapshot            // published, oldest first
-	peers   map[string][]snapshot // heard, oldest first
-	started time.Time             // first publication
+	own     []snapshot          // published, oldest first
+	peers   map[string]snapshot // heard last
+	started time.Time           // first publication
 }
 
 // snapshot is the demand by account at a time, in tasks a second.
@@ -94,7 +97,7 @@
 		options: o,
 		counts:  make(map[string]int),
 		rates:   make(map[string]float64),
-		peers:   make(map[string][]snapshot),
+		peers:   make(map[string]snapshot),
 	}
 }
 
@@ -124,7 +127,7 @@
 	for account, rate := range s.rates {
 		published[account] = rate
 	}
-	s.own = append(trim(s.own, now, s.ownWindow()), snapshot{now, published})
+	s.own = append(s.recent(now), snapshot{now, published})
 	return published
 }
 
@@ -134,7 +137,7 @@
 	if entry == s.options.Self {
 		return
 	}
-	s.peers[entry] = append(trim(s.peers[entry], now, s.window()), snapshot{now, demand})
+	s.peers[entry] = snapshot{now, demand}
 }
 
 // Forget drops an entry that said it stops.
@@ -150,12 +153,12 @@
 	total := own
 	entries := 1
 	for id, heard := range s.peers {
-		if now.Sub(heard[len(heard)-1].at) > s.options.Silence {
+		if now.Sub(heard.at) > s.options.Silence {
 			delete(s.peers, id)
 			continue
 		}
 		entries++
-		total += baseDemand + s.highest(heard, now, account)
+		total += baseDemand + heard.demand[account]
 	}
 	n := float64(entries)
 	share := limit * ((1-FloorShare)*own/total + FloorShare/n)
@@ -163,7 +166,7 @@
 	switch age := s.age(now); {
 	case age < s.options.Interval:
 		return newcomer // it may not have heard its peers yet
-	case age < windowIntervals*s.options.Interval:
+	case age < newIntervals*s.options.Interval:
 		return max(share, newcomer) // its peers have not heard its demand yet
 	default:
 		return share
@@ -174,7 +177,7 @@
 func (s *Shares) Entries(now time.Time) int {
 	n := 1
 	for _, heard := range s.peers {
-		if now.Sub(heard[len(heard)-1].at) <= s.options.Silence {
+		if now.Sub(heard.at) <= s.options.Silence {
 			n++
 		}
 	}
@@ -212,36 +215,17 @@
 		return 0
 	}
 	lowest := s.own[len(s.own)-1].demand[account]
-	for _, o := range s.own {
-		if within(o, now, s.ownWindow()) {
-			lowest = min(lowest, o.demand[account])
-		}
+	for _, o := range s.recent(now) {
+		lowest = min(lowest, o.demand[account])
 	}
 	return lowest
 }
 
-func (s *Shares) highest(heard []snapshot, now time.Time, account string) float64 {
-	highest := heard[len(heard)-1].demand[account]
-	for _, o := range heard {
-		if within(o, now, s.window()) {
-			highest = max(highest, o.demand[account])
-		}
-	}
-	return highest
-}
-
-func (s *Shares) window() time.Duration { return windowIntervals * s.options.Interval }
-
-func (s *Shares) ownWindow() time.Duration {
-	return time.Duration(ownWindowIntervals * float64(s.options.Interval))
-}
-
-func within(o snapshot, now time.Time, window time.Duration) bool { return now.Sub(o.at) <= window }
-
-// trim drops snapshots that left the window, so that at most a handful are
-// kept for each entry.
-func trim(list []snapshot, now time.Time, window time.Duration) []snapshot {
-	for len(list) > 0 && !within(list[0], now, window) {
+// recent returns the own snapshots that still count, at most a handful.
+func (s *Shares) recent(now time.Time) []snapshot {
+	window := time.Duration(ownWindowIntervals * float64(s.options.Interval))
+	list := s.own
+	for len(list) > 0 && now.Sub(list[0].at) > window {
 		list = list[1:]
 	}
 	return list
