Add benchmarks and examples, bound a search that many agents fail

A best-score search that reaches its limit of visits now continues with a random one: the same highest scores would use up every later search too, and the only agent that fits would never be found.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -123,3 +123,13 @@
 	// true
 	// false deadline_unreachable 4s
 }
+
+func BenchmarkDecide(b *testing.B) {
+	c := admission.New(admission.Options{})
+	r := admission.Request{Account: "a", Tasks: 20, Expected: 200 * time.Millisecond, Deadline: 5 * time.Second}
+	s := admission.State{Slots: 88, QueuedTasks: 40, QueuedWork: 8 * time.Second, AccountShare: 50, AccountRate: 1e9}
+	for b.Loop() {
+		c.Started(start, time.Second, 88, true)
+		c.Decide(start, r, s)
+	}
+}
--- a/ejection/ejection_test.go
+++ b/ejection/ejection_test.go
@@ -294,3 +294,27 @@
 	}
 	// Output: eject c: 100% failed, peers 0%
 }
+
+// BenchmarkDetector measures one outcome, and one evaluation after every agent
+// had an outcome.
+func BenchmarkDetector(b *testing.B) {
+	for _, n := range []int{11, 100, 1000} {
+		f := newFleet(n)
+		taking := func(i int) ejection.Outcome {
+			return ejection.Outcome{Took: time.Duration(90+i%20) * time.Millisecond, Expected: 100 * time.Millisecond}
+		}
+		for range 40 {
+			f.round(taking)
+		}
+		b.Run(fmt.Sprintf("observe/agents=%d", n), func(b *testing.B) {
+			for i := 0; b.Loop(); i++ {
+				f.Observe(f.now, f.agents[i%n], ejection.Outcome{Took: time.Second, Expected: time.Second, Job: "j"})
+			}
+		})
+		b.Run(fmt.Sprintf("evaluate/agents=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				f.Evaluate(f.now)
+			}
+		})
+	}
+}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -215,6 +215,30 @@
 	c.Assert(chosen["0"] > 400 && chosen["4"] > 400, qt.IsTrue, qt.Commentf("%v", chosen))
 }
 
+// Guards against a decision that looks at all agents when many have to be
+// avoided, and against one that never finds the only agent that fits.
+func TestSearchIsLimitedAndStartsElsewhereNextTime(t *testing.T) {
+	c := qt.New(t)
+	table := placement.NewTable(placement.IdleFirst{})
+	for i := range 4000 {
+		a := near(fmt.Sprint(i), 4+i%4)
+		a.Capacity = placement.Resources{Accelerators: i % 2, MemoryMB: int64(1 - i%2)}
+		if i == 2000 {
+			a.Capacity = placement.Resources{Accelerators: 1, MemoryMB: 1}
+		}
+		table.Upsert(a)
+	}
+	asked := 0
+	_, ok := table.Choose(placement.Class{}, func(string) bool { asked++; return true })
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(asked < 2000, qt.IsTrue, qt.Commentf("%d agents", asked))
+	both := placement.Class{Needs: placement.Resources{Accelerators: 1, MemoryMB: 1}}
+	for tries := 0; !ok && tries < 1000; tries++ {
+		_, ok = table.Choose(both, nil)
+	}
+	c.Assert(ok, qt.IsTrue)
+}
+
 // Guards against a job that waits for ever because nothing can run it, and
 // against a refusal for a fault that may pass.
 func TestCanEverRun(t *testing.T) {
--- a/placement/search.go
+++ b/placement/search.go
@@ -9,7 +9,7 @@
 // resources and agents to avoid it visits two nodes on each level. It visits
 // more where the agents with free slots lack a resource that their neighbours
 // in the tree have. The limit keeps every decision logarithmic; a search that
-// reaches it says that there is no room, and the next one begins elsewhere. A
+// reaches it says that there is no room, and a later one begins elsewhere. A
 // zone of up to 100 agents is always searched completely.
 const (
 	visitsBase     = 128
@@ -41,13 +41,19 @@
 // Best returns the agent with the highest score above the given one that fits
 // the query. Among equals it chooses at random.
 func (v View) Best(zone int, q Query, above float64) (Candidate, bool) {
-	return v.search(zone, q, above, true)
+	c, ok, limited := v.search(zone, q, above, true)
+	if !ok && limited {
+		// The same highest scores would use up the next search too.
+		return v.Random(zone, q, above)
+	}
+	return c, ok
 }
 
 // Random returns an agent with a score above the given one that fits the query.
 // Above 0, without needs and agents to avoid, all such agents are equally likely.
 func (v View) Random(zone int, q Query, above float64) (Candidate, bool) {
-	return v.search(zone, q, above, false)
+	c, ok, _ := v.search(zone, q, above, false)
+	return c, ok
 }
 
 // search is one walk down the tree of a zone.
@@ -61,22 +67,23 @@
 	found  *agent
 }
 
-func (v View) search(zone int, q Query, above float64, best bool) (Candidate, bool) {
+// search also reports whether the limit of visits ended it.
+func (v View) search(zone int, q Query, above float64, best bool) (c Candidate, ok, limited bool) {
 	z := v.t.zones[zone]
 	if !q.Class.allows(z.key.dataCentre) || len(z.tree.nodes) == 0 {
-		return Candidate{}, false
+		return Candidate{}, false, false
 	}
 	levels := bits.Len(uint(len(z.tree.nodes)))
 	s := search{tree: &z.tree, query: q, view: v, best: best, above: above, visits: visitsBase + visitsPerLevel*levels}
 	s.walk(1)
 	if s.found == nil {
-		return Candidate{}, false
+		return Candidate{}, false, s.visits < 0
 	}
-	c := Candidate{ID: s.found.ID, Rack: s.found.Rack, Score: s.above, Distance: s.found.Distance}
+	c = Candidate{ID: s.found.ID, Rack: s.found.Rack, Score: s.above, Distance: s.found.Distance}
 	if q.RackTasks != nil {
 		c.rackLoad = q.RackTasks(c.Rack)
 	}
-	return c, true
+	return c, true, s.visits < 0
 }
 
 // walk visits a subtree and reports whether the search is over.
--- /dev/null
+++ b/queue/bench_test.go
@@ -0,0 +1,78 @@
+package queue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"chicorytray.example/chicorytray/queue"
+)
+
+// filled returns a queue of jobs of 20 tasks from 110 accounts in 3 urgencies
+// and 4 classes.
+func filled(tasks int) *queue.Queue {
+	q := queue.New(queue.Options{})
+	for i := range tasks / 20 {
+		add(q, i)
+	}
+	return q
+}
+
+func add(q *queue.Queue, i int) {
+	indexes := make([]int, 20)
+	for n := range indexes {
+		indexes[n] = n
+	}
+	q.Add(start, queue.Job{
+		ID: fmt.Sprint(i), Account: fmt.Sprint(i % 110), Class: fmt.Sprint(i % 4), Urgency: i % 3,
+		Arrived: start, Deadline: at(time.Hour), Expected: time.Duration(i%50+1) * 10 * time.Millisecond,
+	}, indexes)
+}
+
+// BenchmarkOperation measures operations that leave the queue as long as it was.
+func BenchmarkOperation(b *testing.B) {
+	for _, tasks := range []int{1000, 10000, 100000} {
+		run := func(name string, operation func(q *queue.Queue, i int)) {
+			b.Run(fmt.Sprintf("%s/tasks=%d", name, tasks), func(b *testing.B) {
+				q := filled(tasks)
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					operation(q, i)
+				}
+			})
+		}
+		run("next-started-return", func(q *queue.Queue, _ int) {
+			ref, _ := q.Next(start, nil)
+			q.Started("1", time.Millisecond)
+			q.Return(ref)
+		})
+		run("next-no-room", func(q *queue.Queue, _ int) { q.Next(start, func(string) bool { return false }) })
+		run("add-remove-20-tasks", func(q *queue.Queue, i int) {
+			add(q, tasks+i)
+			q.Remove(fmt.Sprint(tasks + i))
+		})
+	}
+}
+
+func ExampleQueue() {
+	q := queue.New(queue.Options{})
+	now := time.Now()
+	q.Add(now, queue.Job{ID: "large", Account: "a", Arrived: now, Expected: time.Second}, []int{0, 1, 2})
+	q.Add(now, queue.Job{ID: "small", Account: "a", Arrived: now, Expected: time.Second}, []int{0})
+	q.Add(now, queue.Job{ID: "other", Account: "b", Arrived: now, Expected: time.Second}, []int{0})
+	account := map[string]string{"large": "a", "small": "a", "other": "b"}
+	for {
+		ref, ok := q.Next(now, func(class string) bool { return true })
+		if !ok {
+			break
+		}
+		q.Started(account[ref.Job], time.Second)
+		fmt.Println(ref.Job, ref.Index)
+	}
+	// Output:
+	// small 0
+	// other 0
+	// large 0
+	// large 1
+	// large 2
+}
