--- a/ejection/ejection_test.go
+++ b/ejection/ejection_test.go
@@ -136,6 +136,8 @@
 		rounds++
 	}
 	c.Assert(rounds, qt.Equals, 16)
+	state := f.State(f.now)[4]
+	c.Assert([]string{state.ID, state.State}, qt.DeepEquals, []string{"agent04", "ejected"})
 }
 
 // Guards against an ejected agent that never returns, returns without proof, or
--- /dev/null
+++ b/queue/state.go
@@ -0,0 +1,53 @@
+package queue
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// State is a copy of what a queue holds, for a process's state dump.
+type State struct {
+	Tasks    int            `json:"tasks"`
+	Work     time.Duration  `json:"work_ns"`
+	Jobs     int            `json:"jobs"` // also those whose tasks were all given out
+	Levels   []LevelState   `json:"levels"`
+	Accounts []AccountState `json:"accounts"`
+}
+
+// LevelState counts the waiting jobs of one urgency, promotions included.
+type LevelState struct {
+	Urgency int            `json:"urgency"`
+	Classes map[string]int `json:"jobs_by_class"`
+}
+
+// AccountState says how much an account attained and has waiting.
+type AccountState struct {
+	Name     string  `json:"name"`
+	Attained float64 `json:"attained_s"` // seconds of work
+	Jobs     int     `json:"waiting_jobs"`
+}
+
+// State returns a copy of what the queue holds. Its cost grows with the number
+// of accounts and classes, not with the tasks.
+func (q *Queue) State() State {
+	s := State{Tasks: q.tasks, Work: q.work, Jobs: len(q.jobs)}
+	for _, l := range q.levels {
+		counted := LevelState{Urgency: l.urgency, Classes: make(map[string]int, len(l.classes))}
+		for name, c := range l.classes {
+			for _, share := range c.shares.items {
+				counted.Classes[name] += share.jobs.len()
+			}
+		}
+		s.Levels = append(s.Levels, counted)
+	}
+	for _, a := range q.accounts {
+		counted := AccountState{Name: a.name, Attained: a.attained}
+		for _, share := range a.shares {
+			counted.Jobs += share.jobs.len()
+		}
+		s.Accounts = append(s.Accounts, counted)
+	}
+	slices.SortFunc(s.Accounts, func(a, b AccountState) int { return cmp.Compare(a.Name, b.Name) })
+	return s
+}
--- /dev/null
+++ b/quota/state.go
@@ -0,0 +1,33 @@
+package quota
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// EntryState is a copy of an entry's demand as it counts here, for a process's
+// state dump.
+type EntryState struct {
+	ID     string             `json:"id"`
+	Age    time.Duration      `json:"age_ns"` // since the demand was published or heard
+	Demand map[string]float64 `json:"demand"` // tasks a second by account
+}
+
+// State returns this entry, if it published a demand, and the entries heard,
+// ordered by identifier. Entries that are about to be dropped are included.
+func (s *Shares) State(now time.Time) []EntryState {
+	states := make([]EntryState, 0, len(s.peers)+1)
+	add := func(id string, o snapshot) {
+		states = append(states, EntryState{ID: id, Age: now.Sub(o.at), Demand: maps.Clone(o.demand)})
+	}
+	if n := len(s.own); n > 0 {
+		add(s.options.Self, s.own[n-1])
+	}
+	for id, heard := range s.peers {
+		add(id, heard)
+	}
+	slices.SortFunc(states, func(a, b EntryState) int { return cmp.Compare(a.ID, b.ID) })
+	return states
+}
