--- /dev/null
+++ b/entry/registration.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chicorytray.example/chicorytray/settings"
+	"chicorytray.example/chicorytray/store"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// listInterval between readings of the registrations. New entries are learnt
+// sooner from peers; the list removes those that are gone.
+const listInterval = 10 * time.Second
+
+// registration keeps this entry registered and reads who else is.
+type registration struct {
+	registrar *store.Registrar
+	store     store.Store
+	timing    settings.Timing
+	log       zerolog.Logger
+	listed    func([]wire.EntryRef)
+	relist    chan struct{} // wakes list
+	stop      chan struct{} // closed by remove
+	done      chan struct{} // closed when run has ended
+}
+
+func newRegistration(kv store.Store, t settings.Timing, self wire.EntryRef, log zerolog.Logger, m metrics, listed func([]wire.EntryRef)) (*registration, error) {
+	r := &registration{
+		store: kv, timing: t, log: log, listed: listed, relist: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
+	}
+	var err error
+	r.registrar, err = store.NewEntryRegistrar(self, store.RegistrarOptions{
+		Store: kv, TTL: t.LeaseTTL.Of(), CallTimeout: t.StoreTimeout.Of(),
+		Changed: func(err error) {
+			switch {
+			case err == nil:
+				log.Info().Bool("registered", r.registrar.Registered()).Msg("registration changed")
+				// Of two entries that start together, the one that registers
+				// last finds the other, which learns of it by a heartbeat.
+				select {
+				case r.relist <- struct{}{}:
+				default:
+				}
+			case errors.Is(err, store.ErrLeaseExpired), errors.Is(err, store.ErrNotFound):
+				m.registrationsExpired.Inc(1)
+				log.Warn().Err(err).Msg("registration lost; registering again")
+			case errors.Is(err, store.ErrReplaced):
+				log.Error().Err(err).Msg("another process uses this entry's identifier")
+			default:
+				log.Debug().Err(err).Msg("registration not renewed")
+			}
+		},
+	})
+	return r, err
+}
+
+// run registers, renews and lists until ctx ends or remove is called.
+func (r *registration) run(ctx context.Context) {
+	defer close(r.done)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() { r.registrar.Run(ctx) })
+	wg.Go(func() { r.list(ctx) })
+	select {
+	case <-r.stop:
+	case <-ctx.Done():
+	}
+	cancel()
+	wg.Wait()
+}
+
+// list reads the registrations of all entries at an interval.
+func (r *registration) list(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, r.timing.StoreTimeout.Of())
+		refs, invalid, err := store.Entries(callCtx, r.store)
+		cancel()
+		if err != nil {
+			failures++
+			sleep(ctx, fullJitter(r.timing.LeaseTTL.Of(), failures))
+			continue
+		}
+		if invalid > 0 {
+			r.log.Warn().Int("count", invalid).Msg("registrations ignored: they are not an entry's")
+		}
+		failures = 0
+		r.listed(refs)
+		wait(ctx, r.relist, listInterval)
+	}
+}
+
+// remove ends the registration on a planned stop.
+func (r *registration) remove(ctx context.Context) {
+	close(r.stop)
+	<-r.done
+	if err := r.registrar.Remove(ctx); err != nil {
+		r.log.Info().Err(err).Msg("registration not removed; its lease ends it")
+	}
+}
