queue: ask for room without a map, keep expired jobs in bounded memory

The entry gives every account classes of its own, so up to 110 classes wait in one urgency. Next went through a map and remembered answers in another. Classes of a level are now a list and an answer is kept with the class. Jobs that expired were listed until Expired was called, which the entry never does because it has timers; Remove now drops them. Table.HasRoom lets a dispatcher stop without asking for each class.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -129,8 +129,10 @@
 	return &Controller{options: o, buckets: make(map[string]*bucket)}
 }
 
-// Started records that a task with the expected work was sent while slots
-// were known, and whether other tasks went on waiting.
+// Started records that a task with the expected work was sent, the slots that
+// such tasks may use, and whether other tasks went on waiting for lack of free
+// slots. Tasks that wait for an account's limit must not count: the rate would
+// fall while slots are free, and jobs of other accounts would be refused.
 func (c *Controller) Started(now time.Time, work time.Duration, slots int, backlog bool) {
 	c.rate.observe(now, work, slots, backlog)
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -105,6 +105,7 @@
 		got = append(got, id)
 	}
 	c.Assert(got, qt.HasLen, 12)
+	c.Assert(table.HasRoom(), qt.IsFalse)
 	c.Assert(table.State()[0], qt.DeepEquals, placement.AgentState{
 		ID: "f1", DataCentre: "far", Rack: "rack-f1", Usable: true, Weight: 1, Slots: 4, SentSince: 5, Outstanding: 5,
 	})
--- a/placement/property_test.go
+++ b/placement/property_test.go
@@ -93,7 +93,7 @@
 					possible = possible || r.fits(c)
 					others = others || r.fits(c) && id != avoided
 				}
-				if table.Feasible(c) != possible {
+				if table.Feasible(c) != possible || possible && !table.HasRoom() {
 					t.Fatalf("Feasible(%v) = %v", c, !possible)
 				}
 				id, ok := table.Choose(c, func(id string) bool { return id == avoided })
--- a/placement/table.go
+++ b/placement/table.go
@@ -117,8 +117,8 @@
 // recovery is noticed.
 const minWeight = 0.01
 
-// Report records an agent's load and whether it was newer than the last one.
-// For the load in a reply, call Settled first.
+// Report records an agent's load and returns whether it was newer than the last
+// one. It may be called before or after Settled for the same reply.
 func (t *Table) Report(id string, l Load) bool {
 	a, ok := t.agents[id]
 	if !ok || (a.reported && l.Sequence <= a.load.Sequence) {
@@ -193,6 +193,18 @@
 	return false
 }
 
+// HasRoom reports whether any usable agent is estimated to have room for a task
+// without needs. When it is false, Feasible is false for every class, and a
+// dispatcher need not ask for each.
+func (t *Table) HasRoom() bool {
+	for _, z := range t.zones {
+		if z.tree.root().open > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Choose picks an agent for a task of the class by the table's policy.
 func (t *Table) Choose(c Class, avoid func(id string) bool) (id string, ok bool) {
 	return t.ChooseFor(Query{Class: c, Avoid: avoid})
--- a/queue/bench_test.go
+++ b/queue/bench_test.go
@@ -8,8 +8,8 @@
 	"chicorytray.example/chicorytray/queue"
 )
 
-// filled returns a queue of jobs of 20 tasks from 110 accounts in 3 urgencies
-// and 4 classes.
+// filled returns a queue of jobs of 20 tasks from 110 accounts, each with a
+// class of its own, in 3 urgencies.
 func filled(tasks int) *queue.Queue {
 	q := queue.New(queue.Options{})
 	for i := range tasks / 20 {
@@ -20,7 +20,7 @@
 
 func add(q *queue.Queue, i int) {
 	q.Add(start, queue.Job{
-		ID: fmt.Sprint(i), Account: fmt.Sprint(i % 110), Class: fmt.Sprint(i % 4), Urgency: i % 3,
+		ID: fmt.Sprint(i), Account: fmt.Sprint(i % 110), Class: fmt.Sprint(i % 110), Urgency: i / 110 % 3,
 		Arrived: start, Deadline: at(time.Hour), Expected: time.Duration(i%50+1) * 10 * time.Millisecond,
 	}, upTo(20))
 }
--- a/queue/order.go
+++ b/queue/order.go
@@ -9,12 +9,22 @@
 type level struct {
 	urgency int
 	classes map[string]*class
+	list    []*class // the same classes; Next goes through them
 }
 
 // class holds the waiting jobs of one urgency and class, by account.
 type class struct {
-	name   string
+	room   *room
 	shares heap[*share]
+	index  int // in level.list
+}
+
+// room is the answer to whether a class has room, for all levels.
+type room struct {
+	name  string
+	uses  int    // levels in which the class has waiting jobs
+	asked uint64 // number of the call of Next that asked
+	has   bool
 }
 
 // share holds the waiting jobs of one account in one class of a level.
@@ -116,37 +126,27 @@
 	return a.account.name < b.account.name
 }
 
-// roomCache asks once for each class.
-type roomCache struct {
-	ask   func(class string) bool
-	known map[string]bool
-}
-
-func (r *roomCache) has(class string) bool {
-	if r.ask == nil {
+// ask asks once in each call of Next.
+func (r *room) ask(call uint64, feasible func(class string) bool) bool {
+	if feasible == nil {
 		return true
 	}
-	room, ok := r.known[class]
-	if !ok {
-		room = r.ask(class)
-		if r.known == nil {
-			r.known = make(map[string]bool)
-		}
-		r.known[class] = room
+	if r.asked != call {
+		r.asked, r.has = call, feasible(r.name)
 	}
-	return room
+	return r.has
 }
 
 // best returns the share to serve, or nil if no class of the level has room.
 // Classes that could not come first are not asked for.
-func (l *level) best(rooms *roomCache) *share {
+func (l *level) best(call uint64, feasible func(class string) bool) *share {
 	var best *share
-	for name, c := range l.classes {
+	for _, c := range l.list {
 		s := c.shares.top()
 		if best != nil && !before(s, best) {
 			continue
 		}
-		if rooms.has(name) {
+		if c.room.ask(call, feasible) {
 			best = s
 		}
 	}
@@ -226,15 +226,26 @@
 	l := q.levels[i]
 	c, ok := l.classes[j.Class]
 	if !ok {
-		c = &class{name: j.Class, shares: heap[*share]{
+		c = &class{room: q.roomOf(j.Class), index: len(l.list), shares: heap[*share]{
 			less:     shareLess,
 			position: func(s *share) *int { return &s.index },
 		}}
 		l.classes[j.Class] = c
+		l.list = append(l.list, c)
 	}
 	return c
 }
 
+func (q *Queue) roomOf(class string) *room {
+	r, ok := q.rooms[class]
+	if !ok {
+		r = &room{name: class}
+		q.rooms[class] = r
+	}
+	r.uses++
+	return r
+}
+
 func (q *Queue) findLevel(urgency int) (int, bool) {
 	return slices.BinarySearchFunc(q.levels, urgency, func(l *level, u int) int { return l.urgency - u })
 }
@@ -278,10 +289,22 @@
 		return
 	}
 	i, _ := q.findLevel(urgency)
-	delete(q.levels[i].classes, s.class.name)
-	if len(q.levels[i].classes) == 0 {
+	q.levels[i].drop(s.class)
+	if len(q.levels[i].list) == 0 {
 		q.levels = slices.Delete(q.levels, i, i+1)
 	}
+	if s.class.room.uses--; s.class.room.uses == 0 {
+		delete(q.rooms, s.class.room.name)
+	}
+}
+
+func (l *level) drop(c *class) {
+	delete(l.classes, c.room.name)
+	last := len(l.list) - 1
+	l.list[c.index] = l.list[last]
+	l.list[c.index].index = c.index
+	l.list[last] = nil
+	l.list = l.list[:last]
 }
 
 // raise lifts an account's attained work to at least the given one.
@@ -305,7 +328,7 @@
 		j := q.expiry.top()
 		q.detach(j)
 		j.expired = true
-		q.expired = append(q.expired, j.ID)
+		q.expired[j.ID] = true
 	}
 	for q.aging.len() > 0 && !q.aging.top().promoteAt.After(now) {
 		q.promote(q.aging.top(), now)
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -24,6 +24,7 @@
 package queue
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -76,13 +77,15 @@
 	levels   []*level // with waiting tasks, by urgency
 	aging    heap[*job]
 	expiry   heap[*job]
-	expired  []string // not yet reported by Expired
+	expired  map[string]bool // jobs that Expired has not reported yet
 	tasks    int
 	work     time.Duration
 	virtual  float64 // attained work of the account served last, in seconds
 	arrivals uint64
 	epoch    time.Time // arrival of the first job
-	sweepAt  int       // number of accounts at which idle ones are forgotten
+	rooms    map[string]*room
+	calls    uint64 // of Next
+	sweepAt  int    // number of accounts at which idle ones are forgotten
 }
 
 // New returns an empty queue.
@@ -100,6 +103,8 @@
 		options:  o,
 		jobs:     make(map[string]*job),
 		accounts: make(map[string]*account),
+		expired:  make(map[string]bool),
+		rooms:    make(map[string]*room),
 		sweepAt:  minSweep,
 		aging: heap[*job]{
 			less:     func(a, b *job) bool { return a.promoteAt.Before(b.promoteAt) },
@@ -153,9 +158,9 @@
 // of the task by Started before it calls Next again.
 func (q *Queue) Next(now time.Time, feasible func(class string) bool) (TaskRef, bool) {
 	q.advance(now)
-	rooms := roomCache{ask: feasible}
+	q.calls++
 	for _, l := range q.levels {
-		if s := l.best(&rooms); s != nil {
+		if s := l.best(q.calls, feasible); s != nil {
 			return q.take(s), true
 		}
 	}
@@ -197,6 +202,7 @@
 		return nil
 	}
 	delete(q.jobs, id)
+	delete(q.expired, id)
 	withdrawn := make([]int, 0, j.queued())
 	for j.queued() > 0 {
 		withdrawn = append(withdrawn, j.pop())
@@ -209,12 +215,12 @@
 }
 
 // Expired returns the jobs with waiting tasks whose deadline passed, each
-// once. Their tasks are no longer given out, and are kept until Remove.
+// once and in order of their identifiers. Their tasks are no longer given out, and are kept until Remove.
 func (q *Queue) Expired(now time.Time) []string {
 	q.advance(now)
-	expired := q.expired
-	q.expired = nil
-	return slices.DeleteFunc(expired, func(id string) bool { return q.jobs[id] == nil })
+	expired := slices.Sorted(maps.Keys(q.expired))
+	clear(q.expired)
+	return expired
 }
 
 // Len returns the number of waiting tasks.
