--- /dev/null
+++ b/internal/faultnet/conn.go
@@ -0,0 +1,214 @@
+package faultnet
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// bufferBytes is what one direction of a connection holds before writes block,
+// in the order of a socket's buffers.
+const bufferBytes = 256 << 10
+
+// chunk is written data with the moment from which it can be read.
+type chunk struct {
+	at   time.Time
+	data []byte
+}
+
+// stream is one direction of a connection.
+type stream struct {
+	from, to string
+	changed  *sync.Cond
+	chunks   []chunk
+	size     int
+	closed   bool // by the writer; read as io.EOF after the chunks
+	gone     bool // the reader closed
+	reset    bool
+	frozen   bool
+}
+
+// conn is one end of a connection.
+type conn struct {
+	net                         *Network
+	from, to                    string // hosts of this end and the other
+	local, remote               addr
+	in, out                     *stream
+	closed                      bool
+	readDeadline, writeDeadline time.Time
+	readTimer, writeTimer       *time.Timer
+}
+
+// connect creates both ends; the caller holds the lock.
+func (n *Network) connect(from, to, address string) (client, server *conn) {
+	n.nextPort++
+	local := addr(fmt.Sprintf("%s:%d", from, n.nextPort))
+	there := &stream{from: from, to: to, changed: sync.NewCond(&n.mu)}
+	back := &stream{from: to, to: from, changed: sync.NewCond(&n.mu)}
+	client = &conn{net: n, from: from, to: to, local: local, remote: addr(address), in: back, out: there}
+	server = &conn{net: n, from: to, to: from, local: addr(address), remote: local, in: there, out: back}
+	n.conns[client], n.conns[server] = struct{}{}, struct{}{}
+	return client, server
+}
+
+func (c *conn) between(a, b string) bool {
+	return c.from == a && c.to == b || c.from == b && c.to == a
+}
+
+func (c *conn) fail(op string, err error) error {
+	return &net.OpError{Op: op, Net: "faultnet", Source: c.local, Addr: c.remote, Err: err}
+}
+
+// carries reports whether data passes in the direction now.
+func (n *Network) carries(s *stream) bool {
+	return !s.frozen && !n.dropped[pair{s.from, s.to}]
+}
+
+// Read waits for data, the end of the connection or the deadline.
+func (c *conn) Read(p []byte) (int, error) {
+	n := c.net
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for {
+		now := time.Now()
+		switch {
+		case c.closed:
+			return 0, c.fail("read", net.ErrClosed)
+		case c.in.reset:
+			return 0, c.fail("read", errReset)
+		case passed(c.readDeadline, now):
+			return 0, c.fail("read", os.ErrDeadlineExceeded)
+		case n.carries(c.in) && len(c.in.chunks) > 0 && !c.in.chunks[0].at.After(now):
+			return c.in.take(p), nil
+		case n.carries(c.in) && len(c.in.chunks) == 0 && c.in.closed:
+			return 0, io.EOF
+		}
+		c.in.changed.Wait()
+	}
+}
+
+func (s *stream) take(p []byte) int {
+	got := copy(p, s.chunks[0].data)
+	if s.chunks[0].data = s.chunks[0].data[got:]; len(s.chunks[0].data) == 0 {
+		s.chunks = s.chunks[1:]
+	}
+	s.size -= got
+	s.changed.Broadcast()
+	return got
+}
+
+// Write queues the data, and waits while the buffer is full.
+func (c *conn) Write(p []byte) (int, error) {
+	n := c.net
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	done := 0
+	for {
+		switch {
+		case c.closed:
+			return done, c.fail("write", net.ErrClosed)
+		case c.out.reset || c.out.gone && n.carries(c.out):
+			return done, c.fail("write", errReset)
+		case passed(c.writeDeadline, time.Now()):
+			return done, c.fail("write", os.ErrDeadlineExceeded)
+		case done == len(p):
+			return done, nil
+		case c.out.size < bufferBytes:
+			part := p[done:min(len(p), done+bufferBytes-c.out.size)]
+			c.out.put(part, n.delays[pair{c.out.from, c.out.to}])
+			done += len(part)
+			continue
+		}
+		c.out.changed.Wait()
+	}
+}
+
+func (s *stream) put(p []byte, delay time.Duration) {
+	at := time.Now().Add(delay)
+	if k := len(s.chunks); k > 0 && s.chunks[k-1].at.After(at) {
+		at = s.chunks[k-1].at // the order of bytes is kept when the delay shrinks
+	}
+	s.chunks = append(s.chunks, chunk{at, append([]byte(nil), p...)})
+	s.size += len(p)
+	s.wakeAt(at)
+}
+
+// wakeAt wakes both ends now, and the reader again when the data can be read.
+func (s *stream) wakeAt(at time.Time) {
+	s.changed.Broadcast()
+	if d := time.Until(at); d > 0 {
+		time.AfterFunc(d, s.broadcast)
+	}
+}
+
+func (s *stream) broadcast() {
+	s.changed.L.Lock()
+	defer s.changed.L.Unlock()
+	s.changed.Broadcast()
+}
+
+// Close ends both directions. The peer reads what was written before, then EOF.
+func (c *conn) Close() error {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	if c.closed {
+		return c.fail("close", net.ErrClosed)
+	}
+	c.closed, c.out.closed, c.in.gone = true, true, true
+	delete(c.net.conns, c)
+	for _, t := range []*time.Timer{c.readTimer, c.writeTimer} {
+		if t != nil {
+			t.Stop()
+		}
+	}
+	c.in.changed.Broadcast()
+	c.out.changed.Broadcast()
+	return nil
+}
+
+// LocalAddr returns this end's address.
+func (c *conn) LocalAddr() net.Addr { return c.local }
+
+// RemoteAddr returns the other end's address.
+func (c *conn) RemoteAddr() net.Addr { return c.remote }
+
+// SetDeadline sets both deadlines.
+func (c *conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
+
+// SetReadDeadline ends reads at t; the zero time means never.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	return c.setDeadline(&c.readDeadline, &c.readTimer, c.in, t)
+}
+
+// SetWriteDeadline ends writes at t; the zero time means never.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	return c.setDeadline(&c.writeDeadline, &c.writeTimer, c.out, t)
+}
+
+func (c *conn) setDeadline(field *time.Time, timer **time.Timer, s *stream, t time.Time) error {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	if c.closed {
+		return c.fail("set deadline", net.ErrClosed)
+	}
+	if *timer != nil {
+		(*timer).Stop()
+		*timer = nil
+	}
+	*field = t
+	if !t.IsZero() {
+		*timer = time.AfterFunc(time.Until(t), s.broadcast)
+	}
+	s.changed.Broadcast()
+	return nil
+}
+
+func passed(deadline, now time.Time) bool { return !deadline.IsZero() && !now.Before(deadline) }
--- /dev/null
+++ b/internal/faultnet/faultnet_test.go
@@ -0,0 +1,118 @@
+package faultnet
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const serverAddress = "10.0.0.2:7000"
+
+// open returns both ends of a connection from host 10.0.0.1.
+func open(c *qt.C, n *Network, l net.Listener) (client, server net.Conn) {
+	client, err := n.Dialer("10.0.0.1")(context.Background(), serverAddress)
+	c.Assert(err, qt.IsNil)
+	server, err = l.Accept()
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = client.Close(); _ = server.Close() })
+	return client, server
+}
+
+// receive returns what arrives within a second.
+func receive(c *qt.C, conn net.Conn) (string, error) {
+	c.Assert(conn.SetReadDeadline(time.Now().Add(time.Second)), qt.IsNil)
+	b := make([]byte, 64)
+	k, err := conn.Read(b)
+	return string(b[:k]), err
+}
+
+// Guards against a fault that has another effect than the tests built on it assume.
+func TestFaults(t *testing.T) {
+	const a, b = "10.0.0.1", "10.0.0.2"
+	for _, tc := range []struct {
+		name            string
+		fault           func(n *Network)
+		toServer        error // nil: data arrives
+		toClient        error
+		dial            error
+		afterHeal       bool // data sent during the fault arrives after Heal
+		heal            func(n *Network)
+		arrivesNotUntil time.Duration
+	}{
+		{name: "none", fault: func(*Network) {}},
+		{name: "cut", fault: func(n *Network) { n.Cut(a, b) }, toServer: syscall.ECONNRESET, toClient: syscall.ECONNRESET, dial: syscall.ECONNREFUSED},
+		{name: "freeze", fault: func(n *Network) { n.Freeze(a, b) }, toServer: os.ErrDeadlineExceeded, toClient: os.ErrDeadlineExceeded},
+		{name: "drop", fault: func(n *Network) { n.Drop(a, b) }, toServer: os.ErrDeadlineExceeded, dial: context.DeadlineExceeded, afterHeal: true},
+		{name: "partition", fault: func(n *Network) { n.Partition(a, b) }, toServer: os.ErrDeadlineExceeded, toClient: os.ErrDeadlineExceeded, dial: context.DeadlineExceeded, afterHeal: true},
+		{name: "delay", fault: func(n *Network) { n.Delay(a, b, 300*time.Millisecond) }, arrivesNotUntil: 300 * time.Millisecond},
+		{name: "reset", fault: func(n *Network) { n.Reset(b) }, toServer: syscall.ECONNRESET, toClient: syscall.ECONNRESET, dial: syscall.ECONNREFUSED},
+		{name: "healed", fault: func(n *Network) { n.Cut("x", "y"); n.Partition("y", "z"); n.Heal("x", "y") }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				n := New()
+				l, err := n.Listen(serverAddress)
+				c.Assert(err, qt.IsNil)
+				client, server := open(c, n, l)
+				tc.fault(n)
+				check := func(from, to net.Conn, want error) {
+					begin := time.Now()
+					_, _ = from.Write([]byte("x"))
+					got, err := receive(c, to)
+					if want != nil {
+						c.Check(err, qt.ErrorIs, want)
+						return
+					}
+					c.Check(err, qt.IsNil)
+					c.Check(got, qt.Equals, "x")
+					c.Check(time.Since(begin), qt.Equals, tc.arrivesNotUntil)
+				}
+				check(client, server, tc.toServer)
+				check(server, client, tc.toClient)
+
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				fresh, err := n.Dialer(a)(ctx, serverAddress)
+				if tc.dial == nil {
+					c.Assert(err, qt.IsNil)
+					_ = fresh.Close()
+				} else {
+					c.Check(err, qt.ErrorIs, tc.dial)
+				}
+				n.Heal(a, b)
+				if tc.afterHeal {
+					got, err := receive(c, server)
+					c.Check(err, qt.IsNil)
+					c.Check(got, qt.Equals, "x")
+				}
+			})
+		})
+	}
+}
+
+// Guards against writes to a peer that does not read never blocking, which
+// would hide missing write deadlines.
+func TestFullBufferBlocksUntilTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := New()
+		l, _ := n.Listen(serverAddress)
+		client, server := open(c, n, l)
+		c.Assert(client.SetWriteDeadline(time.Now().Add(time.Second)), qt.IsNil)
+		k, err := client.Write(make([]byte, 2*bufferBytes))
+		c.Check(err, qt.ErrorIs, os.ErrDeadlineExceeded)
+		c.Check(k, qt.Equals, bufferBytes)
+		_ = client.Close()
+		rest, err := io.ReadAll(server)
+		c.Check(err, qt.IsNil)
+		c.Check(rest, qt.HasLen, bufferBytes)
+	})
+}
--- /dev/null
+++ b/internal/faultnet/network.go
@@ -0,0 +1,272 @@
+// Package faultnet is a small network in memory for tests in the virtual time
+// of testing/synctest. Hosts are named by the host part of their addresses.
+// Faults apply to pairs of hosts, in both directions unless stated.
+package faultnet
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Errors of connections. They are wrapped in *net.OpError as on TCP.
+var (
+	errRefused = syscall.ECONNREFUSED
+	errReset   = syscall.ECONNRESET
+)
+
+// Network connects named addresses. All methods are safe for concurrent use.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	conns     map[*conn]struct{}
+	changed   *sync.Cond // a rule changed; wakes dials that wait
+	cut       map[pair]bool
+	dropped   map[pair]bool // by direction
+	delays    map[pair]time.Duration
+	accepted  int
+	nextPort  int
+}
+
+// pair is an ordered pair of hosts.
+type pair struct{ from, to string }
+
+// New returns an empty network without faults or delays.
+func New() *Network {
+	n := &Network{
+		listeners: map[string]*listener{}, conns: map[*conn]struct{}{},
+		cut: map[pair]bool{}, dropped: map[pair]bool{}, delays: map[pair]time.Duration{},
+		nextPort: 40000,
+	}
+	n.changed = sync.NewCond(&n.mu)
+	return n
+}
+
+// Listen opens an address of the form host:port.
+func (n *Network) Listen(address string) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, ok := n.listeners[address]; ok {
+		return nil, &net.OpError{Op: "listen", Net: "faultnet", Addr: addr(address), Err: syscall.EADDRINUSE}
+	}
+	l := &listener{net: n, address: address}
+	l.ready = sync.NewCond(&n.mu)
+	n.listeners[address] = l
+	return l, nil
+}
+
+// Dialer returns a dial function for processes on the host.
+func (n *Network) Dialer(host string) func(ctx context.Context, address string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) { return n.dial(ctx, host, address) }
+}
+
+// dial fails at once when the hosts are cut or nobody listens. It waits, until
+// ctx ends, while one direction is dropped.
+func (n *Network) dial(ctx context.Context, from, address string) (net.Conn, error) {
+	fail := func(err error) (net.Conn, error) {
+		return nil, &net.OpError{Op: "dial", Net: "faultnet", Addr: addr(address), Err: err}
+	}
+	to := hostOf(address)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	stop := context.AfterFunc(ctx, n.wake)
+	defer stop()
+	if d := n.delays[pair{from, to}] + n.delays[pair{to, from}]; d > 0 {
+		n.wait(ctx, d)
+	}
+	for ctx.Err() == nil && (n.dropped[pair{from, to}] || n.dropped[pair{to, from}]) {
+		n.changed.Wait()
+	}
+	if ctx.Err() != nil {
+		return fail(ctx.Err())
+	}
+	l, ok := n.listeners[address]
+	if !ok || n.cut[pair{from, to}] {
+		return fail(errRefused)
+	}
+	client, server := n.connect(from, to, address)
+	l.queue = append(l.queue, server)
+	n.accepted++
+	l.ready.Signal()
+	return client, nil
+}
+
+// wait releases the lock for the duration or until ctx ends.
+func (n *Network) wait(ctx context.Context, d time.Duration) {
+	n.mu.Unlock()
+	defer n.mu.Lock()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (n *Network) wake() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.changed.Broadcast()
+	for c := range n.conns {
+		c.in.changed.Broadcast()
+		c.out.changed.Broadcast()
+	}
+}
+
+// update changes the rules and wakes everything that waits on them.
+func (n *Network) update(change func()) {
+	n.mu.Lock()
+	change()
+	n.mu.Unlock()
+	n.wake()
+}
+
+// Cut resets the open connections between two hosts and refuses new ones.
+func (n *Network) Cut(a, b string) {
+	n.update(func() {
+		n.cut[pair{a, b}], n.cut[pair{b, a}] = true, true
+		n.reset(func(c *conn) bool { return c.between(a, b) })
+	})
+}
+
+// Drop makes everything sent from one host to the other vanish until Heal:
+// connections stay open and deliver it after Heal, as TCP resends it; dials wait.
+func (n *Network) Drop(from, to string) {
+	n.update(func() { n.dropped[pair{from, to}] = true })
+}
+
+// Partition drops both directions.
+func (n *Network) Partition(a, b string) {
+	n.update(func() { n.dropped[pair{a, b}], n.dropped[pair{b, a}] = true, true })
+}
+
+// Heal ends Cut, Drop and Partition between two hosts.
+func (n *Network) Heal(a, b string) {
+	n.update(func() {
+		for _, p := range []pair{{a, b}, {b, a}} {
+			delete(n.cut, p)
+			delete(n.dropped, p)
+		}
+	})
+}
+
+// Freeze makes the connections that are open between two hosts silently carry
+// nothing for good. New connections work.
+func (n *Network) Freeze(a, b string) {
+	n.update(func() {
+		for c := range n.conns {
+			if c.between(a, b) {
+				c.in.frozen, c.out.frozen = true, true
+			}
+		}
+	})
+}
+
+// Delay sets the one-way delay between two hosts, for what is sent from now on.
+func (n *Network) Delay(a, b string, d time.Duration) {
+	n.update(func() { n.delays[pair{a, b}], n.delays[pair{b, a}] = d, d })
+}
+
+// Reset breaks the open connections of a host and closes its listeners, as the
+// end of its processes does.
+func (n *Network) Reset(host string) {
+	n.update(func() {
+		for address, l := range n.listeners {
+			if hostOf(address) == host {
+				l.closeLocked()
+			}
+		}
+		n.reset(func(c *conn) bool { return c.from == host || c.to == host })
+	})
+}
+
+// Accepted returns the number of connections opened so far.
+func (n *Network) Accepted() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.accepted
+}
+
+func (n *Network) reset(match func(*conn) bool) {
+	for c := range n.conns {
+		if match(c) {
+			c.in.reset, c.out.reset = true, true
+			delete(n.conns, c)
+			c.in.changed.Broadcast()
+			c.out.changed.Broadcast()
+		}
+	}
+}
+
+func hostOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return host
+}
+
+// addr implements net.Addr.
+type addr string
+
+func (addr) Network() string  { return "faultnet" }
+func (a addr) String() string { return string(a) }
+
+// listener implements net.Listener.
+type listener struct {
+	net     *Network
+	address string
+	queue   []*conn
+	ready   *sync.Cond
+	closed  bool
+}
+
+// Accept waits for a connection or the end of the listener.
+func (l *listener) Accept() (net.Conn, error) {
+	l.net.mu.Lock()
+	defer l.net.mu.Unlock()
+	for len(l.queue) == 0 && !l.closed {
+		l.ready.Wait()
+	}
+	if l.closed {
+		return nil, &net.OpError{Op: "accept", Net: "faultnet", Addr: l.Addr(), Err: net.ErrClosed}
+	}
+	c := l.queue[0]
+	l.queue = l.queue[1:]
+	return c, nil
+}
+
+// Close ends the listener and resets connections that were not accepted.
+func (l *listener) Close() error {
+	l.net.mu.Lock()
+	defer l.net.mu.Unlock()
+	if l.closed {
+		return errors.New("faultnet: listener closed twice")
+	}
+	l.closeLocked()
+	return nil
+}
+
+func (l *listener) closeLocked() {
+	if l.closed {
+		return
+	}
+	l.closed = true
+	delete(l.net.listeners, l.address)
+	waiting := l.queue
+	l.net.reset(func(c *conn) bool {
+		for _, w := range waiting {
+			if c == w {
+				return true
+			}
+		}
+		return false
+	})
+	l.ready.Broadcast()
+}
+
+// Addr returns the listener's address.
+func (l *listener) Addr() net.Addr { return addr(l.address) }
