Wait for writes at channels instead of net/rpc's mutexes

A goroutine blocked on a mutex is not durably blocked for testing/synctest, so a write that waited for its deadline stopped virtual time, and a call's timer could not end its wait for another call's write. Calls and replies now take a token before net/rpc locks.

--- a/rpcconn/client.go
+++ b/rpcconn/client.go
@@ -83,11 +83,14 @@
 	codec *clientCodec
 	rpc   *rpc.Client
 	calls atomic.Int64
+	// writing holds a token while a request is written. Calls wait for it
+	// here, where their timers can end the wait, and not at net/rpc's mutex.
+	writing chan struct{}
 }
 
 func newClient(f *frameConn) *Client {
 	cc := &clientCodec{frame: f, methods: map[uint64]string{}, done: make(chan struct{})}
-	return &Client{codec: cc, rpc: rpc.NewClientWithCodec(cc)}
+	return &Client{codec: cc, rpc: rpc.NewClientWithCodec(cc), writing: make(chan struct{}, 1)}
 }
 
 // Outstanding returns the number of calls that wait for a reply.
@@ -148,8 +151,18 @@
 	// memory that the caller uses again.
 	target := reflect.New(reflect.TypeOf(reply).Elem())
 	done := make(chan *rpc.Call, 1)
+	select {
+	case c.writing <- struct{}{}:
+	case <-c.codec.done:
+		return because(ErrNotSent, ErrClosed)
+	case <-ctx.Done():
+		return because(ErrNotSent, ctxError(ctx))
+	}
 	// net/rpc writes in the calling goroutine, which would hold up the timer.
-	go c.rpc.Go(method, out, target.Interface(), done)
+	go func() {
+		defer func() { <-c.writing }()
+		c.rpc.Go(method, out, target.Interface(), done)
+	}()
 	select {
 	case call := <-done:
 		if call.Error != nil {
@@ -158,10 +171,7 @@
 		reflect.ValueOf(reply).Elem().Set(target.Elem())
 		return nil
 	case <-ctx.Done():
-		err := context.Canceled
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			err = because(ErrTimeout, ctx.Err())
-		}
+		err := ctxError(ctx)
 		if out.state.CompareAndSwap(stateWaiting, stateAbandoned) {
 			err = because(ErrNotSent, err)
 		}
@@ -169,6 +179,14 @@
 	}
 }
 
+// ctxError returns the error of a call that the end of ctx ended.
+func ctxError(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return because(ErrTimeout, ctx.Err())
+	}
+	return context.Canceled
+}
+
 // callError translates net/rpc's errors.
 func callError(method string, err error, out *outgoing) error {
 	var remote rpc.ServerError
--- a/rpcconn/conn_test.go
+++ b/rpcconn/conn_test.go
@@ -193,7 +193,7 @@
 				err := cl.Call(ctx, "Agent.Wait", &wire.Empty{}, &wire.Response{})
 				f.Check(err, qt.ErrorIs, tc.is)
 				f.Check(errors.Is(err, ErrNotSent), qt.IsFalse)
-				if tc.is == ErrClosed {
+				if errors.Is(tc.is, ErrClosed) {
 					<-cl.Done()
 					_, err = f.run(cl, nil)
 					f.Check(err, qt.ErrorIs, ErrNotSent)
--- a/rpcconn/doc.go
+++ b/rpcconn/doc.go
@@ -12,6 +12,7 @@
 package rpcconn
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -66,5 +67,5 @@
 	if cause == nil {
 		return kind
 	}
-	return merry.Wrap(kind, merry.WithCause(cause), merry.NoCaptureStack())
+	return fmt.Errorf("%w: %w", kind, cause)
 }
--- a/rpcconn/server.go
+++ b/rpcconn/server.go
@@ -29,7 +29,6 @@
 	mu     sync.Mutex
 	active int           // calls read whose reply is not yet written
 	idle   chan struct{} // closed when active is 0
-	conns  map[net.Conn]struct{}
 }
 
 // handler decodes and runs one method.
@@ -40,7 +39,7 @@
 
 // NewServer returns a server without methods other than PingMethod.
 func NewServer(o Options) *Server {
-	s := &Server{opts: o.withDefaults(), handlers: map[string]handler{}, conns: map[net.Conn]struct{}{}}
+	s := &Server{opts: o.withDefaults(), handlers: map[string]handler{}}
 	s.idle = make(chan struct{})
 	close(s.idle)
 	Handle(s, PingMethod, func(context.Context, *wire.Empty, *wire.Empty) error { return nil })
@@ -139,7 +138,7 @@
 	}
 	codec := &serverCodec{
 		server: s, frame: newFrameConn(conn, meter, s.opts), ctx: ctx, cancel: cancel,
-		methods: map[uint64]string{}, peer: remote(raw),
+		methods: map[uint64]string{}, peer: remote(raw), writing: make(chan struct{}, 1),
 	}
 	r := rpc.NewServer()
 	// The name and signature suit net/rpc, so registration cannot fail.
@@ -177,11 +176,12 @@
 // make the counters grow.
 const unknownMethod = "unknown"
 
+// dispatcher is the only net/rpc service.
 type dispatcher struct{ server *Server }
 
 // inbound is one call on its way through net/rpc.
 type inbound struct {
-	ctx     context.Context
+	codec   *serverCodec
 	method  string
 	handler handler
 	args    any
@@ -201,7 +201,8 @@
 			err = errors.New("handler panic")
 		}
 	}()
-	*reply, err = call.handler.run(call.ctx, call.args)
+	defer call.codec.beginWrite()
+	*reply, err = call.handler.run(call.codec.ctx, call.args)
 	return err
 }
 
@@ -216,8 +217,16 @@
 
 	mu      sync.Mutex
 	methods map[uint64]string // of calls without a reply, by sequence
+
+	// writing holds a token from before net/rpc locks its mutex for a reply
+	// until the reply is written. A goroutine that waits for a mutex stops
+	// the virtual time of tests, one that waits for the token does not.
+	writing chan struct{}
 }
 
+func (c *serverCodec) beginWrite() { c.writing <- struct{}{} }
+func (c *serverCodec) endWrite()   { <-c.writing }
+
 // ReadRequestHeader waits for a request and directs it to the dispatcher. An
 // error ends net/rpc's loop.
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
@@ -249,24 +258,28 @@
 	return nil
 }
 
-// ReadRequestBody decodes the arguments of the current request.
+// ReadRequestBody decodes the arguments of the current request. When there is
+// no handler or an error is returned, net/rpc replies next.
 func (c *serverCodec) ReadRequestBody(body any) error {
 	target, ok := body.(*any)
 	if !ok {
+		defer c.beginWrite()
 		return c.frame.readBody(nil)
 	}
 	h := c.server.handlers[c.current.Method]
 	args := h.newArgs()
 	if err := c.frame.readBody(args); err != nil {
+		c.beginWrite()
 		return err
 	}
-	*target = &inbound{ctx: c.ctx, method: c.current.Method, handler: h, args: args}
+	*target = &inbound{codec: c, method: c.current.Method, handler: h, args: args}
 	return nil
 }
 
 // WriteResponse sends a reply; net/rpc serialises the calls.
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	defer c.server.end()
+	defer c.endWrite()
 	c.mu.Lock()
 	method := c.methods[r.Seq]
 	delete(c.methods, r.Seq)
