--- /dev/null
+++ b/entry/claims.go
@@ -0,0 +1,18 @@
+package entry
+
+import (
+	"chicorytray.example/chicorytray/claims"
+	"chicorytray.example/chicorytray/settings"
+	"chicorytray.example/chicorytray/store"
+)
+
+// keyClaim says that a job owns an idempotency key of an account.
+type keyClaim = claims.Claim
+
+var errInvalidClaim = claims.ErrInvalidClaim
+
+func newClaimer(kv store.Store, s settings.Entry) claimer {
+	return claims.New(claims.Options{
+		Store: kv, Retention: s.Limits.ClaimRetention.Of(), CallTimeout: s.Timing.StoreTimeout.Of(),
+	})
+}
--- /dev/null
+++ b/settings/errors.go
@@ -0,0 +1,85 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+
+	"chicorytray.example/chicorytray/internal/strictjson"
+)
+
+// Error holds every problem found in one file. Each names the field and what
+// is accepted.
+type Error struct {
+	File     string // empty when the settings did not come from a file
+	Problems []strictjson.Problem
+}
+
+// Error lists all problems, one a line.
+func (e *Error) Error() string {
+	name := e.File
+	if name == "" {
+		name = "settings"
+	}
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = name + ": " + p.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// problems collects faults while settings are checked.
+type problems []strictjson.Problem
+
+func (ps *problems) add(field, value, accepted string) {
+	fault := fmt.Sprintf("%s is not accepted; accepted: %s", clip(value), accepted)
+	if value == "" {
+		fault = "missing or empty; accepted: " + accepted
+	}
+	*ps = append(*ps, strictjson.Problem{Field: field, Fault: fault})
+}
+
+// merge adds the problems of o whose field has none yet, so that a value that
+// could not be decoded is not reported a second time as missing. A document
+// that could not be decoded at all has no other problems.
+func (ps *problems) merge(o problems) {
+	known := map[string]bool{}
+	for _, p := range *ps {
+		known[p.Field] = true
+	}
+	if known[""] {
+		return
+	}
+	for _, p := range o {
+		if !covered(known, p.Field) {
+			*ps = append(*ps, p)
+		}
+	}
+}
+
+// covered reports whether the field or an object around it is in the set.
+func covered(set map[string]bool, field string) bool {
+	for field != "" {
+		if set[field] {
+			return true
+		}
+		field = field[:max(0, strings.LastIndexAny(field, ".["))]
+	}
+	return false
+}
+
+func (ps problems) err(file string) error {
+	if len(ps) == 0 {
+		return nil
+	}
+	return &Error{File: file, Problems: ps}
+}
+
+// maxShownBytes bounds the part of a rejected value that an error repeats.
+const maxShownBytes = 80
+
+func clip(s string) string {
+	if len(s) > maxShownBytes {
+		s = s[:maxShownBytes] + "..."
+	}
+	return fmt.Sprintf("%q", s)
+}
