--- /dev/null
+++ b/agent/admin.go
@@ -0,0 +1,39 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"chicorytray.example/chicorytray/observe"
+)
+
+// adminHeaderTimeout bounds the header of a request to the admin address.
+const adminHeaderTimeout = 5 * time.Second
+
+// serveAdmin serves the operators' address until ctx ends. An upstream that
+// leaves sends POST /leaving; DELETE /leaving takes it back.
+func (a *Agent) serveAdmin(ctx context.Context, l net.Listener) error {
+	e := observe.AdminHandler(observe.AdminOptions{
+		Ready: a.Ready, State: func() any { return a.State() }, Metrics: a.options.MetricsHandler,
+	})
+	set := func(leaving bool) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			a.leave(leaveOperator, leaving)
+			return c.NoContent(http.StatusNoContent)
+		}
+	}
+	e.POST("/leaving", set(true))
+	e.DELETE("/leaving", set(false))
+	s := &http.Server{Handler: e, ReadHeaderTimeout: adminHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,209 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chicorytray.example/chicorytray/gate"
+	"chicorytray.example/chicorytray/ledger"
+	"chicorytray.example/chicorytray/rpcconn"
+	"chicorytray.example/chicorytray/settings"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// Agent is one agent process.
+type Agent struct {
+	options  Options
+	settings settings.Agent
+	timing   settings.Timing
+	self     wire.AgentRef
+	log      zerolog.Logger
+	metrics  metrics
+	counters *rpcconn.Counters
+	server   *rpcconn.Server
+	dialer   *rpcconn.Dialer
+	upstream *upstream
+	entries  *entries
+	began    time.Time
+
+	running  atomic.Bool   // Run was called
+	stopped  chan struct{} // closed when Run ended
+	drained  chan struct{} // closed when a planned stop may end Run
+	stopOnce sync.Once
+	base     context.Context // of task executions; set by Run
+
+	// mu covers everything below. It is held over each check together with
+	// the start that the check allows, and never during I/O.
+	mu       sync.Mutex
+	ledger   *ledger.Ledger
+	gate     *gate.Gate
+	config   wire.AgentConfig
+	closed   time.Time // since when the gate lacks a confirmation; zero while it has one
+	tasks    map[taskID]*task
+	queue    []*task
+	busy     int // running tasks
+	free     wire.Resources
+	sequence uint64 // of wire.Load
+	leaving  map[leaveReason]bool
+	health   health
+	backlogs map[ledger.Owner]wire.Backlog
+	storeAt  time.Time     // newest read of the store that an entry reported
+	changed  chan struct{} // closed and replaced when a task ends or is acknowledged
+}
+
+// leaveReason is why the agent accepts no new tasks.
+type leaveReason string
+
+const (
+	leaveStop     leaveReason = "planned_stop"
+	leaveOperator leaveReason = "reported_on_admin_address"
+	leaveHealth   leaveReason = "health_check"
+)
+
+// New checks the options and prepares an agent. It starts nothing.
+func New(o Options) (*Agent, error) {
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	s := o.Settings
+	a := &Agent{
+		options: o, settings: s, timing: s.Timing, metrics: newMetrics(o.Metrics),
+		log:      o.Logger.With().Str("agent", s.ID).Logger(),
+		counters: rpcconn.NewCounters(), began: time.Now(),
+		stopped: make(chan struct{}), drained: make(chan struct{}), changed: make(chan struct{}),
+		gate: gate.New(s.Timing.Gate.Of()), free: s.Capacity, health: health{ok: true},
+		tasks: map[taskID]*task{}, leaving: map[leaveReason]bool{}, backlogs: map[ledger.Owner]wire.Backlog{},
+		self: wire.AgentRef{
+			ID: s.ID, Incarnation: wire.NewIncarnation(), Address: s.PeerAddress, Admin: s.AdminAddress,
+			DataCentre: s.DataCentre, Rack: s.Rack, Worker: s.Worker, Upstream: s.Upstream,
+			Slots: s.Slots, QueueLimit: s.QueueLimit, Capacity: s.Capacity,
+		},
+	}
+	rpcOpts, err := o.rpcOptions(a.counters, a.log)
+	if err != nil {
+		return nil, err
+	}
+	a.ledger = ledger.New(a.self.Incarnation, s.MaxRecords)
+	a.dialer = &rpcconn.Dialer{Options: rpcOpts, Dial: o.Dial}
+	a.server = a.newServer(rpcOpts)
+	a.upstream = newUpstream(s, o.DialUpstream)
+	a.entries = newEntries(a)
+	return a, nil
+}
+
+// Run serves until Stop has finished or ctx ends. Ending ctx ends the agent at
+// once and cuts off its running tasks.
+func (a *Agent) Run(ctx context.Context) error {
+	if !a.running.CompareAndSwap(false, true) {
+		return fmt.Errorf("%w: Run was called before", ErrOptions)
+	}
+	defer close(a.stopped)
+	peers, admin, err := a.listen()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	a.mu.Lock()
+	a.base = ctx
+	a.mu.Unlock()
+	failed := make(chan error, 2)
+	var wg sync.WaitGroup
+	wg.Go(func() { failed <- a.server.Serve(ctx, peers) })
+	wg.Go(func() { failed <- a.serveAdmin(ctx, admin) })
+	for _, part := range []func(context.Context){a.entries.run, a.maintain, a.checkHealth} {
+		wg.Go(func() { part(ctx) })
+	}
+	a.log.Info().Str("peers", peers.Addr().String()).Str("admin", admin.Addr().String()).
+		Str("incarnation", a.self.Incarnation.String()).Msg("agent_serves")
+	select {
+	case <-ctx.Done():
+		err = ctx.Err()
+	case err = <-failed:
+	case <-a.drained:
+	}
+	cancel()
+	wg.Wait()
+	a.upstream.close()
+	a.log.Info().Msg("agent_ended")
+	return err
+}
+
+func (a *Agent) listen() (peers, admin net.Listener, err error) {
+	peers, admin = a.options.Peers, a.options.Admin
+	if peers == nil {
+		if peers, err = net.Listen("tcp", a.settings.PeerAddress); err != nil {
+			return nil, nil, fmt.Errorf("agent: peer_address: %w", err)
+		}
+	}
+	if admin == nil {
+		if admin, err = net.Listen("tcp", a.settings.AdminAddress); err != nil {
+			_ = peers.Close()
+			return nil, nil, fmt.Errorf("agent: admin_address: %w", err)
+		}
+	}
+	return peers, admin, nil
+}
+
+// Ready returns nil when the agent starts tasks, else the reason why not.
+func (a *Agent) Ready() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.running.Load() {
+		return errors.New("not started")
+	}
+	if len(a.leaving) > 0 {
+		return errors.New(string(wire.ReasonLeaving))
+	}
+	if ok, reason := a.may(time.Now()); !ok {
+		return errors.New(string(reason))
+	}
+	return nil
+}
+
+// ControlBytes returns the bytes of control traffic sent and received so far.
+func (a *Agent) ControlBytes() uint64 {
+	c := a.counters.Total(rpcconn.KindControl)
+	return c.BytesSent + c.BytesReceived
+}
+
+// maintain does what depends on the time that passed: it ends the sessions of
+// silent entries and returns queued tasks while the gate is closed.
+func (a *Agent) maintain(ctx context.Context) {
+	t := time.NewTicker(a.timing.Heartbeat.Of() / 2)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		now := time.Now()
+		a.mu.Lock()
+		a.lapse(now)
+		a.watchGate(now)
+		a.dispatch(now)
+		a.gauges(now)
+		a.mu.Unlock()
+	}
+}
+
+// gauges reports sizes; the caller holds mu.
+func (a *Agent) gauges(now time.Time) {
+	a.metrics.running.Update(float64(a.busy))
+	a.metrics.queued.Update(float64(len(a.queue)))
+	a.metrics.generation.Update(float64(a.config.Generation))
+	age := a.gate.Age(now)
+	if age == gate.None {
+		a.metrics.confirmationAge.Update(-1)
+		return
+	}
+	a.metrics.confirmationAge.Update(age.Seconds())
+}
--- /dev/null
+++ b/agent/fence.go
@@ -0,0 +1,104 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"chicorytray.example/chicorytray/ledger"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// rpcOpenSession opens a session: it fences the entry's earlier ones, returns
+// their queued tasks and lists what was started in them.
+func (a *Agent) rpcOpenSession(_ context.Context, in *wire.OpenSessionRequest, out *wire.OpenSessionReply) error {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lapse(now)
+	owner := ledger.OwnerOf(in.Session)
+	a.acknowledge(owner, in.Acked)
+	opened, err := a.ledger.Open(in.Session, now)
+	if err != nil {
+		a.metrics.sessionsFenced.Inc(1)
+		return fmt.Errorf("%w: %w", ErrSession, err)
+	}
+	a.log.Info().Str("entry", in.Session.Entry).Uint64("session", in.Session.Number).
+		Int("started", len(opened.Started)).Int("withdrawn", len(opened.Withdrawn)).
+		Bool("truncated", opened.Truncated).Msg("session_opened")
+	a.withdraw(opened.Withdrawn)
+	a.apply(in.Config, now)
+	a.dispatch(now)
+	*out = wire.OpenSessionReply{Agent: a.self, Started: opened.Started, Truncated: opened.Truncated, Load: a.load()}
+	return nil
+}
+
+// fence admits a task's message to its session and records its sequence; the
+// caller holds mu.
+func (a *Agent) fence(in *wire.RunRequest, now time.Time) *wire.Result {
+	refuse := func(r wire.Result) *wire.Result { return &r }
+	if a.use(in.Session, now) != nil {
+		a.metrics.refused(wire.ReasonFenced)
+		return refuse(notRun(wire.ReasonFenced, ""))
+	}
+	a.acknowledge(ledger.OwnerOf(in.Session), in.Acked)
+	err := a.ledger.Enqueue(in.Session, in.Sequence, in.Task)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, ledger.ErrDuplicate):
+		// The first message decides, and may have started the task.
+		a.metrics.duplicates.Inc(1)
+		return refuse(wire.Result{Outcome: wire.OutcomeUnknown, Reason: wire.ReasonDuplicate})
+	default:
+		a.metrics.refused(wire.ReasonFenced)
+		return refuse(notRun(wire.ReasonFenced, ""))
+	}
+}
+
+// use ends lapsed sessions and then records a message in session s. Lapses
+// come first, because after a pause of this process the message may be as old
+// as the pause. The caller holds mu.
+func (a *Agent) use(s wire.Session, now time.Time) error {
+	a.lapse(now)
+	if err := a.ledger.Use(s, now); err != nil {
+		a.metrics.sessionsFenced.Inc(1)
+		return fmt.Errorf("%w: %w", ErrSession, err)
+	}
+	return nil
+}
+
+// lapse ends the sessions of silent entries; the caller holds mu.
+func (a *Agent) lapse(now time.Time) {
+	before := a.ledger.Stats().Lapsed
+	dropped := a.ledger.Lapse(now, a.timing.Lapse.Of())
+	if n := a.ledger.Stats().Lapsed - before; n > 0 {
+		a.metrics.sessionsLapsed.Inc(int64(n))
+		a.log.Warn().Uint64("sessions", n).Int("tasks_dropped", len(dropped)).Msg("sessions_lapsed")
+	}
+	a.withdraw(dropped)
+	for owner := range a.backlogs {
+		if !a.ledger.HasSession(owner) {
+			delete(a.backlogs, owner)
+		}
+	}
+}
+
+// withdraw settles queued tasks that the ledger dropped; the caller holds mu.
+func (a *Agent) withdraw(dropped []ledger.Withdrawn) {
+	for _, w := range dropped {
+		if t := a.tasks[taskID{w.Owner, w.Key}]; t != nil {
+			a.settle(t, notRun(wire.ReasonFenced, ""))
+		}
+	}
+}
+
+// acknowledge drops the records of results that an entry has; the caller holds
+// mu.
+func (a *Agent) acknowledge(owner ledger.Owner, keys []wire.TaskKey) {
+	if len(keys) > 0 {
+		a.ledger.Acknowledge(owner, keys)
+		a.notify()
+	}
+}
--- /dev/null
+++ b/agent/gate.go
@@ -0,0 +1,123 @@
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"chicorytray.example/chicorytray/gate"
+	"chicorytray.example/chicorytray/ledger"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// may asks the gate; the caller holds mu.
+func (a *Agent) may(now time.Time) (bool, wire.Reason) {
+	inService := a.config.Generation > 0 && !slices.Contains(a.config.OutOfService, a.self.DataCentre)
+	return a.gate.May(now, inService)
+}
+
+// admit returns why a task is refused, or "" if it may start or wait here; the
+// caller holds mu.
+func (a *Agent) admit(t *task, now time.Time) wire.Reason {
+	switch {
+	case len(a.leaving) > 0:
+		return wire.ReasonLeaving
+	case !t.task.Needs.Fits(a.settings.Capacity):
+		return wire.ReasonNeverFits
+	case !now.Before(t.deadline):
+		return wire.ReasonDeadline
+	}
+	ok, reason := a.may(now)
+	switch {
+	case ok:
+	case reason == wire.ReasonUnconfirmed:
+		// The task waits for the answer to a heartbeat; watchGate returns it
+		// if none comes.
+		a.entries.kick()
+	default:
+		return reason
+	}
+	if a.busy+len(a.queue) >= a.settings.Slots+a.settings.QueueLimit {
+		return wire.ReasonBusy
+	}
+	return ""
+}
+
+// watchGate returns queued tasks once the gate has lacked a confirmation for a
+// heartbeat, so that their entries can place them elsewhere; the caller holds
+// mu.
+func (a *Agent) watchGate(now time.Time) {
+	if ok, reason := a.may(now); ok || reason != wire.ReasonUnconfirmed {
+		a.closed = time.Time{}
+		return
+	}
+	if a.closed.IsZero() {
+		a.closed = now
+		a.log.Warn().Dur("age_ms", a.gate.Age(now)).Msg("gate_closed")
+		a.entries.kick()
+	}
+	if now.Sub(a.closed) >= a.timing.Heartbeat.Of() {
+		a.returnQueued(wire.ReasonUnconfirmed)
+	}
+}
+
+// apply puts a configuration in force if it is newer; the caller holds mu.
+func (a *Agent) apply(c wire.AgentConfig, now time.Time) {
+	if c.Generation <= a.config.Generation {
+		return
+	}
+	a.config = c
+	a.log.Info().Uint64("generation", c.Generation).Strs("out_of_service", c.OutOfService).Msg("configuration_applied")
+	if slices.Contains(c.OutOfService, a.self.DataCentre) {
+		a.returnQueued(wire.ReasonOutOfService)
+	}
+	a.dispatch(now)
+}
+
+// confirm takes the confirmation in a heartbeat reply. An entry with an older
+// configuration confirms nothing: what it read is not what is in force here.
+// The caller holds mu.
+func (a *Agent) confirm(sent time.Time, r *wire.HeartbeatReply) {
+	if at, ok := gate.Confirmation(sent, r.ReadAge); ok && at.After(a.storeAt) {
+		a.storeAt = at
+	}
+	if at, ok := gate.Confirmation(sent, r.ConfirmAge); ok && r.Generation == a.config.Generation {
+		a.gate.Confirm(at)
+	}
+}
+
+// returnQueued refuses all queued tasks; the caller holds mu.
+func (a *Agent) returnQueued(reason wire.Reason) {
+	for _, t := range slices.Clone(a.queue) {
+		if a.ledger.Withdraw(t.session, t.key) {
+			a.metrics.refused(reason)
+			a.settle(t, notRun(reason, ""))
+		}
+	}
+}
+
+// leave adds or removes a reason to accept no new tasks. Entries learn of it
+// from the heartbeats that are sent at once.
+func (a *Agent) leave(reason leaveReason, yes bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leaving[reason] == yes {
+		return
+	}
+	a.log.Info().Str("reason", string(reason)).Bool("leaving", yes).Msg("leaving_changed")
+	if yes {
+		a.leaving[reason] = true
+		a.returnQueued(wire.ReasonLeaving)
+	} else {
+		delete(a.leaving, reason)
+	}
+	a.entries.kick()
+}
+
+// entryBacklog records what an entry has waiting; the caller holds mu.
+func (a *Agent) entryBacklog(owner ledger.Owner, b wire.Backlog) {
+	if b.Tasks == 0 {
+		delete(a.backlogs, owner)
+		return
+	}
+	a.backlogs[owner] = b
+}
--- /dev/null
+++ b/agent/health.go
@@ -0,0 +1,79 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+)
+
+// failuresToLeave is the number of health checks in a row that must fail
+// before the agent leaves. One alone may be a timeout under load. A status of
+// 503 counts at once.
+const failuresToLeave = 2
+
+// health is the result of the upstream's health checks.
+type health struct {
+	ok       bool // the last check succeeded
+	failures int  // in a row
+	detail   string
+}
+
+// checkHealth requests the upstream's health path once per heartbeat.
+func (a *Agent) checkHealth(ctx context.Context) {
+	if a.settings.HealthPath == "" {
+		return
+	}
+	t := time.NewTicker(a.timing.Heartbeat.Of())
+	defer t.Stop()
+	for {
+		a.judge(a.probe(ctx))
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// probe makes one check and returns the status, or 0 and what went wrong.
+func (a *Agent) probe(ctx context.Context) (status int, detail string) {
+	ctx, cancel := context.WithTimeout(ctx, a.timing.CallTimeout.Of())
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.settings.Upstream+a.settings.HealthPath, nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	resp, err := a.upstream.health.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseHeader))
+	return resp.StatusCode, resp.Status
+}
+
+// judge makes the agent leave when its upstream leaves or is down, and return
+// when it answers again.
+func (a *Agent) judge(status int, detail string) {
+	a.mu.Lock()
+	ok := status >= 200 && status < 300
+	changed := ok != a.health.ok
+	a.health.ok, a.health.detail = ok, detail
+	if ok {
+		a.health.failures = 0
+	} else {
+		a.health.failures++
+	}
+	leaving := a.leaving[leaveHealth]
+	if ok {
+		leaving = false
+	} else if status == http.StatusServiceUnavailable || a.health.failures >= failuresToLeave {
+		leaving = true
+	}
+	a.mu.Unlock()
+	if changed {
+		a.log.Info().Bool("healthy", ok).Str("detail", detail).Msg("upstream_health_changed")
+	}
+	a.leave(leaveHealth, leaving)
+}
--- /dev/null
+++ b/agent/heartbeat.go
@@ -0,0 +1,203 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"chicorytray.example/chicorytray/gate"
+	"chicorytray.example/chicorytray/ledger"
+	"chicorytray.example/chicorytray/rpcconn"
+	"chicorytray.example/chicorytray/wire"
+)
+
+const (
+	// Bounds of the wait before a suspect entry is dialled again. The greatest
+	// is below the time in which full use has to resume (2 s).
+	linkBackoffBase = 50 * time.Millisecond
+	linkBackoffMax  = 1500 * time.Millisecond
+	// kicksPerHeartbeat bounds the heartbeats that are sent out of turn.
+	kicksPerHeartbeat = 5
+)
+
+// link is the control connection to one entry.
+type link struct {
+	entries *entries
+	agent   *Agent
+	address string
+	cancel  context.CancelFunc
+	wake    chan struct{} // capacity 1
+
+	mu       sync.Mutex
+	conn     *rpcconn.Client // nil while there is none
+	offering bool
+	told     bool // the entry answered a heartbeat that said "leaving"
+}
+
+func newLink(e *entries, address string) *link {
+	return &link{entries: e, agent: e.agent, address: address, cancel: func() {}, wake: make(chan struct{}, 1)}
+}
+
+// kick makes the link send its next heartbeat soon.
+func (l *link) kick() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run sends heartbeats until ctx ends. When one fails, a second connection is
+// opened at once; only if that fails too is the entry suspect.
+func (l *link) run(ctx context.Context) {
+	defer l.drop()
+	interval := l.agent.timing.Heartbeat.Of()
+	// Links of processes that start together do not dial together.
+	if !pause(ctx, rand.N(interval/kicksPerHeartbeat), nil) {
+		return
+	}
+	failures := 0
+	for {
+		err := l.beat(ctx)
+		if err != nil && ctx.Err() == nil {
+			l.drop()
+			err = l.beat(ctx)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			l.drop()
+			l.entries.failed(l.address, err)
+			limit := min(linkBackoffMax, linkBackoffBase<<min(failures, 10))
+			failures++
+			if !pause(ctx, rand.N(limit)+1, nil) {
+				return
+			}
+			continue
+		}
+		failures = 0
+		spacing := interval / kicksPerHeartbeat
+		if !pause(ctx, spacing, nil) || !pause(ctx, interval-spacing, l.wake) {
+			return
+		}
+	}
+}
+
+func (l *link) drop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		_ = l.conn.Close()
+		l.conn = nil
+	}
+}
+
+// connect returns the link's connection, opening it if there is none.
+func (l *link) connect(ctx context.Context) (*rpcconn.Client, error) {
+	l.mu.Lock()
+	conn := l.conn
+	l.mu.Unlock()
+	if conn != nil {
+		return conn, nil
+	}
+	conn, err := l.agent.dialer.Connect(ctx, l.address)
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	l.conn = conn
+	l.mu.Unlock()
+	return conn, nil
+}
+
+// beat sends one heartbeat and applies the reply.
+func (l *link) beat(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, l.agent.timing.CallTimeout.Of())
+	defer cancel()
+	conn, err := l.connect(ctx)
+	if err != nil {
+		return err
+	}
+	sent := time.Now()
+	req := l.agent.heartbeat(sent)
+	var reply wire.HeartbeatReply
+	if err := conn.Call(ctx, "Entry.Heartbeat", &req, &reply); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	l.told = req.Leaving
+	l.mu.Unlock()
+	l.entries.heard(l.address, &reply)
+	l.agent.heartbeatAnswered(sent, &reply)
+	return nil
+}
+
+func (l *link) toldLeaving() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.told
+}
+
+// offer sends an offer unless one is under way.
+func (l *link) offer(owner ledger.Owner, req wire.OfferRequest) {
+	l.mu.Lock()
+	conn := l.conn
+	busy := l.offering
+	l.offering = l.offering || conn != nil
+	l.mu.Unlock()
+	if conn == nil || busy {
+		return
+	}
+	l.agent.metrics.offers.Inc(1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), l.agent.timing.CallTimeout.Of())
+		defer cancel()
+		var reply wire.OfferReply
+		err := conn.Call(ctx, "Entry.Offer", &req, &reply)
+		l.mu.Lock()
+		l.offering = false
+		l.mu.Unlock()
+		if err == nil {
+			l.agent.offered(owner, reply.Used)
+		}
+	}()
+}
+
+// heartbeat returns the message that announces the agent.
+func (a *Agent) heartbeat(now time.Time) wire.HeartbeatRequest {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r := wire.HeartbeatRequest{
+		Agent: a.self, Load: a.load(), Leaving: len(a.leaving) > 0, Healthy: a.health.ok,
+		Generation: a.config.Generation, ReadAge: gate.None,
+	}
+	if !a.storeAt.IsZero() {
+		r.ReadAge = max(0, now.Sub(a.storeAt))
+	}
+	return r
+}
+
+// heartbeatAnswered applies an entry's reply to the heartbeat sent then.
+func (a *Agent) heartbeatAnswered(sent time.Time, r *wire.HeartbeatReply) {
+	now := time.Now()
+	owner := ledger.Owner{Entry: r.Entry.ID, Incarnation: r.Entry.Incarnation}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lapse(now)
+	// Only the time at which the request was sent bounds the reply's age.
+	a.ledger.Heard(owner, sent)
+	a.acknowledge(owner, r.Acked)
+	if a.ledger.HasSession(owner) {
+		a.entryBacklog(owner, r.Backlog)
+	}
+	if r.Config != nil {
+		a.apply(*r.Config, now)
+	}
+	a.confirm(sent, r)
+	if ok, _ := a.may(now); ok {
+		a.closed = time.Time{}
+	}
+	a.dispatch(now)
+	a.notify()
+}
--- /dev/null
+++ b/agent/metrics.go
@@ -0,0 +1,52 @@
+package agent
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"chicorytray.example/chicorytray/wire"
+)
+
+// metrics are the agent's counters and gauges. Those of the failure table have
+// the names given there.
+type metrics struct {
+	started, finished, notRun, unknown                tally.Counter
+	sessionsLapsed, sessionsFenced                    tally.Counter
+	upstreamErrors, upstreamTimeouts, upstreamUnsent  tally.Counter
+	refusedOutOfService, gateClosed, busy, duplicates tally.Counter
+	offers, offersUsed, entriesSuspect, recordsLost   tally.Counter
+	running, queued, confirmationAge, generation      tally.Gauge
+	took                                              tally.Timer
+}
+
+func newMetrics(s tally.Scope) metrics {
+	if s == nil {
+		s = tally.NoopScope
+	}
+	return metrics{
+		started: s.Counter("tasks_started"), finished: s.Counter("tasks_finished"),
+		notRun: s.Counter("tasks_not_run"), unknown: s.Counter("tasks_unknown"),
+		sessionsLapsed: s.Counter("sessions_lapsed"), sessionsFenced: s.Counter("sessions_fenced"),
+		upstreamErrors: s.Counter("upstream_errors"), upstreamTimeouts: s.Counter("upstream_timeouts"),
+		upstreamUnsent:      s.Counter("upstream_unsent"),
+		refusedOutOfService: s.Counter("refused_out_of_service"), gateClosed: s.Counter("gate_closed"),
+		busy: s.Counter("refused_busy"), duplicates: s.Counter("duplicate_messages"),
+		offers: s.Counter("offers"), offersUsed: s.Counter("offers_used"),
+		entriesSuspect: s.Counter("entries_suspect"), recordsLost: s.Counter("records_evicted"),
+		running: s.Gauge("tasks_running"), queued: s.Gauge("tasks_queued"),
+		confirmationAge: s.Gauge("confirmation_age_seconds"), generation: s.Gauge("config_generation"),
+		took: s.Timer("task_time"),
+	}
+}
+
+// refused counts a task that was not run.
+func (m metrics) refused(r wire.Reason) {
+	m.notRun.Inc(1)
+	switch r {
+	case wire.ReasonOutOfService:
+		m.refusedOutOfService.Inc(1)
+	case wire.ReasonUnconfirmed:
+		m.gateClosed.Inc(1)
+	case wire.ReasonBusy:
+		m.busy.Inc(1)
+	}
+}
--- /dev/null
+++ b/agent/receive.go
@@ -0,0 +1,195 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"chicorytray.example/chicorytray/ledger"
+	"chicorytray.example/chicorytray/rpcconn"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// taskID names one task of one entry process.
+type taskID struct {
+	owner ledger.Owner
+	key   wire.TaskKey
+}
+
+// task is a task that waits or runs here.
+type task struct {
+	taskID
+	session  wire.Session
+	task     wire.Task
+	deadline time.Time
+	began    time.Time // zero while it waits
+	expiry   *time.Timer
+	cancel   context.CancelFunc // of its execution
+	done     chan struct{}      // closed when result is set
+	result   wire.Result
+}
+
+// newServer registers the calls of entries.
+func (a *Agent) newServer(o rpcconn.Options) *rpcconn.Server {
+	s := rpcconn.NewServer(o)
+	rpcconn.Handle(s, "Agent.OpenSession", a.rpcOpenSession)
+	rpcconn.Handle(s, "Agent.Run", a.rpcRun)
+	rpcconn.Handle(s, "Agent.Await", a.rpcAwait)
+	rpcconn.Handle(s, "Agent.Cancel", a.rpcCancel)
+	rpcconn.Handle(s, "Agent.Announce", a.rpcAnnounce)
+	return s
+}
+
+// rpcRun takes a task through the pipeline and replies when it is finished or
+// refused. The end of the connection leaves the task alone: the entry learns
+// its result in its next session.
+func (a *Agent) rpcRun(ctx context.Context, in *wire.RunRequest, out *wire.RunReply) error {
+	now := time.Now()
+	if err := invalid(in); err != nil {
+		a.reply(out, notRun(wire.ReasonInvalid, err.Error()))
+		return nil
+	}
+	a.mu.Lock()
+	t, refusal := a.accept(in, now)
+	a.mu.Unlock()
+	if refusal != nil {
+		a.reply(out, *refusal)
+		return nil
+	}
+	return a.wait(ctx, t, out)
+}
+
+// accept fences, gates and then starts or queues a task; the caller holds mu.
+func (a *Agent) accept(in *wire.RunRequest, now time.Time) (*task, *wire.Result) {
+	if refusal := a.fence(in, now); refusal != nil {
+		return nil, refusal
+	}
+	a.entryBacklog(ledger.OwnerOf(in.Session), in.Backlog)
+	t := &task{
+		taskID:  taskID{ledger.OwnerOf(in.Session), wire.TaskKey{Session: in.Session.Number, Sequence: in.Sequence}},
+		session: in.Session, task: in.Task, deadline: now.Add(in.Task.Remaining), done: make(chan struct{}),
+	}
+	if reason := a.admit(t, now); reason != "" {
+		a.ledger.Withdraw(t.session, t.key)
+		a.metrics.refused(reason)
+		refusal := notRun(reason, "")
+		return nil, &refusal
+	}
+	a.enqueue(t)
+	a.dispatch(now)
+	return t, nil
+}
+
+// wait replies with the task's result.
+func (a *Agent) wait(ctx context.Context, t *task, out *wire.RunReply) error {
+	select {
+	case <-t.done:
+		a.reply(out, t.result)
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// rpcAwait replies with the result of a task that was started in an earlier
+// session.
+func (a *Agent) rpcAwait(ctx context.Context, in *wire.AwaitRequest, out *wire.RunReply) error {
+	now := time.Now()
+	id := taskID{ledger.OwnerOf(in.Session), in.Key}
+	a.mu.Lock()
+	if err := a.use(in.Session, now); err != nil {
+		a.mu.Unlock()
+		return err
+	}
+	t := a.tasks[id]
+	result, finished, err := a.ledger.Result(id.owner, id.key)
+	a.mu.Unlock()
+	switch {
+	case t != nil:
+		return a.wait(ctx, t, out)
+	case err != nil || !finished:
+		a.reply(out, wire.Result{Outcome: wire.OutcomeUnknown, Reason: wire.ReasonRecordLost})
+	default:
+		a.reply(out, result)
+	}
+	return nil
+}
+
+// rpcCancel withdraws queued tasks and closes the upstream requests of running
+// ones.
+func (a *Agent) rpcCancel(_ context.Context, in *wire.CancelRequest, out *wire.CancelReply) error {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err := a.use(in.Session, now); err != nil {
+		return err
+	}
+	for _, key := range in.Keys {
+		t := a.tasks[taskID{ledger.OwnerOf(in.Session), key}]
+		if a.ledger.Withdraw(in.Session, key) {
+			out.Withdrawn = append(out.Withdrawn, key)
+			if t != nil {
+				a.settle(t, notRun(wire.ReasonCancelled, ""))
+			}
+			continue
+		}
+		if t != nil && t.cancel != nil {
+			t.cancel()
+		}
+	}
+	a.dispatch(now)
+	out.Load = a.load()
+	return nil
+}
+
+// rpcAnnounce takes an entry's backlog and configuration.
+func (a *Agent) rpcAnnounce(_ context.Context, in *wire.AnnounceRequest, out *wire.AnnounceReply) error {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err := a.use(in.Session, now); err != nil {
+		return err
+	}
+	owner := ledger.OwnerOf(in.Session)
+	a.acknowledge(owner, in.Acked)
+	a.entryBacklog(owner, in.Backlog)
+	if in.Config != nil {
+		a.apply(*in.Config, now)
+	}
+	out.Load = a.load()
+	return nil
+}
+
+// invalid checks what the upstream's request is built from.
+func invalid(in *wire.RunRequest) error {
+	r := in.Task.Request
+	switch {
+	case in.Session.Entry == "" || in.Session.Number == 0:
+		return fmt.Errorf("no session")
+	case in.Sequence == 0:
+		return fmt.Errorf("no sequence")
+	case in.Task.Job == "":
+		return fmt.Errorf("no job")
+	case !strings.HasPrefix(r.Path, "/"):
+		return fmt.Errorf("path %q does not begin with a slash", r.Path)
+	case !token(r.Method):
+		return fmt.Errorf("method %q is not a token", r.Method)
+	}
+	return nil
+}
+
+// token reports whether s is a token of HTTP made of letters and hyphens, as
+// all registered methods are.
+func token(s string) bool {
+	for _, c := range []byte(s) {
+		if (c < 'A' || c > 'Z') && (c < 'a' || c > 'z') && c != '-' {
+			return false
+		}
+	}
+	return s != ""
+}
+
+func notRun(r wire.Reason, detail string) wire.Result {
+	return wire.Result{Outcome: wire.OutcomeNotRun, Reason: r, Detail: detail}
+}
--- /dev/null
+++ b/agent/report.go
@@ -0,0 +1,122 @@
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"chicorytray.example/chicorytray/ledger"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// report records the result of a task that ran and frees its slot.
+func (a *Agent) report(t *task, r wire.Result) {
+	now := time.Now()
+	r.Took = now.Sub(t.began)
+	a.count(r)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.Outcome == wire.OutcomeNotRun {
+		// Nothing reached the upstream. Without a record, an entry that
+		// reconciles finds that the task never started, which is true.
+		_ = a.ledger.Retract(t.owner, t.key)
+	} else {
+		evicted := a.ledger.Stats().Evicted
+		_ = a.ledger.Finish(t.owner, t.key, r)
+		if n := a.ledger.Stats().Evicted - evicted; n > 0 {
+			a.metrics.recordsLost.Inc(int64(n))
+		}
+	}
+	a.busy--
+	a.free = a.free.Plus(t.task.Needs)
+	a.settle(t, r)
+	a.dispatch(now)
+	a.offer(t.owner)
+	a.log.Debug().Str("job", t.task.Job).Int("task", t.task.Index).Int("outcome", int(r.Outcome)).
+		Str("reason", string(r.Reason)).Dur("took_ms", r.Took).Msg("task_finished")
+}
+
+// settle sets a task's result and ends the calls that wait for it; the caller
+// holds mu.
+func (a *Agent) settle(t *task, r wire.Result) {
+	if t.began.IsZero() {
+		a.queue = slices.DeleteFunc(a.queue, func(q *task) bool { return q == t })
+		t.expiry.Stop()
+	}
+	delete(a.tasks, t.taskID)
+	t.result = r
+	close(t.done)
+	a.sequence++
+	a.notify()
+}
+
+// notify wakes a planned stop; the caller holds mu.
+func (a *Agent) notify() {
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// load returns the agent's load; the caller holds mu.
+func (a *Agent) load() wire.Load {
+	return wire.Load{Sequence: a.sequence, Running: a.busy, Queued: len(a.queue), Free: a.free}
+}
+
+// reply fills a reply about one task with the load at this moment.
+func (a *Agent) reply(out *wire.RunReply, r wire.Result) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	*out = wire.RunReply{Agent: a.self.Incarnation, Result: r, Load: a.load()}
+}
+
+func (a *Agent) count(r wire.Result) {
+	a.metrics.took.Record(r.Took)
+	switch r.Outcome {
+	case wire.OutcomeNotRun:
+		a.metrics.upstreamUnsent.Inc(1)
+		a.metrics.notRun.Inc(1)
+		return
+	case wire.OutcomeUnknown:
+		a.metrics.unknown.Inc(1)
+	}
+	a.metrics.finished.Inc(1)
+	switch r.Reason {
+	case wire.ReasonDeadline:
+		a.metrics.upstreamTimeouts.Inc(1)
+	case wire.ReasonUpstreamError, wire.ReasonUpstreamGone, wire.ReasonTooLarge:
+		a.metrics.upstreamErrors.Inc(1)
+	}
+}
+
+// offer offers a free slot to the entry with the most urgent backlog, unless
+// the entry that used the slot has work of its own: it learns of the slot from
+// its reply. The caller holds mu.
+func (a *Agent) offer(user ledger.Owner) {
+	if a.busy >= a.settings.Slots || len(a.queue) > 0 || len(a.leaving) > 0 || a.backlogs[user].Tasks > 0 {
+		return
+	}
+	if ok, _ := a.may(time.Now()); !ok {
+		return
+	}
+	var best ledger.Owner
+	found := false
+	for owner, b := range a.backlogs {
+		c := a.backlogs[best]
+		if !found || b.Urgency < c.Urgency || b.Urgency == c.Urgency && (b.Tasks > c.Tasks || b.Tasks == c.Tasks && owner.Entry < best.Entry) {
+			best, found = owner, true
+		}
+	}
+	if found {
+		a.entries.offer(best, wire.OfferRequest{Agent: a.self.ID, Incarnation: a.self.Incarnation, Load: a.load()})
+	}
+}
+
+// offered handles the answer to an offer. An entry that had no use for it is
+// offered nothing until it announces backlog again.
+func (a *Agent) offered(owner ledger.Owner, used bool) {
+	if used {
+		a.metrics.offersUsed.Inc(1)
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.backlogs, owner)
+}
--- /dev/null
+++ b/agent/run.go
@@ -0,0 +1,68 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"chicorytray.example/chicorytray/wire"
+)
+
+// enqueue adds an admitted task to the queue; the caller holds mu.
+func (a *Agent) enqueue(t *task) {
+	a.tasks[t.taskID] = t
+	a.queue = append(a.queue, t)
+	t.expiry = time.AfterFunc(time.Until(t.deadline), func() { a.expire(t) })
+	a.sequence++
+}
+
+// expire refuses a task whose deadline passed while it waited.
+func (a *Agent) expire(t *task) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if t.began.IsZero() && a.ledger.Withdraw(t.session, t.key) {
+		a.metrics.refused(wire.ReasonDeadline)
+		a.settle(t, notRun(wire.ReasonDeadline, ""))
+	}
+}
+
+// dispatch starts queued tasks while there are slots and the gate is open. A
+// task that lacks resources is passed over by those behind it; the queue is
+// short and deadlines end the wait. The caller holds mu.
+func (a *Agent) dispatch(now time.Time) {
+	for i := 0; i < len(a.queue) && a.busy < a.settings.Slots; {
+		if ok, _ := a.may(now); !ok {
+			return
+		}
+		t := a.queue[i]
+		if !t.task.Needs.Fits(a.free) || !now.Before(t.deadline) {
+			i++
+			continue
+		}
+		if err := a.ledger.Start(t.session, t.key.Sequence); err != nil {
+			// The queue and the ledger change under one lock, so this is a
+			// fault of the program; the task did not start.
+			a.log.Error().Err(err).Str("job", t.task.Job).Int("task", t.task.Index).Msg("start_refused")
+			a.settle(t, notRun(wire.ReasonFenced, ""))
+			continue
+		}
+		a.start(t, now)
+	}
+}
+
+// start runs a task that the ledger recorded as started; the caller holds mu.
+func (a *Agent) start(t *task, now time.Time) {
+	a.queue = slices.DeleteFunc(a.queue, func(q *task) bool { return q == t })
+	t.expiry.Stop()
+	t.began = now
+	a.busy++
+	a.free = a.free.Minus(t.task.Needs)
+	a.sequence++
+	a.metrics.started.Inc(1)
+	ctx, cancel := context.WithDeadline(a.base, t.deadline)
+	t.cancel = cancel
+	go func() {
+		defer cancel()
+		a.report(t, a.upstream.do(ctx, t.task))
+	}()
+}
--- /dev/null
+++ b/agent/state.go
@@ -0,0 +1,115 @@
+package agent
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"chicorytray.example/chicorytray/ledger"
+	"chicorytray.example/chicorytray/rpcconn"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// State is a dump of the agent for /debug/state and SIGUSR1. Ages and times
+// are in milliseconds; an age of -1 means never.
+type State struct {
+	Agent           string                   `json:"agent"`
+	Incarnation     string                   `json:"incarnation"`
+	DataCentre      string                   `json:"data_centre"`
+	Worker          string                   `json:"worker"`
+	Upstream        string                   `json:"upstream"`
+	UptimeMS        int64                    `json:"uptime_ms"`
+	Leaving         []string                 `json:"leaving"`
+	Healthy         bool                     `json:"healthy"`
+	Health          string                   `json:"health,omitempty"`
+	Generation      uint64                   `json:"generation"`
+	OutOfService    []string                 `json:"out_of_service"`
+	GateOpen        bool                     `json:"gate_open"`
+	GateReason      string                   `json:"gate_reason,omitempty"`
+	ConfirmationAge int64                    `json:"confirmation_age_ms"`
+	Load            wire.Load                `json:"load"`
+	Tasks           []TaskState              `json:"tasks"`
+	Ledger          ledger.Stats             `json:"ledger"`
+	Entries         []EntryState             `json:"entries"`
+	Messages        map[string]rpcconn.Count `json:"messages"`
+}
+
+// TaskState is one task that waits or runs.
+type TaskState struct {
+	Task      string `json:"task"`
+	Entry     string `json:"entry"`
+	Session   uint64 `json:"session"`
+	Sequence  uint64 `json:"sequence"`
+	RunningMS int64  `json:"running_ms"` // -1 while it waits
+	LeftMS    int64  `json:"left_ms"`    // until its deadline
+}
+
+// EntryState is one known entry.
+type EntryState struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Linked  bool   `json:"linked"`
+	Suspect bool   `json:"suspect"`
+	HeardMS int64  `json:"heard_ms"`
+	Backlog int    `json:"backlog"`
+}
+
+// State returns a copy of the agent's state.
+func (a *Agent) State() State {
+	now := time.Now()
+	s := State{
+		Agent: a.self.ID, Incarnation: a.self.Incarnation.String(), DataCentre: a.self.DataCentre,
+		Worker: a.self.Worker, Upstream: a.self.Upstream, UptimeMS: a.uptime().Milliseconds(),
+		Messages: a.counters.ByMethod(),
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for r := range a.leaving {
+		s.Leaving = append(s.Leaving, string(r))
+	}
+	slices.Sort(s.Leaving)
+	s.Healthy, s.Health = a.health.ok, a.health.detail
+	s.Generation, s.OutOfService = a.config.Generation, slices.Clone(a.config.OutOfService)
+	open, reason := a.may(now)
+	s.GateOpen, s.GateReason = open, string(reason)
+	s.ConfirmationAge = -1
+	if age := a.gate.Age(now); age >= 0 {
+		s.ConfirmationAge = age.Milliseconds()
+	}
+	s.Load, s.Ledger = a.load(), a.ledger.Stats()
+	for _, t := range a.tasks {
+		s.Tasks = append(s.Tasks, t.state(now))
+	}
+	slices.SortFunc(s.Tasks, func(x, y TaskState) int {
+		return cmp.Or(cmp.Compare(x.Entry, y.Entry), cmp.Compare(x.Session, y.Session), cmp.Compare(x.Sequence, y.Sequence))
+	})
+	s.Entries = a.entries.state(now, a.backlogs)
+	return s
+}
+
+func (t *task) state(now time.Time) TaskState {
+	running := int64(-1)
+	if !t.began.IsZero() {
+		running = now.Sub(t.began).Milliseconds()
+	}
+	return TaskState{
+		Task: taskName(t.task), Entry: t.owner.Entry, Session: t.key.Session, Sequence: t.key.Sequence,
+		RunningMS: running, LeftMS: t.deadline.Sub(now).Milliseconds(),
+	}
+}
+
+func (e *entries) state(now time.Time, backlogs map[ledger.Owner]wire.Backlog) []EntryState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]EntryState, 0, len(e.known))
+	for address, k := range e.known {
+		s := EntryState{ID: k.ref.ID, Address: address, Linked: e.links[address] != nil, Suspect: e.peers.Suspect(address, now), HeardMS: -1}
+		if at, ok := e.peers.LastHeard(address); ok {
+			s.HeardMS = now.Sub(at).Milliseconds()
+		}
+		s.Backlog = backlogs[ledger.Owner{Entry: k.ref.ID, Incarnation: k.ref.Incarnation}].Tasks
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(x, y EntryState) int { return cmp.Compare(x.Address, y.Address) })
+	return out
+}
--- /dev/null
+++ b/agent/upstream.go
@@ -0,0 +1,293 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"chicorytray.example/chicorytray/settings"
+	"chicorytray.example/chicorytray/wire"
+)
+
+const (
+	// idleConnTimeout closes idle connections to the upstream before common
+	// servers do (60 s or more), because a request that meets a connection
+	// being closed has an unknown outcome.
+	idleConnTimeout = 30 * time.Second
+	// maxResponseHeader is the size limit of an upstream's response header.
+	maxResponseHeader = 64 << 10
+	// messageOverhead is left of a message's size limit for what surrounds a
+	// response body.
+	messageOverhead = 2 * maxResponseHeader
+	// upstreamDialTimeout bounds the connection to a process on the same worker.
+	upstreamDialTimeout = time.Second
+)
+
+// Headers that tell the upstream which task it runs.
+const (
+	headerTask    = "Chicorytray-Task"
+	headerAttempt = "Chicorytray-Attempt"
+)
+
+// upstream makes the HTTP requests of tasks. It never sends a request twice.
+type upstream struct {
+	address string
+	maxBody int64
+	client  *http.Client
+	// health makes the health checks, on a connection of its own so that they
+	// do not wait for tasks.
+	health *http.Client
+}
+
+func newUpstream(s settings.Agent, dial func(context.Context, string) (net.Conn, error)) *upstream {
+	if dial == nil {
+		dial = func(ctx context.Context, address string) (net.Conn, error) {
+			d := net.Dialer{Timeout: upstreamDialTimeout}
+			return d.DialContext(ctx, "tcp", address)
+		}
+	}
+	sealed := func(ctx context.Context, _, address string) (net.Conn, error) {
+		c, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return &sealedConn{Conn: c}, nil
+	}
+	return &upstream{
+		address: s.Upstream, maxBody: s.MaxMessageBytes - messageOverhead,
+		client: newHTTPClient(sealed, s.Connections), health: newHTTPClient(sealed, 1),
+	}
+}
+
+func newHTTPClient(dial func(ctx context.Context, network, address string) (net.Conn, error), connections int) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:     dial,
+			MaxConnsPerHost: connections, MaxIdleConns: connections, MaxIdleConnsPerHost: connections,
+			IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxResponseHeader,
+			DisableCompression: true, // the caller gets the upstream's bytes
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse // following a redirect would send a second request
+		},
+	}
+}
+
+func (u *upstream) close() {
+	u.client.CloseIdleConnections()
+	u.health.CloseIdleConnections()
+}
+
+// do runs one task and returns its result. Took is left to the caller. The
+// outcome is wire.OutcomeNotRun only if nothing was written to the upstream.
+func (u *upstream) do(ctx context.Context, t wire.Task) wire.Result {
+	sent := &evidence{}
+	req, err := u.request(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: sent.gotConn}), t)
+	if err != nil {
+		return notRun(wire.ReasonInvalid, err.Error())
+	}
+	resp, err := u.client.Do(req)
+	if err != nil {
+		if sent.none() {
+			return notRun(reasonOf(ctx, wire.ReasonUpstreamGone), err.Error())
+		}
+		return unknown(reasonOf(ctx, wire.ReasonUpstreamError), err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return u.result(ctx, t, resp)
+}
+
+// result reads the whole answer and judges it.
+func (u *upstream) result(ctx context.Context, t wire.Task, resp *http.Response) wire.Result {
+	limit := u.maxBody
+	if t.MaxResponse > 0 {
+		limit = min(limit, t.MaxResponse)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	switch {
+	case err != nil:
+		return unknown(reasonOf(ctx, wire.ReasonUpstreamError), err)
+	case int64(len(body)) > limit:
+		return wire.Result{Outcome: wire.OutcomeFailed, Reason: wire.ReasonTooLarge,
+			Detail: fmt.Sprintf("the response exceeds %d bytes", limit)}
+	}
+	r := wire.Result{Outcome: wire.OutcomeDone, Response: wire.Response{Status: resp.StatusCode, Header: headers(resp.Header), Body: body}}
+	success := resp.StatusCode >= 200 && resp.StatusCode < 300
+	if t.AnyStatus {
+		success = resp.StatusCode >= 200 && resp.StatusCode < 500
+	}
+	if !success {
+		r.Outcome, r.Reason, r.Detail = wire.OutcomeFailed, wire.ReasonUpstreamError, "status "+strconv.Itoa(resp.StatusCode)
+	}
+	return r
+}
+
+// request builds the upstream's request. net/http may send a request again
+// when a kept-alive connection breaks, if the request has no body or can
+// rewind it. The body is therefore never nil and has no GetBody.
+func (u *upstream) request(ctx context.Context, t wire.Task) (*http.Request, error) {
+	target, err := url.ParseRequestURI(t.Request.Path)
+	if err != nil {
+		return nil, err
+	}
+	target.Scheme, target.Host = "http", u.address
+	req, err := http.NewRequestWithContext(ctx, t.Request.Method, target.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Body = &onceBody{rest: t.Request.Body}
+	req.ContentLength = int64(len(t.Request.Body))
+	req.GetBody = nil
+	for _, h := range t.Request.Header {
+		name := textproto.CanonicalMIMEHeaderKey(h.Name)
+		switch {
+		case name == "Host":
+			req.Host = h.Value
+		case !hopByHop[name]:
+			req.Header.Add(name, h.Value)
+		}
+	}
+	if req.Header.Get("User-Agent") == "" {
+		req.Header.Set("User-Agent", "") // keeps net/http from naming itself
+	}
+	req.Header.Set(headerTask, taskName(t))
+	req.Header.Set(headerAttempt, strconv.Itoa(t.Attempt))
+	return req, nil
+}
+
+// taskName is the task's name in headers, logs and dumps.
+func taskName(t wire.Task) string { return t.Job + "/" + strconv.Itoa(t.Index) }
+
+// hopByHop are the fields that concern one connection (RFC 9110, section
+// 7.6.1), and those that net/http sets itself.
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Content-Length": true,
+	headerTask: true, headerAttempt: true,
+}
+
+func headers(h http.Header) []wire.Header {
+	var out []wire.Header
+	for name, values := range h {
+		if hopByHop[name] {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, wire.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+// reasonOf names the end of ctx where it is the cause.
+func reasonOf(ctx context.Context, otherwise wire.Reason) wire.Reason {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return wire.ReasonDeadline
+	case ctx.Err() != nil:
+		return wire.ReasonCancelled
+	}
+	return otherwise
+}
+
+func unknown(r wire.Reason, err error) wire.Result {
+	return wire.Result{Outcome: wire.OutcomeUnknown, Reason: r, Detail: err.Error()}
+}
+
+// onceBody is a request body that can be read once.
+type onceBody struct{ rest []byte }
+
+// Read returns the rest of the body.
+func (b *onceBody) Read(p []byte) (int, error) {
+	if len(b.rest) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+// Close does nothing.
+func (b *onceBody) Close() error { return nil }
+
+// sealedConn counts writes and can forbid further ones. net/http writes in a
+// goroutine of its own, so a request that was given up could otherwise still
+// be written after the task was reported as not run.
+type sealedConn struct {
+	net.Conn
+	mu     sync.Mutex
+	writes uint64 // attempts, whatever came of them
+	sealed bool
+}
+
+var errSealed = errors.New("agent: connection given up")
+
+// Write passes p on unless the connection is sealed.
+func (c *sealedConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, errSealed
+	}
+	c.writes++
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+func (c *sealedConn) count() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes
+}
+
+// seal forbids further writes and returns the number of attempts so far.
+func (c *sealedConn) seal() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.writes
+}
+
+// evidence shows whether a request was written.
+type evidence struct {
+	mu     sync.Mutex
+	conns  []*sealedConn
+	before []uint64
+	other  bool // a connection of another type, of which nothing is known
+}
+
+func (e *evidence) gotConn(info httptrace.GotConnInfo) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c, ok := info.Conn.(*sealedConn)
+	if !ok {
+		e.other = true
+		return
+	}
+	e.conns = append(e.conns, c)
+	e.before = append(e.before, c.count())
+}
+
+// none reports, after the request failed, whether no write was attempted. The
+// connections that the request had are used up: a failed HTTP/1 request closes
+// its connection.
+func (e *evidence) none() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	unwritten := !e.other
+	for i, c := range e.conns {
+		if c.seal() != e.before[i] {
+			unwritten = false
+		}
+	}
+	return unwritten
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -132,10 +132,11 @@
 	return nil
 }
 
-// Heard records that the entry process answered on another connection.
-func (l *Ledger) Heard(id Owner, now time.Time) {
-	if o, ok := l.owners[id]; ok && o.open {
-		o.heard = now
+// Heard records that the entry process was known to be alive at that moment,
+// from an answer on another connection.
+func (l *Ledger) Heard(id Owner, at time.Time) {
+	if o, ok := l.owners[id]; ok && o.open && at.After(o.heard) {
+		o.heard = at
 	}
 }
 
@@ -223,6 +224,24 @@
 	return nil
 }
 
+// Retract drops the record of a started task of which it is proved that nothing
+// reached the upstream and nothing will, so that the entry finds it absent. Its
+// sequence stays used. It returns ErrUnknown for a task that does not run.
+func (l *Ledger) Retract(id Owner, key wire.TaskKey) error {
+	o, ok := l.owners[id]
+	if !ok {
+		return ErrUnknown
+	}
+	r, ok := o.records[key]
+	if !ok || r.position != nil {
+		return ErrUnknown
+	}
+	delete(o.records, key)
+	l.records--
+	l.stats.Running--
+	return nil
+}
+
 // Result returns the stored result of a started task, or ErrUnknown.
 func (l *Ledger) Result(id Owner, key wire.TaskKey) (result wire.Result, finished bool, err error) {
 	o, ok := l.owners[id]
@@ -312,3 +331,9 @@
 	}
 	return s
 }
+
+// HasSession reports whether the entry process has an open session.
+func (l *Ledger) HasSession(id Owner) bool {
+	o, ok := l.owners[id]
+	return ok && o.open
+}
--- a/ledger/property_test.go
+++ b/ledger/property_test.go
@@ -125,6 +125,15 @@
 				s, seq := m.session(t), sequence(t)
 				_ = m.l.Finish(OwnerOf(s), wire.TaskKey{Session: s.Number, Sequence: seq}, wire.Result{})
 			},
+			"retract": func(t *rapid.T) {
+				s, seq := m.session(t), sequence(t)
+				k := wire.TaskKey{Session: s.Number, Sequence: seq}
+				if m.l.Retract(OwnerOf(s), k) == nil {
+					// Counts as never started, so it must not start later.
+					delete(m.started, startKey{OwnerOf(s), k})
+					m.never[startKey{OwnerOf(s), k}] = true
+				}
+			},
 			"acknowledge": func(t *rapid.T) {
 				s, k := m.session(t), wire.TaskKey{Session: rapid.Uint64Range(1, 5).Draw(t, "of"), Sequence: sequence(t)}
 				if _, finished, _ := m.l.Result(OwnerOf(s), k); finished {
--- a/wire/task.go
+++ b/wire/task.go
@@ -68,6 +68,8 @@
 	ReasonUpstreamGone  Reason = "upstream_unreachable"
 	ReasonTooLarge      Reason = "result_too_large"
 	ReasonAgentLost     Reason = "agent_lost"
+	ReasonInvalid       Reason = "invalid_request"
+	ReasonDuplicate     Reason = "duplicate_message"
 	ReasonRecordLost    Reason = "start_record_lost"
 )
 
