--- /dev/null
+++ b/agent/rig_test.go
@@ -0,0 +1,255 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/gate"
+	"chicorytray.example/chicorytray/internal/faultnet"
+	"chicorytray.example/chicorytray/internal/storestub"
+	"chicorytray.example/chicorytray/internal/upstreamstub"
+	"chicorytray.example/chicorytray/rpcconn"
+	"chicorytray.example/chicorytray/settings"
+	"chicorytray.example/chicorytray/store"
+	"chicorytray.example/chicorytray/wire"
+)
+
+const (
+	agentHost    = "10.0.1.1"
+	upstreamHost = "10.0.2.1"
+	dataCentre   = "anping"
+)
+
+// rig is one agent with an upstream and entries, all stand-ins, on a network
+// with faults in virtual time.
+type rig struct {
+	*qt.C
+	net     *faultnet.Network
+	store   *storestub.Stub
+	stub    *upstreamstub.Stub
+	agent   *Agent
+	ctx     context.Context
+	wg      sync.WaitGroup
+	ended   chan error // result of Run
+	entries []*entryStub
+}
+
+// setup describes a rig; zero values mean 2 slots, a queue of 2 and one entry.
+type setup struct {
+	slots, queue, entries int
+	unregistered          bool // the store lists no entries
+	change                func(*settings.Agent)
+}
+
+func virtual(t *testing.T, s setup, test func(r *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		r := &rig{C: qt.New(t), net: faultnet.New(), store: storestub.New(), ctx: ctx, ended: make(chan error, 1)}
+		if s.slots == 0 {
+			s.slots, s.queue = 2, 2
+		}
+		r.stub = upstreamstub.New(upstreamstub.Options{Name: "u1", Slots: s.slots})
+		web := r.serve(upstreamHost+":8100", r.stub)
+		for i := range max(s.entries, 1) {
+			r.addEntry(i, !s.unregistered)
+		}
+		r.start(s)
+		time.Sleep(200 * time.Millisecond) // the first heartbeats
+		test(r)
+		cancel()
+		<-r.ended
+		_ = web.Close()
+		for _, e := range r.entries {
+			e.close()
+		}
+		r.wg.Wait()
+	})
+}
+
+func (r *rig) serve(address string, h http.Handler) *http.Server {
+	l, err := r.net.Listen(address)
+	r.Assert(err, qt.IsNil)
+	web := &http.Server{Handler: h}
+	r.wg.Go(func() { _ = web.Serve(l) })
+	return web
+}
+
+func (r *rig) start(s setup) {
+	conf := settings.DefaultAgent()
+	conf.ID, conf.DataCentre, conf.Rack, conf.Worker = "a1", dataCentre, "r1", "w1"
+	conf.PeerAddress, conf.AdminAddress, conf.Upstream = agentHost+":7100", agentHost+":9100", upstreamHost+":8100"
+	conf.Store.URL = "http://10.0.3.1:7500"
+	conf.Slots, conf.QueueLimit = s.slots, s.queue
+	if s.change != nil {
+		s.change(&conf)
+	}
+	peers, err := r.net.Listen(conf.PeerAddress)
+	r.Assert(err, qt.IsNil)
+	admin, err := r.net.Listen(conf.AdminAddress)
+	r.Assert(err, qt.IsNil)
+	r.agent, err = New(Options{
+		Settings: conf, Store: r.store, Dial: r.net.Dialer(agentHost), DialUpstream: r.net.Dialer(agentHost),
+		Peers: peers, Admin: admin,
+	})
+	r.Assert(err, qt.IsNil)
+	go func() { r.ended <- r.agent.Run(r.ctx) }()
+}
+
+// starts returns how often the upstream got the task.
+func (r *rig) starts(job string) int { return r.stub.Record().Count()[job+"/0"] }
+
+// entryStub is a stand-in for an entry.
+type entryStub struct {
+	*rig
+	host string
+	ref  wire.EntryRef
+	stop context.CancelFunc
+
+	mu         sync.Mutex
+	config     wire.AgentConfig
+	age        time.Duration // confirmation age in its replies
+	backlog    wire.Backlog
+	acked      []wire.TaskKey
+	known      []wire.EntryRef
+	heartbeats []wire.HeartbeatRequest
+	offers     int
+	useOffers  bool
+
+	conn     *rpcconn.Client
+	session  wire.Session
+	sequence uint64
+}
+
+func (r *rig) addEntry(i int, registered bool) *entryStub {
+	e := &entryStub{rig: r, host: fmt.Sprintf("10.0.0.%d", i+1), config: wire.AgentConfig{Generation: 1}}
+	e.ref = wire.EntryRef{ID: fmt.Sprintf("e%d", i), Incarnation: wire.Incarnation(i + 1), Address: e.host + ":7000", DataCentre: dataCentre}
+	e.session = wire.Session{Entry: e.ref.ID, Incarnation: e.ref.Incarnation}
+	r.entries = append(r.entries, e)
+	e.listen()
+	if registered {
+		value, err := store.EncodeEntry(e.ref)
+		r.Assert(err, qt.IsNil)
+		r.store.Put(store.EntriesPrefix+e.ref.ID, value)
+	}
+	return e
+}
+
+func (e *entryStub) listen() {
+	l, err := e.net.Listen(e.ref.Address)
+	e.Assert(err, qt.IsNil)
+	s := rpcconn.NewServer(rpcconn.Options{})
+	rpcconn.Handle(s, "Entry.Heartbeat", e.heartbeat)
+	rpcconn.Handle(s, "Entry.Offer", func(_ context.Context, _ *wire.OfferRequest, out *wire.OfferReply) error {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.offers++
+		out.Used = e.useOffers
+		return nil
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	e.stop = cancel
+	e.wg.Go(func() { _ = s.Serve(ctx, l) })
+}
+
+func (e *entryStub) heartbeat(_ context.Context, in *wire.HeartbeatRequest, out *wire.HeartbeatReply) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.heartbeats = append(e.heartbeats, *in)
+	*out = wire.HeartbeatReply{
+		Entry: e.ref, Generation: e.config.Generation, ConfirmAge: e.age, ReadAge: gate.None,
+		Entries: e.known, Backlog: e.backlog, Acked: e.acked,
+	}
+	if in.Generation < e.config.Generation {
+		c := e.config
+		out.Config = &c
+	}
+	e.acked = nil
+	return nil
+}
+
+// set changes what the entry's heartbeat replies say.
+func (e *entryStub) set(change func(e *entryStub)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change(e)
+}
+
+func (e *entryStub) lastHeartbeat() wire.HeartbeatRequest {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Assert(e.heartbeats, qt.Not(qt.HasLen), 0)
+	return e.heartbeats[len(e.heartbeats)-1]
+}
+
+func (e *entryStub) close() {
+	e.stop()
+	if e.conn != nil {
+		_ = e.conn.Close()
+	}
+}
+
+func (e *entryStub) dial() *rpcconn.Client {
+	d := rpcconn.Dialer{Dial: e.net.Dialer(e.host)}
+	c, err := d.Connect(e.ctx, agentHost+":7100")
+	e.Assert(err, qt.IsNil)
+	e.wg.Go(func() { <-e.ctx.Done(); _ = c.Close() })
+	return c
+}
+
+// open opens the next session on a new connection.
+func (e *entryStub) open() wire.OpenSessionReply {
+	e.conn = e.dial()
+	e.session.Number++
+	e.sequence = 0
+	var out wire.OpenSessionReply
+	in := wire.OpenSessionRequest{Session: e.session}
+	e.Assert(e.conn.Call(e.ctx, "Agent.OpenSession", &in, &out), qt.IsNil)
+	return out
+}
+
+// answer is the end of one Run call.
+type answer struct {
+	wire.RunReply
+	err error
+}
+
+// message is a Run message for a task that takes the service time.
+func (e *entryStub) message(job string, service time.Duration) wire.RunRequest {
+	e.sequence++
+	body := upstreamstub.Request{ServiceMS: float64(service) / float64(time.Millisecond)}.Encode()
+	return wire.RunRequest{Session: e.session, Sequence: e.sequence, Task: wire.Task{
+		Job: job, Remaining: 20 * time.Second, Request: wire.Request{Method: http.MethodPost, Path: "/task", Body: []byte(body)},
+	}}
+}
+
+// send sends a message on the connection of this moment.
+func (e *entryStub) send(in wire.RunRequest) <-chan answer {
+	out := make(chan answer, 1)
+	conn := e.conn
+	e.wg.Go(func() {
+		var a answer
+		a.err = conn.Call(e.ctx, "Agent.Run", &in, &a.RunReply)
+		out <- a
+	})
+	synctest.Wait()
+	return out
+}
+
+func (e *entryStub) run(job string, service time.Duration) <-chan answer {
+	return e.send(e.message(job, service))
+}
+
+// expect checks an answer's outcome and reason.
+func (r *rig) expect(a answer, o wire.Outcome, reason wire.Reason) {
+	r.Helper()
+	r.Check(a.err, qt.IsNil)
+	r.Check(a.Result.Outcome, qt.Equals, o, qt.Commentf("%+v", a.Result))
+	r.Check(a.Result.Reason, qt.Equals, reason, qt.Commentf("%+v", a.Result))
+}
