--- /dev/null
+++ b/agent/fault_test.go
@@ -0,0 +1,333 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/gate"
+	"chicorytray.example/chicorytray/internal/upstreamstub"
+	"chicorytray.example/chicorytray/settings"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// Guards against a frozen control connection closing the gate although new
+// connections work.
+func TestFrozenHeartbeatsAreReplaced(t *testing.T) {
+	virtual(t, setup{}, func(r *rig) {
+		e := r.entries[0]
+		e.open()
+		time.Sleep(800 * time.Millisecond)
+		r.net.Freeze(agentHost, e.host)
+		_ = e.open()
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			r.Check(r.agent.State().GateOpen, qt.IsTrue)
+			r.Check(r.agent.State().Entries[0].Suspect, qt.IsFalse)
+		}
+		r.expect(<-e.run("j", time.Second), wire.OutcomeDone, "")
+	})
+}
+
+// Guards against a queued task that starts after the configuration is
+// unconfirmed for longer than the gate, because the agent is cut off.
+func TestNothingStartsPastTheGate(t *testing.T) {
+	virtual(t, setup{slots: 1, queue: 1}, func(r *rig) {
+		e := r.entries[0]
+		e.open()
+		running, queued := e.run("running", 2300*time.Millisecond), e.run("queued", time.Second)
+		r.net.Partition(agentHost, e.host)
+		time.Sleep(2900 * time.Millisecond) // the slot is free, the session has not lapsed
+		r.Check(r.agent.State().GateReason, qt.Equals, string(wire.ReasonUnconfirmed))
+		r.net.Heal(agentHost, e.host)
+		r.expect(<-running, wire.OutcomeDone, "")
+		r.expect(<-queued, wire.OutcomeNotRun, wire.ReasonUnconfirmed)
+		r.Check(r.starts("queued"), qt.Equals, 0)
+	})
+}
+
+// Guards against starts on the word of an entry that has no confirmation, or
+// whose confirmation is old.
+func TestGateFollowsTheEntriesConfirmations(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		age  time.Duration
+		want wire.Outcome
+	}{
+		{"none", gate.None, wire.OutcomeNotRun},
+		{"too old", 3 * time.Second, wire.OutcomeNotRun},
+		{"fresh enough", time.Second, wire.OutcomeDone},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			virtual(t, setup{}, func(r *rig) {
+				e := r.entries[0]
+				e.set(func(e *entryStub) { e.age = tc.age })
+				e.open()
+				time.Sleep(3 * time.Second)
+				a := <-e.run("j", time.Second)
+				r.Check(a.Result.Outcome, qt.Equals, tc.want)
+				r.Check(r.starts("j") == 1, qt.Equals, tc.want == wire.OutcomeDone)
+			})
+		})
+	}
+}
+
+// Guards against an entry with an older configuration confirming a newer one
+// that it has not seen, or reverting it.
+func TestOlderConfigurationConfirmsNothing(t *testing.T) {
+	virtual(t, setup{entries: 2}, func(r *rig) {
+		newer, older := r.entries[0], r.entries[1]
+		newer.set(func(e *entryStub) { e.config = wire.AgentConfig{Generation: 5, OutOfService: []string{"rende"}} })
+		time.Sleep(time.Second)
+		r.Check(r.agent.State().Generation, qt.Equals, uint64(5))
+		newer.stop()
+		time.Sleep(3 * time.Second)
+		state := r.agent.State()
+		r.Check(state.Generation, qt.Equals, uint64(5))
+		r.Check(state.GateOpen, qt.IsFalse)
+		older.set(func(e *entryStub) { e.config.Generation = 5 })
+		time.Sleep(time.Second)
+		r.Check(r.agent.State().GateOpen, qt.IsTrue)
+	})
+}
+
+// Guards against a process that was paused and starts what it had queued, or
+// what waited in its buffers, before it has confirmed the configuration. Time
+// is passed in, as after a pause in which no timer ran.
+func TestPauseClosesTheGate(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		paused time.Duration
+		want   wire.Reason // of the message that waited; empty: it is kept
+	}{
+		{"past the gate", 2500 * time.Millisecond, ""},
+		{"past the lapse", 3500 * time.Millisecond, wire.ReasonFenced},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			virtual(t, setup{slots: 1, queue: 1}, func(r *rig) {
+				e := r.entries[0]
+				e.open()
+				a, m := r.agent, e.message("waited", time.Second)
+				resumed := time.Now().Add(tc.paused)
+				a.mu.Lock()
+				kept, refusal := a.accept(&m, resumed)
+				a.dispatch(resumed)
+				busy := a.busy
+				a.mu.Unlock()
+				r.Check(busy, qt.Equals, 0)
+				if tc.want != "" {
+					r.Assert(refusal, qt.IsNotNil)
+					r.Check(refusal.Reason, qt.Equals, tc.want)
+					return
+				}
+				r.Assert(refusal, qt.IsNil)
+				r.Check(r.starts("waited"), qt.Equals, 0)
+				<-kept.done // a heartbeat confirms, and the task starts
+				r.Check(kept.result.Outcome, qt.Equals, wire.OutcomeDone)
+				r.Check(r.starts("waited"), qt.Equals, 1)
+			})
+		})
+	}
+}
+
+// Guards against starts in a data centre that is out of service, against
+// queued tasks that stay there, and against lost capacity after its return.
+func TestOutOfServiceReturnsQueuedTasks(t *testing.T) {
+	virtual(t, setup{slots: 1, queue: 1}, func(r *rig) {
+		e := r.entries[0]
+		e.open()
+		running, queued := e.run("running", 3*time.Second), e.run("queued", time.Second)
+		begin := time.Now()
+		e.set(func(e *entryStub) { e.config = wire.AgentConfig{Generation: 2, OutOfService: []string{dataCentre}} })
+		r.expect(<-queued, wire.OutcomeNotRun, wire.ReasonOutOfService)
+		r.Check(time.Since(begin) <= time.Second, qt.IsTrue)
+		r.expect(<-e.run("refused", time.Second), wire.OutcomeNotRun, wire.ReasonOutOfService)
+		r.expect(<-running, wire.OutcomeDone, "")
+		r.Check(r.starts("queued")+r.starts("refused"), qt.Equals, 0)
+		e.set(func(e *entryStub) { e.config = wire.AgentConfig{Generation: 3} })
+		time.Sleep(time.Second)
+		r.expect(<-e.run("back", time.Second), wire.OutcomeDone, "")
+	})
+}
+
+// Guards against a planned stop that cuts off a running task, starts a queued
+// one, or closes a connection on a task that was under way to it.
+func TestStopUnderLoad(t *testing.T) {
+	virtual(t, setup{slots: 4, queue: 4}, func(r *rig) {
+		e := r.entries[0]
+		r.net.Delay(e.host, agentHost, 5*time.Millisecond)
+		e.open()
+		var answers []<-chan answer
+		stopped := make(chan error, 1)
+		for i := range 200 {
+			if i == 100 {
+				go func() { stopped <- r.agent.Stop(r.ctx) }()
+			}
+			if e.lastHeartbeat().Leaving {
+				break // a heartbeat said that the agent leaves
+			}
+			answers = append(answers, e.run(jobName(i), 40*time.Millisecond))
+			time.Sleep(8 * time.Millisecond)
+		}
+		done := 0
+		for _, a := range answers {
+			got := <-a
+			r.Assert(got.err, qt.IsNil)
+			switch got.Result.Outcome {
+			case wire.OutcomeDone:
+				done++
+			case wire.OutcomeNotRun:
+			default:
+				t.Errorf("outcome %+v", got.Result)
+			}
+		}
+		e.set(func(e *entryStub) {
+			for i := range answers {
+				e.acked = append(e.acked, wire.TaskKey{Session: 1, Sequence: uint64(i + 1)})
+			}
+		})
+		r.Check(<-stopped, qt.IsNil)
+		r.Check(len(answers) > 100, qt.IsTrue)
+		r.Check(r.stub.Record().Starts(), qt.HasLen, done)
+		r.Check(r.stub.Record().Duplicates(), qt.HasLen, 0)
+		err := <-r.ended
+		r.ended <- err
+		r.Check(err, qt.IsNil)
+	})
+}
+
+func jobName(i int) string { return "j" + string(rune('a'+i/26)) + string(rune('a'+i%26)) }
+
+// Guards against a stop that waits for ever for an entry that died.
+func TestStopWithoutEntries(t *testing.T) {
+	virtual(t, setup{}, func(r *rig) {
+		e := r.entries[0]
+		e.open()
+		running := e.run("j", time.Second)
+		r.net.Cut(e.host, agentHost)
+		begin := time.Now()
+		r.Check(r.agent.Stop(r.ctx), qt.IsNil)
+		r.Check((<-running).err, qt.IsNotNil)
+		r.Check(time.Since(begin) < 10*time.Second, qt.IsTrue)
+		r.Check(r.stub.Record().Starts()[0].Completed, qt.IsTrue)
+	})
+}
+
+// Guards against new work for an upstream that leaves, and against an agent
+// that stays away after its upstream came back.
+func TestLeavingUpstream(t *testing.T) {
+	admin := func(r *rig, method string) {
+		dial := r.net.Dialer(upstreamHost)
+		web := &http.Client{Transport: &http.Transport{DisableKeepAlives: true,
+			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) }}}
+		req, err := http.NewRequestWithContext(r.ctx, method, "http://"+agentHost+":9100/leaving", nil)
+		r.Assert(err, qt.IsNil)
+		resp, err := web.Do(req)
+		r.Assert(err, qt.IsNil)
+		r.Check(resp.StatusCode, qt.Equals, http.StatusNoContent)
+		_ = resp.Body.Close()
+	}
+	for _, tc := range []struct {
+		name         string
+		leave, comes func(r *rig)
+	}{
+		{"status 503", func(r *rig) { r.stub.SetFaults(upstreamstub.Faults{Leave: true}) }, func(r *rig) { r.stub.SetFaults(upstreamstub.Faults{}) }},
+		{"admin address", func(r *rig) { admin(r, http.MethodPost) }, func(r *rig) { admin(r, http.MethodDelete) }},
+		{"unreachable", func(r *rig) { r.net.Partition(agentHost, upstreamHost) }, func(r *rig) { r.net.Heal(agentHost, upstreamHost) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			virtual(t, setup{slots: 1, queue: 1, change: func(s *settings.Agent) { s.HealthPath = upstreamstub.HealthPath }}, func(r *rig) {
+				e := r.entries[0]
+				e.open()
+				running, queued := e.run("running", 6*time.Second), e.run("queued", time.Second)
+				tc.leave(r)
+				r.expect(<-queued, wire.OutcomeNotRun, wire.ReasonLeaving)
+				time.Sleep(time.Second)
+				r.Check(e.lastHeartbeat().Leaving, qt.IsTrue)
+				r.Check(r.agent.Ready(), qt.ErrorMatches, string(wire.ReasonLeaving))
+				r.expect(<-e.run("refused", time.Second), wire.OutcomeNotRun, wire.ReasonLeaving)
+				tc.comes(r)
+				r.expect(<-running, wire.OutcomeDone, "")
+				time.Sleep(3 * time.Second)
+				r.Check(e.lastHeartbeat().Leaving, qt.IsFalse)
+				r.expect(<-e.run("back", time.Second), wire.OutcomeDone, "")
+				r.Check(r.starts("queued")+r.starts("refused"), qt.Equals, 0)
+			})
+		})
+	}
+}
+
+// Guards against an agent that cannot work when it starts during a store
+// outage, and against more than one read of the store otherwise.
+func TestEntriesAreFound(t *testing.T) {
+	seed := func(s *settings.Agent) { s.Seeds = []string{"10.0.0.1:7000"} }
+	t.Run("store", func(t *testing.T) {
+		virtual(t, setup{entries: 3}, func(r *rig) {
+			time.Sleep(time.Minute)
+			r.Check(r.store.TotalCalls(), qt.Equals, 1)
+			for _, e := range r.entries {
+				n := len(e.heartbeats)
+				r.Check(n > 115 && n < 125, qt.IsTrue, qt.Commentf("%d heartbeats in a minute", n))
+			}
+		})
+	})
+	t.Run("seeds during an outage", func(t *testing.T) {
+		virtual(t, setup{entries: 2, unregistered: true, change: seed}, func(r *rig) {
+			r.entries[0].set(func(e *entryStub) { e.known = []wire.EntryRef{r.entries[0].ref, r.entries[1].ref} })
+			time.Sleep(3 * time.Second)
+			for _, e := range r.entries {
+				e.lastHeartbeat()
+			}
+			r.Check(r.agent.State().Entries, qt.HasLen, 2)
+		})
+	})
+	t.Run("all entries replaced while cut off", func(t *testing.T) {
+		virtual(t, setup{}, func(r *rig) {
+			r.entries[0].stop()
+			e := r.addEntry(1, true)
+			time.Sleep(time.Minute)
+			e.open()
+			r.expect(<-e.run("j", time.Second), wire.OutcomeDone, "")
+			calls := r.store.TotalCalls()
+			r.Check(calls <= 10, qt.IsTrue, qt.Commentf("%d calls", calls))
+		})
+	})
+	t.Run("nobody", func(t *testing.T) {
+		virtual(t, setup{unregistered: true}, func(r *rig) {
+			e := r.entries[0]
+			e.open()
+			r.expect(<-e.run("j", time.Second), wire.OutcomeNotRun, wire.ReasonUnconfirmed)
+			r.Check(r.agent.Ready(), qt.ErrorMatches, string(wire.ReasonUnconfirmed))
+		})
+	})
+}
+
+// Guards against free slots that no entry learns of, and against offers that
+// nobody asked for.
+func TestFreeSlotIsOffered(t *testing.T) {
+	virtual(t, setup{slots: 1, queue: 0, entries: 3}, func(r *rig) {
+		user, less, most := r.entries[0], r.entries[1], r.entries[2]
+		user.open()
+		less.open()
+		most.open()
+		less.set(func(e *entryStub) { e.backlog = wire.Backlog{Tasks: 9, Urgency: 2} })
+		most.set(func(e *entryStub) { e.backlog = wire.Backlog{Tasks: 1, Urgency: 1} })
+		time.Sleep(time.Second)
+		r.expect(<-user.run("a", 100*time.Millisecond), wire.OutcomeDone, "")
+		synctest.Wait()
+		r.Check([]int{user.offers, less.offers, most.offers}, qt.DeepEquals, []int{0, 0, 1})
+		r.expect(<-user.run("b", 100*time.Millisecond), wire.OutcomeDone, "")
+		synctest.Wait()
+		r.Check([]int{user.offers, less.offers, most.offers}, qt.DeepEquals, []int{0, 1, 1})
+		m := user.message("c", 100*time.Millisecond)
+		m.Backlog = wire.Backlog{Tasks: 1} // the user has work of its own
+		r.expect(<-user.send(m), wire.OutcomeDone, "")
+		synctest.Wait()
+		r.Check([]int{user.offers, less.offers, most.offers}, qt.DeepEquals, []int{0, 1, 1})
+	})
+}
