--- /dev/null
+++ b/entry/config_test.go
@@ -0,0 +1,261 @@
+package entry
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/gate"
+	"chicorytray.example/chicorytray/store"
+	"chicorytray.example/chicorytray/wire"
+)
+
+func outOfService(name string) func(*config.Document) {
+	return func(d *config.Document) {
+		for i := range d.DataCentres {
+			if d.DataCentres[i].Name == name {
+				d.DataCentres[i].InService = false
+			}
+		}
+	}
+}
+
+// stored returns the generation that the store holds.
+func (h *harness) stored() uint64 {
+	kv, ok := h.store.Peek(config.Key)
+	h.Assert(ok, qt.IsTrue)
+	d, err := config.Parse(kv.Value)
+	h.Assert(err, qt.IsNil)
+	return d.Generation
+}
+
+// Guards against starts in a data centre that was taken out of service, lost
+// work during the change, and slow use after its return.
+func TestDataCentreOutOfServiceAndBack(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		inBubble(t, func(h *harness) {
+			e := h.entry(1, "anping", nil)
+			h.agent(1, "anping")
+			h.agent(2, "chihkan")
+			settle()
+			h.store.SetSilentWatch(silent)
+			got := make(chan *httptest.ResponseRecorder, 1)
+			go func() { got <- postJob(e, "proof", "render", 700) }()
+			time.Sleep(500 * time.Millisecond)
+			changed := time.Now()
+			h.putConfig(2, outOfService("anping"))
+			time.Sleep(3 * time.Second)
+			h.ups.mu.Lock()
+			last := h.ups.late["anping"]
+			h.ups.mu.Unlock()
+			h.Check(last.Sub(changed) <= 1100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", last.Sub(changed)))
+			h.putConfig(3, nil)
+			back := time.Now()
+			time.Sleep(2 * time.Second)
+			h.ups.mu.Lock()
+			last = h.ups.late["anping"]
+			h.ups.mu.Unlock()
+			h.Check(last.After(back), qt.IsTrue)
+			h.checkWhole(<-got, "/render", 700)
+			h.Check(h.ups.count(), qt.Equals, 700)
+			h.Check(h.ups.most(), qt.Equals, 1)
+		})
+	}
+}
+
+// Guards against a generation that goes back when the store is restored from a
+// backup, loses the key, or serves stale reads.
+func TestGenerationNeverGoesBack(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault func(h *harness)
+		kept  uint64 // in the store afterwards
+	}{
+		{"restored", func(h *harness) {
+			b := h.store.Snapshot()
+			h.putConfig(7, outOfService("rende"))
+			time.Sleep(2 * time.Second)
+			h.store.Restore(b)
+		}, 7},
+		{"key lost", func(h *harness) {
+			h.putConfig(7, outOfService("rende"))
+			time.Sleep(2 * time.Second)
+			kv, _ := h.store.Peek(config.Key)
+			h.Assert(h.store.Delete(context.Background(), config.Key, kv.Revision), qt.IsNil)
+		}, 7},
+		{"stale reads", func(h *harness) {
+			h.store.SetStale(true)
+			h.putConfig(7, outOfService("rende"))
+			time.Sleep(time.Second)
+			h.store.SetStale(false)
+		}, 7},
+		{"invalid document", func(h *harness) {
+			h.putConfig(7, outOfService("rende"))
+			time.Sleep(2 * time.Second)
+			h.store.Put(config.Key, []byte(`{"generation":8}`))
+			time.Sleep(2 * time.Second)
+			h.putConfig(9, outOfService("rende"))
+		}, 9},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			inBubble(t, func(h *harness) {
+				entries := []*Entry{h.entry(1, "anping", nil), h.entry(2, "chihkan", nil)}
+				settle()
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				h.wg.Go(func() {
+					highest := map[*Entry]uint64{}
+					for ; ctx.Err() == nil; sleep(ctx, 10*time.Millisecond) {
+						for _, e := range entries {
+							g := e.config.generation()
+							h.Check(g >= highest[e], qt.IsTrue, qt.Commentf("%d after %d", g, highest[e]))
+							highest[e] = g
+						}
+					}
+				})
+				tc.fault(h)
+				time.Sleep(4 * time.Second)
+				for _, e := range entries {
+					h.Check(e.config.generation(), qt.Equals, tc.kept)
+					h.Check(e.State().Configuration.ConfirmationAgeMS < 1100, qt.IsTrue)
+				}
+				h.Check(h.stored(), qt.Equals, tc.kept)
+			})
+		})
+	}
+}
+
+// Guards against confirmations without a read of the store, and against an
+// outage of the store that stops everything.
+func TestConfirmationDuringAnOutage(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault func(h *harness)
+		basis gate.Basis
+		fresh bool
+	}{
+		{"store out", func(h *harness) { h.store.SetDown(true) }, gate.BasisOutage, true},
+		{"store out and one data centre lost", func(h *harness) {
+			h.store.SetDown(true)
+			h.net.Partition("10.0.1.1", "10.0.2.3")
+		}, gate.BasisOutage, true},
+		{"cut off with the own data centre", func(h *harness) {
+			h.store.SetDown(true)
+			for _, host := range []string{"10.0.1.2", "10.0.2.2", "10.0.2.3"} {
+				h.net.Partition("10.0.1.1", host)
+			}
+		}, gate.BasisOwn, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			inBubble(t, func(h *harness) {
+				e := h.entry(1, "anping", nil)
+				h.entry(2, "chihkan", nil)
+				for i, dc := range []string{"anping", "chihkan", "rende"} {
+					h.agent(i+1, dc, "10.0.1.1:7000", "10.0.1.2:7000")
+				}
+				settle()
+				tc.fault(h)
+				time.Sleep(60 * time.Second)
+				age, basis := e.confirm.age(time.Now())
+				h.Check(basis, qt.Equals, tc.basis)
+				h.Check(age < e.settings.Timing.Gate.Of(), qt.Equals, tc.fresh, qt.Commentf("%v", age))
+				if tc.fresh {
+					h.checkWhole(postJob(e, "proof", "render", 3), "/render", 3)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an entry that cannot start while the store is out although
+// another entry has the configuration.
+func TestStartFromSeeds(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		h.entry(1, "anping", nil)
+		settle()
+		h.store.SetDown(true)
+		e := h.entry(2, "chihkan", func(o *Options) { o.Settings.Seeds = []string{"10.0.1.1:7000"} })
+		alone := h.entry(3, "rende", nil)
+		time.Sleep(3 * time.Second)
+		h.Check(e.config.generation(), qt.Equals, uint64(1))
+		h.Check(e.Ready(), qt.IsNil)
+		h.Check(e.peers.entries(), qt.HasLen, 2)
+		h.Check(alone.Ready(), qt.Not(qt.IsNil))
+		h.failure(postJob(alone, "proof", "render", 1), OutcomeNotRun)
+	})
+}
+
+// Guards against a pushed document that is lost, and one that is older or
+// invalid being put in force.
+func TestPushedConfiguration(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e := h.entry(1, "anping", nil)
+		other := h.entry(2, "chihkan", nil)
+		a := h.agent(1, "anping")
+		settle()
+		h.store.SetDown(true)
+		push := func(generation uint64) uint64 {
+			d := document(generation)
+			outOfService("rende")(d)
+			raw, err := d.Encode()
+			h.Assert(err, qt.IsNil)
+			var reply wire.PushConfigReply
+			h.Assert(e.rpcPushConfig(context.Background(), &wire.PushConfigRequest{Document: raw}, &reply), qt.IsNil)
+			return reply.Generation
+		}
+		h.Check(push(5), qt.Equals, uint64(5))
+		h.Check(push(4), qt.Equals, uint64(5))
+		h.Check(e.rpcPushConfig(context.Background(), &wire.PushConfigRequest{Document: []byte("{}")}, &wire.PushConfigReply{}), qt.Not(qt.IsNil))
+		time.Sleep(2 * time.Second)
+		h.Check(other.config.generation(), qt.Equals, uint64(5))
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		h.Check(a.config, qt.DeepEquals, wire.AgentConfig{Generation: 5, OutOfService: []string{"rende"}})
+	})
+}
+
+// Guards against an entry that stays unregistered after its lease expired.
+func TestRegistrationReturnsAfterItsLeaseExpired(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		h.entry(1, "anping", nil)
+		settle()
+		_, ok := h.store.Peek(store.EntriesPrefix + "e1")
+		h.Check(ok, qt.IsTrue)
+		h.store.SetDown(true)
+		time.Sleep(time.Minute)
+		h.store.ExpireLeases()
+		h.store.SetDown(false)
+		time.Sleep(5 * time.Second)
+		_, ok = h.store.Peek(store.EntriesPrefix + "e1")
+		h.Check(ok, qt.IsTrue)
+	})
+}
+
+// Guards against a planned stop that cuts off a request or leaves the
+// registration behind.
+func TestPlannedStop(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e := h.entry(1, "anping", nil)
+		h.agent(1, "anping").set(fixed(script{took: 8 * time.Second}))
+		settle()
+		got := make(chan *httptest.ResponseRecorder, 2)
+		go func() { got <- postJob(e, "proof", "render", 3) }()
+		time.Sleep(time.Second)
+		stopped := make(chan error, 1)
+		go func() { stopped <- e.Stop(context.Background()) }()
+		time.Sleep(time.Second)
+		h.Check(e.Ready(), qt.ErrorMatches, "stopping")
+		go func() { got <- postJob(e, "proof", "render", 3) }() // within the notice time
+		time.Sleep(5 * time.Second)
+		h.failure(postJob(e, "proof", "render", 3), OutcomeNotRun)
+		h.checkWhole(<-got, "/render", 3)
+		h.checkWhole(<-got, "/render", 3)
+		h.Check(<-stopped, qt.IsNil)
+		_, ok := h.store.Peek(store.EntriesPrefix + "e1")
+		h.Check(ok, qt.IsFalse)
+	})
+}
--- /dev/null
+++ b/entry/fakeagent_test.go
@@ -0,0 +1,377 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"chicorytray.example/chicorytray/internal/faultnet"
+	"chicorytray.example/chicorytray/rpcconn"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// upstreams counts the starts of all scripted agents; the counts are the
+// evidence of the tests.
+type upstreams struct {
+	mu     sync.Mutex
+	starts map[string]int // by job/index
+	total  int
+	now    int                  // running
+	peak   int                  // most that ran at a time
+	late   map[string]time.Time // last start by data centre
+}
+
+func newUpstreams() *upstreams {
+	return &upstreams{starts: map[string]int{}, late: map[string]time.Time{}}
+}
+
+func (u *upstreams) start(dataCentre string, t wire.Task) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.starts[fmt.Sprintf("%s/%d", t.Job, t.Index)]++
+	u.total++
+	u.now++
+	u.peak = max(u.peak, u.now)
+	u.late[dataCentre] = time.Now()
+}
+
+func (u *upstreams) end() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.now--
+}
+
+func (u *upstreams) most() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	most := 0
+	for _, n := range u.starts {
+		most = max(most, n)
+	}
+	return most
+}
+
+func (u *upstreams) count() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.total
+}
+
+// script changes what a fakeAgent does with one Run.
+type script struct {
+	took       time.Duration // of the task
+	dieBefore  bool          // the process ends before the start
+	dieDuring  bool          // the process ends after the start
+	loseAnswer bool          // the connection breaks when the task is done
+	result     *wire.Result  // instead of success
+	refuse     wire.Reason   // refuse without starting
+}
+
+// fakeAgent is an agent that follows the protocol, with scripted faults.
+type fakeAgent struct {
+	net       *faultnet.Network
+	host      string
+	ups       *upstreams
+	entries   []string // addresses
+	beatEvery time.Duration
+	script    func(wire.Task) script
+
+	mu      sync.Mutex
+	ref     wire.AgentRef
+	load    wire.Load
+	opened  map[string]uint64 // newest session by entry process
+	lapsed  map[string]bool   // sessions that the agent ended
+	records map[string]*record
+	cancels int // Cancel messages
+	runs    int // Run messages
+	config  wire.AgentConfig
+	leaving bool
+	read    time.Time // newest read of the store of which an entry told
+	dead    bool
+	stop    context.CancelFunc
+	done    *sync.WaitGroup
+}
+
+type record struct {
+	key     wire.TaskKey
+	process string
+	done    bool
+	result  wire.Result
+	ended   chan struct{}
+	cancel  context.CancelFunc
+}
+
+var errScripted = errors.New("scripted failure")
+
+func newFakeAgent(n *faultnet.Network, u *upstreams, number int, dataCentre string, entries ...string) *fakeAgent {
+	host := fmt.Sprintf("10.0.2.%d", number)
+	return &fakeAgent{
+		net: n, host: host, ups: u, entries: entries, beatEvery: 500 * time.Millisecond,
+		script: func(wire.Task) script { return script{took: 100 * time.Millisecond} },
+		ref: wire.AgentRef{
+			ID: fmt.Sprintf("a%d", number), Address: host + ":7100", DataCentre: dataCentre, Rack: "r1",
+			Worker: fmt.Sprintf("w%d", number), Slots: 8, QueueLimit: 2,
+			Capacity: wire.Resources{MemoryMB: 1000, MilliCPU: 8000},
+		},
+	}
+}
+
+// start begins a new process.
+func (a *fakeAgent) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	a.mu.Lock()
+	a.ref.Incarnation = wire.NewIncarnation()
+	a.load = wire.Load{Free: a.ref.Capacity}
+	a.opened, a.lapsed, a.records = map[string]uint64{}, map[string]bool{}, map[string]*record{}
+	a.stop, a.done, a.dead = cancel, &sync.WaitGroup{}, false
+	done := a.done
+	a.mu.Unlock()
+	s := rpcconn.NewServer(rpcconn.Options{})
+	rpcconn.Handle(s, "Agent.OpenSession", a.openSession)
+	rpcconn.Handle(s, "Agent.Run", a.run)
+	rpcconn.Handle(s, "Agent.Await", a.await)
+	rpcconn.Handle(s, "Agent.Cancel", a.cancel)
+	rpcconn.Handle(s, "Agent.Announce", a.announce)
+	l, err := a.net.Listen(a.ref.Address)
+	if err != nil {
+		panic(err)
+	}
+	done.Go(func() { _ = s.Serve(ctx, l) })
+	for _, address := range a.entries {
+		done.Go(func() { a.beat(ctx, address) })
+	}
+}
+
+// die ends the process without any farewell.
+func (a *fakeAgent) die() { a.kill() }
+
+// kill ends the process and reports whether it was alive.
+func (a *fakeAgent) kill() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.dead {
+		return false
+	}
+	a.dead = true
+	a.stop()
+	for _, r := range a.records {
+		r.cancel()
+	}
+	a.net.Reset(a.host)
+	return true
+}
+
+// set replaces the script of a running agent.
+func (a *fakeAgent) set(f func(wire.Task) script) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.script = f
+}
+
+// lapse ends all sessions, as after a long silence.
+func (a *fakeAgent) lapse() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for p := range a.opened {
+		a.lapsed[p] = true
+	}
+}
+
+// idle reports whether no task runs.
+func (a *fakeAgent) idle() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.load.Running == 0
+}
+
+func (a *fakeAgent) wait() {
+	a.stop()
+	a.done.Wait()
+}
+
+func (a *fakeAgent) beat(ctx context.Context, address string) {
+	d := rpcconn.Dialer{Dial: a.net.Dialer(a.host)}
+	for ctx.Err() == nil {
+		c, err := d.Connect(ctx, address)
+		for err == nil && ctx.Err() == nil {
+			err = a.beatOnce(ctx, c)
+			sleep(ctx, a.beatEvery)
+		}
+		if c != nil {
+			_ = c.Close()
+		}
+		sleep(ctx, 50*time.Millisecond)
+	}
+}
+
+func (a *fakeAgent) beatOnce(ctx context.Context, c *rpcconn.Client) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	a.mu.Lock()
+	req := wire.HeartbeatRequest{Agent: a.ref, Load: a.load, Leaving: a.leaving, Healthy: true, Generation: a.config.Generation, ReadAge: -1}
+	if !a.read.IsZero() {
+		req.ReadAge = time.Since(a.read)
+	}
+	a.mu.Unlock()
+	sent := time.Now()
+	var reply wire.HeartbeatReply
+	if err := c.Call(ctx, "Entry.Heartbeat", &req, &reply); err != nil {
+		return err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if at := sent.Add(-reply.ReadAge); reply.ReadAge >= 0 && at.After(a.read) {
+		a.read = at
+	}
+	if reply.Config != nil {
+		a.config = *reply.Config
+	}
+	return nil
+}
+
+func process(s wire.Session) string { return s.Entry + s.Incarnation.String() }
+
+func recordName(s wire.Session, k wire.TaskKey) string {
+	return fmt.Sprintf("%s/%d/%d", process(s), k.Session, k.Sequence)
+}
+
+func (a *fakeAgent) openSession(_ context.Context, req *wire.OpenSessionRequest, reply *wire.OpenSessionReply) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := process(req.Session)
+	if req.Session.Number <= a.opened[p] {
+		return errors.New("fenced")
+	}
+	a.opened[p], a.lapsed[p] = req.Session.Number, false
+	if req.Config.Generation > a.config.Generation {
+		a.config = req.Config
+	}
+	for _, r := range a.records {
+		if r.process == p {
+			reply.Started = append(reply.Started, wire.StartedTask{Key: r.key, Finished: r.done, Result: r.result})
+		}
+	}
+	reply.Agent, reply.Load = a.ref, a.load
+	return nil
+}
+
+func (a *fakeAgent) run(ctx context.Context, req *wire.RunRequest, reply *wire.RunReply) error {
+	a.mu.Lock()
+	s := a.script(req.Task)
+	a.runs++
+	if s.dieBefore {
+		a.mu.Unlock()
+		a.die()
+		return errScripted
+	}
+	key := wire.TaskKey{Session: req.Session.Number, Sequence: req.Sequence}
+	refuse := s.refuse
+	switch {
+	case a.opened[process(req.Session)] != req.Session.Number || a.lapsed[process(req.Session)]:
+		refuse = wire.ReasonFenced
+	case refuse == "" && a.load.Running >= a.ref.Slots:
+		refuse = wire.ReasonBusy
+	}
+	if refuse != "" {
+		*reply = wire.RunReply{Agent: a.ref.Incarnation, Result: notRunResult(refuse), Load: a.changed(0)}
+		a.mu.Unlock()
+		return nil
+	}
+	taskCtx, cancel := context.WithCancel(context.Background())
+	r := &record{key: key, process: process(req.Session), ended: make(chan struct{}), cancel: cancel}
+	a.records[recordName(req.Session, key)] = r
+	a.changed(1)
+	a.mu.Unlock()
+	a.ups.start(a.ref.DataCentre, req.Task)
+	if s.dieDuring {
+		cancel()
+		a.die()
+		return errScripted
+	}
+	a.done.Go(func() { a.execute(taskCtx, r, s, req.Task) })
+	select {
+	case <-r.ended:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if s.loseAnswer {
+		a.net.Cut(a.host, "10.0.1.1")
+		a.net.Heal(a.host, "10.0.1.1")
+		return errScripted
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	*reply = wire.RunReply{Agent: a.ref.Incarnation, Result: r.result, Load: a.load}
+	return nil
+}
+
+func (a *fakeAgent) execute(ctx context.Context, r *record, s script, t wire.Task) {
+	defer r.cancel()
+	defer a.ups.end()
+	sleep(ctx, min(s.took, t.Remaining))
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case ctx.Err() != nil:
+		r.result = wire.Result{Outcome: wire.OutcomeFailed, Reason: wire.ReasonCancelled}
+	case s.took > t.Remaining:
+		r.result = unknownResult(wire.ReasonDeadline)
+	case s.result != nil:
+		r.result = *s.result
+	default:
+		body := fmt.Sprintf("%s:%s", t.Request.Path, t.Request.Body)
+		r.result = wire.Result{Outcome: wire.OutcomeDone, Took: s.took, Response: wire.Response{Status: 200, Body: []byte(body)}}
+	}
+	r.done = true
+	a.changed(-1)
+	close(r.ended)
+}
+
+// changed updates the load; the caller holds the lock.
+func (a *fakeAgent) changed(running int) wire.Load {
+	a.load.Sequence++
+	a.load.Running += running
+	return a.load
+}
+
+func (a *fakeAgent) await(ctx context.Context, req *wire.AwaitRequest, reply *wire.RunReply) error {
+	a.mu.Lock()
+	r := a.records[recordName(req.Session, req.Key)]
+	a.mu.Unlock()
+	if r == nil {
+		return errors.New("no record")
+	}
+	select {
+	case <-r.ended:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	*reply = wire.RunReply{Agent: a.ref.Incarnation, Result: r.result, Load: a.load}
+	return nil
+}
+
+func (a *fakeAgent) cancel(_ context.Context, req *wire.CancelRequest, _ *wire.CancelReply) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cancels++
+	for _, key := range req.Keys {
+		if r := a.records[recordName(req.Session, key)]; r != nil {
+			r.cancel()
+		}
+	}
+	return nil
+}
+
+func (a *fakeAgent) announce(_ context.Context, req *wire.AnnounceRequest, reply *wire.AnnounceReply) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if req.Config != nil && req.Config.Generation > a.config.Generation {
+		a.config = *req.Config
+	}
+	reply.Load = a.load
+	return nil
+}
--- /dev/null
+++ b/entry/jobs_test.go
@@ -0,0 +1,29 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against lost, repeated or disordered results on the path without faults.
+func TestJobIsAnsweredWhole(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e := h.entry(1, "anping", nil)
+		h.agent(1, "anping")
+		h.agent(2, "chihkan")
+		settle()
+		begin := time.Now()
+		w := postJob(e, "proof", "render", 50)
+		h.checkWhole(w, "/render", 50)
+		h.Check(h.ups.count(), qt.Equals, 50)
+		h.Check(h.ups.most(), qt.Equals, 1)
+		// 50 tasks of 100 ms on 16 slots take four rounds.
+		h.Check(time.Since(begin), qt.Equals, 400*time.Millisecond)
+
+		w = call(e, http.MethodGet, "/v1/jobs/"+w.Header().Get(headerJob), "")
+		h.checkWhole(w, "/render", 50)
+	})
+}
