entry: do not send to an agent again after a refusal of any kind

Cause: a task that an agent refused because its upstream was unreachable, or as invalid, went back to the queue and at once to the same agent, in a loop.

Change: an invalid task fails its job. After any refusal that is not about room or the session the agent gets nothing until its next heartbeat, and an unreachable upstream counts as a failure of that upstream.

--- a/entry/api_test.go
+++ b/entry/api_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -108,25 +107,23 @@
 		h.agent(1, "anping")
 		settle()
 		client := &http.Client{Transport: &http.Transport{DialContext: h.dialHTTP, DisableKeepAlives: true}}
-		do := func(header string) (*http.Response, string, error) {
+		do := func(header string) (status int, length int64, body string) {
 			r, err := http.NewRequest(http.MethodPost, "http://"+e.settings.CallerAddress+"/v1/jobs", strings.NewReader(`{"template":"proof"}`))
 			h.Assert(err, qt.IsNil)
 			r.Header.Set("Authorization", "Bearer "+testToken)
 			r.Header.Set("X-Large", header)
 			resp, err := client.Do(r)
-			if err != nil {
-				return nil, "", err
-			}
-			body, err := io.ReadAll(resp.Body)
-			return resp, string(body), errors.Join(err, resp.Body.Close())
+			h.Assert(err, qt.IsNil)
+			defer func() { _ = resp.Body.Close() }()
+			raw, err := io.ReadAll(resp.Body)
+			h.Assert(err, qt.IsNil)
+			return resp.StatusCode, resp.ContentLength, string(raw)
 		}
-		resp, body, err := do("x")
-		h.Assert(err, qt.IsNil)
-		h.Check(resp.StatusCode, qt.Equals, 200)
-		h.Check(resp.ContentLength, qt.Equals, int64(len(body)))
-		resp, _, err = do(strings.Repeat("x", 80<<10))
-		h.Assert(err, qt.IsNil)
-		h.Check(resp.StatusCode, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+		status, length, body := do("x")
+		h.Check(status, qt.Equals, http.StatusOK)
+		h.Check(length, qt.Equals, int64(len(body)))
+		status, _, _ = do(strings.Repeat("x", 80<<10))
+		h.Check(status, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
 	})
 }
 
--- a/entry/collect.go
+++ b/entry/collect.go
@@ -55,20 +55,25 @@
 		j.settle(index, taskNotRun)
 		d.fail(j, closing{reason: wire.ReasonDeadline, detail: "the deadline passed before the task started", settle: true})
 		return
-	case reasonTooLarge:
+	case reasonTooLarge, wire.ReasonInvalid:
+		// Every agent would refuse it.
 		j.settle(index, taskNotRun)
-		d.fail(j, closing{reason: reasonTooLarge, detail: "task " + strconv.Itoa(index) + " exceeds the size of a message", settle: true})
+		d.fail(j, closing{reason: v.result.Reason, detail: taskDetail(index, a, v.result), settle: true})
 		return
-	case wire.ReasonLeaving, wire.ReasonOutOfService, wire.ReasonUnconfirmed, wire.ReasonNeverFits:
-		// The agent refuses further tasks too. Its next heartbeat says
-		// whether it still does.
-		a.refusing = true
-		d.refresh(a)
 	case wire.ReasonBusy:
 		a.busy = true
 		d.refresh(a)
 	case wire.ReasonFenced:
 		d.doubt(a, v.task.key.Session, errFenced)
+	case wire.ReasonCancelled, wire.ReasonAgentLost:
+	default:
+		// The agent refuses further tasks too. Its next heartbeat says
+		// whether it still does.
+		if v.result.Reason == wire.ReasonUpstreamGone {
+			d.observeOutcome(j, a, v, true)
+		}
+		a.refusing = true
+		d.refresh(a)
 	}
 	d.requeue(j, index)
 }
@@ -134,6 +139,9 @@
 
 func taskDetail(index int, a *agent, r wire.Result) string {
 	detail := "task " + strconv.Itoa(index) + " at agent " + a.ref.ID
+	if r.Reason == reasonTooLarge {
+		detail += ": the request exceeds the size of a message"
+	}
 	if r.Outcome == wire.OutcomeFailed && r.Response.Status != 0 {
 		detail += ": upstream status " + strconv.Itoa(r.Response.Status) + " " + http.StatusText(r.Response.Status)
 	}
