ejection: eject an agent that fails several times in a row

An upstream that failed everything after it had worked was ejected only when half of its history had failed, after 16 jobs. It is now ejected when an agent like its median peer would fail so often in a row with a chance of at most one in a million, unless more than a third of the others failed last too.

--- a/ejection/ejection.go
+++ b/ejection/ejection.go
@@ -2,7 +2,8 @@
 //
 // Each agent is judged by its last outcomes within a sliding window, and always
 // against its peers. It is ejected when its failure rate is high and far above
-// the median of the others. When most agents fail, the fault lies with the jobs
+// the median of the others, or when it failed more often in a row than an agent
+// like the median would by chance while most others succeed. When most agents fail, the fault lies with the jobs
 // or with something that all upstreams share, so none is ejected and those
 // ejected return. The failures of one job at one agent count once, so a bad job
 // ejects nobody. At most Options.MaxShare of the agents are ejected at a time.
@@ -49,6 +50,13 @@
 	// ejected agent's rate must be. With 3, an agent that fails everything
 	// is ejected only while the median of the others is below a third.
 	peerFactor = 3.0
+	// chance that an agent as good as its median peer fails so often in a
+	// row that it is ejected. With peers that never fail, 4 failures are enough.
+	chance = 1e-6
+	// failingPeers is the share of peers whose last outcome may be a failure
+	// when an agent is ejected for failures in a row: when a fault begins at
+	// all agents, most of them have failed once before one has often.
+	failingPeers = 1.0 / 3
 	// slowFactor is how many times slower than the median an agent is
 	// before its weight is reduced. Random durations of the same template
 	// differ less than that in the median of 8 outcomes.
@@ -147,9 +155,7 @@
 	weight  float64
 	since   time.Time // of the state
 	pause   time.Duration
-	// Outcomes while probing.
-	successes int
-	failures  int
+	probes  struct{ succeeded, failed int }
 }
 
 // New returns a Detector without agents.
@@ -191,9 +197,9 @@
 	counted := a.history.add(now, d.options.Window, o)
 	if a.state == probing && counted {
 		if o.Failed {
-			a.failures++
+			a.probes.failed++
 		} else {
-			a.successes++
+			a.probes.succeeded++
 		}
 	}
 }
@@ -221,9 +227,8 @@
 // judged is an agent in use with its figures.
 type judged struct {
 	*agent
-	rate     float64
-	failures int
-	slowness float64 // relative to the median; 0 when not known
+	figures
+	slowness float64 // ratio relative to the median agent's; 0 when not known
 }
 
 // Evaluate decides about all agents and returns the changes, ordered by agent.
@@ -233,13 +238,12 @@
 func (d *Detector) Evaluate(now time.Time) []Change {
 	var changes []Change
 	judged := d.judge(now)
-	rates := sortedRates(judged)
 	if commonFault(judged) {
 		// Probes say nothing about an agent now and are judged later.
 		changes = d.restoreEjected(now)
 	} else {
 		changes = append(d.endPauses(now), d.endProbes(now)...)
-		changes = append(changes, d.ejectWorst(now, judged, rates)...)
+		changes = append(changes, d.ejectWorst(now, judged)...)
 	}
 	changes = append(changes, d.reweigh(judged)...)
 	changes = append(changes, d.keepCap(now)...)
--- a/ejection/rules.go
+++ b/ejection/rules.go
@@ -15,13 +15,13 @@
 		if a.state != inUse {
 			continue
 		}
-		failures, outcomes, ratio := a.history.figures(now, d.options.Window)
-		if outcomes == 0 {
+		f := a.history.figures(now, d.options.Window)
+		if f.outcomes == 0 {
 			continue
 		}
-		list = append(list, judged{agent: a, failures: failures, rate: float64(failures) / float64(outcomes), slowness: ratio})
-		if ratio > 0 {
-			ratios = append(ratios, ratio)
+		list = append(list, judged{agent: a, figures: f, slowness: f.ratio})
+		if f.ratio > 0 {
+			ratios = append(ratios, f.ratio)
 		}
 	}
 	slices.Sort(ratios)
@@ -35,58 +35,83 @@
 	return list
 }
 
-func sortedRates(list []judged) []float64 {
-	rates := make([]float64, len(list))
-	for i, a := range list {
-		rates[i] = a.rate
-	}
-	slices.Sort(rates)
-	return rates
-}
-
 // commonFault reports that more than half of the agents in use fail so often
 // that no agent could be ejected for failing more. Agents with a single failed
 // job do not count, because one bad job can reach every agent.
 func commonFault(list []judged) bool {
 	failing := 0
 	for _, a := range list {
-		if a.failures > 1 && a.rate >= 1/peerFactor {
+		if a.failures > 1 && a.rate() >= 1/peerFactor {
 			failing++
 		}
 	}
 	return 2*failing > len(list)
 }
 
-// medianOfOthers returns the median of the sorted rates without one of value r.
-func medianOfOthers(rates []float64, r float64) (float64, bool) {
-	n := len(rates) - 1
-	if n < 1 {
-		return 0, false
+// peers holds what an agent is compared with.
+type peers struct {
+	rates   []float64 // sorted
+	failing int       // agents whose last outcome was a failure
+}
+
+func peersOf(list []judged) peers {
+	var p peers
+	for _, a := range list {
+		p.rates = append(p.rates, a.rate())
+		if a.streak > 0 {
+			p.failing++
+		}
 	}
-	own, _ := slices.BinarySearch(rates, r)
-	middle := n / 2 // the upper of two, which ejects less
+	slices.Sort(p.rates)
+	return p
+}
+
+// median returns the median rate of all agents but one of rate r, the upper of
+// two, which ejects less. There must be two agents at least.
+func (p peers) median(r float64) float64 {
+	own, _ := slices.BinarySearch(p.rates, r)
+	middle := (len(p.rates) - 1) / 2
 	if middle >= own {
 		middle++
 	}
-	return rates[middle], true
+	return p.rates[middle]
+}
+
+// faulty reports whether an agent fails far more than its peers.
+func (d *Detector) faulty(a judged, p peers) (median float64, faulty bool) {
+	others := len(p.rates) - 1
+	if others < 1 || a.failures < d.options.MinFailures {
+		return 0, false
+	}
+	rate := a.rate()
+	median = p.median(rate)
+	if rate >= d.options.MinRate && rate >= peerFactor*median {
+		return median, true
+	}
+	if a.streak == 0 || float64(p.failing-1) > failingPeers*float64(others) {
+		return median, false
+	}
+	// A median of 0 says only that less than one in the history fails.
+	byChance := math.Pow(max(median, 1.0/historySize), float64(a.streak))
+	return median, a.streak >= d.options.MinFailures && byChance <= chance
 }
 
-// ejectWorst ejects the agents whose rate is far above that of their peers,
-// worst first, as far as the cap allows.
-func (d *Detector) ejectWorst(now time.Time, list []judged, rates []float64) []Change {
+// ejectWorst ejects the faulty agents, worst first, as far as the cap allows.
+func (d *Detector) ejectWorst(now time.Time, list []judged) []Change {
 	var changes []Change
+	p := peersOf(list)
 	candidates := slices.Clone(list)
-	slices.SortStableFunc(candidates, func(a, b judged) int { return cmp.Compare(b.rate, a.rate) })
+	slices.SortStableFunc(candidates, func(a, b judged) int {
+		return cmp.Or(cmp.Compare(b.streak, a.streak), cmp.Compare(b.rate(), a.rate()))
+	})
 	for _, a := range candidates {
-		if d.ejected >= d.maxEjected() || a.rate < d.options.MinRate {
+		if d.ejected >= d.maxEjected() {
 			break
 		}
-		peers, ok := medianOfOthers(rates, a.rate)
-		if !ok || a.failures < d.options.MinFailures || a.rate < peerFactor*peers {
-			continue
+		if median, faulty := d.faulty(a, p); faulty {
+			d.eject(now, a.agent)
+			changes = append(changes, Change{Agent: a.id, Kind: Eject, FailureRate: a.rate(), PeerRate: median})
 		}
-		d.eject(now, a.agent)
-		changes = append(changes, Change{Agent: a.id, Kind: Eject, FailureRate: a.rate, PeerRate: peers})
 	}
 	return changes
 }
@@ -115,7 +140,7 @@
 func (d *Detector) probe(now time.Time, a *agent) Change {
 	d.ejected--
 	a.state, a.since, a.weight = probing, now, d.options.ProbeWeight
-	a.successes, a.failures = 0, 0
+	a.probes.succeeded, a.probes.failed = 0, 0
 	a.history.clear()
 	return Change{Agent: a.id, Kind: Probe, Weight: a.weight}
 }
@@ -149,13 +174,13 @@
 	for _, a := range d.agents {
 		switch {
 		case a.state != probing:
-		case a.failures >= probeFailures:
+		case a.probes.failed >= probeFailures:
 			if d.ejected < d.maxEjected() {
-				rate := float64(a.failures) / float64(a.failures+a.successes)
+				rate := float64(a.probes.failed) / float64(a.probes.failed+a.probes.succeeded)
 				d.eject(now, a)
 				changes = append(changes, Change{Agent: a.id, Kind: Eject, FailureRate: rate})
 			}
-		case a.successes >= probeSuccesses:
+		case a.probes.succeeded >= probeSuccesses:
 			changes = append(changes, d.restore(now, a))
 		}
 	}
