--- a/admission/admission.go
+++ b/admission/admission.go
@@ -10,6 +10,15 @@
 // a second while tasks were waiting. It is 1 when the process has all slots to
 // itself and lower when others use them too.
 //
+// # Use
+//
+// The caller asks Decide for each job, with the state of its queue and of the
+// account at that moment. The queue of a process that accepts jobs from several
+// goroutines must count a job that was accepted and is not queued yet. It calls
+// Started for each task sent, which is how the rate is measured. RetryAfter of a
+// refusal is meant for the HTTP header of that name: the time until the same
+// job could be accepted if nothing else arrived.
+//
 // Controller reads no clock and takes no lock; the caller serialises its calls.
 package admission
 
--- a/ejection/ejection.go
+++ b/ejection/ejection.go
@@ -15,6 +15,15 @@
 // An agent that takes much longer than its peers for the same expected work
 // gets a weight below 1, by which the caller reduces its share of the work.
 //
+// # Use
+//
+// The caller calls Track when it learns of an agent and Forget when the agent
+// left. It observes the outcome of every task that started, and calls Evaluate at
+// a fixed interval. A Change of kind Eject means to send no more work; all others
+// mean to use the agent with the given weight. Outcomes that say nothing about the
+// upstream, such as a task that the caller cancelled, should not be observed, or
+// observed as not failed without a duration.
+//
 // Detector reads no clock and takes no lock; the caller serialises its calls.
 package ejection
 
--- a/estimate/estimate.go
+++ b/estimate/estimate.go
@@ -10,6 +10,13 @@
 // Memory is bounded: SampleSize durations for each of at most Options.Templates
 // templates, of which the least recently used is forgotten.
 //
+// # Use
+//
+// The caller observes each task that succeeded, by the name of its template or of
+// whatever else tells kinds of tasks apart, and asks Expected when a job arrives.
+// The expected duration of a job should be kept with it, so that a queue that adds
+// up work subtracts the same amount later.
+//
 // Durations reads no clock and takes no lock; the caller serialises its calls.
 package estimate
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -10,6 +10,15 @@
 // Agents are indexed by data centre and free slots in trees, so one decision
 // costs the number of data centres times the logarithm of the number of agents.
 //
+// # Use
+//
+// The caller describes each agent by Upsert, passes on its reports, and says by
+// SetUsable and SetWeight what it knows from elsewhere. For a task it asks
+// CanEverRun when the job arrives, Feasible when a slot may be free, and then
+// Choose, or ChooseFor to spread a job over racks. It calls Sent before it sends
+// the task and Settled when the outcome is known. An own Policy needs two
+// methods; see IdleFirst for an example.
+//
 // Table reads no clock and takes no lock; the caller serialises its calls.
 package placement
 
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -18,6 +18,16 @@
 // a class without room at once. Its cost grows with the number of classes that
 // wait and with the logarithm of the number of jobs, not with the tasks.
 //
+// # Use
+//
+// The caller runs one loop: it adds the tasks of each accepted job, and whenever
+// room may have appeared it calls Next until that returns false. For every task
+// it calls Started with the expected work, sends the task, and calls Return if
+// the task is proved not to have started. It calls Remove when a job is answered,
+// fails or is cancelled, and Expired from a timer if it has no own ones. If a task
+// cannot be placed although feasible said so, the caller returns it and waits for
+// the next change instead of asking again at once.
+//
 // A job is kept until Remove, also when all its tasks were given out, because
 // a task can come back by Return. Queue reads no clock and takes no lock; the
 // caller serialises its calls.
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -28,6 +28,14 @@
 //     heard every other.
 //   - An entry that stopped keeps its share until it is dropped or forgotten.
 //
+// # Use
+//
+// The caller counts the tasks of every submission, refused ones included, or an
+// account that is held back would never show its demand. It sends Demand with
+// each heartbeat to its peers, passes theirs to Observe, and asks Share for each
+// limit when it admits a job or starts a task. A limit is in any unit: running
+// tasks and starts a second are divided alike.
+//
 // Shares reads no clock and takes no lock; the caller serialises its calls.
 package quota
 
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -8,6 +8,13 @@
 //
 //	retries <= Share × requests + PerSecond × seconds + Burst
 //
+// # Use
+//
+// The caller calls Request for each task that it sends for the first time, and
+// Allow before each task that it sends again. When Allow returns false, the
+// failure goes to whoever made the request. One Budget serves all upstreams of a
+// process: a budget for each would let every one of them fail in turn.
+//
 // A Budget reads no clock and takes no lock; the caller serialises its calls.
 package retry
 
