--- a/agent/fault_test.go
+++ b/agent/fault_test.go
@@ -82,7 +82,7 @@
 func TestOlderConfigurationConfirmsNothing(t *testing.T) {
 	virtual(t, setup{entries: 2}, func(r *rig) {
 		newer, older := r.entries[0], r.entries[1]
-		newer.set(func(e *entryStub) { e.config = wire.AgentConfig{Generation: 5, OutOfService: []string{"rende"}} })
+		newer.set(func(e *entryStub) { e.config = wire.AgentConfig{Generation: 5, InService: []string{dataCentre}} })
 		time.Sleep(time.Second)
 		r.Check(r.agent.State().Generation, qt.Equals, uint64(5))
 		newer.stop()
@@ -143,13 +143,13 @@
 		e.open()
 		running, queued := e.run("running", 3*time.Second), e.run("queued", time.Second)
 		begin := time.Now()
-		e.set(func(e *entryStub) { e.config = wire.AgentConfig{Generation: 2, OutOfService: []string{dataCentre}} })
+		e.set(func(e *entryStub) { e.config = wire.AgentConfig{Generation: 2, InService: []string{"rende"}} })
 		r.expect(<-queued, wire.OutcomeNotRun, wire.ReasonOutOfService)
 		r.Check(time.Since(begin) <= time.Second, qt.IsTrue)
 		r.expect(<-e.run("refused", time.Second), wire.OutcomeNotRun, wire.ReasonOutOfService)
 		r.expect(<-running, wire.OutcomeDone, "")
 		r.Check(r.starts("queued")+r.starts("refused"), qt.Equals, 0)
-		e.set(func(e *entryStub) { e.config = wire.AgentConfig{Generation: 3} })
+		e.set(func(e *entryStub) { e.config = wire.AgentConfig{Generation: 3, InService: []string{dataCentre}} })
 		time.Sleep(time.Second)
 		r.expect(<-e.run("back", time.Second), wire.OutcomeDone, "")
 	})
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -11,8 +11,7 @@
 
 // may asks the gate; the caller holds mu.
 func (a *Agent) may(now time.Time) (bool, wire.Reason) {
-	inService := a.config.Generation > 0 && !slices.Contains(a.config.OutOfService, a.self.DataCentre)
-	return a.gate.May(now, inService)
+	return a.gate.May(now, slices.Contains(a.config.InService, a.self.DataCentre))
 }
 
 // admit returns why a task is refused, or "" if it may start or wait here; the
@@ -66,8 +65,8 @@
 		return
 	}
 	a.config = c
-	a.log.Info().Uint64("generation", c.Generation).Strs("out_of_service", c.OutOfService).Msg("configuration_applied")
-	if slices.Contains(c.OutOfService, a.self.DataCentre) {
+	a.log.Info().Uint64("generation", c.Generation).Strs("in_service", c.InService).Msg("configuration_applied")
+	if !slices.Contains(c.InService, a.self.DataCentre) {
 		a.returnQueued(wire.ReasonOutOfService)
 	}
 	a.dispatch(now)
--- a/agent/rig_test.go
+++ b/agent/rig_test.go
@@ -128,7 +128,7 @@
 }
 
 func (r *rig) addEntry(i int, registered bool) *entryStub {
-	e := &entryStub{rig: r, host: fmt.Sprintf("10.0.0.%d", i+1), config: wire.AgentConfig{Generation: 1}}
+	e := &entryStub{rig: r, host: fmt.Sprintf("10.0.0.%d", i+1), config: wire.AgentConfig{Generation: 1, InService: []string{dataCentre}}}
 	e.ref = wire.EntryRef{ID: fmt.Sprintf("e%d", i), Incarnation: wire.Incarnation(i + 1), Address: e.host + ":7000", DataCentre: dataCentre}
 	e.session = wire.Session{Entry: e.ref.ID, Incarnation: e.ref.Incarnation}
 	r.entries = append(r.entries, e)
--- a/agent/state.go
+++ b/agent/state.go
@@ -23,7 +23,7 @@
 	Healthy         bool                     `json:"healthy"`
 	Health          string                   `json:"health,omitempty"`
 	Generation      uint64                   `json:"generation"`
-	OutOfService    []string                 `json:"out_of_service"`
+	InService       []string                 `json:"in_service"`
 	GateOpen        bool                     `json:"gate_open"`
 	GateReason      string                   `json:"gate_reason,omitempty"`
 	ConfirmationAge int64                    `json:"confirmation_age_ms"`
@@ -69,7 +69,7 @@
 	}
 	slices.Sort(s.Leaving)
 	s.Healthy, s.Health = a.health.ok, a.health.detail
-	s.Generation, s.OutOfService = a.config.Generation, slices.Clone(a.config.OutOfService)
+	s.Generation, s.InService = a.config.Generation, slices.Clone(a.config.InService)
 	open, reason := a.may(now)
 	s.GateOpen, s.GateReason = open, string(reason)
 	s.ConfirmationAge = -1
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -143,6 +144,10 @@
 
 	c.Check(v.OutOfService(), qt.DeepEquals, []string{"annan"})
 	c.Check(v.AgentConfig().Generation, qt.Equals, uint64(3))
+	// An agent in a data centre that was removed must not count as in service.
+	c.Check(slices.Contains(v.AgentConfig().InService, "annan"), qt.IsFalse)
+	c.Check(slices.Contains(v.AgentConfig().InService, "anping"), qt.IsTrue)
+	c.Check(slices.Contains(v.AgentConfig().InService, "unlisted"), qt.IsFalse)
 	c.Check(v.InService("anping"), qt.IsTrue)
 	c.Check(v.InService("annan"), qt.IsFalse)
 	c.Check(v.InService("unlisted"), qt.IsFalse)
--- a/config/view.go
+++ b/config/view.go
@@ -24,6 +24,7 @@
 	templates    map[string]*Template
 	tasks        map[string]map[string]*Task
 	outOfService []string
+	inService    []string
 }
 
 // NewView builds the index of a valid document.
@@ -39,10 +40,13 @@
 	for i := range d.DataCentres {
 		dc := &d.DataCentres[i]
 		v.dataCentres[dc.Name] = dc
-		if !dc.InService {
+		if dc.InService {
+			v.inService = append(v.inService, dc.Name)
+		} else {
 			v.outOfService = append(v.outOfService, dc.Name)
 		}
 	}
+	slices.Sort(v.inService)
 	slices.Sort(v.outOfService)
 	for i := range d.Accounts {
 		a := &d.Accounts[i]
@@ -118,7 +122,7 @@
 
 // AgentConfig returns the part of the document that agents need.
 func (v *View) AgentConfig() wire.AgentConfig {
-	return wire.AgentConfig{Generation: v.Generation(), OutOfService: v.OutOfService()}
+	return wire.AgentConfig{Generation: v.Generation(), InService: slices.Clone(v.inService)}
 }
 
 // Distance returns the one-way delay between two data centres: 0 within one,
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -1,15 +1,13 @@
 package entry
 
 import (
+	"chicorytray.example/chicorytray/rpcconn"
 	"context"
 	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"time"
-
-	"chicorytray.example/chicorytray/observe"
-	"chicorytray.example/chicorytray/rpcconn"
 )
 
 // serveAll serves the three addresses until a planned stop is done, ctx ends
@@ -19,9 +17,7 @@
 	defer cancel()
 	callers := e.callerServer()
 	rpc := e.rpcServer(e.rpcOptions)
-	admin := &http.Server{ReadHeaderTimeout: headerTimeout, ErrorLog: e.httpErrorLog(), Handler: observe.AdminHandler(observe.AdminOptions{
-		Ready: e.Ready, State: func() any { return e.State() }, Metrics: e.options.MetricsHandler,
-	})}
+	admin := &http.Server{ReadHeaderTimeout: headerTimeout, ErrorLog: e.httpErrorLog(), Handler: e.adminHandler()}
 	failed := make(chan error, 3)
 	var wg sync.WaitGroup
 	wg.Go(func() { failed <- serveHTTP(callers, l.callers, e.callerTLS != nil) })
--- a/wire/agent.go
+++ b/wire/agent.go
@@ -5,8 +5,10 @@
 // AgentConfig is the part of the operators' configuration that an agent needs.
 type AgentConfig struct {
 	Generation uint64
-	// OutOfService lists the data centres in which no task may start.
-	OutOfService []string
+	// InService lists the data centres in which tasks may start. A data centre
+	// that operators removed from the configuration is not in the list, so no
+	// task starts there.
+	InService []string
 }
 
 // OpenSessionRequest opens a session and fences the entry's earlier ones.
