Leave known descriptions out of heartbeats

Ruled out: a longer interval, because the gate (2 s) needs a read interval (1 s) and a heartbeat (0.5 s) within it. Change: after the first heartbeat of a connection both sides name only the process; an entry that does not know the agent asks for the description. Test: an entry asks an unknown or restarted agent to describe itself.

--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -21,6 +22,9 @@
 	kicksPerHeartbeat = 5
 )
 
+// errDescribed means that an entry asks again for what it was just sent.
+var errDescribed = errors.New("agent: the entry does not take this agent's description")
+
 // link is the control connection to one entry.
 type link struct {
 	entries *entries
@@ -33,6 +37,10 @@
 	conn     *rpcconn.Client // nil while there is none
 	offering bool
 	told     bool // the entry answered a heartbeat that said "leaving"
+
+	// Of the connection; used by run alone.
+	described bool          // the entry knows this agent's whole reference
+	entry     wire.EntryRef // that the entry sent
 }
 
 func newLink(e *entries, address string) *link {
@@ -105,6 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
+	l.described, l.entry = false, wire.EntryRef{}
 	l.mu.Lock()
 	l.conn = conn
 	l.mu.Unlock()
@@ -121,10 +130,25 @@
 	}
 	sent := time.Now()
 	req := l.agent.heartbeat(sent)
+	req.KnownEntry = l.entry.Incarnation
+	if l.described {
+		req.Agent = req.Agent.Brief()
+	}
 	var reply wire.HeartbeatReply
 	if err := conn.Call(ctx, "Entry.Heartbeat", &req, &reply); err != nil {
 		return err
 	}
+	if reply.Describe && !l.described {
+		return errDescribed
+	}
+	l.described = !reply.Describe
+	if reply.Describe {
+		return l.beat(ctx) // with the whole reference
+	}
+	if l.entry.Brief() == reply.Entry {
+		reply.Entry = l.entry
+	}
+	l.entry = reply.Entry
 	l.mu.Lock()
 	l.told = req.Leaving
 	l.mu.Unlock()
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/gate"
 	"chicorytray.example/chicorytray/placement"
 	"chicorytray.example/chicorytray/wire"
 )
@@ -82,6 +83,12 @@
 // heartbeat handles Entry.Heartbeat.
 func (d *dispatcher) heartbeat(req wire.HeartbeatRequest) wire.HeartbeatReply {
 	a := d.agents[req.Agent.ID]
+	if req.Agent.IsBrief() {
+		if a == nil || a.ref.Incarnation != req.Agent.Incarnation {
+			return wire.HeartbeatReply{Entry: d.self.Brief(), Describe: true, ConfirmAge: gate.None, ReadAge: gate.None}
+		}
+		req.Agent = a.ref
+	}
 	if a == nil {
 		a = &agent{ref: req.Agent, session: newSession(d.self, req.Agent.Incarnation), weight: 1}
 		d.agents[req.Agent.ID] = a
@@ -107,7 +114,11 @@
 	if a.session.state == sessionClosed {
 		d.open(a)
 	}
-	return d.heartbeatReply(a)
+	reply := d.heartbeatReply(a)
+	if req.KnownEntry == d.self.Incarnation {
+		reply.Entry = d.self.Brief()
+	}
+	return reply
 }
 
 func (d *dispatcher) heartbeatReply(a *agent) wire.HeartbeatReply {
--- /dev/null
+++ b/entry/heartbeat_test.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"context"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"chicorytray.example/chicorytray/internal/storestub"
+	"chicorytray.example/chicorytray/settings"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// Guards against an entry that takes a brief heartbeat for an agent whose
+// address and slots it does not know, as after its own restart.
+func TestBriefHeartbeatOfUnknownAgent(t *testing.T) {
+	c := qt.New(t)
+	s := settings.DefaultEntry()
+	s.ID, s.DataCentre = "e1", "anping"
+	e, err := New(Options{Settings: s, Store: storestub.New(), Logger: zerolog.Nop()})
+	c.Assert(err, qt.IsNil)
+	e.dispatcher.dial = func(context.Context, string) (agentConn, error) { return nil, ErrStopped }
+	stop := make(chan struct{})
+	defer func() { close(stop); <-e.dispatcher.ended }()
+	go e.dispatcher.run(stop)
+	whole := wire.AgentRef{ID: "a1", Incarnation: 7, Address: "10.0.0.1:1", DataCentre: "anping", Slots: 8}
+	beat := func(ref wire.AgentRef, known wire.Incarnation) (r wire.HeartbeatReply) {
+		req := wire.HeartbeatRequest{Agent: ref, KnownEntry: known, Healthy: true, ReadAge: -1}
+		c.Assert(e.rpcHeartbeat(context.Background(), &req, &r), qt.IsNil)
+		return r
+	}
+
+	r := beat(whole.Brief(), 0)
+	c.Check(r.Describe, qt.IsTrue)
+	c.Check(r.ConfirmAge < 0, qt.IsTrue)
+	r = beat(whole, 0)
+	c.Check(r.Describe, qt.IsFalse)
+	c.Check(r.Entry, qt.Equals, e.self)
+	r = beat(whole.Brief(), r.Entry.Incarnation)
+	c.Check(r.Describe, qt.IsFalse)
+	c.Check(r.Entry, qt.Equals, e.self.Brief())
+	restarted := wire.AgentRef{ID: "a1", Incarnation: 8}
+	c.Check(beat(restarted, e.self.Incarnation).Describe, qt.IsTrue)
+}
--- a/internal/dev/capacity/standin.go
+++ b/internal/dev/capacity/standin.go
@@ -34,6 +34,10 @@
 	config  atomic.Uint64 // generation known
 	dialer  rpcconn.Dialer
 	options rpcconn.Options
+
+	// As a real agent keeps them for its connection.
+	described bool
+	known     wire.Incarnation
 }
 
 // runAgents runs n agent stand-ins until ctx ends.
@@ -96,6 +100,7 @@
 	var conn *rpcconn.Client
 	for ctx.Err() == nil {
 		if conn == nil {
+			a.described, a.known = false, 0
 			dialCtx, cancel := context.WithTimeout(ctx, callTimeout)
 			c, err := a.dialer.Connect(dialCtx, a.entry)
 			cancel()
@@ -120,11 +125,17 @@
 func (a *agentStandin) heartbeat(ctx context.Context, conn *rpcconn.Client) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	req := wire.HeartbeatRequest{Agent: a.ref, Load: a.nextLoad(), Healthy: true, Generation: a.config.Load(), ReadAge: time.Second}
+	req := wire.HeartbeatRequest{
+		Agent: a.ref, KnownEntry: a.known, Load: a.nextLoad(), Healthy: true, Generation: a.config.Load(), ReadAge: time.Second,
+	}
+	if a.described {
+		req.Agent = a.ref.Brief()
+	}
 	var reply wire.HeartbeatReply
 	if err := conn.Call(ctx, "Entry.Heartbeat", &req, &reply); err != nil {
 		return err
 	}
+	a.described, a.known = !reply.Describe, reply.Entry.Incarnation
 	a.config.Store(reply.Generation)
 	return nil
 }
--- a/wire/agent.go
+++ b/wire/agent.go
@@ -91,7 +91,11 @@
 
 // HeartbeatRequest keeps an agent known to an entry.
 type HeartbeatRequest struct {
-	Agent      AgentRef
+	// Agent has only ID and Incarnation once the entry has answered a whole
+	// one on this connection. The rest is most of a heartbeat's bytes.
+	Agent AgentRef
+	// KnownEntry is the process that the agent knows at this address; 0 for none.
+	KnownEntry Incarnation
 	Load       Load
 	Leaving    bool
 	Healthy    bool // the upstream answered its last health check
@@ -104,7 +108,11 @@
 
 // HeartbeatReply answers a HeartbeatRequest.
 type HeartbeatReply struct {
-	Entry      EntryRef
+	// Entry has only ID and Incarnation if the agent knows this process.
+	Entry EntryRef
+	// Describe asks for a heartbeat with the whole AgentRef; nothing else in
+	// the reply counts then.
+	Describe   bool
 	Generation uint64
 	ConfirmAge time.Duration // by the store-outage rule; negative when there is no confirmation
 	ReadAge    time.Duration // of the newest read of the store known; negative when there is none
--- a/wire/identity.go
+++ b/wire/identity.go
@@ -49,6 +49,15 @@
 	Capacity    Resources
 }
 
+// Brief returns the part of the reference that names the process.
+func (r EntryRef) Brief() EntryRef { return EntryRef{ID: r.ID, Incarnation: r.Incarnation} }
+
+// Brief returns the part of the reference that names the process.
+func (r AgentRef) Brief() AgentRef { return AgentRef{ID: r.ID, Incarnation: r.Incarnation} }
+
+// IsBrief reports whether only the process is named.
+func (r AgentRef) IsBrief() bool { return r == r.Brief() }
+
 // Session numbers the exchanges between one entry process and one agent. A
 // higher number of the same incarnation fences all lower ones.
 type Session struct {
