--- a/internal/dev/capacity/entry.go
+++ b/internal/dev/capacity/entry.go
@@ -105,7 +105,7 @@
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- e.Run(ctx) }()
-	defer func() { cancel(); <-ended }()
+	defer func() { cancel(); _ = <-ended }()
 	standins, err := startChild(ctx, o.ChildVerb, Spec{
 		Entry: peers, DataCentres: dataCentreNames(), Agents: c.agents, Peers: c.peers, Accounts: c.accounts, Took: c.took,
 	})
