Show an entry's message counts in its state; drop the unused policy pull

The load tool counts messages by method at their sender; agents have the counts in their state already. settings accepted a placement policy pull that placement does not have, so an entry would silently have used idle_first.

Tests of entry and settings pass with -race.

--- a/entry/state.go
+++ b/entry/state.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"chicorytray.example/chicorytray/rpcconn"
 )
 
 // State is the dump of an entry for /debug/state and SIGUSR1. Times are ages or
@@ -16,6 +18,8 @@
 	Peers         []StatePeer        `json:"peers"`    // by identifier
 	Jobs          []StateJob         `json:"jobs"`     // open ones, oldest first
 	Accounts      []StateAccount     `json:"accounts"` // that sent jobs, by name
+	// Messages are counted by method since the start.
+	Messages map[string]rpcconn.Count `json:"messages"`
 }
 
 // StateEntry identifies the process.
@@ -127,7 +131,7 @@
 			Generation: e.config.generation(), ConfirmationAgeMS: ageMS(age), Basis: string(basis),
 			StoreReachable: e.confirm.storeReachable(),
 		},
-		Agents: []StateAgent{}, Peers: e.peers.state(now), Jobs: []StateJob{}, Accounts: []StateAccount{},
+		Agents: []StateAgent{}, Peers: e.peers.state(now), Messages: e.counters.ByMethod(), Jobs: []StateJob{}, Accounts: []StateAccount{},
 	}
 	s.Configuration.OutOfService = []string{}
 	if v := e.config.view(); v != nil {
--- a/settings/types.go
+++ b/settings/types.go
@@ -21,12 +21,11 @@
 	PlacementRandom     = "random"
 	PlacementTwoChoices = "two_choices"
 	PlacementIdleFirst  = "idle_first"
-	PlacementPull       = "pull"
 )
 
 // Placements returns the accepted names of placement policies.
 func Placements() []string {
-	return []string{PlacementIdleFirst, PlacementTwoChoices, PlacementRandom, PlacementPull}
+	return []string{PlacementIdleFirst, PlacementTwoChoices, PlacementRandom}
 }
 
 // Duration is written in JSON as a string with a unit, for example "500ms".
