Run a whole deployment in one process

Newcomers and experiments need the real daemons without a cluster. A Deployment starts entries, agents, the store stand-in and an upstream stand-in for each worker, with the delays of the layout added where connections are dialled, and offers the operations that the load tool's events need.

--- /dev/null
+++ b/internal/dev/deployment.go
@@ -0,0 +1,241 @@
+package dev
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/internal/storestub"
+	"chicorytray.example/chicorytray/internal/upstreamstub"
+	"chicorytray.example/chicorytray/observe"
+	"chicorytray.example/chicorytray/settings"
+	"chicorytray.example/chicorytray/store/httpstore"
+)
+
+const (
+	// readyPoll is the interval at which Ready looks at the entries.
+	readyPoll = 20 * time.Millisecond
+	// stopNotice replaces the load balancer's notice time, which a development
+	// deployment does not need.
+	stopNotice = 200 * time.Millisecond
+)
+
+// Options of a Deployment.
+type Options struct {
+	Layout Layout
+	// Log receives the daemons' log lines; nil discards them.
+	Log   io.Writer
+	Level string // debug, info, warn or error; empty means warn
+}
+
+// Deployment is a running deployment. Its methods are safe for concurrent use.
+type Deployment struct {
+	layout  Layout
+	network *Network
+	callers *Process
+	log     zerolog.Logger
+	record  *upstreamstub.Record
+	store   *storestub.Stub
+	storeAt string // IP:port
+	web     *http.Server
+
+	mu      sync.Mutex
+	entries []*daemon
+	agents  map[string]*daemon // by worker
+	stubs   map[string]*upstreamstub.Server
+	clients []*httpstore.Client
+}
+
+// Start brings a deployment up on free loopback ports. Close ends it.
+func Start(o Options) (*Deployment, error) {
+	if o.Log == nil {
+		o.Log = io.Discard
+	}
+	if o.Level == "" {
+		o.Level = "warn"
+	}
+	network := NewNetwork(o.Layout.Between, o.Layout.Clients)
+	d := &Deployment{
+		layout: o.Layout, network: network, callers: network.Process(ClientLocation),
+		log: observe.NewLogger(o.Log, o.Level), record: upstreamstub.NewRecord(), store: storestub.New(),
+		agents: map[string]*daemon{}, stubs: map[string]*upstreamstub.Server{},
+	}
+	if err := d.start(); err != nil {
+		return nil, errors.Join(err, d.Close(context.Background()))
+	}
+	return d, nil
+}
+
+func (d *Deployment) start() error {
+	if err := d.startStore(); err != nil {
+		return fmt.Errorf("store stand-in: %w", err)
+	}
+	for i := range d.layout.Entries {
+		id, dc := d.layout.EntryID(i)
+		if err := d.startEntry(id, dc); err != nil {
+			return fmt.Errorf("%s: %w", id, err)
+		}
+	}
+	for _, w := range d.layout.WorkerList() {
+		if err := d.startWorker(w); err != nil {
+			return fmt.Errorf("worker %s: %w", w.ID, err)
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) startStore() error {
+	data, err := d.layout.Document().Encode()
+	if err != nil {
+		return err
+	}
+	d.store.Put(config.Key, data)
+	l, err := d.network.Process(d.layout.DataCentres[0]).Listen()
+	if err != nil {
+		return err
+	}
+	d.storeAt = l.Addr().String()
+	d.web = &http.Server{Handler: d.store.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = d.web.Serve(l) }()
+	return nil
+}
+
+// client returns a connection to the store as a process at a location uses it.
+func (d *Deployment) client(p *Process, s settings.Store, t settings.Timing) (*httpstore.Client, error) {
+	c, err := httpstore.New(httpstore.Options{
+		URL: s.URL, CallTimeout: t.StoreTimeout.Of(), MaxCallsPerSecond: s.MaxCallsPerSecond, Dial: p.Dial,
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.clients = append(d.clients, c)
+	return c, nil
+}
+
+func (d *Deployment) startWorker(w Worker) error {
+	stub, err := upstreamstub.Listen("127.0.0.1:0", upstreamstub.Options{
+		Name: w.ID, DataCentre: w.DataCentre, Slots: d.layout.Slots, Record: d.record,
+	})
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	d.stubs[w.ID] = stub
+	d.mu.Unlock()
+	return d.startAgent(w, stub.Address())
+}
+
+// Layout returns the shape of the deployment.
+func (d *Deployment) Layout() Layout { return d.layout }
+
+// Record returns the starts at all stand-in upstreams.
+func (d *Deployment) Record() *upstreamstub.Record { return d.record }
+
+// StoreCalls returns the calls that the store stand-in has counted.
+func (d *Deployment) StoreCalls() int { return d.store.TotalCalls() }
+
+// StoreURL returns where the store stand-in listens.
+func (d *Deployment) StoreURL() string { return "http://" + d.storeAt }
+
+// DialAsCaller connects to an address with the delay of callers.
+func (d *Deployment) DialAsCaller(ctx context.Context, address string) (net.Conn, error) {
+	return d.callers.Dial(ctx, address)
+}
+
+// Endpoints returns the addresses of the entries, including those killed.
+func (d *Deployment) Endpoints() []Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []Endpoint
+	for _, e := range d.entries {
+		out = append(out, e.endpoint)
+	}
+	return out
+}
+
+// Messages returns the messages of all processes by method, including those of
+// killed ones.
+func (d *Deployment) Messages() map[string]Traffic {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := map[string]Traffic{}
+	for _, e := range d.entries {
+		e.addMessages(all)
+	}
+	for _, a := range d.agents {
+		a.addMessages(all)
+	}
+	return all
+}
+
+// Ready waits until every entry can use every agent.
+func (d *Deployment) Ready(ctx context.Context) error {
+	for {
+		missing := d.missing()
+		if missing == "" {
+			return nil
+		}
+		timer := time.NewTimer(readyPoll)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return fmt.Errorf("deployment is not ready: %s: %w", missing, ctx.Err())
+		}
+	}
+}
+
+// missing says what Ready still waits for.
+func (d *Deployment) missing() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range d.entries {
+		usable := 0
+		for _, a := range e.entry.State().Agents {
+			if a.Usable {
+				usable++
+			}
+		}
+		if usable < len(d.agents) {
+			return fmt.Sprintf("%s can use %d of %d agents", e.endpoint.ID, usable, len(d.agents))
+		}
+	}
+	return ""
+}
+
+// Close stops the daemons as planned and then the stand-ins. Agents come first,
+// because a stopping agent waits until entries have acknowledged its results.
+// When ctx ends, the rest is killed.
+func (d *Deployment) Close(ctx context.Context) error {
+	d.mu.Lock()
+	entries, agents := d.entries, d.agents
+	d.mu.Unlock()
+	var list []*daemon
+	for _, a := range agents {
+		list = append(list, a)
+	}
+	errs := append(stopAll(ctx, list), stopAll(ctx, entries)...)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.stubs {
+		errs = append(errs, s.Close())
+	}
+	for _, c := range d.clients {
+		c.Close()
+	}
+	if d.web != nil {
+		errs = append(errs, d.web.Close())
+	}
+	d.callers.Kill()
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/dev/messages.go
@@ -0,0 +1,57 @@
+package dev
+
+import (
+	"strings"
+)
+
+// agentPrefix of the methods that agents answer; entries answer the others.
+const agentPrefix = "Agent."
+
+// betweenEntries are the methods that entries both send and answer. Their
+// requests and replies cannot be told apart at the sender, and come in pairs.
+func betweenEntries(method string) bool {
+	switch method {
+	case "Entry.PeerHeartbeat", "Entry.Job", "Entry.CancelJob":
+		return true
+	}
+	return false
+}
+
+// addMessages adds what the daemon sent.
+func (x *daemon) addMessages(all map[string]Traffic) {
+	for method, n := range x.counts() {
+		t := all[method]
+		sent := int64(n.MessagesSent)
+		toAgent := strings.HasPrefix(method, agentPrefix)
+		switch {
+		case betweenEntries(method):
+			t.Requests += (sent + 1) / 2
+			t.Replies += sent / 2
+		case toAgent == (x.entry != nil):
+			t.Requests += sent
+		default:
+			t.Replies += sent
+		}
+		t.Bytes += int64(n.BytesSent)
+		all[method] = t
+	}
+	if t, ok := all[offerMethod]; ok {
+		t.Wasted += 2 * x.unusedOffers() // request and reply
+		all[offerMethod] = t
+	}
+}
+
+// offerMethod offers a free slot to an entry, which may have no use for it.
+const offerMethod = "Entry.Offer"
+
+// unusedOffers returns how many of an agent's offers led to no start.
+func (x *daemon) unusedOffers() int64 {
+	counters := x.scope.Snapshot().Counters()
+	count := func(name string) int64 {
+		if c, ok := counters[name+"+"]; ok { // tally appends the tags after a plus sign
+			return c.Value()
+		}
+		return 0
+	}
+	return count("offers") - count("offers_used")
+}
