--- /dev/null
+++ b/cmd/chicorytray-dev/standins.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/internal/storestub"
+	"chicorytray.example/chicorytray/internal/upstreamstub"
+)
+
+// storeCommand runs the store stand-in as a process of its own.
+type storeCommand struct{ listen, document string }
+
+func (*storeCommand) Name() string     { return "store" }
+func (*storeCommand) Synopsis() string { return "run the stand-in of the platform's store" }
+func (*storeCommand) Usage() string    { return "chicorytray-dev store [flags]\n" }
+
+// SetFlags defines the flags.
+func (c *storeCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.listen, "listen", "127.0.0.1:7000", "IP:port")
+	f.StringVar(&c.document, "config", "", "file with the first configuration; empty: none")
+}
+
+// Execute runs the verb.
+func (c *storeCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 0 {
+		return usage(f, nil)
+	}
+	stub := storestub.New()
+	if c.document != "" {
+		data, err := os.ReadFile(c.document)
+		if err != nil {
+			return failure(err)
+		}
+		doc, err := config.Parse(data)
+		if err != nil {
+			return failure(fmt.Errorf("%s: %w", c.document, err))
+		}
+		if data, err = doc.Encode(); err != nil {
+			return failure(err)
+		}
+		stub.Put(config.Key, data)
+	}
+	return serveHTTP(ctx, "store stand-in", c.listen, stub.Handler())
+}
+
+// upstreamCommand runs an upstream stand-in as a process of its own.
+type upstreamCommand struct {
+	listen, name, dataCentre string
+	slots                    int
+	service                  time.Duration
+}
+
+func (*upstreamCommand) Name() string     { return "upstream" }
+func (*upstreamCommand) Synopsis() string { return "run a stand-in upstream" }
+func (*upstreamCommand) Usage() string {
+	return "chicorytray-dev upstream [flags]\nGET " + upstreamstub.StartsPath + " lists the starts, POST " +
+		upstreamstub.FaultsPath + " sets faults, for example {\"slow\":5} or {\"leave\":true}.\n"
+}
+
+// SetFlags defines the flags.
+func (c *upstreamCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.listen, "listen", "127.0.0.1:7300", "IP:port")
+	f.StringVar(&c.name, "name", "upstream", "name in the record of starts")
+	f.StringVar(&c.dataCentre, "data-centre", "", "data centre in the record of starts")
+	f.IntVar(&c.slots, "slots", 8, "tasks served at a time")
+	f.DurationVar(&c.service, "service", 100*time.Millisecond, "service time of tasks that give none")
+}
+
+// Execute runs the verb.
+func (c *upstreamCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 0 {
+		return usage(f, nil)
+	}
+	if c.slots < 1 || c.service <= 0 {
+		return usage(f, fmt.Errorf("slots %d, service %s; accepted: 1 or more, more than 0s", c.slots, c.service))
+	}
+	stub := upstreamstub.New(upstreamstub.Options{
+		Name: c.name, DataCentre: c.dataCentre, Slots: c.slots, Service: c.service,
+	})
+	return serveHTTP(ctx, "upstream stand-in", c.listen, stub)
+}
+
+// serveHTTP serves until a signal arrives.
+func serveHTTP(ctx context.Context, what, address string, h http.Handler) subcommands.ExitStatus {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return failure(err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	context.AfterFunc(ctx, func() { _ = s.Close() })
+	fmt.Printf("%s listens on %s\n", what, l.Addr())
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return failure(err)
+	}
+	return subcommands.ExitSuccess
+}
