systemtest: fixture of entries and agents in virtual time

Cause: no test ran several real entries and agents together. Change: a fixture starts them over faultnet with the store and upstream stand-ins, submits jobs over HTTP, and checks starts, answers and late starts from what callers and upstreams saw.

--- /dev/null
+++ b/internal/systemtest/caller_test.go
@@ -0,0 +1,278 @@
+package systemtest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/internal/upstreamstub"
+)
+
+// job is a submission to make. Zero values mean template "work", one task and
+// 100 ms of service.
+type job struct {
+	template string
+	tasks    int
+	service  time.Duration
+	deadline time.Duration
+	key      string // Idempotency-Key
+	name     string // prefix of the tasks' keys; a new one when empty
+	bytes    int    // of each result
+	failing  int    // number of the task that fails, from 1
+	slowRead bool   // the caller reads 16 KiB every 10 ms
+}
+
+// submission is a job at the caller.
+type submission struct {
+	job
+	ctx    context.Context
+	cancel context.CancelFunc // the caller disconnects
+	keys   []string
+	sent   time.Time
+	done   chan struct{}
+
+	ended  time.Time
+	err    error // the answer did not arrive whole
+	status int
+	header http.Header
+	raw    []byte
+	answer answer
+}
+
+// answer is the body of every answer to a job.
+type answer struct {
+	Job     string `json:"job"`
+	Results []struct {
+		Status int    `json:"status"`
+		Body   string `json:"body"`
+	} `json:"results"`
+	Outcome    string `json:"outcome"`
+	Reason     string `json:"reason"`
+	MayHaveRun []int  `json:"may_have_run"`
+}
+
+// submit sends a job to an entry and returns at once.
+func (s *system) submit(entry int, j job) *submission {
+	if j.template == "" {
+		j.template = "work"
+	}
+	j.tasks = max(j.tasks, 1)
+	if j.service == 0 {
+		j.service = 100 * time.Millisecond
+	}
+	s.mu.Lock()
+	if j.name == "" {
+		j.name = fmt.Sprintf("s%d", len(s.submissions))
+	}
+	sub := &submission{job: j, done: make(chan struct{}), sent: time.Now()}
+	sub.ctx, sub.cancel = context.WithCancel(context.Background())
+	s.submissions = append(s.submissions, sub)
+	s.mu.Unlock()
+	body := sub.body()
+	go func() {
+		defer close(sub.done)
+		defer sub.cancel()
+		sub.post(s, "http://"+entryHost(entry)+":8000/v1/jobs", body)
+		sub.ended = time.Now()
+	}()
+	return sub
+}
+
+// submitted submits a job and waits for its answer.
+func (s *system) submitted(entry int, j job) *submission {
+	sub := s.submit(entry, j)
+	<-sub.done
+	return sub
+}
+
+func (sub *submission) body() []byte {
+	type task struct {
+		Name string `json:"name"`
+		Body string `json:"body"`
+	}
+	req := struct {
+		Template   string `json:"template"`
+		Tasks      []task `json:"tasks"`
+		DeadlineMS int64  `json:"deadline_ms,omitempty"`
+	}{Template: sub.template, DeadlineMS: sub.deadline.Milliseconds()}
+	for i := range sub.tasks {
+		key := fmt.Sprintf("%s-%d", sub.name, i)
+		sub.keys = append(sub.keys, key)
+		req.Tasks = append(req.Tasks, task{"run", upstreamstub.Request{
+			Key: key, ServiceMS: float64(sub.service) / float64(time.Millisecond), AnswerBytes: sub.bytes, Fail: sub.failing == i+1,
+		}.Encode()})
+	}
+	data, err := json.Marshal(req)
+	if err != nil {
+		panic(err) // strings and numbers only
+	}
+	return data
+}
+
+// client is a caller without connection reuse, so that each request meets the
+// network as it is now.
+func (s *system) client() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return s.net.Dialer(callerHost)(ctx, address)
+		},
+	}}
+}
+
+func (sub *submission) post(s *system, url string, body []byte) {
+	req, err := http.NewRequestWithContext(sub.ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	if sub.key != "" {
+		req.Header.Set("Idempotency-Key", sub.key)
+	}
+	resp, err := s.client().Do(req)
+	if err != nil {
+		sub.err = err
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var from io.Reader = resp.Body
+	if sub.slowRead {
+		from = slowReader{resp.Body}
+	}
+	sub.status, sub.header = resp.StatusCode, resp.Header
+	if sub.raw, err = io.ReadAll(from); err != nil {
+		sub.err = err
+		return
+	}
+	sub.err = json.Unmarshal(sub.raw, &sub.answer)
+}
+
+// call makes another request of the callers' interface.
+func (s *system) call(method, host, path string) (int, answer) {
+	req, err := http.NewRequest(method, "http://"+host+":8000"+path, nil)
+	s.Assert(err, qt.IsNil)
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := s.client().Do(req)
+	s.Assert(err, qt.IsNil)
+	defer func() { _ = resp.Body.Close() }()
+	var a answer
+	s.Assert(json.NewDecoder(resp.Body).Decode(&a), qt.IsNil)
+	return resp.StatusCode, a
+}
+
+type slowReader struct{ io.Reader }
+
+func (r slowReader) Read(p []byte) (int, error) {
+	time.Sleep(10 * time.Millisecond)
+	return r.Reader.Read(p[:min(len(p), 16<<10)])
+}
+
+// done reports whether the caller got a whole answer with all results.
+func (sub *submission) succeeded() bool { return sub.err == nil && sub.status == http.StatusOK }
+
+// expect checks the outcome that the caller was told.
+func (s *system) expect(sub *submission, outcome string) {
+	s.Helper()
+	<-sub.done
+	if outcome == "done" {
+		s.Check(sub.succeeded(), qt.IsTrue, qt.Commentf("%v %d %.300s", sub.err, sub.status, sub.raw))
+		return
+	}
+	s.Check(sub.err, qt.IsNil)
+	s.Check(sub.answer.Outcome, qt.Equals, outcome, qt.Commentf("%.300s", sub.raw))
+}
+
+// check checks what the guarantees say about starts and answers.
+func (s *system) check() {
+	s.Helper()
+	started, completed := s.starts(), map[string]bool{}
+	for _, st := range s.record.Starts() {
+		completed[st.Key] = completed[st.Key] || st.Completed
+	}
+	s.Check(s.record.Duplicates(), qt.HasLen, 0, qt.Commentf("guarantee 1: a task started twice"))
+	ran := map[string]bool{} // Idempotency-Keys of which a submission did more than refuse
+	for _, sub := range s.submissions {
+		if sub.key != "" && (sub.err != nil || sub.answer.Outcome != "not_run") {
+			ran[sub.key] = true
+		}
+	}
+	for _, sub := range s.submissions {
+		note := func(format string, args ...any) qt.Comment {
+			return qt.Commentf("%s: submission %s of %d tasks, status %d, %.200s\n%s", fmt.Sprintf(format, args...),
+				sub.name, sub.tasks, sub.status, sub.raw, describe(s.record.Starts()))
+		}
+		for i, key := range sub.keys {
+			if sub.template != "again" && started[key] > 1 {
+				s.Check(started[key], qt.Equals, 1, note("guarantees 1 and 6: task %d", i))
+			}
+		}
+		if sub.err != nil {
+			continue // the caller knows that it has no answer
+		}
+		if sub.status == http.StatusOK {
+			s.checkResults(sub, completed, note)
+			continue
+		}
+		s.Check(sub.answer.Results, qt.HasLen, 0, note("guarantee 2: partial results"))
+		s.Check(sub.answer.Outcome, qt.Matches, "not_run|failed|unknown", note("guarantee 2: no outcome"))
+		if ran[sub.key] {
+			continue // the starts belong to another submission of the same key
+		}
+		listed := sub.answer.Reason != "interrupted" && sub.answer.Reason != "owning_entry_unreachable"
+		for i, key := range sub.keys {
+			if sub.answer.Outcome == "not_run" || listed && !slices.Contains(sub.answer.MayHaveRun, i) {
+				if started[key] > 0 {
+					s.Check(started[key], qt.Equals, 0, note("guarantee 5: task %d", i))
+				}
+			}
+		}
+	}
+	s.checkLateStarts()
+}
+
+// checkResults checks that an answer is whole and belongs to its submission.
+func (s *system) checkResults(sub *submission, completed map[string]bool, note func(string, ...any) qt.Comment) {
+	s.Helper()
+	s.Check(sub.answer.Results, qt.HasLen, sub.tasks, note("guarantee 2: results are missing"))
+	for i, r := range sub.answer.Results {
+		var got upstreamstub.Answer
+		err := json.Unmarshal([]byte(r.Body), &got)
+		if err != nil || got.Key != sub.keys[i] || len(got.Filler) != sub.bytes || !completed[got.Key] {
+			s.Check(got.Key, qt.Equals, sub.keys[i], note("guarantee 4: result %d: %v", i, err))
+			s.Check(len(got.Filler), qt.Equals, sub.bytes)
+			s.Check(completed[got.Key], qt.IsTrue)
+		}
+	}
+}
+
+// checkLateStarts checks that no task started in a data centre that had been
+// out of service for 3 s.
+func (s *system) checkLateStarts() {
+	s.Helper()
+	for i, c := range s.changes {
+		if c.in {
+			continue
+		}
+		back := time.Now()
+		for _, later := range s.changes[i+1:] {
+			if later.dataCentre == c.dataCentre && later.in {
+				back = later.at
+				break
+			}
+		}
+		for _, st := range s.record.Starts() {
+			if st.DataCentre == c.dataCentre && st.At.After(c.at.Add(lateAfter)) && st.At.Before(back) {
+				s.Check(st.At.Sub(c.at) <= lateAfter, qt.IsTrue,
+					qt.Commentf("guarantee 3: %s started in %s %s after it was taken out of service", st.Task, st.DataCentre, st.At.Sub(c.at)))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/systemtest/system_test.go
@@ -0,0 +1,362 @@
+package systemtest
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/agent"
+	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/entry"
+	"chicorytray.example/chicorytray/internal/faultnet"
+	"chicorytray.example/chicorytray/internal/storestub"
+	"chicorytray.example/chicorytray/internal/upstreamstub"
+	"chicorytray.example/chicorytray/settings"
+)
+
+const (
+	callerHost = "10.0.9.1"
+	token      = "secret"
+	// lateAfter is the bound of guarantees 3 and 9.
+	lateAfter = 3 * time.Second
+	// startup is the time in which a new system becomes ready.
+	startup = 2 * time.Second
+)
+
+// Data centres of the fixture.
+const (
+	recife    = "ne-br-rec"
+	fortaleza = "ne-br-for"
+	salvador  = "ne-br-ssa"
+)
+
+// layout describes a system. The zero value means 2 entries and 4 agents with
+// 2 slots each in 3 data centres.
+type layout struct {
+	entries, agents []string // data centre of each
+	slots           int
+	entry           func(*settings.Entry)
+	agent           func(*settings.Agent)
+}
+
+type entryProcess struct {
+	process
+	*entry.Entry
+	id int
+}
+
+type agentProcess struct {
+	process
+	*agent.Agent
+	id       int
+	upstream *upstreamstub.Stub
+}
+
+// system is a whole system on a network with faults.
+type system struct {
+	*qt.C
+	layout  layout
+	net     *faultnet.Network
+	store   *storestub.Stub
+	record  *upstreamstub.Record
+	entries []*entryProcess
+	agents  []*agentProcess
+	wg      sync.WaitGroup // everything that ends with the system
+	web     []*http.Server
+
+	mu          sync.Mutex
+	submissions []*submission
+	document    *config.Document
+	changes     []change
+	storeDown   bool
+}
+
+// change of a data centre's service that the store accepted.
+type change struct {
+	dataCentre string
+	in         bool
+	at         time.Time
+}
+
+// run starts a system in virtual time, runs the test, lets all work end and
+// checks the guarantees.
+func run(t *testing.T, l layout, test func(s *system)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := start(qt.New(t), l)
+		test(s)
+		s.finish()
+	})
+}
+
+// start starts a system and waits until it is ready.
+func start(c *qt.C, l layout) *system {
+	if l.entries == nil {
+		l.entries = []string{recife, fortaleza}
+	}
+	if l.agents == nil {
+		l.agents = []string{recife, recife, fortaleza, salvador}
+	}
+	if l.slots == 0 {
+		l.slots = 2
+	}
+	s := &system{C: c, layout: l, net: faultnet.New(), store: storestub.New(), record: upstreamstub.NewRecord(), document: document()}
+	s.put()
+	for i := range l.entries {
+		s.entries = append(s.entries, s.startEntry(i))
+	}
+	for i := range l.agents {
+		s.agents = append(s.agents, s.startAgent(i))
+	}
+	time.Sleep(startup)
+	return s
+}
+
+// finish heals everything, waits until all jobs and their late messages are
+// over, checks the guarantees and ends the system.
+func (s *system) finish() {
+	for _, sub := range s.submissions {
+		<-sub.done
+	}
+	time.Sleep(15 * time.Second) // outlasts every reconciliation and late message
+	s.check()
+	s.end()
+}
+
+// end kills all processes.
+func (s *system) end() {
+	for _, p := range s.processes() {
+		p.kill()
+	}
+	for _, w := range s.web {
+		_ = w.Close()
+	}
+	s.wg.Wait()
+}
+
+func (s *system) processes() []*process {
+	var out []*process
+	for _, e := range s.entries {
+		out = append(out, &e.process)
+	}
+	for _, a := range s.agents {
+		out = append(out, &a.process)
+	}
+	return out
+}
+
+func document() *config.Document {
+	template := func(name string, idempotent bool) config.Template {
+		return config.Template{
+			Name: name, Account: "team", Kind: config.KindJob, Idempotent: idempotent, DeadlineMS: 20_000, ExpectedMS: 100,
+			Tasks: []config.Task{{Name: "run", Method: http.MethodPost, Path: "/run"}},
+		}
+	}
+	d := &config.Document{
+		Generation: 1,
+		Accounts:   []config.Account{{Name: "team", TokenSHA256: []string{config.HashToken(token)}}},
+		Templates: []config.Template{
+			template("work", false), template("again", true),
+			{Name: "request", Account: "team", Kind: config.KindRequest, DeadlineMS: 20_000, ExpectedMS: 100},
+		},
+	}
+	for _, name := range []string{recife, fortaleza, salvador} {
+		d.DataCentres = append(d.DataCentres, config.DataCentre{Name: name, Region: "ne-br", InService: true})
+	}
+	return d
+}
+
+// put writes the document to the store as operators do.
+func (s *system) put() {
+	data, err := s.document.Encode()
+	s.Assert(err, qt.IsNil)
+	s.store.Put(config.Key, data)
+}
+
+// edit makes a change that the store accepts. It returns false while the store
+// is down, because then no change is accepted.
+func (s *system) edit(change func(*config.Document)) bool {
+	if s.storeDown {
+		return false
+	}
+	next := *s.document
+	next.DataCentres = slices.Clone(next.DataCentres)
+	next.Generation++
+	change(&next)
+	s.document = &next
+	s.put()
+	return true
+}
+
+// service takes a data centre out of service or brings it back.
+func (s *system) service(dataCentre string, in bool) {
+	ok := s.edit(func(d *config.Document) {
+		for i := range d.DataCentres {
+			if d.DataCentres[i].Name == dataCentre {
+				d.DataCentres[i].InService = in
+			}
+		}
+	})
+	if ok {
+		s.changes = append(s.changes, change{dataCentre, in, time.Now()})
+	}
+}
+
+// setStoreDown starts or ends an outage of the store.
+func (s *system) setStoreDown(down bool) {
+	s.storeDown = down
+	s.store.SetDown(down)
+}
+
+func entryHost(i int) string    { return fmt.Sprintf("10.0.0.%d", i+1) }
+func agentHost(i int) string    { return fmt.Sprintf("10.0.1.%d", i+1) }
+func upstreamHost(i int) string { return fmt.Sprintf("10.0.2.%d", i+1) }
+
+func (s *system) seeds() []string {
+	var out []string
+	for i := range s.layout.entries {
+		out = append(out, entryHost(i)+":7000")
+	}
+	return out
+}
+
+func (s *system) newProcess(host, dataCentre string) process {
+	p := newPauser()
+	return process{host: host, dataCentre: dataCentre, net: s.net, pauser: p, ended: make(chan struct{}),
+		store: &processStore{inner: s.store, pauser: p}}
+}
+
+// startEntry starts the entry's process. It also replaces one that has ended.
+func (s *system) startEntry(i int) *entryProcess {
+	e := &entryProcess{process: s.newProcess(entryHost(i), s.layout.entries[i]), id: i}
+	conf := settings.DefaultEntry()
+	conf.ID, conf.DataCentre, conf.Seeds = fmt.Sprintf("e%d", i), e.dataCentre, s.seeds()
+	conf.CallerAddress, conf.PeerAddress, conf.AdminAddress = e.host+":8000", e.host+":7000", e.host+":9000"
+	conf.Store.URL = "http://10.0.3.1:7500"
+	if s.layout.entry != nil {
+		s.layout.entry(&conf)
+	}
+	s.Assert(conf.Validate(), qt.IsNil)
+	callers, err := e.listen(":8000")
+	s.Assert(err, qt.IsNil)
+	peers, err := e.listen(":7000")
+	s.Assert(err, qt.IsNil)
+	admin, err := e.listen(":9000")
+	s.Assert(err, qt.IsNil)
+	e.Entry, err = entry.New(entry.Options{Settings: conf, Store: e.store, Dial: e.dial, Callers: callers, Peers: peers, Admin: admin})
+	s.Assert(err, qt.IsNil)
+	s.begin(&e.process, e.Run)
+	return e
+}
+
+// startAgent starts the agent's process beside its upstream. It also replaces
+// one that has ended; the upstream stays.
+func (s *system) startAgent(i int) *agentProcess {
+	a := &agentProcess{process: s.newProcess(agentHost(i), s.layout.agents[i]), id: i}
+	conf := settings.DefaultAgent()
+	conf.ID, conf.DataCentre, conf.Seeds = fmt.Sprintf("a%d", i), a.dataCentre, s.seeds()
+	conf.Rack, conf.Worker = fmt.Sprintf("r%d", i/3), fmt.Sprintf("w%d", i)
+	conf.PeerAddress, conf.AdminAddress, conf.Upstream = a.host+":7100", a.host+":9100", upstreamHost(i)+":8100"
+	conf.Store.URL, conf.HealthPath = "http://10.0.3.1:7500", upstreamstub.HealthPath
+	conf.Slots, conf.QueueLimit = s.layout.slots, s.layout.slots
+	if s.layout.agent != nil {
+		s.layout.agent(&conf)
+	}
+	s.Assert(conf.Validate(), qt.IsNil)
+	if i < len(s.agents) {
+		a.upstream = s.agents[i].upstream
+	} else {
+		a.upstream = upstreamstub.New(upstreamstub.Options{Name: conf.ID, DataCentre: a.dataCentre, Slots: s.layout.slots, Record: s.record})
+		s.serve(conf.Upstream, a.upstream)
+	}
+	peers, err := a.listen(":7100")
+	s.Assert(err, qt.IsNil)
+	admin, err := a.listen(":9100")
+	s.Assert(err, qt.IsNil)
+	a.Agent, err = agent.New(agent.Options{Settings: conf, Store: a.store, Dial: a.dial, DialUpstream: a.dialUpstream, Peers: peers, Admin: admin})
+	s.Assert(err, qt.IsNil)
+	s.begin(&a.process, a.Run)
+	return a
+}
+
+func (s *system) begin(p *process, body func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	ended := p.ended
+	go func() {
+		defer close(ended)
+		defer cancel()
+		_ = body(ctx)
+	}()
+}
+
+func (s *system) serve(address string, h http.Handler) {
+	l, err := s.net.Listen(address)
+	s.Assert(err, qt.IsNil)
+	w := &http.Server{Handler: h}
+	s.web = append(s.web, w)
+	s.wg.Go(func() { _ = w.Serve(l) })
+}
+
+// restartEntry replaces the entry by a new process, killing the old one.
+func (s *system) restartEntry(i int) {
+	if !s.entries[i].dead() {
+		s.entries[i].kill()
+	}
+	s.entries[i] = s.startEntry(i)
+}
+
+// restartAgent replaces the agent by a new process, killing the old one.
+func (s *system) restartAgent(i int) {
+	if !s.agents[i].dead() {
+		s.agents[i].kill()
+	}
+	s.agents[i] = s.startAgent(i)
+}
+
+// hostsOf returns all hosts of a data centre, and all others but the caller's.
+func (s *system) hostsOf(dataCentre string) (inside, outside []string) {
+	for _, p := range s.processes() {
+		if p.dataCentre == dataCentre {
+			inside = append(inside, p.host)
+		} else {
+			outside = append(outside, p.host)
+		}
+	}
+	return inside, outside
+}
+
+// between applies a rule of the network to each pair of hosts.
+func between(as, bs []string, rule func(a, b string)) {
+	for _, a := range as {
+		for _, b := range bs {
+			rule(a, b)
+		}
+	}
+}
+
+// starts returns the number of starts at upstreams, by key.
+func (s *system) starts() map[string]int {
+	out := map[string]int{}
+	for _, st := range s.record.Starts() {
+		out[st.Key]++
+	}
+	return out
+}
+
+// describe formats the starts for a failure's message.
+func describe(starts []upstreamstub.Start) string {
+	var b strings.Builder
+	for _, st := range starts {
+		fmt.Fprintf(&b, "%s %s attempt %s at %s in %s\n", st.At.Format("05.000"), st.Task, st.Attempt, st.Upstream, st.DataCentre)
+	}
+	return b.String()
+}
