systemtest: faults at each step of a task (guarantee 1)

Cause: at-most-once start was tested only with one agent or one session. Change: 21 faults of processes and connections, each at 9 moments of a task, with idempotent and other jobs at two entries. faultnet gets FreezeDirection, connections that go silent in one direction only.

--- a/internal/faultnet/network.go
+++ b/internal/faultnet/network.go
@@ -165,6 +165,18 @@
 	})
 }
 
+// FreezeDirection is Freeze for what is sent from one host to the other; the
+// connections still carry data the other way.
+func (n *Network) FreezeDirection(from, to string) {
+	n.update(func() {
+		for c := range n.conns {
+			if c.from == from && c.to == to {
+				c.out.frozen = true
+			}
+		}
+	})
+}
+
 // Delay sets the one-way delay between two hosts, for what is sent from now on.
 func (n *Network) Delay(a, b string, d time.Duration) {
 	n.update(func() { n.delays[pair{a, b}], n.delays[pair{b, a}] = d, d })
--- a/internal/systemtest/guarantee1_test.go
+++ b/internal/systemtest/guarantee1_test.go
@@ -1,10 +1,150 @@
 package systemtest
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+	"time"
 
-// Guards against a system that does not serve a plain job.
-func TestJobIsServed(t *testing.T) {
-	run(t, layout{}, func(s *system) {
-		s.expect(s.submit(0, job{tasks: 20}), "done")
+	qt "github.com/frankban/quicktest"
+)
+
+// messageDelay between processes, one way. It separates the steps of a task:
+// sent at 0, started after 1 delay, answered 2 delays after the service time.
+const messageDelay = 2 * time.Millisecond
+
+// serviceTime of tasks during which faults are injected.
+const serviceTime = 300 * time.Millisecond
+
+// steps are moments after the submission: before a start, while messages
+// travel, while tasks run, and around the arrival of their results.
+var steps = []time.Duration{
+	0, time.Millisecond, 2 * time.Millisecond, 3 * time.Millisecond, 150 * time.Millisecond,
+	serviceTime + time.Millisecond, serviceTime + messageDelay, serviceTime + 3*time.Millisecond, serviceTime + 2*messageDelay,
+}
+
+// fault is injected into entry 0, agent 0 or what connects them.
+type fault struct {
+	name   string
+	inject func(s *system)
+}
+
+// hold injects a fault, waits and ends it.
+func hold(d time.Duration, begin, end func(s *system)) func(s *system) {
+	return func(s *system) {
+		begin(s)
+		time.Sleep(d)
+		end(s)
+	}
+}
+
+// withAgents applies a rule to entry 0 and each agent.
+func withAgents(s *system, rule func(entry, agent string)) {
+	for i := range s.agents {
+		rule(entryHost(0), agentHost(i))
+	}
+}
+
+func heal(s *system) { withAgents(s, s.net.Heal) }
+
+// faults of processes and connections.
+var faults = []fault{
+	{"entry killed", func(s *system) { s.entries[0].kill() }},
+	{"entry replaced", func(s *system) { s.restartEntry(0) }},
+	{"agent killed", func(s *system) { s.agents[0].kill() }},
+	{"agent replaced", func(s *system) { s.restartAgent(0) }},
+	{"connections reset", func(s *system) { withAgents(s, s.net.Cut); heal(s) }},
+	{"cut for 2 s", hold(2*time.Second, func(s *system) { withAgents(s, s.net.Cut) }, heal)},
+	{"cut for 8 s", hold(8*time.Second, func(s *system) { withAgents(s, s.net.Cut) }, heal)},
+	{"connections silent", func(s *system) { withAgents(s, s.net.Freeze) }},
+	{"requests silent", func(s *system) { withAgents(s, s.net.FreezeDirection) }},
+	{"answers silent", func(s *system) {
+		withAgents(s, func(e, a string) { s.net.FreezeDirection(a, e) })
+	}},
+	{"requests late by 2 s", hold(2*time.Second, func(s *system) { withAgents(s, s.net.Drop) }, heal)},
+	{"requests late by 8 s", hold(8*time.Second, func(s *system) { withAgents(s, s.net.Drop) }, heal)},
+	{"answers late by 2 s", hold(2*time.Second, func(s *system) {
+		withAgents(s, func(e, a string) { s.net.Drop(a, e) })
+	}, heal)},
+	{"answers late by 8 s", hold(8*time.Second, func(s *system) {
+		withAgents(s, func(e, a string) { s.net.Drop(a, e) })
+	}, heal)},
+	{"entry paused for 2 s", hold(2*time.Second, func(s *system) { s.entries[0].pause() }, func(s *system) { s.entries[0].resume() })},
+	{"entry paused for 12 s", hold(12*time.Second, func(s *system) { s.entries[0].pause() }, func(s *system) { s.entries[0].resume() })},
+	{"agent paused for 2 s", hold(2*time.Second, func(s *system) { s.agents[0].pause() }, func(s *system) { s.agents[0].resume() })},
+	{"agent paused for 12 s", hold(12*time.Second, func(s *system) { s.agents[0].pause() }, func(s *system) { s.agents[0].resume() })},
+	{"connections reset twice", func(s *system) {
+		for range 2 {
+			withAgents(s, s.net.Cut)
+			heal(s)
+			time.Sleep(messageDelay / 2)
+		}
+	}},
+	{"silent, then replaced", func(s *system) { withAgents(s, s.net.Freeze); time.Sleep(time.Second); s.restartAgent(0) }},
+	{"upstream connection reset", func(s *system) {
+		s.net.Cut(agentHost(0), upstreamHost(0))
+		s.net.Heal(agentHost(0), upstreamHost(0))
+	}},
+}
+
+// Guards against a second start of a task, a partial answer and an untrue "not
+// run" when a process or a connection fails at any step of a task, and against
+// a system that no longer serves jobs afterwards.
+func TestFaultAtEachStep(t *testing.T) {
+	for _, f := range faults {
+		for _, at := range steps {
+			t.Run(fmt.Sprintf("%s at %s", f.name, at), func(t *testing.T) {
+				t.Parallel()
+				run(t, layout{}, func(s *system) {
+					s.delay(messageDelay)
+					for _, template := range []string{"work", "again"} {
+						s.submit(0, job{template: template, tasks: 10, service: serviceTime})
+					}
+					s.submit(1, job{tasks: 4, service: serviceTime})
+					time.Sleep(at)
+					f.inject(s)
+					time.Sleep(10 * time.Second)
+					s.expect(s.submit(1, job{tasks: 8}), "done")
+				})
+			})
+		}
+	}
+}
+
+// delay sets the delay of messages between all processes.
+func (s *system) delay(d time.Duration) {
+	ps := s.processes()
+	for i, p := range ps {
+		for _, q := range ps[i+1:] {
+			s.net.Delay(p.host, q.host, d)
+		}
+	}
+}
+
+// Guards against a start after the entry that asked for it was declared lost:
+// the request is on its way while another session fences it.
+func TestRequestThatArrivesAfterReconciliationDoesNotStart(t *testing.T) {
+	run(t, layout{entries: []string{recife}, agents: []string{recife, fortaleza}, slots: 1}, func(s *system) {
+		s.net.Drop(entryHost(0), agentHost(0)) // requests and new connections wait
+		sub := s.submit(0, job{tasks: 2})
+		time.Sleep(10 * time.Second)
+		s.net.Heal(entryHost(0), agentHost(0))
+		<-sub.done
+		s.Check(sub.err, qt.IsNil)
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// Guards against a replay by net/http: the upstream closes each kept-alive
+// connection when the next request arrives on it, which net/http takes as a
+// reason to send a replayable request again.
+func TestBrokenKeptAliveConnectionIsNotReplayed(t *testing.T) {
+	run(t, layout{entries: []string{recife}, agents: []string{recife}, slots: 1}, func(s *system) {
+		s.expect(s.submit(0, job{}), "done") // leaves a kept-alive connection
+		sub := s.submit(0, job{service: serviceTime})
+		time.Sleep(serviceTime / 2)
+		s.net.Cut(agentHost(0), upstreamHost(0))
+		s.net.Heal(agentHost(0), upstreamHost(0))
+		s.expect(sub, "unknown")
+		s.expect(s.submit(0, job{}), "done")
 	})
 }
