--- a/internal/dev/load/load_test.go
+++ b/internal/dev/load/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"math"
 	"os"
@@ -199,3 +200,27 @@
 		c.Check(slices.Equal(data[:len(magic)], []byte(magic)), qt.IsTrue, qt.Commentf("%s", file))
 	}
 }
+
+// Guards against a load tool that cannot drive the real daemons, or that
+// reports broken guarantees where there are none.
+func TestRunAgainstDaemons(t *testing.T) {
+	c := qt.New(t)
+	l := layout(c)
+	l.Workers = 3
+	d, err := dev.Start(dev.Options{Layout: l})
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(func() { c.Check(d.Close(context.Background()), qt.IsNil) })
+	c.Assert(d.Ready(t.Context()), qt.IsNil)
+	events, err := ParseEvents("out:ne-br-for@300ms,in:ne-br-for@600ms", l)
+	c.Assert(err, qt.IsNil)
+	r, err := Run(t.Context(), d, Options{Layout: l, Load: 0.5, Duration: time.Second, Seed: 3, Burst: 1, Events: events})
+	c.Assert(err, qt.IsNil)
+	c.Check(r.Faulty(), qt.IsFalse, qt.Commentf("%+v", r))
+	c.Check(r.FailedEvents, qt.HasLen, 0)
+	answered := 0
+	for _, o := range r.Outcomes {
+		answered += o.Jobs
+	}
+	c.Check(answered, qt.Equals, r.Jobs)
+	c.Check(r.Starts > 0, qt.IsTrue)
+}
