agent: leave while the upstream is unreachable; fail invalid tasks

An entry puts a task that was not run back into its queue and prefers an idle agent, so an agent whose upstream refused connections got the same tasks again at the rate of round trips, and a request that net/http refuses would have gone round for ever.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -65,6 +65,7 @@
 	leaveStop     leaveReason = "planned_stop"
 	leaveOperator leaveReason = "reported_on_admin_address"
 	leaveHealth   leaveReason = "health_check"
+	leaveGone     leaveReason = "upstream_unreachable"
 )
 
 // New checks the options and prepares an agent. It starts nothing.
--- a/agent/fault_test.go
+++ b/agent/fault_test.go
@@ -291,6 +291,40 @@
 	}
 }
 
+// Guards against tasks that are sent again and again to an agent whose upstream
+// is down, and against an agent that stays away after it came back.
+func TestUnreachableUpstream(t *testing.T) {
+	virtual(t, setup{}, func(r *rig) {
+		e := r.entries[0]
+		e.open()
+		r.net.Cut(agentHost, upstreamHost)
+		r.expect(<-e.run("first", time.Second), wire.OutcomeNotRun, wire.ReasonUpstreamGone)
+		r.expect(<-e.run("second", time.Second), wire.OutcomeNotRun, wire.ReasonLeaving)
+		time.Sleep(5 * time.Second)
+		r.Check(e.lastHeartbeat().Leaving, qt.IsTrue)
+		r.net.Heal(agentHost, upstreamHost)
+		time.Sleep(2 * time.Second)
+		r.expect(<-e.run("third", time.Second), wire.OutcomeDone, "")
+		r.Check(r.stub.Record().Starts(), qt.HasLen, 1)
+	})
+}
+
+// Guards against an agent that serves although it was stopped before it ran.
+func TestStopBeforeRun(t *testing.T) {
+	virtual(t, setup{}, func(r *rig) {
+		conf := r.agent.settings
+		conf.PeerAddress, conf.AdminAddress = agentHost+":7200", agentHost+":9200"
+		peers, _ := r.net.Listen(conf.PeerAddress)
+		admin, _ := r.net.Listen(conf.AdminAddress)
+		a, err := New(Options{Settings: conf, Store: r.store, Dial: r.net.Dialer(agentHost), Peers: peers, Admin: admin})
+		r.Assert(err, qt.IsNil)
+		r.Check(a.Stop(r.ctx), qt.IsNil)
+		r.Check(a.Run(r.ctx), qt.IsNil)
+		_, err = New(Options{})
+		r.Check(err, qt.ErrorIs, ErrOptions)
+	})
+}
+
 // Guards against an agent that cannot work when it starts during a store
 // outage, and against more than one read of the store otherwise.
 func TestEntriesAreFound(t *testing.T) {
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -99,6 +99,11 @@
 func (a *Agent) leave(reason leaveReason, yes bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.setLeaving(reason, yes)
+}
+
+// setLeaving is leave for callers that hold mu.
+func (a *Agent) setLeaving(reason leaveReason, yes bool) {
 	if a.leaving[reason] == yes {
 		return
 	}
--- a/agent/health.go
+++ b/agent/health.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 )
@@ -77,3 +78,26 @@
 	}
 	a.leave(leaveHealth, leaving)
 }
+
+// upstreamGone makes the agent leave until its upstream accepts connections
+// again. Otherwise an entry would send it the tasks that are not run here at
+// the rate of round trips, because an idle agent is its first choice. The
+// caller holds mu.
+func (a *Agent) upstreamGone() {
+	if a.leaving[leaveGone] {
+		return
+	}
+	a.setLeaving(leaveGone, true)
+	go a.awaitUpstream(a.base)
+}
+
+// awaitUpstream dials the upstream about twice per heartbeat.
+func (a *Agent) awaitUpstream(ctx context.Context) {
+	for pause(ctx, rand.N(a.timing.Heartbeat.Of())+1, nil) {
+		if c, err := a.upstream.connect(ctx); err == nil {
+			_ = c.Close()
+			a.leave(leaveGone, false)
+			return
+		}
+	}
+}
--- a/agent/receive.go
+++ b/agent/receive.go
@@ -47,7 +47,7 @@
 func (a *Agent) rpcRun(ctx context.Context, in *wire.RunRequest, out *wire.RunReply) error {
 	now := time.Now()
 	if err := invalid(in); err != nil {
-		a.reply(out, notRun(wire.ReasonInvalid, err.Error()))
+		a.reply(out, invalidTask(err))
 		return nil
 	}
 	a.mu.Lock()
@@ -179,17 +179,22 @@
 	return nil
 }
 
-// token reports whether s is a token of HTTP made of letters and hyphens, as
-// all registered methods are.
+// token reports whether s is a token (RFC 9110, section 5.6.2), as methods are.
 func token(s string) bool {
 	for _, c := range []byte(s) {
-		if (c < 'A' || c > 'Z') && (c < 'a' || c > 'z') && c != '-' {
+		if (c < 'A' || c > 'Z') && (c < 'a' || c > 'z') && (c < '0' || c > '9') && !strings.ContainsRune("!#$%&'*+-.^_`|~", rune(c)) {
 			return false
 		}
 	}
 	return s != ""
 }
 
+// invalidTask fails a task that no agent can run. It is not reported as not
+// run, which would send it to the next agent.
+func invalidTask(err error) wire.Result {
+	return wire.Result{Outcome: wire.OutcomeFailed, Reason: wire.ReasonInvalid, Detail: err.Error()}
+}
+
 func notRun(r wire.Reason, detail string) wire.Result {
 	return wire.Result{Outcome: wire.OutcomeNotRun, Reason: r, Detail: detail}
 }
--- a/agent/report.go
+++ b/agent/report.go
@@ -29,6 +29,9 @@
 	a.busy--
 	a.free = a.free.Plus(t.task.Needs)
 	a.settle(t, r)
+	if r.Outcome == wire.OutcomeNotRun && r.Reason == wire.ReasonUpstreamGone {
+		a.upstreamGone()
+	}
 	a.dispatch(now)
 	a.offer(t.owner)
 	a.log.Debug().Str("job", t.task.Job).Int("task", t.task.Index).Int("outcome", int(r.Outcome)).
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -12,6 +12,8 @@
 func (a *Agent) Stop(ctx context.Context) error {
 	a.leave(leaveStop, true)
 	if !a.running.Load() {
+		// Run ends at once if it is called later.
+		a.stopOnce.Do(func() { close(a.drained) })
 		return nil
 	}
 	if err := a.drain(ctx); err != nil {
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -42,6 +42,7 @@
 type upstream struct {
 	address string
 	maxBody int64
+	dial    func(ctx context.Context, address string) (net.Conn, error)
 	client  *http.Client
 	// health makes the health checks, on a connection of its own so that they
 	// do not wait for tasks.
@@ -51,27 +52,30 @@
 func newUpstream(s settings.Agent, dial func(context.Context, string) (net.Conn, error)) *upstream {
 	if dial == nil {
 		dial = func(ctx context.Context, address string) (net.Conn, error) {
-			d := net.Dialer{Timeout: upstreamDialTimeout}
+			var d net.Dialer
 			return d.DialContext(ctx, "tcp", address)
 		}
 	}
-	sealed := func(ctx context.Context, _, address string) (net.Conn, error) {
-		c, err := dial(ctx, address)
-		if err != nil {
-			return nil, err
-		}
-		return &sealedConn{Conn: c}, nil
-	}
-	return &upstream{
-		address: s.Upstream, maxBody: s.MaxMessageBytes - messageOverhead,
-		client: newHTTPClient(sealed, s.Connections), health: newHTTPClient(sealed, 1),
+	u := &upstream{address: s.Upstream, maxBody: s.MaxMessageBytes - messageOverhead, dial: dial}
+	u.client, u.health = newHTTPClient(u, s.Connections), newHTTPClient(u, 1)
+	return u
+}
+
+// connect opens a connection to the upstream.
+func (u *upstream) connect(ctx context.Context) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, upstreamDialTimeout)
+	defer cancel()
+	c, err := u.dial(ctx, u.address)
+	if err != nil {
+		return nil, err
 	}
+	return &sealedConn{Conn: c}, nil
 }
 
-func newHTTPClient(dial func(ctx context.Context, network, address string) (net.Conn, error), connections int) *http.Client {
+func newHTTPClient(u *upstream, connections int) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:     dial,
+			DialContext:     func(ctx context.Context, _, _ string) (net.Conn, error) { return u.connect(ctx) },
 			MaxConnsPerHost: connections, MaxIdleConns: connections, MaxIdleConnsPerHost: connections,
 			IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxResponseHeader,
 			DisableCompression: true, // the caller gets the upstream's bytes
@@ -88,17 +92,21 @@
 }
 
 // do runs one task and returns its result. Took is left to the caller. The
-// outcome is wire.OutcomeNotRun only if nothing was written to the upstream.
+// outcome is wire.OutcomeNotRun only if nothing was written to the upstream;
+// the reason is then wire.ReasonUpstreamGone if no connection was opened.
 func (u *upstream) do(ctx context.Context, t wire.Task) wire.Result {
 	sent := &evidence{}
-	req, err := u.request(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: sent.gotConn}), t)
+	req, err := u.request(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GetConn: sent.getConn, GotConn: sent.gotConn}), t)
 	if err != nil {
-		return notRun(wire.ReasonInvalid, err.Error())
+		return invalidTask(err)
 	}
 	resp, err := u.client.Do(req)
 	if err != nil {
+		if !sent.asked() {
+			return invalidTask(err) // net/http refused the request itself
+		}
 		if sent.none() {
-			return notRun(reasonOf(ctx, wire.ReasonUpstreamGone), err.Error())
+			return notRun(reasonOf(ctx, sent.reason()), err.Error())
 		}
 		return unknown(reasonOf(ctx, wire.ReasonUpstreamError), err)
 	}
@@ -260,11 +268,25 @@
 // evidence shows whether a request was written.
 type evidence struct {
 	mu     sync.Mutex
+	asks   int // for a connection
 	conns  []*sealedConn
 	before []uint64
 	other  bool // a connection of another type, of which nothing is known
 }
 
+func (e *evidence) getConn(string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.asks++
+}
+
+// asked reports whether the request got as far as needing a connection.
+func (e *evidence) asked() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.asks > 0
+}
+
 func (e *evidence) gotConn(info httptrace.GotConnInfo) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -277,6 +299,16 @@
 	e.before = append(e.before, c.count())
 }
 
+// reason tells an upstream that was not reached from a connection that broke.
+func (e *evidence) reason() wire.Reason {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.conns) == 0 {
+		return wire.ReasonUpstreamGone
+	}
+	return wire.ReasonUpstreamError
+}
+
 // none reports, after the request failed, whether no write was attempted. The
 // connections that the request had are used up: a failed HTTP/1 request closes
 // its connection.
