--- a/entry/api_test.go
+++ b/entry/api_test.go
@@ -141,7 +141,7 @@
 		h.Assert(err, qt.IsNil)
 		var got map[string]any
 		h.Assert(json.Unmarshal(raw, &got), qt.IsNil)
-		h.Check(keysOf(got), qt.Equals, "accounts agents configuration entry jobs peers queue")
+		h.Check(keysOf(got), qt.Equals, "accounts agents configuration entry jobs messages peers queue")
 		h.Check(got["configuration"].(map[string]any)["basis"], qt.Equals, "own")
 		j := got["jobs"].([]any)[0].(map[string]any)
 		h.Check(j["sent"], qt.Equals, 10.0-2) // the scripted agent refused two for lack of slots
