retry: draw long histories in the budget property

rapid draws short lists by default, about six events, which rarely use up a burst of up to 20 retries. The histories now have 100 to 200 events.

--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -28,7 +28,7 @@
 			requests, retries int // up to and including this event
 		}
 		events := []event{{}}
-		for _, ms := range rapid.SliceOfN(rapid.IntRange(0, 2000), 1, 200).Draw(t, "steps") {
+		for _, ms := range rapid.SliceOfN(rapid.IntRange(0, 2000), 100, 200).Draw(t, "steps") {
 			e := events[len(events)-1]
 			e.at += time.Duration(ms%500) * time.Millisecond
 			if ms%3 == 0 {
