Check the command line of chicorytray-dev; make an end-to-end test time-free

An unknown policy was reported after the start as a failed run and not as a wrong command line. TestEntryKilled required that not all of 60 tasks had started when it looked, which a slow machine could break; it now submits 1,000 tasks, more than 10 s of work.

--- a/cmd/chicorytray-dev/load.go
+++ b/cmd/chicorytray-dev/load.go
@@ -7,6 +7,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/google/subcommands"
@@ -48,7 +50,7 @@
 	f.Float64Var(&c.burst, "burst", 3, "rate of one second in ten over the mean rate, 1 to 9; 1 means no bursts")
 	f.DurationVar(&c.duration, "duration", 20*time.Second, "time during which jobs arrive")
 	f.Uint64Var(&c.seed, "seed", 1, "seed of the plan")
-	f.StringVar(&c.policy, "policy", settings.PlacementIdleFirst, "placement policy of the entries")
+	f.StringVar(&c.policy, "policy", settings.PlacementIdleFirst, "placement policy of the entries: "+strings.Join(settings.Placements(), ", "))
 	f.StringVar(&c.events, "events", "", "events, for example out:ne-br-for@5s,in:ne-br-for@12s")
 	f.StringVar(&c.level, "log", "error", "level of the daemons' logs: debug, info, warn or error")
 	f.StringVar(&c.plot, "plot", "", "write a plot of the work done to this .svg or .png file")
@@ -79,6 +81,8 @@
 		return load.Options{}, fmt.Errorf("load %g; accepted: more than 0, at most 10", c.load)
 	case !(c.burst >= 1 && c.burst <= 9):
 		return load.Options{}, fmt.Errorf("burst %g; accepted: 1 to 9", c.burst)
+	case !slices.Contains(settings.Placements(), c.policy):
+		return load.Options{}, fmt.Errorf("policy %q; accepted: %s", c.policy, strings.Join(settings.Placements(), ", "))
 	case c.duration < time.Second || c.duration > time.Hour:
 		return load.Options{}, fmt.Errorf("duration %s; accepted: 1s to 1h", c.duration)
 	}
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -15,6 +15,9 @@
 const (
 	manyTasks = 60
 	taskMS    = 150
+	// backlogTasks would take all slots more than 10 s, so that they cannot
+	// all have started when the test looks.
+	backlogTasks = 1000
 )
 
 // Guards against programs that work in one process only: flags, settings
@@ -86,11 +89,11 @@
 // against the other entry being disturbed.
 func TestEntryKilled(t *testing.T) {
 	s := start(t)
-	running := s.background(0, "a", manyTasks, taskMS, slots)
+	running := s.background(0, "a", backlogTasks, taskMS, slots)
 	s.entries[0].kill(s.c)
 	s.c.Check((<-running).err, qt.Not(qt.IsNil))
 	s.checkDone(s.submit(1, "b", manyTasks, 20), "b", manyTasks)
-	s.c.Check(s.starts("a", manyTasks) < manyTasks, qt.IsTrue)
+	s.c.Check(s.starts("a", backlogTasks) < backlogTasks, qt.IsTrue)
 	s.checkSingleStarts()
 }
 
--- a/internal/e2e/system_test.go
+++ b/internal/e2e/system_test.go
@@ -36,24 +36,26 @@
 	slots = 4
 )
 
-// binaries builds the programs once for all tests of the package.
-var binaries = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "chicorytray-e2e-")
-	if err != nil {
-		return "", err
-	}
-	out, err := exec.Command("go", "build", "-o", dir, "chicorytray.example/chicorytray/cmd/...").CombinedOutput()
+// programs is the directory of the built programs.
+var programs string
+
+// build builds the programs once for all tests of the package.
+var build = sync.OnceValue(func() error {
+	out, err := exec.Command("go", "build", "-o", programs, "chicorytray.example/chicorytray/cmd/...").CombinedOutput()
 	if err != nil {
-		return "", fmt.Errorf("go build: %w\n%s", err, out)
+		return fmt.Errorf("go build: %w\n%s", err, out)
 	}
-	return dir, nil
+	return nil
 })
 
 func TestMain(m *testing.M) {
-	code := m.Run()
-	if dir, err := binaries(); err == nil {
-		_ = os.RemoveAll(dir)
+	var err error
+	if programs, err = os.MkdirTemp("", "chicorytray-e2e-"); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
 	}
+	code := m.Run()
+	_ = os.RemoveAll(programs)
 	os.Exit(code)
 }
 
@@ -224,10 +226,9 @@
 
 // run starts a program and makes sure that it ends with the test.
 func (s *system) run(name, admin, program string, args ...string) *process {
-	dir, err := binaries()
-	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(build(), qt.IsNil)
 	p := &process{name: name, admin: admin, log: &lockedBuffer{}, exited: make(chan struct{})}
-	p.cmd = exec.Command(filepath.Join(dir, program), args...)
+	p.cmd = exec.Command(filepath.Join(programs, program), args...)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	s.c.Assert(p.cmd.Start(), qt.IsNil)
 	go func() {
