--- a/internal/faultnet/conn.go
+++ b/internal/faultnet/conn.go
@@ -204,7 +204,7 @@
 		*timer = nil
 	}
 	*field = t
-	if !t.IsZero() {
+	if !t.IsZero() && !passed(t, time.Now()) {
 		*timer = time.AfterFunc(time.Until(t), s.broadcast)
 	}
 	s.changed.Broadcast()
--- /dev/null
+++ b/internal/systemtest/guarantee3_test.go
@@ -0,0 +1,181 @@
+package systemtest
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// isolate cuts the processes of a data centre off from all others, from the
+// operators and from the store.
+func isolate(s *system, dataCentre string) {
+	inside, outside := s.hostsOf(dataCentre)
+	between(inside, append(outside, operatorHost), s.net.Partition)
+	for _, p := range s.processes() {
+		if p.dataCentre == dataCentre {
+			p.store.set(silent)
+		}
+	}
+}
+
+// reconnect ends isolate.
+func reconnect(s *system, dataCentre string) {
+	inside, outside := s.hostsOf(dataCentre)
+	between(inside, append(outside, operatorHost), s.net.Heal)
+	for _, p := range s.processes() {
+		p.store.set(reachable)
+	}
+}
+
+// Guards against a start in a data centre more than 3 s after the store
+// accepted its taking out of service, and against a system that does not use
+// it again after its return. Jobs are queued at entries and agents throughout.
+func TestDataCentreOutOfService(t *testing.T) {
+	pause := func(d time.Duration) { time.Sleep(d) }
+	for _, tc := range []struct {
+		name string
+		out  func(s *system) // takes Recife out of service among faults
+		heal func(s *system)
+	}{
+		{"no fault", func(s *system) { s.service(recife, false) }, nil},
+		{"silent watches", func(s *system) { s.store.SetSilentWatch(true); s.service(recife, false) }, nil},
+		{"entry cut from the store", func(s *system) {
+			s.entries[0].store.set(refused)
+			pause(2 * time.Second)
+			s.service(recife, false)
+		}, nil},
+		{"entry's calls of the store hang", func(s *system) {
+			s.entries[0].store.set(silent)
+			s.service(recife, false)
+		}, nil},
+		{"agents cut from the store", func(s *system) {
+			for _, a := range s.agents {
+				a.store.set(refused)
+			}
+			s.service(recife, false)
+		}, nil},
+		{"store slow", func(s *system) { s.store.SetLatency(500 * time.Millisecond); s.service(recife, false) }, nil},
+		{"store out before the change", func(s *system) {
+			s.setStoreDown(true)
+			pause(6 * time.Second)
+			s.setStoreDown(false)
+			s.service(recife, false)
+		}, nil},
+		{"store out after the change", func(s *system) {
+			s.service(recife, false)
+			pause(1100 * time.Millisecond)
+			s.setStoreDown(true)
+		}, func(s *system) { s.setStoreDown(false) }},
+		{"store out around the change by the tool", func(s *system) {
+			s.setStoreDown(true)
+			pause(4 * time.Second)
+			s.setStoreDown(false)
+			s.operate(recife)
+			s.setStoreDown(true)
+		}, func(s *system) { s.setStoreDown(false) }},
+		{"store out at once after a change by the tool", func(s *system) {
+			s.store.SetSilentWatch(true)
+			s.operate(recife)
+			s.setStoreDown(true)
+		}, func(s *system) { s.setStoreDown(false) }},
+		{"processes started during an outage", func(s *system) {
+			s.setStoreDown(true)
+			pause(3 * time.Second)
+			s.restartAgent(0)
+			s.restartEntry(1)
+			pause(2 * time.Second)
+			s.setStoreDown(false)
+			s.service(recife, false)
+		}, nil},
+		{"data centre cut off", func(s *system) { isolate(s, recife); s.service(recife, false) },
+			func(s *system) { reconnect(s, recife) }},
+		{"data centre cut off earlier", func(s *system) { isolate(s, recife); pause(5 * time.Second); s.service(recife, false) },
+			func(s *system) { reconnect(s, recife) }},
+		{"data centre cut off from processes but not from the store", func(s *system) {
+			isolate(s, recife)
+			s.entries[0].store.set(reachable)
+			s.service(recife, false)
+		}, func(s *system) { reconnect(s, recife) }},
+		{"agents paused over the change", func(s *system) {
+			for _, a := range s.agents[:2] {
+				a.pause()
+			}
+			s.service(recife, false)
+			pause(5 * time.Second)
+			for _, a := range s.agents[:2] {
+				a.resume()
+			}
+		}, nil},
+		{"entry paused over the change", func(s *system) {
+			s.entries[0].pause()
+			s.service(recife, false)
+			pause(5 * time.Second)
+			s.entries[0].resume()
+		}, nil},
+		{"connections to entries silent", func(s *system) {
+			s.service(recife, false)
+			for i := range s.entries {
+				for k := range s.agents {
+					s.net.Freeze(entryHost(i), agentHost(k))
+				}
+			}
+		}, nil},
+		{"agents replaced after the change", func(s *system) {
+			s.service(recife, false)
+			pause(500 * time.Millisecond)
+			s.restartAgent(0)
+			s.restartAgent(1)
+		}, nil},
+		{"taken out twice", func(s *system) {
+			s.service(recife, false)
+			pause(4 * time.Second)
+			s.service(recife, true)
+			pause(2 * time.Second)
+			s.service(recife, false)
+		}, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			run(t, layout{}, func(s *system) {
+				s.delay(messageDelay)
+				s.load(20*time.Second, job{tasks: 6, service: serviceTime, deadline: 8 * time.Second})
+				pause(2 * time.Second)
+				tc.out(s)
+				pause(6 * time.Second)
+				if tc.heal != nil {
+					tc.heal(s)
+				}
+				pause(6 * time.Second)
+				s.work.Wait()
+				back := time.Now()
+				s.service(recife, true)
+				pause(2 * time.Second)
+				for range 4 { // more than the other data centres can hold
+					s.submit(0, job{tasks: 8})
+				}
+				pause(4 * time.Second)
+				used := 0
+				for _, st := range s.record.Starts() {
+					if st.DataCentre == recife && st.At.After(back) {
+						used++
+					}
+				}
+				s.Check(used > 0, qt.IsTrue, qt.Commentf("Recife is not used again"))
+				s.expect(s.submit(1, job{tasks: 4}), "done")
+			})
+		})
+	}
+}
+
+// Guards against work that stops during an outage of the store although no
+// configuration can change meanwhile.
+func TestUnkeyedWorkContinuesDuringStoreOutage(t *testing.T) {
+	run(t, layout{}, func(s *system) {
+		s.setStoreDown(true)
+		for range 30 {
+			time.Sleep(2 * time.Second)
+			s.expect(s.submit(0, job{tasks: 4}), "done")
+		}
+	})
+}
--- /dev/null
+++ b/internal/systemtest/random_test.go
@@ -0,0 +1,226 @@
+package systemtest
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/internal/upstreamstub"
+)
+
+// Flags of rapid that fix the schedules of CI. One schedule takes about half a
+// second of processor time with the race detector.
+const (
+	randomSeed   = "20261204"
+	randomChecks = "40"
+)
+
+// event of a schedule.
+type event struct {
+	after    time.Duration // since the previous event
+	kind     string
+	entry    int
+	agent    int
+	lasts    time.Duration
+	centre   string
+	template string
+	tasks    int
+	service  time.Duration
+	key      string
+}
+
+// String is what rapid prints of a failing schedule.
+func (e event) String() string {
+	return fmt.Sprintf("+%s %s entry %d agent %d %s for %s; %d x %s of %s key %q",
+		e.after, e.kind, e.entry, e.agent, e.centre, e.lasts, e.tasks, e.service, e.template, e.key)
+}
+
+var kinds = []string{
+	"submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit",
+	"kill entry", "kill agent", "pause entry", "pause agent", "cut", "freeze", "freeze requests", "freeze answers",
+	"late requests", "late answers", "cut peers", "isolate", "out of service", "out of service", "in service",
+	"store down", "store slow", "store lost answers", "store silent watch", "store stale", "store restored",
+	"entry without store", "leases expire", "disconnect", "upstream fails", "upstream hangs", "upstream half", "upstream reset", "upstream leaves",
+}
+
+func drawEvent(t *rapid.T) event {
+	ms := func(name string, max int) time.Duration {
+		return time.Duration(rapid.IntRange(0, max).Draw(t, name)) * time.Millisecond
+	}
+	return event{
+		after: ms("after", 700), kind: rapid.SampledFrom(kinds).Draw(t, "kind"),
+		entry: rapid.IntRange(0, 1).Draw(t, "entry"), agent: rapid.IntRange(0, 3).Draw(t, "agent"),
+		lasts: ms("lasts", 9000), centre: rapid.SampledFrom([]string{recife, fortaleza, salvador}).Draw(t, "centre"),
+		template: rapid.SampledFrom([]string{"work", "work", "again"}).Draw(t, "template"),
+		tasks:    rapid.IntRange(1, 20).Draw(t, "tasks"), service: ms("service", 900) + time.Millisecond,
+		key: rapid.SampledFrom([]string{"", "", "k1", "k2"}).Draw(t, "key"),
+	}
+}
+
+// apply makes one event happen. Faults that last end by themselves.
+func (s *system) apply(e event, during func(begin, end func())) {
+	entry, agent := s.entries[e.entry], s.agents[e.agent]
+	link := func(rule func(a, b string)) func() { return func() { rule(entry.host, agent.host) } }
+	back := func(rule func(a, b string)) func() { return func() { rule(agent.host, entry.host) } }
+	faulty := func(f upstreamstub.Faults) {
+		during(func() { agent.upstream.SetFaults(f) }, func() { agent.upstream.SetFaults(upstreamstub.Faults{}) })
+	}
+	switch e.kind {
+	case "submit":
+		j := job{template: e.template, tasks: e.tasks, service: e.service, deadline: 12 * time.Second}
+		if e.key != "" { // one body for each key
+			j = job{key: e.key, name: e.key, tasks: 5, service: serviceTime, deadline: 12 * time.Second}
+		}
+		s.submit(e.entry, j)
+	case "kill entry":
+		s.restartEntry(e.entry)
+	case "kill agent":
+		s.restartAgent(e.agent)
+	case "pause entry":
+		during(entry.pause, entry.resume)
+	case "pause agent":
+		during(agent.pause, agent.resume)
+	case "cut":
+		during(link(s.net.Cut), link(s.net.Heal))
+	case "freeze":
+		link(s.net.Freeze)()
+	case "freeze requests":
+		link(s.net.FreezeDirection)()
+	case "freeze answers":
+		back(s.net.FreezeDirection)()
+	case "late requests":
+		during(link(s.net.Drop), link(s.net.Heal))
+	case "late answers":
+		during(back(s.net.Drop), back(s.net.Heal))
+	case "cut peers":
+		during(func() { s.net.Partition(entryHost(0), entryHost(1)) }, func() { s.net.Heal(entryHost(0), entryHost(1)) })
+	case "isolate":
+		during(func() { isolate(s, e.centre) }, func() { reconnect(s, e.centre) })
+	case "out of service":
+		s.service(e.centre, false)
+	case "in service":
+		s.service(e.centre, true)
+	case "entry without store":
+		during(func() { entry.store.set(silent) }, func() { entry.store.set(reachable) })
+	case "disconnect":
+		if n := len(s.submissions); n > 0 {
+			s.submissions[n-1].cancel()
+		}
+	case "upstream fails":
+		faulty(upstreamstub.Faults{Fail: true})
+	case "upstream hangs":
+		faulty(upstreamstub.Faults{Hang: true})
+	case "upstream half":
+		faulty(upstreamstub.Faults{Half: true})
+	case "upstream leaves":
+		faulty(upstreamstub.Faults{Leave: true})
+	case "upstream reset":
+		s.net.Cut(agent.host, upstreamHost(e.agent))
+		s.net.Heal(agent.host, upstreamHost(e.agent))
+	default:
+		s.applyToStore(e, during)
+	}
+}
+
+func (s *system) applyToStore(e event, during func(begin, end func())) {
+	switch e.kind {
+	case "store down":
+		during(func() { s.setStoreDown(true) }, func() { s.setStoreDown(false) })
+	case "store slow":
+		during(func() { s.store.SetLatency(300 * time.Millisecond) }, func() { s.store.SetLatency(0) })
+	case "store lost answers":
+		s.store.LoseAnswers(3)
+	case "store silent watch":
+		during(func() { s.store.SetSilentWatch(true) }, func() { s.store.SetSilentWatch(false) })
+	case "store stale":
+		during(func() { s.store.SetStale(true) }, func() { s.store.SetStale(false) })
+	case "store restored":
+		s.store.Put(config.Key, s.original) // claims and registrations stay
+	case "leases expire":
+		s.store.ExpireLeases()
+	default:
+		panic("unknown event " + e.kind)
+	}
+}
+
+// scheduled is the end of a fault that lasts.
+type scheduled struct {
+	at time.Time
+	do func()
+}
+
+// sleep passes the time and ends the faults that are over meanwhile.
+func sleep(d time.Duration, ends []scheduled) []scheduled {
+	until := time.Now().Add(d)
+	for len(ends) > 0 && !ends[0].at.After(until) {
+		time.Sleep(time.Until(ends[0].at))
+		ends[0].do()
+		ends = ends[1:]
+	}
+	time.Sleep(time.Until(until))
+	return ends
+}
+
+// play runs one schedule and checks the guarantees.
+func play(c *qt.C, events []event) {
+	s := start(c, layout{})
+	s.delay(messageDelay)
+	var ends []scheduled
+	for _, e := range events {
+		ends = sleep(e.after, ends)
+		s.apply(e, func(begin, end func()) {
+			begin()
+			ends = append(ends, scheduled{time.Now().Add(e.lasts), end})
+			slices.SortStableFunc(ends, func(a, b scheduled) int { return a.at.Compare(b.at) })
+		})
+	}
+	sleep(10*time.Second, ends) // all faults end
+	s.finish()
+}
+
+// Guards against combinations of faults that no table lists: several at once,
+// and the same one twice.
+func TestRandomSchedules(t *testing.T) {
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		qt.Assert(t, flag.Set("rapid.seed", randomSeed), qt.IsNil)
+		qt.Assert(t, flag.Set("rapid.checks", randomChecks), qt.IsNil)
+		qt.Assert(t, flag.Set("rapid.nofailfile", "true"), qt.IsNil)
+	}
+	rapid.Check(t, func(r *rapid.T) {
+		events := rapid.SliceOfN(rapid.Custom(drawEvent), 5, 40).Draw(r, "events")
+		f := &failures{}
+		synctest.Test(t, func(*testing.T) { play(qt.New(f), events) })
+		if f.text != "" {
+			r.Fatalf("%s", f.text)
+		}
+	})
+}
+
+// failures collects what a schedule's checks report, because rapid repeats a
+// schedule that failed and testing.T cannot forget a failure.
+type failures struct {
+	testing.TB // nil: quicktest needs only the methods below
+	mu         sync.Mutex
+	text       string
+}
+
+func (f *failures) Helper() {}
+
+func (f *failures) Error(args ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.text += fmt.Sprintln(args...)
+}
+
+func (f *failures) Fatal(args ...any) {
+	f.Error(args...)
+	panic("the fixture failed: " + f.text)
+}
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -15,6 +16,7 @@
 
 	"chicorytray.example/chicorytray/agent"
 	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/ctl"
 	"chicorytray.example/chicorytray/entry"
 	"chicorytray.example/chicorytray/internal/faultnet"
 	"chicorytray.example/chicorytray/internal/storestub"
@@ -23,12 +25,15 @@
 )
 
 const (
-	callerHost = "10.0.9.1"
-	token      = "secret"
+	callerHost   = "10.0.9.1"
+	operatorHost = "10.0.9.2"
+	token        = "secret"
 	// lateAfter is the bound of guarantees 3 and 9.
 	lateAfter = 3 * time.Second
 	// startup is the time in which a new system becomes ready.
 	startup = 2 * time.Second
+	// loadInterval between submissions of a load.
+	loadInterval = 100 * time.Millisecond
 )
 
 // Data centres of the fixture.
@@ -70,12 +75,14 @@
 	entries []*entryProcess
 	agents  []*agentProcess
 	wg      sync.WaitGroup // everything that ends with the system
+	work    sync.WaitGroup // loads and operators, which end before the check
 	web     []*http.Server
 
 	mu          sync.Mutex
 	submissions []*submission
 	document    *config.Document
 	changes     []change
+	original    []byte // the document at the start
 	storeDown   bool
 }
 
@@ -110,6 +117,8 @@
 	}
 	s := &system{C: c, layout: l, net: faultnet.New(), store: storestub.New(), record: upstreamstub.NewRecord(), document: document()}
 	s.put()
+	kv, _ := s.store.Peek(config.Key)
+	s.original = kv.Value
 	for i := range l.entries {
 		s.entries = append(s.entries, s.startEntry(i))
 	}
@@ -123,6 +132,7 @@
 // finish heals everything, waits until all jobs and their late messages are
 // over, checks the guarantees and ends the system.
 func (s *system) finish() {
+	s.work.Wait()
 	for _, sub := range s.submissions {
 		<-sub.done
 	}
@@ -210,6 +220,41 @@
 	}
 }
 
+// operate takes a data centre out of service with the operators' tool, which
+// also pushes the accepted document to the entries that it reaches.
+func (s *system) operate(dataCentre string) {
+	o := ctl.New(ctl.Options{Store: s.store, Entries: s.admins(), Transport: s.client(operatorHost).Transport})
+	s.changes = append(s.changes, change{dataCentre, false, time.Now()})
+	s.work.Go(func() {
+		_, err := o.SetInService(context.Background(), dataCentre, false)
+		var unconfirmed *ctl.UnconfirmedError
+		s.Check(err == nil || errors.As(err, &unconfirmed), qt.IsTrue, qt.Commentf("%v", err))
+	})
+	synctest.Wait()
+	kv, _ := s.store.Peek(config.Key)
+	d, err := config.Parse(kv.Value)
+	s.Assert(err, qt.IsNil)
+	s.document = d
+}
+
+func (s *system) admins() []string {
+	var out []string
+	for i := range s.layout.entries {
+		out = append(out, entryHost(i)+":9000")
+	}
+	return out
+}
+
+// load submits jobs to the entries in turn, every 100 ms.
+func (s *system) load(d time.Duration, j job) {
+	s.work.Go(func() {
+		for i := 0; i < int(d/loadInterval); i++ {
+			s.submit(i%len(s.layout.entries), j)
+			time.Sleep(loadInterval)
+		}
+	})
+}
+
 // setStoreDown starts or ends an outage of the store.
 func (s *system) setStoreDown(down bool) {
 	s.storeDown = down
