entry: take an unknown outcome in the start list as unknown

Cause: reconciliation took every finished record for a result. A record of an unknown outcome (the upstream cut its answer off, and the agent's reply was lost) became success: the caller got status 200 with an empty result. Change: replies and records are judged by one function.

--- a/entry/session.go
+++ b/entry/session.go
@@ -110,7 +110,7 @@
 				s.acked = append(s.acked, r.Key)
 			}
 		case r.Finished:
-			out = append(out, s.resolve(t, verdictResult, r.Result))
+			out = append(out, s.judge(t, r.Result))
 		default:
 			out = append(out, verdict{kind: verdictAwait, task: t})
 		}
@@ -145,13 +145,19 @@
 		}
 		return verdict{}, false
 	}
+	return s.judge(t, r), true
+}
+
+// judge resolves a task by the result that the agent gave in a reply or in its
+// list of started tasks. Either may be an unknown outcome.
+func (s *session) judge(t *sent, r wire.Result) verdict {
 	switch r.Outcome {
 	case wire.OutcomeNotRun:
-		return s.resolve(t, verdictNotRun, r), true
+		return s.resolve(t, verdictNotRun, r)
 	case wire.OutcomeDone, wire.OutcomeFailed:
-		return s.resolve(t, verdictResult, r), true
+		return s.resolve(t, verdictResult, r)
 	default:
-		return s.resolve(t, verdictUnknown, r), true
+		return s.resolve(t, verdictUnknown, r)
 	}
 }
 
--- a/internal/systemtest/caller_test.go
+++ b/internal/systemtest/caller_test.go
@@ -26,8 +26,8 @@
 	key      string // Idempotency-Key
 	name     string // prefix of the tasks' keys; a new one when empty
 	bytes    int    // of each result
-	failing  int    // number of the task that fails, from 1
-	slowRead bool   // the caller reads 16 KiB every 10 ms
+	change   func(i int, r *upstreamstub.Request)
+	slowRead bool // the caller reads 16 KiB every 10 ms
 }
 
 // submission is a job at the caller.
@@ -86,13 +86,6 @@
 	return sub
 }
 
-// submitted submits a job and waits for its answer.
-func (s *system) submitted(entry int, j job) *submission {
-	sub := s.submit(entry, j)
-	<-sub.done
-	return sub
-}
-
 func (sub *submission) body() []byte {
 	type task struct {
 		Name string `json:"name"`
@@ -106,9 +99,11 @@
 	for i := range sub.tasks {
 		key := fmt.Sprintf("%s-%d", sub.name, i)
 		sub.keys = append(sub.keys, key)
-		req.Tasks = append(req.Tasks, task{"run", upstreamstub.Request{
-			Key: key, ServiceMS: float64(sub.service) / float64(time.Millisecond), AnswerBytes: sub.bytes, Fail: sub.failing == i+1,
-		}.Encode()})
+		r := upstreamstub.Request{Key: key, ServiceMS: float64(sub.service) / float64(time.Millisecond), AnswerBytes: sub.bytes}
+		if sub.change != nil {
+			sub.change(i, &r)
+		}
+		req.Tasks = append(req.Tasks, task{"run", r.Encode()})
 	}
 	data, err := json.Marshal(req)
 	if err != nil {
--- /dev/null
+++ b/internal/systemtest/guarantee5_test.go
@@ -0,0 +1,77 @@
+package systemtest
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"chicorytray.example/chicorytray/settings"
+)
+
+// Guards against a refusal as "not run" of a job of which a task started, also
+// when its message arrives after the refusal. The check after each case counts
+// the starts.
+func TestRefusalIsTrue(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		layout  layout
+		outcome string
+		test    func(s *system) *submission
+	}{
+		{"no agent", layout{agents: []string{}}, "not_run", func(s *system) *submission {
+			return s.submit(0, job{deadline: time.Second})
+		}},
+		{"all data centres out of service", layout{}, "not_run", func(s *system) *submission {
+			for _, dc := range []string{recife, fortaleza, salvador} {
+				s.service(dc, false)
+			}
+			time.Sleep(2 * time.Second)
+			return s.submit(0, job{deadline: time.Second})
+		}},
+		{"deadline passes in the queue", layout{entries: []string{recife}, agents: []string{recife}, slots: 1}, "not_run",
+			func(s *system) *submission {
+				s.submit(0, job{service: 5 * time.Second})
+				return s.submit(0, job{tasks: 3, deadline: 2 * time.Second})
+			}},
+		{"entry stopping", layout{entry: func(e *settings.Entry) { e.Timing.StopNotice = 0 }}, "not_run",
+			func(s *system) *submission {
+				s.submit(0, job{service: 3 * time.Second})
+				s.work.Go(func() { _ = s.entries[0].Stop(context.Background()) })
+				time.Sleep(time.Second)
+				return s.submit(0, job{})
+			}},
+		{"requests held up past the deadline", layout{entries: []string{recife}, agents: []string{recife}}, "unknown",
+			func(s *system) *submission {
+				s.net.Drop(entryHost(0), agentHost(0))
+				sub := s.submit(0, job{tasks: 2, deadline: time.Second})
+				<-sub.done
+				s.net.Heal(entryHost(0), agentHost(0))
+				return sub
+			}},
+		{"agent lost with tasks", layout{entries: []string{recife}, agents: []string{recife}}, "unknown",
+			func(s *system) *submission {
+				sub := s.submit(0, job{tasks: 3, service: time.Second})
+				time.Sleep(serviceTime)
+				s.agents[0].kill()
+				return sub
+			}},
+		{"store out, keyed", layout{}, "not_run", func(s *system) *submission {
+			s.setStoreDown(true)
+			return s.submit(0, job{key: "k", tasks: 2})
+		}},
+		{"answer to the claim late", layout{}, "not_run", func(s *system) *submission {
+			s.store.SetLatency(5 * time.Second)
+			return s.submit(0, job{key: "k", tasks: 2})
+		}},
+		{"cut off with all agents", layout{entries: []string{recife}}, "not_run", func(s *system) *submission {
+			withAgents(s, s.net.Cut)
+			time.Sleep(3 * time.Second)
+			return s.submit(0, job{tasks: 4, deadline: 3 * time.Second})
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			run(t, tc.layout, func(s *system) { s.expect(tc.test(s), tc.outcome) })
+		})
+	}
+}
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -149,6 +149,7 @@
 	for _, w := range s.web {
 		_ = w.Close()
 	}
+	time.Sleep(10 * time.Second) // the store carries out writes whose caller has gone
 	s.wg.Wait()
 }
 
--- a/internal/upstreamstub/stub.go
+++ b/internal/upstreamstub/stub.go
@@ -53,6 +53,7 @@
 	ServiceMS   float64 `json:"service_ms,omitempty"`   // milliseconds; 0 draws one
 	AnswerBytes int     `json:"answer_bytes,omitempty"` // length of filler in the answer
 	Fail        bool    `json:"fail,omitempty"`         // answer 500 after the service time
+	Half        bool    `json:"half,omitempty"`         // cut the answer off in the middle
 }
 
 // Encode returns r as a task's body.
@@ -259,7 +260,7 @@
 		http.Error(w, "task asked to fail", http.StatusInternalServerError)
 		return false
 	}
-	return s.answer(w, r, req, service, f.Half)
+	return s.answer(w, r, req, service, f.Half || req.Half)
 }
 
 func (s *Stub) answer(w http.ResponseWriter, r *http.Request, req Request, service time.Duration, half bool) bool {
