--- a/internal/systemtest/caller_test.go
+++ b/internal/systemtest/caller_test.go
@@ -26,8 +26,8 @@
 	key      string // Idempotency-Key
 	name     string // prefix of the tasks' keys; a new one when empty
 	bytes    int    // of each result
-	failing  int    // number of the task that fails, from 1
-	slowRead bool   // the caller reads 16 KiB every 10 ms
+	change   func(i int, r *upstreamstub.Request)
+	slowRead bool // the caller reads 16 KiB every 10 ms
 }
 
 // submission is a job at the caller.
@@ -86,13 +86,6 @@
 	return sub
 }
 
-// submitted submits a job and waits for its answer.
-func (s *system) submitted(entry int, j job) *submission {
-	sub := s.submit(entry, j)
-	<-sub.done
-	return sub
-}
-
 func (sub *submission) body() []byte {
 	type task struct {
 		Name string `json:"name"`
@@ -106,9 +99,11 @@
 	for i := range sub.tasks {
 		key := fmt.Sprintf("%s-%d", sub.name, i)
 		sub.keys = append(sub.keys, key)
-		req.Tasks = append(req.Tasks, task{"run", upstreamstub.Request{
-			Key: key, ServiceMS: float64(sub.service) / float64(time.Millisecond), AnswerBytes: sub.bytes, Fail: sub.failing == i+1,
-		}.Encode()})
+		r := upstreamstub.Request{Key: key, ServiceMS: float64(sub.service) / float64(time.Millisecond), AnswerBytes: sub.bytes}
+		if sub.change != nil {
+			sub.change(i, &r)
+		}
+		req.Tasks = append(req.Tasks, task{"run", r.Encode()})
 	}
 	data, err := json.Marshal(req)
 	if err != nil {
@@ -117,13 +112,13 @@
 	return data
 }
 
-// client is a caller without connection reuse, so that each request meets the
-// network as it is now.
-func (s *system) client() *http.Client {
+// client makes requests from a host without connection reuse, so that each
+// meets the network as it is now.
+func (s *system) client(host string) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return s.net.Dialer(callerHost)(ctx, address)
+			return s.net.Dialer(host)(ctx, address)
 		},
 	}}
 }
@@ -137,7 +132,7 @@
 	if sub.key != "" {
 		req.Header.Set("Idempotency-Key", sub.key)
 	}
-	resp, err := s.client().Do(req)
+	resp, err := s.client(callerHost).Do(req)
 	if err != nil {
 		sub.err = err
 		return
@@ -160,7 +155,7 @@
 	req, err := http.NewRequest(method, "http://"+host+":8000"+path, nil)
 	s.Assert(err, qt.IsNil)
 	req.Header.Set("Authorization", "Bearer "+token)
-	resp, err := s.client().Do(req)
+	resp, err := s.client(callerHost).Do(req)
 	s.Assert(err, qt.IsNil)
 	defer func() { _ = resp.Body.Close() }()
 	var a answer
