Count tasks in flight when a load report arrives

Cause: a load that an agent stated before it received a task replaced the entry's own count, so a full agent looked free and refused. Change: a load names the highest sequence received from the entry; later ones are added to it. Conclusion: not the main cause of refusals; kept because the estimate is now exact for the entry's own tasks.

--- a/agent/fence.go
+++ b/agent/fence.go
@@ -30,7 +30,7 @@
 	a.withdraw(opened.Withdrawn)
 	a.apply(in.Config, now)
 	a.dispatch(now)
-	*out = wire.OpenSessionReply{Agent: a.self, Started: opened.Started, Truncated: opened.Truncated, Load: a.load()}
+	*out = wire.OpenSessionReply{Agent: a.self, Started: opened.Started, Truncated: opened.Truncated, Load: a.loadFor(owner)}
 	return nil
 }
 
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -131,6 +131,7 @@
 	sent := time.Now()
 	req := l.agent.heartbeat(sent)
 	req.KnownEntry = l.entry.Incarnation
+	l.agent.addSeen(&req.Load, ledger.Owner{Entry: l.entry.ID, Incarnation: l.entry.Incarnation})
 	if l.described {
 		req.Agent = req.Agent.Brief()
 	}
@@ -202,6 +203,13 @@
 	return r
 }
 
+// addSeen completes a load for one entry.
+func (a *Agent) addSeen(load *wire.Load, owner ledger.Owner) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	load.SeenSession, load.Seen = a.ledger.Seen(owner)
+}
+
 // heartbeatAnswered applies an entry's reply to the heartbeat sent then.
 func (a *Agent) heartbeatAnswered(sent time.Time, r *wire.HeartbeatReply) {
 	now := time.Now()
--- a/agent/receive.go
+++ b/agent/receive.go
@@ -47,14 +47,14 @@
 func (a *Agent) rpcRun(ctx context.Context, in *wire.RunRequest, out *wire.RunReply) error {
 	now := time.Now()
 	if err := invalid(in); err != nil {
-		a.reply(out, invalidTask(err))
+		a.reply(ledger.OwnerOf(in.Session), out, invalidTask(err))
 		return nil
 	}
 	a.mu.Lock()
 	t, refusal := a.accept(in, now)
 	a.mu.Unlock()
 	if refusal != nil {
-		a.reply(out, *refusal)
+		a.reply(ledger.OwnerOf(in.Session), out, *refusal)
 		return nil
 	}
 	return a.wait(ctx, t, out)
@@ -85,7 +85,7 @@
 func (a *Agent) wait(ctx context.Context, t *task, out *wire.RunReply) error {
 	select {
 	case <-t.done:
-		a.reply(out, t.result)
+		a.reply(t.owner, out, t.result)
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -109,9 +109,9 @@
 	case t != nil:
 		return a.wait(ctx, t, out)
 	case err != nil || !finished:
-		a.reply(out, wire.Result{Outcome: wire.OutcomeUnknown, Reason: wire.ReasonRecordLost})
+		a.reply(id.owner, out, wire.Result{Outcome: wire.OutcomeUnknown, Reason: wire.ReasonRecordLost})
 	default:
-		a.reply(out, result)
+		a.reply(id.owner, out, result)
 	}
 	return nil
 }
@@ -139,7 +139,7 @@
 		}
 	}
 	a.dispatch(now)
-	out.Load = a.load()
+	out.Load = a.loadFor(ledger.OwnerOf(in.Session))
 	return nil
 }
 
@@ -157,7 +157,7 @@
 	if in.Config != nil {
 		a.apply(*in.Config, now)
 	}
-	out.Load = a.load()
+	out.Load = a.loadFor(ledger.OwnerOf(in.Session))
 	return nil
 }
 
--- a/agent/report.go
+++ b/agent/report.go
@@ -63,11 +63,18 @@
 	return wire.Load{Sequence: a.sequence, Running: a.busy, Queued: len(a.queue), Free: a.free}
 }
 
+// loadFor returns the load for one entry; the caller holds mu.
+func (a *Agent) loadFor(owner ledger.Owner) wire.Load {
+	l := a.load()
+	l.SeenSession, l.Seen = a.ledger.Seen(owner)
+	return l
+}
+
 // reply fills a reply about one task with the load at this moment.
-func (a *Agent) reply(out *wire.RunReply, r wire.Result) {
+func (a *Agent) reply(owner ledger.Owner, out *wire.RunReply, r wire.Result) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	*out = wire.RunReply{Agent: a.self.Incarnation, Result: r, Load: a.load()}
+	*out = wire.RunReply{Agent: a.self.Incarnation, Result: r, Load: a.loadFor(owner)}
 }
 
 func (a *Agent) count(r wire.Result) {
@@ -108,7 +115,7 @@
 		}
 	}
 	if found {
-		a.entries.offer(best, wire.OfferRequest{Agent: a.self.ID, Incarnation: a.self.Incarnation, Load: a.load()})
+		a.entries.offer(best, wire.OfferRequest{Agent: a.self.ID, Incarnation: a.self.Incarnation, Load: a.loadFor(best)})
 	}
 }
 
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -109,7 +109,7 @@
 		d.confirm.readElsewhere(d.now.Add(-req.ReadAge))
 	}
 	d.describe(a)
-	d.table.Report(a.ref.ID, req.Load)
+	d.reported(a, req.Load)
 	d.refresh(a)
 	if a.session.state == sessionClosed {
 		d.open(a)
@@ -225,7 +225,7 @@
 	a.ref = reply.Agent
 	d.apply(a, s.opened(number, reply))
 	d.describe(a)
-	d.table.Report(a.ref.ID, reply.Load)
+	d.reported(a, reply.Load)
 	d.refresh(a)
 }
 
@@ -302,9 +302,22 @@
 	d.confirm.agentsHeard(heard)
 }
 
+// reported takes over a load. Tasks that were on their way when the agent
+// stated it are added: without them a full agent looks free and refuses.
+func (d *dispatcher) reported(a *agent, l wire.Load) {
+	unseen, needs := 0, wire.Resources{}
+	for key, t := range a.session.tasks {
+		if key.Session > l.SeenSession || key.Session == l.SeenSession && key.Sequence > l.Seen {
+			unseen++
+			needs = needs.Plus(t.job.class.Needs)
+		}
+	}
+	d.table.ReportBefore(a.ref.ID, l, unseen, needs)
+}
+
 // report takes over the load that an agent reported with a reply.
 func (d *dispatcher) report(a *agent, l wire.Load) {
-	d.table.Report(a.ref.ID, l)
+	d.reported(a, l)
 	if a.busy {
 		a.busy = false
 		d.refresh(a)
--- a/entry/start.go
+++ b/entry/start.go
@@ -72,7 +72,7 @@
 			if v, ok := a.session.answered(key, reply.Result); ok {
 				d.apply(a, []verdict{v})
 			}
-			d.table.Report(a.ref.ID, reply.Load)
+			d.reported(a, reply.Load)
 			if a.busy && reply.Result.Reason != wire.ReasonBusy {
 				a.busy = false
 				d.refresh(a)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -26,6 +26,7 @@
 	open    bool
 	heard   time.Time
 	used    sequences
+	highest uint64               // sequence that arrived in the current session
 	queued  map[uint64]wire.Task // of the current session, by sequence
 	records map[wire.TaskKey]*record
 	// truncated is the session in which records were last evicted; 0 for
@@ -79,7 +80,7 @@
 	}
 	withdrawn := l.dropQueued(id, o)
 	o.session, o.open, o.heard = s.Number, true, now
-	o.used, o.queued = sequences{}, map[uint64]wire.Task{}
+	o.used, o.highest, o.queued = sequences{}, 0, map[uint64]wire.Task{}
 	return OpenResult{Started: o.started(), Truncated: o.truncated > 0, Withdrawn: withdrawn}, nil
 }
 
@@ -151,6 +152,7 @@
 	if !o.used.use(seq) {
 		return ErrDuplicate
 	}
+	o.highest = max(o.highest, seq)
 	o.queued[seq] = t
 	l.stats.Queued++
 	return nil
@@ -320,6 +322,15 @@
 	l.stats.Finished--
 }
 
+// Seen returns the newest session of the entry and the highest sequence that
+// arrived in it.
+func (l *Ledger) Seen(id Owner) (session, sequence uint64) {
+	if o, ok := l.owners[id]; ok {
+		return o.session, o.highest
+	}
+	return 0, 0
+}
+
 // Stats returns the ledger's sizes and totals.
 func (l *Ledger) Stats() Stats {
 	s := l.stats
--- a/placement/table.go
+++ b/placement/table.go
@@ -119,13 +119,17 @@
 
 // Report records an agent's load and returns whether it was newer than the last
 // one. It may be called before or after Settled for the same reply.
-func (t *Table) Report(id string, l Load) bool {
+func (t *Table) Report(id string, l Load) bool { return t.ReportBefore(id, l, 0, Resources{}) }
+
+// ReportBefore records a load that the agent had before it received the given
+// number of tasks, with these needs together.
+func (t *Table) ReportBefore(id string, l Load, unseen int, needs Resources) bool {
 	a, ok := t.agents[id]
 	if !ok || (a.reported && l.Sequence <= a.load.Sequence) {
 		return false
 	}
 	a.reported, a.load = true, l
-	a.sent, a.sentNeeds = 0, Resources{}
+	a.sent, a.sentNeeds = unseen, needs
 	t.update(a)
 	return true
 }
--- a/wire/task.go
+++ b/wire/task.go
@@ -88,6 +88,10 @@
 	Running  int
 	Queued   int
 	Free     Resources
+	// Seen is the highest sequence that the agent received from the entry
+	// that gets this load, in the session SeenSession. Later starts of that
+	// entry are not in the counts above.
+	SeenSession, Seen uint64
 }
 
 // Backlog is what an entry has waiting, as agents need it to offer free slots.
