--- a/agent/report.go
+++ b/agent/report.go
@@ -29,6 +29,9 @@
 	a.busy--
 	a.free = a.free.Plus(t.task.Needs)
 	a.settle(t, r)
+	if r.Outcome == wire.OutcomeNotRun && r.Reason == wire.ReasonUpstreamGone {
+		a.upstreamGone()
+	}
 	a.dispatch(now)
 	a.offer(t.owner)
 	a.log.Debug().Str("job", t.task.Job).Int("task", t.task.Index).Int("outcome", int(r.Outcome)).
@@ -60,11 +63,18 @@
 	return wire.Load{Sequence: a.sequence, Running: a.busy, Queued: len(a.queue), Free: a.free}
 }
 
+// loadFor returns the load for one entry; the caller holds mu.
+func (a *Agent) loadFor(owner ledger.Owner) wire.Load {
+	l := a.load()
+	l.SeenSession, l.Seen = a.ledger.Seen(owner)
+	return l
+}
+
 // reply fills a reply about one task with the load at this moment.
-func (a *Agent) reply(out *wire.RunReply, r wire.Result) {
+func (a *Agent) reply(owner ledger.Owner, out *wire.RunReply, r wire.Result) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	*out = wire.RunReply{Agent: a.self.Incarnation, Result: r, Load: a.load()}
+	*out = wire.RunReply{Agent: a.self.Incarnation, Result: r, Load: a.loadFor(owner)}
 }
 
 func (a *Agent) count(r wire.Result) {
@@ -105,7 +115,7 @@
 		}
 	}
 	if found {
-		a.entries.offer(best, wire.OfferRequest{Agent: a.self.ID, Incarnation: a.self.Incarnation, Load: a.load()})
+		a.entries.offer(best, wire.OfferRequest{Agent: a.self.ID, Incarnation: a.self.Incarnation, Load: a.loadFor(best)})
 	}
 }
 
