List only messages of the run; say what counts as wasted

Sessions and hellos from before the run were listed with zero messages, and empty lists of broken guarantees were null in JSON.

--- a/internal/dev/load/report.go
+++ b/internal/dev/load/report.go
@@ -52,7 +52,7 @@
 	FalseNotRun     []string `json:"false_not_run"` // jobs answered not_run of which a task started
 	WrongAnswers    []string `json:"wrong_answers"` // successful answers that are incomplete or of another job
 	StoreCallsPerS  float64  `json:"store_calls_per_second"`
-	FailedEvents    []string `json:"failed_events"`
+	FailedEvents    []string `json:"failed_events,omitempty"`
 	Messages        []Method `json:"messages"`
 	MessagesPerTask float64  `json:"messages_per_task"`
 	WastedPerTask   float64  `json:"wasted_messages_per_task"`
@@ -93,7 +93,8 @@
 	r := &Report{
 		Deployment: p.Layout.Name, Placement: p.Layout.Placement, Entries: p.Layout.Entries,
 		Load: p.Load, DurationS: p.Duration.Seconds(), Seed: p.Seed, Burst: p.Burst,
-		Jobs: len(o.results), Starts: len(o.starts), DuplicateStarts: o.doubles,
+		Jobs: len(o.results), Starts: len(o.starts),
+		DuplicateStarts: append([]string{}, o.doubles...), FalseNotRun: []string{}, WrongAnswers: []string{},
 		StoreCallsPerS: float64(o.calls) / p.Duration.Seconds(), LateStarts: o.lateStarts(), events: o.events,
 	}
 	for _, e := range p.Events {
@@ -233,12 +234,17 @@
 	return late
 }
 
-// countMessages counts two wasted messages for each Agent.Run without a start,
-// and what the daemons report as wasted of other methods.
+// countMessages counts two wasted messages, request and reply, for each
+// Agent.Run without a start, and for each Entry.Offer that the entry did not
+// use. Heartbeats, announcements and pings are not counted as wasted: they go
+// by time and not by task, and are listed beside it.
 func (o *observation) countMessages(r *Report) {
 	tasks := float64(max(r.Tasks, 1))
 	var wasted, all int64
 	for name, t := range o.messages {
+		if t.Requests+t.Replies == 0 {
+			continue // sent only before the run
+		}
 		if name == "Agent.Run" {
 			t.Wasted = 2 * max(0, t.Requests-int64(len(o.starts)))
 		}
