Let the agent decide which entry gets a freed slot

Cause: entries filled the agents' short queues while they had backlog, so tasks of other entries were refused, and a freed slot always went back to the entry that had used it. Small jobs at one entry waited behind a large job at another. Change: entries place tasks on free slots only; the agent's queue takes what collides. The agent reserves a freed slot for the entry with the most urgent backlog, among equals the one with the fewest tasks there, and offers it; slots reserved for others count as running in the loads that an entry sees. Entries announce a lasting backlog to a few agents instead of all. Tests: TestFreeSlotIsOffered is rewritten because a heartbeat reply no longer makes an agent offer, and an unused offer now goes on to the next entry; a new test covers the reservation. TestPlannedStop relied on tasks being sent to a full agent and now has slots for both jobs.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -54,6 +54,7 @@
 	leaving  map[leaveReason]bool
 	health   health
 	backlogs map[ledger.Owner]wire.Backlog
+	reserved []reservation
 	storeAt  time.Time     // newest read of the store that an entry reported
 	changed  chan struct{} // closed and replaced when a task ends or is acknowledged
 }
--- a/agent/entries.go
+++ b/agent/entries.go
@@ -255,16 +255,17 @@
 	}
 }
 
-// offer sends an offer to the entry, if it is linked.
-func (e *entries) offer(owner ledger.Owner, req wire.OfferRequest) {
+// offer sends an offer to the entry and reports whether it did: the entry must
+// be linked and have answered the last offer.
+func (e *entries) offer(owner ledger.Owner, req wire.OfferRequest) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for address, l := range e.links {
 		if ref := e.known[address].ref; ref.ID == owner.Entry && ref.Incarnation == owner.Incarnation {
-			l.offer(owner, req)
-			return
+			return l.offer(owner, req)
 		}
 	}
+	return false
 }
 
 // heard records a reply from the entry at the address.
--- a/agent/fault_test.go
+++ b/agent/fault_test.go
@@ -371,28 +371,50 @@
 	})
 }
 
-// Guards against free slots that no entry learns of, and against offers that
-// nobody asked for.
+// Guards against free slots that no entry learns of, against offers that
+// nobody asked for, and against a slot that is offered to two entries at once.
 func TestFreeSlotIsOffered(t *testing.T) {
 	virtual(t, setup{slots: 1, queue: 0, entries: 3}, func(r *rig) {
 		user, less, most := r.entries[0], r.entries[1], r.entries[2]
-		user.open()
-		less.open()
-		most.open()
-		less.set(func(e *entryStub) { e.backlog = wire.Backlog{Tasks: 9, Urgency: 2} })
-		most.set(func(e *entryStub) { e.backlog = wire.Backlog{Tasks: 1, Urgency: 1} })
+		for _, e := range r.entries {
+			e.open()
+		}
+		less.announce(wire.Backlog{Tasks: 9, Urgency: 2})
+		most.announce(wire.Backlog{Tasks: 1, Urgency: 1})
 		time.Sleep(time.Second)
+		r.Check(offers(user, less, most), qt.DeepEquals, []int{0, 0, 0})
 		r.expect(<-user.run("a", 100*time.Millisecond), wire.OutcomeDone, "")
 		synctest.Wait()
-		r.Check(offers(user, less, most), qt.DeepEquals, []int{0, 0, 1})
+		// The most urgent entry had no use for the slot, so the other one got it.
+		r.Check(offers(user, less, most), qt.DeepEquals, []int{0, 1, 1})
 		r.expect(<-user.run("b", 100*time.Millisecond), wire.OutcomeDone, "")
 		synctest.Wait()
-		r.Check(offers(user, less, most), qt.DeepEquals, []int{0, 1, 1})
-		m := user.message("c", 100*time.Millisecond)
-		m.Backlog = wire.Backlog{Tasks: 1} // the user has work of its own
-		r.expect(<-user.send(m), wire.OutcomeDone, "")
+		r.Check(offers(user, less, most), qt.DeepEquals, []int{0, 1, 1}) // no backlog is left
+	})
+}
+
+// Guards against an entry with a steady stream of tasks that keeps the slots
+// from entries whose tasks are more urgent, and against a slot that stays
+// reserved for an entry that does not use it.
+func TestFreedSlotIsReservedForTheMostUrgentEntry(t *testing.T) {
+	virtual(t, setup{slots: 1, queue: 0, entries: 2}, func(r *rig) {
+		user, urgent := r.entries[0], r.entries[1]
+		user.open()
+		urgent.open()
+		urgent.set(func(e *entryStub) { e.useOffers = true })
+		running := user.message("a", 100*time.Millisecond)
+		running.Backlog = wire.Backlog{Tasks: 5, Urgency: 1}
+		answer := user.send(running)
+		urgent.announce(wire.Backlog{Tasks: 1, Urgency: 0})
+		reply := <-answer
+		r.expect(reply, wire.OutcomeDone, "")
+		r.Check(reply.Load.Running, qt.Equals, 1) // the slot is kept for the other entry
 		synctest.Wait()
-		r.Check(offers(user, less, most), qt.DeepEquals, []int{0, 1, 1})
+		r.Check(offers(user, urgent), qt.DeepEquals, []int{0, 1})
+		r.expect(<-user.run("b", time.Millisecond), wire.OutcomeNotRun, wire.ReasonBusy)
+		r.expect(<-urgent.run("c", 100*time.Millisecond), wire.OutcomeDone, "")
+		time.Sleep(2 * reserveFor)
+		r.expect(<-user.run("d", time.Millisecond), wire.OutcomeDone, "")
 	})
 }
 
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -35,7 +35,7 @@
 	default:
 		return reason
 	}
-	if a.busy+len(a.queue) >= a.settings.Slots+a.settings.QueueLimit {
+	if a.busy+a.reservedForOthers(t.owner, now)+len(a.queue) >= a.settings.Slots+a.settings.QueueLimit {
 		return wire.ReasonBusy
 	}
 	return ""
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -164,15 +164,15 @@
 	return l.told
 }
 
-// offer sends an offer unless one is under way.
-func (l *link) offer(owner ledger.Owner, req wire.OfferRequest) {
+// offer sends an offer unless one is under way, and reports whether it did.
+func (l *link) offer(owner ledger.Owner, req wire.OfferRequest) bool {
 	l.mu.Lock()
 	conn := l.conn
 	busy := l.offering
 	l.offering = l.offering || conn != nil
 	l.mu.Unlock()
 	if conn == nil || busy {
-		return
+		return false
 	}
 	l.agent.metrics.offers.Inc(1)
 	go func() {
@@ -187,6 +187,7 @@
 			l.agent.offered(owner, reply.Used)
 		}
 	}()
+	return true
 }
 
 // heartbeat returns the message that announces the agent.
@@ -220,7 +221,8 @@
 	// Only the time at which the request was sent bounds the reply's age.
 	a.ledger.Heard(owner, sent)
 	a.acknowledge(owner, r.Acked)
-	if a.ledger.HasSession(owner) {
+	if _, announced := a.backlogs[owner]; announced {
+		// A reply that every agent gets must not make all of them offer.
 		a.entryBacklog(owner, r.Backlog)
 	}
 	if r.Config != nil {
--- a/agent/receive.go
+++ b/agent/receive.go
@@ -76,6 +76,7 @@
 		refusal := notRun(reason, "")
 		return nil, &refusal
 	}
+	a.release(t.owner)
 	a.enqueue(t)
 	a.dispatch(now)
 	return t, nil
--- a/agent/report.go
+++ b/agent/report.go
@@ -33,7 +33,7 @@
 		a.upstreamGone()
 	}
 	a.dispatch(now)
-	a.offer(t.owner)
+	a.offer(t.owner, now)
 	a.log.Debug().Str("job", t.task.Job).Int("task", t.task.Index).Int("outcome", int(r.Outcome)).
 		Str("reason", string(r.Reason)).Dur("took_ms", r.Took).Msg("task_finished")
 }
@@ -63,9 +63,11 @@
 	return wire.Load{Sequence: a.sequence, Running: a.busy, Queued: len(a.queue), Free: a.free}
 }
 
-// loadFor returns the load for one entry; the caller holds mu.
+// loadFor returns the load for one entry, to which slots reserved for others
+// count as running; the caller holds mu.
 func (a *Agent) loadFor(owner ledger.Owner) wire.Load {
 	l := a.load()
+	l.Running += a.reservedForOthers(owner, time.Now())
 	l.SeenSession, l.Seen = a.ledger.Seen(owner)
 	return l
 }
@@ -95,38 +97,3 @@
 		a.metrics.upstreamErrors.Inc(1)
 	}
 }
-
-// offer offers a free slot to the entry with the most urgent backlog, unless
-// the entry that used the slot has work of its own: it learns of the slot from
-// its reply. The caller holds mu.
-func (a *Agent) offer(user ledger.Owner) {
-	if a.busy >= a.settings.Slots || len(a.queue) > 0 || len(a.leaving) > 0 || a.backlogs[user].Tasks > 0 {
-		return
-	}
-	if ok, _ := a.may(time.Now()); !ok {
-		return
-	}
-	var best ledger.Owner
-	found := false
-	for owner, b := range a.backlogs {
-		c := a.backlogs[best]
-		if !found || b.Urgency < c.Urgency || b.Urgency == c.Urgency && (b.Tasks > c.Tasks || b.Tasks == c.Tasks && owner.Entry < best.Entry) {
-			best, found = owner, true
-		}
-	}
-	if found {
-		a.entries.offer(best, wire.OfferRequest{Agent: a.self.ID, Incarnation: a.self.Incarnation, Load: a.loadFor(best)})
-	}
-}
-
-// offered handles the answer to an offer. An entry that had no use for it is
-// offered nothing until it announces backlog again.
-func (a *Agent) offered(owner ledger.Owner, used bool) {
-	if used {
-		a.metrics.offersUsed.Inc(1)
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	delete(a.backlogs, owner)
-}
--- a/agent/rig_test.go
+++ b/agent/rig_test.go
@@ -256,6 +256,13 @@
 	return out
 }
 
+// announce tells the agent about backlog.
+func (e *entryStub) announce(b wire.Backlog) {
+	e.set(func(e *entryStub) { e.backlog = b })
+	in := wire.AnnounceRequest{Session: e.session, Backlog: b}
+	e.Assert(e.conn.Call(e.ctx, "Agent.Announce", &in, &wire.AnnounceReply{}), qt.IsNil)
+}
+
 func (e *entryStub) run(job string, service time.Duration) <-chan answer {
 	return e.send(e.message(job, service))
 }
--- a/agent/run.go
+++ b/agent/run.go
@@ -35,6 +35,10 @@
 			return
 		}
 		t := a.queue[i]
+		if a.busy+a.reservedForOthers(t.owner, now) >= a.settings.Slots {
+			i++ // the free slots are kept for other entries
+			continue
+		}
 		if !t.task.Needs.Fits(a.free) || !now.Before(t.deadline) {
 			i++
 			continue
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -144,11 +144,13 @@
 	return r
 }
 
-// describe updates the agent's description in the placement table.
+// describe updates the agent's description in the placement table. The agent's
+// queue is left out: it takes tasks that meet another entry's, and filling it
+// on purpose binds tasks early and makes the other entries' tasks be refused.
 func (d *dispatcher) describe(a *agent) {
 	t := placement.Agent{
 		ID: a.ref.ID, DataCentre: a.ref.DataCentre, Rack: a.ref.Rack, Worker: a.ref.Worker,
-		Incarnation: a.ref.Incarnation, Slots: a.ref.Slots, QueueLimit: a.ref.QueueLimit, Capacity: a.ref.Capacity, Distance: config.FarDistance,
+		Incarnation: a.ref.Incarnation, Slots: a.ref.Slots, Capacity: a.ref.Capacity, Distance: config.FarDistance,
 	}
 	if d.view != nil {
 		t.Distance = d.view.Distance(d.self.DataCentre, a.ref.DataCentre)
--- a/entry/config_test.go
+++ b/entry/config_test.go
@@ -240,7 +240,9 @@
 func TestPlannedStop(t *testing.T) {
 	inBubble(t, func(h *harness) {
 		e := h.entry(1, "anping", nil)
+		// Both jobs run at once, which takes the slots of two agents.
 		h.agent(1, "anping").set(fixed(script{took: 8 * time.Second}))
+		h.agent(2, "anping").set(fixed(script{took: 8 * time.Second}))
 		settle()
 		got := make(chan *httptest.ResponseRecorder, 2)
 		go func() { got <- postJob(e, "proof", "render", 3) }()
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -8,13 +8,21 @@
 	"chicorytray.example/chicorytray/wire"
 )
 
-// backlogAnnounceAfter is the age of a backlog at which agents without tasks
-// of this entry are told. Most backlogs are gone sooner.
-const backlogAnnounceAfter = 20 * time.Millisecond
-
-// backlogAnnounceEvery bounds the announcements to one agent when backlogs
-// come and go.
-const backlogAnnounceEvery = 250 * time.Millisecond
+const (
+	// backlogAnnounceAfter is the age of a backlog at which agents are told.
+	// Most backlogs are gone sooner.
+	backlogAnnounceAfter = 20 * time.Millisecond
+	// backlogAnnounceEvery is the interval at which a lasting backlog is
+	// announced to further agents, and the least one between announcements to
+	// the same agent.
+	backlogAnnounceEvery = 100 * time.Millisecond
+	// Every agent that is told offers its next free slot, so telling many for
+	// few tasks wastes offers, and telling one waits for that agent's tasks.
+	backlogAnnounceAgentsPerTask = 2
+	// backlogAnnounceAgents bounds the agents told at once. With 8 slots and
+	// tasks of 400 ms, 32 agents free a slot every 2 ms.
+	backlogAnnounceAgents = 32
+)
 
 // enqueue hands the admitted job to the dispatcher.
 func (e *Entry) enqueue(s *submission) error {
@@ -78,7 +86,7 @@
 // backlogState is what agents were told about the waiting tasks.
 type backlogState struct {
 	since time.Time // zero while there is none
-	told  bool
+	told  time.Time
 }
 
 func (d *dispatcher) currentBacklog() wire.Backlog {
@@ -89,9 +97,8 @@
 	return wire.Backlog{Tasks: d.queue.Len(), Urgency: urgency}
 }
 
-// announceBacklog tells agents once that work waits, so that they offer free
-// slots. Agents that run tasks of this entry learn it from the Run messages,
-// all learn its course from the replies to heartbeats.
+// announceBacklog tells some agents that work waits, so that they offer free
+// slots. Later Run messages and heartbeat replies carry its course.
 func (d *dispatcher) announceBacklog() {
 	if d.queue.Len() == 0 {
 		d.backlog = backlogState{}
@@ -100,14 +107,19 @@
 	if d.backlog.since.IsZero() {
 		d.backlog.since = d.now
 	}
-	if d.backlog.told || d.now.Sub(d.backlog.since) < backlogAnnounceAfter {
+	if d.now.Sub(d.backlog.since) < backlogAnnounceAfter || d.now.Sub(d.backlog.told) < backlogAnnounceEvery {
 		return
 	}
-	d.backlog.told = true
+	d.backlog.told = d.now
 	req := wire.AnnounceRequest{Backlog: d.currentBacklog()}
-	for _, a := range d.agents {
-		if a.usable && len(a.session.tasks) == 0 && d.now.Sub(a.announced) >= backlogAnnounceEvery {
+	left := min(backlogAnnounceAgentsPerTask*d.queue.Len(), backlogAnnounceAgents)
+	for _, a := range d.agents { // in random order
+		if left == 0 {
+			return
+		}
+		if a.usable && d.now.Sub(a.announced) >= backlogAnnounceEvery {
 			d.announce(a, req)
+			left--
 		}
 	}
 }
