--- a/entry/collect.go
+++ b/entry/collect.go
@@ -59,7 +59,7 @@
 		j.settle(index, taskNotRun)
 		d.fail(j, closing{reason: reasonTooLarge, detail: "task " + strconv.Itoa(index) + " exceeds the size of a message", settle: true})
 		return
-	case wire.ReasonLeaving, wire.ReasonOutOfService, wire.ReasonUnconfirmed, wire.ReasonNeverFits:
+	case wire.ReasonLeaving, wire.ReasonOutOfService, wire.ReasonUnconfirmed, wire.ReasonNeverFits, wire.ReasonUpstreamGone:
 		// The agent refuses further tasks too. Its next heartbeat says
 		// whether it still does.
 		a.refusing = true
--- a/internal/systemtest/guarantee5_test.go
+++ b/internal/systemtest/guarantee5_test.go
@@ -31,11 +31,13 @@
 		{"deadline passes in the queue", layout{entries: []string{recife}, agents: []string{recife}, slots: 1}, "not_run",
 			func(s *system) *submission {
 				s.submit(0, job{service: 5 * time.Second})
+				time.Sleep(serviceTime)
 				return s.submit(0, job{tasks: 3, deadline: 2 * time.Second})
 			}},
 		{"entry stopping", layout{entry: func(e *settings.Entry) { e.Timing.StopNotice = 0 }}, "not_run",
 			func(s *system) *submission {
 				s.submit(0, job{service: 3 * time.Second})
+				time.Sleep(serviceTime)
 				s.work.Go(func() { _ = s.entries[0].Stop(context.Background()) })
 				time.Sleep(time.Second)
 				return s.submit(0, job{})
--- /dev/null
+++ b/internal/systemtest/outage_gap_test.go
@@ -0,0 +1,35 @@
+package systemtest
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a late start while the store serves reads that hide an
+// accepted change. Found by random schedules, seeds 1002 and 1004.
+func TestStaleReadsDoNotConfirm(t *testing.T) {
+	run(t, layout{}, func(s *system) {
+		s.load(10*time.Second, job{tasks: 6, service: serviceTime, deadline: 8 * time.Second})
+		time.Sleep(2 * time.Second)
+		s.store.SetStale(true)
+		s.service(recife, false)
+		time.Sleep(6 * time.Second)
+		s.store.SetStale(false)
+	})
+}
+
+// Guards against a late start when an outage of the store begins after it
+// accepted a change and before any entry read it, and the tool that made the
+// change pushed it to no entry.
+func TestOutageBeforeAnyReadOfAChange(t *testing.T) {
+	run(t, layout{}, func(s *system) {
+		s.load(10*time.Second, job{tasks: 6, service: serviceTime, deadline: 8 * time.Second})
+		time.Sleep(2 * time.Second)
+		s.store.SetSilentWatch(true)
+		time.Sleep(1500 * time.Millisecond)
+		s.service(recife, false)
+		s.setStoreDown(true)
+		time.Sleep(6 * time.Second)
+		s.setStoreDown(false)
+	})
+}
