--- a/internal/dev/capacity/entry.go
+++ b/internal/dev/capacity/entry.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -103,9 +104,16 @@
 	if err != nil {
 		return u, err
 	}
-	ended := make(chan error, 1)
-	go func() { ended <- e.Run(ctx) }()
-	defer func() { cancel(); _ = <-ended }()
+	var running sync.WaitGroup
+	var runErr error
+	running.Go(func() { runErr = e.Run(ctx) })
+	defer func() {
+		cancel()
+		running.Wait()
+		if err == nil && !errors.Is(runErr, context.Canceled) {
+			err = runErr
+		}
+	}()
 	standins, err := startChild(ctx, o.ChildVerb, Spec{
 		Entry: peers, DataCentres: dataCentreNames(), Agents: c.agents, Peers: c.peers, Accounts: c.accounts, Took: c.took,
 	})
