Measure an agent's cost by size; add the capacity verb

The verb runs the measured daemon in its own process and the stand-ins in a child, so that their processor time is told apart, and fits a line through each cost.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -170,6 +170,10 @@
 	return nil
 }
 
+// Traffic returns the messages and bytes exchanged with other processes so
+// far, by method.
+func (a *Agent) Traffic() map[string]rpcconn.Count { return a.counters.ByMethod() }
+
 // ControlBytes returns the bytes of control traffic sent and received so far.
 func (a *Agent) ControlBytes() uint64 {
 	c := a.counters.Total(rpcconn.KindControl)
--- /dev/null
+++ b/cmd/chicorytray-dev/capacity.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"chicorytray.example/chicorytray/internal/dev/capacity"
+)
+
+// capacityChildVerb is how the capacity verb starts its child process.
+const capacityChildVerb = "capacity-child"
+
+// capacityCommand measures what an entry and an agent cost by size.
+type capacityCommand struct {
+	interval time.Duration
+	quick    bool
+	json     bool
+}
+
+// Name implements subcommands.Command.
+func (*capacityCommand) Name() string { return "capacity" }
+
+// Synopsis implements subcommands.Command.
+func (*capacityCommand) Synopsis() string {
+	return "measure the cost of an entry and an agent by size"
+}
+
+// Usage implements subcommands.Command.
+func (*capacityCommand) Usage() string {
+	return "chicorytray-dev capacity [flags]\nWrites the table of docs/CAPACITY.md. Takes about six minutes on an idle machine.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *capacityCommand) SetFlags(f *flag.FlagSet) {
+	f.DurationVar(&c.interval, "interval", 5*time.Second, "length of each measurement")
+	f.BoolVar(&c.quick, "quick", false, "measure two small sizes only")
+	f.BoolVar(&c.json, "json", false, "print the report as JSON")
+}
+
+// Execute implements subcommands.Command.
+func (c *capacityCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.interval < time.Second {
+		fmt.Fprintln(os.Stderr, "chicorytray-dev: -interval must be at least 1s")
+		return subcommands.ExitUsageError
+	}
+	r, err := capacity.Run(ctx, capacity.Options{
+		Interval: c.interval, ChildVerb: capacityChildVerb, Progress: os.Stderr, Quick: c.quick,
+	})
+	if err == nil {
+		if c.json {
+			err = json.NewEncoder(os.Stdout).Encode(r)
+		} else {
+			err = r.WriteMarkdown(os.Stdout)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "chicorytray-dev:", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// capacityChildCommand runs the stand-ins of a measurement.
+type capacityChildCommand struct{}
+
+// Name implements subcommands.Command.
+func (*capacityChildCommand) Name() string { return capacityChildVerb }
+
+// Synopsis implements subcommands.Command.
+func (*capacityChildCommand) Synopsis() string { return "run the stand-ins of a capacity measurement" }
+
+// Usage implements subcommands.Command.
+func (*capacityChildCommand) Usage() string {
+	return "chicorytray-dev capacity-child\nStarted by the capacity verb; reads its specification from standard input.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (*capacityChildCommand) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (*capacityChildCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := capacity.RunChild(ctx, os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "chicorytray-dev:", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- a/cmd/chicorytray-dev/main.go
+++ b/cmd/chicorytray-dev/main.go
@@ -23,7 +23,8 @@
 func run(args []string) int {
 	flags := flag.NewFlagSet("chicorytray-dev", flag.ContinueOnError)
 	c := subcommands.NewCommander(flags, "chicorytray-dev")
-	verbs := []subcommands.Command{&demoCommand{}, &loadCommand{}, &storeCommand{}, &upstreamCommand{},
+	verbs := []subcommands.Command{&demoCommand{}, &loadCommand{}, &capacityCommand{}, &capacityChildCommand{},
+		&storeCommand{}, &upstreamCommand{},
 		c.HelpCommand(), c.FlagsCommand()}
 	names := map[string]bool{"-h": true, "-help": true, "--help": true}
 	for _, v := range verbs {
--- a/internal/dev/capacity/agent.go
+++ b/internal/dev/capacity/agent.go
@@ -1,7 +1,175 @@
 package capacity
 
-import "context"
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
 
-func runSenders(ctx context.Context, s Spec) (int, error)             { return 0, nil }
-func agentByEntries(ctx context.Context, o Options) ([]Series, error) { return nil, nil }
-func agentByTasks(ctx context.Context, o Options) ([]Series, error)   { return nil, nil }
+	"github.com/rs/zerolog"
+
+	"chicorytray.example/chicorytray/agent"
+	"chicorytray.example/chicorytray/internal/storestub"
+	"chicorytray.example/chicorytray/internal/upstreamstub"
+	"chicorytray.example/chicorytray/rpcconn"
+	"chicorytray.example/chicorytray/settings"
+)
+
+// agentCase is one measurement of an agent.
+type agentCase struct {
+	entries        int
+	tasksPerSecond float64
+}
+
+// measureAgent runs one agent in this process, and its entries and upstream in
+// a child.
+func measureAgent(ctx context.Context, o Options, c agentCase) (u usage, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	addresses, err := freeAddresses(c.entries + 1)
+	if err != nil {
+		return u, err
+	}
+	upstream, entries := addresses[0], addresses[1:]
+	a, peer, err := newAgent(upstream, entries)
+	if err != nil {
+		return u, err
+	}
+	standins, err := startChild(ctx, o.ChildVerb, Spec{Agent: peer, Upstream: upstream, Entries: entries, TasksPerSecond: c.tasksPerSecond})
+	if err != nil {
+		return u, err
+	}
+	var running sync.WaitGroup
+	var runErr error
+	running.Go(func() { runErr = a.Run(ctx) })
+	defer func() {
+		outcome, stopErr := standins.stop()
+		cancel()
+		running.Wait()
+		if err == nil && outcome.Error != "" {
+			err = errors.New(outcome.Error)
+		}
+		if err == nil && !errors.Is(runErr, context.Canceled) {
+			err = errors.Join(runErr, stopErr)
+		}
+	}()
+	if err := waitFor(ctx, func() bool { return heardAll(a, c.entries) }); err != nil {
+		return u, err
+	}
+	pause(ctx, settle)
+	return watch(o.Interval, a.Traffic), nil
+}
+
+func heardAll(a *agent.Agent, entries int) bool {
+	heard := 0
+	for _, e := range a.State().Entries {
+		if e.Linked && !e.Suspect {
+			heard++
+		}
+	}
+	return heard >= entries && a.State().GateOpen
+}
+
+// freeAddresses returns loopback addresses that were free a moment ago.
+func freeAddresses(n int) ([]string, error) {
+	out := make([]string, n)
+	for i := range out {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }()
+		out[i] = l.Addr().String()
+	}
+	return out, nil
+}
+
+func newAgent(upstream string, entries []string) (a *agent.Agent, peer string, err error) {
+	var l [2]net.Listener
+	for i := range l {
+		if l[i], err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			return nil, "", err
+		}
+	}
+	s := settings.DefaultAgent()
+	s.ID, s.DataCentre, s.Rack, s.Worker = "agent-measured", dataCentreNames()[0], "rack-1", "worker-1"
+	s.Upstream, s.Slots, s.Seeds, s.MaxEntries = upstream, slotsPerAgent, entries, len(entries)
+	s.PeerAddress, s.AdminAddress = l[0].Addr().String(), l[1].Addr().String()
+	s.Store.URL = "http://127.0.0.1:1" // not called: the store is a stand-in in this process
+	a, err = agent.New(agent.Options{Settings: s, Store: storestub.New(), Logger: zerolog.Nop(), Peers: l[0], Admin: l[1]})
+	return a, s.PeerAddress, err
+}
+
+// listenUpstream serves a stand-in upstream whose tasks take no time.
+func listenUpstream(ctx context.Context, address string) error {
+	s, err := upstreamstub.Listen(address, upstreamstub.Options{})
+	if err != nil {
+		return fmt.Errorf("capacity: upstream stand-in: %w", err)
+	}
+	<-ctx.Done()
+	return s.Close()
+}
+
+func sweepAgent(ctx context.Context, o Options, name string, sizes []float64, c func(size float64) agentCase) ([]usage, error) {
+	out := make([]usage, 0, len(sizes))
+	for _, size := range sizes {
+		u, err := measureAgent(ctx, o, c(size))
+		if err != nil {
+			return nil, fmt.Errorf("%s at %g: %w", name, size, err)
+		}
+		messages, bytes := u.control()
+		_, _ = fmt.Fprintf(o.Progress, "%s=%g cores=%.4f heap_mb=%.1f rss_mb=%.1f control_messages=%.1f control_bytes=%.0f tasks=%.1f\n",
+			name, size, u.cores, u.heap/mega, u.rss/mega, messages, bytes, tasksDone(u))
+		out = append(out, u)
+	}
+	return out, nil
+}
+
+func tasksDone(u usage) float64 { return float64(u.traffic["Agent.Run"].MessagesSent) / u.seconds }
+
+func taskBytes(u usage) float64 {
+	var sum uint64
+	for method, c := range u.traffic {
+		if rpcconn.KindOf(method) == rpcconn.KindTask {
+			sum += c.BytesSent + c.BytesReceived
+		}
+	}
+	return float64(sum) / u.seconds
+}
+
+func agentByEntries(ctx context.Context, o Options) ([]Series, error) {
+	sizes := o.sizes(1, 4, 8, 16)
+	us, err := sweepAgent(ctx, o, "agent entries", sizes, func(n float64) agentCase { return agentCase{entries: int(n)} })
+	if err != nil {
+		return nil, err
+	}
+	const by = "entries that the agent announces itself to, idle"
+	return []Series{
+		newSeries("agent: processor, cores", by, targetEntriesPerAgent, points(sizes, us, func(u usage) float64 { return u.cores })),
+		newSeries("agent: live heap, MB", by, targetEntriesPerAgent, points(sizes, us, func(u usage) float64 { return u.heap / mega })),
+		newSeries("agent: resident memory, MB", by, targetEntriesPerAgent, points(sizes, us, func(u usage) float64 { return u.rss / mega })),
+		newSeries("agent: control traffic, bytes per second", by, targetEntriesPerAgent,
+			points(sizes, us, func(u usage) float64 { _, b := u.control(); return b })),
+	}, nil
+}
+
+func agentByTasks(ctx context.Context, o Options) ([]Series, error) {
+	offered := o.sizes(25, 50, 100, 200)
+	us, err := sweepAgent(ctx, o, "agent tasks_per_second", offered, func(n float64) agentCase {
+		return agentCase{entries: 2, tasksPerSecond: n}
+	})
+	if err != nil {
+		return nil, err
+	}
+	done := make([]float64, len(us))
+	for i, u := range us {
+		done[i] = tasksDone(u)
+	}
+	const by = "tasks per second"
+	const target = targetTasksPerSecond / targetAgents
+	return []Series{
+		newSeries("agent: processor, millionths of a core", by, target, points(done, us, func(u usage) float64 { return u.cores * 1e6 })),
+		newSeries("agent: task traffic, bytes per second", by, target, points(done, us, taskBytes)),
+	}, nil
+}
--- a/internal/dev/capacity/child.go
+++ b/internal/dev/capacity/child.go
@@ -22,10 +22,12 @@
 	Peers       int           // entry stand-ins
 	Accounts    int           // of which each entry stand-in reports demand
 	Calls       callLoad
-	// Agent is the peer address of the measured agent; Entries is the number
-	// of entry stand-ins around it, and TasksPerSecond what they send.
+	// Agent is the peer address of the measured agent, Upstream that of its
+	// upstream stand-in, Entries those of the entry stand-ins around it, and
+	// TasksPerSecond is what they send together.
 	Agent          string
-	Entries        int
+	Upstream       string
+	Entries        []string
 	TasksPerSecond float64
 }
 
@@ -62,7 +64,7 @@
 			o.Error = err.Error()
 		}
 	}
-	var agentsErr, peersErr, callsErr, tasksErr error
+	var agentsErr, peersErr, callsErr, tasksErr, upstreamErr error
 	tasks := 0
 	if s.Agents > 0 {
 		wg.Go(func() { agentsErr = runAgents(ctx, s.Entry, s.Agents, s.DataCentres, s.Took) })
@@ -74,11 +76,12 @@
 		wg.Go(func() { o.Tasks, callsErr = runCallers(ctx, s.Calls) })
 	}
 	if s.Agent != "" {
+		wg.Go(func() { upstreamErr = listenUpstream(ctx, s.Upstream) })
 		wg.Go(func() { tasks, tasksErr = runSenders(ctx, s) })
 	}
 	wg.Wait()
 	o.Tasks += tasks
-	for _, err := range []error{agentsErr, peersErr, callsErr, tasksErr} {
+	for _, err := range []error{agentsErr, peersErr, callsErr, tasksErr, upstreamErr} {
 		fail(err)
 	}
 	return json.NewEncoder(out).Encode(o)
