--- a/agent/gate.go
+++ b/agent/gate.go
@@ -35,7 +35,7 @@
 	default:
 		return reason
 	}
-	if a.busy+len(a.queue) >= a.settings.Slots+a.settings.QueueLimit {
+	if a.busy+a.reservedForOthers(t.owner, now)+len(a.queue) >= a.settings.Slots+a.settings.QueueLimit {
 		return wire.ReasonBusy
 	}
 	return ""
@@ -99,6 +99,11 @@
 func (a *Agent) leave(reason leaveReason, yes bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.setLeaving(reason, yes)
+}
+
+// setLeaving is leave for callers that hold mu.
+func (a *Agent) setLeaving(reason leaveReason, yes bool) {
 	if a.leaving[reason] == yes {
 		return
 	}
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -131,6 +131,7 @@
 	sent := time.Now()
 	req := l.agent.heartbeat(sent)
 	req.KnownEntry = l.entry.Incarnation
+	l.agent.addSeen(&req.Load, ledger.Owner{Entry: l.entry.ID, Incarnation: l.entry.Incarnation})
 	if l.described {
 		req.Agent = req.Agent.Brief()
 	}
@@ -163,15 +164,15 @@
 	return l.told
 }
 
-// offer sends an offer unless one is under way.
-func (l *link) offer(owner ledger.Owner, req wire.OfferRequest) {
+// offer sends an offer unless one is under way, and reports whether it did.
+func (l *link) offer(owner ledger.Owner, req wire.OfferRequest) bool {
 	l.mu.Lock()
 	conn := l.conn
 	busy := l.offering
 	l.offering = l.offering || conn != nil
 	l.mu.Unlock()
 	if conn == nil || busy {
-		return
+		return false
 	}
 	l.agent.metrics.offers.Inc(1)
 	go func() {
@@ -186,6 +187,7 @@
 			l.agent.offered(owner, reply.Used)
 		}
 	}()
+	return true
 }
 
 // heartbeat returns the message that announces the agent.
@@ -202,6 +204,13 @@
 	return r
 }
 
+// addSeen completes a load for one entry.
+func (a *Agent) addSeen(load *wire.Load, owner ledger.Owner) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	load.SeenSession, load.Seen = a.ledger.Seen(owner)
+}
+
 // heartbeatAnswered applies an entry's reply to the heartbeat sent then.
 func (a *Agent) heartbeatAnswered(sent time.Time, r *wire.HeartbeatReply) {
 	now := time.Now()
@@ -212,7 +221,8 @@
 	// Only the time at which the request was sent bounds the reply's age.
 	a.ledger.Heard(owner, sent)
 	a.acknowledge(owner, r.Acked)
-	if a.ledger.HasSession(owner) {
+	if _, announced := a.backlogs[owner]; announced {
+		// A reply that every agent gets must not make all of them offer.
 		a.entryBacklog(owner, r.Backlog)
 	}
 	if r.Config != nil {
--- /dev/null
+++ b/entry/random_test.go
@@ -0,0 +1,287 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"chicorytray.example/chicorytray/internal/upstreamstub"
+)
+
+// fault is one step of a random schedule.
+type fault struct {
+	At    time.Duration
+	Kind  string
+	Entry int           // 1 or 2
+	Agent int           // 1 to randomAgents
+	For   time.Duration // until it is healed
+}
+
+// work is one job of a random schedule. With a key it is sent to both entries.
+type work struct {
+	At       time.Duration
+	Tasks    int
+	Template string
+	Key      bool
+	CancelIn time.Duration // 0: not cancelled
+}
+
+const (
+	randomAgents = 3
+	randomSpan   = 8 * time.Second
+	// outBound is the time after which nothing may start in a data centre
+	// that was taken out of service.
+	outBound = 3 * time.Second
+)
+
+var (
+	randomCentres = []string{"anping", "chihkan", "rende"}
+	faultKinds    = []string{"cut", "freeze", "drop to agent", "drop to entry", "partition", "entries apart", "die",
+		"pause entry", "store down", "store answers lost", "store writes late", "out of service", "answers cut", "hang"}
+)
+
+// init makes the schedules of CI runs repeatable. Flags on the command line
+// replace the values.
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "50"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+func drawDuration(t *rapid.T, name string, most time.Duration) time.Duration {
+	return time.Duration(rapid.IntRange(1, int(most/time.Millisecond)).Draw(t, name)) * time.Millisecond
+}
+
+func drawFault(t *rapid.T) fault {
+	return fault{
+		At: drawDuration(t, "at", randomSpan), Kind: rapid.SampledFrom(faultKinds).Draw(t, "kind"),
+		Entry: rapid.IntRange(1, 2).Draw(t, "entry"), Agent: rapid.IntRange(1, randomAgents).Draw(t, "agent"),
+		For: drawDuration(t, "for", 6*time.Second),
+	}
+}
+
+func drawWork(t *rapid.T) work {
+	w := work{
+		At: drawDuration(t, "at", randomSpan), Tasks: rapid.IntRange(1, 60).Draw(t, "tasks"),
+		Template: rapid.SampledFrom([]string{"proof", "proof", "check"}).Draw(t, "template"), Key: rapid.Bool().Draw(t, "key"),
+	}
+	if rapid.IntRange(0, 3).Draw(t, "cancelled") == 0 {
+		w.CancelIn = drawDuration(t, "cancel", time.Second)
+	}
+	return w
+}
+
+// Guards against duplicate starts, untrue answers and starts in a data centre
+// out of service under combinations of faults that nobody thought of.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		faults := rapid.SliceOfN(rapid.Custom(drawFault), 1, 6).Draw(rt, "faults")
+		works := rapid.SliceOfN(rapid.Custom(drawWork), 1, 6).Draw(rt, "works")
+		var problems []string
+		inBubble(t, func(h *harness) {
+			r := &random{harness: h, record: upstreamstub.NewRecord()}
+			problems = r.run(faults, works)
+		})
+		if len(problems) > 0 {
+			rt.Fatalf("%s", strings.Join(problems, "\n"))
+		}
+	})
+}
+
+// random is one run of a schedule.
+type random struct {
+	*harness
+	record     *upstreamstub.Record
+	entries    []*Entry
+	agents     []*realAgent
+	mu         sync.Mutex
+	generation uint64
+	out        string // data centre out of service
+	down       int    // outages of the store in progress
+	outages    []outage
+}
+
+// outage is a time in which a data centre was out of service.
+type outage struct {
+	dataCentre string
+	from, to   time.Time
+}
+
+func (r *random) run(faults []fault, works []work) []string {
+	r.generation = 1
+	r.entries = []*Entry{r.entry(1, "anping", nil), r.entry(2, "chihkan", nil)}
+	for i := range randomAgents {
+		r.agents = append(r.agents, r.realAgent(i+1, randomCentres[i], r.record))
+	}
+	settle()
+	var wg sync.WaitGroup
+	for _, f := range faults {
+		wg.Go(func() {
+			time.Sleep(f.At)
+			r.inject(f, r.agents[f.Agent-1])
+		})
+	}
+	answers := make([][]*httptest.ResponseRecorder, len(works))
+	for i, w := range works {
+		answers[i] = make([]*httptest.ResponseRecorder, 2)
+		wg.Go(func() { answers[i][0] = r.submit(r.entries[i%2], i, w) })
+		if w.Key {
+			wg.Go(func() { answers[i][1] = r.submit(r.entries[(i+1)%2], i, w) })
+		}
+	}
+	wg.Wait()
+	time.Sleep(12 * time.Second) // longer than any deadline
+	problems := r.record.Duplicates()
+	for i, w := range works {
+		for _, a := range answers[i] {
+			if a != nil {
+				problems = append(problems, r.check(a, w)...)
+			}
+		}
+	}
+	return append(problems, r.lateStarts()...)
+}
+
+func (r *random) submit(e *Entry, i int, w work) *httptest.ResponseRecorder {
+	time.Sleep(w.At)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if w.CancelIn > 0 {
+		defer time.AfterFunc(w.CancelIn, cancel).Stop()
+	}
+	req := jobRequest{Template: w.Template}
+	for n := range w.Tasks {
+		body := upstreamstub.Request{Key: fmt.Sprintf("w%d/%d", i, n), ServiceMS: float64(20 + 40*(n%8))}.Encode()
+		req.Tasks = append(req.Tasks, taskRequest{Name: map[string]string{"proof": "render", "check": "spell"}[w.Template], Body: &body})
+	}
+	raw, _ := json.Marshal(req)
+	var header []string
+	if w.Key {
+		header = []string{headerKey, fmt.Sprint("key", i)}
+	}
+	return callCtx(ctx, e, http.MethodPost, "/v1/jobs", string(raw), header...)
+}
+
+func (r *random) inject(f fault, a *realAgent) {
+	entryHost := fmt.Sprintf("10.0.1.%d", f.Entry)
+	between := func(fail func(a, b string), x, y string) {
+		fail(x, y)
+		time.Sleep(f.For)
+		r.net.Heal(x, y)
+	}
+	switch f.Kind {
+	case "cut":
+		f.For /= 10
+		between(r.net.Cut, entryHost, a.host)
+	case "freeze":
+		r.net.Freeze(entryHost, a.host)
+	case "drop to agent":
+		between(r.net.Drop, entryHost, a.host)
+	case "drop to entry":
+		between(r.net.Drop, a.host, entryHost)
+	case "partition":
+		between(r.net.Partition, entryHost, a.host)
+	case "entries apart":
+		between(r.net.Partition, "10.0.1.1", "10.0.1.2")
+	case "die":
+		if a.kill() {
+			time.Sleep(f.For)
+			a.start()
+		}
+	case "pause entry":
+		r.entries[f.Entry-1].dispatcher.post(func(*dispatcher) { time.Sleep(f.For) })
+	case "store down":
+		r.setDown(1)
+		time.Sleep(f.For)
+		r.setDown(-1)
+	case "store answers lost":
+		r.store.LoseAnswers(2)
+	case "store writes late":
+		r.store.HoldWrites(2, f.For/4)
+	case "out of service":
+		if r.change(a.settings.DataCentre) {
+			time.Sleep(outBound + f.For)
+			r.change("")
+		}
+	case "answers cut", "hang":
+		a.upstream.SetFaults(upstreamstub.Faults{Half: f.Kind != "hang", Hang: f.Kind == "hang"})
+		time.Sleep(f.For / 4)
+		a.upstream.SetFaults(upstreamstub.Faults{})
+	}
+}
+
+// setDown begins or ends an outage of the store; several may overlap.
+func (r *random) setDown(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down += n
+	r.store.SetDown(r.down > 0)
+}
+
+// change takes a data centre out of service, or the one that is out back when
+// the name is empty. It reports false when another one is out,
+// or when the store is down and accepts no change.
+func (r *random) change(dataCentre string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if dataCentre != "" && (r.out != "" || r.down > 0) {
+		return false
+	}
+	r.generation++
+	r.putConfig(r.generation, outOfService(dataCentre))
+	r.out = dataCentre
+	if dataCentre != "" {
+		r.outages = append(r.outages, outage{dataCentre: dataCentre, from: time.Now()})
+	} else {
+		r.outages[len(r.outages)-1].to = time.Now()
+	}
+	return true
+}
+
+// lateStarts lists the starts in data centres that were out of service.
+func (r *random) lateStarts() []string {
+	var out []string
+	for _, s := range r.record.Starts() {
+		for _, o := range r.outages {
+			if s.DataCentre == o.dataCentre && s.At.After(o.from.Add(outBound)) && s.At.Before(o.to) {
+				out = append(out, fmt.Sprintf("%s started in %s %v after it was taken out", s.Task, s.DataCentre, s.At.Sub(o.from)))
+			}
+		}
+	}
+	return out
+}
+
+// check compares an answer with the starts that the upstreams counted.
+func (r *random) check(w *httptest.ResponseRecorder, req work) []string {
+	job := w.Header().Get(headerJob)
+	var p problem
+	if w.Code != http.StatusOK {
+		if err := json.Unmarshal(w.Body.Bytes(), &p); err != nil {
+			return []string{fmt.Sprintf("answer is not a problem: %v", err)}
+		}
+	}
+	starts := r.record.Count()
+	var out []string
+	for i := range req.Tasks {
+		n := starts[fmt.Sprintf("%s/%d", job, i)]
+		switch {
+		case w.Code == http.StatusOK && n == 0:
+			out = append(out, fmt.Sprintf("job %s task %d has a result and was not started", job, i))
+		case w.Code != http.StatusOK && n > 0 && (p.Outcome == OutcomeNotRun || p.Reason != reasonOwnerSilent && !slices.Contains(p.MayHaveRun, i)):
+			out = append(out, fmt.Sprintf("job %s task %d was started; the answer is %s", job, i, w.Body))
+		}
+	}
+	return out
+}
