ctl: push an accepted change although the store went down after it

Cause: the list of entries to push to was read from the store after the write. In an outage that began in between, a change was accepted that no entry had read and nobody was told. Change: the tool keeps the entries that the store listed before the write. Before: TestChangeBeforeAnOutageIsPushed fails, both entries keep generation 1. After: it passes, both have generation 2. Conclusion: the gap of TestOutageBeforeAnyReadOfAChange remains for changes written without chicorytrayctl.

--- a/ctl/operator.go
+++ b/ctl/operator.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"chicorytray.example/chicorytray/store"
@@ -44,6 +45,9 @@
 type Operator struct {
 	options Options
 	client  *http.Client
+
+	mu         sync.Mutex
+	registered []Process // entries that the store listed last
 }
 
 // New returns an Operator.
--- a/ctl/processes.go
+++ b/ctl/processes.go
@@ -149,6 +149,9 @@
 }
 
 // entries returns the entries given in the options or registered in the store.
+// While the store cannot be read it returns those listed before: a change that
+// was accepted just before an outage has to be pushed, because no entry may
+// have read it.
 func (o *Operator) entries(ctx context.Context) ([]Process, error) {
 	var list []Process
 	if len(o.options.Entries) > 0 {
@@ -164,9 +167,15 @@
 		}
 		return err
 	})
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err != nil && len(o.registered) > 0 {
+		return o.registered, nil
+	}
 	if err != nil {
 		return nil, merry.Prepend(err, "ctl: list entries")
 	}
+	o.registered = list
 	return list, nil
 }
 
