--- a/agent/gate.go
+++ b/agent/gate.go
@@ -51,7 +51,11 @@
 	}
 	if a.closed.IsZero() {
 		a.closed = now
-		a.log.Warn().Dur("age_ms", a.gate.Age(now)).Msg("gate_closed")
+		e := a.log.Warn()
+		if age := a.gate.Age(now); age != gate.None {
+			e = e.Dur("age_ms", age)
+		}
+		e.Msg("gate_closed")
 		a.entries.kick()
 	}
 	if now.Sub(a.closed) >= a.timing.Heartbeat.Of() {
