--- a/entry/admit.go
+++ b/entry/admit.go
@@ -158,14 +158,19 @@
 }
 
 // countStart records that a task of the job is sent.
-func (d *dispatcher) countStart(j *job, a *agent) {
+func (d *dispatcher) countStart(j *job, index int, a *agent) {
 	j.racks.Add(a.ref.Rack)
 	use := d.accounts[j.account]
 	use.running++
 	use.waiting--
-	d.budget.Request(d.now)
+	if j.tasks[index].Attempt == 0 {
+		d.budget.Request(d.now) // retries must not earn further retries
+	}
 	d.queue.Started(j.account, j.expected)
-	d.admission.Started(d.now, j.expected, d.table.Slots(j.class), d.queue.Len() > 0)
+	// Tasks that wait for an account's limit while slots are free say nothing
+	// about the rate of the upstreams.
+	backlog := d.queue.Len() > 0 && !d.table.HasRoom()
+	d.admission.Started(d.now, j.expected, d.table.Slots(j.class), backlog)
 	d.metrics.tasksSent.Inc(1)
 }
 
--- a/entry/place.go
+++ b/entry/place.go
@@ -25,7 +25,7 @@
 
 // pump starts waiting tasks while agents are estimated to have room.
 func (d *dispatcher) pump() {
-	for {
+	for d.table.HasRoom() {
 		ref, ok := d.queue.Next(d.now, d.feasible)
 		if !ok {
 			return
--- a/entry/session.go
+++ b/entry/session.go
@@ -157,6 +157,9 @@
 	case wire.OutcomeDone, wire.OutcomeFailed:
 		return s.resolve(t, verdictResult, r)
 	default:
+		// The agent knows no more than this, so it may drop its record. Kept
+		// records would delay the agent's planned stop by the lapse time.
+		s.acked = append(s.acked, t.key)
 		return s.resolve(t, verdictUnknown, r)
 	}
 }
--- a/entry/session_test.go
+++ b/entry/session_test.go
@@ -128,3 +128,15 @@
 		Started: []wire.StartedTask{{Key: task.key, Finished: true}}})
 	c.Check(s.takeAcked(), qt.DeepEquals, []wire.TaskKey{task.key})
 }
+
+// Guards against a record of an unknown outcome that stays at the agent until
+// the next session, which delays the agent's planned stop by the lapse time.
+func TestUnknownOutcomeIsAcknowledged(t *testing.T) {
+	c := qt.New(t)
+	s, now := openSessionOf(1)
+	sent := s.send(&job{}, 0, now)
+	v, ok := s.answered(sent.key, unknownResult(wire.ReasonUpstreamError))
+	c.Check(ok, qt.IsTrue)
+	c.Check(v.kind, qt.Equals, verdictUnknown)
+	c.Check(s.takeAcked(), qt.DeepEquals, []wire.TaskKey{sent.key})
+}
