--- a/internal/dev/capacity/entry.go
+++ b/internal/dev/capacity/entry.go
@@ -46,6 +46,8 @@
 	storeCalls float64 // a second
 	tasks      float64 // answered a second
 	openTasks  int     // in flight at the end of the measurement
+
+	configBytes int // of the document
 }
 
 // document returns a configuration of at least the given size.
@@ -97,6 +99,7 @@
 	if err != nil {
 		return u, err
 	}
+	u.configBytes = len(raw)
 	if _, err := stub.CompareAndSwap(ctx, config.Key, 0, raw, 0); err != nil {
 		return u, err
 	}
--- a/internal/dev/capacity/run.go
+++ b/internal/dev/capacity/run.go
@@ -143,13 +143,16 @@
 }
 
 func entryByConfig(ctx context.Context, o Options) ([]Series, error) {
-	sizes := o.sizes(1<<10, 64<<10, 256<<10, 900<<10)
+	sizes := o.sizes(1<<10, 64<<10, 256<<10, 700<<10)
 	us, err := sweep(ctx, o, "entry config_bytes", sizes, func(n float64) entryCase {
 		return entryCase{agents: 10, configBytes: int(n)}
 	})
 	if err != nil {
 		return nil, err
 	}
+	for i, u := range us {
+		sizes[i] = float64(u.configBytes)
+	}
 	const by = "bytes of the configuration"
 	return []Series{
 		newSeries("entry: processor, millionths of a core", by, targetConfigBytes, points(sizes, us, coreMicros)),
