--- a/cmd/chicorytray-dev/capacity.go
+++ b/cmd/chicorytray-dev/capacity.go
@@ -20,6 +20,7 @@
 type capacityCommand struct {
 	interval time.Duration
 	quick    bool
+	role     string
 	json     bool
 }
 
@@ -40,6 +41,7 @@
 func (c *capacityCommand) SetFlags(f *flag.FlagSet) {
 	f.DurationVar(&c.interval, "interval", 5*time.Second, "length of each measurement")
 	f.BoolVar(&c.quick, "quick", false, "measure two small sizes only")
+	f.StringVar(&c.role, "role", "", "entry or agent; both when empty")
 	f.BoolVar(&c.json, "json", false, "print the report as JSON")
 }
 
@@ -49,8 +51,12 @@
 		fmt.Fprintln(os.Stderr, "chicorytray-dev: -interval must be at least 1s")
 		return subcommands.ExitUsageError
 	}
+	if c.role != "" && c.role != capacity.RoleEntry && c.role != capacity.RoleAgent {
+		fmt.Fprintf(os.Stderr, "chicorytray-dev: -role %q is not one of entry, agent\n", c.role)
+		return subcommands.ExitUsageError
+	}
 	r, err := capacity.Run(ctx, capacity.Options{
-		Interval: c.interval, ChildVerb: capacityChildVerb, Progress: os.Stderr, Quick: c.quick,
+		Interval: c.interval, ChildVerb: capacityChildVerb, Progress: os.Stderr, Quick: c.quick, Role: c.role,
 	})
 	if err == nil {
 		if c.json {
--- a/internal/dev/capacity/agent.go
+++ b/internal/dev/capacity/agent.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -14,6 +15,7 @@
 	"chicorytray.example/chicorytray/internal/upstreamstub"
 	"chicorytray.example/chicorytray/rpcconn"
 	"chicorytray.example/chicorytray/settings"
+	"chicorytray.example/chicorytray/store"
 )
 
 // agentCase is one measurement of an agent.
@@ -94,16 +96,24 @@
 	}
 	s := settings.DefaultAgent()
 	s.ID, s.DataCentre, s.Rack, s.Worker = "agent-measured", dataCentreNames()[0], "rack-1", "worker-1"
-	s.Upstream, s.Slots, s.Seeds, s.MaxEntries = upstream, slotsPerAgent, entries, len(entries)
+	s.Upstream, s.Slots, s.MaxEntries = upstream, slotsPerAgent, len(entries)
 	s.PeerAddress, s.AdminAddress = l[0].Addr().String(), l[1].Addr().String()
 	s.Store.URL = "http://127.0.0.1:1" // not called: the store is a stand-in in this process
-	a, err = agent.New(agent.Options{Settings: s, Store: storestub.New(), Logger: zerolog.Nop(), Peers: l[0], Admin: l[1]})
+	registrations := storestub.New()
+	for i, address := range entries {
+		value, err := store.EncodeEntry(entryRef(i, address))
+		if err != nil {
+			return nil, "", err
+		}
+		registrations.Put(store.EntriesPrefix+entryRef(i, address).ID, value)
+	}
+	a, err = agent.New(agent.Options{Settings: s, Store: registrations, Logger: zerolog.Nop(), Peers: l[0], Admin: l[1]})
 	return a, s.PeerAddress, err
 }
 
-// listenUpstream serves a stand-in upstream whose tasks take no time.
+// listenUpstream serves a stand-in upstream whose tasks take a millisecond.
 func listenUpstream(ctx context.Context, address string) error {
-	s, err := upstreamstub.Listen(address, upstreamstub.Options{})
+	s, err := upstreamstub.Listen(address, upstreamstub.Options{Name: "upstream", Slots: slotsPerAgent, Service: time.Millisecond})
 	if err != nil {
 		return fmt.Errorf("capacity: upstream stand-in: %w", err)
 	}
--- a/internal/dev/capacity/run.go
+++ b/internal/dev/capacity/run.go
@@ -29,6 +29,8 @@
 	ChildVerb string
 	// Progress receives a line for each measurement.
 	Progress io.Writer
+	// Role limits the measurement to RoleEntry or RoleAgent; empty means both.
+	Role string
 	// Quick measures only two small sizes, to try the tool.
 	Quick bool
 }
@@ -36,19 +38,35 @@
 // Run makes all experiments, one after the other.
 func Run(ctx context.Context, o Options) (Report, error) {
 	r := Report{Seconds: o.Interval.Seconds()}
-	for _, experiment := range []func(context.Context, Options) ([]Series, error){
-		entryByAgents, entryByPeers, entryByAccounts, entryByConfig, entryByTasks, entryByOpenTasks,
-		agentByEntries, agentByTasks,
-	} {
-		series, err := experiment(ctx, o)
-		if err != nil {
-			return r, err
+	type experiment = func(context.Context, Options) ([]Series, error)
+	roles := []struct {
+		name        string
+		experiments []experiment
+	}{
+		{RoleEntry, []experiment{entryByAgents, entryByPeers, entryByAccounts, entryByConfig, entryByTasks, entryByOpenTasks}},
+		{RoleAgent, []experiment{agentByEntries, agentByTasks}},
+	}
+	for _, role := range roles {
+		if o.Role != "" && o.Role != role.name {
+			continue
+		}
+		for _, measure := range role.experiments {
+			series, err := measure(ctx, o)
+			if err != nil {
+				return r, err
+			}
+			r.Series = append(r.Series, series...)
 		}
-		r.Series = append(r.Series, series...)
 	}
 	return r, nil
 }
 
+// Roles that can be measured.
+const (
+	RoleEntry = "entry"
+	RoleAgent = "agent"
+)
+
 // sizes returns the sizes to measure.
 func (o Options) sizes(all ...float64) []float64 {
 	if o.Quick {
--- a/internal/dev/capacity/senders.go
+++ b/internal/dev/capacity/senders.go
@@ -27,9 +27,7 @@
 		if err != nil {
 			return 0, fmt.Errorf("capacity: entry stand-in %d: %w", i, err)
 		}
-		e := &entryStandin{ref: wire.EntryRef{
-			ID: fmt.Sprintf("entry-%02d", i), Incarnation: wire.NewIncarnation(), Address: address, DataCentre: dataCentreNames()[0],
-		}}
+		e := &entryStandin{ref: entryRef(i, address)}
 		wg.Go(func() { _ = e.server().Serve(ctx, l) })
 		if s.TasksPerSecond > 0 {
 			wg.Go(func() {
@@ -47,6 +45,13 @@
 	return done, err
 }
 
+// entryRef is the reference of an entry stand-in, the same in both processes.
+func entryRef(i int, address string) wire.EntryRef {
+	return wire.EntryRef{
+		ID: fmt.Sprintf("entry-%02d", i), Incarnation: wire.Incarnation(i + 1), Address: address, DataCentre: dataCentreNames()[0],
+	}
+}
+
 // entryStandin answers heartbeats like an entry.
 type entryStandin struct {
 	ref wire.EntryRef
