entry: answer unknown for tasks that run at the job's deadline

Cause: at the deadline the agent's own timer and the entry's Cancel message race. A task that the Cancel ended first was settled as failed, so the same job was answered failed or unknown by chance. Change: a task cancelled because of the deadline may have run, like one that the agent's timer ended. The scripted agent of the tests now reports a cancelled task as the real agent does (unknown, not failed).

--- a/entry/collect.go
+++ b/entry/collect.go
@@ -103,10 +103,14 @@
 		d.requeue(j, index)
 		return
 	}
-	if v.result.Reason == wire.ReasonCancelled {
+	timedOut := j.closing != nil && j.closing.reason == wire.ReasonDeadline
+	if v.result.Reason == wire.ReasonCancelled && !timedOut {
 		j.settle(index, taskFailed) // started, then stopped on request
 		return
 	}
+	// At the deadline the agent's own timer and the entry's Cancel race. Both
+	// mean that the task may have run, so the answer does not depend on which
+	// comes first.
 	j.settle(index, taskUnknown)
 	if j.closing == nil {
 		d.fail(j, closing{reason: v.result.Reason, detail: taskDetail(index, a, v.result)})
--- a/entry/fakeagent_test.go
+++ b/entry/fakeagent_test.go
@@ -314,7 +314,7 @@
 	defer a.mu.Unlock()
 	switch {
 	case ctx.Err() != nil:
-		r.result = wire.Result{Outcome: wire.OutcomeFailed, Reason: wire.ReasonCancelled}
+		r.result = wire.Result{Outcome: wire.OutcomeUnknown, Reason: wire.ReasonCancelled}
 	case s.took > t.Remaining:
 		r.result = unknownResult(wire.ReasonDeadline)
 	case s.result != nil:
