--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -101,14 +101,10 @@
 
 // policyOf returns the placement policy of that name in the settings.
 func policyOf(name string) placement.Policy {
-	switch name {
-	case settings.PlacementRandom:
+	if name == settings.PlacementRandom {
 		return placement.Random{}
-	case settings.PlacementTwoChoices:
-		return placement.PowerOfTwo{}
-	default:
-		return placement.IdleFirst{}
 	}
+	return placement.IdleFirst{}
 }
 
 // spawn makes calls to an agent on a goroutine of their own.
--- a/placement/policies.go
+++ b/placement/policies.go
@@ -13,25 +13,6 @@
 	return c.ID, ok
 }
 
-// PowerOfTwo picks two agents with room at random and takes the one with more
-// free slots, or the nearer one of equals.
-type PowerOfTwo struct{}
-
-// Name implements Policy.
-func (PowerOfTwo) Name() string { return "power_of_two" }
-
-// Choose implements Policy.
-func (PowerOfTwo) Choose(v View, q Query) (id string, ok bool) {
-	a, ok := anyZone(v, q)
-	if !ok {
-		return "", false
-	}
-	if b, other := anyZone(v, q); other && (b.Score > a.Score || b.Score == a.Score && b.Distance < a.Distance) {
-		return b.ID, true
-	}
-	return a.ID, true
-}
-
 // anyZone returns a random agent with room. Zones are drawn by their number of
 // open agents, so that all agents are equally likely. If the one drawn has no
 // fitting agent, the others follow in order.
--- a/settings/types.go
+++ b/settings/types.go
@@ -18,14 +18,13 @@
 
 // Policies that an entry may use to choose an agent for a task.
 const (
-	PlacementRandom     = "random"
-	PlacementTwoChoices = "two_choices"
-	PlacementIdleFirst  = "idle_first"
+	PlacementRandom    = "random"
+	PlacementIdleFirst = "idle_first"
 )
 
 // Placements returns the accepted names of placement policies.
 func Placements() []string {
-	return []string{PlacementIdleFirst, PlacementTwoChoices, PlacementRandom}
+	return []string{PlacementIdleFirst, PlacementRandom}
 }
 
 // Duration is written in JSON as a string with a unit, for example "500ms".
