Wait without timer channels in the daemons and fixtures

The runtime takes that path only when a goroutine selects on the channel of a timer that expired while nobody waited for it. Ruled out: a data race of ours; the race detector reported none. Change: internal/wait has a wait and a ticker built on time.AfterFunc, which the runtime's timer loop runs.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"chicorytray.example/chicorytray/gate"
+	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/ledger"
 	"chicorytray.example/chicorytray/rpcconn"
 	"chicorytray.example/chicorytray/settings"
@@ -183,7 +184,7 @@
 // maintain does what depends on the time that passed: it ends the sessions of
 // silent entries and returns queued tasks while the gate is closed.
 func (a *Agent) maintain(ctx context.Context) {
-	t := time.NewTicker(a.timing.Heartbeat.Of() / 2)
+	t := wait.NewTicker(a.timing.Heartbeat.Of() / 2)
 	defer t.Stop()
 	for {
 		select {
--- a/agent/entries.go
+++ b/agent/entries.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/ledger"
 	"chicorytray.example/chicorytray/membership"
 	"chicorytray.example/chicorytray/store"
@@ -58,7 +59,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { e.discover(ctx) })
-	t := time.NewTicker(e.agent.timing.Suspect.Of())
+	t := wait.NewTicker(e.agent.timing.Suspect.Of())
 	defer t.Stop()
 	for {
 		for _, l := range e.choose(time.Now()) {
@@ -84,11 +85,11 @@
 		} else {
 			attempt = 0
 		}
-		wait := min(discoverBackoffMax, discoverBackoffBase<<min(attempt, 10))
+		next := min(discoverBackoffMax, discoverBackoffBase<<min(attempt, 10))
 		if e.listed && e.anyAlive() {
-			wait = e.agent.timing.Lapse.Of()
+			next = e.agent.timing.Lapse.Of()
 		}
-		if !pause(ctx, e.agent.timing.Heartbeat.Of()+rand.N(wait), nil) {
+		if !wait.For(ctx, e.agent.timing.Heartbeat.Of()+rand.N(next), nil) {
 			return
 		}
 	}
@@ -310,17 +311,3 @@
 	}
 	e.peers.Failed(address)
 }
-
-// pause waits for d, for a signal on wake, or for the end of ctx; it returns
-// false in the last case.
-func pause(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-	case <-wake:
-	}
-	return true
-}
--- a/agent/health.go
+++ b/agent/health.go
@@ -1,11 +1,11 @@
 package agent
 
 import (
+	"chicorytray.example/chicorytray/internal/wait"
 	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"time"
 )
 
 // failuresToLeave is the number of health checks in a row that must fail
@@ -25,7 +25,7 @@
 	if a.settings.HealthPath == "" {
 		return
 	}
-	t := time.NewTicker(a.timing.Heartbeat.Of())
+	t := wait.NewTicker(a.timing.Heartbeat.Of())
 	defer t.Stop()
 	for {
 		a.judge(a.probe(ctx))
@@ -93,7 +93,7 @@
 
 // awaitUpstream dials the upstream about twice per heartbeat.
 func (a *Agent) awaitUpstream(ctx context.Context) {
-	for pause(ctx, rand.N(a.timing.Heartbeat.Of())+1, nil) {
+	for wait.For(ctx, rand.N(a.timing.Heartbeat.Of())+1, nil) {
 		if c, err := a.upstream.connect(ctx); err == nil {
 			_ = c.Close()
 			a.leave(leaveGone, false)
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chicorytray.example/chicorytray/gate"
+	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/ledger"
 	"chicorytray.example/chicorytray/rpcconn"
 	"chicorytray.example/chicorytray/wire"
@@ -61,7 +62,7 @@
 	defer l.drop()
 	interval := l.agent.timing.Heartbeat.Of()
 	// Links of processes that start together do not dial together.
-	if !pause(ctx, rand.N(interval/kicksPerHeartbeat), nil) {
+	if !wait.For(ctx, rand.N(interval/kicksPerHeartbeat), nil) {
 		return
 	}
 	failures := 0
@@ -79,14 +80,14 @@
 			l.entries.failed(l.address, err)
 			limit := min(linkBackoffMax, linkBackoffBase<<min(failures, 10))
 			failures++
-			if !pause(ctx, rand.N(limit)+1, nil) {
+			if !wait.For(ctx, rand.N(limit)+1, nil) {
 				return
 			}
 			continue
 		}
 		failures = 0
 		spacing := interval / kicksPerHeartbeat
-		if !pause(ctx, spacing, nil) || !pause(ctx, interval-spacing, l.wake) {
+		if !wait.For(ctx, spacing, nil) || !wait.For(ctx, interval-spacing, l.wake) {
 			return
 		}
 	}
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"chicorytray.example/chicorytray/internal/wait"
 	"context"
 	"time"
 )
@@ -62,7 +63,7 @@
 	if a.until(bounded, func() bool { return a.entries.toldLeaving(time.Now()) }) != nil {
 		a.log.Warn().Msg("entries_not_told")
 	}
-	if !pause(ctx, a.timing.Heartbeat.Of()/2, nil) {
+	if !wait.For(ctx, a.timing.Heartbeat.Of()/2, nil) {
 		return ctx.Err()
 	}
 	return nil
--- a/claims/worker.go
+++ b/claims/worker.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/store"
 )
 
@@ -251,10 +252,5 @@
 	if shift := failures - 1; shift < 7 { // minWait<<7 exceeds maxWait
 		limit = min(maxWait, minWait<<shift)
 	}
-	t := time.NewTimer(c.options.Jitter(limit))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-c.ctx.Done():
-	}
+	wait.For(c.ctx, c.options.Jitter(limit), nil)
 }
--- a/ctl/operator.go
+++ b/ctl/operator.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/store"
 )
 
@@ -80,12 +81,5 @@
 
 // pause waits for the poll interval and reports whether ctx goes on.
 func (o *Operator) pause(ctx context.Context) bool {
-	t := time.NewTimer(o.options.Poll)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, o.options.Poll, nil)
 }
--- a/entry/config.go
+++ b/entry/config.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/settings"
 	"chicorytray.example/chicorytray/store"
 )
@@ -97,16 +98,16 @@
 func (c *configuration) run(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
-		wait := c.timing.ConfigRead.Of()
+		next := c.timing.ConfigRead.Of()
 		if err := c.read(ctx); err != nil {
 			// The wait never exceeds the interval: a change made after an
 			// outage must be seen in time.
 			failures++
-			wait = fullJitter(c.timing.ConfigRead.Of(), failures)
+			next = fullJitter(c.timing.ConfigRead.Of(), failures)
 		} else {
 			failures = 0
 		}
-		sleep(ctx, wait)
+		wait.For(ctx, next, nil)
 	}
 }
 
@@ -165,7 +166,7 @@
 	generation, raw := c.document()
 	c.metrics.regressions.Inc(1)
 	c.log.Error().Uint64("generation", generation).Msg("the store holds an older configuration; writing back")
-	sleep(ctx, rand.N(writeBackJitter))
+	wait.For(ctx, rand.N(writeBackJitter), nil)
 	callCtx, cancel := context.WithTimeout(ctx, c.timing.StoreTimeout.Of())
 	defer cancel()
 	sent := time.Now()
@@ -190,13 +191,13 @@
 		if err == nil {
 			failures = 0
 			if !c.take(ctx, kv, false, known) {
-				sleep(ctx, c.timing.ConfigRead.Of())
+				wait.For(ctx, c.timing.ConfigRead.Of(), nil)
 			}
 			continue
 		}
 		if !ended {
 			failures++
-			sleep(ctx, fullJitter(c.timing.ConfigRead.Of(), failures))
+			wait.For(ctx, fullJitter(c.timing.ConfigRead.Of(), failures), nil)
 		}
 	}
 }
@@ -207,13 +208,3 @@
 	limit := min(most, backoffBase<<min(failures, 16))
 	return rand.N(max(limit, 1))
 }
-
-// sleep waits for d or for the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/entry/config_test.go
+++ b/entry/config_test.go
@@ -10,6 +10,7 @@
 
 	"chicorytray.example/chicorytray/config"
 	"chicorytray.example/chicorytray/gate"
+	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/store"
 	"chicorytray.example/chicorytray/wire"
 )
@@ -109,7 +110,7 @@
 				defer cancel()
 				h.wg.Go(func() {
 					highest := map[*Entry]uint64{}
-					for ; ctx.Err() == nil; sleep(ctx, 10*time.Millisecond) {
+					for ; ctx.Err() == nil; wait.For(ctx, 10*time.Millisecond, nil) {
 						for _, e := range entries {
 							g := e.config.generation()
 							h.Check(g >= highest[e], qt.IsTrue, qt.Commentf("%d after %d", g, highest[e]))
--- a/entry/deduplicate.go
+++ b/entry/deduplicate.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/wire"
 )
 
@@ -117,7 +118,7 @@
 		if !again {
 			return err
 		}
-		sleep(ctx, ownerPause)
+		wait.For(ctx, ownerPause, nil)
 	}
 	return retryLater(time.Second, reasonStoreOut, "the idempotency key could not be claimed; nothing was run")
 }
@@ -150,7 +151,7 @@
 		r, err := e.askOwner(ctx, "Entry.Job", wire.JobRequest{Job: job, Account: s.account.Name, Wait: maxJobWait})
 		if p := (*problem)(nil); errors.As(err, &p) && p.Reason == reasonOwnerSilent {
 			if silent++; silent < ownerRounds {
-				sleep(ctx, ownerPause)
+				wait.For(ctx, ownerPause, nil)
 				continue
 			}
 		}
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -12,6 +12,7 @@
 	"chicorytray.example/chicorytray/config"
 	"chicorytray.example/chicorytray/ejection"
 	"chicorytray.example/chicorytray/estimate"
+	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/placement"
 	"chicorytray.example/chicorytray/queue"
 	"chicorytray.example/chicorytray/quota"
@@ -149,7 +150,7 @@
 	defer d.end()
 	defer close(d.ended)
 	d.began = time.Now()
-	tick := time.NewTicker(tickInterval)
+	tick := wait.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
 		select {
--- a/entry/fakeagent_test.go
+++ b/entry/fakeagent_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chicorytray.example/chicorytray/internal/faultnet"
+	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/rpcconn"
 	"chicorytray.example/chicorytray/wire"
 )
@@ -197,12 +198,12 @@
 		c, err := d.Connect(ctx, address)
 		for err == nil && ctx.Err() == nil {
 			err = a.beatOnce(ctx, c)
-			sleep(ctx, a.beatEvery)
+			wait.For(ctx, a.beatEvery, nil)
 		}
 		if c != nil {
 			_ = c.Close()
 		}
-		sleep(ctx, 50*time.Millisecond)
+		wait.For(ctx, 50*time.Millisecond, nil)
 	}
 }
 
@@ -309,7 +310,7 @@
 
 func (a *fakeAgent) execute(ctx context.Context, r *record, s script, t wire.Task) {
 	defer r.cancel()
-	sleep(ctx, min(s.took, t.Remaining))
+	wait.For(ctx, min(s.took, t.Remaining), nil)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"chicorytray.example/chicorytray/gate"
+	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/settings"
 	"chicorytray.example/chicorytray/wire"
 )
@@ -60,23 +61,12 @@
 			seeding++
 			p.askSeeds(ctx)
 			p.start(ctx, &wg)
-			wait(ctx, p.wake, fullJitter(p.timing.PeerHeartbeat.Of(), seeding))
+			wait.For(ctx, fullJitter(p.timing.PeerHeartbeat.Of(), seeding), p.wake)
 			continue
 		}
 		seeding = 0
 		p.dropGone(time.Now())
-		wait(ctx, p.wake, p.timing.PeerHeartbeat.Of())
-	}
-}
-
-// wait returns after d, at a wake-up, or at the end of ctx.
-func wait(ctx context.Context, wake <-chan struct{}, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-wake:
-	case <-ctx.Done():
+		wait.For(ctx, p.timing.PeerHeartbeat.Of(), p.wake)
 	}
 }
 
@@ -238,7 +228,7 @@
 		if failures > 0 {
 			pause = fullJitter(pause, failures)
 		}
-		sleep(ctx, pause)
+		wait.For(ctx, pause, nil)
 	}
 }
 
--- a/entry/registration.go
+++ b/entry/registration.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/settings"
 	"chicorytray.example/chicorytray/store"
 	"chicorytray.example/chicorytray/wire"
@@ -84,7 +85,7 @@
 		cancel()
 		if err != nil {
 			failures++
-			sleep(ctx, fullJitter(r.timing.LeaseTTL.Of(), failures))
+			wait.For(ctx, fullJitter(r.timing.LeaseTTL.Of(), failures), nil)
 			continue
 		}
 		if invalid > 0 {
@@ -92,7 +93,7 @@
 		}
 		failures = 0
 		r.listed(refs)
-		wait(ctx, r.relist, listInterval)
+		wait.For(ctx, listInterval, r.relist)
 	}
 }
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/rpcconn"
 	"context"
 	"errors"
@@ -77,7 +78,7 @@
 // drain carries out the planned stop.
 func (e *Entry) drain(ctx context.Context, callers *http.Server, rpc *rpcconn.Server) error {
 	e.log.Info().Dur("notice_ms", e.settings.Timing.StopNotice.Of()).Msg("planned stop began")
-	sleep(ctx, e.settings.Timing.StopNotice.Of())
+	wait.For(ctx, e.settings.Timing.StopNotice.Of(), nil)
 	var idle <-chan struct{}
 	if !e.dispatcher.ask(func(d *dispatcher) {
 		d.stopping = true
--- a/internal/faultnet/network.go
+++ b/internal/faultnet/network.go
@@ -4,6 +4,7 @@
 package faultnet
 
 import (
+	"chicorytray.example/chicorytray/internal/wait"
 	"context"
 	"errors"
 	"net"
@@ -98,12 +99,7 @@
 func (n *Network) wait(ctx context.Context, d time.Duration) {
 	n.mu.Unlock()
 	defer n.mu.Lock()
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	wait.For(ctx, d, nil)
 }
 
 func (n *Network) wake() {
--- a/internal/storestub/faults.go
+++ b/internal/storestub/faults.go
@@ -8,6 +8,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/store"
 )
 
@@ -149,14 +150,10 @@
 	if latency <= 0 {
 		return nil
 	}
-	t := time.NewTimer(latency)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
+	if !wait.For(ctx, latency, nil) {
 		return failed(store.ErrUnavailable, ctx.Err())
 	}
+	return nil
 }
 
 // call carries out apply under the lock, subject to the faults.
--- a/internal/upstreamstub/stub.go
+++ b/internal/upstreamstub/stub.go
@@ -1,6 +1,7 @@
 package upstreamstub
 
 import (
+	"chicorytray.example/chicorytray/internal/wait"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -245,15 +246,11 @@
 	if f.Slow > 0 {
 		took = time.Duration(float64(service) * f.Slow)
 	}
-	timer := time.NewTimer(took)
-	defer timer.Stop()
-	expired := timer.C
 	if f.Hang {
-		expired = nil
+		<-r.Context().Done()
+		return false
 	}
-	select {
-	case <-expired:
-	case <-r.Context().Done():
+	if !wait.For(r.Context(), took, nil) {
 		return false
 	}
 	if req.Fail {
--- /dev/null
+++ b/internal/wait/wait.go
@@ -0,0 +1,72 @@
+// Package wait has the timed waits of the daemons.
+//
+// They use time.AfterFunc instead of the channels of time.Timer and
+// time.Ticker: Go 1.26.8 with the race detector crashes now and then in
+// testing/synctest when a goroutine selects on the channel of a timer that has
+// already expired (SIGSEGV in runtime.(*timer).maybeRunChan).
+package wait
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// For waits for d, for a signal on wake, or for the end of ctx; it returns
+// false in the last case. A nil wake never signals.
+func For(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	over := make(chan struct{})
+	t := time.AfterFunc(d, func() { close(over) })
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-over:
+	case <-wake:
+	}
+	return true
+}
+
+// Ticker sends on C at an interval. A tick that nobody has taken when the next
+// one is due is dropped.
+type Ticker struct {
+	C chan struct{}
+
+	mu       sync.Mutex
+	interval time.Duration
+	timer    *time.Timer
+	stopped  bool
+}
+
+// NewTicker returns a ticker that runs until Stop.
+func NewTicker(interval time.Duration) *Ticker {
+	t := &Ticker{C: make(chan struct{}, 1), interval: interval}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timer = time.AfterFunc(interval, t.tick)
+	return t
+}
+
+func (t *Ticker) tick() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped {
+		return
+	}
+	t.timer.Reset(t.interval)
+	select {
+	case t.C <- struct{}{}:
+	default:
+	}
+}
+
+// Stop ends the ticker.
+func (t *Ticker) Stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	t.timer.Stop()
+}
--- a/rpcconn/server.go
+++ b/rpcconn/server.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/wire"
 )
 
@@ -81,10 +82,7 @@
 			return because(ErrClosed, err)
 		default:
 			s.opts.Logger.Warn().Err(err).Msg("accept_failed")
-			select {
-			case <-time.After(acceptPause):
-			case <-ctx.Done():
-			}
+			wait.For(ctx, acceptPause, nil)
 		}
 	}
 }
--- a/store/registrar.go
+++ b/store/registrar.go
@@ -12,6 +12,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/wire"
 )
 
@@ -159,14 +160,14 @@
 		if ctx.Err() != nil {
 			return
 		}
-		wait := interval - r.options.Jitter(time.Duration(renewalJitter*float64(interval)))
+		next := interval - r.options.Jitter(time.Duration(renewalJitter*float64(interval)))
 		if err == nil {
 			failures = 0
 		} else {
 			failures++
-			wait = r.backoff(failures, interval)
+			next = r.backoff(failures, interval)
 		}
-		sleep(ctx, wait)
+		wait.For(ctx, next, nil)
 	}
 }
 
@@ -280,12 +281,3 @@
 	}
 	return r.options.Jitter(limit)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
