--- a/internal/e2e/system_test.go
+++ b/internal/e2e/system_test.go
@@ -158,8 +158,9 @@
 }
 
 // Ports are taken below the range from which the system gives ports to
-// outgoing connections and to listeners on port 0, so that no other process
-// takes one between its choice and its use.
+// outgoing connections and to listeners on port 0, and on a loopback address
+// of this process, so that no other process takes one between its choice and
+// its use. Parallel runs of these tests once chose the same port of 127.0.0.1.
 const (
 	lowestPort  = 20000
 	highestPort = 30000
@@ -170,6 +171,13 @@
 	usedPort = map[int]bool{}
 )
 
+// loopback returns the loopback address of this process. Process identifiers
+// have at most 22 bits on Linux.
+func loopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>16&63, pid>>8&255, pid&255)
+}
+
 // freePorts returns loopback addresses that no other test uses.
 func freePorts(c *qt.C, n int) []string {
 	portLock.Lock()
@@ -178,7 +186,7 @@
 	for tries := 0; len(out) < n; tries++ {
 		c.Assert(tries < highestPort-lowestPort, qt.IsTrue, qt.Commentf("no free ports"))
 		port := lowestPort + rand.IntN(highestPort-lowestPort)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
+		address := fmt.Sprintf("%s:%d", loopback(), port)
 		if usedPort[port] {
 			continue
 		}
