Add the interfaces of leased tasks

Cause: the users' workers run tasks under a lease on an order, not HTTP requests, and jobs come under the caller's identifier. Entry, agent and the translation of the platform are built side by side, so their types come first. Nothing uses them yet.

--- a/agent/options.go
+++ b/agent/options.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"chicorytray.example/chicorytray/lease"
 	"chicorytray.example/chicorytray/rpcconn"
 	"chicorytray.example/chicorytray/settings"
 	"chicorytray.example/chicorytray/store"
@@ -28,6 +29,9 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// DialUpstream opens connections to the upstream; nil means TCP.
 	DialUpstream func(ctx context.Context, address string) (net.Conn, error)
+	// Connect returns the calls to the worker that announced itself. It is
+	// required with Settings.Leased.
+	Connect func(lease.Announcement) Worker
 	// Listeners; nil listens on the settings' address.
 	Peers, Admin net.Listener
 }
--- a/config/document.go
+++ b/config/document.go
@@ -18,7 +18,18 @@
 	DataCentres []DataCentre `json:"data_centres"`
 	Accounts    []Account    `json:"accounts"`
 	Templates   []Template   `json:"templates"`
-	Limits      Limits       `json:"limits"`
+	// Routes choose a template by host and path.
+	Routes []Route `json:"routes,omitempty"`
+	Limits Limits  `json:"limits"`
+}
+
+// Route sends the requests for a host and path prefix to a template. The
+// longest matching prefix wins.
+type Route struct {
+	Host string `json:"host"`
+	// Prefix of the path, beginning with a slash.
+	Prefix   string `json:"prefix"`
+	Template string `json:"template"`
 }
 
 // DataCentre is one zone in which upstreams run.
@@ -54,6 +65,9 @@
 	// KindRequest is a single request, forwarded with its method, path,
 	// headers and body.
 	KindRequest Kind = "request"
+	// KindLeased is a job of identical tasks that workers run under a lease.
+	// The submission says how many, what they need and what they do.
+	KindLeased Kind = "leased"
 )
 
 // Template describes one kind of work of a client account.
@@ -78,6 +92,15 @@
 	// ExpectedMS is the declared duration of one task in milliseconds. It is
 	// a hint; durations are learned.
 	ExpectedMS int64 `json:"expected_ms,omitempty"`
+	// Pool of workers that run the tasks; KindLeased only.
+	Pool string `json:"pool,omitempty"`
+	// MaxAttempts of a task that fails, at least 1; KindLeased only.
+	MaxAttempts int `json:"max_attempts,omitempty"`
+	// SlackFactor times the work of a job, plus TargetMS in milliseconds, is
+	// the objective of its response time; KindLeased only. A job is worth
+	// little after it and nothing after three times the objective.
+	SlackFactor float64 `json:"slack_factor,omitempty"`
+	TargetMS    int64   `json:"target_ms,omitempty"`
 }
 
 // Needs are the resources that one task takes beside its slot.
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -26,6 +26,8 @@
 	OutcomeNotRun Outcome = "not_run"
 	// OutcomeFailed means that tasks ran and the submission failed.
 	OutcomeFailed Outcome = "failed"
+	// OutcomeDone means that every task ended with success.
+	OutcomeDone Outcome = outcomeDone
 	// OutcomeUnknown means that tasks may have run.
 	OutcomeUnknown Outcome = "unknown"
 )
--- a/settings/types.go
+++ b/settings/types.go
@@ -118,6 +118,29 @@
 	Log       Log    `json:"log"`
 }
 
+// Leased holds the intervals of leased tasks. With the session's lapse they
+// bound how long a run can outlive its entry; see section 13.3 of docs/design.md.
+type Leased struct {
+	// Lease is how far each renewal extends the lease at the worker. Default 500ms.
+	Lease Duration `json:"lease"`
+	// Renew is how long a renewal waits at the worker for the next end. A
+	// lease survives two lost renewals: Renew + 2 OrderTimeout < Lease.
+	// Default 150ms.
+	Renew Duration `json:"renew"`
+	// OrderTimeout is the wait for the answer to an order, beyond Renew for a
+	// renewal. Default 100ms.
+	OrderTimeout Duration `json:"order_timeout"`
+	// OrderValidity is the time after which the worker ignores the order of a
+	// start. Default 300ms.
+	OrderValidity Duration `json:"order_validity"`
+	// StopTime is how long a worker takes to stop a run. Default 50ms.
+	StopTime Duration `json:"stop_time"`
+	// Resend is the time after which a caller sends a job again whose
+	// connection broke. More than Timing.Lapse + Heartbeat/2 + Lease and its
+	// clock drift of 2 % + 2 StopTime. Default 1300ms.
+	Resend Duration `json:"resend"`
+}
+
 // Limits on what callers may send and receive.
 type Limits struct {
 	// MaxBodyBytes of a request. Default 8 MiB.
@@ -164,12 +187,16 @@
 	// Default 16.
 	MaxEntries int `json:"max_entries"`
 	// MaxRecords of started tasks that entries have not acknowledged. Default 10000.
-	MaxRecords      int      `json:"max_records"`
-	MaxMessageBytes int64    `json:"max_message_bytes"` // default 16 MiB
-	Seeds           []string `json:"seeds,omitempty"`
-	Store           Store    `json:"store"`
-	Timing          Timing   `json:"timing"`
-	Codec           string   `json:"codec"`
-	PeerTLS         TLS      `json:"peer_tls"`
-	Log             Log      `json:"log"`
+	MaxRecords      int   `json:"max_records"`
+	MaxMessageBytes int64 `json:"max_message_bytes"` // default 16 MiB
+	// Leased is given for a worker that runs leased tasks. Upstream, Rack,
+	// Slots, Capacity, Connections and HealthPath are left out then, because
+	// the worker announces itself.
+	Leased  *Leased  `json:"leased,omitempty"`
+	Seeds   []string `json:"seeds,omitempty"`
+	Store   Store    `json:"store"`
+	Timing  Timing   `json:"timing"`
+	Codec   string   `json:"codec"`
+	PeerTLS TLS      `json:"peer_tls"`
+	Log     Log      `json:"log"`
 }
--- a/wire/agent.go
+++ b/wire/agent.go
@@ -121,6 +121,10 @@
 	Backlog    Backlog
 	Acked      []TaskKey
 	Stopping   bool // the entry accepts no new jobs
+	// Renews is the number of the session that is open and not in doubt; 0
+	// for none. Only this extends the session of leased tasks, counted from
+	// the moment the heartbeat was sent.
+	Renews uint64
 }
 
 // OfferRequest offers free slots to an entry that announced backlog.
--- a/wire/identity.go
+++ b/wire/identity.go
@@ -47,6 +47,9 @@
 	Slots       int    // tasks that the upstream runs at a time
 	QueueLimit  int    // tasks that wait at the agent
 	Capacity    Resources
+	// Pool of leased-task workers that the upstream belongs to; empty for an
+	// HTTP upstream.
+	Pool string
 }
 
 // Brief returns the part of the reference that names the process.
--- a/wire/task.go
+++ b/wire/task.go
@@ -35,6 +35,17 @@
 	// AnyStatus makes every whole upstream answer below 500 a result, as a
 	// forwarded request needs it; otherwise only 2xx succeeds.
 	AnyStatus bool
+	// Leased is set for a leased task, which has no Request.
+	Leased *LeasedTask
+}
+
+// LeasedTask is what a worker that runs leased tasks needs to know of a task.
+type LeasedTask struct {
+	// Job is the identifier that the caller chose. The same job may come again
+	// under it, at another entry.
+	Job  string
+	Step int
+	Spec string // for the worker; not interpreted
 }
 
 // Outcome of one task at an agent.
@@ -49,6 +60,9 @@
 	OutcomeFailed
 	// OutcomeNotRun means that the task never started and never will.
 	OutcomeNotRun
+	// OutcomeInterrupted means that a leased task started and that its run has
+	// ended for certain without a result, so that it may be started again.
+	OutcomeInterrupted
 )
 
 // Reason says why a task was not run, failed, or has an unknown outcome.
@@ -71,6 +85,13 @@
 	ReasonInvalid       Reason = "invalid_request"
 	ReasonDuplicate     Reason = "duplicate_message"
 	ReasonRecordLost    Reason = "start_record_lost"
+	// ReasonLapsed: the entry of a leased task was silent, or the worker's
+	// lease ended.
+	ReasonLapsed Reason = "lease_lapsed"
+	// ReasonWorkerLost: the worker crashed, restarted or left.
+	ReasonWorkerLost Reason = "worker_lost"
+	// ReasonWorkerRefused: the worker refused or ignored the order.
+	ReasonWorkerRefused Reason = "worker_refused"
 )
 
 // Result is what became of one task at an agent.
