process: read the settings again on SIGHUP; let a program bring its store

Cause: the platform signals changed settings files with SIGHUP, which ended a Go process, and its store is not the one at store.url. Change: SIGHUP checks the file and applies the log level; a bad file changes nothing and is logged. Loaded.OpenStore replaces the HTTP store, and a program may name its own default settings file.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -48,6 +48,9 @@
 	Store        settings.Store
 	StoreTimeout time.Duration
 	WatchTimeout time.Duration // of the store's watches; 0 is the adapter's default
+	// OpenStore returns another store than the one at Store.URL, and what
+	// ends its connections; nil opens Store.URL.
+	OpenStore func(zerolog.Logger) (s store.Store, close func())
 	// New returns the daemon and a function that dumps its state.
 	New func(Environment) (d Daemon, state func() any, err error)
 }
@@ -56,6 +59,9 @@
 type Program struct {
 	Name string // for metrics and the default settings file
 	Load func(file string) (Loaded, error)
+	// SettingsFile is read when the command line names no file; empty means
+	// /etc/chicorytray/NAME.json.
+	SettingsFile string
 }
 
 // Main runs the program's command line and does not return.
@@ -70,7 +76,11 @@
 }
 
 func (p Program) settingsFlag(f *flag.FlagSet, file *string) {
-	f.StringVar(file, "settings", "/etc/chicorytray/"+p.Name+".json", "settings `FILE` (JSON)")
+	otherwise := p.SettingsFile
+	if otherwise == "" {
+		otherwise = "/etc/chicorytray/" + p.Name + ".json"
+	}
+	f.StringVar(file, "settings", otherwise, "settings `FILE` (JSON)")
 }
 
 // checkCommand checks settings without starting anything.
--- a/internal/process/run.go
+++ b/internal/process/run.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"chicorytray.example/chicorytray/observe"
+	"chicorytray.example/chicorytray/store"
 	"chicorytray.example/chicorytray/store/httpstore"
 )
 
@@ -27,7 +28,9 @@
 	return `run -settings FILE: serve until SIGTERM or SIGINT
 
 The first signal begins a planned stop that finishes all accepted work; a
-second one ends the process at once. SIGUSR1 writes the state to standard error.
+second one ends the process at once. SIGHUP reads the settings again; the log
+level applies at once, the rest at the next start. SIGUSR1 writes the state to
+standard error.
 `
 }
 
@@ -39,18 +42,17 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	log := observe.NewLogger(os.Stderr, loaded.Log.Level)
+	// The global level decides, because it can change while the process runs.
+	log := observe.NewLogger(os.Stderr, zerolog.LevelDebugValue)
+	setLogLevel(loaded.Log.Level)
 	scope, handler, closer := observe.NewMetrics(c.program.Name)
 	defer func() { _ = closer.Close() }()
-	kv, err := httpstore.New(httpstore.Options{
-		URL: loaded.Store.URL, MaxCallsPerSecond: loaded.Store.MaxCallsPerSecond,
-		CallTimeout: loaded.StoreTimeout, WatchTimeout: loaded.WatchTimeout,
-	})
+	kv, closeStore, err := openStore(loaded, log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	defer kv.Close()
+	defer closeStore()
 	d, state, err := loaded.New(Environment{Logger: log, Metrics: scope, MetricsHandler: handler, Store: kv})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -63,6 +65,9 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go stopOnSignal(d, log, signals, cancel)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	go reloadOnSignal(c.program, c.file, log, reload)
 	if err := d.Run(ctx); err != nil {
 		log.Error().Err(err).Msg("process_failed")
 		return subcommands.ExitFailure
@@ -70,6 +75,45 @@
 	return subcommands.ExitSuccess
 }
 
+func openStore(l Loaded, log zerolog.Logger) (store.Store, func(), error) {
+	if l.OpenStore != nil {
+		s, closeStore := l.OpenStore(log)
+		return s, closeStore, nil
+	}
+	kv, err := httpstore.New(httpstore.Options{
+		URL: l.Store.URL, MaxCallsPerSecond: l.Store.MaxCallsPerSecond, CallTimeout: l.StoreTimeout, WatchTimeout: l.WatchTimeout,
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	return kv, kv.Close, nil
+}
+
+// reloadOnSignal reads the settings again at each signal. The log level applies
+// at once, everything else at the next start. A bad file changes nothing.
+func reloadOnSignal(p Program, file string, log zerolog.Logger, signals <-chan os.Signal) {
+	for range signals {
+		reload(p, file, log)
+	}
+}
+
+func reload(p Program, file string, log zerolog.Logger) {
+	loaded, err := p.Load(file)
+	if err != nil {
+		log.Error().Err(err).Msg("settings_rejected")
+		return
+	}
+	setLogLevel(loaded.Log.Level)
+	log.Info().Str("log_level", loaded.Log.Level).Msg("settings_read")
+}
+
+// setLogLevel sets the level of the process; settings were checked before.
+func setLogLevel(level string) {
+	if l, err := zerolog.ParseLevel(level); err == nil && l != zerolog.NoLevel {
+		zerolog.SetGlobalLevel(l)
+	}
+}
+
 // stopOnSignal begins a planned stop at the first signal and ends the process
 // at the second.
 func stopOnSignal(d Daemon, log zerolog.Logger, signals <-chan os.Signal, end context.CancelFunc) {
