agent: make the test of a pause independent of goroutine order

Cause: TestPauseClosesTheGate passed a later time to accept and dispatch, released the agent's lock and then read the upstream's number of starts. The heartbeat that accept requests was answered within the same moment of virtual time, and its answer rightly starts the task, so the read raced with it. The agent is not at fault: the start followed a confirmation whose heartbeat was sent after the pause. The agent's own clock also stayed before the pause, where the gate is open, so its 250 ms tick could have started the task as well.

Change: the test makes the records (gate, session) as old as the pause, at the agent's own time, and delays heartbeats by 10 ms each way. It checks after synctest.Wait that nothing started, and then that the only start came no earlier than one round trip of a heartbeat. The lapse case now checks the starts too.

--- a/agent/fault_test.go
+++ b/agent/fault_test.go
@@ -97,9 +97,11 @@
 }
 
 // Guards against a process that was paused and starts what it had queued, or
-// what waited in its buffers, before it has confirmed the configuration. Time
-// is passed in, as after a pause in which no timer ran.
+// what waited in its buffers, before it has confirmed the configuration. Its
+// records are made as old as the pause, as after one in which no timer ran.
+// Heartbeats take a while, so that their answers do not race with the checks.
 func TestPauseClosesTheGate(t *testing.T) {
+	const delay = 10 * time.Millisecond // of a heartbeat, one way
 	for _, tc := range []struct {
 		name   string
 		paused time.Duration
@@ -110,26 +112,35 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			virtual(t, setup{slots: 1, queue: 1}, func(r *rig) {
-				e := r.entries[0]
-				e.open()
-				a, m := r.agent, e.message("waited", time.Second)
-				resumed := time.Now().Add(tc.paused)
+				e, a := r.entries[0], r.agent
+				synctest.Wait() // no heartbeat is under way
+				r.net.Delay(agentHost, e.host, delay)
+				e.session.Number++
+				m := e.message("waited", time.Second)
+				resumed := time.Now()
 				a.mu.Lock()
+				a.gate = gate.New(a.timing.Gate.Of())
+				a.gate.Confirm(resumed.Add(-tc.paused))
+				_, err := a.ledger.Open(e.session, resumed.Add(-tc.paused))
 				kept, refusal := a.accept(&m, resumed)
 				a.dispatch(resumed)
 				busy := a.busy
 				a.mu.Unlock()
+				r.Assert(err, qt.IsNil)
+				synctest.Wait() // a task that was started has reached the upstream
 				r.Check(busy, qt.Equals, 0)
+				r.Check(r.starts("waited"), qt.Equals, 0)
 				if tc.want != "" {
 					r.Assert(refusal, qt.IsNotNil)
 					r.Check(refusal.Reason, qt.Equals, tc.want)
 					return
 				}
 				r.Assert(refusal, qt.IsNil)
-				r.Check(r.starts("waited"), qt.Equals, 0)
 				<-kept.done // a heartbeat confirms, and the task starts
 				r.Check(kept.result.Outcome, qt.Equals, wire.OutcomeDone)
-				r.Check(r.starts("waited"), qt.Equals, 1)
+				starts := r.stub.Record().Starts()
+				r.Assert(starts, qt.HasLen, 1)
+				r.Check(starts[0].At.Sub(resumed) >= 2*delay, qt.IsTrue)
 			})
 		})
 	}
