--- a/agent/agent.go
+++ b/agent/agent.go
@@ -24,13 +24,14 @@
 	options  Options
 	settings settings.Agent
 	timing   settings.Timing
-	self     wire.AgentRef
 	log      zerolog.Logger
 	metrics  metrics
 	counters *rpcconn.Counters
 	server   *rpcconn.Server
 	dialer   *rpcconn.Dialer
-	upstream *upstream
+	upstream executor
+	http     *upstream // the upstream if it is one of HTTP, else nil
+	leased   *leased   // the upstream if it is one of leased tasks, else nil
 	entries  *entries
 	began    time.Time
 
@@ -43,6 +44,7 @@
 	// mu covers everything below. It is held over each check together with
 	// the start that the check allows, and never during I/O.
 	mu       sync.Mutex
+	self     wire.AgentRef // identifier, incarnation, addresses and data centre never change
 	ledger   *ledger.Ledger
 	gate     *gate.Gate
 	config   wire.AgentConfig
@@ -68,8 +70,19 @@
 	leaveOperator leaveReason = "reported_on_admin_address"
 	leaveHealth   leaveReason = "health_check"
 	leaveGone     leaveReason = "upstream_unreachable"
+	leaveWorker   leaveReason = "no_adopted_worker"
+	leaveDraining leaveReason = "worker_draining"
 )
 
+// executor runs tasks at the upstream.
+type executor interface {
+	// do runs one task and returns its result once nothing of it runs or will
+	// run any more, so that its slot and resources are free. Took is left to
+	// the caller. The end of ctx ends the task.
+	do(ctx context.Context, t wire.Task) wire.Result
+	close()
+}
+
 // New checks the options and prepares an agent. It starts nothing.
 func New(o Options) (*Agent, error) {
 	if err := o.check(); err != nil {
@@ -96,8 +109,16 @@
 	a.ledger = ledger.New(a.self.Incarnation, s.MaxRecords)
 	a.dialer = &rpcconn.Dialer{Options: rpcOpts, Dial: o.Dial}
 	a.server = a.newServer(rpcOpts)
-	a.upstream = newUpstream(s, o.DialUpstream)
 	a.entries = newEntries(a)
+	if s.Leased != nil {
+		a.ledger.RequireRenewals()
+		a.leaving[leaveWorker] = true
+		a.leased = newLeased(a)
+		a.upstream = a.leased
+	} else {
+		a.http = newUpstream(s, o.DialUpstream)
+		a.upstream = a.http
+	}
 	return a, nil
 }
 
@@ -121,7 +142,11 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { failed <- a.server.Serve(ctx, peers) })
 	wg.Go(func() { failed <- a.serveAdmin(ctx, admin) })
-	for _, part := range []func(context.Context){a.entries.run, a.maintain, a.checkHealth} {
+	parts := []func(context.Context){a.entries.run, a.maintain, a.checkHealth}
+	if a.leased != nil {
+		parts = append(parts, a.leased.run)
+	}
+	for _, part := range parts {
 		wg.Go(func() { part(ctx) })
 	}
 	a.log.Info().Str("peers", peers.Addr().String()).Str("admin", admin.Addr().String()).
--- a/agent/fence.go
+++ b/agent/fence.go
@@ -28,6 +28,9 @@
 		Int("started", len(opened.Started)).Int("withdrawn", len(opened.Withdrawn)).
 		Bool("truncated", opened.Truncated).Msg("session_opened")
 	a.withdraw(opened.Withdrawn)
+	if a.leased != nil {
+		a.entries.kick() // only a heartbeat extends the session
+	}
 	a.apply(in.Config, now)
 	a.dispatch(now)
 	*out = wire.OpenSessionReply{Agent: a.self, Started: opened.Started, Truncated: opened.Truncated, Load: a.loadFor(owner)}
@@ -69,7 +72,11 @@
 	return nil
 }
 
-// lapse ends the sessions of silent entries; the caller holds mu.
+// errLapsed is why a leased task ends whose session has lapsed.
+var errLapsed = errors.New("agent: session lapsed")
+
+// lapse ends the sessions of silent entries; the caller holds mu. Leased tasks
+// end with their session, because the entry counts on it. Others run on.
 func (a *Agent) lapse(now time.Time) {
 	before := a.ledger.Stats().Lapsed
 	dropped := a.ledger.Lapse(now, a.timing.Lapse.Of())
@@ -78,6 +85,13 @@
 		a.log.Warn().Uint64("sessions", n).Int("tasks_dropped", len(dropped)).Msg("sessions_lapsed")
 	}
 	a.withdraw(dropped)
+	if a.leased != nil {
+		for _, t := range a.tasks {
+			if t.cancel != nil && !a.ledger.HasSession(t.owner) {
+				t.cancel(errLapsed)
+			}
+		}
+	}
 	for owner := range a.backlogs {
 		if !a.ledger.HasSession(owner) {
 			delete(a.backlogs, owner)
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -20,7 +20,7 @@
 	switch {
 	case len(a.leaving) > 0:
 		return wire.ReasonLeaving
-	case !t.task.Needs.Fits(a.settings.Capacity):
+	case !t.task.Needs.Fits(a.self.Capacity):
 		return wire.ReasonNeverFits
 	case !now.Before(t.deadline):
 		return wire.ReasonDeadline
@@ -35,9 +35,12 @@
 	default:
 		return reason
 	}
-	if a.busy+a.reservedForOthers(t.owner, now)+len(a.queue) >= a.settings.Slots+a.settings.QueueLimit {
+	if a.busy+a.reservedForOthers(t.owner, now)+len(a.queue) >= a.self.Slots+a.settings.QueueLimit {
 		return wire.ReasonBusy
 	}
+	if a.leased != nil && !t.task.Needs.Fits(a.free) && len(a.queue) >= a.settings.QueueLimit {
+		return wire.ReasonBusy // resources decide, not slots
+	}
 	return ""
 }
 
--- a/agent/health.go
+++ b/agent/health.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return 0, err.Error()
 	}
-	resp, err := a.upstream.health.Do(req)
+	resp, err := a.http.health.Do(req)
 	if err != nil {
 		return 0, err.Error()
 	}
@@ -94,7 +94,7 @@
 // awaitUpstream dials the upstream about twice per heartbeat.
 func (a *Agent) awaitUpstream(ctx context.Context) {
 	for wait.For(ctx, rand.N(a.timing.Heartbeat.Of())+1, nil) {
-		if c, err := a.upstream.connect(ctx); err == nil {
+		if c, err := a.http.connect(ctx); err == nil {
 			_ = c.Close()
 			a.leave(leaveGone, false)
 			return
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -40,7 +40,7 @@
 	told     bool // the entry answered a heartbeat that said "leaving"
 
 	// Of the connection; used by run alone.
-	described bool          // the entry knows this agent's whole reference
+	described wire.AgentRef // the reference that the entry knows; it may be out of date
 	entry     wire.EntryRef // that the entry sent
 }
 
@@ -114,7 +114,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l.described, l.entry = false, wire.EntryRef{}
+	l.described, l.entry = wire.AgentRef{}, wire.EntryRef{}
 	l.mu.Lock()
 	l.conn = conn
 	l.mu.Unlock()
@@ -133,20 +133,23 @@
 	req := l.agent.heartbeat(sent)
 	req.KnownEntry = l.entry.Incarnation
 	l.agent.addSeen(&req.Load, ledger.Owner{Entry: l.entry.ID, Incarnation: l.entry.Incarnation})
-	if l.described {
-		req.Agent = req.Agent.Brief()
+	whole := req.Agent
+	brief := l.described == whole
+	if brief {
+		req.Agent = whole.Brief()
 	}
 	var reply wire.HeartbeatReply
 	if err := conn.Call(ctx, "Entry.Heartbeat", &req, &reply); err != nil {
 		return err
 	}
-	if reply.Describe && !l.described {
+	if reply.Describe && !brief {
 		return errDescribed
 	}
-	l.described = !reply.Describe
 	if reply.Describe {
+		l.described = wire.AgentRef{}
 		return l.beat(ctx) // with the whole reference
 	}
+	l.described = whole
 	if l.entry.Brief() == reply.Entry {
 		reply.Entry = l.entry
 	}
@@ -221,6 +224,7 @@
 	a.lapse(now)
 	// Only the time at which the request was sent bounds the reply's age.
 	a.ledger.Heard(owner, sent)
+	a.ledger.Renew(owner, r.Renews, sent)
 	a.acknowledge(owner, r.Acked)
 	if _, announced := a.backlogs[owner]; announced {
 		// A reply that every agent gets must not make all of them offer.
--- /dev/null
+++ b/agent/leased.go
@@ -0,0 +1,174 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"chicorytray.example/chicorytray/lease"
+	"chicorytray.example/chicorytray/settings"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// maxRaises bounds the orders for one task whose number or token the worker
+// refused as too low. Each raise doubles, so 16 exceed what a worker can have
+// seen.
+const maxRaises = 16
+
+// leased runs tasks at a worker of leased tasks. The agent's lock covers all
+// but the first three fields.
+type leased struct {
+	agent    *Agent
+	settings settings.Leased
+	wake     chan struct{} // capacity 1; another life was announced
+
+	life  *life // nil while there is none
+	last  lease.Announcement
+	known bool   // last is set
+	token uint64 // highest fencing token of the lives so far
+}
+
+func newLeased(a *Agent) *leased {
+	return &leased{
+		agent: a, settings: *a.settings.Leased, wake: make(chan struct{}, 1),
+		token: uint64(time.Now().UnixMilli()),
+	}
+}
+
+// close does nothing: the end of the agent's Run ends the life's connections.
+func (l *leased) close() {}
+
+// attempt is one order of a task.
+type attempt struct {
+	life  *life
+	order lease.StartOrder
+	left  chan lease.Left
+	base  context.Context // of the process
+}
+
+// do orders the task at the worker and returns when its run has left the table.
+func (l *leased) do(ctx context.Context, t wire.Task) wire.Result {
+	raises, late := 0, 0
+	for {
+		at, refusal := l.order(ctx, t)
+		if refusal != nil {
+			return *refusal
+		}
+		left := l.await(ctx, at)
+		switch {
+		case left.Fate != lease.FateRefused || ctx.Err() != nil:
+			return l.result(ctx, left)
+		case left.Refusal == lease.RefusedOld || left.Refusal == lease.RefusedToken:
+			raises++
+		case left.Refusal == lease.RefusedLate:
+			late++ // the answer brought a fresh sample of the clock
+		default:
+			return l.result(ctx, left)
+		}
+		if raises > maxRaises || late > 1 {
+			return l.result(ctx, left)
+		}
+	}
+}
+
+// order enters a run of the task and sends its start. It checks again what may
+// have changed since the task was admitted, because no order may follow the
+// announcement that the worker drains or that the data centre is out of service.
+func (l *leased) order(ctx context.Context, t wire.Task) (*attempt, *wire.Result) {
+	a, now := l.agent, time.Now()
+	refuse := func(r wire.Reason) (*attempt, *wire.Result) {
+		result := notRun(r, "")
+		return nil, &result
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	f := l.life
+	if ctx.Err() != nil {
+		return refuse(endOf(ctx, wire.ReasonCancelled))
+	}
+	if len(a.leaving) > 0 || f == nil || !f.runs.Adopted() {
+		return refuse(wire.ReasonLeaving)
+	}
+	if ok, reason := a.may(now); !ok {
+		return refuse(reason)
+	}
+	idle := f.idle()
+	o, err := f.runs.Start(now, lease.Task{Job: t.Leased.Job, Step: t.Leased.Step, Index: t.Index}, t.Leased.Spec)
+	if err != nil {
+		// Another entry got the job again before the old run ended.
+		return refuse(wire.ReasonBusy)
+	}
+	if idle {
+		f.kick(false) // the renewal that is out does not extend the lease
+	}
+	at := &attempt{life: f, order: o, left: make(chan lease.Left, 1), base: a.base}
+	f.waiting[o.Run] = at.left
+	go l.send(at)
+	return at, nil
+}
+
+// await returns when the run has left the table, and stops it when ctx ends.
+// The end of the process leaves the run to its lease.
+func (l *leased) await(ctx context.Context, at *attempt) lease.Left {
+	select {
+	case left := <-at.left:
+		return left
+	case <-ctx.Done():
+	}
+	l.agent.mu.Lock()
+	if !at.life.over && at.life.runs.Stop(at.order.Run) {
+		go l.stop(at.life, at.order.Run)
+	}
+	l.agent.mu.Unlock()
+	select {
+	case left := <-at.left:
+		return left
+	case <-at.base.Done():
+		return lease.Left{Run: at.order.Run}
+	}
+}
+
+// deliver wakes the tasks whose runs left the table; the caller holds mu.
+func (l *leased) deliver(f *life, left []lease.Left) {
+	for _, r := range left {
+		if c := f.waiting[r.Run]; c != nil {
+			c <- r
+			delete(f.waiting, r.Run)
+		}
+	}
+}
+
+// result says what became of a task whose run left the table.
+func (l *leased) result(ctx context.Context, left lease.Left) wire.Result {
+	interrupted := func(r wire.Reason) wire.Result {
+		return wire.Result{Outcome: wire.OutcomeInterrupted, Reason: r}
+	}
+	switch left.Fate {
+	case lease.FateDone:
+		return wire.Result{Outcome: wire.OutcomeDone}
+	case lease.FateFailed:
+		return wire.Result{Outcome: wire.OutcomeFailed, Reason: wire.ReasonUpstreamError, Detail: "the run failed"}
+	case lease.FateStopped:
+		return interrupted(endOf(ctx, wire.ReasonWorkerRefused))
+	case lease.FateLapsed:
+		return interrupted(endOf(ctx, wire.ReasonLapsed))
+	case lease.FateLost:
+		return interrupted(endOf(ctx, wire.ReasonWorkerLost))
+	case lease.FateVoid:
+		return notRun(endOf(ctx, wire.ReasonWorkerRefused), "the worker did not carry the order out")
+	case lease.FateRefused:
+		if left.Refusal == lease.RefusedInvalid {
+			return invalidTask(errors.New("the worker refused the order as invalid"))
+		}
+		return notRun(endOf(ctx, wire.ReasonWorkerRefused), string(left.Refusal))
+	}
+	return unknown(wire.ReasonCancelled, errors.New("the agent ends"))
+}
+
+// endOf names the end of ctx where it is the cause.
+func endOf(ctx context.Context, otherwise wire.Reason) wire.Reason {
+	if errors.Is(context.Cause(ctx), errLapsed) {
+		return wire.ReasonLapsed
+	}
+	return reasonOf(ctx, otherwise)
+}
--- /dev/null
+++ b/agent/leased_rig_test.go
@@ -0,0 +1,129 @@
+package agent
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"chicorytray.example/chicorytray/internal/faultnet"
+	"chicorytray.example/chicorytray/internal/leasestub"
+	"chicorytray.example/chicorytray/internal/storestub"
+	"chicorytray.example/chicorytray/lease"
+	"chicorytray.example/chicorytray/settings"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// cores is a whole number of cores as a resource.
+func cores(n int64) wire.Resources { return wire.Resources{MilliCPU: 1000 * n, MemoryMB: 64 * n} }
+
+// leasedRig is an agent beside a worker of leased tasks.
+type leasedRig struct {
+	*rig
+	machine *leasestub.Machine
+	kill    context.CancelFunc // ends the agent's process at once
+}
+
+// leasedSetup describes a leasedRig; zero values mean 8 cores and one entry.
+type leasedSetup struct {
+	entries     int
+	unannounced bool
+	machine     leasestub.Options
+}
+
+// virtualLeased runs the test and then checks what the worker really ran.
+func virtualLeased(t *testing.T, s leasedSetup, test func(r *leasedRig)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		r := &leasedRig{rig: &rig{C: qt.New(t), net: faultnet.New(), store: storestub.New(), ctx: ctx,
+			ended: make(chan error, 1), metrics: tally.NewTestScope("", nil)}}
+		o := s.machine
+		o.ID, o.Pool, o.Address, o.Rack = "m1", "p1", "10.0.2.1:8200", "r7"
+		if o.Capacity == (wire.Resources{}) {
+			o.Capacity = cores(8)
+		}
+		r.machine = leasestub.New(o)
+		for i := range max(s.entries, 1) {
+			r.addEntry(i, true)
+		}
+		r.startLeased()
+		if !s.unannounced {
+			r.agent.WorkerAnnounced(r.machine.Announcement())
+		}
+		time.Sleep(400 * time.Millisecond) // adoption and the first heartbeats
+		test(r)
+		r.Check(r.machine.Evidence().Faults(), qt.HasLen, 0)
+		cancel()
+		<-r.ended
+		r.machine.Crash()
+		for _, e := range r.entries {
+			e.close()
+		}
+		r.wg.Wait()
+	})
+}
+
+// platformTiming are the intervals of section 13.3 of the design page.
+func platformTiming() settings.Timing {
+	t := settings.DefaultTiming()
+	t.Heartbeat, t.PeerHeartbeat = settings.Duration(150*time.Millisecond), settings.Duration(350*time.Millisecond)
+	t.Suspect, t.Lapse = settings.Duration(400*time.Millisecond), settings.Duration(600*time.Millisecond)
+	t.Reconcile, t.Gate = settings.Duration(1300*time.Millisecond), settings.Duration(3*time.Second)
+	t.PingAfter, t.PingTimeout = settings.Duration(250*time.Millisecond), settings.Duration(150*time.Millisecond)
+	return t
+}
+
+// startLeased starts an agent process.
+func (r *leasedRig) startLeased() {
+	conf, leased := settings.DefaultAgent(), settings.DefaultLeased()
+	conf.ID, conf.DataCentre, conf.Worker, conf.Connections, conf.Leased = "a1", dataCentre, "w1", 0, &leased
+	conf.PeerAddress, conf.AdminAddress = agentHost+":7100", agentHost+":9100"
+	conf.Store.URL, conf.Timing = "http://10.0.3.1:7500", platformTiming()
+	peers, err := r.net.Listen(conf.PeerAddress)
+	r.Assert(err, qt.IsNil)
+	admin, err := r.net.Listen(conf.AdminAddress)
+	r.Assert(err, qt.IsNil)
+	r.agent, err = New(Options{
+		Settings: conf, Store: r.store, Dial: r.net.Dialer(agentHost), Peers: peers, Admin: admin, Metrics: r.metrics,
+		Connect: func(n lease.Announcement) Worker { return r.machine.Connect(n) },
+	})
+	r.Assert(err, qt.IsNil)
+	ctx, kill := context.WithCancel(r.ctx)
+	r.kill = kill
+	a := r.agent
+	go func() { r.ended <- a.Run(ctx) }()
+}
+
+// order is the message that starts a leased task.
+func (e *entryStub) order(job string, needs wire.Resources, spec leasestub.Spec) wire.RunRequest {
+	e.sequence++
+	spec.Needs = needs
+	return wire.RunRequest{Session: e.session, Sequence: e.sequence, Task: wire.Task{
+		Job: job + "@" + e.ref.ID, Needs: needs, Remaining: 20 * time.Second,
+		Leased: &wire.LeasedTask{Job: job, Spec: spec.Encode()},
+	}}
+}
+
+// lease sends a task of the duration that needs the cores.
+func (e *entryStub) lease(job string, n int64, took time.Duration) <-chan answer {
+	return e.send(e.order(job, cores(n), leasestub.Spec{MS: float64(took) / float64(time.Millisecond)}))
+}
+
+// cancelTask cancels the task that was sent last.
+func (e *entryStub) cancelTask() wire.CancelReply {
+	in := wire.CancelRequest{Session: e.session, Keys: []wire.TaskKey{{Session: e.session.Number, Sequence: e.sequence}}}
+	var out wire.CancelReply
+	e.Assert(e.conn.Call(e.ctx, "Agent.Cancel", &in, &out), qt.IsNil)
+	return out
+}
+
+// started returns how often the worker started the job's task.
+func (r *leasedRig) started(job string) int {
+	return r.machine.Evidence().Count()[lease.Task{Job: job}]
+}
+
+// free returns the agent's free resources.
+func (r *leasedRig) free() wire.Resources { return r.agent.State().Load.Free }
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -29,7 +29,7 @@
 	if ok, _ := a.may(now); !ok {
 		return
 	}
-	for a.busy+a.reservedForOthers(ledger.Owner{}, now) < a.settings.Slots {
+	for a.busy+a.reservedForOthers(ledger.Owner{}, now) < a.self.Slots {
 		best, ok := a.mostUrgent()
 		if !ok || best == user && a.backlogs[best].Tasks > 0 {
 			return
--- a/agent/options.go
+++ b/agent/options.go
@@ -42,6 +42,9 @@
 	if o.Store == nil {
 		errs = append(errs, errors.New("no store"))
 	}
+	if o.Settings.Leased != nil && o.Connect == nil {
+		errs = append(errs, errors.New("no Connect, which settings.Leased requires"))
+	}
 	if err := o.Settings.Validate(); err != nil {
 		errs = append(errs, err)
 	}
--- /dev/null
+++ b/agent/orders.go
@@ -0,0 +1,203 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"chicorytray.example/chicorytray/internal/wait"
+	"chicorytray.example/chicorytray/lease"
+)
+
+const (
+	// idleWait is the wait of a renewal while nothing runs. An idle worker
+	// costs half a message a second.
+	idleWait = 2 * time.Second
+	// silentBackoff bounds the pause between renewals at a silent worker
+	// where nothing runs.
+	silentBackoff = time.Second
+)
+
+// send sends the start order of an attempt once.
+func (l *leased) send(at *attempt) {
+	f, o := at.life, at.order
+	ctx, cancel := context.WithTimeout(f.ctx, l.settings.OrderTimeout.Of())
+	defer cancel()
+	answer, err := l.workerOf(f).Start(ctx, o)
+	now := time.Now()
+	l.agent.mu.Lock()
+	defer l.agent.mu.Unlock()
+	switch {
+	case f.over:
+	case errors.Is(err, lease.ErrDown):
+		l.end(f, "connection_refused")
+	case err != nil:
+		l.agent.metrics.ordersUnanswered.Inc(1)
+		f.runs.StartUnanswered(o.Run)
+		f.kick(true)
+	default:
+		l.deliver(f, f.runs.StartAnswered(now, o, answer))
+		if answer.Refusal == lease.RefusedLife {
+			l.end(f, "another_life_answered")
+		}
+	}
+}
+
+// workerOf returns the calls to the life's present address.
+func (l *leased) workerOf(f *life) Worker {
+	l.agent.mu.Lock()
+	defer l.agent.mu.Unlock()
+	return f.worker
+}
+
+// stop orders the end of a run until the order is answered or not needed any
+// more.
+func (l *leased) stop(f *life, run lease.Run) {
+	for {
+		l.agent.mu.Lock()
+		o, needed := f.runs.ToStop(run)
+		needed = needed && !f.over
+		l.agent.mu.Unlock()
+		if !needed || l.stopOnce(f, o) || !wait.For(f.ctx, l.settings.OrderTimeout.Of()/4, nil) {
+			return
+		}
+	}
+}
+
+// stopOnce sends one stop order and reports whether it is done with.
+func (l *leased) stopOnce(f *life, o lease.StopOrder) bool {
+	ctx, cancel := context.WithTimeout(f.ctx, l.settings.OrderTimeout.Of())
+	defer cancel()
+	answer, err := l.workerOf(f).Stop(ctx, o)
+	now := time.Now()
+	l.agent.mu.Lock()
+	defer l.agent.mu.Unlock()
+	switch {
+	case f.over:
+	case errors.Is(err, lease.ErrDown):
+		l.end(f, "connection_refused")
+	case err != nil:
+		l.agent.metrics.ordersUnanswered.Inc(1)
+		return false
+	case answer.Refusal == lease.RefusedLife:
+		l.end(f, "another_life_answered")
+	case !f.runs.StopAnswered(now, o, answer):
+		return false
+	case !f.runs.Began(o.Run):
+		f.kick(true) // a list has to prove that the order is void
+	}
+	return true
+}
+
+// run serves one life of the worker after the other until ctx ends.
+func (l *leased) run(ctx context.Context) {
+	for {
+		l.agent.mu.Lock()
+		f := l.life
+		l.agent.mu.Unlock()
+		if f != nil {
+			l.serve(ctx, f)
+		}
+		select {
+		case <-ctx.Done():
+			l.disconnect()
+			return
+		case <-l.wake:
+		}
+	}
+}
+
+// disconnect closes the connections to the present life.
+func (l *leased) disconnect() {
+	l.agent.mu.Lock()
+	defer l.agent.mu.Unlock()
+	if l.life != nil {
+		l.life.worker.Close()
+	}
+}
+
+// serve renews the lease of one life until it has ended.
+func (l *leased) serve(ctx context.Context, f *life) {
+	stop := context.AfterFunc(ctx, f.cancel)
+	defer stop()
+	for failures := 0; f.ctx.Err() == nil; {
+		if l.renew(f, failures > 0) {
+			failures = 0
+			continue
+		}
+		failures++
+		if !wait.For(f.ctx, l.pause(f, failures), f.wake) {
+			return
+		}
+	}
+}
+
+// pause is the time before the next renewal after failed ones.
+func (l *leased) pause(f *life, failures int) time.Duration {
+	l.agent.mu.Lock()
+	defer l.agent.mu.Unlock()
+	pause := l.settings.OrderTimeout.Of() / 4
+	if f.runs.Empty() {
+		return min(silentBackoff, pause<<min(failures, 10))
+	}
+	return pause
+}
+
+// renew sends one renewal and takes its list. It reports whether another may
+// follow at once.
+func (l *leased) renew(f *life, retry bool) bool {
+	ctx, cancel := context.WithCancel(f.ctx)
+	defer cancel()
+	l.agent.mu.Lock()
+	n := f.runs.Renew(time.Now(), l.waitOf(f, retry))
+	f.immediate, f.kicked = false, false
+	if n.Wait > 0 {
+		f.interrupt = cancel
+	}
+	worker := f.worker
+	l.agent.mu.Unlock()
+	ctx, end := context.WithTimeout(ctx, n.Wait+l.settings.OrderTimeout.Of())
+	defer end()
+	list, err := worker.Renew(ctx, n.RenewOrder)
+	now := time.Now()
+	l.agent.mu.Lock()
+	defer l.agent.mu.Unlock()
+	f.interrupt = nil
+	switch {
+	case f.over:
+		return false
+	case errors.Is(err, lease.ErrDown):
+		l.end(f, "connection_refused")
+		return false
+	case err != nil:
+		l.deliver(f, f.runs.Lapse(now))
+		l.refresh()
+		return f.kicked
+	case list.Refusal == lease.RefusedLife:
+		l.end(f, "another_life_answered")
+		return false
+	}
+	l.listed(f, now, n, list)
+	return list.Refusal == "" || list.Refusal == lease.RefusedToken
+}
+
+// waitOf is how long the next renewal waits; the caller holds mu.
+func (l *leased) waitOf(f *life, retry bool) time.Duration {
+	switch {
+	case retry || f.immediate || f.runs.Silent(time.Now()):
+		return 0
+	case f.idle():
+		return idleWait
+	}
+	return l.settings.Renew.Of()
+}
+
+// listed takes a list; the caller holds mu.
+func (l *leased) listed(f *life, now time.Time, n lease.Renewal, list lease.List) {
+	left, stop := f.runs.Listed(now, n, list)
+	l.deliver(f, left)
+	for _, run := range stop {
+		go l.stop(f, run)
+	}
+	l.refresh()
+}
--- a/agent/receive.go
+++ b/agent/receive.go
@@ -25,8 +25,8 @@
 	deadline time.Time
 	began    time.Time // zero while it waits
 	expiry   *time.Timer
-	cancel   context.CancelFunc // of its execution
-	done     chan struct{}      // closed when result is set
+	cancel   context.CancelCauseFunc // of its execution; nil while it waits
+	done     chan struct{}           // closed when result is set
 	result   wire.Result
 }
 
@@ -46,7 +46,7 @@
 // its result in its next session.
 func (a *Agent) rpcRun(ctx context.Context, in *wire.RunRequest, out *wire.RunReply) error {
 	now := time.Now()
-	if err := invalid(in); err != nil {
+	if err := a.invalid(in); err != nil {
 		a.reply(ledger.OwnerOf(in.Session), out, invalidTask(err))
 		return nil
 	}
@@ -136,7 +136,7 @@
 			continue
 		}
 		if t != nil && t.cancel != nil {
-			t.cancel()
+			t.cancel(nil)
 		}
 	}
 	a.dispatch(now)
@@ -162,9 +162,10 @@
 	return nil
 }
 
-// invalid checks what the upstream's request is built from.
-func invalid(in *wire.RunRequest) error {
-	r := in.Task.Request
+// invalid checks what the upstream's request or the worker's order is built
+// from.
+func (a *Agent) invalid(in *wire.RunRequest) error {
+	r, leased := in.Task.Request, in.Task.Leased
 	switch {
 	case in.Session.Entry == "" || in.Session.Number == 0:
 		return fmt.Errorf("no session")
@@ -172,6 +173,12 @@
 		return fmt.Errorf("no sequence")
 	case in.Task.Job == "":
 		return fmt.Errorf("no job")
+	case (leased != nil) != (a.leased != nil):
+		return fmt.Errorf("a leased task needs a worker that runs leased tasks, and an HTTP task an HTTP upstream")
+	case leased != nil && leased.Job == "":
+		return fmt.Errorf("no job identifier of the caller")
+	case leased != nil:
+		return nil
 	case !strings.HasPrefix(r.Path, "/"):
 		return fmt.Errorf("path %q does not begin with a slash", r.Path)
 	case !token(r.Method):
--- a/agent/report.go
+++ b/agent/report.go
@@ -88,6 +88,8 @@
 		return
 	case wire.OutcomeUnknown:
 		a.metrics.unknown.Inc(1)
+	case wire.OutcomeInterrupted:
+		a.metrics.interrupted.Inc(1)
 	}
 	a.metrics.finished.Inc(1)
 	switch r.Reason {
--- a/agent/rig_test.go
+++ b/agent/rig_test.go
@@ -135,6 +135,7 @@
 	heartbeats []wire.HeartbeatRequest
 	offers     int
 	useOffers  bool
+	renews     uint64 // the open session, in heartbeat replies
 
 	conn     *rpcconn.Client
 	session  wire.Session
@@ -178,7 +179,7 @@
 	e.heartbeats = append(e.heartbeats, *in)
 	*out = wire.HeartbeatReply{
 		Entry: e.ref, Generation: e.config.Generation, ConfirmAge: e.age, ReadAge: gate.None,
-		Entries: e.known, Backlog: e.backlog, Acked: e.acked,
+		Entries: e.known, Backlog: e.backlog, Acked: e.acked, Renews: e.renews,
 	}
 	if in.Generation < e.config.Generation {
 		c := e.config
@@ -225,6 +226,7 @@
 	var out wire.OpenSessionReply
 	in := wire.OpenSessionRequest{Session: e.session}
 	e.Assert(e.conn.Call(e.ctx, "Agent.OpenSession", &in, &out), qt.IsNil)
+	e.set(func(e *entryStub) { e.renews = e.session.Number })
 	return out
 }
 
--- a/agent/run.go
+++ b/agent/run.go
@@ -30,12 +30,12 @@
 // task that lacks resources is passed over by those behind it; the queue is
 // short and deadlines end the wait. The caller holds mu.
 func (a *Agent) dispatch(now time.Time) {
-	for i := 0; i < len(a.queue) && a.busy < a.settings.Slots; {
+	for i := 0; i < len(a.queue) && a.busy < a.self.Slots; {
 		if ok, _ := a.may(now); !ok {
 			return
 		}
 		t := a.queue[i]
-		if a.busy+a.reservedForOthers(t.owner, now) >= a.settings.Slots {
+		if a.busy+a.reservedForOthers(t.owner, now) >= a.self.Slots {
 			i++ // the free slots are kept for other entries
 			continue
 		}
@@ -63,10 +63,12 @@
 	a.free = a.free.Minus(t.task.Needs)
 	a.sequence++
 	a.metrics.started.Inc(1)
-	ctx, cancel := context.WithDeadline(a.base, t.deadline)
+	ctx, cancel := context.WithCancelCause(a.base)
 	t.cancel = cancel
+	ctx, end := context.WithDeadline(ctx, t.deadline)
 	go func() {
-		defer cancel()
+		defer cancel(nil)
+		defer end()
 		a.report(t, a.upstream.do(ctx, t.task))
 	}()
 }
--- a/agent/state.go
+++ b/agent/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -32,6 +33,32 @@
 	Ledger          ledger.Stats             `json:"ledger"`
 	Entries         []EntryState             `json:"entries"`
 	Messages        map[string]rpcconn.Count `json:"messages"`
+	Leased          *LeasedState             `json:"leased,omitempty"` // of an agent for leased tasks
+}
+
+// LeasedState is the worker of leased tasks and what runs there. Times on the
+// worker's clock are in milliseconds since an origin that only it knows.
+type LeasedState struct {
+	Life        string     `json:"life"` // empty while none is known
+	Born        int64      `json:"born"` // Unix time in milliseconds
+	Pool        string     `json:"pool"`
+	Address     string     `json:"address"`
+	Draining    bool       `json:"draining"`
+	Left        bool       `json:"left"`
+	Adopted     bool       `json:"adopted"`
+	Silent      bool       `json:"silent"`
+	Token       uint64     `json:"token"`
+	LeaseEndMS  int64      `json:"lease_end_ms"`  // latest that was ever sent
+	ClockPastMS int64      `json:"clock_past_ms"` // lower bound of the worker's clock
+	Runs        []RunState `json:"runs"`
+}
+
+// RunState is one run in the table.
+type RunState struct {
+	Task   string `json:"task"` // job/step/index
+	Number uint64 `json:"number"`
+	State  string `json:"state"`
+	Began  bool   `json:"began"`
 }
 
 // TaskState is one task that waits or runs.
@@ -57,13 +84,16 @@
 // State returns a copy of the agent's state.
 func (a *Agent) State() State {
 	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	s := State{
 		Agent: a.self.ID, Incarnation: a.self.Incarnation.String(), DataCentre: a.self.DataCentre,
 		Worker: a.self.Worker, Upstream: a.self.Upstream, UptimeMS: a.uptime().Milliseconds(),
 		Messages: a.counters.ByMethod(),
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
+	if a.leased != nil {
+		s.Leased = a.leased.state(now)
+	}
 	for r := range a.leaving {
 		s.Leaving = append(s.Leaving, string(r))
 	}
@@ -98,6 +128,29 @@
 	}
 }
 
+// state describes the worker; the caller holds mu.
+func (l *leased) state(now time.Time) *LeasedState {
+	f := l.life
+	if f == nil {
+		return &LeasedState{Token: l.token, Runs: []RunState{}}
+	}
+	n := f.announced
+	latest, clock := f.runs.End(now)
+	s := &LeasedState{
+		Life: n.Life.ID, Born: n.Life.Born, Pool: n.Pool, Address: n.Address, Draining: n.Draining, Left: f.left,
+		Adopted: f.runs.Adopted(), Silent: f.runs.Silent(now), Token: f.runs.Token(),
+		LeaseEndMS: latest.Milliseconds(), ClockPastMS: clock.Milliseconds(), Runs: []RunState{},
+	}
+	for _, r := range f.runs.Entries() {
+		t := r.Run.Task
+		s.Runs = append(s.Runs, RunState{
+			Task: fmt.Sprintf("%s/%d/%d", t.Job, t.Step, t.Index), Number: r.Run.Number, State: string(r.State), Began: r.Began,
+		})
+	}
+	slices.SortFunc(s.Runs, func(x, y RunState) int { return cmp.Compare(x.Task, y.Task) })
+	return s
+}
+
 func (e *entries) state(now time.Time, backlogs map[ledger.Owner]wire.Backlog) []EntryState {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"time"
 
 	"chicorytray.example/chicorytray/lease"
 )
 
+// milliPerCore is the unit of wire.Resources.MilliCPU.
+const milliPerCore = 1000
+
 // Worker is one life of the machine beside the agent, which runs leased tasks.
 // The calls are safe for concurrent use. An error other than lease.ErrDown
 // means that the order may have been carried out or may be carried out later.
@@ -17,11 +21,160 @@
 	Close()
 }
 
+// life is one life of the worker, as the agent serves it. The agent's lock
+// covers it.
+type life struct {
+	announced lease.Announcement
+	worker    Worker
+	runs      *lease.Runs
+	waiting   map[lease.Run]chan lease.Left // for the end of each run, capacity 1
+	ctx       context.Context               // of its orders
+	cancel    context.CancelFunc
+	over      bool // it has ended
+	left      bool // the registry says that the worker left
+
+	// Of the renewal that is out.
+	interrupt context.CancelFunc // ends its wait; nil while it does not wait
+	kicked    bool               // its wait was ended
+	immediate bool               // the next renewal does not wait
+	wake      chan struct{}      // capacity 1; ends the pause after a failure
+}
+
 // WorkerAnnounced takes over what the worker beside the agent says of itself.
 // It returns when the agent acts on it: after the announcement of a draining
-// worker no leased task starts here. Announcements of an older life, or with an
-// older sequence of the same life, are ignored.
-func (a *Agent) WorkerAnnounced(n lease.Announcement) { _ = n }
+// worker no leased task is ordered here. Announcements of an older life, or with
+// an older sequence of the same life, are ignored.
+func (a *Agent) WorkerAnnounced(n lease.Announcement) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l := a.leased
+	if l == nil || l.outdated(n) {
+		return
+	}
+	l.last, l.known = n, true
+	if l.life == nil || l.life.announced.Life != n.Life {
+		l.replace(n)
+	} else if l.life.announced.Address != n.Address {
+		l.life.worker.Close()
+		l.life.worker = a.options.Connect(n)
+	}
+	l.life.announced, l.life.left = n, false
+	a.setLeaving(leaveDraining, n.Draining)
+	l.refresh()
+}
 
-// WorkerLeft handles the announced end of a worker.
-func (a *Agent) WorkerLeft(id string) { _ = id }
+// WorkerLeft handles the announced end of a worker. It is no proof that the
+// worker's process has ended, so the runs stay until there is one.
+func (a *Agent) WorkerLeft(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l := a.leased
+	if l == nil || l.life == nil || l.life.announced.Life.ID != id {
+		return
+	}
+	a.log.Info().Str("worker", id).Msg("worker_left")
+	l.life.left = true
+	l.life.kick(true)
+	l.refresh()
+}
+
+// outdated reports whether a newer announcement was taken over; the caller
+// holds mu.
+func (l *leased) outdated(n lease.Announcement) bool {
+	if !l.known || n.Life.Born > l.last.Life.Born {
+		return false
+	}
+	return n.Life.Born < l.last.Life.Born || n.Life == l.last.Life && n.Sequence <= l.last.Sequence
+}
+
+// replace ends the present life and begins that of the announcement; the
+// caller holds mu.
+func (l *leased) replace(n lease.Announcement) {
+	if l.life != nil {
+		l.end(l.life, "another_life_announced")
+	}
+	s := l.settings
+	l.token++ // orders of the life before are not to be carried out in this one
+	l.life = &life{
+		announced: n, worker: l.agent.options.Connect(n), waiting: map[lease.Run]chan lease.Left{},
+		wake: make(chan struct{}, 1), immediate: true,
+		runs: lease.NewRuns(lease.Options{
+			Token: l.token, Lease: s.Lease.Of(), Validity: s.OrderValidity.Of(), StopTime: s.StopTime.Of(),
+		}),
+	}
+	l.life.ctx, l.life.cancel = context.WithCancel(context.Background())
+	l.agent.log.Info().Str("worker", n.Life.ID).Int64("born", n.Life.Born).Str("pool", n.Pool).
+		Str("address", n.Address).Msg("worker_announced")
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// end takes out all runs of a life that has ended; the caller holds mu.
+func (l *leased) end(f *life, cause string) {
+	if f.over {
+		return
+	}
+	f.over = true
+	l.deliver(f, f.runs.LifeEnded())
+	f.cancel()
+	f.worker.Close()
+	l.token = max(l.token, f.runs.Token())
+	if l.life == f {
+		l.life = nil
+	}
+	l.agent.log.Warn().Str("worker", f.announced.Life.ID).Int64("born", f.announced.Life.Born).
+		Str("cause", cause).Msg("worker_life_ended")
+	l.refresh()
+}
+
+// refresh makes the agent leave or return as its worker's state demands; the
+// caller holds mu.
+func (l *leased) refresh() {
+	f := l.life
+	ready := f != nil && !f.left && f.runs.Adopted() && !f.runs.Silent(time.Now())
+	if ready {
+		l.describe(f.announced)
+	}
+	l.agent.setLeaving(leaveWorker, !ready)
+}
+
+// describe takes the worker's description into the agent's own; entries get it
+// with the next heartbeat. The caller holds mu.
+func (l *leased) describe(n lease.Announcement) {
+	a := l.agent
+	before, self := a.self, &a.self // written by field, because others are read without the lock
+	self.Pool, self.Rack, self.Upstream, self.Capacity = n.Pool, n.Rack, n.Address, n.Capacity
+	self.Slots = int(n.Capacity.MilliCPU / milliPerCore)
+	if n.Life.ID != "" {
+		self.Worker = n.Life.ID
+	}
+	if *self == before {
+		return
+	}
+	a.free = a.free.Plus(self.Capacity.Minus(before.Capacity))
+	a.sequence++
+	a.log.Info().Str("worker", self.Worker).Str("pool", self.Pool).Int64("milli_cpu", self.Capacity.MilliCPU).
+		Int64("memory_mb", self.Capacity.MemoryMB).Msg("worker_adopted")
+	a.entries.kick()
+	a.dispatch(time.Now())
+}
+
+// idle reports whether the life has nothing to do but to wait for a start; the
+// caller holds mu.
+func (f *life) idle() bool { return f.runs.Empty() && f.runs.Adopted() }
+
+// kick ends the wait of the renewal that is out, so that the next is sent at
+// once; an immediate one does not wait itself. The caller holds mu.
+func (f *life) kick(immediate bool) {
+	f.immediate = f.immediate || immediate
+	if f.interrupt != nil {
+		f.kicked = true
+		f.interrupt()
+	}
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/leasestub/life.go
@@ -0,0 +1,196 @@
+package leasestub
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"chicorytray.example/chicorytray/lease"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// life is one life of a machine. The machine's lock covers it.
+type life struct {
+	machine  *Machine
+	id       lease.Life
+	booted   time.Time
+	token    uint64
+	sequence uint64 // of ends
+	highest  map[lease.Task]uint64
+	runs     map[lease.Run]*run
+	ended    []lease.End
+	over     bool
+	changed  chan struct{} // closed and replaced when a run ends
+}
+
+// run is one run that has not ended.
+type run struct {
+	needs    wire.Resources
+	took     time.Duration
+	start    *Start
+	began    time.Time
+	lease    lease.Clock
+	expiry   *time.Timer
+	work     *time.Timer
+	stopping bool
+}
+
+// clock is the worker's clock now.
+func (l *life) clock() lease.Clock {
+	elapsed := time.Since(l.booted)
+	return bootClock + elapsed - time.Duration(float64(elapsed)*l.machine.options.Slow)
+}
+
+// until is the time left until the worker's clock shows c.
+func (l *life) until(c lease.Clock) time.Duration {
+	return time.Duration(float64(c-l.clock())/(1-l.machine.options.Slow)) + 1
+}
+
+// admit checks an order's fencing token.
+func (l *life) admit(token uint64) lease.Refusal {
+	if token < l.token {
+		return lease.RefusedToken
+	}
+	l.token = token
+	return ""
+}
+
+func (l *life) used() wire.Resources {
+	var sum wire.Resources
+	for _, r := range l.runs {
+		sum = sum.Plus(r.needs)
+	}
+	return sum
+}
+
+// start carries out a start order.
+func (l *life) start(o lease.StartOrder) lease.Refusal {
+	if refusal := l.admit(o.Token); refusal != "" {
+		return refusal
+	}
+	var spec Spec
+	switch {
+	case json.Unmarshal([]byte(o.Spec), &spec) != nil:
+		return lease.RefusedInvalid
+	case o.Run.Number <= l.highest[o.Run.Task]:
+		return lease.RefusedOld
+	case l.clock() > o.Until:
+		return lease.RefusedLate
+	}
+	m := l.machine
+	used := l.used().Plus(spec.Needs)
+	if m.options.Enforce && !used.Fits(m.options.Capacity) {
+		return lease.RefusedRoom
+	}
+	if m.faults.Unhealthy {
+		return lease.RefusedUnhealthy
+	}
+	l.highest[o.Run.Task] = o.Run.Number
+	r := &run{needs: spec.Needs, took: spec.took(), began: time.Now(), lease: o.Until}
+	l.runs[o.Run] = r
+	r.start = m.evidence.begin(Start{Run: o.Run, Worker: m.options.ID, At: time.Now()}, used, m.options.Capacity)
+	how := lease.Done
+	if spec.Fail || m.faults.FailAll {
+		how = lease.Failed
+	}
+	r.work = time.AfterFunc(r.took, func() { l.finish(o.Run, how) })
+	r.expiry = time.AfterFunc(l.until(r.lease), func() { l.lapse(o.Run) })
+	return ""
+}
+
+// stop carries out a stop order.
+func (l *life) stop(o lease.StopOrder) lease.Refusal {
+	if refusal := l.admit(o.Token); refusal != "" {
+		return refusal
+	}
+	l.highest[o.Run.Task] = max(l.highest[o.Run.Task], o.Run.Number)
+	l.halt(o.Run, lease.Stopped)
+	return ""
+}
+
+// halt begins to end a run; its capacity is used until it has ended.
+func (l *life) halt(id lease.Run, how lease.How) {
+	r := l.runs[id]
+	if r == nil || r.stopping {
+		return
+	}
+	r.stopping = true
+	r.work.Stop()
+	r.work = time.AfterFunc(l.machine.options.StopTime, func() { l.finish(id, how) })
+}
+
+// lapse ends a run whose lease has ended.
+func (l *life) lapse(id lease.Run) {
+	l.machine.mu.Lock()
+	defer l.machine.mu.Unlock()
+	r := l.runs[id]
+	if r == nil || l.over {
+		return
+	}
+	if left := l.until(r.lease); l.clock() <= r.lease {
+		r.expiry.Reset(left) // it was renewed meanwhile
+		return
+	}
+	l.halt(id, lease.Lapsed)
+}
+
+// finish records the end of a run.
+func (l *life) finish(id lease.Run, how lease.How) {
+	l.machine.mu.Lock()
+	defer l.machine.mu.Unlock()
+	r := l.runs[id]
+	if r == nil || l.over {
+		return
+	}
+	r.expiry.Stop()
+	delete(l.runs, id)
+	l.machine.evidence.end(r.start, how)
+	l.sequence++
+	l.ended = append(l.ended, lease.End{Sequence: l.sequence, Run: id, How: how})
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// renew carries out a renewal, without its wait.
+func (l *life) renew(o lease.RenewOrder) lease.Refusal {
+	if refusal := l.admit(o.Token); refusal != "" {
+		return refusal
+	}
+	for _, r := range l.runs {
+		if o.Until > r.lease && l.clock() <= r.lease {
+			r.lease = o.Until
+			r.expiry.Reset(l.until(r.lease))
+		}
+	}
+	l.ended = slices.DeleteFunc(l.ended, func(e lease.End) bool { return e.Sequence <= o.Acked })
+	return ""
+}
+
+// list returns what runs and what has ended, ordered.
+func (l *life) list() lease.List {
+	out := lease.List{Clock: l.clock(), Ended: slices.Clone(l.ended)}
+	for id, r := range l.runs {
+		done := 100 * time.Since(r.began) / max(r.took, 1)
+		out.Active = append(out.Active, lease.Active{Run: id, Percent: int(min(done, 100))})
+	}
+	slices.SortFunc(out.Active, func(a, b lease.Active) int {
+		x, y := a.Run, b.Run
+		return cmp.Or(cmp.Compare(x.Task.Job, y.Task.Job), cmp.Compare(x.Task.Step, y.Task.Step),
+			cmp.Compare(x.Task.Index, y.Task.Index), cmp.Compare(x.Number, y.Number))
+	})
+	return out
+}
+
+// end ends the life with all its runs.
+func (l *life) end() {
+	l.over = true
+	for _, r := range l.runs {
+		r.work.Stop()
+		r.expiry.Stop()
+		l.machine.evidence.end(r.start, "")
+	}
+	l.runs = nil
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -83,7 +83,9 @@
 	}
 	switch v.Kind() {
 	case reflect.Pointer:
-		v.Set(reflect.New(v.Type().Elem()))
+		if v.IsNil() {
+			v.Set(reflect.New(v.Type().Elem()))
+		}
 		d.value(path, raw, v.Elem())
 	case reflect.Struct:
 		d.object(path, raw, v)
--- /dev/null
+++ b/lease/runs.go
@@ -0,0 +1,412 @@
+package lease
+
+import (
+	"errors"
+	"time"
+)
+
+// ErrTaskRuns means that a run of the task is in the table, so that no other
+// may be ordered.
+var ErrTaskRuns = errors.New("lease: a run of the task has not ended")
+
+// State of a run in the table.
+type State string
+
+// States of a run.
+const (
+	Ordered  State = "ordered"  // the start was sent, its outcome is pending
+	Running  State = "running"  // the worker accepted the start or listed the run
+	Stopping State = "stopping" // a stop is or will be ordered
+)
+
+// Fate is how a run left the table.
+type Fate string
+
+// Fates of a run. A run with FateRefused or FateVoid never began and never
+// will; of the others at most FateDone has a result.
+const (
+	FateDone    Fate = "done"
+	FateFailed  Fate = "failed"
+	FateStopped Fate = "stopped"
+	FateLapsed  Fate = "lapsed" // its lease ended
+	FateLost    Fate = "lost"   // it ended and the worker does not say how, or the worker's life ended
+	FateRefused Fate = "refused"
+	FateVoid    Fate = "void" // its order was never carried out
+)
+
+// Left is a run that left the table, because it is proved that nothing of it
+// runs or will run.
+type Left struct {
+	Run     Run
+	Fate    Fate
+	Refusal Refusal // with FateRefused
+}
+
+// Options of a Runs.
+type Options struct {
+	Token uint64 // first fencing token
+	// Lease is how far a renewal extends the lease. A worker that owes an
+	// answer for as long is silent, and its lease is not extended any more.
+	Lease time.Duration
+	// Validity of a start order.
+	Validity time.Duration
+	// StopTime is how long a worker takes to end a run whose lease ended.
+	StopTime time.Duration
+}
+
+// Runs is the table of the runs at one life of a worker.
+type Runs struct {
+	options Options
+	token   uint64
+	step    uint64 // by which the token is raised next
+	clock   clockBound
+	quietAt time.Time // when the worker counts as silent unless it answers; zero: no renewal is out
+	latest  Clock     // the latest end of the lease that was ever sent
+	asked   uint64    // number of the newest renewal
+	listed  uint64    // number of the renewal that the newest list answers
+	acked   uint64
+	table   map[Task]*entry
+	foreign map[Run]bool // runs that another agent process ordered
+	clean   bool         // the newest list had no foreign run
+	numbers numbers
+}
+
+// entry is one run in the table.
+type entry struct {
+	run   Run
+	until Clock // of its order
+	state State
+	began bool // the worker accepted the start or listed the run
+	// settled is set when the order was answered or given up, and then
+	// settledAt is the number of the newest renewal sent by then. Only lists
+	// of later renewals prove that the run is not there.
+	settled   bool
+	settledAt uint64
+	// stopped and stoppedAt say the same of its stop.
+	stopped   bool
+	stoppedAt uint64
+}
+
+// NewRuns returns the empty table of a life that is not adopted yet.
+func NewRuns(o Options) *Runs {
+	return &Runs{
+		options: o, token: o.Token, step: firstRaise,
+		table: map[Task]*entry{}, foreign: map[Run]bool{}, numbers: newNumbers(),
+	}
+}
+
+// firstRaise is the first step by which a token that was refused is raised. It
+// doubles each time, so that a wall clock that was set back by an hour costs
+// about a dozen orders. In milliseconds, as the tokens.
+const firstRaise = 1000
+
+// Token returns the fencing token of the next order.
+func (r *Runs) Token() uint64 { return r.token }
+
+// refused raises the token if the worker refused the present one.
+func (r *Runs) refused(sent uint64) {
+	if sent == r.token {
+		r.token += r.step
+		r.step *= 2
+	}
+}
+
+// Adopted reports whether the worker has shown that it runs nothing but what
+// is in the table. Before that nothing may be ordered.
+func (r *Runs) Adopted() bool { return r.clean }
+
+// Empty reports whether the table has no run.
+func (r *Runs) Empty() bool { return len(r.table) == 0 }
+
+// Silent reports whether the worker owes the answer to a renewal for the time
+// of a lease. Answers to other orders do not count, because they show no ends.
+func (r *Runs) Silent(now time.Time) bool { return !r.quietAt.IsZero() && now.After(r.quietAt) }
+
+// owe notes that a renewal is out that waits for the given time.
+func (r *Runs) owe(now time.Time, wait time.Duration) {
+	at := now.Add(max(r.options.Lease, wait+r.options.Lease/2))
+	if r.quietAt.IsZero() || at.Before(r.quietAt) {
+		r.quietAt = at
+	}
+}
+
+// Start enters the next run of the task and returns its order. It returns
+// ErrTaskRuns while an earlier run of the task is in the table. The caller has
+// checked Adopted.
+func (r *Runs) Start(now time.Time, t Task, spec string) (StartOrder, error) {
+	if r.table[t] != nil {
+		return StartOrder{}, ErrTaskRuns
+	}
+	e := &entry{run: Run{t, r.numbers.next(now, t)}, state: Ordered, until: r.clock.reached(now) + r.options.Validity}
+	r.table[t] = e
+	r.latest = max(r.latest, e.until)
+	return StartOrder{Run: e.run, Spec: spec, Token: r.token, Until: e.until}, nil
+}
+
+// Unsent takes out a run whose order was not and will not be sent.
+func (r *Runs) Unsent(run Run) []Left {
+	if r.find(run) == nil {
+		return nil
+	}
+	return r.leave(run, FateVoid, "")
+}
+
+// StartAnswered takes the answer to a start order. An answer with RefusedLife
+// is left to LifeEnded.
+func (r *Runs) StartAnswered(now time.Time, o StartOrder, a Answer) []Left {
+	r.clock.observe(now, a.Clock)
+	switch a.Refusal {
+	case RefusedToken:
+		r.refused(o.Token)
+	case RefusedOld:
+		r.numbers.raise(now, o.Run)
+	}
+	e := r.find(o.Run)
+	if e == nil {
+		return nil
+	}
+	if a.Refusal != "" {
+		return r.leave(o.Run, FateRefused, a.Refusal)
+	}
+	e.begin()
+	e.settle(r.asked)
+	return nil
+}
+
+// StartUnanswered says that the wait for the answer to a start was given up.
+// The order may have been carried out, and may be until its validity ends.
+func (r *Runs) StartUnanswered(run Run) {
+	if e := r.find(run); e != nil {
+		e.settle(r.asked)
+	}
+}
+
+// Stop decides that the run has to end. It reports whether a stop has to be
+// ordered that was not decided before.
+func (r *Runs) Stop(run Run) bool {
+	e := r.find(run)
+	if e == nil || e.state == Stopping {
+		return false
+	}
+	e.state = Stopping
+	return true
+}
+
+// ToStop returns the order that stops the run, or false when none is needed
+// any more. It is to be sent until an answer is given to StopAnswered.
+func (r *Runs) ToStop(run Run) (StopOrder, bool) {
+	e := r.find(run)
+	needed := e != nil && e.state == Stopping && !e.stopped || r.foreign[run]
+	return StopOrder{Run: run, Token: r.token}, needed
+}
+
+// StopAnswered takes the answer to a stop order and reports whether the worker
+// carried it out. A run that is too old to be stopped has been stopped or has
+// ended.
+func (r *Runs) StopAnswered(now time.Time, o StopOrder, a Answer) bool {
+	r.clock.observe(now, a.Clock)
+	switch a.Refusal {
+	case RefusedToken:
+		r.refused(o.Token)
+		return false
+	case "", RefusedOld:
+	default:
+		return false
+	}
+	if e := r.find(o.Run); e != nil {
+		e.stopped, e.stoppedAt = true, r.asked
+	}
+	return true
+}
+
+// Renewal is an order that was handed out by Renew, with its number.
+type Renewal struct {
+	RenewOrder
+	number uint64
+}
+
+// Renew returns the next renewal, which waits at the worker for at most the
+// given time. It extends the lease while a run is there that is not being
+// stopped, unless the worker has been silent for the time of a lease: then the
+// end of the lease is let come.
+func (r *Runs) Renew(now time.Time, wait time.Duration) Renewal {
+	r.asked++
+	r.owe(now, wait)
+	o := RenewOrder{Token: r.token, Acked: r.acked, Wait: wait}
+	if r.extends() && !r.Silent(now) {
+		o.Until = r.clock.reached(now) + r.options.Lease
+		r.latest = max(r.latest, o.Until)
+	}
+	return Renewal{o, r.asked}
+}
+
+func (r *Runs) extends() bool {
+	for _, e := range r.table {
+		if e.state != Stopping {
+			return true
+		}
+	}
+	return false
+}
+
+// Listed takes the answer to a renewal. It returns the runs that left the
+// table, and those that have to be stopped as Stop would report them. A list
+// with RefusedLife is left to LifeEnded.
+func (r *Runs) Listed(now time.Time, n Renewal, l List) (left []Left, stop []Run) {
+	r.clock.observe(now, l.Clock)
+	r.quietAt = time.Time{}
+	if l.Refusal == RefusedToken {
+		r.refused(n.Token)
+	}
+	if l.Refusal != "" || n.number <= r.listed {
+		return nil, nil // a list that arrives late shows runs that ended since
+	}
+	r.listed = n.number
+	left = r.ends(now, l.Ended)
+	stop = r.active(now, l.Active)
+	absent, doubtful := r.missing(n.number, l)
+	return append(left, absent...), append(stop, doubtful...)
+}
+
+// ends takes the ends of a list.
+func (r *Runs) ends(now time.Time, ended []End) []Left {
+	var left []Left
+	for _, end := range ended {
+		r.acked = max(r.acked, end.Sequence)
+		r.numbers.note(now, end.Run)
+		if r.find(end.Run) != nil {
+			left = append(left, r.leave(end.Run, fates[end.How], "")...)
+		}
+	}
+	return left
+}
+
+// fates of the ends that a worker lists.
+var fates = map[How]Fate{Done: FateDone, Failed: FateFailed, Stopped: FateStopped, Lapsed: FateLapsed}
+
+// active takes the active runs of a list and returns the foreign ones that it
+// shows for the first time.
+func (r *Runs) active(now time.Time, runs []Active) []Run {
+	var fresh []Run
+	foreign := map[Run]bool{}
+	for _, a := range runs {
+		r.numbers.note(now, a.Run)
+		if e := r.find(a.Run); e != nil {
+			e.begin()
+			continue
+		}
+		foreign[a.Run] = true
+		if !r.foreign[a.Run] {
+			fresh = append(fresh, a.Run)
+		}
+	}
+	r.foreign, r.clean = foreign, len(foreign) == 0
+	return fresh
+}
+
+// missing handles the runs that a list shows neither active nor ended.
+func (r *Runs) missing(number uint64, l List) (left []Left, stop []Run) {
+	shown := make(map[Run]bool, len(l.Active))
+	for _, a := range l.Active {
+		shown[a.Run] = true
+	}
+	for _, e := range r.table {
+		if shown[e.run] {
+			continue
+		}
+		settled := e.settled && number > e.settledAt
+		switch {
+		case e.stopped && number > e.stoppedAt:
+			left = append(left, r.leave(e.run, e.gone(FateStopped), "")...)
+		case settled && l.Clock > e.until:
+			left = append(left, r.leave(e.run, e.gone(FateLost), "")...)
+		case settled && !e.began && e.state == Ordered:
+			e.state = Stopping
+			stop = append(stop, e.run)
+		}
+	}
+	return left, stop
+}
+
+// Lapse takes out all runs of a silent worker once the latest end of the lease
+// that was ever sent has certainly passed, by a lower bound of the worker's
+// clock, and the worker had the time to end them. The worker is then not
+// adopted any more.
+func (r *Runs) Lapse(now time.Time) []Left {
+	if r.Empty() || !r.Silent(now) || r.clock.reached(now) <= r.latest+r.options.StopTime {
+		return nil
+	}
+	r.clean = false
+	return r.all(FateLapsed)
+}
+
+// LifeEnded takes out all runs because the worker's life has ended.
+func (r *Runs) LifeEnded() []Left {
+	r.clean = false
+	return r.all(FateLost)
+}
+
+func (r *Runs) all(f Fate) []Left {
+	var left []Left
+	for _, e := range r.table {
+		left = append(left, r.leave(e.run, f, "")...)
+	}
+	return left
+}
+
+// Began reports whether the run is in the table and the worker has accepted its
+// start or listed it.
+func (r *Runs) Began(run Run) bool {
+	e := r.find(run)
+	return e != nil && e.began
+}
+
+// Entry is one run of the table, for the state dump.
+type Entry struct {
+	Run   Run
+	State State
+	Began bool // the worker accepted the start or listed the run
+}
+
+// Entries returns the runs of the table in no particular order.
+func (r *Runs) Entries() []Entry {
+	out := make([]Entry, 0, len(r.table))
+	for _, e := range r.table {
+		out = append(out, Entry{e.run, e.state, e.began})
+	}
+	return out
+}
+
+// End returns the latest end of the lease that was ever sent and a lower bound
+// of the worker's clock.
+func (r *Runs) End(now time.Time) (latest, clock Clock) { return r.latest, r.clock.reached(now) }
+
+// find returns the entry of the run, or nil.
+func (r *Runs) find(run Run) *entry {
+	if e := r.table[run.Task]; e != nil && e.run == run {
+		return e
+	}
+	return nil
+}
+
+func (r *Runs) leave(run Run, f Fate, refusal Refusal) []Left {
+	delete(r.table, run.Task)
+	return []Left{{run, f, refusal}}
+}
+
+// gone is the fate of a run that is not there any more: f if it began.
+func (e *entry) gone(f Fate) Fate {
+	if !e.began {
+		return FateVoid
+	}
+	return f
+}
+
+func (e *entry) begin() {
+	e.began = true
+	if e.state == Ordered {
+		e.state = Running
+	}
+}
+
+func (e *entry) settle(asked uint64) { e.settled, e.settledAt = true, asked }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -18,6 +18,7 @@
 	records     int
 	finished    *list.List // of recordRef, in order of finishing
 	stats       Stats
+	renewals    bool // sessions last only as long as Renew extends them
 }
 
 // owner is what the ledger knows of one entry process.
@@ -55,12 +56,27 @@
 	}
 }
 
+// RequireRenewals makes sessions last only as long as Renew extends them. Other
+// messages do not count then, because delays on the way may make them as old as
+// a session that the entry has given up.
+func (l *Ledger) RequireRenewals() { l.renewals = true }
+
+// Renew extends the entry's session, if it is the open one, from a moment at
+// which the entry had not given it up.
+func (l *Ledger) Renew(id Owner, session uint64, at time.Time) {
+	if o, ok := l.owners[id]; ok && o.open && o.session == session && at.After(o.heard) {
+		o.heard = at
+	}
+}
+
 // Incarnation returns the agent process whose starts are recorded.
 func (l *Ledger) Incarnation() wire.Incarnation { return l.incarnation }
 
 // Open makes s the entry's current session and fences its earlier ones. It
 // returns ErrFenced if s is not newer than the current session, which happens
-// when a message arrives late. Sessions are numbered from 1.
+// when a message arrives late. Sessions are numbered from 1. With
+// RequireRenewals a session that follows an open one inherits the moment from
+// which it lapses, because the message may be older than that.
 func (l *Ledger) Open(s wire.Session, now time.Time) (OpenResult, error) {
 	id := OwnerOf(s)
 	o, known := l.owners[id]
@@ -79,7 +95,10 @@
 		l.stats.Fencing++
 	}
 	withdrawn := l.dropQueued(id, o)
-	o.session, o.open, o.heard = s.Number, true, now
+	if !o.open || !l.renewals {
+		o.heard = now
+	}
+	o.session, o.open = s.Number, true
 	o.used, o.highest, o.queued = sequences{}, 0, map[uint64]wire.Task{}
 	return OpenResult{Started: o.started(), Truncated: o.truncated > 0, Withdrawn: withdrawn}, nil
 }
@@ -126,7 +145,9 @@
 	if err != nil {
 		return err
 	}
-	o.heard = now
+	if !l.renewals {
+		o.heard = now
+	}
 	if o.truncated < s.Number {
 		o.truncated = 0
 	}
@@ -134,9 +155,9 @@
 }
 
 // Heard records that the entry process was known to be alive at that moment,
-// from an answer on another connection.
+// from an answer on another connection. It does nothing with RequireRenewals.
 func (l *Ledger) Heard(id Owner, at time.Time) {
-	if o, ok := l.owners[id]; ok && o.open && at.After(o.heard) {
+	if o, ok := l.owners[id]; ok && o.open && !l.renewals && at.After(o.heard) {
 		o.heard = at
 	}
 }
--- a/settings/load.go
+++ b/settings/load.go
@@ -43,6 +43,19 @@
 	}
 }
 
+// DefaultLeased returns the intervals of leased tasks of section 13 of the
+// design page.
+func DefaultLeased() Leased {
+	return Leased{
+		Lease:         Duration(500 * time.Millisecond),
+		Renew:         Duration(150 * time.Millisecond),
+		OrderTimeout:  Duration(100 * time.Millisecond),
+		OrderValidity: Duration(300 * time.Millisecond),
+		StopTime:      Duration(50 * time.Millisecond),
+		Resend:        Duration(1300 * time.Millisecond),
+	}
+}
+
 // DefaultLimits returns the limits of section 10 of the design page.
 func DefaultLimits() Limits {
 	return Limits{
@@ -124,6 +137,9 @@
 	queue, connections := a.QueueLimit, a.Connections
 	a.QueueLimit, a.Connections = absent, absent
 	ps := problems(strictjson.Decode(data, &a))
+	if a.Leased != nil {
+		return parseLeasedAgent(file, data)
+	}
 	// The defaults follow the number of slots where it contradicts them.
 	if a.QueueLimit == absent {
 		a.QueueLimit = min(queue, max(a.Slots, 0))
@@ -137,3 +153,16 @@
 	}
 	return a, nil
 }
+
+// parseLeasedAgent parses the settings of an agent whose file has the section
+// leased.
+func parseLeasedAgent(file string, data []byte) (Agent, error) {
+	a, leased := DefaultAgent(), DefaultLeased()
+	a.Connections, a.Leased = 0, &leased
+	ps := problems(strictjson.Decode(data, &a))
+	ps.merge(a.problems())
+	if err := ps.err(file); err != nil {
+		return Agent{}, err
+	}
+	return a, nil
+}
--- a/settings/timing.go
+++ b/settings/timing.go
@@ -62,3 +62,44 @@
 	// The lease is renewed at a third of its TTL, and one renewal may time out.
 	ps.longer("timing.lease_ttl", t.LeaseTTL, 3*t.StoreTimeout.Of(), "three store_timeout")
 }
+
+const (
+	// clockDrift is by which share a worker's clock may be slow, in percent.
+	clockDrift = 2
+	// maxLease is the longest lease that a worker accepts.
+	maxLease = time.Second
+)
+
+// leased checks the intervals of leased tasks one by one and then the sums of
+// section 13.3 of the design page.
+func (ps *problems) leased(l Leased, t Timing) {
+	before := len(*ps)
+	for _, f := range []struct {
+		field string
+		value Duration
+	}{
+		{"leased.lease", l.Lease}, {"leased.renew", l.Renew}, {"leased.order_timeout", l.OrderTimeout},
+		{"leased.order_validity", l.OrderValidity}, {"leased.stop_time", l.StopTime}, {"leased.resend", l.Resend},
+	} {
+		ps.positive(f.field, f.value)
+	}
+	if len(*ps) > before {
+		return
+	}
+	ps.longer("leased.lease", l.Lease, l.Renew.Of()+2*l.OrderTimeout.Of(), "renew + 2 order_timeout")
+	ps.atMost("leased.lease", l.Lease, maxLease, "the longest lease of a worker")
+	// A start extends the lease of its run until the next renewal.
+	ps.longer("leased.order_validity", l.OrderValidity, l.Renew.Of()+l.OrderTimeout.Of(), "renew + order_timeout")
+	ps.atMost("leased.order_validity", l.OrderValidity, l.Lease.Of(), "lease")
+	sum := t.Lapse.Of() + t.Heartbeat.Of()/2 + l.Lease.Of()*(100+clockDrift)/100 + 2*l.StopTime.Of()
+	const of = "timing.lapse + timing.heartbeat/2 + 1.02 leased.lease + 2 leased.stop_time"
+	ps.longer("timing.reconcile", t.Reconcile, sum, of)
+	ps.longer("leased.resend", l.Resend, sum, of)
+}
+
+// atMost requires d <= bound; of names what bound is.
+func (ps *problems) atMost(field string, d Duration, bound time.Duration, of string) {
+	if d.Of() > bound {
+		ps.add(field, d.Of().String(), fmt.Sprintf("at most %s (%s)", bound, of))
+	}
+}
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -13,6 +13,9 @@
 // than 3 s after operators took it out of service.
 const maxGate = 3 * time.Second
 
+// maxSlots is the greatest number of tasks that an agent runs at a time.
+const maxSlots = 10000
+
 // name is the form of identifiers, which appear in store keys, in job
 // identifiers and in logs.
 var name = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$`)
@@ -53,22 +56,11 @@
 	var ps problems
 	ps.name("id", a.ID)
 	ps.name("data_centre", a.DataCentre)
-	ps.name("rack", a.Rack)
 	ps.name("worker", a.Worker)
 	ps.advertised("peer_address", a.PeerAddress)
 	ps.advertised("admin_address", a.AdminAddress)
-	ps.advertised("upstream", a.Upstream)
 	ps.distinct([]string{"peer_address", "admin_address", "upstream"},
 		[]string{a.PeerAddress, a.AdminAddress, a.Upstream})
-	if a.HealthPath != "" && !strings.HasPrefix(a.HealthPath, "/") {
-		ps.add("health_path", a.HealthPath, "empty, or a path beginning with a slash")
-	}
-	ps.within("slots", int64(a.Slots), 1, 10000)
-	ps.within("queue_limit", int64(a.QueueLimit), 0, int64(a.Slots))
-	ps.within("connections", int64(a.Connections), int64(a.Slots), 100000)
-	ps.atLeast("capacity.accelerators", int64(a.Capacity.Accelerators), 0)
-	ps.atLeast("capacity.memory_mb", a.Capacity.MemoryMB, 0)
-	ps.atLeast("capacity.milli_cpu", a.Capacity.MilliCPU, 0)
 	ps.atLeast("max_entries", int64(a.MaxEntries), 1)
 	ps.atLeast("max_records", int64(a.MaxRecords), 1)
 	ps.atLeast("max_message_bytes", a.MaxMessageBytes, mib)
@@ -78,9 +70,55 @@
 	ps.oneOf("codec", a.Codec, CodecGob, CodecMsgpack)
 	ps.tls("peer_tls", a.PeerTLS, true)
 	ps.oneOf("log.level", a.Log.Level, "debug", "info", "warn", "error")
+	if a.Leased != nil {
+		ps.announced(a)
+		ps.leased(*a.Leased, a.Timing)
+	} else {
+		ps.upstream(a)
+	}
 	return ps
 }
 
+// upstream checks what describes an HTTP upstream.
+func (ps *problems) upstream(a Agent) {
+	ps.name("rack", a.Rack)
+	ps.advertised("upstream", a.Upstream)
+	if a.HealthPath != "" && !strings.HasPrefix(a.HealthPath, "/") {
+		ps.add("health_path", a.HealthPath, "empty, or a path beginning with a slash")
+	}
+	ps.within("slots", int64(a.Slots), 1, maxSlots)
+	ps.within("queue_limit", int64(a.QueueLimit), 0, int64(a.Slots))
+	ps.within("connections", int64(a.Connections), int64(a.Slots), 100000)
+	ps.atLeast("capacity.accelerators", int64(a.Capacity.Accelerators), 0)
+	ps.atLeast("capacity.memory_mb", a.Capacity.MemoryMB, 0)
+	ps.atLeast("capacity.milli_cpu", a.Capacity.MilliCPU, 0)
+}
+
+// announced checks that what a worker of leased tasks announces is not set.
+func (ps *problems) announced(a Agent) {
+	for _, f := range []struct {
+		field, value string
+	}{
+		{"rack", a.Rack}, {"upstream", a.Upstream}, {"health_path", a.HealthPath},
+		{"slots", number(int64(a.Slots))}, {"connections", number(int64(a.Connections))},
+		{"capacity.accelerators", number(int64(a.Capacity.Accelerators))},
+		{"capacity.memory_mb", number(a.Capacity.MemoryMB)}, {"capacity.milli_cpu", number(a.Capacity.MilliCPU)},
+	} {
+		if f.value != "" {
+			ps.add(f.field, f.value, "left out with leased, because the worker announces it")
+		}
+	}
+	ps.within("queue_limit", int64(a.QueueLimit), 0, maxSlots)
+}
+
+// number formats n, and 0 as not given.
+func number(n int64) string {
+	if n == 0 {
+		return ""
+	}
+	return fmt.Sprint(n)
+}
+
 func (ps *problems) name(field, value string) {
 	if !name.MatchString(value) {
 		ps.add(field, value, acceptedName)
