--- a/admission/admission.go
+++ b/admission/admission.go
@@ -82,6 +82,9 @@
 	Tasks    int           // tasks of the job
 	Expected time.Duration // of one task
 	Deadline time.Duration // from now
+	// DeadlineShare of the deadline that the expected time may use up; 0
+	// takes that of the Options.
+	DeadlineShare float64
 }
 
 // State is what the process knows when it decides.
@@ -99,6 +102,9 @@
 	// AccountRate is the number of tasks a second that this process may
 	// start for the account; 0 means no limit.
 	AccountRate float64
+	// Rate of a slot, where the caller measures it for a part of the slots; 0
+	// takes the one measured by Started.
+	Rate float64
 }
 
 // Decision is the answer to a Request. RetryAfter is set for refusals that a
@@ -123,7 +129,7 @@
 // Controller decides about jobs.
 type Controller struct {
 	options Options
-	rate    drainRate
+	rate    Rate
 	buckets map[string]*bucket
 }
 
@@ -143,11 +149,11 @@
 // slots. Tasks that wait for an account's limit must not count: the rate would
 // fall while slots are free, and jobs of other accounts would be refused.
 func (c *Controller) Started(now time.Time, work time.Duration, slots int, backlog bool) {
-	c.rate.observe(now, work, slots, backlog)
+	c.rate.Observe(now, work, slots, backlog)
 }
 
 // Rate returns the work that one slot does for this process in a second.
-func (c *Controller) Rate() float64 { return c.rate.value() }
+func (c *Controller) Rate() float64 { return c.rate.Value() }
 
 // Decide accepts or refuses a job. An accepted job counts against the
 // account's rate.
@@ -158,14 +164,20 @@
 	if s.Slots <= 0 {
 		return refuse(ReasonNoUpstream, MinRetryAfter)
 	}
-	speed := float64(s.Slots) * c.rate.value() // work done in a second
+	if s.Rate <= 0 {
+		s.Rate = c.rate.Value()
+	}
+	if r.DeadlineShare <= 0 {
+		r.DeadlineShare = c.options.DeadlineShare
+	}
+	speed := float64(s.Slots) * s.Rate // work done in a second
 	wait := scale(s.QueuedWork, 1/speed)
 	if d, full := c.queueFull(r, s, wait); full {
 		return d
 	}
 	own := max(r.Expected, scale(r.Expected, float64(r.Tasks)/speed))
 	finish := wait + own
-	usable := scale(r.Deadline, c.options.DeadlineShare)
+	usable := scale(r.Deadline, r.DeadlineShare)
 	// With an empty queue a job is always tried: a wrong estimate that
 	// refuses every job of a template would never be corrected.
 	if finish > usable && s.QueuedTasks > 0 {
--- a/admission/rate.go
+++ b/admission/rate.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// drainRate measures the work that one slot does in a second while tasks wait.
-// Time without waiting tasks does not count: work then starts as it arrives,
-// which says nothing about what the slots could do.
-type drainRate struct {
+// Rate measures the work that one slot does in a second while tasks wait. Time
+// without waiting tasks does not count: work then starts as it arrives, which
+// says nothing about what the slots could do. The zero value assumes a rate of 1.
+type Rate struct {
 	work     float64 // seconds of work, fading
 	capacity float64 // seconds of slot time, fading
 	waited   float64 // seconds with waiting tasks, fading
@@ -16,7 +16,9 @@
 	backlog  bool
 }
 
-func (d *drainRate) observe(now time.Time, work time.Duration, slots int, backlog bool) {
+// Observe records that work was sent, the slots that it may use, and whether
+// other tasks went on waiting for lack of free slots.
+func (d *Rate) Observe(now time.Time, work time.Duration, slots int, backlog bool) {
 	if elapsed := now.Sub(d.last).Seconds(); d.backlog && elapsed >= 0 {
 		fade := math.Exp(-elapsed / rateMemory.Seconds())
 		d.work = d.work*fade + work.Seconds()
@@ -26,9 +28,9 @@
 	d.last, d.backlog = now, backlog
 }
 
-// value blends the measured rate with an assumed rate of 1 by the time over
+// Value blends the measured rate with an assumed rate of 1 by the time over
 // which it was measured.
-func (d *drainRate) value() float64 {
+func (d *Rate) Value() float64 {
 	if d.capacity <= 0 || d.waited <= 0 {
 		return 1
 	}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -44,7 +44,7 @@
 		{"shared token", `"max_running_tasks": 40}`, `"max_running_tasks": 40}, {"name": "office", "token_sha256": ["` + HashToken("proof-token") + `"]}`,
 			[]string{"accounts[1].token_sha256[0]: is listed more than once"}},
 		{"unknown account", `"account": "bureau"`, `"account": "office"`, []string{`templates[0].account: "office" is not an account; give one of bureau`}},
-		{"kind", `"kind": "job"`, `"kind": "batch"`, []string{`templates[0].kind: "batch" is not accepted; give "job" or "request"`}},
+		{"kind", `"kind": "job"`, `"kind": "batch"`, []string{`templates[0].kind: "batch" is not accepted; give "job", "request" or "leased"`}},
 		{"request with tasks", `"kind": "job"`, `"kind": "request"`, []string{"templates[0].tasks: not accepted for kind"}},
 		{"task fields", `"method": "POST", "path": "/proof"`, `"method": "post", "path": "//host/proof"`,
 			[]string{`tasks[0].method: "post" is not accepted; give one of DELETE, GET`, `tasks[0].path: "//host/proof" is not accepted`}},
--- a/config/validate.go
+++ b/config/validate.go
@@ -59,6 +59,7 @@
 		v.name(path+".name", d.Templates[i].Name, names)
 		v.template(path, &d.Templates[i], d.Limits.TasksPerJob(), accounts, dataCentres)
 	}
+	v.routes(d.Routes, d.Templates)
 	return v.problems
 }
 
@@ -151,19 +152,20 @@
 	}
 	v.check(0 <= t.ExpectedMS && t.ExpectedMS <= longest, path+".expected_ms",
 		"%d is not accepted; give 0 to deadline_ms", t.ExpectedMS)
+	v.leased(path, t)
 	v.tasks(path, t, maxTasks)
 }
 
 func (v *validator) tasks(path string, t *Template, maxTasks int) {
 	switch t.Kind {
-	case KindRequest:
-		v.check(len(t.Tasks) == 0, path+".tasks", "not accepted for kind %q; leave the field out", KindRequest)
+	case KindRequest, KindLeased:
+		v.check(len(t.Tasks) == 0, path+".tasks", "not accepted for kind %q; leave the field out", t.Kind)
 		return
 	case KindJob:
 		v.check(0 < len(t.Tasks) && len(t.Tasks) <= maxTasks, path+".tasks",
 			"%d tasks; give 1 to %d, which is limits.max_tasks_per_job", len(t.Tasks), maxTasks)
 	default:
-		v.check(false, path+".kind", "%q is not accepted; give %q or %q", clip(string(t.Kind)), KindJob, KindRequest)
+		v.check(false, path+".kind", "%q is not accepted; give %q, %q or %q", clip(string(t.Kind)), KindJob, KindRequest, KindLeased)
 	}
 	names := map[string]bool{}
 	for i := range t.Tasks {
--- /dev/null
+++ b/config/validate_leased.go
@@ -0,0 +1,71 @@
+package config
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+)
+
+// Bounds of the values of leased templates and routes.
+const (
+	// MaxAttemptsLimit is the largest number of attempts of a task that fails.
+	MaxAttemptsLimit = 100
+	// maxHostBytes is the longest host name (RFC 1035, 2.3.4).
+	maxHostBytes = 253
+)
+
+var hostPattern = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$`)
+
+// leased checks the fields that only templates of leased tasks have.
+func (v *validator) leased(path string, t *Template) {
+	if t.Kind != KindLeased {
+		for _, f := range []struct {
+			field string
+			unset bool
+		}{
+			{"pool", t.Pool == ""}, {"max_attempts", t.MaxAttempts == 0},
+			{"slack_factor", t.SlackFactor == 0}, {"target_ms", t.TargetMS == 0},
+		} {
+			v.check(f.unset, path+"."+f.field, "accepted only for kind %q; leave the field out", KindLeased)
+		}
+		return
+	}
+	v.check(validPool(t.Pool), path+".pool", "%q is not accepted; give 1 to %d printable characters without spaces", clip(t.Pool), maxNameBytes)
+	v.check(1 <= t.MaxAttempts && t.MaxAttempts <= MaxAttemptsLimit, path+".max_attempts",
+		"%d is not accepted; give 1 to %d", t.MaxAttempts, MaxAttemptsLimit)
+	v.check(t.SlackFactor > 0, path+".slack_factor", "%v is not accepted; give a number above 0", t.SlackFactor)
+	v.check(t.TargetMS >= 0, path+".target_ms", "%d is not accepted; give 0 or more", t.TargetMS)
+}
+
+// validPool reports whether the name can be shown in a log line and compared
+// byte by byte.
+func validPool(name string) bool {
+	return 0 < len(name) && len(name) <= maxNameBytes &&
+		!strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r >= 0x7f })
+}
+
+func (v *validator) routes(routes []Route, templates []Template) {
+	kinds := make(map[string]Kind, len(templates))
+	for i := range templates {
+		kinds[templates[i].Name] = templates[i].Kind
+	}
+	seen := make(map[Route]bool, len(routes))
+	for i, r := range routes {
+		path := fmt.Sprintf("routes[%d]", i)
+		v.check(len(r.Host) <= maxHostBytes && hostPattern.MatchString(r.Host), path+".host",
+			"%q is not accepted; give a host name without port", clip(r.Host))
+		v.check(validPrefix(r.Prefix), path+".prefix",
+			"%q is not accepted; give a path of at most %d bytes that begins with /, without query", clip(r.Prefix), maxPathBytes)
+		kind, known := kinds[r.Template]
+		v.check(known, path+".template", "%q is not a template", clip(r.Template))
+		v.check(!known || kind == KindLeased, path+".template", "%q is of kind %q; give a template of kind %q", clip(r.Template), clip(string(kind)), KindLeased)
+		key := Route{Host: strings.ToLower(r.Host), Prefix: r.Prefix}
+		v.check(!seen[key], path, "host and prefix are listed more than once")
+		seen[key] = true
+	}
+}
+
+func validPrefix(prefix string) bool {
+	return len(prefix) <= maxPathBytes && strings.HasPrefix(prefix, "/") &&
+		!strings.ContainsFunc(prefix, func(r rune) bool { return r <= ' ' || r >= 0x7f || r == '?' || r == '#' })
+}
--- a/config/view.go
+++ b/config/view.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
+	"strings"
 	"time"
 
 	"chicorytray.example/chicorytray/wire"
@@ -23,6 +24,7 @@
 	byToken      map[string]*Account
 	templates    map[string]*Template
 	tasks        map[string]map[string]*Task
+	routes       map[string][]Route // by host in lower case, the longest prefix first
 	outOfService []string
 	inService    []string
 }
@@ -36,6 +38,14 @@
 		byToken:     make(map[string]*Account, len(d.Accounts)),
 		templates:   make(map[string]*Template, len(d.Templates)),
 		tasks:       make(map[string]map[string]*Task, len(d.Templates)),
+		routes:      make(map[string][]Route, len(d.Routes)),
+	}
+	for _, r := range d.Routes {
+		host := strings.ToLower(r.Host)
+		v.routes[host] = append(v.routes[host], r)
+	}
+	for _, list := range v.routes {
+		slices.SortFunc(list, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	for i := range d.DataCentres {
 		dc := &d.DataCentres[i]
@@ -104,6 +114,17 @@
 	return t, ok
 }
 
+// Route returns the route with the longest prefix of the path among those of
+// the host. The host has no port; its case does not matter.
+func (v *View) Route(host, path string) (Route, bool) {
+	for _, r := range v.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
 // DataCentre returns the data centre of that name.
 func (v *View) DataCentre(name string) (*DataCentre, bool) {
 	dc, ok := v.dataCentres[name]
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -65,13 +65,19 @@
 		return err
 	}
 	j.id = id
-	d.jobs[id] = j
-	d.openJobs++
 	d.reserved.add(j)
 	s.job = j
+	d.accept(j)
+	return nil
+}
+
+// accept takes over a job that was not refused.
+func (d *dispatcher) accept(j *job) {
+	d.jobs[j.id] = j
+	d.openJobs++
+	d.useClass(j)
 	d.log.Info().Str("job", j.id).Str("account", j.account).Str("template", j.template.Name).
 		Str("request_id", j.requestID).Int("tasks", j.count).Msg("job accepted")
-	return nil
 }
 
 func (d *dispatcher) newJob(s *submission) *job {
@@ -83,9 +89,10 @@
 	if d.accounts[s.account.Name] == nil {
 		d.accounts[s.account.Name] = &accountUse{}
 	}
+	exact, queued := d.classOf(s)
 	return &job{
 		keyed: s.claim != nil, account: s.account.Name, requestID: s.requestID, template: s.template,
-		class:    d.classOf(s.template).Class,
+		class: exact, queueClass: queued,
 		expected: d.durations.Expected(s.template.Name, milliseconds(ms, s.deadline)),
 		arrived:  s.arrived, deadline: s.arrived.Add(s.deadline), count: n, open: n,
 		states: make([]taskState, n), at: make([]location, n), mayRan: make([]bool, n),
@@ -107,20 +114,39 @@
 }
 
 func (d *dispatcher) decide(s *submission, j *job) error {
-	use := d.accounts[j.account]
+	if err := d.checkQueue(s, j); err != nil {
+		return err
+	}
+	request, state := d.admissionOf(s, j)
+	state.QueuedTasks, state.QueuedWork = d.queue.Len()+d.reserved.tasks, d.queue.Work()+d.reserved.work
+	state.Slots = d.table.Slots(j.class)
+	return refusalOf(d.admission.Decide(d.now, request, state))
+}
+
+// checkQueue refuses a job for which the queue has no room.
+func (d *dispatcher) checkQueue(s *submission, j *job) error {
 	queued := d.queue.Len() + d.reserved.tasks
 	if limit := s.view.Document().Limits.QueuedTasks(); queued+j.count > limit {
 		return retryLater(time.Second, wire.Reason(admission.ReasonQueueFull), "the queue holds %d tasks; the limit is %d", queued, limit)
 	}
-	decision := d.admission.Decide(d.now, admission.Request{
-		Account: j.account, Urgency: j.template.Urgency, Tasks: j.count,
-		Expected: j.expected, Deadline: j.deadline.Sub(d.now),
-	}, admission.State{
-		QueuedTasks: queued, QueuedWork: d.queue.Work() + d.reserved.work, Slots: d.table.Slots(j.class),
-		AccountRunning: use.running, AccountQueued: use.waiting,
-		AccountShare: d.shares.Share(d.now, j.account, float64(s.account.MaxRunningTasks)),
-		AccountRate:  d.shares.Share(d.now, j.account, s.account.MaxTasksPerSecond),
-	})
+	return nil
+}
+
+// admissionOf describes the job and its account for admission.
+func (d *dispatcher) admissionOf(s *submission, j *job) (admission.Request, admission.State) {
+	use := d.accounts[j.account]
+	return admission.Request{
+			Account: j.account, Urgency: j.template.Urgency, Tasks: j.count,
+			Expected: j.expected, Deadline: j.deadline.Sub(d.now),
+		}, admission.State{
+			AccountRunning: use.running, AccountQueued: use.waiting,
+			AccountShare: d.shares.Share(d.now, j.account, float64(s.account.MaxRunningTasks)),
+			AccountRate:  d.shares.Share(d.now, j.account, s.account.MaxTasksPerSecond),
+		}
+}
+
+// refusalOf returns nil for a job that is accepted.
+func refusalOf(decision admission.Decision) error {
 	if decision.Accept {
 		return nil
 	}
@@ -162,24 +188,29 @@
 	j.racks.Add(a.ref.Rack)
 	use := d.accounts[j.account]
 	use.running++
-	use.waiting--
+	d.addWaiting(j, -1)
 	if j.tasks[index].Attempt == 0 {
 		d.budget.Request(d.now) // retries must not earn further retries
 	}
 	d.queue.Started(j.account, j.expected)
+	d.metrics.tasksSent.Inc(1)
+	if j.leased != nil {
+		j.leased.out++
+		d.countPending(j)
+		d.countLeasedStart(j)
+		return
+	}
 	// Tasks that wait for an account's limit while slots are free say nothing
 	// about the rate of the upstreams.
 	backlog := d.queue.Len() > 0 && !d.table.HasRoom()
 	d.admission.Started(d.now, j.expected, d.table.Slots(j.class), backlog)
-	d.metrics.tasksSent.Inc(1)
 }
 
 // className identifies the placement constraints of a template and its
 // account. Jobs accepted before a change of the template keep their class.
-func className(t *config.Template) string {
+func className(t *config.Template, n config.Needs) string {
 	var b strings.Builder
 	b.WriteString(t.Account)
-	n := t.Needs
 	for _, v := range []int64{int64(n.Accelerators), n.MemoryMB, n.MilliCPU} {
 		b.WriteByte('/')
 		b.WriteString(strconv.FormatInt(v, 10))
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -67,6 +67,7 @@
 	pinging   bool
 	described placement.Agent // in the placement table
 	usable    bool            // may get tasks when it has room
+	usableAt  time.Time       // when it last might, or announced itself
 	announced time.Time
 	told      []wire.EntryRef // entries in the last heartbeat reply that listed them
 	toldAt    time.Time
@@ -90,7 +91,7 @@
 		req.Agent = a.ref
 	}
 	if a == nil {
-		a = &agent{ref: req.Agent, session: newSession(d.self, req.Agent.Incarnation), weight: 1}
+		a = &agent{ref: req.Agent, session: newSession(d.self, req.Agent.Incarnation), weight: 1, usableAt: d.now}
 		d.agents[req.Agent.ID] = a
 		d.detector.Track(req.Agent.ID)
 		d.log.Info().Str("agent", a.ref.ID).Str("address", a.ref.Address).Str("data_centre", a.ref.DataCentre).
@@ -133,6 +134,7 @@
 		// A lost reply leaves the records at the agent until the next
 		// session is opened, which lists them again.
 		r.Acked = a.session.takeAcked()
+		r.Renews = a.session.id.Number
 	}
 	if d.view != nil {
 		r.Generation = d.view.Generation()
@@ -150,6 +152,7 @@
 func (d *dispatcher) describe(a *agent) {
 	t := placement.Agent{
 		ID: a.ref.ID, DataCentre: a.ref.DataCentre, Rack: a.ref.Rack, Worker: a.ref.Worker,
+		Pool:        a.ref.Pool,
 		Incarnation: a.ref.Incarnation, Slots: a.ref.Slots, Capacity: a.ref.Capacity, Distance: config.FarDistance,
 	}
 	if d.view != nil {
@@ -165,8 +168,16 @@
 func (d *dispatcher) refresh(a *agent) {
 	usable := a.session.state == sessionOpen && a.conn != nil &&
 		!a.leaving && !a.unhealthy && !a.suspect && !a.ejected && !a.refusing && d.inService(a.ref.DataCentre)
+	if a.usable || usable {
+		a.usableAt = d.now
+	}
 	a.usable = usable
-	d.table.SetUsable(a.ref.ID, usable && !a.busy)
+	if a.ref.Pool == "" {
+		d.table.SetUsable(a.ref.ID, usable && !a.busy)
+		return
+	}
+	d.table.SetUsable(a.ref.ID, usable)
+	d.table.SetFull(a.ref.ID, a.busy)
 }
 
 func (d *dispatcher) inService(dataCentre string) bool {
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -63,6 +63,9 @@
 		r := j.results[0].Response
 		return &answer{status: r.Status, header: r.Header, body: r.Body, job: j.id}
 	}
+	if j.leased != nil {
+		return leasedAnswer(j)
+	}
 	out := jobAnswer{Job: j.id, Results: make([]taskAnswer, len(j.results))}
 	for i, r := range j.results {
 		a := taskAnswer{Name: j.names[i], Status: r.Response.Status}
@@ -85,6 +88,21 @@
 	return &answer{status: http.StatusOK, contentType: echo.MIMEApplicationJSON, body: body, job: j.id}
 }
 
+// completedAnswer is the body of a job of leased tasks of which all are done.
+type completedAnswer struct {
+	Job        string `json:"job"`
+	Identifier string `json:"identifier"` // that the caller chose
+	Tasks      int    `json:"tasks"`
+}
+
+func leasedAnswer(j *job) *answer {
+	body, err := json.Marshal(completedAnswer{Job: j.id, Identifier: j.leased.name, Tasks: j.count})
+	if err != nil { // completedAnswer holds only strings and numbers
+		panic(err)
+	}
+	return &answer{status: http.StatusOK, contentType: echo.MIMEApplicationJSON, body: body, job: j.id}
+}
+
 // failureAnswer encodes the end of a job that failed.
 func failureAnswer(j *job) *answer {
 	o := j.outcome()
--- a/entry/authenticate.go
+++ b/entry/authenticate.go
@@ -16,12 +16,18 @@
 	}
 	s.view, s.account = v, account
 	t, ok := v.Template(s.request.Template)
+	if ok && t.Kind == config.KindLeased && s.kind == config.KindJob {
+		s.kind = config.KindLeased // both are submitted in the same way
+	}
 	if !ok || t.Account != account.Name || t.Kind != s.kind {
 		return notRun(http.StatusNotFound, reasonNoTemplate, "account %s has no template %q of kind %s",
 			account.Name, s.request.Template, s.kind)
 	}
 	s.template = t
 	s.deadline = deadlineOf(s, e.settings.Limits.MaxDeadline.Of())
+	if s.kind == config.KindLeased {
+		s.expected = milliseconds(s.request.ExpectedMS, s.deadline)
+	}
 	return nil
 }
 
--- a/entry/collect.go
+++ b/entry/collect.go
@@ -19,9 +19,13 @@
 		}
 		j := v.task.job
 		d.table.Settled(a.ref.ID, j.class.Needs)
-		d.accounts[j.account].running--
 		j.at[v.task.index] = location{}
 		j.racks.Done(a.ref.Rack)
+		if j.leased != nil && v.kind == verdictUnknown {
+			d.hold(a, v)
+			continue
+		}
+		d.settled(j)
 		switch v.kind {
 		case verdictNotRun:
 			d.taskNotRun(j, a, v)
@@ -30,7 +34,26 @@
 		default:
 			d.taskResult(j, a, v)
 		}
-		d.finishIfSettled(j)
+		d.afterVerdict(j)
+	}
+}
+
+// settled counts a task that is certainly no longer at an agent.
+func (d *dispatcher) settled(j *job) {
+	d.accounts[j.account].running--
+	if j.leased != nil {
+		j.leased.out--
+	}
+}
+
+// afterVerdict does what the end of a task at an agent may have made possible.
+func (d *dispatcher) afterVerdict(j *job) {
+	d.finishIfSettled(j)
+	if j.leased != nil {
+		d.countPending(j)
+		if j.leased.out == 0 {
+			d.runsEnded(j)
+		}
 	}
 }
 
@@ -60,7 +83,10 @@
 		j.settle(index, taskNotRun)
 		d.fail(j, closing{reason: v.result.Reason, detail: taskDetail(index, a, v.result), settle: true})
 		return
-	case wire.ReasonBusy:
+	case wire.ReasonBusy, wire.ReasonWorkerRefused:
+		if v.result.Reason == wire.ReasonWorkerRefused {
+			j.avoid(index, a.ref.ID)
+		}
 		a.busy = true
 		d.refresh(a)
 	case wire.ReasonFenced:
@@ -81,7 +107,7 @@
 // requeue puts a task back into the queue.
 func (d *dispatcher) requeue(j *job, index int) {
 	j.states[index] = taskWaiting
-	d.accounts[j.account].waiting++
+	d.addWaiting(j, 1)
 	d.queue.Return(queue.TaskRef{Job: j.id, Index: index})
 }
 
@@ -95,10 +121,7 @@
 	d.metrics.tasksUnknown.Inc(1)
 	if j.closing == nil && j.template.Idempotent && d.budget.Allow(d.now) {
 		j.tasks[index].Attempt++
-		if j.tried == nil {
-			j.tried = map[int]string{}
-		}
-		j.tried[index] = a.ref.ID
+		j.avoid(index, a.ref.ID)
 		d.metrics.retries.Inc(1)
 		d.requeue(j, index)
 		return
@@ -121,7 +144,18 @@
 func (d *dispatcher) taskResult(j *job, a *agent, v verdict) {
 	index := v.task.index
 	failed := v.result.Outcome == wire.OutcomeFailed
+	if j.leased != nil {
+		j.mayRan[index], j.leased.ran = true, true
+		if v.result.Outcome == wire.OutcomeInterrupted {
+			d.leasedInterrupted(j, a.ref.ID, index, v.result.Reason)
+			return
+		}
+	}
 	d.observeOutcome(j, a, v, failed)
+	if failed && j.leased != nil {
+		d.leasedFailed(j, a, v)
+		return
+	}
 	if failed {
 		j.settle(index, taskFailed)
 		if j.closing == nil {
@@ -133,9 +167,12 @@
 	if j.closing != nil {
 		return
 	}
+	d.durations.Observe(j.template.Name, v.result.Took)
+	if j.leased != nil {
+		return
+	}
 	j.results[index] = v.result
 	j.bytes += int64(len(v.result.Response.Body))
-	d.durations.Observe(j.template.Name, v.result.Took)
 	if j.bytes > d.limits.MaxAnswerBytes {
 		d.fail(j, closing{reason: reasonAnswerTooLarge, detail: "the results exceed the limit of an answer"})
 	}
@@ -178,17 +215,22 @@
 // agents are cancelled with one message for each agent. The answer is sent at
 // once unless the outcome of sent tasks decides what it says.
 func (d *dispatcher) fail(j *job, c closing) {
+	if j.leased != nil {
+		c.settle = false // an abandoned job is answered at once
+	}
 	j.closing = &c
 	d.queue.Remove(j.id)
 	inFlight := false
 	for i, s := range j.states {
 		switch s {
 		case taskWaiting:
-			d.accounts[j.account].waiting--
+			d.addWaiting(j, -1)
 			j.settle(i, taskNotRun)
 		case taskSent:
 			inFlight = true
-			d.cancelSent(j.at[i].agent, j.at[i].task)
+			if j.at[i].agent != nil { // else it is held
+				d.cancelSent(j.at[i].agent, j.at[i].task)
+			}
 		}
 	}
 	if inFlight && c.settle {
@@ -240,9 +282,13 @@
 		j.answer = failureAnswer(j)
 	}
 	d.logFinish(j)
+	d.dropClass(j)
 	d.queue.Remove(j.id) // also frees a job of which every task was given out
 	j.tasks, j.results = nil, nil
 	d.keep(j)
+	if j.leased != nil {
+		d.finishLeased(j)
+	}
 	close(j.done)
 }
 
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -69,12 +69,18 @@
 	accounts       map[string]*accountUse
 	classes        map[string]*class
 	reserved       reservations
-	kept           retained      // answered jobs without a key
-	keyed          retained      // answered jobs that own a key
+	kept           retained        // answered jobs without a key
+	keyed          retained        // answered jobs that own a key
+	answered       retained        // answered jobs of leased tasks
+	leased         map[string]*job // by the caller's identifier
+	pending        map[string]int  // leased jobs of which no task started, by template
+	pools          map[string]*pool
+	held           []held
 	openJobs       int           // accepted and not answered
 	idle           chan struct{} // closed when openJobs is 0; nil while nobody waits
 	began          time.Time
-	ticked         time.Time
+	active         time.Time // when the dispatcher last looked at the clock
+	settleUntil    time.Time // nothing is started before; see wake
 	nextEvaluation time.Time
 	starts         []location
 	cancels        map[*agent][]wire.TaskKey
@@ -93,6 +99,7 @@
 		durations: estimate.New(estimate.Options{}), detector: ejection.New(ejection.Options{}),
 		budget: retry.New(retry.Options{}),
 		agents: map[string]*agent{}, jobs: map[string]*job{}, accounts: map[string]*accountUse{},
+		leased: map[string]*job{}, pending: map[string]int{}, pools: map[string]*pool{},
 		classes: map[string]*class{}, cancels: map[*agent][]wire.TaskKey{},
 	}
 	d.ctx, d.end = context.WithCancel(context.Background())
@@ -150,6 +157,7 @@
 	defer d.end()
 	defer close(d.ended)
 	d.began = time.Now()
+	d.active = d.began
 	tick := wait.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
@@ -158,11 +166,11 @@
 			d.closeAll()
 			return
 		case ev := <-d.events:
-			d.now = time.Now()
+			d.wake()
 			ev(d)
 			d.drain()
 		case <-tick.C:
-			d.now = time.Now()
+			d.wake()
 			d.tick()
 		}
 		d.pump()
@@ -191,14 +199,10 @@
 
 // tick does what depends on time alone.
 func (d *dispatcher) tick() {
-	if !d.ticked.IsZero() && d.now.Sub(d.ticked) > d.timing.Heartbeat.Of() {
-		d.log.Warn().Dur("pause_ms", d.now.Sub(d.ticked)).Msg("process was paused")
-		d.confirm.paused(d.now)
-	}
-	d.ticked = d.now
 	for _, a := range d.agents {
 		d.checkAgent(a)
 	}
+	d.releaseHeld()
 	d.evaluateAgents()
 	d.reportHeard()
 	d.forgetAnswers()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,6 +30,9 @@
 	MetricsHandler http.Handler
 	// Dial opens connections to agents and other entries; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// CallerHandler serves the callers' address; nil serves the product's own
+	// routes. An embedding program submits jobs by Entry.Submit.
+	CallerHandler http.Handler
 	// Listeners; nil listens on the settings' address.
 	Callers, Peers, Admin net.Listener
 }
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -46,6 +46,7 @@
 	reasonStoreOut       wire.Reason = "store_unavailable"
 	reasonInterrupted    wire.Reason = "interrupted"
 	reasonAnswerTooLarge wire.Reason = "answer_too_large"
+	reasonJobMismatch    wire.Reason = "job_identifier_reused"
 	reasonOwnerSilent    wire.Reason = "owning_entry_unreachable"
 )
 
--- a/entry/expand.go
+++ b/entry/expand.go
@@ -14,6 +14,8 @@
 	switch {
 	case s.kind == config.KindRequest:
 		return 1
+	case s.kind == config.KindLeased:
+		return s.request.Count
 	case len(s.request.Tasks) == 0:
 		return len(s.template.Tasks)
 	default:
@@ -26,7 +28,10 @@
 func checkTasks(s *submission) error {
 	limit := s.view.Document().Limits.TasksPerJob()
 	n := taskCount(s)
-	if n == 0 {
+	if err := checkLeased(s); err != nil {
+		return err
+	}
+	if n <= 0 {
 		return notRun(http.StatusBadRequest, reasonInvalid, "the job has no tasks")
 	}
 	if n > limit {
--- a/entry/fakeagent_test.go
+++ b/entry/fakeagent_test.go
@@ -22,26 +22,56 @@
 	now    int                  // running
 	peak   int                  // most that ran at a time
 	late   map[string]time.Time // last start by data centre
+	// leased tasks by the caller's identifier and index: those that run now,
+	// and the most that ran at a time.
+	runs, mostRuns map[string]int
 }
 
 func newUpstreams() *upstreams {
-	return &upstreams{starts: map[string]int{}, late: map[string]time.Time{}}
+	return &upstreams{starts: map[string]int{}, late: map[string]time.Time{}, runs: map[string]int{}, mostRuns: map[string]int{}}
+}
+
+// taskName names a task across entries.
+func taskName(t wire.Task) string {
+	if t.Leased != nil {
+		return fmt.Sprintf("%s/%d", t.Leased.Job, t.Index)
+	}
+	return fmt.Sprintf("%s/%d", t.Job, t.Index)
 }
 
 func (u *upstreams) start(dataCentre string, t wire.Task) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.starts[fmt.Sprintf("%s/%d", t.Job, t.Index)]++
+	name := taskName(t)
+	u.starts[name]++
+	if t.Leased != nil {
+		u.runs[name]++
+		u.mostRuns[name] = max(u.mostRuns[name], u.runs[name])
+	}
 	u.total++
 	u.now++
 	u.peak = max(u.peak, u.now)
 	u.late[dataCentre] = time.Now()
 }
 
-func (u *upstreams) end() {
+func (u *upstreams) end(t wire.Task) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.now--
+	if t.Leased != nil {
+		u.runs[taskName(t)]--
+	}
+}
+
+// concurrent returns the most runs of one leased task at a time.
+func (u *upstreams) concurrent() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	most := 0
+	for _, n := range u.mostRuns {
+		most = max(most, n)
+	}
+	return most
 }
 
 func (u *upstreams) most() int {
@@ -89,14 +119,23 @@
 	runs    int // Run messages
 	config  wire.AgentConfig
 	leaving bool
-	read    time.Time // newest read of the store of which an entry told
+	read    time.Time          // newest read of the store of which an entry told
+	renewed map[string]renewal // by entry process; of leased tasks
+	linger  time.Duration      // that leased runs outlive this process
 	dead    bool
 	stop    context.CancelFunc
 	done    *sync.WaitGroup
 }
 
+// renewal is the last heartbeat whose reply renewed a session.
+type renewal struct {
+	number uint64
+	sent   time.Time
+}
+
 type record struct {
 	key     wire.TaskKey
+	at      wire.Incarnation // of the agent
 	process string
 	done    bool
 	result  wire.Result
@@ -126,6 +165,7 @@
 	a.ref.Incarnation = wire.NewIncarnation()
 	a.load = wire.Load{Free: a.ref.Capacity}
 	a.opened, a.lapsed, a.records = map[string]uint64{}, map[string]bool{}, map[string]*record{}
+	a.renewed = map[string]renewal{}
 	a.stop, a.done, a.dead = cancel, &sync.WaitGroup{}, false
 	done := a.done
 	a.mu.Unlock()
@@ -143,6 +183,9 @@
 	for _, address := range a.entries {
 		done.Go(func() { a.beat(ctx, address) })
 	}
+	if a.ref.Pool != "" {
+		done.Go(func() { a.watchLapses(ctx) })
+	}
 }
 
 // die ends the process without any farewell.
@@ -158,7 +201,7 @@
 	a.dead = true
 	a.stop()
 	for _, r := range a.records {
-		r.cancel()
+		time.AfterFunc(a.linger, r.cancel)
 	}
 	a.net.Reset(a.host)
 	return true
@@ -229,9 +272,34 @@
 	if reply.Config != nil {
 		a.config = *reply.Config
 	}
+	if p := reply.Entry.ID + reply.Entry.Incarnation.String(); reply.Renews != 0 && reply.Renews == a.opened[p] {
+		a.renewed[p] = renewal{reply.Renews, sent}
+	}
 	return nil
 }
 
+// fakeLapse is the session lapse of agents of leased tasks; see leasedTiming.
+const fakeLapse = 600 * time.Millisecond
+
+// watchLapses stops the leased runs of entries that do not renew their session.
+func (a *fakeAgent) watchLapses(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait.For(ctx, a.beatEvery/2, nil)
+		a.mu.Lock()
+		for p := range a.opened {
+			if time.Since(a.renewed[p].sent) > fakeLapse {
+				a.lapsed[p] = true
+				for _, r := range a.records {
+					if r.process == p {
+						r.cancel()
+					}
+				}
+			}
+		}
+		a.mu.Unlock()
+	}
+}
+
 func process(s wire.Session) string { return s.Entry + s.Incarnation.String() }
 
 func recordName(s wire.Session, k wire.TaskKey) string {
@@ -246,6 +314,7 @@
 		return errors.New("fenced")
 	}
 	a.opened[p], a.lapsed[p] = req.Session.Number, false
+	a.renewed[p] = renewal{req.Session.Number, time.Now()}
 	if req.Config.Generation > a.config.Generation {
 		a.config = req.Config
 	}
@@ -272,7 +341,7 @@
 	switch {
 	case a.opened[process(req.Session)] != req.Session.Number || a.lapsed[process(req.Session)]:
 		refuse = wire.ReasonFenced
-	case refuse == "" && a.load.Running >= a.ref.Slots:
+	case refuse == "" && (a.load.Running >= a.ref.Slots || req.Task.Leased != nil && !req.Task.Needs.Fits(a.load.Free)):
 		refuse = wire.ReasonBusy
 	}
 	if refuse != "" {
@@ -281,8 +350,9 @@
 		return nil
 	}
 	taskCtx, cancel := context.WithCancel(context.Background())
-	r := &record{key: key, process: process(req.Session), ended: make(chan struct{}), cancel: cancel}
+	r := &record{key: key, at: a.ref.Incarnation, process: process(req.Session), ended: make(chan struct{}), cancel: cancel}
 	a.records[recordName(req.Session, key)] = r
+	a.load.Free = a.load.Free.Minus(leasedNeeds(req.Task))
 	a.changed(1)
 	a.mu.Unlock()
 	a.ups.start(a.ref.DataCentre, req.Task)
@@ -314,6 +384,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
+	case ctx.Err() != nil && t.Leased != nil:
+		r.result = wire.Result{Outcome: wire.OutcomeInterrupted, Reason: wire.ReasonLapsed}
 	case ctx.Err() != nil:
 		r.result = wire.Result{Outcome: wire.OutcomeUnknown, Reason: wire.ReasonCancelled}
 	case s.took > t.Remaining:
@@ -325,11 +397,23 @@
 		r.result = wire.Result{Outcome: wire.OutcomeDone, Took: s.took, Response: wire.Response{Status: 200, Body: []byte(body)}}
 	}
 	r.done = true
-	a.ups.end() // before the reply, which lets the entry start the next task
-	a.changed(-1)
+	a.ups.end(t) // before the reply, which lets the entry start the next task
+	if a.ref.Incarnation == r.at {
+		a.load.Free = a.load.Free.Plus(leasedNeeds(t))
+		a.changed(-1)
+	}
 	close(r.ended)
 }
 
+// leasedNeeds returns what the task takes of the worker. Tests of HTTP tasks
+// report no use of resources.
+func leasedNeeds(t wire.Task) wire.Resources {
+	if t.Leased == nil {
+		return wire.Resources{}
+	}
+	return t.Needs
+}
+
 // changed updates the load; the caller holds the lock.
 func (a *fakeAgent) changed(running int) wire.Load {
 	a.load.Sequence++
--- a/entry/http.go
+++ b/entry/http.go
@@ -91,8 +91,12 @@
 // timeout counts from the request's header, so it covers the body, the job and
 // the answer.
 func (e *Entry) callerServer() *http.Server {
+	handler := e.options.CallerHandler
+	if handler == nil {
+		handler = e.callerHandler()
+	}
 	return &http.Server{
-		Handler:           e.callerHandler(),
+		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
 		WriteTimeout:      bodyTimeout + e.settings.Limits.MaxDeadline.Of() + e.settings.Timing.CallTimeout.Of() + answerTimeout,
--- a/entry/job.go
+++ b/entry/job.go
@@ -31,10 +31,13 @@
 	keyed     bool // owns an Idempotency-Key
 	template  *config.Template
 	class     placement.Class
-	expected  time.Duration
-	arrived   time.Time
-	deadline  time.Time
-	count     int
+	// queueClass is the class of the job in the queue. Its needs are at least
+	// those of the tasks.
+	queueClass placement.Class
+	expected   time.Duration
+	arrived    time.Time
+	deadline   time.Time
+	count      int
 
 	tasks   []wire.Task
 	names   []string // of the template's tasks, by index
@@ -42,7 +45,7 @@
 	at      []location // of sent tasks, by index
 	results []wire.Result
 	mayRan  []bool           // an earlier attempt has an unknown outcome
-	tried   map[int]string   // last agent with an unknown outcome, by task
+	tried   map[int]string   // agent to avoid for the next attempt, by task
 	racks   placement.Spread // of tasks at agents
 	bytes   int64            // of results so far
 	open    int              // tasks without a final state
@@ -50,7 +53,8 @@
 	// closing is the failure decided for the job; nil while it can succeed.
 	closing  *closing
 	timer    *time.Timer
-	queued   bool // handed to the queue
+	queued   bool       // handed to the queue
+	leased   *leasedJob // nil for a job of HTTP tasks
 	answered bool
 	final    string // outcome of an answered job
 	answer   *answer
@@ -111,6 +115,14 @@
 	j.states[index] = st
 }
 
+// avoid makes the next attempt of a task go to another agent if possible.
+func (j *job) avoid(index int, agent string) {
+	if j.tried == nil {
+		j.tried = map[int]string{}
+	}
+	j.tried[index] = agent
+}
+
 // inFlight reports whether any task is at an agent with its outcome open.
 func (j *job) inFlight() bool {
 	for _, s := range j.states {
@@ -124,6 +136,9 @@
 // outcome of a job that failed. A failed task decides it; otherwise a task
 // whose outcome is open counts as unknown.
 func (j *job) outcome() Outcome {
+	if j.leased != nil {
+		return j.leasedOutcome()
+	}
 	var failed, unknown, done bool
 	for i, s := range j.states {
 		switch {
--- a/entry/place.go
+++ b/entry/place.go
@@ -9,22 +9,45 @@
 type class struct {
 	placement.Class
 	account string
+	jobs    int // that are not answered; the last one drops the class
 }
 
-func (d *dispatcher) classOf(t *config.Template) *class {
-	name := className(t)
-	if c := d.classes[name]; c != nil {
-		return c
+// classOf returns the placement constraints of the submission's tasks and those
+// of their class in the queue.
+func (d *dispatcher) classOf(s *submission) (exact, queued placement.Class) {
+	t := s.template
+	if s.kind == config.KindLeased {
+		return d.leasedClass(t, needsOf(s))
+	}
+	c := placement.Class{Name: className(t, t.Needs), DataCentres: t.DataCentres, Needs: t.Needs.Resources()}
+	return c, c
+}
+
+// useClass makes the job's class known while the job is open.
+func (d *dispatcher) useClass(j *job) {
+	c := d.classes[j.queueClass.Name]
+	if c == nil {
+		c = &class{account: j.account, Class: j.queueClass}
+		d.classes[c.Name] = c
+	}
+	c.jobs++
+}
+
+func (d *dispatcher) dropClass(j *job) {
+	c := d.classes[j.queueClass.Name]
+	if c == nil {
+		return
+	}
+	if c.jobs--; c.jobs == 0 {
+		delete(d.classes, c.Name)
 	}
-	c := &class{account: t.Account, Class: placement.Class{
-		Name: name, DataCentres: t.DataCentres, Needs: t.Needs.Resources(),
-	}}
-	d.classes[name] = c
-	return c
 }
 
 // pump starts waiting tasks while agents are estimated to have room.
 func (d *dispatcher) pump() {
+	if !d.mayStartNow() {
+		return
+	}
 	for d.table.HasRoom() {
 		ref, ok := d.queue.Next(d.now, d.feasible)
 		if !ok {
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -52,19 +52,34 @@
 		d.finish(j)
 		return
 	}
+	d.enqueueTasks(j)
+}
+
+// enqueueTasks makes all tasks of a job wait for their start.
+func (d *dispatcher) enqueueTasks(j *job) {
+	d.addWaiting(j, j.count)
+	j.timer = time.AfterFunc(j.deadline.Sub(d.now), func() {
+		d.post(func(d *dispatcher) { d.timeUp(j) })
+	})
+	j.queued = true
+	if j.leased != nil {
+		d.countPending(j)
+		if j.leased.after != nil {
+			return // runsEnded adds them to the queue
+		}
+	}
+	d.queueTasks(j)
+}
+
+func (d *dispatcher) queueTasks(j *job) {
 	indexes := make([]int, j.count)
 	for i := range indexes {
 		indexes[i] = i
 	}
-	d.accounts[j.account].waiting += j.count
 	d.queue.Add(d.now, queue.Job{
-		ID: j.id, Account: j.account, Class: j.class.Name, Urgency: j.template.Urgency,
+		ID: j.id, Account: j.account, Class: j.queueClass.Name, Urgency: j.template.Urgency,
 		Arrived: j.arrived, Deadline: j.deadline, Expected: j.expected,
 	}, indexes)
-	j.timer = time.AfterFunc(j.deadline.Sub(d.now), func() {
-		d.post(func(d *dispatcher) { d.timeUp(j) })
-	})
-	j.queued = true
 }
 
 // cancel ends a job on request. The answer waits until it is known which of
--- a/entry/receive.go
+++ b/entry/receive.go
@@ -31,6 +31,18 @@
 	DeadlineMS int64 `json:"deadline_ms,omitempty"`
 	// ExpectedMS is a hint about the duration of one task, in milliseconds.
 	ExpectedMS int64 `json:"expected_ms,omitempty"`
+
+	// Fields of a job of leased tasks, which has no Tasks.
+
+	// Job is the identifier that the caller chose. A submission under the
+	// identifier of a job that runs joins it. Without one the job gets a new one.
+	Job string `json:"job,omitempty"`
+	// Count of tasks, at least 1.
+	Count int `json:"count,omitempty"`
+	// Needs of each task; those of the template if absent.
+	Needs *config.Needs `json:"needs,omitempty"`
+	// Spec is passed on to the workers.
+	Spec string `json:"spec,omitempty"`
 }
 
 // taskRequest asks for one run of a task that the template defines. Without a
@@ -57,6 +69,8 @@
 	account  *config.Account
 	template *config.Template
 	deadline time.Duration
+	// expected duration of a leased task as the caller declared it; 0 for none
+	expected time.Duration
 	job      *job
 	claim    *keyClaim // set when the submission owns its key
 	answer   *answer
--- a/entry/retain.go
+++ b/entry/retain.go
@@ -7,6 +7,15 @@
 // retention is over.
 const maxRetainedBytes = 64 << 20
 
+const (
+	// leasedRetention of the answers to leased jobs. Callers send a job again
+	// about a second after they lost its answer.
+	leasedRetention = 10 * time.Second
+	// maxLeasedAnswers bounds the memory of these answers, about 1 KB each. At
+	// 1,000 jobs a second they last for the retention.
+	maxLeasedAnswers = 10000
+)
+
 // outcomeDone is the outcome of a job whose answer is complete.
 const outcomeDone = "done"
 
@@ -48,9 +57,12 @@
 		close(d.idle)
 		d.idle = nil
 	}
-	if j.keyed {
+	switch {
+	case j.leased != nil:
+		d.answered.add(j, d.now)
+	case j.keyed:
 		d.keyed.add(j, d.now)
-	} else {
+	default:
 		d.kept.add(j, d.now)
 	}
 	d.forgetAnswers()
@@ -62,6 +74,12 @@
 	for d.kept.expired(d.now, d.limits.AnswerRetention.Of()) {
 		delete(d.jobs, d.kept.removeOldest().id)
 	}
+	for d.answered.expired(d.now, leasedRetention) || len(d.answered.jobs) > maxLeasedAnswers {
+		j := d.answered.removeOldest()
+		delete(d.jobs, j.id)
+		j.leased.forgotten = true
+		d.forgetLeased(j)
+	}
 	for d.keyed.expired(d.now, d.limits.ClaimRetention.Of()) {
 		delete(d.jobs, d.keyed.removeOldest().id)
 	}
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -145,7 +145,13 @@
 }
 
 func (e *Entry) cancelOwn(j *job) bool {
-	return e.dispatcher.ask(func(d *dispatcher) { d.cancel(j, "the job was cancelled") })
+	return e.dispatcher.ask(func(d *dispatcher) {
+		if j.leased != nil {
+			d.cancelLeased(j)
+			return
+		}
+		d.cancel(j, "the job was cancelled")
+	})
 }
 
 // jobReply describes a job; the answer is read only after done is closed.
@@ -173,6 +179,7 @@
 		return
 	}
 	d.view = v
+	d.forgetPools()
 	c := v.AgentConfig()
 	for _, a := range d.agents {
 		d.describe(a)
--- a/entry/session.go
+++ b/entry/session.go
@@ -41,6 +41,9 @@
 	kind   verdictKind
 	task   *sent
 	result wire.Result
+	// until is when a task in doubt was to be resolved at the latest; zero if
+	// it was not in doubt before.
+	until time.Time
 }
 
 // session is the state of the numbered sessions between this entry and one
@@ -87,13 +90,18 @@
 		return nil // a newer attempt is under way and will report the same tasks
 	}
 	s.state = sessionOpen
-	s.reconcile = time.Time{}
 	if reply.Agent.Incarnation != s.agent {
 		lost := s.abandon(wire.ReasonAgentLost)
 		s.agent = reply.Agent.Incarnation
 		return lost
 	}
-	return s.reconcileWith(reply)
+	until := s.reconcile
+	s.reconcile = time.Time{}
+	out := s.reconcileWith(reply)
+	for i := range out {
+		out[i].until = until
+	}
+	return out
 }
 
 func (s *session) reconcileWith(reply wire.OpenSessionReply) []verdict {
@@ -154,7 +162,7 @@
 	switch r.Outcome {
 	case wire.OutcomeNotRun:
 		return s.resolve(t, verdictNotRun, r)
-	case wire.OutcomeDone, wire.OutcomeFailed:
+	case wire.OutcomeDone, wire.OutcomeFailed, wire.OutcomeInterrupted:
 		return s.resolve(t, verdictResult, r)
 	default:
 		// The agent knows no more than this, so it may drop its record. Kept
@@ -173,6 +181,12 @@
 	return s.resolve(t, verdictNotRun, notRunResult(wire.ReasonAgentLost)), true
 }
 
+// leased reports whether the task has no outcome yet and is a leased one.
+func (s *session) leased(key wire.TaskKey) bool {
+	t := s.tasks[key]
+	return t != nil && t.job.leased != nil
+}
+
 // giveUp resolves one task as unknown, for a call that outlived its deadline.
 func (s *session) giveUp(key wire.TaskKey, reason wire.Reason) (verdict, bool) {
 	t := s.tasks[key]
@@ -211,7 +225,9 @@
 func (s *session) abandon(reason wire.Reason) []verdict {
 	out := make([]verdict, 0, len(s.tasks))
 	for _, t := range s.tasks {
-		out = append(out, s.resolve(t, verdictUnknown, unknownResult(reason)))
+		v := s.resolve(t, verdictUnknown, unknownResult(reason))
+		v.until = s.reconcile
+		out = append(out, v)
 	}
 	s.reconcile = time.Time{}
 	return out
--- a/entry/start.go
+++ b/entry/start.go
@@ -9,6 +9,11 @@
 	"chicorytray.example/chicorytray/wire"
 )
 
+// leasedCallSlack is added to the limit of a call for a leased task. Its agent
+// always answers, at the latest when the lease of the run has ended; the
+// connection is watched by pings.
+const leasedCallSlack = 10 * time.Second
+
 // start assigns a task to an agent. The message leaves with flushStarts.
 func (d *dispatcher) start(j *job, index int, a *agent) {
 	task := a.session.send(j, index, d.now)
@@ -23,10 +28,13 @@
 // placed, so that each message carries the backlog that really remains and no
 // agent offers slots for work that was placed a moment later.
 func (d *dispatcher) flushStarts() {
-	backlog := d.currentBacklog()
+	if len(d.starts) == 0 {
+		return
+	}
+	backlog, now := d.currentBacklog(), d.mayStartNow()
 	for _, l := range d.starts {
 		a, j, index := l.agent, l.task.job, l.task.index
-		if a.conn == nil || l.task.key.Session != a.session.id.Number || j.closing != nil {
+		if !now || a.conn == nil || l.task.key.Session != a.session.id.Number || j.closing != nil {
 			// The session or the job ended after the task was placed.
 			if v, ok := a.session.neverSent(l.task.key); ok {
 				d.apply(a, []verdict{v})
@@ -58,6 +66,9 @@
 func (d *dispatcher) call(a *agent, key wire.TaskKey, remaining time.Duration, method string, req any, acked []wire.TaskKey) {
 	conn, number := a.conn, a.session.id.Number
 	limit := remaining + d.timing.Lapse.Of()
+	if task := a.session.tasks[key]; task != nil && task.job.leased != nil {
+		limit += leasedCallSlack
+	}
 	d.spawn(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
@@ -95,6 +106,8 @@
 		if v, ok := a.session.neverSent(key); ok {
 			d.apply(a, []verdict{v})
 		}
+	case a.session.leased(key):
+		// Only the agent's list, or time, tells whether its run has ended.
 	case errors.Is(err, rpcconn.ErrTooLarge):
 		// The agent's reply exceeds the limit of a message; asking again
 		// would fail again.
--- a/entry/state.go
+++ b/entry/state.go
@@ -102,6 +102,11 @@
 	Sent        int    `json:"sent"`
 	Done        int    `json:"done"`
 	Failing     string `json:"failing,omitempty"` // reason of a job that ends without success
+	// Of a job of leased tasks: the caller's identifier, and the failed and
+	// interrupted runs of all its tasks.
+	Identifier    string `json:"identifier,omitempty"`
+	Attempts      int    `json:"attempts,omitempty"`
+	Interruptions int    `json:"interruptions,omitempty"`
 }
 
 // StateAccount describes an account's tasks at this entry.
@@ -206,6 +211,13 @@
 	if j.closing != nil {
 		s.Failing = string(j.closing.reason)
 	}
+	if j.leased != nil {
+		s.Identifier = j.leased.name
+		for i := range j.leased.attempts {
+			s.Attempts += int(j.leased.attempts[i])
+			s.Interruptions += int(j.leased.interruptions[i])
+		}
+	}
 	return s
 }
 
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"chicorytray.example/chicorytray/config"
@@ -37,29 +38,135 @@
 
 // Submit runs a job and returns when it has ended. The end of ctx cancels the
 // job unless another submission joined it.
-func (e *Entry) Submit(ctx context.Context, s Submission) Answer {
-	_, _ = ctx, s
-	return Answer{Outcome: OutcomeNotRun, Reason: reasonNeverRuns}
+func (e *Entry) Submit(ctx context.Context, in Submission) Answer {
+	s, err := e.submissionOf(in)
+	if err == nil {
+		err = checkTasks(s)
+	}
+	if err == nil {
+		err = e.runLeased(ctx, s)
+	}
+	if err != nil {
+		p := asProblem(err)
+		return Answer{Outcome: p.Outcome, Reason: p.Reason, Detail: p.Detail, RetryAfter: p.retryAfter}
+	}
+	return s.job.leased.answer
 }
 
-// Cancel ends a job that the entry has, and reports whether it had it.
-func (e *Entry) Cancel(job string) bool {
-	_ = job
-	return false
+// submissionOf checks the template and gives the submission the form that the
+// filters use. The program that embeds the entry authenticates its callers.
+func (e *Entry) submissionOf(in Submission) (*submission, error) {
+	if !e.started() {
+		return nil, retryLater(time.Second, reasonNoConfig, "the entry has not started")
+	}
+	v := e.config.view()
+	if v == nil {
+		return nil, retryLater(time.Second, reasonNoConfig, "this entry has no configuration yet")
+	}
+	t, ok := v.Template(in.Template)
+	if !ok || t.Kind != config.KindLeased {
+		return nil, notRun(http.StatusNotFound, reasonNoTemplate, "there is no template %q of kind %s", in.Template, config.KindLeased)
+	}
+	if in.Deadline < 0 || in.Expected < 0 {
+		return nil, notRun(http.StatusBadRequest, reasonInvalid, "the deadline or the expected duration is negative")
+	}
+	if limit := e.settings.Limits.MaxBodyBytes; int64(len(in.Spec)) > limit {
+		return nil, notRun(http.StatusRequestEntityTooLarge, reasonTooLarge, "the specification exceeds %d bytes", limit)
+	}
+	account, _ := v.AccountNamed(t.Account) // a valid document has it
+	s := &submission{
+		kind: config.KindLeased, requestID: in.Job, arrived: time.Now(), view: v, account: account, template: t,
+		request: jobRequest{Template: in.Template, Job: in.Job, Count: in.Count, Spec: in.Spec},
+	}
+	if in.Needs != (wire.Resources{}) {
+		s.request.Needs = &config.Needs{Accelerators: in.Needs.Accelerators, MemoryMB: in.Needs.MemoryMB, MilliCPU: in.Needs.MilliCPU}
+	}
+	s.deadline = deadlineOf(s, e.settings.Limits.MaxDeadline.Of())
+	if in.Deadline > 0 {
+		s.deadline = min(s.deadline, in.Deadline)
+	}
+	s.expected = min(in.Expected, s.deadline)
+	return s, nil
+}
+
+// runLeased admits the submission and waits for the end of its job. An error
+// means that the submission was refused or that its caller left.
+func (e *Entry) runLeased(ctx context.Context, s *submission) error {
+	id := e.newJobID()
+	err := error(nil)
+	if !e.dispatcher.ask(func(d *dispatcher) { err = d.submitLeased(s, id) }) {
+		return retryLater(time.Second, reasonStopping, "the entry is stopping")
+	}
+	if err != nil {
+		return err
+	}
+	select {
+	case <-s.job.done:
+		return nil
+	case <-ctx.Done():
+	}
+	e.dispatcher.ask(func(d *dispatcher) { d.leave(s.job) })
+	select {
+	case <-s.job.done:
+		return nil
+	default:
+		return unknownOutcome(wire.ReasonCancelled, "the caller disconnected; others wait for the job")
+	}
+}
+
+// serveLeased passes a submission of POST /v1/jobs through the rest of the
+// filters. Admission, expansion and queueing are one step, so that submissions
+// under one identifier cannot pass each other.
+func (e *Entry) serveLeased(ctx context.Context, s *submission) error {
+	if err := e.runLeased(ctx, s); err != nil {
+		return err
+	}
+	s.answer = s.job.answer
+	return nil
+}
+
+// Cancel ends a job that the entry has, and reports whether it had it. None of
+// its tasks starts later, also if the job is submitted again soon.
+func (e *Entry) Cancel(name string) bool {
+	had := false
+	e.askJob(name, func(d *dispatcher, j *job) {
+		had = true
+		d.cancelLeased(j)
+	})
+	return had
 }
 
 // Running reports whether the entry has the job and it has not ended.
-func (e *Entry) Running(job string) bool {
-	_ = job
-	return false
+func (e *Entry) Running(name string) bool {
+	running := false
+	e.askJob(name, func(*dispatcher, *job) { running = true })
+	return running
+}
+
+// askJob runs f on the dispatcher if it has the job and it has not ended.
+func (e *Entry) askJob(name string, f func(*dispatcher, *job)) {
+	if !e.started() {
+		return
+	}
+	e.dispatcher.ask(func(d *dispatcher) {
+		if j := d.leased[name]; j != nil && !j.answered {
+			f(d, j)
+		}
+	})
 }
 
 // Pending returns the number of jobs of the template of which no task has
 // started.
-func (e *Entry) Pending(template string) int {
-	_ = template
-	return 0
+func (e *Entry) Pending(template string) (n int) {
+	if e.started() {
+		e.dispatcher.ask(func(d *dispatcher) { n = d.pending[template] })
+	}
+	return n
 }
 
 // Configuration returns the configuration in force; nil when there is none.
 func (e *Entry) Configuration() *config.View { return e.config.view() }
+
+// Document returns the configuration in force as JSON; generation 0 when there
+// is none.
+func (e *Entry) Document() (generation uint64, raw []byte) { return e.config.document() }
--- a/estimate/estimate.go
+++ b/estimate/estimate.go
@@ -114,6 +114,17 @@
 	return blend(declared, s.winsorisedMean(), s.count)
 }
 
+// Blended returns the geometric mean of what was learned of the template and of
+// the duration declared for this task, where tasks of one template differ. A
+// declared duration that is not positive says nothing.
+func (d *Durations) Blended(template string, declared time.Duration) time.Duration {
+	learned := d.Expected(template, declared)
+	if declared <= 0 {
+		return learned
+	}
+	return blend(declared, learned, 1)
+}
+
 // Len returns the number of templates remembered.
 func (d *Durations) Len() int { return d.recent.Len() }
 
--- a/placement/never.go
+++ b/placement/never.go
@@ -47,7 +47,7 @@
 	never := &NeverError{Class: c.Name, Needs: c.Needs}
 	known := false
 	for _, z := range t.zones {
-		if !c.allows(z.key.dataCentre) {
+		if !c.allows(z.key) {
 			continue
 		}
 		for s := range z.shapes {
@@ -66,6 +66,9 @@
 		if len(never.NoAgentIn) == 0 {
 			never.NoAgentIn = []string{"any data centre"}
 		}
+		if c.Pool != "" {
+			never.NoAgentIn = []string{"pool " + c.Pool}
+		}
 	}
 	return never
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -37,10 +37,12 @@
 // Agent describes an agent and the upstream beside it.
 type Agent struct {
 	ID, DataCentre, Rack, Worker string
-	Slots                        int // tasks that the upstream runs at a time
-	QueueLimit                   int // tasks that may wait at the agent
-	Capacity                     Resources
-	Distance                     time.Duration // one-way delay from this process
+	// Pool of workers for leased tasks; empty for an HTTP upstream.
+	Pool       string
+	Slots      int // tasks that the upstream runs at a time
+	QueueLimit int // tasks that may wait at the agent
+	Capacity   Resources
+	Distance   time.Duration // one-way delay from this process
 	// Incarnation of the agent's process. An Upsert with the non-zero
 	// incarnation that is known keeps the agent's load; any other resets it.
 	Incarnation wire.Incarnation
@@ -49,12 +51,18 @@
 // Class is a set of placement constraints that many tasks share.
 type Class struct {
 	Name        string
+	Pool        string   // of leased tasks; only agents of the same pool match
 	DataCentres []string // empty: any
 	Needs       Resources
 }
 
-// allows reports whether the class may run in the data centre.
-func (c Class) allows(dataCentre string) bool {
+// allows reports whether the class may run in the zone.
+func (c Class) allows(z zoneKey) bool {
+	return c.Pool == z.pool && c.AllowsDataCentre(z.dataCentre)
+}
+
+// AllowsDataCentre reports whether the class may run in the data centre.
+func (c Class) AllowsDataCentre(dataCentre string) bool {
 	if len(c.DataCentres) == 0 {
 		return true
 	}
--- a/placement/search.go
+++ b/placement/search.go
@@ -29,7 +29,7 @@
 // not run there. Resources are not considered.
 func (v View) Open(zone int, c Class) int {
 	z := v.t.zones[zone]
-	if !c.allows(z.key.dataCentre) {
+	if !c.allows(z.key) {
 		return 0
 	}
 	return z.tree.root().open
@@ -70,7 +70,7 @@
 // search also reports whether the limit of visits ended it.
 func (v View) search(zone int, q Query, above float64, best bool) (c Candidate, ok, limited bool) {
 	z := v.t.zones[zone]
-	if !q.Class.allows(z.key.dataCentre) || len(z.tree.nodes) == 0 {
+	if !q.Class.allows(z.key) || len(z.tree.nodes) == 0 {
 		return Candidate{}, false, false
 	}
 	levels := bits.Len(uint(len(z.tree.nodes)))
--- a/placement/table.go
+++ b/placement/table.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -21,9 +22,10 @@
 	random *rand.Rand
 }
 
-// zoneKey groups agents that are equally near. Agents of one data centre
-// usually have the same distance.
+// zoneKey groups agents that are equally near and run the same tasks. Agents of
+// one data centre usually have the same distance.
 type zoneKey struct {
+	pool       string
 	dataCentre string
 	distance   time.Duration
 }
@@ -47,6 +49,7 @@
 	zone   *zone
 	leaf   int // in zone.tree
 	usable bool
+	full   bool // no room until the next sign of it
 	weight float64
 
 	reported    bool
@@ -79,7 +82,7 @@
 	} else {
 		t.leaveZone(known)
 		if a.Incarnation == 0 || a.Incarnation != known.Incarnation {
-			*known = agent{usable: known.usable, weight: known.weight}
+			*known = agent{usable: known.usable, full: known.full, weight: known.weight}
 		}
 	}
 	known.Agent = a
@@ -104,6 +107,15 @@
 	}
 }
 
+// SetFull says that the agent gave a sign of having no room. It gets no tasks
+// until that is taken back, and its capacity goes on counting for its pool.
+func (t *Table) SetFull(id string, full bool) {
+	if a, ok := t.agents[id]; ok {
+		a.full = full
+		t.update(a)
+	}
+}
+
 // SetWeight sets the part of its slots, above 0 and up to 1, that an agent is
 // offered; a slow upstream gets less than 1. At least one slot is used.
 func (t *Table) SetWeight(id string, share float64) {
@@ -174,15 +186,36 @@
 }
 
 // Slots returns the slots of the usable agents in the class's data centres,
-// reduced by their weights.
+// reduced by their weights. For a class of leased tasks it is the number of
+// tasks that the processors of its pool can run, at least 1 if any agent is usable.
 func (t *Table) Slots(c Class) int {
-	slots := 0
+	slots, milliCPU := 0, int64(0)
+	for _, z := range t.zones {
+		if c.allows(z.key) {
+			root := z.tree.root()
+			slots += root.slots
+			milliCPU += root.milliCPU
+		}
+	}
+	if c.Pool == "" || c.Needs.MilliCPU <= 0 {
+		return slots
+	}
+	return int(max(milliCPU/c.Needs.MilliCPU, min(milliCPU, 1)))
+}
+
+// KnownMilliCPU returns the processors, in thousandths of a core, of the known
+// agents of the class's pool and data centres, usable or not.
+func (t *Table) KnownMilliCPU(c Class) int64 {
+	sum := int64(0)
 	for _, z := range t.zones {
-		if c.allows(z.key.dataCentre) {
-			slots += z.tree.root().slots
+		if !c.allows(z.key) {
+			continue
+		}
+		for s, agents := range z.shapes {
+			sum += s.capacity.MilliCPU * int64(agents)
 		}
 	}
-	return slots
+	return sum
 }
 
 // Feasible reports whether some usable agent is estimated to have room for a
@@ -220,7 +253,7 @@
 }
 
 func (t *Table) enterZone(a *agent) {
-	key := zoneKey{a.DataCentre, a.Distance}
+	key := zoneKey{a.Pool, a.DataCentre, a.Distance}
 	i, found := slices.BinarySearchFunc(t.zones, key, func(z *zone, k zoneKey) int { return compareZones(z.key, k) })
 	if !found {
 		t.zones = slices.Insert(t.zones, i, &zone{key: key, shapes: make(map[shape]int)})
@@ -246,7 +279,7 @@
 	if a.distance != b.distance {
 		return int(min(max(a.distance-b.distance, -1), 1))
 	}
-	return strings.Compare(a.dataCentre, b.dataCentre)
+	return cmp.Or(strings.Compare(a.dataCentre, b.dataCentre), strings.Compare(a.pool, b.pool))
 }
 
 func (t *Table) update(a *agent) { a.zone.tree.set(a.leaf, a.node()) }
@@ -259,8 +292,20 @@
 	if !a.usable || a.Slots <= 0 {
 		return n
 	}
-	n.slots = max(int(math.Ceil(float64(a.Slots)*a.weight)), 1)
-	load := max(a.load.Running+a.load.Queued+a.sent, a.outstanding)
+	slots := max(int(math.Ceil(float64(a.Slots)*a.weight)), 1)
+	n.milliCPU = int64(float64(a.Capacity.MilliCPU) * a.weight)
+	if a.full {
+		return n
+	}
+	n.slots = slots
+	load := a.tasks()
+	if a.Pool != "" {
+		if slots > load && n.capacityFree.MilliCPU > 0 {
+			n.best = freeSlot + float64(n.capacityFree.MilliCPU)/milliPerCore*a.weight
+			n.ties, n.open = 1, 1
+		}
+		return n
+	}
 	switch idle := n.slots - load; {
 	case idle > 0:
 		n.best = freeSlot + float64(idle)*a.weight
@@ -275,6 +320,13 @@
 	return n
 }
 
+// milliPerCore converts processors to the unit of the score of leased agents,
+// which have more slots than tasks that fit.
+const milliPerCore = 1000
+
+// tasks is the estimated number of tasks at the agent.
+func (a *agent) tasks() int { return max(a.load.Running+a.load.Queued+a.sent, a.outstanding) }
+
 // free is the estimate of the agent's free resources, never negative: a task
 // without needs fits even where usage is above the capacity.
 func (a *agent) free() Resources {
@@ -283,6 +335,12 @@
 		free = least(free, a.load.Free)
 	}
 	free = least(free.Minus(a.sentNeeds), a.Capacity.Minus(a.heldNeeds))
+	if a.Pool != "" && a.weight < 1 && a.tasks() > 0 {
+		// Slots do not limit leased tasks, so a slow agent gets only a part
+		// of its processors, but always one task.
+		withheld := int64(float64(a.Capacity.MilliCPU) * (1 - a.weight))
+		free.MilliCPU -= withheld
+	}
 	return most(free, Resources{})
 }
 
--- a/placement/tree.go
+++ b/placement/tree.go
@@ -6,6 +6,7 @@
 	ties         int     // agents that have the highest score
 	open         int     // agents with a score above 0
 	slots        int     // of usable agents
+	milliCPU     int64   // of usable agents, by their weights
 	capacityFree Resources
 }
 
@@ -74,6 +75,7 @@
 		best:         max(a.best, b.best),
 		open:         a.open + b.open,
 		slots:        a.slots + b.slots,
+		milliCPU:     a.milliCPU + b.milliCPU,
 		capacityFree: most(a.capacityFree, b.capacityFree),
 	}
 	if a.best == n.best {
