entry: give up leased jobs only before they start

Cause: a job past three times its objective was answered as failed although none of its tasks had failed. Ruled out: lost answers (the callers got 200 with a whole body). Change: a job that has not started is refused when it is worth nothing any more; one that has started goes on to its caller's deadline and is unknown then, so that the caller may send it again. Failed is left to a task that failed as often as its template allows.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -113,6 +113,15 @@
 	return notRun(http.StatusUnprocessableEntity, reasonNeverRuns, "%v", err)
 }
 
+// refuseAfter is the time by which a job has to be expected to end, or, if it is
+// leased, by which it must have started.
+func (j *job) refuseAfter() time.Time {
+	if j.leased != nil {
+		return j.leased.worthless
+	}
+	return j.deadline
+}
+
 func (d *dispatcher) decide(s *submission, j *job) error {
 	if err := d.checkQueue(s, j); err != nil {
 		return err
@@ -137,7 +146,7 @@
 	use := d.accounts[j.account]
 	return admission.Request{
 			Account: j.account, Urgency: j.template.Urgency, Tasks: j.count,
-			Expected: j.expected, Deadline: j.deadline.Sub(d.now),
+			Expected: j.expected, Deadline: j.refuseAfter().Sub(d.now),
 		}, admission.State{
 			AccountRunning: use.running, AccountQueued: use.waiting,
 			AccountShare: d.shares.Share(d.now, j.account, float64(s.account.MaxRunningTasks)),
--- a/entry/collect.go
+++ b/entry/collect.go
@@ -250,6 +250,8 @@
 func (d *dispatcher) timeUp(j *job) {
 	switch {
 	case j.answered:
+	case j.leased != nil && j.closing == nil && j.leasedStarted() && d.now.Before(j.deadline):
+		j.timer.Reset(j.deadline.Sub(d.now))
 	case j.closing == nil:
 		d.fail(j, closing{reason: wire.ReasonDeadline, detail: "the deadline passed", settle: true})
 		d.finishIfSettled(j)
--- a/entry/leased.go
+++ b/entry/leased.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"chicorytray.example/chicorytray/config"
 	"chicorytray.example/chicorytray/wire"
@@ -23,6 +24,12 @@
 	asked   workload
 	callers int // submissions that wait for the answer
 
+	// worthless is when the job is given up if no task has started. One that
+	// has started goes on to its deadline: "failed" would not be true of it,
+	// and a caller that is told nothing else sends it again from the start.
+	worthless time.Time
+	exhausted bool // a task failed as often as its template allows
+
 	attempts      []uint8 // failed ones, by task
 	interruptions []uint8 // by task
 	// out counts the tasks at agents, and those whose run may go on.
@@ -161,7 +168,7 @@
 	if s.expected > 0 {
 		j.expected = d.durations.Blended(j.template.Name, s.expected)
 	}
-	j.deadline = j.arrived.Add(giveUpAfter(j.template, s.deadline, jobWork{
+	j.leased.worthless = j.arrived.Add(giveUpAfter(j.template, s.deadline, jobWork{
 		expected: j.expected, tasks: j.count, milliCPU: j.class.Needs.MilliCPU, poolMilliCPU: d.table.KnownMilliCPU(j.class),
 	}))
 	return j
@@ -203,6 +210,7 @@
 	}
 	j.settle(index, taskFailed)
 	if j.closing == nil {
+		l.exhausted = true
 		d.fail(j, closing{reason: v.result.Reason, detail: taskDetail(index, a, v.result)})
 	}
 }
@@ -289,10 +297,21 @@
 // leasedOutcome of a job that did not complete. It is decided at once, so a task
 // at an agent counts as started.
 func (j *job) leasedOutcome() Outcome {
+	switch {
+	case j.leased.exhausted, j.closing.reason == wire.ReasonCancelled:
+		return OutcomeFailed
+	case j.leasedStarted():
+		return OutcomeUnknown
+	}
+	return OutcomeNotRun
+}
+
+// leasedStarted reports whether a task may have started.
+func (j *job) leasedStarted() bool {
 	for i, s := range j.states {
 		if j.mayRan[i] || s != taskWaiting && s != taskNotRun {
-			return OutcomeFailed
+			return true
 		}
 	}
-	return OutcomeNotRun
+	return false
 }
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -58,7 +58,7 @@
 // enqueueTasks makes all tasks of a job wait for their start.
 func (d *dispatcher) enqueueTasks(j *job) {
 	d.addWaiting(j, j.count)
-	j.timer = time.AfterFunc(j.deadline.Sub(d.now), func() {
+	j.timer = time.AfterFunc(j.refuseAfter().Sub(d.now), func() {
 		d.post(func(d *dispatcher) { d.timeUp(j) })
 	})
 	j.queued = true
