--- /dev/null
+++ b/config/leased_test.go
@@ -0,0 +1,69 @@
+package config
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// leasedDocument is the sample with two templates of leased tasks and routes.
+func leasedDocument(t testing.TB) string {
+	const template = `{"name": "steps", "account": "bureau", "kind": "leased", "urgency": 0, "needs": {"milli_cpu": 2000},
+		"deadline_ms": 3600, "pool": "pool/A:1", "max_attempts": 3, "slack_factor": 2.5, "target_ms": 300},`
+	second := strings.Replace(strings.Replace(template, "steps", "steps-2", 1), `"target_ms": 300`, `"target_ms": 0`, 1)
+	text := strings.Replace(string(sample(t)), `"limits": {}`, `"limits": {}, "routes": [
+		{"host": "Portal.example", "prefix": "/", "template": "steps"},
+		{"host": "portal.example", "prefix": "/review", "template": "steps-2"}]`, 1)
+	return strings.Replace(text, `"templates": [`, `"templates": [`+template+second, 1)
+}
+
+// Guards against a leased template or a route that an entry cannot follow, and
+// against leased fields that have no effect for other kinds.
+func TestParseChecksLeasedTemplatesAndRoutes(t *testing.T) {
+	for _, tc := range []struct {
+		name, old, replace string
+		want               []string
+	}{
+		{"valid", "", "", nil},
+		{"values", `"pool": "pool/A:1", "max_attempts": 3, "slack_factor": 2.5, "target_ms": 300`, `"max_attempts": 101, "slack_factor": 0, "target_ms": -1`,
+			[]string{`templates[0].pool: "" is not accepted`, "max_attempts: 101 is", "slack_factor: 0 is", "target_ms: -1 is"}},
+		{"no attempts", `"max_attempts": 3`, `"max_attempts": 0`, []string{"max_attempts: 0 is not accepted; give 1 to 100"}},
+		{"space in the pool", "pool/A:1", "pool A", []string{`pool: "pool A" is not accepted`}},
+		{"long pool", "pool/A:1", strings.Repeat("p", 64), []string{"1 to 63 printable"}},
+		{"tasks", `"target_ms": 300`, `"target_ms": 300, "tasks": [{"name": "a", "method": "GET", "path": "/"}]`,
+			[]string{`templates[0].tasks: not accepted for kind "leased"`}},
+		{"leased fields of a job", `"kind": "job"`, `"kind": "job", "pool": "p", "max_attempts": 1, "slack_factor": 1, "target_ms": 1`,
+			[]string{"templates[2].pool: accepted only", "max_attempts: accepted only", "slack_factor: accepted only", "target_ms: accepted only"}},
+		{"host with port", "Portal.example", "portal.example:80", []string{"routes[0].host"}},
+		{"relative prefix", `"/review"`, `"review"`, []string{`routes[1].prefix: "review" is not accepted`}},
+		{"query", `"/review"`, `"/review?a"`, []string{`routes[1].prefix`}},
+		{"twice", `"/review"`, `"/"`, []string{"routes[1]: host and prefix are listed more than once"}},
+		{"unknown template", `"template": "steps-2"`, `"template": "steps-3"`, []string{`routes[1].template: "steps-3" is not a template`}},
+		{"template of another kind", `"template": "steps-2"`, `"template": "proof"`, []string{`routes[1].template: "proof" is of kind "job"`}},
+	} {
+		_, err := Parse([]byte(strings.Replace(leasedDocument(t), tc.old, tc.replace, 1)))
+		all := &Error{}
+		qt.Check(t, errors.As(err, &all), qt.Equals, len(tc.want) > 0, qt.Commentf("%s: %v", tc.name, err))
+		qt.Check(t, all.Problems, qt.HasLen, len(tc.want), qt.Commentf("%s: %v", tc.name, err))
+		for _, want := range tc.want {
+			qt.Check(t, err, qt.ErrorMatches, ".*\\Q"+want+"\\E.*")
+		}
+	}
+}
+
+// Guards against a request that reaches another template than the one of the
+// longest matching prefix of its host.
+func TestRoute(t *testing.T) {
+	d, err := Parse([]byte(leasedDocument(t)))
+	qt.Assert(t, err, qt.IsNil)
+	v := NewView(d)
+	for request, want := range map[[2]string]string{
+		{"portal.example", "/"}: "steps", {"PORTAL.example", "/other"}: "steps", {"portal.example", "/review"}: "steps-2",
+		{"portal.example", "/review/7"}: "steps-2", {"other.example", "/"}: "", {"portal.example", "review"}: "",
+	} {
+		r, ok := v.Route(request[0], request[1])
+		qt.Check(t, r.Template == want && ok == (want != ""), qt.IsTrue, qt.Commentf("%q: %+v", request, r))
+	}
+}
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -19,8 +19,9 @@
 	waiting int // in the queue
 }
 
-// reservations are the tasks that were admitted and are not queued yet, so
-// that jobs admitted at the same moment count against each other.
+// reservations counts tasks and their work, such as those that were admitted and
+// are not queued yet, so that jobs admitted at the same moment count against
+// each other.
 type reservations struct {
 	tasks int
 	work  time.Duration
@@ -118,7 +119,9 @@
 		return err
 	}
 	request, state := d.admissionOf(s, j)
-	state.QueuedTasks, state.QueuedWork = d.queue.Len()+d.reserved.tasks, d.queue.Work()+d.reserved.work
+	// Leased tasks use other agents.
+	state.QueuedTasks = d.waitingFor("") + d.reserved.tasks
+	state.QueuedWork = d.queue.Work() - d.leasedWaiting.work + d.reserved.work
 	state.Slots = d.table.Slots(j.class)
 	return refusalOf(d.admission.Decide(d.now, request, state))
 }
@@ -186,8 +189,7 @@
 // countStart records that a task of the job is sent.
 func (d *dispatcher) countStart(j *job, index int, a *agent) {
 	j.racks.Add(a.ref.Rack)
-	use := d.accounts[j.account]
-	use.running++
+	d.addRunning(j, 1)
 	d.addWaiting(j, -1)
 	if j.tasks[index].Attempt == 0 {
 		d.budget.Request(d.now) // retries must not earn further retries
@@ -195,7 +197,6 @@
 	d.queue.Started(j.account, j.expected)
 	d.metrics.tasksSent.Inc(1)
 	if j.leased != nil {
-		j.leased.out++
 		d.countPending(j)
 		d.countLeasedStart(j)
 		return
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -125,7 +125,7 @@
 func (d *dispatcher) heartbeatReply(a *agent) wire.HeartbeatReply {
 	r := wire.HeartbeatReply{
 		Entry: d.self, ConfirmAge: d.confirmAge(), ReadAge: d.confirm.readAge(d.now),
-		Backlog: d.currentBacklog(), Stopping: d.stopping,
+		Backlog: d.currentBacklog(a.ref.Pool), Stopping: d.stopping,
 	}
 	if known := d.peers(); d.now.Sub(a.toldAt) >= tellEntriesEvery || !slices.Equal(known, a.told) {
 		r.Entries, a.told, a.toldAt = known, known, d.now
@@ -172,12 +172,10 @@
 		a.usableAt = d.now
 	}
 	a.usable = usable
-	if a.ref.Pool == "" {
-		d.table.SetUsable(a.ref.ID, usable && !a.busy)
-		return
-	}
-	d.table.SetUsable(a.ref.ID, usable)
-	d.table.SetFull(a.ref.ID, a.busy)
+	// The processors of a busy agent of leased tasks go on counting for its pool.
+	leased := a.ref.Pool != ""
+	d.table.SetFull(a.ref.ID, leased && a.busy)
+	d.table.SetUsable(a.ref.ID, usable && (leased || !a.busy))
 }
 
 func (d *dispatcher) inService(dataCentre string) bool {
@@ -331,6 +329,11 @@
 // report takes over the load that an agent reported with a reply.
 func (d *dispatcher) report(a *agent, l wire.Load) {
 	d.reported(a, l)
+	d.hasRoom(a)
+}
+
+// hasRoom takes back that the agent had no room.
+func (d *dispatcher) hasRoom(a *agent) {
 	if a.busy {
 		a.busy = false
 		d.refresh(a)
--- a/entry/collect.go
+++ b/entry/collect.go
@@ -25,7 +25,7 @@
 			d.hold(a, v)
 			continue
 		}
-		d.settled(j)
+		d.addRunning(j, -1)
 		switch v.kind {
 		case verdictNotRun:
 			d.taskNotRun(j, a, v)
@@ -38,14 +38,6 @@
 	}
 }
 
-// settled counts a task that is certainly no longer at an agent.
-func (d *dispatcher) settled(j *job) {
-	d.accounts[j.account].running--
-	if j.leased != nil {
-		j.leased.out--
-	}
-}
-
 // afterVerdict does what the end of a task at an agent may have made possible.
 func (d *dispatcher) afterVerdict(j *job) {
 	d.finishIfSettled(j)
@@ -147,6 +139,10 @@
 	if j.leased != nil {
 		j.mayRan[index], j.leased.ran = true, true
 		if v.result.Outcome == wire.OutcomeInterrupted {
+			if v.result.Reason == wire.ReasonWorkerLost {
+				a.refusing = true // its next heartbeat says whether it leaves
+				d.refresh(a)
+			}
 			d.leasedInterrupted(j, a.ref.ID, index, v.result.Reason)
 			return
 		}
@@ -224,7 +220,9 @@
 	for i, s := range j.states {
 		switch s {
 		case taskWaiting:
-			d.addWaiting(j, -1)
+			if j.leased == nil || j.leased.after == nil { // else it is not queued yet
+				d.addWaiting(j, -1)
+			}
 			j.settle(i, taskNotRun)
 		case taskSent:
 			inFlight = true
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -75,6 +75,7 @@
 	leased         map[string]*job // by the caller's identifier
 	pending        map[string]int  // leased jobs of which no task started, by template
 	pools          map[string]*pool
+	leasedWaiting  reservations // leased tasks in the queue, of all pools
 	held           []held
 	openJobs       int           // accepted and not answered
 	idle           chan struct{} // closed when openJobs is 0; nil while nobody waits
--- a/entry/fakeagent_test.go
+++ b/entry/fakeagent_test.go
@@ -22,13 +22,13 @@
 	now    int                  // running
 	peak   int                  // most that ran at a time
 	late   map[string]time.Time // last start by data centre
-	// leased tasks by the caller's identifier and index: those that run now,
-	// and the most that ran at a time.
-	runs, mostRuns map[string]int
+	runs   map[string]int       // that run now, by leased task
+	// concurrent is the most runs of one leased task at a time.
+	concurrent int
 }
 
 func newUpstreams() *upstreams {
-	return &upstreams{starts: map[string]int{}, late: map[string]time.Time{}, runs: map[string]int{}, mostRuns: map[string]int{}}
+	return &upstreams{starts: map[string]int{}, late: map[string]time.Time{}, runs: map[string]int{}}
 }
 
 // taskName names a task across entries.
@@ -46,7 +46,7 @@
 	u.starts[name]++
 	if t.Leased != nil {
 		u.runs[name]++
-		u.mostRuns[name] = max(u.mostRuns[name], u.runs[name])
+		u.concurrent = max(u.concurrent, u.runs[name])
 	}
 	u.total++
 	u.now++
@@ -63,15 +63,11 @@
 	}
 }
 
-// concurrent returns the most runs of one leased task at a time.
-func (u *upstreams) concurrent() int {
+// running returns the number of tasks that run now, and of the starts of a task.
+func (u *upstreams) running(name string) (now, of int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	most := 0
-	for _, n := range u.mostRuns {
-		most = max(most, n)
-	}
-	return most
+	return u.now, u.starts[name]
 }
 
 func (u *upstreams) most() int {
@@ -119,20 +115,15 @@
 	runs    int // Run messages
 	config  wire.AgentConfig
 	leaving bool
-	read    time.Time          // newest read of the store of which an entry told
-	renewed map[string]renewal // by entry process; of leased tasks
-	linger  time.Duration      // that leased runs outlive this process
+	read    time.Time            // newest read of the store of which an entry told
+	renewed map[string]time.Time // when the last heartbeat was sent that renewed a session, by entry process
+	seen    map[string]uint64    // highest sequence by entry process, in its newest session
+	linger  time.Duration        // that leased runs outlive this process
 	dead    bool
 	stop    context.CancelFunc
 	done    *sync.WaitGroup
 }
 
-// renewal is the last heartbeat whose reply renewed a session.
-type renewal struct {
-	number uint64
-	sent   time.Time
-}
-
 type record struct {
 	key     wire.TaskKey
 	at      wire.Incarnation // of the agent
@@ -165,7 +156,7 @@
 	a.ref.Incarnation = wire.NewIncarnation()
 	a.load = wire.Load{Free: a.ref.Capacity}
 	a.opened, a.lapsed, a.records = map[string]uint64{}, map[string]bool{}, map[string]*record{}
-	a.renewed = map[string]renewal{}
+	a.renewed, a.seen = map[string]time.Time{}, map[string]uint64{}
 	a.stop, a.done, a.dead = cancel, &sync.WaitGroup{}, false
 	done := a.done
 	a.mu.Unlock()
@@ -208,10 +199,12 @@
 }
 
 // set replaces the script of a running agent.
-func (a *fakeAgent) set(f func(wire.Task) script) {
+func (a *fakeAgent) set(f func(wire.Task) script) { a.change(func(a *fakeAgent) { a.script = f }) }
+
+func (a *fakeAgent) change(f func(*fakeAgent)) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.script = f
+	f(a)
 }
 
 // lapse ends all sessions, as after a long silence.
@@ -239,8 +232,9 @@
 	d := rpcconn.Dialer{Dial: a.net.Dialer(a.host)}
 	for ctx.Err() == nil {
 		c, err := d.Connect(ctx, address)
+		entry := "" // process that answers
 		for err == nil && ctx.Err() == nil {
-			err = a.beatOnce(ctx, c)
+			err = a.beatOnce(ctx, c, &entry)
 			wait.For(ctx, a.beatEvery, nil)
 		}
 		if c != nil {
@@ -250,11 +244,11 @@
 	}
 }
 
-func (a *fakeAgent) beatOnce(ctx context.Context, c *rpcconn.Client) error {
+func (a *fakeAgent) beatOnce(ctx context.Context, c *rpcconn.Client, entry *string) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	a.mu.Lock()
-	req := wire.HeartbeatRequest{Agent: a.ref, Load: a.load, Leaving: a.leaving, Healthy: true, Generation: a.config.Generation, ReadAge: -1}
+	req := wire.HeartbeatRequest{Agent: a.ref, Load: a.loadFor(*entry), Leaving: a.leaving, Healthy: true, Generation: a.config.Generation, ReadAge: -1}
 	if !a.read.IsZero() {
 		req.ReadAge = time.Since(a.read)
 	}
@@ -272,8 +266,9 @@
 	if reply.Config != nil {
 		a.config = *reply.Config
 	}
-	if p := reply.Entry.ID + reply.Entry.Incarnation.String(); reply.Renews != 0 && reply.Renews == a.opened[p] {
-		a.renewed[p] = renewal{reply.Renews, sent}
+	*entry = reply.Entry.ID + reply.Entry.Incarnation.String()
+	if p := *entry; reply.Renews != 0 && reply.Renews == a.opened[p] {
+		a.renewed[p] = sent
 	}
 	return nil
 }
@@ -287,7 +282,7 @@
 		wait.For(ctx, a.beatEvery/2, nil)
 		a.mu.Lock()
 		for p := range a.opened {
-			if time.Since(a.renewed[p].sent) > fakeLapse {
+			if time.Since(a.renewed[p]) > fakeLapse {
 				a.lapsed[p] = true
 				for _, r := range a.records {
 					if r.process == p {
@@ -313,8 +308,8 @@
 	if req.Session.Number <= a.opened[p] {
 		return errors.New("fenced")
 	}
-	a.opened[p], a.lapsed[p] = req.Session.Number, false
-	a.renewed[p] = renewal{req.Session.Number, time.Now()}
+	a.opened[p], a.lapsed[p], a.seen[p] = req.Session.Number, false, 0
+	a.renewed[p] = time.Now()
 	if req.Config.Generation > a.config.Generation {
 		a.config = req.Config
 	}
@@ -323,7 +318,7 @@
 			reply.Started = append(reply.Started, wire.StartedTask{Key: r.key, Finished: r.done, Result: r.result})
 		}
 	}
-	reply.Agent, reply.Load = a.ref, a.load
+	reply.Agent, reply.Load = a.ref, a.loadFor(p)
 	return nil
 }
 
@@ -337,6 +332,10 @@
 		return errScripted
 	}
 	key := wire.TaskKey{Session: req.Session.Number, Sequence: req.Sequence}
+	p := process(req.Session)
+	if a.opened[p] == req.Session.Number {
+		a.seen[p] = max(a.seen[p], req.Sequence)
+	}
 	refuse := s.refuse
 	switch {
 	case a.opened[process(req.Session)] != req.Session.Number || a.lapsed[process(req.Session)]:
@@ -345,12 +344,14 @@
 		refuse = wire.ReasonBusy
 	}
 	if refuse != "" {
-		*reply = wire.RunReply{Agent: a.ref.Incarnation, Result: notRunResult(refuse), Load: a.changed(0)}
+		*reply = wire.RunReply{Agent: a.ref.Incarnation, Result: notRunResult(refuse)}
+		a.changed(0)
+		reply.Load = a.loadFor(p)
 		a.mu.Unlock()
 		return nil
 	}
 	taskCtx, cancel := context.WithCancel(context.Background())
-	r := &record{key: key, at: a.ref.Incarnation, process: process(req.Session), ended: make(chan struct{}), cancel: cancel}
+	r := &record{key: key, at: a.ref.Incarnation, process: p, ended: make(chan struct{}), cancel: cancel}
 	a.records[recordName(req.Session, key)] = r
 	a.load.Free = a.load.Free.Minus(leasedNeeds(req.Task))
 	a.changed(1)
@@ -374,7 +375,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	*reply = wire.RunReply{Agent: a.ref.Incarnation, Result: r.result, Load: a.load}
+	*reply = wire.RunReply{Agent: a.ref.Incarnation, Result: r.result, Load: a.loadFor(p)}
 	return nil
 }
 
@@ -415,10 +416,17 @@
 }
 
 // changed updates the load; the caller holds the lock.
-func (a *fakeAgent) changed(running int) wire.Load {
+func (a *fakeAgent) changed(running int) {
 	a.load.Sequence++
 	a.load.Running += running
-	return a.load
+}
+
+// loadFor returns the load as the entry process gets it; the caller holds the
+// lock. Without what the agent has seen, the entry would count its tasks twice.
+func (a *fakeAgent) loadFor(process string) wire.Load {
+	l := a.load
+	l.SeenSession, l.Seen = a.opened[process], a.seen[process]
+	return l
 }
 
 func (a *fakeAgent) await(ctx context.Context, req *wire.AwaitRequest, reply *wire.RunReply) error {
@@ -435,7 +443,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	*reply = wire.RunReply{Agent: a.ref.Incarnation, Result: r.result, Load: a.load}
+	*reply = wire.RunReply{Agent: a.ref.Incarnation, Result: r.result, Load: a.loadFor(process(req.Session))}
 	return nil
 }
 
@@ -457,6 +465,6 @@
 	if req.Config != nil && req.Config.Generation > a.config.Generation {
 		a.config = *req.Config
 	}
-	reply.Load = a.load
+	reply.Load = a.loadFor(process(req.Session))
 	return nil
 }
--- a/entry/hold.go
+++ b/entry/hold.go
@@ -35,7 +35,7 @@
 // release counts the run of a held task as interrupted.
 func (d *dispatcher) release(h held) {
 	j := h.job
-	d.settled(j)
+	d.addRunning(j, -1)
 	j.mayRan[h.index], j.leased.ran = true, true
 	d.leasedInterrupted(j, h.agent, h.index, h.reason)
 	d.afterVerdict(j)
--- a/entry/leased.go
+++ b/entry/leased.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"crypto/sha256"
 	"net/http"
 	"strconv"
 	"strings"
@@ -46,11 +47,11 @@
 	account string
 	count   int
 	needs   config.Needs
-	spec    string
+	spec    [sha256.Size]byte // a hash, because it is kept with the answer
 }
 
 func workloadOf(s *submission) workload {
-	w := workload{account: s.account.Name, count: s.request.Count, spec: s.request.Spec}
+	w := workload{account: s.account.Name, count: s.request.Count, spec: sha256.Sum256([]byte(s.request.Spec))}
 	if s.request.Needs != nil {
 		w.needs = *s.request.Needs
 	}
@@ -120,7 +121,7 @@
 	}
 	earlier := d.leased[name]
 	if earlier != nil && (!earlier.answered || earlier.leased.repeatable) {
-		if earlier.leased.asked != workloadOf(s) {
+		if earlier.leased.asked != s.workload {
 			return notRun(http.StatusUnprocessableEntity, reasonJobMismatch, "the job's identifier is in use for other work; this was not run")
 		}
 		s.job = earlier
@@ -154,7 +155,7 @@
 func (d *dispatcher) newLeasedJob(s *submission, name string) *job {
 	j := d.newJob(s)
 	j.leased = &leasedJob{
-		name: name, asked: workloadOf(s), callers: 1,
+		name: name, asked: s.workload, callers: 1,
 		attempts: make([]uint8, j.count), interruptions: make([]uint8, j.count),
 	}
 	j.results = nil // leased tasks have none
@@ -215,7 +216,7 @@
 		return
 	}
 	l.interruptions[index]++
-	d.metrics.scope.Counter("tasks_interrupted").Inc(1)
+	d.metrics.tasksInterrupted.Inc(1)
 	d.log.Info().Str("job", j.id).Int("task", index).Str("agent", agent).Str("reason", string(reason)).
 		Msg("run was interrupted")
 	if l.interruptions[index] <= maxInterruptions {
@@ -247,9 +248,19 @@
 	d.forgetLeased(j)
 }
 
+// trim frees what an answered job needs only while tasks are at agents. Answers
+// of jobs of many tasks would take up the memory otherwise.
+func (j *job) trim() {
+	if j.answered && j.leased.out == 0 {
+		j.states, j.at, j.mayRan, j.tried = nil, nil, nil, nil
+		j.leased.attempts, j.leased.interruptions = nil, nil
+	}
+}
+
 // forgetLeased drops the identifier of a job that a submission under it need
 // not know of.
 func (d *dispatcher) forgetLeased(j *job) {
+	j.trim()
 	l := j.leased
 	if j.answered && (!l.repeatable || l.forgotten) && runsOf(j) == nil && d.leased[l.name] == j {
 		delete(d.leased, l.name)
--- a/entry/leased_test.go
+++ b/entry/leased_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,15 +14,10 @@
 	"chicorytray.example/chicorytray/wire"
 )
 
-// leasedTiming are the intervals of section 13.3 of the design page.
-func leasedTiming(o *Options) {
-	ms := func(n int) settings.Duration { return settings.Duration(time.Duration(n) * time.Millisecond) }
-	t := &o.Settings.Timing
-	t.Heartbeat, t.PeerHeartbeat, t.Suspect, t.Lapse, t.Reconcile = ms(150), ms(350), ms(400), ms(600), ms(1300)
-	t.PingAfter, t.PingTimeout, t.Gate = ms(250), ms(150), ms(3000)
-}
+const ms = settings.Duration(time.Millisecond)
 
-// leasedEntry starts an entry with a template "step" of leased tasks.
+// leasedEntry starts an entry with a template "step" of leased tasks and the
+// intervals of section 13.3 of the design page.
 func (h *harness) leasedEntry(change func(*config.Template)) *Entry {
 	h.putConfig(2, func(d *config.Document) {
 		t := config.Template{
@@ -35,84 +29,72 @@
 		}
 		d.Templates = append(d.Templates, t)
 	})
-	return h.entry(1, "anping", leasedTiming)
+	return h.entry(1, "anping", func(o *Options) {
+		t := &o.Settings.Timing
+		t.Heartbeat, t.PeerHeartbeat, t.Suspect, t.Lapse, t.Reconcile = 150*ms, 350*ms, 400*ms, 600*ms, 1300*ms
+		t.PingAfter, t.PingTimeout, t.Gate = 250*ms, 150*ms, 3000*ms
+	})
 }
 
-// worker starts an agent of leased tasks with 32 cores.
-func (h *harness) worker(number int) *fakeAgent {
-	a := newFakeAgent(h.net, h.ups, number, "anping", "10.0.1.1:7000")
+// worker starts an agent of leased tasks with 32 cores. The first one is nearer
+// than the others, so that it is preferred.
+func (h *harness) worker(number int, s script) *fakeAgent {
+	dataCentre := []string{"anping", "chihkan"}[min(number-1, 1)]
+	a := newFakeAgent(h.net, h.ups, number, dataCentre, "10.0.1.1:7000")
 	a.beatEvery = 150 * time.Millisecond
 	a.ref.Pool, a.ref.Slots, a.ref.Capacity = "bench", 32, wire.Resources{MemoryMB: 128000, MilliCPU: 32000}
-	a.set(fixed(script{took: 200 * time.Millisecond}))
+	a.set(fixed(s))
 	a.start()
 	h.ends = append(h.ends, a.wait)
 	return a
 }
 
+func lasting(milliseconds int) script {
+	return script{took: time.Duration(milliseconds) * time.Millisecond}
+}
+
 // submitted is a submission on a goroutine of its own.
 type submitted struct {
-	answer Answer
-	ended  time.Time
-	done   chan struct{}
+	answer chan Answer
 	leave  context.CancelFunc
 }
 
 func (h *harness) submit(e *Entry, job string, count int) *submitted {
-	return h.submitted(e, Submission{Job: job, Template: "step", Count: count, Spec: "spec of " + job})
+	return h.submitted(e, Submission{Job: job, Template: "step", Count: count})
 }
 
 func (h *harness) submitted(e *Entry, in Submission) *submitted {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &submitted{done: make(chan struct{}), leave: cancel}
-	h.wg.Go(func() {
-		defer cancel()
-		s.answer = e.Submit(ctx, in)
-		s.ended = time.Now()
-		close(s.done)
-	})
+	s := &submitted{make(chan Answer, 1), cancel}
+	h.wg.Go(func() { s.answer <- e.Submit(ctx, in); cancel() })
 	synctest.Wait()
 	return s
 }
 
-func (s *submitted) wait() Answer { <-s.done; return s.answer }
+func (s *submitted) wait() Answer { return <-s.answer }
 
-// leftovers describes what an entry keeps of jobs that ended; empty for nothing.
-func leftovers(e *Entry) (out string) {
+// checkLeftovers asserts that an entry keeps nothing of jobs that ended.
+func (h *harness) checkLeftovers(e *Entry) {
+	time.Sleep(leasedRetention + time.Second)
 	e.dispatcher.ask(func(d *dispatcher) {
-		for _, p := range d.pools {
-			if p.waiting != 0 || p.work != 0 {
-				out += fmt.Sprintf("pool: %d tasks of %v; ", p.waiting, p.work)
-			}
-		}
-		for name, u := range d.accounts {
-			if *u != (accountUse{}) {
-				out += fmt.Sprintf("account %s: %+v; ", name, *u)
-			}
-		}
-		if n := len(d.classes) + len(d.leased) + len(d.pending) + len(d.held) + len(d.jobs) + d.queue.Len() + d.openJobs; n != 0 {
-			out += fmt.Sprintf("%d classes, %d identifiers, %d templates pending, %d held, %d jobs, %d queued, %d open",
-				len(d.classes), len(d.leased), len(d.pending), len(d.held), len(d.jobs), d.queue.Len(), d.openJobs)
+		for name, n := range map[string]int{
+			"classes": len(d.classes), "identifiers": len(d.leased), "pending": len(d.pending), "held": len(d.held),
+			"jobs": len(d.jobs), "queued": d.queue.Len(), "open": d.openJobs, "waiting in the pool": d.poolOf("bench").waiting,
+			"work in the pool": int(d.poolOf("bench").ahead()), "of the account": d.accounts["portal"].running + d.accounts["portal"].waiting,
+		} {
+			h.Check(n, qt.Equals, 0, qt.Commentf(name))
 		}
 	})
-	return out
 }
 
-// Guards against a lost or repeated task, a wrong order to the worker, more
-// tasks at a worker than it has processors for, and classes, identifiers or
-// counts that stay when jobs have ended.
+// Guards against a lost or repeated task, a wrong order to the worker, and
+// against classes, identifiers or counts that stay when jobs have ended.
 func TestLeasedJobsRun(t *testing.T) {
 	inBubble(t, func(h *harness) {
 		e := h.leasedEntry(nil)
-		a, b := h.worker(1), h.worker(2)
-		var mu sync.Mutex
-		orders := map[string]string{}
-		for _, w := range []*fakeAgent{a, b} {
-			w.set(func(t wire.Task) script {
-				mu.Lock()
-				defer mu.Unlock()
-				orders[taskName(t)] = fmt.Sprint(t.Leased.Step, " ", t.Leased.Spec, " ", t.Needs.MilliCPU)
-				return script{took: 200 * time.Millisecond}
-			})
+		orders := make(chan wire.Task, 1000)
+		for i := range 2 {
+			h.worker(i+1, script{}).set(func(t wire.Task) script { orders <- t; return lasting(200) })
 		}
 		settle()
 		var all []*submitted
@@ -127,9 +109,10 @@
 		}
 		h.Check(h.ups.count(), qt.Equals, 210)
 		h.Check(h.ups.most(), qt.Equals, 1)
-		h.Check(orders["j19/19"], qt.Equals, fmt.Sprint("0 x ", 2000+19*377))
-		time.Sleep(leasedRetention + time.Second)
-		h.Check(leftovers(e), qt.Equals, "")
+		order := <-orders
+		h.Check(*order.Leased, qt.Equals, wire.LeasedTask{Job: "j0", Spec: "x"})
+		h.Check(order.Needs, qt.Equals, wire.Resources{MilliCPU: 2000, MemoryMB: 64})
+		h.checkLeftovers(e)
 	})
 }
 
@@ -138,24 +121,22 @@
 func TestResentJobIsJoined(t *testing.T) {
 	inBubble(t, func(h *harness) {
 		e := h.leasedEntry(nil)
-		h.worker(1)
+		h.worker(1, lasting(200))
 		settle()
 		first := h.submit(e, "1f", 4)
 		h.Check(e.Running("1f"), qt.IsTrue)
 		h.Check(e.Running("other"), qt.IsFalse)
-		time.Sleep(50 * time.Millisecond)
 		second := h.submit(e, "1f", 4)
 		first.leave()
 		h.Check(first.wait().Outcome, qt.Equals, OutcomeUnknown)
 		h.Check(h.submit(e, "1f", 5).wait().Reason, qt.Equals, reasonJobMismatch)
 		h.Check(second.wait().Outcome, qt.Equals, OutcomeDone)
 		h.Check(e.Running("1f"), qt.IsFalse)
-		time.Sleep(9 * time.Second)
-		h.Check(h.submit(e, "1f", 4).wait().Outcome, qt.Equals, OutcomeDone)
-		h.Check(h.ups.count(), qt.Equals, 4)
-		time.Sleep(2 * time.Second)
-		h.Check(h.submit(e, "1f", 4).wait().Outcome, qt.Equals, OutcomeDone)
-		h.Check(h.ups.count(), qt.Equals, 8)
+		for _, starts := range []int{4, 8} {
+			time.Sleep(leasedRetention - 2*time.Second*time.Duration(8-starts)/4 + time.Second)
+			h.Check(h.submit(e, "1f", 4).wait().Outcome, qt.Equals, OutcomeDone)
+			h.Check(h.ups.count(), qt.Equals, starts)
+		}
 	})
 }
 
@@ -164,67 +145,55 @@
 func TestCallerOfLeasedJobIsGone(t *testing.T) {
 	inBubble(t, func(h *harness) {
 		e := h.leasedEntry(nil)
-		a := h.worker(1)
-		a.set(fixed(script{took: 3 * time.Second}))
+		h.worker(1, lasting(3000))
 		settle()
 		s := h.submit(e, "1f", 4)
 		time.Sleep(100 * time.Millisecond)
-		h.Check(h.ups.count(), qt.Equals, 4)
 		h.net.Partition("10.0.1.1", "10.0.2.1") // the Cancel message is lost
 		s.leave()
 		h.Check(s.wait().Outcome, qt.Equals, OutcomeFailed)
-		a.set(fixed(script{took: 100 * time.Millisecond}))
 		again := h.submit(e, "1f", 4)
-		h.worker(2)
+		h.worker(2, lasting(100))
 		time.Sleep(300 * time.Millisecond)
 		h.Check(e.Pending("step"), qt.Equals, 1)
 		h.Check(h.ups.count(), qt.Equals, 4)
 		h.Check(again.wait().Outcome, qt.Equals, OutcomeDone)
 		h.Check(e.Pending("step"), qt.Equals, 0)
 		h.Check(h.ups.count(), qt.Equals, 8)
-		h.Check(h.ups.concurrent(), qt.Equals, 1)
+		h.Check(h.ups.concurrent, qt.Equals, 1)
 	})
 }
 
 // Guards against a run that is started elsewhere while the first one may go on,
 // or is never started again, when its agent is silent or its process is replaced.
 func TestLeasedTaskOfLostAgentStartsElsewhere(t *testing.T) {
-	for _, tc := range []struct {
-		name  string
-		fault func(h *harness, a *fakeAgent)
-	}{
-		{"silent", func(h *harness, _ *fakeAgent) { h.net.Partition("10.0.1.1", "10.0.2.1") }},
-		{"frozen", func(h *harness, _ *fakeAgent) { h.net.Freeze("10.0.1.1", "10.0.2.1") }},
-		{"dead", func(_ *harness, a *fakeAgent) { a.linger = 560 * time.Millisecond; a.die() }},
-		{"replaced", func(_ *harness, a *fakeAgent) { a.linger = 560 * time.Millisecond; a.die(); a.start() }},
-		{"replaced later", func(_ *harness, a *fakeAgent) {
-			a.linger = 560 * time.Millisecond
-			a.die()
-			time.Sleep(time.Second)
-			a.start()
-		}},
+	for name, fault := range map[string]func(h *harness, a *fakeAgent){
+		"silent":         func(h *harness, _ *fakeAgent) { h.net.Partition("10.0.1.1", "10.0.2.1") },
+		"frozen":         func(h *harness, _ *fakeAgent) { h.net.Freeze("10.0.1.1", "10.0.2.1") },
+		"dead":           func(_ *harness, a *fakeAgent) { a.die() },
+		"replaced":       func(_ *harness, a *fakeAgent) { a.die(); a.start() },
+		"replaced later": func(_ *harness, a *fakeAgent) { a.die(); time.Sleep(time.Second); a.start() },
 	} {
-		t.Run(tc.name, func(t *testing.T) {
+		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(h *harness) {
 				e := h.leasedEntry(nil)
-				a := h.worker(1)
-				a.set(fixed(script{took: 900 * time.Millisecond}))
+				a := h.worker(1, lasting(900))
+				a.change(func(a *fakeAgent) { a.linger = 560 * time.Millisecond }) // 1.02 leases and the time to stop
 				settle()
 				s := h.submit(e, "1f", 4)
 				time.Sleep(100 * time.Millisecond)
 				h.Check(h.ups.count(), qt.Equals, 4)
-				h.worker(2)
-				a.set(fixed(script{took: 200 * time.Millisecond}))
+				h.worker(2, lasting(200))
 				begin := time.Now()
-				tc.fault(h, a)
+				fault(h, a)
 				h.Check(s.wait().Outcome, qt.Equals, OutcomeDone)
-				h.Check(h.ups.concurrent(), qt.Equals, 1)
-				if tc.name == "frozen" {
+				h.Check(h.ups.concurrent, qt.Equals, 1)
+				if name == "frozen" {
 					return // a new connection works: the first runs end whole
 				}
 				h.Check(h.ups.count(), qt.Equals, 8)
-				took := s.ended.Sub(begin)
-				h.Check(took >= 1300*time.Millisecond && took < 2200*time.Millisecond, qt.IsTrue, qt.Commentf("took %v", took))
+				took := time.Since(begin)
+				h.Check(took >= 1300*time.Millisecond && took < 2900*time.Millisecond, qt.IsTrue, qt.Commentf("took %v", took))
 			})
 		})
 	}
@@ -233,48 +202,37 @@
 // Guards against attempts that are counted wrongly, go to the same agent again,
 // or go on after the last one, and against other tasks that go on then.
 func TestFailedAndInterruptedLeasedTasks(t *testing.T) {
-	failed := &wire.Result{Outcome: wire.OutcomeFailed, Reason: wire.ReasonUpstreamError}
-	interrupted := &wire.Result{Outcome: wire.OutcomeInterrupted, Reason: wire.ReasonWorkerLost}
+	failed := script{took: time.Millisecond, result: &wire.Result{Outcome: wire.OutcomeFailed, Reason: wire.ReasonUpstreamError}}
+	lost := script{took: time.Millisecond, result: &wire.Result{Outcome: wire.OutcomeInterrupted, Reason: wire.ReasonWorkerLost}}
 	for _, tc := range []struct {
 		name   string
-		bad    script // of task 0 at the first agent
-		second script // of task 0 at the second agent
+		task0  [2]script // at each agent
 		want   Answer
 		starts int // of task 0
 	}{
-		{"fails once", script{took: time.Millisecond, result: failed}, script{took: 100 * time.Millisecond}, Answer{Outcome: OutcomeDone}, 2},
-		{"fails always", script{took: time.Millisecond, result: failed}, script{took: time.Millisecond, result: failed},
-			Answer{Outcome: OutcomeFailed, Reason: wire.ReasonUpstreamError}, 3},
-		{"interrupted once", script{took: time.Millisecond, result: interrupted}, script{took: 100 * time.Millisecond}, Answer{Outcome: OutcomeDone}, 2},
-		{"interrupted always", script{took: time.Millisecond, result: interrupted}, script{took: time.Millisecond, result: interrupted},
-			Answer{Outcome: OutcomeFailed, Reason: wire.ReasonWorkerLost}, maxInterruptions + 1},
-		{"refused by the worker", script{refuse: wire.ReasonWorkerRefused}, script{took: 100 * time.Millisecond}, Answer{Outcome: OutcomeDone}, 1},
+		{"fails once", [2]script{failed, lasting(100)}, Answer{Outcome: OutcomeDone}, 2},
+		{"fails always", [2]script{failed, failed}, Answer{Outcome: OutcomeFailed, Reason: wire.ReasonUpstreamError}, 3},
+		{"interrupted once", [2]script{lost, lasting(100)}, Answer{Outcome: OutcomeDone}, 2},
+		{"interrupted always", [2]script{lost, lost}, Answer{Outcome: OutcomeFailed, Reason: wire.ReasonWorkerLost}, maxInterruptions + 1},
+		{"refused by the worker", [2]script{{refuse: wire.ReasonWorkerRefused}, lasting(100)}, Answer{Outcome: OutcomeDone}, 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			inBubble(t, func(h *harness) {
 				e := h.leasedEntry(nil)
-				other := script{took: 500 * time.Millisecond}
-				for i, s := range []script{tc.bad, tc.second} {
-					a := h.worker(i + 1)
-					a.set(func(t wire.Task) script {
-						if t.Index == 0 {
-							return s
-						}
-						return other
+				for i, s := range tc.task0 {
+					h.worker(i+1, s).set(func(t wire.Task) script {
+						return []script{s, lasting(4000)}[min(t.Index, 1)]
 					})
 				}
 				settle()
-				s := h.submit(e, "1f", 2)
-				got := s.wait()
+				got := h.submit(e, "1f", 2).wait()
 				got.Detail = ""
 				h.Check(got, qt.Equals, tc.want)
 				time.Sleep(10 * time.Millisecond)
-				h.ups.mu.Lock()
-				h.Check(h.ups.starts["1f/0"], qt.Equals, tc.starts)
-				h.Check(h.ups.now, qt.Equals, 0)
-				h.ups.mu.Unlock()
-				time.Sleep(leasedRetention + time.Second)
-				h.Check(leftovers(e), qt.Equals, "")
+				running, starts := h.ups.running("1f/0")
+				h.Check(starts, qt.Equals, tc.starts)
+				h.Check(running, qt.Equals, 0)
+				h.checkLeftovers(e)
 			})
 		})
 	}
@@ -285,21 +243,21 @@
 func TestPausedEntryStartsNothingForCallersThatLeft(t *testing.T) {
 	inBubble(t, func(h *harness) {
 		e := h.leasedEntry(nil)
-		a := h.worker(1)
-		a.set(fixed(script{took: 700 * time.Millisecond}))
+		h.worker(1, lasting(700))
 		settle()
 		gone := h.submit(e, "1f", 12) // 8 run at a time
 		stays := h.submit(e, "2f", 4)
 		time.Sleep(100 * time.Millisecond)
 		h.Check(h.ups.count(), qt.Equals, 8)
 		e.dispatcher.post(func(*dispatcher) { time.Sleep(1500 * time.Millisecond) })
-		time.Sleep(1490 * time.Millisecond)
-		// The resumed process notices a broken connection a moment later.
-		time.AfterFunc(30*time.Millisecond, gone.leave)
-		gone.wait()
+		time.Sleep(1510 * time.Millisecond)
+		h.worker(2, lasting(700)) // has room at once
+		// The resumed process notices a broken connection 40 ms later.
+		time.Sleep(30 * time.Millisecond)
+		gone.leave()
 		h.Check(stays.wait().Outcome, qt.Equals, OutcomeDone)
 		time.Sleep(2 * time.Second)
 		h.Check(h.ups.count(), qt.Equals, 12)
-		h.Check(h.ups.concurrent(), qt.Equals, 1)
+		h.Check(h.ups.concurrent, qt.Equals, 1)
 	})
 }
--- /dev/null
+++ b/entry/leasedapi_test.go
@@ -0,0 +1,178 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// Guards against a field that is silently ignored and changes what runs, and
+// against a refusal that a caller cannot act on.
+func TestLeasedSubmissionsOverHTTP(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e := h.leasedEntry(nil)
+		h.worker(1, lasting(200))
+		time.Sleep(outOfSight) // agents are no longer out of sight
+		for _, tc := range []struct {
+			name, body string
+			status     int
+			detail     string
+		}{
+			{"whole", `{"template":"step","job":"1f","count":3,"needs":{"milli_cpu":2500,"memory_mb":64},"spec":"s","expected_ms":90}`, 200, ""},
+			{"no identifier, needs of the template", `{"template":"step","count":1}`, 200, ""},
+			{"no count", `{"template":"step"}`, 400, "no tasks"},
+			{"negative count", `{"template":"step","count":-1}`, 400, "no tasks"},
+			{"too many", `{"template":"step","count":1501}`, 413, "1501 tasks"},
+			{"tasks", `{"template":"step","count":1,"tasks":[{"name":"a"}]}`, 400, "give count"},
+			{"identifier with a space", `{"template":"step","count":1,"job":"a b"}`, 400, "printable"},
+			{"no processors", `{"template":"step","count":1,"needs":{"memory_mb":64}}`, 400, "milli_cpu"},
+			{"negative memory", `{"template":"step","count":1,"needs":{"milli_cpu":1,"memory_mb":-1}}`, 400, "negative"},
+			{"never fits", `{"template":"step","count":1,"needs":{"milli_cpu":32001}}`, 422, "can never run"},
+			{"leased fields of another kind", `{"template":"proof","count":2}`, 400, "only for templates of kind leased"},
+			{"identifier of other work", `{"template":"step","job":"1f","count":4}`, 422, "other work"},
+			{"wrong type", `{"template":"step","count":"4"}`, 400, "not a job"},
+		} {
+			w := call(e, http.MethodPost, "/v1/jobs", tc.body)
+			h.Check(w.Code, qt.Equals, tc.status, qt.Commentf("%s: %s", tc.name, w.Body))
+			if tc.status != http.StatusOK {
+				h.Check(h.failure(w, OutcomeNotRun).Detail, qt.Contains, tc.detail)
+				continue
+			}
+			again := call(e, http.MethodGet, "/v1/jobs/"+w.Header().Get(headerJob), "")
+			h.Check(again.Body.String(), qt.Equals, w.Body.String())
+		}
+		h.Check(call(e, http.MethodPost, "/v1/jobs", `{"template":"step","count":1}`, headerKey, "k").Code, qt.Equals, http.StatusBadRequest)
+		h.Check(h.ups.count(), qt.Equals, 4)
+	})
+}
+
+// Guards against jobs that are refused while agents are out of sight only
+// briefly, and against "not run" for a job of which a task started.
+func TestLeasedJobIsGivenUpInTime(t *testing.T) {
+	const giveUp = 2800 * time.Millisecond // 3 x 900 ms + 100 ms, for 2 waves
+	for _, tc := range []struct {
+		name   string
+		set    func(a *fakeAgent)
+		took   time.Duration // until the answer
+		want   Outcome
+		starts int
+	}{
+		{"agent away for a moment", func(a *fakeAgent) { a.die(); time.AfterFunc(1500*time.Millisecond, a.start) }, 0, OutcomeDone, 4},
+		{"agent away for long", func(a *fakeAgent) { a.die() }, giveUp, OutcomeNotRun, 0},
+		{"agent gone", func(a *fakeAgent) { a.die(); time.Sleep(8 * time.Second) }, 0, OutcomeNotRun, 0},
+		{"runs too long", func(a *fakeAgent) { a.set(fixed(lasting(9000))) }, giveUp, OutcomeFailed, 4},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			inBubble(t, func(h *harness) {
+				e := h.leasedEntry(func(t *config.Template) { t.SlackFactor, t.TargetMS = 1, 500 })
+				a := h.worker(1, lasting(200))
+				time.Sleep(6 * time.Second) // past the start of the process
+				tc.set(a)
+				time.Sleep(500 * time.Millisecond)
+				begin := time.Now()
+				got := h.submit(e, "1f", 4).wait()
+				took := time.Since(begin)
+				h.Check(got.Outcome, qt.Equals, tc.want, qt.Commentf("%+v", got))
+				h.Check(got.RetryAfter > 0, qt.Equals, tc.want == OutcomeNotRun)
+				h.Check(tc.want == OutcomeDone || took == tc.took, qt.IsTrue, qt.Commentf("took %v", took))
+				time.Sleep(10 * time.Millisecond)
+				running, _ := h.ups.running("")
+				h.Check(h.ups.count()+running, qt.Equals, tc.starts)
+			})
+		})
+	}
+}
+
+// Guards against a job that is accepted although it cannot end in time, which
+// uses up processors for nothing, and against refusals for another pool's load.
+func TestLeasedAdmission(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e := h.leasedEntry(func(t *config.Template) { t.SlackFactor, t.TargetMS = 1, 200 }) // 3 x 1,000 ms + 100 ms
+		h.worker(1, lasting(200))
+		h.worker(9, lasting(200)).change(func(a *fakeAgent) { a.ref.Pool = "" }) // an HTTP upstream
+		settle()
+		var all []*submitted
+		for i := range 30 {
+			all = append(all, h.submit(e, fmt.Sprint(i), 8)) // the worker is busy for 200 ms with each
+		}
+		h.checkWhole(postJob(e, "proof", "render", 2), "/render", 2)
+		ends := map[wire.Reason]int{}
+		for _, s := range all {
+			ends[s.wait().Reason]++
+		}
+		// 3.1 s are enough for 15 jobs of 200 ms; estimates are not exact.
+		h.Check(ends[""] >= 14 && ends[wire.ReasonDeadline] <= 1, qt.IsTrue, qt.Commentf("%v", ends))
+		h.Check(ends["deadline_unreachable"] >= 14, qt.IsTrue, qt.Commentf("%v", ends))
+	})
+}
+
+// Guards against a cancelled job that runs again when it is submitted again
+// after the cancellation was acknowledged, and against a dump without the
+// caller's identifier.
+func TestCancelledLeasedJobStaysCancelled(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e := h.leasedEntry(nil)
+		h.worker(1, script{}).set(func(t wire.Task) script {
+			if t.Attempt == 0 && t.Index == 0 {
+				return script{took: time.Millisecond, result: &wire.Result{Outcome: wire.OutcomeFailed}}
+			}
+			return lasting(5000)
+		})
+		settle()
+		s := h.submit(e, "1f", 4)
+		time.Sleep(100 * time.Millisecond)
+		dump := e.State().Jobs[0]
+		h.Check([]any{dump.Identifier, dump.Attempts, dump.Interruptions, dump.Sent}, qt.DeepEquals, []any{"1f", 1, 0, 4})
+		h.Check(e.Cancel("2f"), qt.IsFalse)
+		h.Check(e.Cancel("1f"), qt.IsTrue)
+		h.Check(s.wait().Outcome, qt.Equals, OutcomeFailed)
+		h.Check(h.submit(e, "1f", 4).wait().Reason, qt.Equals, wire.ReasonCancelled)
+		time.Sleep(time.Second)
+		running, _ := h.ups.running("")
+		h.Check([]int{h.ups.count(), running}, qt.DeepEquals, []int{5, 0})
+		h.Check(e.Cancel("1f"), qt.IsFalse)
+	})
+}
+
+// Guards against a session that is renewed while it is in doubt, or an old
+// number that is renewed after it.
+func TestOnlyAnOpenSessionIsRenewed(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e := h.leasedEntry(nil)
+		h.worker(1, script{})
+		settle()
+		renews := func() (n uint64) {
+			e.dispatcher.ask(func(d *dispatcher) { n = d.heartbeatReply(d.agents["a1"]).Renews })
+			return n
+		}
+		h.Check(renews(), qt.Equals, uint64(1))
+		h.net.Partition("10.0.1.1", "10.0.2.1")
+		e.dispatcher.ask(func(d *dispatcher) { d.doubt(d.agents["a1"], 1, errFenced) })
+		h.Check(renews(), qt.Equals, uint64(0))
+		h.net.Heal("10.0.1.1", "10.0.2.1")
+		settle()
+		h.Check(renews() > 1, qt.IsTrue)
+	})
+}
+
+// Guards against an embedding program whose handler is not served, or that
+// gets another document than the one in force.
+func TestEmbeddingProgram(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		own := http.NewServeMux()
+		e := h.entry(1, "anping", func(o *Options) { o.CallerHandler = own })
+		h.Check(e.callerServer().Handler, qt.Equals, http.Handler(own))
+		settle()
+		generation, raw := e.Document()
+		doc, err := config.Parse(raw)
+		h.Check(err, qt.IsNil)
+		h.Check(doc.Generation == generation && doc.Equal(e.Configuration().Document()), qt.IsTrue)
+		h.Check(h.submitted(e, Submission{Job: "1f", Template: "proof", Count: 1}).wait().Reason, qt.Equals, reasonNoTemplate)
+	})
+}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -31,6 +31,7 @@
 	configDivergences    tally.Counter
 	configInvalid        tally.Counter
 	registrationsExpired tally.Counter
+	tasksInterrupted     tally.Counter
 }
 
 func newMetrics(s tally.Scope) metrics {
@@ -60,6 +61,7 @@
 		configDivergences:    s.Counter("config_divergences"),
 		configInvalid:        s.Counter("config_invalid"),
 		registrationsExpired: s.Counter("registrations_expired"),
+		tasksInterrupted:     s.Counter("tasks_interrupted"),
 	}
 }
 
--- /dev/null
+++ b/entry/objective_test.go
@@ -0,0 +1,34 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/config"
+)
+
+// Guards against a job that is given up while it is worth something, or kept
+// when it is worth nothing, and against a give-up time that overflows.
+func TestGiveUpAfter(t *testing.T) {
+	ms := time.Millisecond
+	for _, tc := range []struct {
+		name     string
+		slack    float64
+		target   int64
+		deadline time.Duration
+		work     jobWork
+		after    time.Duration
+	}{
+		{"one task", 2, 100, time.Minute, jobWork{200 * ms, 1, 4000, 320000}, 3*500*ms + 100*ms},
+		{"two waves", 2, 100, time.Minute, jobWork{200 * ms, 21, 4000, 320000}, 3*900*ms + 100*ms},
+		{"a whole wave", 2, 100, time.Minute, jobWork{200 * ms, 20, 4000, 320000}, 3*500*ms + 100*ms},
+		{"no agent known", 2, 100, time.Minute, jobWork{200 * ms, 32, 9400, 0}, 3*500*ms + 100*ms},
+		{"deadline first", 2, 100, time.Second, jobWork{200 * ms, 1, 4000, 320000}, time.Second},
+		{"huge factor", 1e300, 1 << 60, time.Second, jobWork{time.Hour, 1500, 1 << 40, 1}, time.Second},
+	} {
+		got := giveUpAfter(&config.Template{SlackFactor: tc.slack, TargetMS: tc.target}, tc.deadline, tc.work)
+		qt.Check(t, got, qt.Equals, tc.after, qt.Commentf(tc.name))
+	}
+}
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -34,8 +34,14 @@
 	rate    admission.Rate
 	waiting int     // tasks in the queue
 	work    float64 // of the waiting tasks, in thousandths of a core times nanoseconds
+	running int     // tasks at agents
+	started float64 // work of the tasks at agents
 }
 
+// ahead is the work to be done before a job that arrives now. On average, half of
+// the work of the running tasks is left.
+func (p *pool) ahead() float64 { return p.work + p.started/2 }
+
 func (d *dispatcher) poolOf(name string) *pool {
 	p := d.pools[name]
 	if p == nil {
@@ -48,7 +54,7 @@
 // forgetPools drops pools that the configuration no longer names.
 func (d *dispatcher) forgetPools() {
 	for name, p := range d.pools {
-		if p.waiting == 0 && !d.namesPool(name) {
+		if p.waiting == 0 && p.running == 0 && !d.namesPool(name) {
 			delete(d.pools, name)
 		}
 	}
@@ -70,6 +76,8 @@
 	if j.leased == nil {
 		return
 	}
+	d.leasedWaiting.tasks += n
+	d.leasedWaiting.work += time.Duration(n) * j.expected
 	p := d.poolOf(j.class.Pool)
 	p.waiting += n
 	p.work += float64(n) * processorTime(j)
@@ -78,9 +86,37 @@
 	}
 }
 
+// addRunning counts tasks of a job that came to an agent or, if n is negative,
+// left it.
+func (d *dispatcher) addRunning(j *job, n int) {
+	d.accounts[j.account].running += n
+	if j.leased == nil {
+		return
+	}
+	j.leased.out += n
+	p := d.poolOf(j.class.Pool)
+	p.running += n
+	p.started += float64(n) * processorTime(j)
+	if p.running == 0 {
+		p.started = 0
+	}
+}
+
 // processorTime of one task, in thousandths of a core times nanoseconds.
 func processorTime(j *job) float64 { return float64(j.expected) * float64(j.class.Needs.MilliCPU) }
 
+// waitingFor returns the number of waiting tasks that agents of the pool can run;
+// the empty pool has the HTTP tasks.
+func (d *dispatcher) waitingFor(name string) int {
+	if name == "" {
+		return d.queue.Len() - d.leasedWaiting.tasks
+	}
+	if p := d.pools[name]; p != nil {
+		return p.waiting
+	}
+	return 0
+}
+
 // countLeasedStart measures the rate at which this entry's work starts in the pool.
 func (d *dispatcher) countLeasedStart(j *job) {
 	p := d.poolOf(j.class.Pool)
@@ -115,7 +151,7 @@
 	p, need := d.poolOf(j.class.Pool), float64(j.class.Needs.MilliCPU)
 	request, state := d.admissionOf(s, j)
 	request.DeadlineShare = 1
-	state.QueuedTasks, state.QueuedWork = p.waiting, time.Duration(p.work/need)
+	state.QueuedTasks, state.QueuedWork = p.waiting, time.Duration(p.ahead()/need)
 	state.Slots, state.Rate = slots, p.rate.Value()
 	return refusalOf(d.admission.Decide(d.now, request, state))
 }
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -57,7 +57,6 @@
 
 // enqueueTasks makes all tasks of a job wait for their start.
 func (d *dispatcher) enqueueTasks(j *job) {
-	d.addWaiting(j, j.count)
 	j.timer = time.AfterFunc(j.deadline.Sub(d.now), func() {
 		d.post(func(d *dispatcher) { d.timeUp(j) })
 	})
@@ -72,6 +71,7 @@
 }
 
 func (d *dispatcher) queueTasks(j *job) {
+	d.addWaiting(j, j.count)
 	indexes := make([]int, j.count)
 	for i := range indexes {
 		indexes[i] = i
@@ -104,12 +104,14 @@
 	told  time.Time
 }
 
-func (d *dispatcher) currentBacklog() wire.Backlog {
+// currentBacklog returns the waiting tasks that agents of the pool can run. The
+// urgency is that of the first task of any pool.
+func (d *dispatcher) currentBacklog(pool string) wire.Backlog {
 	urgency, ok := d.queue.MostUrgent()
-	if !ok {
-		return wire.Backlog{}
+	if tasks := d.waitingFor(pool); ok && tasks > 0 {
+		return wire.Backlog{Tasks: tasks, Urgency: urgency}
 	}
-	return wire.Backlog{Tasks: d.queue.Len(), Urgency: urgency}
+	return wire.Backlog{}
 }
 
 // announceBacklog tells some agents that work waits, so that they offer free
@@ -126,14 +128,14 @@
 		return
 	}
 	d.backlog.told = d.now
-	req := wire.AnnounceRequest{Backlog: d.currentBacklog()}
 	left := min(backlogAnnounceAgentsPerTask*d.queue.Len(), backlogAnnounceAgents)
 	for _, a := range d.agents { // in random order
 		if left == 0 {
 			return
 		}
-		if a.usable && d.now.Sub(a.announced) >= backlogAnnounceEvery {
-			d.announce(a, req)
+		b := d.currentBacklog(a.ref.Pool)
+		if a.usable && b.Tasks > 0 && d.now.Sub(a.announced) >= backlogAnnounceEvery {
+			d.announce(a, wire.AnnounceRequest{Backlog: b})
 			left--
 		}
 	}
--- a/entry/receive.go
+++ b/entry/receive.go
@@ -71,6 +71,7 @@
 	deadline time.Duration
 	// expected duration of a leased task as the caller declared it; 0 for none
 	expected time.Duration
+	workload workload // of a leased job
 	job      *job
 	claim    *keyClaim // set when the submission owns its key
 	answer   *answer
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -185,7 +185,7 @@
 		d.describe(a)
 		d.refresh(a)
 		if a.generation < c.Generation {
-			d.announce(a, wire.AnnounceRequest{Backlog: d.currentBacklog(), Config: &c})
+			d.announce(a, wire.AnnounceRequest{Backlog: d.currentBacklog(a.ref.Pool), Config: &c})
 		}
 	}
 }
--- a/entry/session_test.go
+++ b/entry/session_test.go
@@ -140,3 +140,15 @@
 	c.Check(v.kind, qt.Equals, verdictUnknown)
 	c.Check(s.takeAcked(), qt.DeepEquals, []wire.TaskKey{sent.key})
 }
+
+// Guards against a leased task that may be started again before its last run
+// has certainly ended: the time counts from the first doubt about its session.
+func TestLeasedTaskLostFromTheListKeepsItsTime(t *testing.T) {
+	s, now := openSessionOf(1)
+	s.send(&job{leased: &leasedJob{}}, 0, now)
+	s.doubt(now, reconcileLimit)
+	id := s.begin(now.Add(time.Second), reconcileLimit)
+	lost := s.opened(id.Number, wire.OpenSessionReply{Agent: wire.AgentRef{Incarnation: 1}, Truncated: true})
+	qt.Check(t, describe(lost), qt.Equals, "0 unknown start_record_lost")
+	qt.Check(t, lost[0].until.Sub(now), qt.Equals, reconcileLimit)
+}
--- a/entry/start.go
+++ b/entry/start.go
@@ -31,7 +31,7 @@
 	if len(d.starts) == 0 {
 		return
 	}
-	backlog, now := d.currentBacklog(), d.mayStartNow()
+	now := d.mayStartNow()
 	for _, l := range d.starts {
 		a, j, index := l.agent, l.task.job, l.task.index
 		if !now || a.conn == nil || l.task.key.Session != a.session.id.Number || j.closing != nil {
@@ -45,7 +45,7 @@
 		t.Remaining = j.deadline.Sub(d.now)
 		req := wire.RunRequest{
 			Session: a.session.id, Sequence: l.task.key.Sequence, Task: t,
-			Backlog: backlog, Acked: a.session.takeAcked(),
+			Backlog: d.currentBacklog(a.ref.Pool), Acked: a.session.takeAcked(),
 		}
 		d.log.Debug().Str("job", j.id).Int("task", index).Int("attempt", t.Attempt).Str("agent", a.ref.ID).Msg("task sent")
 		d.call(a, l.task.key, t.Remaining, "Agent.Run", &req, req.Acked)
@@ -84,9 +84,10 @@
 				d.apply(a, []verdict{v})
 			}
 			d.reported(a, reply.Load)
-			if a.busy && reply.Result.Reason != wire.ReasonBusy {
-				a.busy = false
-				d.refresh(a)
+			switch reply.Result.Reason {
+			case wire.ReasonBusy, wire.ReasonWorkerRefused: // the load is of before the refusal
+			default:
+				d.hasRoom(a)
 			}
 		})
 	})
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -92,7 +92,11 @@
 // runLeased admits the submission and waits for the end of its job. An error
 // means that the submission was refused or that its caller left.
 func (e *Entry) runLeased(ctx context.Context, s *submission) error {
+	if ctx.Err() != nil {
+		return notRun(http.StatusServiceUnavailable, wire.ReasonCancelled, "the caller disconnected")
+	}
 	id := e.newJobID()
+	s.workload = workloadOf(s)
 	err := error(nil)
 	if !e.dispatcher.ask(func(d *dispatcher) { err = d.submitLeased(s, id) }) {
 		return retryLater(time.Second, reasonStopping, "the entry is stopping")
