--- /dev/null
+++ b/internal/leasemodel/canonical.go
@@ -0,0 +1,165 @@
+package leasemodel
+
+import "math/bits"
+
+// canonical brings states that behave alike into one form: numbers of which
+// only the order matters are replaced by their ranks, and what no longer has an
+// effect is removed. Without it, sessions that are reopened again and again
+// would make the state space infinite.
+func (m *machine) canonical(s *state) {
+	for i := holds - 1; i >= 0; i-- {
+		if s.held[i].kind != noMessage && m.useless(s, &s.held[i]) {
+			s.drop(i)
+		}
+	}
+	for e := range s.entries {
+		for a := range s.agents {
+			session := &s.agents[a].sessions[e]
+			if en := &s.entries[e]; session.outcome != en.sequence || en.task != sent || int(en.at) != a {
+				session.outcome = 0
+			}
+			if !s.isHeld(runMessage, e, a) {
+				session.cancelled = 0
+				if !s.agents[a].lapsable(e) {
+					session.age = 0
+				}
+			}
+			if !s.involved(e, a) && !s.isHeld(openMessage, e, a) && !s.isHeld(renewalMessage, e, a) {
+				s.refresh(e, a)
+			}
+			m.rankSessions(s, e, a)
+		}
+		m.rankSequences(s, e)
+	}
+	for a := range s.agents {
+		m.rankRuns(s, a)
+	}
+}
+
+// lapsable reports whether the lapse of its session with entry e would drop or
+// stop anything at the agent.
+func (ag *agent) lapsable(e int) bool {
+	return int(ag.waits.entry) == e+1 || ag.run < stopping && int(ag.owner.entry) == e+1 && ag.orphan == 0
+}
+
+// refresh gives entry e and agent a, which have nothing to do with each other,
+// a working connection and a fresh session, as they would soon have anyway.
+func (s *state) refresh(e, a int) {
+	en, ag := &s.entries[e], &s.agents[a]
+	s.taskLink[e][a], s.beatLink[e][a] = false, false
+	en.sessions[a] = entrySession{number: 1, open: en.up && ag.up, token: ag.token}
+	ag.sessions[e] = agentSession{number: 1, incarnation: en.incarnation, open: en.up && ag.up}
+}
+
+// useless reports whether the arrival of a delayed message has no effect.
+func (m *machine) useless(s *state, msg *message) bool {
+	ag, w := &s.agents[msg.a], &s.workers[msg.a]
+	session := &ag.sessions[msg.e]
+	switch msg.kind {
+	case openMessage:
+		return msg.number <= session.number
+	case renewalMessage:
+		return msg.process != ag.token || msg.number < session.number
+	case runMessage:
+		return msg.number < session.number && msg.number < s.entries[msg.e].sessions[msg.a].number
+	case startMessage:
+		return m.on(FencingTokens) && msg.process < w.token || m.on(RunNumbers) && msg.number <= w.voided ||
+			m.on(OrderValidity) && msg.age > m.Validity
+	}
+	return false
+}
+
+// ranks collects numbers of one kind.
+type ranks struct {
+	values [16]*int8
+	n      int
+}
+
+func (r *ranks) add(v *int8) {
+	if *v != 0 {
+		r.values[r.n] = v
+		r.n++
+	}
+}
+
+// compress replaces the numbers by their ranks, beginning with 1. They are
+// small, because every state was compressed before.
+func (r *ranks) compress() {
+	var set uint64
+	for _, v := range r.values[:r.n] {
+		set |= 1 << *v
+	}
+	for _, v := range r.values[:r.n] {
+		*v = int8(1 + bits.OnesCount64(set&(1<<*v-1)))
+	}
+}
+
+func (m *machine) rankSessions(s *state, e, a int) {
+	var r ranks
+	r.add(&s.entries[e].sessions[a].number)
+	r.add(&s.agents[a].sessions[e].number)
+	for i := 0; i < holds && s.held[i].kind != noMessage; i++ {
+		if msg := &s.held[i]; msg.kind != startMessage && int(msg.e) == e && int(msg.a) == a {
+			r.add(&msg.number)
+		}
+	}
+	r.compress()
+}
+
+func (m *machine) rankSequences(s *state, e int) {
+	var r ranks
+	r.add(&s.entries[e].sequence)
+	for a := range s.agents {
+		ag := &s.agents[a]
+		r.add(&s.entries[e].sessions[a].cancel)
+		r.add(&ag.sessions[e].cancelled)
+		r.add(&ag.sessions[e].outcome)
+		for _, o := range []*owner{&ag.waits, &ag.owner} {
+			if int(o.entry) == e+1 {
+				r.add(&o.sequence)
+			}
+		}
+	}
+	for i := 0; i < holds && s.held[i].kind != noMessage; i++ {
+		if msg := &s.held[i]; msg.kind == runMessage && int(msg.e) == e {
+			r.add(&msg.sequence)
+		}
+	}
+	r.compress()
+}
+
+func (m *machine) rankRuns(s *state, a int) {
+	var r ranks
+	w := &s.workers[a]
+	for _, v := range []*int8{&w.issued, &w.voided, &w.run, &s.agents[a].number} {
+		r.add(v)
+	}
+	for i := 0; i < holds && s.held[i].kind != noMessage; i++ {
+		if msg := &s.held[i]; msg.kind == startMessage && int(msg.a) == a {
+			r.add(&msg.number)
+		}
+	}
+	r.compress()
+}
+
+// involved reports whether entry e has anything to do with agent a. Faults
+// between others are left out, since they have no effect that the same fault
+// later would not have.
+func (s *state) involved(e, a int) bool {
+	ag, en := &s.agents[a], &s.entries[e]
+	return (en.task == sent || en.task == waiting) && int(en.at) == a || s.entries[e].sessions[a].cancel > 0 || ag.waits.entry == int8(e+1) ||
+		ag.run != noRun && ag.owner.entry == int8(e+1) || s.isHeld(runMessage, e, a)
+}
+
+// busy reports whether agent a or its worker has anything to do.
+func (s *state) busy(a int) bool {
+	if s.workers[a].run != 0 || s.agents[a].waits.entry != 0 || s.agents[a].run != noRun {
+		return true
+	}
+	for i := 0; i < holds && s.held[i].kind != noMessage; i++ {
+		if int(s.held[i].a) == a {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/leasemodel/model_test.go
@@ -0,0 +1,80 @@
+package leasemodel
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// The design itself allows two runs at once, with all rules in force: every
+// reachable state with at most two faults of any kind is searched.
+func TestNoOverlapWithTwoFaults(t *testing.T) {
+	c := qt.New(t)
+	r := Check(Config{Bounds: Scaled(), Faults: 2})
+	c.Assert(r.Breach, qt.Equals, "", qt.Commentf("%v", r))
+	c.Assert(r.Complete, qt.IsTrue)
+	c.Log(r)
+}
+
+// A rule has no effect in the model, so that the search above would not show
+// that an implementation needs it, or the model lets too little happen.
+func TestEachRuleIsNeeded(t *testing.T) {
+	needed := []struct {
+		rule   Rule
+		breach violation
+		faults []Kind
+	}{
+		{LapseFromSending, overlap, []Kind{RenewalHeld, EntryDies}},
+		{NoRenewalInDoubt, overlap, []Kind{LinkDown}},
+		{ReconcileTime, overlap, []Kind{AgentDies}},
+		{WorkerLease, overlap, []Kind{AgentDies}},
+		{OrderValidity, overlap, []Kind{StartHeld}},
+		{RunNumbers, overlap, []Kind{LinkDown, StartHeld}},
+		{FencingTokens, fencedStart, []Kind{StartHeld, AgentDies}},
+		{EndProved, overlap, []Kind{LinkDown}},
+		{Adoption, overlap, []Kind{AgentDies}},
+		{CancelOnLeave, overlap, []Kind{CallerLeaves}},
+		{Settling, overlap, []Kind{CallerLeaves, EntryPauses}},
+		{ResendInterval, overlap, []Kind{EntryDies}},
+		{CancelBeforeRenew, overlap, []Kind{CallerLeaves, LinkDown, AgentDies}},
+		{StopBeforeExtend, overlap, []Kind{EntryDies, OrdersDown}},
+		{CheckBeforeExtend, overlap, []Kind{EntryDies, AgentPauses, AgentDies}},
+		{CheckBeforeStart, overlap, []Kind{AgentPauses}},
+		{OpenKeepsLapse, overlap, []Kind{LinkDown, OpenUnheard}},
+		{CancelBeforeRun, overlap, []Kind{RunHeld, CallerLeaves}},
+		{SettleBeforeRenew, overlap, []Kind{CallerLeaves, EntryPauses, EntryDies}},
+	}
+	qt.Assert(t, needed, qt.HasLen, len(Rules()))
+	for _, n := range needed {
+		t.Run(n.rule.String(), func(t *testing.T) {
+			c := Config{Bounds: Scaled(), Faults: int8(len(n.faults)), Kinds: n.faults}
+			r := Check(c.Without(n.rule))
+			qt.Assert(t, r.Breach, qt.Equals, n.breach.String(), qt.Commentf("without the rule: %v", r))
+			t.Log(r)
+		})
+	}
+}
+
+// A setting is shorter than the argument of section 13.3 allows, and the model
+// does not notice.
+func TestBoundsAreNeeded(t *testing.T) {
+	for _, n := range []struct {
+		name   string
+		faults []Kind
+		change func(*Bounds)
+	}{
+		// One S of the sum is a reserve, so two ticks less is too short.
+		{"reconcile", []Kind{LinkDown, AgentDies}, func(b *Bounds) { b.Reconcile = b.Sum() - b.Stop - 1 }},
+		{"resend", []Kind{EntryDies, AgentDies}, func(b *Bounds) { b.Resend = b.Sum() - b.Stop - 1 }},
+		{"notice", []Kind{CallerLeaves, EntryDies, AgentDies}, func(b *Bounds) { b.Notice = b.Stop + 1 }},
+		{"settling after pauses longer than L only", []Kind{CallerLeaves, EntryPauses, EntryPauses}, func(b *Bounds) { b.LongPause = b.Lapse }},
+	} {
+		t.Run(n.name, func(t *testing.T) {
+			b := Scaled()
+			n.change(&b)
+			r := Check(Config{Bounds: b, Faults: int8(len(n.faults)), Kinds: n.faults})
+			qt.Assert(t, r.Breach, qt.Equals, overlap.String(), qt.Commentf("%v", r))
+			t.Log(r)
+		})
+	}
+}
