lease, agent, settings: test leased tasks and mend what the tests showed

Change: table tests for each proof of package lease, the ledger's renewals, the settings, refused and unanswered orders, sessions, announcements, queue and planned stop. A stop counts as proof only once the start was answered or given up; a start whose task was cancelled first is not sent; the first retry of a renewal is not delayed; offers reserve resources, because these run out before the slots. settings also requires 2 renew + order_timeout < lease, without which one lost renewal ends the lease.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -53,7 +53,8 @@
 	queue    []*task
 	busy     int // running tasks
 	free     wire.Resources
-	sequence uint64 // of wire.Load
+	typical  wire.Resources // needs of the leased task that ended last
+	sequence uint64         // of wire.Load
 	leaving  map[leaveReason]bool
 	health   health
 	backlogs map[ledger.Owner]wire.Backlog
--- a/agent/entries.go
+++ b/agent/entries.go
@@ -256,6 +256,17 @@
 	}
 }
 
+// kickOne makes the link to one entry send a heartbeat soon.
+func (e *entries) kickOne(owner ledger.Owner) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for address, l := range e.links {
+		if e.known[address].ref.ID == owner.Entry {
+			l.kick()
+		}
+	}
+}
+
 // offer sends an offer to the entry and reports whether it did: the entry must
 // be linked and have answered the last offer.
 func (e *entries) offer(owner ledger.Owner, req wire.OfferRequest) bool {
--- a/agent/fence.go
+++ b/agent/fence.go
@@ -29,7 +29,7 @@
 		Bool("truncated", opened.Truncated).Msg("session_opened")
 	a.withdraw(opened.Withdrawn)
 	if a.leased != nil {
-		a.entries.kick() // only a heartbeat extends the session
+		a.entries.kickOne(owner) // only a heartbeat extends the session
 	}
 	a.apply(in.Config, now)
 	a.dispatch(now)
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -38,7 +38,7 @@
 	if a.busy+a.reservedForOthers(t.owner, now)+len(a.queue) >= a.self.Slots+a.settings.QueueLimit {
 		return wire.ReasonBusy
 	}
-	if a.leased != nil && !t.task.Needs.Fits(a.free) && len(a.queue) >= a.settings.QueueLimit {
+	if a.leased != nil && !t.task.Needs.Fits(a.freeFor(t.owner, now)) && len(a.queue) >= a.settings.QueueLimit {
 		return wire.ReasonBusy // resources decide, not slots
 	}
 	return ""
--- /dev/null
+++ b/agent/leased_session_test.go
@@ -0,0 +1,155 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/lease"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// Guards against a session of leased tasks that messages extend which may have
+// been delayed, or heartbeat replies that do not renew it.
+func TestOnlyRenewalsKeepRunsAlive(t *testing.T) {
+	virtualLeased(t, leasedSetup{}, func(r *leasedRig) {
+		e := r.entries[0]
+		e.open()
+		running := e.lease("j", 8, 10*time.Second)
+		time.Sleep(2 * time.Second)
+		begin := time.Now()
+		e.set(func(e *entryStub) { e.renews = 0 }) // the entry doubts the session
+		for time.Since(begin) < 500*time.Millisecond {
+			e.announce(wire.Backlog{})
+			time.Sleep(50 * time.Millisecond)
+		}
+		r.expect(<-running, wire.OutcomeInterrupted, wire.ReasonLapsed)
+		r.Check(time.Since(begin) <= 725*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(begin)))
+		r.expect(<-e.lease("j", 8, time.Second), wire.OutcomeNotRun, wire.ReasonFenced)
+	})
+}
+
+// Guards against runs that end although their entry opened its next session in
+// time, and against results that it does not learn.
+func TestNextSessionKeepsRuns(t *testing.T) {
+	virtualLeased(t, leasedSetup{}, func(r *leasedRig) {
+		e := r.entries[0]
+		e.open()
+		e.lease("j", 8, 2*time.Second)
+		key := wire.TaskKey{Session: e.session.Number, Sequence: e.sequence}
+		time.Sleep(time.Second)
+		e.set(func(e *entryStub) { e.renews = 0 })
+		time.Sleep(300 * time.Millisecond)
+		started := e.open().Started
+		r.Assert(started, qt.HasLen, 1)
+		r.Check(started[0].Key, qt.Equals, key)
+		var a answer
+		a.err = e.conn.Call(e.ctx, "Agent.Await", &wire.AwaitRequest{Session: e.session, Key: key}, &a.RunReply)
+		r.expect(a, wire.OutcomeDone, "")
+	})
+}
+
+// Guards against a session that starts anew with a message that was delayed, so
+// that runs outlive the entry that sent it.
+func TestDelayedOpenSessionDoesNotExtendRuns(t *testing.T) {
+	virtualLeased(t, leasedSetup{}, func(r *leasedRig) {
+		e := r.entries[0]
+		e.open()
+		e.lease("j", 8, 10*time.Second)
+		time.Sleep(time.Second)
+		begin := time.Now()
+		e.set(func(e *entryStub) { e.renews = 0 })
+		time.Sleep(500 * time.Millisecond)
+		e.open()
+		e.set(func(e *entryStub) { e.renews = 0 })
+		for r.machine.Evidence().Running() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		r.Check(time.Since(begin) <= 725*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(begin)))
+	})
+}
+
+// Guards against entries that go on using the description of an agent whose
+// worker was adopted later or has changed.
+func TestEntriesLearnOfTheWorker(t *testing.T) {
+	virtualLeased(t, leasedSetup{entries: 2, unannounced: true}, func(r *leasedRig) {
+		// described returns the last whole reference that the entry got.
+		described := func(e *entryStub) (last wire.AgentRef) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			for _, h := range e.heartbeats {
+				if !h.Agent.IsBrief() {
+					last = h.Agent
+				}
+			}
+			return last
+		}
+		for _, e := range r.entries {
+			r.Check(described(e).Capacity, qt.Equals, wire.Resources{})
+			r.Check(e.lastHeartbeat().Leaving, qt.IsTrue)
+		}
+		n := r.machine.Announcement()
+		n.Capacity = cores(4).Plus(wire.Resources{MilliCPU: 900})
+		r.agent.WorkerAnnounced(n)
+		time.Sleep(200 * time.Millisecond)
+		for _, e := range r.entries {
+			ref := described(e)
+			r.Check(e.lastHeartbeat().Leaving, qt.IsFalse)
+			r.Check(ref.Capacity, qt.Equals, n.Capacity)
+			r.Check(ref.Slots, qt.Equals, 4)
+			r.Check([]string{ref.Pool, ref.Rack, ref.Upstream, ref.Worker}, qt.DeepEquals, []string{"p1", "r7", "10.0.2.1:8200", "m1"})
+			r.Check(e.lastHeartbeat().Load.Free, qt.Equals, n.Capacity)
+		}
+		r.agent.WorkerAnnounced(r.machine.Announcement())
+		time.Sleep(200 * time.Millisecond)
+		for _, e := range r.entries {
+			r.Check(described(e).Slots, qt.Equals, 8)
+			r.Check(e.lastHeartbeat().Load.Free, qt.Equals, cores(8))
+			r.Check(e.lastHeartbeat().Agent.IsBrief(), qt.IsTrue)
+		}
+	})
+}
+
+// Guards against an announcement of an earlier moment that takes back a later
+// one.
+func TestOutdatedAnnouncementsAreIgnored(t *testing.T) {
+	virtualLeased(t, leasedSetup{}, func(r *leasedRig) {
+		e := r.entries[0]
+		e.open()
+		early := r.machine.Announcement()
+		r.machine.Drain()
+		r.agent.WorkerAnnounced(r.machine.Announcement())
+		r.agent.WorkerAnnounced(early)
+		r.expect(<-e.lease("j", 1, time.Second), wire.OutcomeNotRun, wire.ReasonLeaving)
+		r.machine.Restart()
+		old := early
+		old.Sequence = 100
+		r.agent.WorkerAnnounced(r.machine.Announcement())
+		r.agent.WorkerAnnounced(old)
+		time.Sleep(10 * time.Millisecond)
+		r.expect(<-e.lease("j", 1, time.Second), wire.OutcomeDone, "")
+	})
+}
+
+// Guards against a worker that left and still gets tasks, and against runs
+// there that are given up without proof, or never.
+func TestWorkerLeft(t *testing.T) {
+	virtualLeased(t, leasedSetup{}, func(r *leasedRig) {
+		e := r.entries[0]
+		e.open()
+		done, lost := e.lease("done", 4, time.Second), e.lease("lost", 4, 10*time.Second)
+		r.agent.WorkerLeft("another")
+		r.Check(r.agent.State().Leaving, qt.HasLen, 0)
+		r.agent.WorkerLeft("m1")
+		r.expect(<-e.lease("late", 1, time.Second), wire.OutcomeNotRun, wire.ReasonLeaving)
+		r.expect(<-done, wire.OutcomeDone, "")
+		state := r.agent.State().Leased
+		r.Check(state.Left, qt.IsTrue)
+		r.Assert(state.Runs, qt.HasLen, 1)
+		r.Check(state.Runs[0], qt.Equals, RunState{Task: "lost/0/0", Number: 1, State: string(lease.Running), Began: true})
+		r.machine.Crash()
+		r.expect(<-lost, wire.OutcomeInterrupted, wire.ReasonWorkerLost)
+		r.Check(r.agent.State().Leased.Life, qt.Equals, "")
+	})
+}
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -29,7 +29,7 @@
 	if ok, _ := a.may(now); !ok {
 		return
 	}
-	for a.busy+a.reservedForOthers(ledger.Owner{}, now) < a.self.Slots {
+	for a.busy+a.reservedForOthers(ledger.Owner{}, now) < a.self.Slots && a.roomToOffer(now) {
 		best, ok := a.mostUrgent()
 		if !ok || best == user && a.backlogs[best].Tasks > 0 {
 			return
@@ -85,6 +85,26 @@
 	return others
 }
 
+// freeFor returns the resources that one entry may use. A slot of a worker of
+// leased tasks is reserved with what the last task needed, because resources
+// run out before slots. The caller holds mu.
+func (a *Agent) freeFor(owner ledger.Owner, now time.Time) wire.Resources {
+	if a.leased == nil {
+		return a.free
+	}
+	n := a.reservedForOthers(owner, now)
+	t := a.typical
+	reserved := wire.Resources{Accelerators: n * t.Accelerators, MemoryMB: int64(n) * t.MemoryMB, MilliCPU: int64(n) * t.MilliCPU}
+	left := a.free.Minus(reserved)
+	return wire.Resources{Accelerators: max(0, left.Accelerators), MemoryMB: max(0, left.MemoryMB), MilliCPU: max(0, left.MilliCPU)}
+}
+
+// roomToOffer reports whether a task like the last one would fit; the caller
+// holds mu.
+func (a *Agent) roomToOffer(now time.Time) bool {
+	return a.leased == nil || a.typical.Fits(a.freeFor(ledger.Owner{}, now))
+}
+
 // release ends one reservation of the entry, because its task arrived or it
 // had no use for the slot; the caller holds mu.
 func (a *Agent) release(owner ledger.Owner) {
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -18,9 +18,13 @@
 	silentBackoff = time.Second
 )
 
-// send sends the start order of an attempt once.
+// send sends the start order of an attempt once, unless its task was cancelled
+// first.
 func (l *leased) send(at *attempt) {
 	f, o := at.life, at.order
+	if !l.wanted(at) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(f.ctx, l.settings.OrderTimeout.Of())
 	defer cancel()
 	answer, err := l.workerOf(f).Start(ctx, o)
@@ -43,6 +47,22 @@
 	}
 }
 
+// wanted reports whether the start is still to be sent, and takes the run out
+// otherwise.
+func (l *leased) wanted(at *attempt) bool {
+	l.agent.mu.Lock()
+	defer l.agent.mu.Unlock()
+	f, run := at.life, at.order.Run
+	if f.over {
+		return false
+	}
+	if !f.runs.Pending(run) {
+		l.deliver(f, f.runs.Unsent(run))
+		return false
+	}
+	return true
+}
+
 // workerOf returns the calls to the life's present address.
 func (l *leased) workerOf(f *life) Worker {
 	l.agent.mu.Lock()
@@ -126,7 +146,8 @@
 			continue
 		}
 		failures++
-		if !wait.For(f.ctx, l.pause(f, failures), f.wake) {
+		// The first retry is sent at once, because the lease runs.
+		if failures > 1 && !wait.For(f.ctx, l.pause(f, failures), f.wake) {
 			return
 		}
 	}
--- a/agent/report.go
+++ b/agent/report.go
@@ -27,7 +27,7 @@
 		}
 	}
 	a.busy--
-	a.free = a.free.Plus(t.task.Needs)
+	a.free, a.typical = a.free.Plus(t.task.Needs), t.task.Needs
 	a.settle(t, r)
 	if r.Outcome == wire.OutcomeNotRun && r.Reason == wire.ReasonUpstreamGone {
 		a.upstreamGone()
@@ -67,7 +67,9 @@
 // count as running; the caller holds mu.
 func (a *Agent) loadFor(owner ledger.Owner) wire.Load {
 	l := a.load()
-	l.Running += a.reservedForOthers(owner, time.Now())
+	now := time.Now()
+	l.Running += a.reservedForOthers(owner, now)
+	l.Free = a.freeFor(owner, now)
 	l.SeenSession, l.Seen = a.ledger.Seen(owner)
 	return l
 }
--- a/agent/run.go
+++ b/agent/run.go
@@ -39,7 +39,7 @@
 			i++ // the free slots are kept for other entries
 			continue
 		}
-		if !t.task.Needs.Fits(a.free) || !now.Before(t.deadline) {
+		if !t.task.Needs.Fits(a.freeFor(t.owner, now)) || !now.Before(t.deadline) {
 			i++
 			continue
 		}
--- /dev/null
+++ b/lease/order_test.go
@@ -0,0 +1,122 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a bound that a late sample lowers, or that a slow clock has
+// not reached.
+func TestClockBound(t *testing.T) {
+	c := qt.New(t)
+	var b clockBound
+	c.Check(b.reached(began), qt.Equals, Clock(0))
+	b.observe(began, boot)
+	c.Check(b.reached(began), qt.Equals, boot)
+	c.Check(b.reached(began.Add(time.Second)), qt.Equals, boot+980*ms)
+	b.observe(began.Add(time.Second), boot+100*ms)
+	c.Check(b.reached(began.Add(time.Second)), qt.Equals, boot+980*ms)
+	b.observe(began.Add(time.Second), boot+990*ms)
+	c.Check(b.reached(began.Add(time.Second)), qt.Equals, boot+990*ms)
+	b.observe(began.Add(2*time.Second), 0)
+	c.Check(b.reached(began.Add(2*time.Second)), qt.Equals, boot+990*ms+980*ms)
+}
+
+// Guards against leases that are longer than wanted, that are extended for runs
+// which are to end, and that are extended at a silent worker.
+func TestRenewalsExtendTheLease(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		do   func(t *table)
+		want Clock
+	}{
+		{"nothing runs", func(t *table) { t.Unsent(run1) }, 0},
+		{"ordered", func(*table) {}, boot + leaseOf},
+		{"running, a second after the last sample", func(t *table) { t.answer(""); t.pass(time.Second) }, boot + 980*ms + leaseOf},
+		{"being stopped", func(t *table) { t.answer(""); t.Stop(run1) }, 0},
+		{"one of two is being stopped", func(t *table) {
+			t.Stop(run1)
+			_, _ = t.Start(t.now, Task{Job: "k"}, "")
+		}, boot + leaseOf},
+		{"an answer is due", func(t *table) { t.Renew(t.now, 0); t.pass(leaseOf) }, boot + 490*ms + leaseOf},
+		{"silent", func(t *table) { t.Renew(t.now, 0); t.pass(leaseOf + 1) }, 0},
+		{"silent, asked again", func(t *table) {
+			t.Renew(t.now, 0)
+			t.pass(leaseOf)
+			t.Renew(t.now, 0)
+			t.pass(1)
+		}, 0},
+		{"in a long wait", func(t *table) { t.Renew(t.now, 2*time.Second); t.pass(2 * time.Second) }, boot + 1960*ms + leaseOf},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			table := ordered()
+			tc.do(table)
+			n := table.Renew(table.now, 150*ms)
+			qt.Check(t, n.Until, qt.Equals, tc.want)
+			qt.Check(t, n.Wait, qt.Equals, 150*ms)
+			qt.Check(t, n.Token, qt.Equals, uint64(7))
+		})
+	}
+}
+
+// Guards against an order that is valid for longer than wanted.
+func TestOrderValidity(t *testing.T) {
+	table := adopted()
+	table.pass(time.Second)
+	o, err := table.Start(table.now, task1, "spec")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, o, qt.Equals, StartOrder{Run: run1, Spec: "spec", Token: 7, Until: boot + 980*ms + valid})
+}
+
+// Guards against numbers that do not rise, and against one that is not raised
+// enough after the worker refused it as too old.
+func TestRunNumbers(t *testing.T) {
+	c, table := qt.New(t), ordered()
+	next := func(k Task) uint64 {
+		o, err := table.Start(table.now, k, "")
+		c.Assert(err, qt.IsNil)
+		table.o = o
+		return o.Run.Number
+	}
+	c.Check(next(Task{Job: "k"}), qt.Equals, uint64(1))
+	table.Unsent(run1)
+	c.Check(next(task1), qt.Equals, uint64(2))
+	for _, want := range []uint64{4, 8, 16} {
+		table.answer(RefusedOld)
+		c.Check(next(task1), qt.Equals, want)
+	}
+	table.answer(RefusedLate)
+	c.Check(next(task1), qt.Equals, uint64(17))
+	table.answer(RefusedLate)
+	table.pass(keepNumbers + 1)
+	c.Check(next(Task{Job: "l"}), qt.Equals, uint64(1))
+	c.Check(next(task1), qt.Equals, uint64(18))
+	table.answer(RefusedLate)
+	for range 2 {
+		table.pass(keepNumbers + 1)
+		next(Task{Job: "m"})
+		table.answer(RefusedLate)
+	}
+	c.Check(next(task1), qt.Equals, uint64(1))
+}
+
+// Guards against a token that stays too low, and against one refusal of several
+// orders that raises it several times.
+func TestFencingToken(t *testing.T) {
+	c, table := qt.New(t), ordered()
+	n := table.Renew(table.now, 0)
+	table.answer(RefusedToken)
+	c.Check(table.Token(), qt.Equals, uint64(7+1000))
+	table.list(n, List{Refusal: RefusedToken})
+	c.Check(table.Token(), qt.Equals, uint64(7+1000))
+	table.list(table.Renew(table.now, 0), List{Refusal: RefusedToken})
+	c.Check(table.Token(), qt.Equals, uint64(7+3000))
+	table.o, _ = table.Start(table.now, task1, "")
+	c.Check(table.o.Token, qt.Equals, uint64(7+3000))
+	table.Stop(table.o.Run)
+	o, _ := table.ToStop(table.o.Run)
+	c.Check(table.StopAnswered(table.now, o, Answer{Refusal: RefusedToken}), qt.IsFalse)
+	c.Check(table.Token(), qt.Equals, uint64(7+7000))
+}
--- a/lease/runs.go
+++ b/lease/runs.go
@@ -181,6 +181,13 @@
 	}
 }
 
+// Pending reports whether the start of the run is still to be sent: the run is
+// in the table and no stop was decided meanwhile.
+func (r *Runs) Pending(run Run) bool {
+	e := r.find(run)
+	return e != nil && e.state == Ordered
+}
+
 // Stop decides that the run has to end. It reports whether a stop has to be
 // ordered that was not decided before.
 func (r *Runs) Stop(run Run) bool {
@@ -275,14 +282,26 @@
 		r.acked = max(r.acked, end.Sequence)
 		r.numbers.note(now, end.Run)
 		if r.find(end.Run) != nil {
-			left = append(left, r.leave(end.Run, fates[end.How], "")...)
+			left = append(left, r.leave(end.Run, fateOf(end.How), "")...)
 		}
 	}
 	return left
 }
 
-// fates of the ends that a worker lists.
-var fates = map[How]Fate{Done: FateDone, Failed: FateFailed, Stopped: FateStopped, Lapsed: FateLapsed}
+// fateOf is the fate of a run whose end is listed.
+func fateOf(h How) Fate {
+	switch h {
+	case Done:
+		return FateDone
+	case Failed:
+		return FateFailed
+	case Stopped:
+		return FateStopped
+	case Lapsed:
+		return FateLapsed
+	}
+	return FateLost
+}
 
 // active takes the active runs of a list and returns the foreign ones that it
 // shows for the first time.
@@ -316,11 +335,11 @@
 		}
 		settled := e.settled && number > e.settledAt
 		switch {
-		case e.stopped && number > e.stoppedAt:
+		case settled && e.stopped && number > e.stoppedAt:
 			left = append(left, r.leave(e.run, e.gone(FateStopped), "")...)
 		case settled && l.Clock > e.until:
 			left = append(left, r.leave(e.run, e.gone(FateLost), "")...)
-		case settled && !e.began && e.state == Ordered:
+		case settled && e.state == Ordered:
 			e.state = Stopping
 			stop = append(stop, e.run)
 		}
--- /dev/null
+++ b/lease/runs_test.go
@@ -0,0 +1,280 @@
+package lease
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	ms      = time.Millisecond
+	boot    = 10 * time.Second // the worker's clock when it is adopted
+	margin  = 50 * ms
+	leaseOf = 500 * ms
+	valid   = 300 * ms
+)
+
+var (
+	began = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	task1 = Task{Job: "j"}
+	run1  = Run{task1, 1}
+)
+
+// table is a Runs with the time and what left it so far.
+type table struct {
+	*Runs
+	now  time.Time
+	left []Left
+	stop []Run
+	o    StartOrder // of run1
+}
+
+// adopted returns the table of an adopted worker.
+func adopted() *table {
+	t := &table{Runs: NewRuns(Options{Token: 7, Lease: leaseOf, Validity: valid, StopTime: margin}), now: began}
+	t.list(t.Renew(t.now, 0), List{Clock: boot})
+	return t
+}
+
+// ordered returns a table whose first run was ordered.
+func ordered() *table {
+	t := adopted()
+	t.o, _ = t.Start(t.now, task1, "")
+	return t
+}
+
+func (t *table) list(n Renewal, l List) {
+	left, stop := t.Listed(t.now, n, l)
+	t.left, t.stop = append(t.left, left...), append(t.stop, stop...)
+}
+
+// fresh requests and takes a list of the moment.
+func (t *table) fresh(active []Active, ended ...End) {
+	t.list(t.Renew(t.now, 0), List{Clock: boot + t.now.Sub(began), Active: active, Ended: ended})
+}
+
+func (t *table) pass(d time.Duration) { t.now = t.now.Add(d) }
+
+func (t *table) answer(r Refusal) {
+	t.left = append(t.left, t.StartAnswered(t.now, t.o, Answer{Refusal: r})...)
+}
+
+func (t *table) stopped(r Refusal) {
+	t.Stop(run1)
+	o, _ := t.ToStop(run1)
+	t.StopAnswered(t.now, o, Answer{Refusal: r})
+}
+
+func (t *table) lapse(d time.Duration) {
+	t.pass(d)
+	t.left = append(t.left, t.Lapse(t.now)...)
+}
+
+var shown = []Active{{Run: run1}}
+
+// Guards against a run that leaves the table without proof, so that its
+// capacity is given away twice or its task runs twice, and against one that
+// stays in spite of a proof.
+func TestRunsLeaveOnlyOnProof(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		do   func(t *table)
+		want Fate // empty: it stays
+	}{
+		{"done", func(t *table) { t.answer(""); t.fresh(nil, End{1, run1, Done}) }, FateDone},
+		{"done before the answer to the start", func(t *table) { t.fresh(nil, End{1, run1, Done}) }, FateDone},
+		{"failed", func(t *table) { t.answer(""); t.fresh(nil, End{1, run1, Failed}) }, FateFailed},
+		{"stopped", func(t *table) { t.answer(""); t.fresh(nil, End{1, run1, Stopped}) }, FateStopped},
+		{"lapsed", func(t *table) { t.answer(""); t.fresh(nil, End{1, run1, Lapsed}) }, FateLapsed},
+		{"an end of another kind", func(t *table) { t.answer(""); t.fresh(nil, End{1, run1, "evicted"}) }, FateLost},
+		{"the end of an earlier run", func(t *table) { t.answer(""); t.fresh(nil, End{1, Run{task1, 0}, Done}) }, ""},
+
+		{"refused", func(t *table) { t.answer(RefusedRoom) }, FateRefused},
+		{"never sent", func(t *table) { t.left = t.Unsent(run1) }, FateVoid},
+		{"accepted", func(t *table) { t.answer("") }, ""},
+
+		{"absent after its validity", func(t *table) { t.StartUnanswered(run1); t.pass(valid + 1); t.fresh(nil) }, FateVoid},
+		{"absent at the end of its validity", func(t *table) { t.StartUnanswered(run1); t.pass(valid); t.fresh(nil) }, ""},
+		{"absent after its validity, then listed", func(t *table) { t.StartUnanswered(run1); t.pass(valid + 1); t.fresh(shown) }, ""},
+		{"absent from a list without a clock", func(t *table) {
+			t.StartUnanswered(run1)
+			t.pass(valid + 1)
+			t.list(t.Renew(t.now, 0), List{})
+		}, ""},
+		{"absent while the start is out", func(t *table) { t.pass(valid + 1); t.fresh(nil) }, ""},
+		{"absent from a list that was requested before the start was given up", func(t *table) {
+			n := t.Renew(t.now, 0)
+			t.StartUnanswered(run1)
+			t.pass(valid + 1)
+			t.list(n, List{Clock: boot + valid + 1})
+		}, ""},
+		{"absent from a list that was requested before the start was answered", func(t *table) {
+			n := t.Renew(t.now, 0)
+			t.answer("")
+			t.pass(valid + 1)
+			t.list(n, List{Clock: boot + valid + 1})
+		}, ""},
+		{"accepted, then absent after its validity", func(t *table) { t.answer(""); t.pass(valid + 1); t.fresh(nil) }, FateLost},
+		{"listed, then absent after its validity", func(t *table) {
+			t.StartUnanswered(run1)
+			t.fresh(shown)
+			t.pass(valid + 1)
+			t.fresh(nil)
+		}, FateLost},
+
+		{"stop answered, then absent", func(t *table) { t.StartUnanswered(run1); t.stopped(""); t.fresh(nil) }, FateVoid},
+		{"accepted, stop answered, then absent", func(t *table) { t.answer(""); t.stopped(""); t.fresh(nil) }, FateStopped},
+		{"stop refused as too old, then absent", func(t *table) { t.StartUnanswered(run1); t.stopped(RefusedOld); t.fresh(nil) }, FateVoid},
+		{"stop answered", func(t *table) { t.answer(""); t.stopped("") }, ""},
+		{"stop answered, still listed", func(t *table) { t.answer(""); t.stopped(""); t.fresh(shown) }, ""},
+		{"stop refused, then absent", func(t *table) { t.StartUnanswered(run1); t.stopped(RefusedToken); t.fresh(nil) }, ""},
+		{"stop refused as unhealthy, then absent", func(t *table) { t.StartUnanswered(run1); t.stopped(RefusedUnhealthy); t.fresh(nil) }, ""},
+		{"stop not answered, then absent", func(t *table) { t.StartUnanswered(run1); t.Stop(run1); t.fresh(nil) }, ""},
+		{"stop answered while the start is out, then absent", func(t *table) { t.stopped(""); t.fresh(nil) }, ""},
+		{"absent from a list that was requested before the stop was answered", func(t *table) {
+			t.StartUnanswered(run1)
+			n := t.Renew(t.now, 0)
+			t.stopped("")
+			t.list(n, List{Clock: boot})
+		}, ""},
+
+		{"the life ended", func(t *table) { t.left = t.LifeEnded() }, FateLost},
+
+		// The order extends the lease to 300 ms, the renewal to 500 ms. The
+		// worker has 50 ms more to stop, on a clock that is 2 % slow.
+		{"the lease may last", func(t *table) { t.answer(""); t.Renew(t.now, 0); t.lapse(561 * ms) }, ""},
+		{"the lease has ended", func(t *table) { t.answer(""); t.Renew(t.now, 0); t.lapse(562 * ms) }, FateLapsed},
+		{"a later renewal without answer may have arrived", func(t *table) {
+			t.answer("")
+			t.Renew(t.now, 0)
+			t.pass(250 * ms)
+			t.Renew(t.now, 0)
+			t.lapse(500 * ms)
+		}, ""},
+		{"the lease of the order counts", func(t *table) {
+			t.pass(400 * ms)
+			t.fresh(nil)
+			t.Renew(t.now, 0)
+			t.pass(300 * ms)
+			t.o, _ = t.Start(t.now, Task{Job: "later"}, "")
+			t.Unsent(run1)
+			t.lapse(262 * ms) // past the end of the renewal
+		}, ""},
+		{"the worker answers", func(t *table) { t.answer(""); t.pass(2 * time.Second); t.fresh(shown); t.lapse(562 * ms) }, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, table := qt.New(t), ordered()
+			tc.do(table)
+			if tc.want == "" {
+				c.Check(table.left, qt.HasLen, 0)
+				c.Check(table.Entries(), qt.HasLen, 1)
+				return
+			}
+			c.Assert(table.left, qt.HasLen, 1)
+			c.Check(table.left[0].Run, qt.Equals, run1)
+			c.Check(table.left[0].Fate, qt.Equals, tc.want)
+			c.Check(table.Empty(), qt.IsTrue)
+		})
+	}
+}
+
+// Guards against a second run of a task beside the first.
+func TestOneRunOfATask(t *testing.T) {
+	c, table := qt.New(t), ordered()
+	_, err := table.Start(table.now, task1, "")
+	c.Check(errors.Is(err, ErrTaskRuns), qt.IsTrue)
+	table.answer("")
+	table.fresh(nil, End{1, run1, Done})
+	o, err := table.Start(table.now, task1, "")
+	c.Assert(err, qt.IsNil)
+	c.Check(o.Run, qt.Equals, Run{task1, 2})
+}
+
+// Guards against an order without answer that is stopped although a list shows
+// its run, or is not stopped although a list does not, and against stops that
+// are repeated after their answer.
+func TestRunsToStop(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		do   func(t *table)
+		stop []Run // reported by lists
+		left bool  // run1 is still to be stopped
+	}{
+		{"accepted", func(t *table) { t.answer(""); t.fresh(shown) }, nil, false},
+		{"unanswered", func(t *table) { t.StartUnanswered(run1) }, nil, false},
+		{"unanswered, then listed", func(t *table) { t.StartUnanswered(run1); t.fresh(shown); t.fresh(nil) }, nil, false},
+		{"unanswered, then absent", func(t *table) { t.StartUnanswered(run1); t.fresh(nil); t.fresh(nil) }, []Run{run1}, true},
+		{"start is out, absent", func(t *table) { t.fresh(nil) }, nil, false},
+		{"to be stopped", func(t *table) { t.Stop(run1) }, nil, true},
+		{"stop refused", func(t *table) { t.stopped(RefusedToken) }, nil, true},
+		{"stop answered", func(t *table) { t.stopped("") }, nil, false},
+		{"accepted when it was to be stopped", func(t *table) { t.Stop(run1); t.answer("") }, nil, true},
+		{"ended", func(t *table) { t.Stop(run1); t.fresh(nil, End{1, run1, Done}) }, nil, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, table := qt.New(t), ordered()
+			tc.do(table)
+			c.Check(table.stop, qt.DeepEquals, tc.stop)
+			o, needed := table.ToStop(run1)
+			c.Check(needed, qt.Equals, tc.left)
+			c.Check(o.Run, qt.Equals, run1)
+		})
+	}
+}
+
+// Guards against capacity that is announced while runs of an earlier agent
+// process are there, and against such runs that are left alone.
+func TestAdoption(t *testing.T) {
+	c := qt.New(t)
+	r := &table{Runs: NewRuns(Options{Token: 7, Lease: leaseOf, Validity: valid}), now: began}
+	c.Check(r.Adopted(), qt.IsFalse)
+	late := r.Renew(r.now, 0)
+	foreign := Run{task1, 4}
+	r.fresh([]Active{{Run: foreign}})
+	c.Check(r.Adopted(), qt.IsFalse)
+	c.Check(r.stop, qt.DeepEquals, []Run{foreign})
+	o, needed := r.ToStop(foreign)
+	c.Check(needed, qt.IsTrue)
+	c.Check(o.Token, qt.Equals, uint64(7))
+	r.list(late, List{Clock: boot}) // of an earlier moment
+	c.Check(r.Adopted(), qt.IsFalse)
+	r.list(r.Renew(r.now, 0), List{Clock: boot, Refusal: RefusedToken})
+	c.Check(r.Adopted(), qt.IsFalse)
+	r.fresh([]Active{{Run: foreign}})
+	c.Check(r.stop, qt.HasLen, 1)
+	r.fresh(nil, End{9, foreign, Stopped})
+	c.Check(r.Adopted(), qt.IsTrue)
+	_, needed = r.ToStop(foreign)
+	c.Check(needed, qt.IsFalse)
+	c.Check(r.Renew(r.now, 0).Acked, qt.Equals, uint64(9))
+}
+
+// Guards against a number below that of a run that another agent process
+// ordered, which the worker would refuse.
+func TestNumbersFollowForeignRuns(t *testing.T) {
+	for _, list := range []List{{Active: []Active{{Run: Run{task1, 4}}}}, {Ended: []End{{1, Run{task1, 4}, Done}}}} {
+		table := adopted()
+		table.fresh(list.Active, list.Ended...)
+		o, err := table.Start(table.now, task1, "")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, o.Run.Number, qt.Equals, uint64(5))
+	}
+}
+
+// Guards against a worker that stays adopted after its runs were given up, and
+// against two goroutines that stop one run.
+func TestLapseEndsTheAdoption(t *testing.T) {
+	c, table := qt.New(t), ordered()
+	c.Check(table.Stop(run1), qt.IsTrue)
+	c.Check(table.Stop(run1), qt.IsFalse)
+	table.Renew(table.now, 0)
+	table.lapse(time.Second)
+	c.Check(table.Stop(run1), qt.IsFalse)
+	c.Check(table.Adopted(), qt.IsFalse)
+	table.fresh(nil)
+	c.Check(table.Adopted(), qt.IsTrue)
+	table.LifeEnded()
+	c.Check(table.Adopted(), qt.IsFalse)
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -150,6 +150,7 @@
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(minimalEntry))
 	f.Add([]byte(minimalAgent))
+	f.Add([]byte(leasedAgent))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if e, err := parseEntry("f", data); err == nil {
 			again, err := json.Marshal(e)
--- a/settings/timing.go
+++ b/settings/timing.go
@@ -86,7 +86,9 @@
 	if len(*ps) > before {
 		return
 	}
+	// The answers to two renewals may be lost, or one renewal.
 	ps.longer("leased.lease", l.Lease, l.Renew.Of()+2*l.OrderTimeout.Of(), "renew + 2 order_timeout")
+	ps.longer("leased.lease", l.Lease, 2*l.Renew.Of()+l.OrderTimeout.Of(), "2 renew + order_timeout")
 	ps.atMost("leased.lease", l.Lease, maxLease, "the longest lease of a worker")
 	// A start extends the lease of its run until the next renewal.
 	ps.longer("leased.order_validity", l.OrderValidity, l.Renew.Of()+l.OrderTimeout.Of(), "renew + order_timeout")
--- a/settings/types.go
+++ b/settings/types.go
@@ -124,8 +124,8 @@
 	// Lease is how far each renewal extends the lease at the worker. Default 500ms.
 	Lease Duration `json:"lease"`
 	// Renew is how long a renewal waits at the worker for the next end. A
-	// lease survives two lost renewals: Renew + 2 OrderTimeout < Lease.
-	// Default 150ms.
+	// lease survives a lost renewal (2 Renew + OrderTimeout < Lease) and the
+	// lost answers to two (Renew + 2 OrderTimeout < Lease). Default 150ms.
 	Renew Duration `json:"renew"`
 	// OrderTimeout is the wait for the answer to an order, beyond Renew for a
 	// renewal. Default 100ms.
