--- a/agent/fence.go
+++ b/agent/fence.go
@@ -29,7 +29,9 @@
 		Bool("truncated", opened.Truncated).Msg("session_opened")
 	a.withdraw(opened.Withdrawn)
 	if a.leased != nil {
-		a.entries.kickOne(owner) // only a heartbeat extends the session
+		// Only a heartbeat extends the session, and only after the entry has
+		// the reply to this message.
+		time.AfterFunc(a.timing.Heartbeat.Of()/kicksPerHeartbeat, func() { a.entries.kickOne(owner) })
 	}
 	a.apply(in.Config, now)
 	a.dispatch(now)
--- a/agent/leased_session_test.go
+++ b/agent/leased_session_test.go
@@ -153,3 +153,25 @@
 		r.Check(r.agent.State().Leased.Life, qt.Equals, "")
 	})
 }
+
+// Guards against offers of slots for which there are no resources, and against
+// resources that are given to another entry while they are offered.
+func TestOffersReserveResources(t *testing.T) {
+	virtualLeased(t, leasedSetup{entries: 2}, func(r *leasedRig) {
+		user, waiting := r.entries[0], r.entries[1]
+		user.open()
+		waiting.open()
+		waiting.set(func(e *entryStub) { e.useOffers = true })
+		long := user.lease("long", 5, 2*time.Second)
+		short := user.lease("short", 2, 100*time.Millisecond)
+		waiting.announce(wire.Backlog{Tasks: 10})
+		r.expect(<-short, wire.OutcomeDone, "")
+		begin := time.Now()
+		r.Check(r.free(), qt.Equals, cores(3))
+		next := user.lease("next", 2, 100*time.Millisecond) // 1 core is neither used nor offered
+		waiting.set(func(e *entryStub) { r.Check(e.offers, qt.Equals, 1) })
+		r.expect(<-next, wire.OutcomeDone, "")
+		r.Check(time.Since(begin), qt.Equals, reserveFor+100*time.Millisecond)
+		r.expect(<-long, wire.OutcomeDone, "")
+	})
+}
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -95,8 +95,13 @@
 	n := a.reservedForOthers(owner, now)
 	t := a.typical
 	reserved := wire.Resources{Accelerators: n * t.Accelerators, MemoryMB: int64(n) * t.MemoryMB, MilliCPU: int64(n) * t.MilliCPU}
-	left := a.free.Minus(reserved)
-	return wire.Resources{Accelerators: max(0, left.Accelerators), MemoryMB: max(0, left.MemoryMB), MilliCPU: max(0, left.MilliCPU)}
+	return notNegative(a.free.Minus(reserved))
+}
+
+// notNegative is what r has to give. A worker that announces less capacity than
+// its runs use has none.
+func notNegative(r wire.Resources) wire.Resources {
+	return wire.Resources{Accelerators: max(0, r.Accelerators), MemoryMB: max(0, r.MemoryMB), MilliCPU: max(0, r.MilliCPU)}
 }
 
 // roomToOffer reports whether a task like the last one would fit; the caller
--- a/agent/options.go
+++ b/agent/options.go
@@ -29,8 +29,8 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// DialUpstream opens connections to the upstream; nil means TCP.
 	DialUpstream func(ctx context.Context, address string) (net.Conn, error)
-	// Connect returns the calls to the worker that announced itself. It is
-	// required with Settings.Leased.
+	// Connect returns the calls to the worker that announced itself. It does
+	// no I/O. It is required with Settings.Leased.
 	Connect func(lease.Announcement) Worker
 	// Listeners; nil listens on the settings' address.
 	Peers, Admin net.Listener
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -73,12 +73,13 @@
 // stop orders the end of a run until the order is answered or not needed any
 // more.
 func (l *leased) stop(f *life, run lease.Run) {
-	for {
+	longest := l.settings.OrderTimeout.Of()
+	for pause := longest / 4; ; pause = min(2*pause, longest) {
 		l.agent.mu.Lock()
 		o, needed := f.runs.ToStop(run)
 		needed = needed && !f.over
 		l.agent.mu.Unlock()
-		if !needed || l.stopOnce(f, o) || !wait.For(f.ctx, l.settings.OrderTimeout.Of()/4, nil) {
+		if !needed || l.stopOnce(f, o) || !wait.For(f.ctx, pause, nil) {
 			return
 		}
 	}
--- a/agent/report.go
+++ b/agent/report.go
@@ -60,7 +60,7 @@
 
 // load returns the agent's load; the caller holds mu.
 func (a *Agent) load() wire.Load {
-	return wire.Load{Sequence: a.sequence, Running: a.busy, Queued: len(a.queue), Free: a.free}
+	return wire.Load{Sequence: a.sequence, Running: a.busy, Queued: len(a.queue), Free: notNegative(a.free)}
 }
 
 // loadFor returns the load for one entry, to which slots reserved for others
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -13,11 +13,13 @@
 // Worker is one life of the machine beside the agent, which runs leased tasks.
 // The calls are safe for concurrent use. An error other than lease.ErrDown
 // means that the order may have been carried out or may be carried out later.
+// A call ends with its ctx, and later calls use another connection then.
 type Worker interface {
 	Start(ctx context.Context, o lease.StartOrder) (lease.Answer, error)
 	Stop(ctx context.Context, o lease.StopOrder) (lease.Answer, error)
 	Renew(ctx context.Context, o lease.RenewOrder) (lease.List, error)
-	// Close ends the connections to this life.
+	// Close ends the connections to this life. It may be called more than
+	// once, and does not wait.
 	Close()
 }
 
