store: add Verify, and confirm a configuration only by verified reads

Change: store.Store has Verify(ctx, key, revision), which checks the key's revision without a write and never relies on an older state, and Linearizable(), which says that Get is never stale. Both are in httpstore (GET /v1/verify; the answer repeats key and revision; setting store.linearizable_reads, default false), storestub, the contract suite with fault cases, and the entry's counting wrapper. The entry reads and verifies the revision seen last at the same time and confirms only if both agree; it repeats this once at once, because a change looks like a stale answer. A store whose reads may be stale counts as reachable only if a verification is answered. With linearizable reads nothing is verified and the behaviour is as before. New counter stale_reads.

TestRandomSchedulesWithLongStaleReadsWithoutRestore is new and plays the same saved schedule and draws without restores.

--- a/entry/config.go
+++ b/entry/config.go
@@ -111,26 +111,89 @@
 	}
 }
 
-// read gets the key once. A successful read confirms the configuration as of
-// the moment at which it was sent.
+// read gets the key. A read that confirms the configuration does so as of the
+// moment at which it was sent. A change and a stale answer look alike at first;
+// a second read at once tells them apart.
 func (c *configuration) read(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, c.timing.StoreTimeout.Of())
-	defer cancel()
+	err := c.readOnce(ctx)
+	if errors.Is(err, store.ErrConflict) {
+		err = c.readOnce(ctx)
+	}
+	if errors.Is(err, store.ErrConflict) {
+		c.metrics.staleReads.Inc(1)
+		c.log.Warn().Msg("a read of the store is older than its state; it confirms nothing")
+		return nil
+	}
+	return err
+}
+
+// readOnce gets the key and, where the store may answer with an older state,
+// verifies meanwhile the revision that was seen last. It returns
+// store.ErrConflict when the answer is what is in force here, but the store has
+// another revision than the one seen last.
+func (c *configuration) readOnce(ctx context.Context) error {
 	sent, known := time.Now(), c.generation()
-	kv, err := c.store.Get(callCtx, config.Key)
-	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		if ctx.Err() == nil {
-			c.confirm.storeFailed(sent, err)
-		}
-		return err
+	c.mu.Lock()
+	seen := c.revision
+	c.mu.Unlock()
+	verified := make(chan error, 1)
+	linearizable := c.store.Linearizable()
+	if !linearizable {
+		go func() { verified <- c.verify(ctx, sent, seen) }()
 	}
-	c.confirm.storeAnswered()
-	if c.take(ctx, kv, errors.Is(err, store.ErrNotFound), known) && c.view() != nil {
-		c.confirm.storeRead(sent)
+	kv, err := c.get(ctx)
+	missing := errors.Is(err, store.ErrNotFound)
+	if missing {
+		err = nil
 	}
+	if linearizable {
+		c.reached(ctx, sent, err)
+		verified <- err
+	}
+	holds := err == nil && c.take(ctx, kv, missing, known) && c.view() != nil
+	verifyErr := <-verified
+	conflict := errors.Is(verifyErr, store.ErrConflict)
+	switch {
+	case err != nil:
+		return err
+	case verifyErr != nil && !conflict:
+		return verifyErr
+	case !holds:
+		return nil // nothing to confirm
+	case conflict, !linearizable && kv.Revision != seen:
+		return store.ErrConflict
+	}
+	c.confirm.storeRead(sent)
 	return nil
 }
 
+// get reads the key within the timeout of a store call.
+func (c *configuration) get(ctx context.Context) (store.KV, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timing.StoreTimeout.Of())
+	defer cancel()
+	return c.store.Get(ctx, config.Key)
+}
+
+// verify checks that the key has the revision. Its answer alone shows that the
+// store is reachable: old states can be read while the store is out.
+func (c *configuration) verify(ctx context.Context, sent time.Time, revision uint64) error {
+	callCtx, cancel := context.WithTimeout(ctx, c.timing.StoreTimeout.Of())
+	defer cancel()
+	err := c.store.Verify(callCtx, config.Key, revision)
+	c.reached(ctx, sent, err)
+	return err
+}
+
+// reached records whether the store answered a call that was sent then.
+func (c *configuration) reached(ctx context.Context, sent time.Time, err error) {
+	switch {
+	case err == nil, errors.Is(err, store.ErrConflict):
+		c.confirm.storeAnswered()
+	case ctx.Err() == nil:
+		c.confirm.storeFailed(sent, err)
+	}
+}
+
 // take handles what the store holds and reports whether that confirms the
 // configuration in force. A newer document is applied. A generation below
 // known, the one in force when the call was sent, means a restored store or a
--- a/entry/counted.go
+++ b/entry/counted.go
@@ -26,6 +26,13 @@
 	}
 }
 
+// Verify counts and passes on the call.
+func (c countedStore) Verify(ctx context.Context, key string, revision uint64) error {
+	err := c.Store.Verify(ctx, key, revision)
+	c.count(ctx, err)
+	return err
+}
+
 // Get counts and passes on the call.
 func (c countedStore) Get(ctx context.Context, key string) (store.KV, error) {
 	kv, err := c.Store.Get(ctx, key)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -21,6 +21,7 @@
 	storeErrors          tally.Counter
 	storeUnknown         tally.Counter
 	regressions          tally.Counter
+	staleReads           tally.Counter
 	refusedOutOfService  tally.Counter
 	gateClosed           tally.Counter
 	queueLength          tally.Gauge
@@ -50,6 +51,7 @@
 		storeErrors:          s.Counter("store_errors"),
 		storeUnknown:         s.Counter("store_unknown"),
 		regressions:          s.Counter("generation_regressions"),
+		staleReads:           s.Counter("stale_reads"),
 		refusedOutOfService:  s.Counter("refused_out_of_service"),
 		gateClosed:           s.Counter("gate_closed"),
 		queueLength:          s.Gauge("queue_length"),
--- a/internal/process/run.go
+++ b/internal/process/run.go
@@ -45,6 +45,7 @@
 	kv, err := httpstore.New(httpstore.Options{
 		URL: loaded.Store.URL, MaxCallsPerSecond: loaded.Store.MaxCallsPerSecond,
 		CallTimeout: loaded.StoreTimeout, WatchTimeout: loaded.WatchTimeout,
+		LinearizableReads: loaded.Store.LinearizableReads,
 	})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/storestub/faults.go
+++ b/internal/storestub/faults.go
@@ -44,7 +44,7 @@
 func (s *Stub) SetSilentWatch(silent bool) { s.set(func(f *faults) { f.silentWatch = silent }) }
 
 // SetStale makes reads and watches show the state as it is now, until it is
-// set to false. Writes are still checked against the current state.
+// set to false. Writes and verifications still see the current state.
 func (s *Stub) SetStale(stale bool) {
 	s.set(func(f *faults) {
 		f.stale = nil
--- a/internal/storestub/handler.go
+++ b/internal/storestub/handler.go
@@ -22,6 +22,7 @@
 	mux.HandleFunc("PUT "+storeapi.PathKey, s.servePut)
 	mux.HandleFunc("DELETE "+storeapi.PathKey, s.serveDelete)
 	mux.HandleFunc("GET "+storeapi.PathKeys, s.serveList)
+	mux.HandleFunc("GET "+storeapi.PathVerify, s.serveVerify)
 	mux.HandleFunc("GET "+storeapi.PathWatch, s.serveWatch)
 	mux.HandleFunc("POST "+storeapi.PathLease, s.serveGrant)
 	mux.HandleFunc("PUT "+storeapi.PathLease, s.serveKeepAlive)
@@ -34,6 +35,13 @@
 	reply(w, storeapi.KV(kv), err)
 }
 
+func (s *Stub) serveVerify(w http.ResponseWriter, r *http.Request) {
+	if expect, ok := number(w, r, storeapi.ParamExpect); ok {
+		key := r.FormValue(storeapi.ParamKey)
+		reply(w, storeapi.Verified{Key: key, Revision: expect}, s.Verify(r.Context(), key, expect))
+	}
+}
+
 func (s *Stub) serveWatch(w http.ResponseWriter, r *http.Request) {
 	after, ok := number(w, r, storeapi.ParamAfter)
 	if !ok {
--- a/internal/storestub/stub.go
+++ b/internal/storestub/stub.go
@@ -24,6 +24,7 @@
 const (
 	Get            Kind = "get"
 	List           Kind = "list"
+	Verify         Kind = "verify"
 	CompareAndSwap Kind = "compare_and_swap"
 	Delete         Kind = "delete"
 	Grant          Kind = "grant"
@@ -34,7 +35,7 @@
 
 // Write reports whether calls of the kind change the service's state.
 func (k Kind) Write() bool {
-	return k != Get && k != List && k != Watch
+	return k != Get && k != List && k != Verify && k != Watch
 }
 
 type record struct {
@@ -91,6 +92,20 @@
 	return total
 }
 
+// Linearizable implements store.Store: SetStale makes reads show an older state.
+func (s *Stub) Linearizable() bool { return false }
+
+// Verify implements store.Store. It checks the current state even while reads
+// are stale.
+func (s *Stub) Verify(ctx context.Context, key string, revision uint64) error {
+	return callErr(ctx, s, Verify, func() error {
+		if s.keys[key].revision != revision {
+			return store.ErrConflict
+		}
+		return nil
+	})
+}
+
 // Get implements store.Store.
 func (s *Stub) Get(ctx context.Context, key string) (store.KV, error) {
 	return call(ctx, s, Get, func() (store.KV, error) { return s.read(key) })
--- a/internal/systemtest/process_test.go
+++ b/internal/systemtest/process_test.go
@@ -202,6 +202,13 @@
 	return func() (struct{}, error) { return struct{}{}, f() }
 }
 
+func (s *processStore) Linearizable() bool { return s.inner.Linearizable() }
+
+func (s *processStore) Verify(ctx context.Context, key string, revision uint64) error {
+	_, err := call(ctx, s, noValue(func() error { return s.inner.Verify(ctx, key, revision) }))
+	return err
+}
+
 func (s *processStore) Get(ctx context.Context, key string) (store.KV, error) {
 	return call(ctx, s, func() (store.KV, error) { return s.inner.Get(ctx, key) })
 }
--- a/internal/systemtest/random_test.go
+++ b/internal/systemtest/random_test.go
@@ -24,11 +24,17 @@
 )
 
 // shortStale bounds the time in which the store serves an old state in
-// TestRandomSchedules, so that it finds other faults. A read that is stale for
-// longer confirms a configuration that operators have replaced;
+// TestRandomSchedules, so that it finds other faults. Reads that are stale for
+// longer hide a change until a restored store has lost it;
 // TestRandomSchedulesWithLongStaleReads has no such bound.
 const shortStale = time.Second
 
+// bounds of the store's faults in schedules.
+type bounds struct {
+	stale     time.Duration // longest stale reads; 0: as long as other faults
+	noRestore bool          // the store never loses changes that it accepted
+}
+
 // event of a schedule.
 type event struct {
 	after    time.Duration // since the previous event
@@ -176,17 +182,20 @@
 }
 
 // play runs one schedule and checks the guarantees.
-func play(c *qt.C, events []event, mostStale time.Duration) {
+func play(c *qt.C, events []event, b bounds) {
 	s := start(c, layout{})
 	s.delay(messageDelay)
 	var ends []scheduled
 	for _, e := range events {
 		ends = sleep(e.after, ends)
+		if e.kind == "store restored" && b.noRestore {
+			continue
+		}
 		s.apply(e, func(begin, end func()) {
 			begin()
 			lasts := e.lasts
-			if e.kind == "store stale" && mostStale > 0 {
-				lasts = min(lasts, mostStale)
+			if e.kind == "store stale" && b.stale > 0 {
+				lasts = min(lasts, b.stale)
 			}
 			ends = append(ends, scheduled{time.Now().Add(lasts), end})
 			slices.SortStableFunc(ends, func(a, b scheduled) int { return a.at.Compare(b.at) })
@@ -198,15 +207,21 @@
 
 // Guards against combinations of faults that no table lists: several at once,
 // and the same one twice.
-func TestRandomSchedules(t *testing.T) { checkSchedules(t, shortStale) }
+func TestRandomSchedules(t *testing.T) { checkSchedules(t, bounds{stale: shortStale}) }
 
 // Guards against the same with reads that stay stale as long as other faults.
 // Listed in KNOWN-RED.txt.
-func TestRandomSchedulesWithLongStaleReads(t *testing.T) { checkSchedules(t, 0) }
+func TestRandomSchedulesWithLongStaleReads(t *testing.T) { checkSchedules(t, bounds{}) }
+
+// Guards against the same in a store that is never restored to an older state.
+// It also plays a schedule in which a stale read confirmed a replaced
+// configuration.
+func TestRandomSchedulesWithLongStaleReadsWithoutRestore(t *testing.T) {
+	checkSchedules(t, bounds{noRestore: true})
+}
 
-// checkSchedules draws schedules and plays them. mostStale bounds stale reads;
-// 0 does not.
-func checkSchedules(t *testing.T, mostStale time.Duration) {
+// checkSchedules draws schedules and plays them.
+func checkSchedules(t *testing.T, b bounds) {
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
 		qt.Assert(t, flag.Set("rapid.seed", randomSeed), qt.IsNil)
 		qt.Assert(t, flag.Set("rapid.checks", randomChecks), qt.IsNil)
@@ -215,7 +230,7 @@
 	rapid.Check(t, func(r *rapid.T) {
 		events := rapid.SliceOfN(rapid.Custom(drawEvent), 5, 40).Draw(r, "events")
 		f := &failures{}
-		synctest.Test(t, func(*testing.T) { play(qt.New(f), events, mostStale) })
+		synctest.Test(t, func(*testing.T) { play(qt.New(f), events, b) })
 		if f.text != "" {
 			r.Fatalf("%s", f.text)
 		}
--- a/settings/types.go
+++ b/settings/types.go
@@ -95,6 +95,12 @@
 	URL string `json:"url"`
 	// MaxCallsPerSecond of this process. Default 50.
 	MaxCallsPerSecond float64 `json:"max_calls_per_second"`
+	// LinearizableReads says that the service never answers a read of a key
+	// with an older state. Without it, which is the default, an entry verifies
+	// each read that confirms its configuration; that costs the service as
+	// much as a write. Set wrongly, an old answer confirms a replaced
+	// configuration.
+	LinearizableReads bool `json:"linearizable_reads"`
 }
 
 // Entry holds the settings of chicorytray-entry.
--- a/store/httpstore/client.go
+++ b/store/httpstore/client.go
@@ -46,6 +46,9 @@
 	// MaxCallsPerSecond is the budget. 0 means DefaultMaxCallsPerSecond. The
 	// burst is one second's budget.
 	MaxCallsPerSecond float64
+	// LinearizableReads says that the service never answers Get with an older
+	// state.
+	LinearizableReads bool
 	// Dial connects to the service; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -67,6 +70,7 @@
 	base         string
 	callTimeout  time.Duration
 	watchTimeout time.Duration
+	linearizable bool
 	budget       *rate.Limiter
 	transport    *http.Transport
 
@@ -95,6 +99,7 @@
 		base:         base,
 		callTimeout:  orDefault(o.CallTimeout, DefaultCallTimeout),
 		watchTimeout: orDefault(o.WatchTimeout, DefaultWatchTimeout),
+		linearizable: o.LinearizableReads,
 		budget:       rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond))),
 		transport: &http.Transport{
 			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
@@ -141,6 +146,25 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
+// Linearizable implements store.Store.
+func (c *Client) Linearizable() bool { return c.linearizable }
+
+// Verify implements store.Store. Only an answer that repeats the key and the
+// revision counts, because a process in between may answer for the service.
+func (c *Client) Verify(ctx context.Context, key string, revision uint64) error {
+	want := storeapi.Verified{Key: key, Revision: revision}
+	var got storeapi.Verified
+	query := url.Values{storeapi.ParamKey: {key}, storeapi.ParamExpect: {decimal(revision)}}
+	if err := c.read(ctx, c.callTimeout, storeapi.PathVerify, query, &got); err != nil {
+		return err
+	}
+	if got != want {
+		c.failed.Add(1)
+		return translated(store.ErrUnavailable, fmt.Errorf("httpstore: asked for %+v, answered %+v", want, got))
+	}
+	return nil
+}
+
 // Get implements store.Store.
 func (c *Client) Get(ctx context.Context, key string) (store.KV, error) {
 	var kv storeapi.KV
--- a/store/httpstore/client_test.go
+++ b/store/httpstore/client_test.go
@@ -103,6 +103,8 @@
 		{"unavailable from a gateway", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nbusy"},
 		{"conflict from a gateway", "HTTP/1.1 409 Conflict\r\nContent-Length: 18\r\n\r\n{\"message\":\"busy\"}"},
 		{"code and status differ", "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{\"error\":\"conflict\"}"},
+		{"empty success", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"},
+		{"success of another call", "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"key\":\"b\"}  "},
 		{"redirect", "HTTP/1.1 307 Temporary Redirect\r\nLocation: /v1/key?key=b\r\nContent-Length: 0\r\n\r\n"},
 	}
 	for _, test := range cases {
@@ -120,6 +122,8 @@
 				c.Check(requests.Load(), qt.Equals, int32(1))
 				_, err = client.Get(context.Background(), "a")
 				c.Check(err, qt.ErrorIs, store.ErrUnavailable)
+				err = client.Verify(context.Background(), "a", 0)
+				c.Check(err, qt.ErrorIs, store.ErrUnavailable)
 			})
 		})
 	}
--- a/store/store.go
+++ b/store/store.go
@@ -19,7 +19,8 @@
 	// ErrConflict means that the key's revision was not the expected one. The
 	// write did not take effect.
 	ErrConflict = errors.New("store: revision conflict")
-	// ErrUnavailable means that the service did not carry out the call.
+	// ErrUnavailable means that the service did not carry out the call, or
+	// that a call which changes nothing got no answer.
 	ErrUnavailable = errors.New("store: unavailable")
 	// ErrUnknownOutcome means that a write may or may not have taken effect.
 	ErrUnknownOutcome = errors.New("store: outcome of the write is unknown")
@@ -43,6 +44,15 @@
 // Store is the platform's key-value service. Calls honour the context's
 // deadline; an implementation adds its own where the context has none.
 type Store interface {
+	// Linearizable reports whether Get always returns the key as it was at
+	// some moment during the call. Otherwise Get may return an older state,
+	// and Verify tells whether it did. The answer never changes.
+	Linearizable() bool
+	// Verify returns nil if the key had exactly this revision at some moment
+	// during the call; 0 means that the key did not exist. Otherwise it
+	// returns ErrConflict, or ErrUnavailable without a clear answer. It never
+	// relies on an older state, so it costs the service as much as a write.
+	Verify(ctx context.Context, key string, revision uint64) error
 	// Get returns the key, or ErrNotFound.
 	Get(ctx context.Context, key string) (KV, error)
 	// List returns all keys with the prefix, ordered by key.
--- a/store/storeapi/api.go
+++ b/store/storeapi/api.go
@@ -5,11 +5,15 @@
 //	GET    /v1/keys?prefix=P                  Keys
 //	PUT    /v1/key?key=K&expect=N[&lease=L]   Value → KV without the value
 //	DELETE /v1/key?key=K&expect=N             Empty
+//	GET    /v1/verify?key=K&expect=N          Verified, or a conflict
 //	GET    /v1/watch?key=K&after=N            KV, when the revision differs
 //	POST   /v1/lease                          Grant → Lease
 //	PUT    /v1/lease?lease=L                  Empty; extends the lease
 //	DELETE /v1/lease?lease=L                  Empty
 //
+// Reads of keys and watches may be answered with an older state; a verification
+// never is. Its answer repeats the key and the revision, 0 for a missing key.
+//
 // Success is status 200. A failure has one of the codes below in an Error, and
 // says that the call was not carried out.
 package storeapi
@@ -22,10 +26,11 @@
 
 // Paths of the service.
 const (
-	PathKey   = "/v1/key"
-	PathKeys  = "/v1/keys"
-	PathWatch = "/v1/watch"
-	PathLease = "/v1/lease"
+	PathKey    = "/v1/key"
+	PathKeys   = "/v1/keys"
+	PathVerify = "/v1/verify"
+	PathWatch  = "/v1/watch"
+	PathLease  = "/v1/lease"
 )
 
 // Query parameters.
@@ -49,6 +54,12 @@
 	Keys []KV `json:"keys"`
 }
 
+// Verified is the answer to a verification that found the revision.
+type Verified struct {
+	Key      string `json:"key"`
+	Revision uint64 `json:"revision"`
+}
+
 // Value is the body of a write, in base64.
 type Value struct {
 	Value []byte `json:"value"`
--- a/store/storetest/cases.go
+++ b/store/storetest/cases.go
@@ -24,6 +24,7 @@
 	{"a write at a wrong revision conflicts", conflicts},
 	{"delete", deletes},
 	{"list by prefix in order", lists},
+	{"a verification checks the revision and changes nothing", verifies},
 	{"value size", valueSize},
 	{"returned values are copies", copies},
 	{"a lease that expires takes its keys", leaseExpires},
@@ -111,6 +112,34 @@
 	}
 }
 
+func verifies(c *checker) {
+	verify := func(what, key string, revision uint64, want error) {
+		c.Helper()
+		c.wants("verify "+what, c.Store.Verify(c.ctx(), key, revision), want)
+	}
+	verify("a missing key", "a", 0, nil)
+	verify("a revision of a missing key", "a", 1, store.ErrConflict)
+	first := c.put("a", 0, "1", 0)
+	verify("absence of a key", "a", 0, store.ErrConflict)
+	c.put("b", 0, "1", 0)
+	verify("after a write of another key", "a", first.Revision, nil)
+	second := c.put("a", first.Revision, "2", 0)
+	verify("an earlier revision", "a", first.Revision, store.ErrConflict)
+	verify("a later revision", "a", second.Revision+1, store.ErrConflict)
+	verify("the revision", "a", second.Revision, nil)
+	if kv := c.get("a"); kv.Revision != second.Revision || string(kv.Value) != "2" {
+		c.Errorf("after verifications the key holds %+v, want %+v", kv, second)
+	}
+	c.wants("delete", c.Store.Delete(c.ctx(), "a", second.Revision), nil)
+	verify("a removed key", "a", second.Revision, store.ErrConflict)
+	verify("absence of a removed key", "a", 0, nil)
+	key := "a b/c?d=é%2F&e#f"
+	verify("an unusual key", key, c.put(key, 0, "1", 0).Revision, nil)
+	if n := c.Stub.Calls()[storestub.Verify]; n != 10 {
+		c.Errorf("10 verifications were counted as %d calls", n)
+	}
+}
+
 func valueSize(c *checker) {
 	largest := bytes.Repeat([]byte{0xfe}, store.MaxValueBytes)
 	kv := c.put("a", 0, string(largest), 0)
@@ -237,5 +266,6 @@
 	c.wants("write", err, store.ErrUnavailable)
 	_, err = c.Store.Get(ctx, "a")
 	c.wants("read", err, store.ErrUnavailable)
+	c.wants("verify", c.Store.Verify(ctx, "a", 0), store.ErrUnavailable)
 	c.missing("a")
 }
--- a/store/storetest/faults.go
+++ b/store/storetest/faults.go
@@ -31,6 +31,19 @@
 	s.ExpireLeases()
 }
 
+// stale lets reads hide a change of key "a".
+func stale(s *storestub.Stub) {
+	kv, _ := s.Peek("a")
+	s.SetStale(true)
+	s.Put("a", append(kv.Value, "er"...))
+}
+
+// staleElsewhere lets reads hide a change of another key.
+func staleElsewhere(s *storestub.Stub) {
+	s.SetStale(true)
+	s.Put("other", []byte("y"))
+}
+
 // restored brings back a backup that was made before key "a" was changed.
 func restored(s *storestub.Stub) {
 	kv, _ := s.Peek("a")
@@ -49,6 +62,10 @@
 	return err
 }
 
+func verify(ctx context.Context, s store.Store, kv store.KV, _ store.LeaseID) error {
+	return s.Verify(ctx, "a", kv.Revision)
+}
+
 func swap(ctx context.Context, s store.Store, kv store.KV, _ store.LeaseID) error {
 	_, err := s.CompareAndSwap(ctx, "a", kv.Revision, []byte("new"), 0)
 	return err
@@ -89,6 +106,7 @@
 var faultCases = []faultCase{
 	{"down: get", down, get, store.ErrUnavailable, "old"},
 	{"down: list", down, list, store.ErrUnavailable, "old"},
+	{"down: verify", down, verify, store.ErrUnavailable, "old"},
 	{"down: write", down, swap, store.ErrUnavailable, "old"},
 	{"down: delete", down, remove, store.ErrUnavailable, "old"},
 	{"down: grant", down, grant, store.ErrUnavailable, "old"},
@@ -96,8 +114,10 @@
 	{"down: revoke", down, revoke, store.ErrUnavailable, "old"},
 	{"down: watch", down, watch, store.ErrUnavailable, "old"},
 	{"steady latency: get", steady, get, nil, "old"},
+	{"steady latency: verify", steady, verify, nil, "old"},
 	{"steady latency: write", steady, swap, nil, "new"},
 	{"slow: get", slow, get, store.ErrUnavailable, "old"},
+	{"slow: verify", slow, verify, store.ErrUnavailable, "old"},
 	{"slow: write takes effect later", slow, swap, store.ErrUnknownOutcome, "new"},
 	{"slow: delete takes effect later", slow, remove, store.ErrUnknownOutcome, ""},
 	{"answer lost: write", lost, swap, store.ErrUnknownOutcome, "new"},
@@ -109,7 +129,11 @@
 	{"held up: write takes effect later", held, swap, store.ErrUnknownOutcome, "new"},
 	{"silent watch", silent, watchOlder, store.ErrUnavailable, "old"},
 	{"expired lease: keep alive", expired, keepAlive, store.ErrLeaseExpired, ""},
+	{"expired lease: verify", expired, verify, store.ErrConflict, ""},
 	{"expired lease: write", expired, swap, store.ErrConflict, ""},
+	{"stale reads: verify sees the change", stale, verify, store.ErrConflict, "older"},
+	{"stale reads: verify of an unchanged key", staleElsewhere, verify, nil, "old"},
+	{"restored: verify", restored, verify, nil, "old"},
 	{"restored: read", restored, get, nil, "old"},
 	{"restored: keep alive", restored, keepAlive, nil, "old"},
 }
@@ -125,6 +149,7 @@
 	c.Stub.SetDown(false)
 	c.Stub.SetLatency(0)
 	c.Stub.SetSilentWatch(false)
+	c.Stub.SetStale(false)
 	synctest.Wait()
 	if f.after == "" {
 		c.missing("a")
