--- a/internal/process/run.go
+++ b/internal/process/run.go
@@ -82,6 +82,7 @@
 	}
 	kv, err := httpstore.New(httpstore.Options{
 		URL: l.Store.URL, MaxCallsPerSecond: l.Store.MaxCallsPerSecond, CallTimeout: l.StoreTimeout, WatchTimeout: l.WatchTimeout,
+		LinearizableReads: l.Store.LinearizableReads,
 	})
 	if err != nil {
 		return nil, nil, err
