gate: let an entry's own evidence of an outage win a tie

TestConfirmationDuringAnOutage (entry) found the basis "peer" instead of "outage" in about a third of the runs without -race.

Cause: while the store is out, a peer reports an age of 0 when it has just heard this entry, and then its report is exactly as old as what this entry itself heard. EffectiveAge took the peer's age on a tie, so the basis depended on whether the peer's heartbeat or the agents' came last before the test looked. The age is the same either way. Wherever the peer and this entry are more than half of the data centres, the own evidence is never older than the peer's report, so a tie was the only way to "peer".

Change: on a tie with a peer the own evidence decides, as an own read does already.

--- a/gate/outage.go
+++ b/gate/outage.go
@@ -66,7 +66,9 @@
 	if basis == BasisNone {
 		return age, basis
 	}
-	if evidence, ok := majorityAge(o); ok && evidence < age {
+	evidence, ok := majorityAge(o)
+	// What this entry sees wins a tie with what a peer reports.
+	if ok && (evidence < age || evidence == age && basis == BasisPeer) {
 		return evidence, BasisOutage
 	}
 	return age, basis
