--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -76,6 +76,8 @@
 		d.metrics.sessionsFenced.Inc(1)
 	case wire.ReasonBusy:
 		d.metrics.scope.Counter("refused_busy").Inc(1)
+	case wire.ReasonWorkerRefused:
+		d.metrics.scope.Counter("refused_by_worker").Inc(1)
 	}
 }
 
