entry: a failed task waits for a worker at which it did not fail

A retry avoided only the worker of the last attempt, and a worker that fails all it starts has room when the others have none, so it used up the attempts. Change: a task avoids all agents that it met. One that has failed waits while another usable agent could run it; the tasks behind it are placed meanwhile.

--- a/entry/job.go
+++ b/entry/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -45,7 +46,7 @@
 	at      []location // of sent tasks, by index
 	results []wire.Result
 	mayRan  []bool           // an earlier attempt has an unknown outcome
-	tried   map[int]string   // agent to avoid for the next attempt, by task
+	tried   map[int][]string // agents to avoid for the next attempt, by task
 	racks   placement.Spread // of tasks at agents
 	bytes   int64            // of results so far
 	open    int              // tasks without a final state
@@ -115,12 +116,14 @@
 	j.states[index] = st
 }
 
-// avoid makes the next attempt of a task go to another agent if possible.
+// avoid makes the next attempts of a task go to other agents if possible.
 func (j *job) avoid(index int, agent string) {
 	if j.tried == nil {
-		j.tried = map[int]string{}
+		j.tried = map[int][]string{}
+	}
+	if !slices.Contains(j.tried[index], agent) {
+		j.tried[index] = append(j.tried[index], agent)
 	}
-	j.tried[index] = agent
 }
 
 // inFlight reports whether any task is at an agent with its outcome open.
--- a/entry/leased_test.go
+++ b/entry/leased_test.go
@@ -235,6 +235,35 @@
 	}
 }
 
+// Guards against a task that uses up its attempts at a worker that fails all it
+// starts, because that worker has room while the sound ones are busy. Other
+// tasks must not wait behind it.
+func TestFailedTaskWaitsForAnotherWorker(t *testing.T) {
+	failed := script{took: time.Millisecond, result: &wire.Result{Outcome: wire.OutcomeFailed, Reason: wire.ReasonUpstreamError}}
+	inBubble(t, func(h *harness) {
+		e := h.leasedEntry(nil)
+		h.worker(1, failed).set(func(t wire.Task) script {
+			if t.Leased.Job == "1f" {
+				return failed
+			}
+			return lasting(50)
+		})
+		h.worker(2, lasting(400))
+		settle()
+		fill := h.submit(e, "fill", 16) // 8 at each worker
+		time.Sleep(60 * time.Millisecond)
+		begin := time.Now()
+		s := h.submit(e, "1f", 1)
+		h.Check(h.submit(e, "2f", 1).wait().Outcome, qt.Equals, OutcomeDone)
+		h.Check(time.Since(begin) < 200*time.Millisecond, qt.IsTrue)
+		h.Check(s.wait().Outcome, qt.Equals, OutcomeDone)
+		h.Check(time.Since(begin) > 400*time.Millisecond, qt.IsTrue)
+		h.Check(fill.wait().Outcome, qt.Equals, OutcomeDone)
+		_, starts := h.ups.running("1f/0")
+		h.Check(starts, qt.Equals, 2)
+	})
+}
+
 // Guards against a paused entry that goes on with jobs whose callers have sent
 // them to another entry meanwhile.
 func TestPausedEntryStartsNothingForCallersThatLeft(t *testing.T) {
--- a/entry/place.go
+++ b/entry/place.go
@@ -1,8 +1,11 @@
 package entry
 
 import (
+	"slices"
+
 	"chicorytray.example/chicorytray/config"
 	"chicorytray.example/chicorytray/placement"
+	"chicorytray.example/chicorytray/queue"
 )
 
 // class groups tasks with the same placement constraints and account limits.
@@ -48,10 +51,11 @@
 	if !d.mayStartNow() {
 		return
 	}
-	for d.table.HasRoom() {
+	var heldBack []queue.TaskRef
+	for d.table.HasRoom() && len(heldBack) < maxHeldBack {
 		ref, ok := d.queue.Next(d.now, d.feasible)
 		if !ok {
-			return
+			break
 		}
 		j := d.jobs[ref.Job]
 		if j == nil || j.closing != nil {
@@ -59,11 +63,26 @@
 		}
 		a := d.place(j, ref.Index)
 		if a == nil {
-			d.queue.Return(ref)
-			return
+			heldBack = append(heldBack, ref)
+			if !d.failedBefore(j, ref.Index) {
+				break
+			}
+			continue
 		}
 		d.start(j, ref.Index, a)
 	}
+	for _, ref := range heldBack {
+		d.queue.Return(ref)
+	}
+}
+
+// maxHeldBack bounds the tasks that are passed over at a time because only
+// agents at which they failed have room.
+const maxHeldBack = 16
+
+// failedBefore reports whether the task has used up an attempt.
+func (d *dispatcher) failedBefore(j *job, index int) bool {
+	return j.leased != nil && j.leased.attempts[index] > 0
 }
 
 // feasible reports whether a task of the class can be started now.
@@ -73,21 +92,38 @@
 }
 
 // place picks the agent for a task, spreading a job over racks. A repeated
-// attempt goes to another agent than the last one where that is possible.
+// attempt goes to an agent that the task has not met, where that is possible. A
+// task that failed waits for such an agent: one that fails whatever it starts
+// has room when the others have none, and would use up all attempts at once.
 func (d *dispatcher) place(j *job, index int) *agent {
 	q := placement.Query{Class: j.class}
 	if j.count > 1 {
 		q.RackTasks = j.racks.Count
 	}
-	if last, ok := j.tried[index]; ok {
+	if tried, ok := j.tried[index]; ok {
 		avoiding := q
-		avoiding.Avoid = func(id string) bool { return id == last }
+		avoiding.Avoid = func(id string) bool { return slices.Contains(tried, id) }
 		if id, ok := d.table.ChooseFor(avoiding); ok {
 			return d.agents[id]
 		}
+		if d.failedBefore(j, index) && d.usableBeside(j.class, tried) {
+			return nil
+		}
 	}
 	if id, ok := d.table.ChooseFor(q); ok {
 		return d.agents[id]
 	}
 	return nil
 }
+
+// usableBeside reports whether an agent that may run the class, other than
+// those, can be used once it has room.
+func (d *dispatcher) usableBeside(c placement.Class, tried []string) bool {
+	for id, a := range d.agents {
+		if a.usable && a.ref.Pool == c.Pool && c.AllowsDataCentre(a.ref.DataCentre) && c.Needs.Fits(a.ref.Capacity) &&
+			!slices.Contains(tried, id) {
+			return true
+		}
+	}
+	return false
+}
