entry: be ready only after the first usable agent

TestPlannedStopOfEveryInstance (internal/systemtest) failed in some runs: a job was answered 503 not_run, "placement: no agent is known" or no_upstream.

Cause: an entry reported ready as soon as it had the configuration. Agents reach a restarted entry up to some hundred milliseconds later, and until then it refused every job that the load balancer sent to it, although the other entry could have run them.

Change: Ready waits for the first agent that may get tasks. After the lapse time (3 s; the time after which an entry stops expecting unheard agents) an entry without agents is ready too, so that its refusals reach the callers. Once ready, an entry does not become unready for lack of agents.

--- a/entry/agents.go
+++ b/entry/agents.go
@@ -171,6 +171,9 @@
 	if a.usable || usable {
 		a.usableAt = d.now
 	}
+	if usable {
+		d.met.Store(true)
+	}
 	a.usable = usable
 	if a.ref.Pool == "" {
 		d.table.SetUsable(a.ref.ID, usable && !a.busy)
--- a/entry/config_test.go
+++ b/entry/config_test.go
@@ -190,6 +190,24 @@
 	})
 }
 
+// Guards against a new process that asks for jobs before it can place any, and
+// against one that is never ready because no agent exists.
+func TestReadyAfterTheFirstUsableAgent(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e := h.entry(1, "anping", nil)
+		alone := h.entry(2, "anping", nil)
+		time.Sleep(time.Second)
+		h.Check(e.Ready(), qt.ErrorMatches, "no usable agent yet")
+		h.agent(1, "anping")
+		time.Sleep(100 * time.Millisecond)
+		h.Check(e.Ready(), qt.IsNil)
+		h.checkWhole(postJob(e, "proof", "render", 1), "/render", 1)
+		h.Check(alone.Ready(), qt.ErrorMatches, "no usable agent yet")
+		time.Sleep(alone.settings.Timing.Lapse.Of())
+		h.Check(alone.Ready(), qt.IsNil)
+	})
+}
+
 // Guards against a pushed document that is lost, and one that is older or
 // invalid being put in force.
 func TestPushedConfiguration(t *testing.T) {
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -50,6 +51,7 @@
 	calls   sync.WaitGroup
 	events  chan event
 	ended   chan struct{} // closed when the dispatcher takes no more events
+	met     atomic.Bool   // an agent was usable; any goroutine may read it
 
 	now      time.Time // of the batch of events in progress
 	view     *config.View
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -186,7 +186,9 @@
 // newJobID returns an identifier that no other job has.
 func (e *Entry) newJobID() string { return newJobID(e.self, e.jobs.Add(1)) }
 
-// Ready returns nil when the entry takes jobs, else the reason why not.
+// Ready returns nil when the entry takes jobs, else the reason why not. A new
+// process waits for its first usable agent, because it would refuse every job
+// before; after the lapse time it is ready without one.
 func (e *Entry) Ready() error {
 	switch {
 	case e.notReady.Load():
@@ -195,6 +197,8 @@
 		return errors.New("not started")
 	case e.config.view() == nil:
 		return errors.New("no configuration")
+	case !e.dispatcher.met.Load() && time.Since(e.began) < e.settings.Timing.Lapse.Of():
+		return errors.New("no usable agent yet")
 	}
 	return nil
 }
