systemtest: give the long tasks of the planned stops their own template

TestPlannedStopOfEveryInstance failed in some runs: jobs of 150 ms tasks were refused as deadline_unreachable with a deadline of 20 s.

Cause: the test submitted 150 ms tasks and 4 s tasks under one template, and learned durations are kept by template. The expected duration rose to 0.9 to 1.5 s for every job, and in a failing run the entry took its queue of 50 tasks for 39 s of work. Admission keeps to its rule with such an estimate; the order in which the tasks finished decided how far it was off.

Change: the 4 s tasks have the template "long", which is not idempotent either and declares 4 s. Load, stops and checks are the same: every submission must be done.

--- a/internal/systemtest/guarantee8_test.go
+++ b/internal/systemtest/guarantee8_test.go
@@ -39,7 +39,9 @@
 
 // Guards against a planned stop that cuts off or fails a request: every
 // instance is stopped and replaced, one after the other, under load and while
-// a task of several seconds runs.
+// a task of several seconds runs. Those tasks have a template of their own:
+// learned durations are kept by template, and a mixture of 150 ms and 4 s makes
+// the entry overestimate its queue and refuse jobs.
 func TestPlannedStopOfEveryInstance(t *testing.T) {
 	run(t, layout{}, func(s *system) {
 		s.delay(messageDelay)
@@ -51,13 +53,13 @@
 			s.Check(f(ctx), qt.IsNil)
 		}
 		for i := range s.agents {
-			s.submit(0, job{tasks: 6, service: 4 * time.Second})
+			s.submit(0, job{template: "long", tasks: 6, service: 4 * time.Second})
 			stop(s.agents[i].Stop)
 			s.restartAgent(i)
 			time.Sleep(2 * time.Second)
 		}
 		for i := range s.entries {
-			s.submit(i, job{tasks: 2, service: 4 * time.Second})
+			s.submit(i, job{template: "long", tasks: 2, service: 4 * time.Second})
 			stop(s.entries[i].Stop)
 			s.restartEntry(i)
 			time.Sleep(5 * time.Second)
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -184,6 +184,8 @@
 		Accounts:   []config.Account{{Name: "team", TokenSHA256: []string{config.HashToken(token)}}},
 		Templates: []config.Template{
 			template("work", false), template("again", true),
+			{Name: "long", Account: "team", Kind: config.KindJob, DeadlineMS: 20_000, ExpectedMS: 4000,
+				Tasks: []config.Task{{Name: "run", Method: http.MethodPost, Path: "/run"}}},
 			{Name: "request", Account: "team", Kind: config.KindRequest, DeadlineMS: 20_000, ExpectedMS: 100},
 		},
 	}
