--- a/entry/agents.go
+++ b/entry/agents.go
@@ -177,6 +177,9 @@
 	if a.usable || usable {
 		a.usableAt = d.now
 	}
+	if usable {
+		d.met.Store(true)
+	}
 	a.usable = usable
 	// The processors of a busy agent of leased tasks go on counting for its pool.
 	leased := a.ref.Pool != ""
