agent: count reserved slots in heartbeats; test a paused agent without a race

Cause: a heartbeat's load left out the slots that are reserved for other entries, unlike replies, and took the load and the highest sequence under two locks; another entry saw a reserved slot as free and its task waited up to 50 ms. Change: heartbeats carry the load for their entry, in one step; the test makes the session lapse in the ledger instead.

--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -130,9 +130,8 @@
 		return err
 	}
 	sent := time.Now()
-	req := l.agent.heartbeat(sent)
+	req := l.agent.heartbeat(sent, ledger.Owner{Entry: l.entry.ID, Incarnation: l.entry.Incarnation})
 	req.KnownEntry = l.entry.Incarnation
-	l.agent.addSeen(&req.Load, ledger.Owner{Entry: l.entry.ID, Incarnation: l.entry.Incarnation})
 	whole := req.Agent
 	brief := l.described == whole
 	if brief {
@@ -194,12 +193,13 @@
 	return true
 }
 
-// heartbeat returns the message that announces the agent.
-func (a *Agent) heartbeat(now time.Time) wire.HeartbeatRequest {
+// heartbeat returns the message that announces the agent to one entry. Slots
+// that are reserved for other entries count as running, as in replies.
+func (a *Agent) heartbeat(now time.Time, to ledger.Owner) wire.HeartbeatRequest {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := wire.HeartbeatRequest{
-		Agent: a.self, Load: a.load(), Leaving: len(a.leaving) > 0, Healthy: a.health.ok,
+		Agent: a.self, Load: a.loadFor(to), Leaving: len(a.leaving) > 0, Healthy: a.health.ok,
 		Generation: a.config.Generation, ReadAge: gate.None,
 	}
 	if !a.storeAt.IsZero() {
@@ -208,13 +208,6 @@
 	return r
 }
 
-// addSeen completes a load for one entry.
-func (a *Agent) addSeen(load *wire.Load, owner ledger.Owner) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	load.SeenSession, load.Seen = a.ledger.Seen(owner)
-}
-
 // heartbeatAnswered applies an entry's reply to the heartbeat sent then.
 func (a *Agent) heartbeatAnswered(sent time.Time, r *wire.HeartbeatReply) {
 	now := time.Now()
--- a/agent/leased_session_test.go
+++ b/agent/leased_session_test.go
@@ -144,7 +144,8 @@
 		time.Sleep(time.Second)
 		a.mu.Lock()
 		f := a.leased.life
-		a.timing.Lapse = 1 // as after a pause, everything that was heard is too old
+		// As after a pause: the session is too old, and nothing was done about it.
+		a.ledger.Lapse(time.Now().Add(time.Second), a.timing.Lapse.Of())
 		before, _ := f.runs.End(time.Now())
 		a.mu.Unlock()
 		a.leased.renew(f, true)
--- a/agent/start_test.go
+++ b/agent/start_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"chicorytray.example/chicorytray/ledger"
 	"chicorytray.example/chicorytray/settings"
 	"chicorytray.example/chicorytray/wire"
 )
@@ -225,3 +226,20 @@
 		r.expect(<-e.run("good", time.Second), wire.OutcomeDone, "")
 	})
 }
+
+// Guards against a heartbeat that shows a slot as free which is reserved for
+// another entry: a task that is sent there waits for the reservation to end.
+func TestHeartbeatCountsReservedSlots(t *testing.T) {
+	virtual(t, setup{slots: 1, entries: 2}, func(r *rig) {
+		owner := func(e *entryStub) ledger.Owner { return ledger.OwnerOf(e.session) }
+		one, other := r.entries[0], r.entries[1]
+		one.open()
+		other.open()
+		now := time.Now()
+		r.agent.mu.Lock()
+		r.agent.reserved = append(r.agent.reserved, reservation{owner(one), now.Add(reserveFor)})
+		r.agent.mu.Unlock()
+		r.Check(r.agent.heartbeat(now, owner(one)).Load.Running, qt.Equals, 0)
+		r.Check(r.agent.heartbeat(now, owner(other)).Load.Running, qt.Equals, 1)
+	})
+}
