entry, agent: make an entry known to agents that restarted without the store

Cause: an agent that starts while it cannot read the store knows no entry, and entries only wait for its heartbeats; its worker stays idle until the store answers. Ruled out: seeds, because the platform's settings name no entries. Change: an entry that has lost sight of an agent calls Agent.Introduce at its address about once a second until it forgets the agent (30 s). Both new tests fail without the change.

--- a/agent/entries.go
+++ b/agent/entries.go
@@ -145,6 +145,13 @@
 	e.set(ref, now)
 }
 
+// introduced records an entry that made itself known.
+func (e *entries) introduced(ref wire.EntryRef) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.mention(ref, time.Now())
+}
+
 // set records a reference; the caller holds mu.
 func (e *entries) set(ref wire.EntryRef, now time.Time) {
 	if former, ok := e.addressOf(ref.ID); ok && former != ref.Address {
--- a/agent/fault_test.go
+++ b/agent/fault_test.go
@@ -437,3 +437,18 @@
 	}
 	return out
 }
+
+// Guards against an agent without registrations or seeds that stays alone
+// although an entry makes itself known to it.
+func TestIntroducedEntryIsUsed(t *testing.T) {
+	virtual(t, setup{unregistered: true}, func(r *rig) {
+		e := r.entries[0]
+		time.Sleep(5 * time.Second)
+		r.Check(r.agent.Ready(), qt.IsNotNil)
+		e.open()
+		r.Assert(e.conn.Call(e.ctx, "Agent.Introduce", &wire.IntroduceRequest{Entry: e.ref}, &wire.Empty{}), qt.IsNil)
+		r.Check(e.conn.Call(e.ctx, "Agent.Introduce", &wire.IntroduceRequest{}, &wire.Empty{}), qt.IsNotNil)
+		time.Sleep(time.Second)
+		r.Check(r.agent.Ready(), qt.IsNil)
+	})
+}
--- a/agent/receive.go
+++ b/agent/receive.go
@@ -38,6 +38,7 @@
 	rpcconn.Handle(s, "Agent.Await", a.rpcAwait)
 	rpcconn.Handle(s, "Agent.Cancel", a.rpcCancel)
 	rpcconn.Handle(s, "Agent.Announce", a.rpcAnnounce)
+	rpcconn.Handle(s, "Agent.Introduce", a.rpcIntroduce)
 	return s
 }
 
@@ -162,6 +163,15 @@
 	return nil
 }
 
+// rpcIntroduce takes note of an entry that has lost sight of this agent.
+func (a *Agent) rpcIntroduce(_ context.Context, in *wire.IntroduceRequest, _ *wire.Empty) error {
+	if in.Entry.ID == "" {
+		return fmt.Errorf("%w: an introduction names no entry", ErrSession)
+	}
+	a.entries.introduced(in.Entry)
+	return nil
+}
+
 // invalid checks what the upstream's request or the worker's order is built
 // from.
 func (a *Agent) invalid(in *wire.RunRequest) error {
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -28,6 +28,11 @@
 	// case a reply was lost. In between it is sent only when it changed,
 	// because it would be most of the control traffic.
 	tellEntriesEvery = 10 * time.Second
+	// introduceEvery is the mean interval at which an entry makes itself known
+	// to a silent agent, until the agent is forgotten. When a region with half
+	// of 1,000 agents is lost, an entry that knew 50 of them makes 25 attempts
+	// a second for 30 s.
+	introduceEvery = time.Second
 )
 
 // Reasons for closing a connection to an agent.
@@ -65,6 +70,8 @@
 	opens     int // attempts since a session was open
 	retryOpen time.Time
 	pinging   bool
+	// introduceAt is when this entry makes itself known to the silent agent.
+	introduceAt time.Time
 	// cancelling counts the Cancel messages without an answer. Meanwhile the
 	// session is not renewed, so that it lapses if they do not arrive while
 	// heartbeats do.
@@ -282,12 +289,33 @@
 		delete(d.agents, a.ref.ID)
 		return
 	}
+	d.introduce(a)
 	if a.session.state == sessionClosed && (!a.suspect || len(a.session.tasks) > 0) {
 		d.open(a)
 	}
 	d.checkConnection(a)
 }
 
+// introduce tells a silent agent of this entry. A new process of the agent may
+// know of no entry, for example when it cannot read the store.
+func (d *dispatcher) introduce(a *agent) {
+	if !a.suspect || d.now.Before(a.introduceAt) {
+		return
+	}
+	a.introduceAt = d.now.Add(introduceEvery/2 + rand.N(introduceEvery))
+	address, req := a.ref.Address, wire.IntroduceRequest{Entry: d.self}
+	d.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, d.timing.CallTimeout.Of())
+		defer cancel()
+		conn, err := d.dial(ctx, address)
+		if err != nil {
+			return // it is tried again
+		}
+		_ = conn.Call(ctx, "Agent.Introduce", &req, &wire.Empty{})
+		_ = conn.Close()
+	})
+}
+
 // checkConnection pings a connection with open calls that received nothing,
 // because a connection may stop carrying data while new ones work.
 func (d *dispatcher) checkConnection(a *agent) {
--- a/entry/fakeagent_test.go
+++ b/entry/fakeagent_test.go
@@ -98,12 +98,13 @@
 
 // fakeAgent is an agent that follows the protocol, with scripted faults.
 type fakeAgent struct {
-	net       *faultnet.Network
-	host      string
-	ups       *upstreams
-	entries   []string // addresses
-	beatEvery time.Duration
-	script    func(wire.Task) script
+	introduced wire.EntryRef // by Agent.Introduce
+	net        *faultnet.Network
+	host       string
+	ups        *upstreams
+	entries    []string // addresses
+	beatEvery  time.Duration
+	script     func(wire.Task) script
 
 	mu      sync.Mutex
 	ref     wire.AgentRef
@@ -166,6 +167,12 @@
 	rpcconn.Handle(s, "Agent.Await", a.await)
 	rpcconn.Handle(s, "Agent.Cancel", a.cancel)
 	rpcconn.Handle(s, "Agent.Announce", a.announce)
+	rpcconn.Handle(s, "Agent.Introduce", func(_ context.Context, in *wire.IntroduceRequest, _ *wire.Empty) error {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.introduced = in.Entry
+		return nil
+	})
 	l, err := a.net.Listen(a.ref.Address)
 	if err != nil {
 		panic(err)
--- a/entry/heartbeat_test.go
+++ b/entry/heartbeat_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -37,3 +38,23 @@
 	restarted := wire.AgentRef{ID: "a1", Incarnation: 8}
 	c.Check(beat(restarted, e.self.Incarnation).Describe, qt.IsTrue)
 }
+
+// Guards against a restarted agent that no entry uses until the store is back:
+// it cannot read the registrations, and entries only wait for its heartbeats.
+func TestSilentAgentIsToldOfTheEntry(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e := h.entry(1, "anping", nil)
+		a := h.agent(1, "anping")
+		settle()
+		h.Check(a.introduced, qt.Equals, wire.EntryRef{})
+		a.die()
+		addresses := a.entries
+		a.entries = nil
+		a.start()
+		time.Sleep(4 * time.Second)
+		a.mu.Lock()
+		h.Check(a.introduced, qt.Equals, e.self)
+		a.mu.Unlock()
+		a.entries = addresses
+	})
+}
--- a/wire/agent.go
+++ b/wire/agent.go
@@ -127,6 +127,10 @@
 	Renews uint64
 }
 
+// IntroduceRequest tells an agent of an entry. An agent that started while it
+// cannot read the store learns of entries only this way or from its seeds.
+type IntroduceRequest struct{ Entry EntryRef }
+
 // OfferRequest offers free slots to an entry that announced backlog.
 type OfferRequest struct {
 	Agent       string
