leasedtest: test whole systems that run leased tasks

Change: a package of tests in virtual time with 2 entries, 3 agents, workers of leasestub, the store over HTTP and a network with faults. A pause holds the entry's dispatcher as well as its connections, so that the entry notices it.

--- /dev/null
+++ b/internal/leasedtest/caller_test.go
@@ -0,0 +1,171 @@
+package leasedtest
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/entry"
+	"chicorytray.example/chicorytray/internal/leasestub"
+	"chicorytray.example/chicorytray/lease"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// job is what a caller asks for. Zero values mean one task of 4 cores.
+type job struct {
+	id       string
+	tasks    int
+	milliCPU int64
+	took     time.Duration
+	deadline time.Duration
+	fails    bool
+
+	leaves  chan struct{} // the caller leaves its present submission
+	ended   chan struct{}
+	open    bool // some submission was not refused
+	outcome entry.Outcome
+}
+
+// submit sends a job to an entry; it returns at once.
+func (s *system) submit(target int, j job) *job {
+	j.tasks, j.leaves, j.ended = max(j.tasks, 1), make(chan struct{}, 1), make(chan struct{})
+	if j.milliCPU == 0 {
+		j.milliCPU = 4000
+	}
+	if j.deadline == 0 {
+		j.deadline = 3600 * ms
+	}
+	s.mu.Lock()
+	j.id = fmt.Sprintf("%016x", len(s.jobs)+1)
+	s.jobs = append(s.jobs, &j)
+	s.mu.Unlock()
+	s.callers.Go(func() { defer close(j.ended); s.call(&j, target) })
+	return &j
+}
+
+// leave makes the job's caller leave and send the job again later.
+func (j *job) leave() {
+	select {
+	case j.leaves <- struct{}{}:
+	default:
+	}
+}
+
+// call submits a job until it has a final answer, as section 13.1 says.
+func (s *system) call(j *job, target int) {
+	for range maxSubmissions {
+		s.note("%s: %d tasks of %v to e%d", j.id, j.tasks, j.took, target)
+		a, whole := s.once(j, target)
+		s.note("%s: %v %+v", j.id, whole, a)
+		j.open = j.open || !whole || a.Outcome != entry.OutcomeNotRun
+		if whole && a.Outcome != entry.OutcomeUnknown {
+			j.outcome = a.Outcome
+			if a.Outcome == entry.OutcomeDone {
+				s.checkDone(j)
+			}
+			return
+		}
+		time.Sleep(resend)
+		target = 1 - target
+	}
+}
+
+// once makes one submission and reports whether a whole answer arrived.
+func (s *system) once(j *job, target int) (entry.Answer, bool) {
+	e := s.entry(target)
+	spec := leasestub.Spec{MS: float64(j.took) / float64(ms), Fail: j.fails, Needs: wire.Resources{MilliCPU: j.milliCPU, MemoryMB: 64}}
+	ctx, cancel := context.WithCancel(context.Background())
+	got := make(chan entry.Answer, 1)
+	s.wg.Go(func() {
+		if _, err := e.pass(); err == nil {
+			got <- e.Submit(ctx, entry.Submission{Job: j.id, Template: "step", Count: j.tasks, Needs: spec.Needs,
+				Spec: spec.Encode(), Deadline: j.deadline})
+		}
+	})
+	timeout := time.NewTimer(j.deadline)
+	defer timeout.Stop()
+	select {
+	case a := <-got:
+		cancel()
+		select {
+		case <-e.gone: // the process died with the answer
+			return entry.Answer{}, false
+		default:
+			return a, true
+		}
+	case <-e.gone:
+	case <-j.leaves:
+	case <-timeout.C:
+	}
+	s.wg.Go(func() { e.leave(cancel) })
+	return entry.Answer{}, false
+}
+
+// checkDone checks that all tasks of a job ended with success.
+func (s *system) checkDone(j *job) {
+	done := map[int]bool{}
+	for _, r := range s.evidence.Starts() {
+		if r.Run.Task.Job == j.id && r.How == lease.Done {
+			done[r.Run.Task.Index] = true
+		}
+	}
+	if len(done) != j.tasks {
+		s.Errorf("%s is answered as done, of %d tasks these are: %v", j.id, j.tasks, done)
+	}
+}
+
+// finish ends all faults, waits until all jobs are over, and checks the rules of
+// section 13.1 and that the system serves again.
+func (s *system) finish() {
+	s.callers.Wait()
+	s.faults.Wait()
+	s.faults.Wait() // a drained worker has been replaced
+	for _, c := range []string{"north", "south", "west"} {
+		s.service(c, true)
+	}
+	time.Sleep(6 * time.Second)
+	s.checkRules()
+	for i := range 2 {
+		j := s.submit(i, job{tasks: 3, took: 100 * ms})
+		<-j.ended
+		s.Check(j.outcome, qt.Equals, entry.OutcomeDone, qt.Commentf("after the faults, at e%d", i))
+	}
+	s.end()
+	if s.Failed() {
+		s.Log(s.report())
+	}
+}
+
+func (s *system) checkRules() {
+	for _, f := range s.evidence.Faults() {
+		s.Errorf("%s", f)
+	}
+	s.Check(s.evidence.Running(), qt.Equals, 0)
+	starts := s.evidence.Starts()
+	for _, j := range s.jobs {
+		ran := slices.ContainsFunc(starts, func(r leasestub.Start) bool { return r.Run.Task.Job == j.id })
+		if ran && !j.open {
+			s.Errorf("%s started although every submission was refused", j.id)
+		}
+	}
+	for _, p := range s.spans {
+		for _, r := range starts {
+			centre := s.workers[r.Worker[1]-'0'].centre
+			if (p.worker == r.Worker || p.centre == centre) && r.At.After(p.from) && r.At.Before(p.to) {
+				s.Errorf("%v started at %s, which was %s, %v too late", r.Run, r.Worker, p.what, r.At.Sub(p.from))
+			}
+		}
+	}
+}
+
+// report is the trace of a failure.
+func (s *system) report() string {
+	text := s.trace.String()
+	for _, r := range s.evidence.Starts() {
+		text += fmt.Sprintf("%v to %v at %s %s: %v\n", r.At.Sub(s.began), r.Ended.Sub(s.began), r.Worker, r.How, r.Run)
+	}
+	return text
+}
--- /dev/null
+++ b/internal/leasedtest/random_test.go
@@ -0,0 +1,182 @@
+package leasedtest
+
+import (
+	"flag"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"chicorytray.example/chicorytray/internal/leasestub"
+)
+
+// Flags of rapid that fix the schedules of CI.
+const (
+	randomSeed   = "20261204"
+	randomChecks = "20"
+)
+
+// event of a schedule.
+type event struct {
+	after, lasts time.Duration
+	kind         string
+	entry, agent int
+	job          job
+}
+
+// String is what rapid prints of a failing schedule.
+func (e event) String() string {
+	return fmt.Sprintf("+%v %s e%d a%d for %v; %d tasks of %d and %v, deadline %v, fails %v", e.after, e.kind, e.entry, e.agent, e.lasts,
+		e.job.tasks, e.job.milliCPU, e.job.took, e.job.deadline, e.job.fails)
+}
+
+var kinds = []string{
+	"submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "leave", "leave", "leave",
+	"kill entry", "pause entry", "pause entry", "kill agent", "cut", "cut", "cut off", "drop", "drop back", "freeze", "reset",
+	"starts late", "starts unanswered", "stops lost", "stops late", "renewals unanswered", "silent", "unhealthy",
+	"restart worker", "drain", "out of service", "store down", "store cut", "store silent",
+}
+
+func drawEvent(t *rapid.T) event {
+	in := func(name string, least, most int) int { return rapid.IntRange(least, most).Draw(t, name) }
+	return event{
+		after: time.Duration(in("after", 0, 400)) * ms, kind: rapid.SampledFrom(kinds).Draw(t, "kind"),
+		lasts: time.Duration(in("lasts", 0, 3000)) * ms, entry: in("entry", 0, 1), agent: in("agent", 0, 2),
+		job: job{tasks: in("tasks", 1, 8), milliCPU: int64(in("cpu", 2000, 9400)), took: time.Duration(in("took", 20, 1500)) * ms,
+			deadline: time.Duration(in("deadline", 1900, 3600)) * ms, fails: in("fails", 0, 19) == 19},
+	}
+}
+
+// apply makes one event happen. Faults that last end by themselves.
+func (s *system) apply(e event) {
+	s.note("%v", e)
+	from, to := entryHost(e.entry), agentHost(e.agent)
+	faulty := func(f leasestub.Faults) {
+		s.during(e.lasts, func() { s.workers[e.agent].SetFaults(f) }, func() { s.workers[e.agent].SetFaults(leasestub.Faults{}) })
+	}
+	link := func(rule func(a, b string), a, b string) {
+		s.during(e.lasts, func() { rule(a, b) }, func() { s.net.Heal(a, b) })
+	}
+	late := leasestub.Fault{Late: e.job.took / 2}
+	switch e.kind {
+	case "submit":
+		s.submit(e.entry, e.job)
+	case "leave":
+		if n := len(s.jobs); n > 0 {
+			s.jobs[max(0, n-1-e.agent)].leave()
+		}
+	case "kill entry":
+		s.replaceEntry(e.entry, e.lasts)
+	case "pause entry":
+		s.pauseEntry(e.entry, e.lasts)
+	case "kill agent":
+		s.replaceAgent(e.agent, e.lasts/2)
+	case "cut":
+		s.cutOff(e.agent, e.lasts, e.entry)
+	case "cut off":
+		s.cutOff(e.agent, e.lasts, 0, 1)
+	case "drop":
+		link(s.net.Drop, from, to)
+	case "drop back":
+		link(s.net.Drop, to, from)
+	case "freeze":
+		s.net.Freeze(from, to)
+	case "reset":
+		link(s.net.Cut, from, to)
+	case "starts late":
+		faulty(leasestub.Faults{Start: late})
+	case "starts unanswered":
+		faulty(leasestub.Faults{Start: leasestub.Fault{Unanswered: true}})
+	case "stops lost":
+		faulty(leasestub.Faults{Stop: leasestub.Fault{Lost: true}})
+	case "stops late":
+		faulty(leasestub.Faults{Stop: late, Start: late})
+	case "renewals unanswered":
+		faulty(leasestub.Faults{Renew: leasestub.Fault{Unanswered: true}})
+	case "silent":
+		faulty(leasestub.Silent())
+	case "unhealthy":
+		faulty(leasestub.Faults{Unhealthy: true})
+	case "restart worker":
+		s.restartWorker(e.agent, e.lasts/3)
+	case "drain":
+		s.drain(e.agent, 2*e.lasts)
+	case "out of service":
+		centre := s.centres[e.agent]
+		s.during(3*e.lasts, func() { s.service(centre, false) }, func() { s.service(centre, true) })
+	case "store down":
+		s.during(2*e.lasts, func() { s.store.SetDown(true) }, func() { s.store.SetDown(false) })
+	case "store cut":
+		link(s.net.Cut, from, storeHost)
+	case "store silent":
+		link(s.net.Partition, from, storeHost)
+	default:
+		panic("unknown event " + e.kind)
+	}
+}
+
+// Guards against combinations of faults that no table lists.
+func TestRandomSchedules(t *testing.T) {
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		qt.Assert(t, flag.Set("rapid.seed", randomSeed), qt.IsNil)
+		qt.Assert(t, flag.Set("rapid.checks", randomChecks), qt.IsNil)
+		qt.Assert(t, flag.Set("rapid.nofailfile", "true"), qt.IsNil)
+	}
+	rapid.Check(t, func(r *rapid.T) {
+		events := rapid.SliceOfN(rapid.Custom(drawEvent), 5, 40).Draw(r, "events")
+		third := rapid.SampledFrom([]string{"north", "west"}).Draw(r, "third")
+		f := &failures{}
+		synctest.Test(t, func(*testing.T) {
+			s := start(qt.New(f), third)
+			for _, e := range events {
+				time.Sleep(e.after)
+				s.apply(e)
+			}
+			s.finish()
+		})
+		if f.Failed() {
+			r.Fatalf("%s", f.text)
+		}
+	})
+}
+
+// failures collects what a schedule's checks report, because rapid repeats a
+// schedule that failed and testing.T cannot forget a failure.
+type failures struct {
+	testing.TB // nil: quicktest needs only the methods below
+	mu         sync.Mutex
+	text       string
+	failed     bool
+}
+
+func (f *failures) Helper() {}
+
+func (f *failures) Log(args ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.text += fmt.Sprintln(args...)
+}
+
+func (f *failures) Error(args ...any) {
+	f.Log(args...)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failed = true
+}
+
+func (f *failures) Errorf(format string, args ...any) { f.Error(fmt.Sprintf(format, args...)) }
+
+func (f *failures) Failed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failed
+}
+
+func (f *failures) Fatal(args ...any) {
+	f.Error(args...)
+	panic("the fixture failed: " + f.text)
+}
--- /dev/null
+++ b/internal/leasedtest/single_test.go
@@ -0,0 +1,111 @@
+package leasedtest
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/entry"
+	"chicorytray.example/chicorytray/internal/leasestub"
+)
+
+func run(t *testing.T, test func(s *system)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := start(qt.New(t), "west")
+		test(s)
+		s.finish()
+	})
+}
+
+// Guards against lost or repeated tasks without any fault, and against a second
+// run of a job that is sent again while it runs.
+func TestJobsRunWhole(t *testing.T) {
+	run(t, func(s *system) {
+		var all []*job
+		for i := range 20 {
+			all = append(all, s.submit(i%2, job{tasks: 1 + i%4, took: 200 * ms}))
+			time.Sleep(100 * ms)
+		}
+		resent := s.submit(0, job{tasks: 4, took: 900 * ms})
+		time.Sleep(400 * ms)
+		resent.leave()
+		for _, j := range append(all, resent) {
+			<-j.ended
+			s.Check(j.outcome, qt.Equals, entry.OutcomeDone, qt.Commentf(j.id))
+		}
+		for task, n := range s.evidence.Count() {
+			s.Check(n, qt.Equals, map[bool]int{false: 1, true: 2}[task.Job == resent.id], qt.Commentf("%v", task))
+		}
+	})
+}
+
+// Guards against single faults that break a rule of section 13.1 or that keep
+// jobs from being completed.
+func TestSingleFaults(t *testing.T) {
+	order := func(f leasestub.Faults) func(s *system) {
+		return func(s *system) {
+			w := s.workers[0]
+			s.during(time.Second, func() { w.SetFaults(f) }, func() { w.SetFaults(leasestub.Faults{}) })
+		}
+	}
+	pause := func(d time.Duration) func(s *system) {
+		return func(s *system) {
+			s.pauseEntry(0, d)
+			time.Sleep(60 * ms) // the pause has begun
+			for _, j := range s.jobs {
+				j.leave()
+			}
+		}
+	}
+	for _, tc := range []struct {
+		name  string
+		fault func(s *system)
+	}{
+		{"entry killed", func(s *system) { s.replaceEntry(0, time.Second) }},
+		{"entry paused for 0.6 s", pause(600 * ms)},
+		{"entry paused for 2 s", pause(2 * time.Second)},
+		{"agent replaced", func(s *system) { s.replaceAgent(0, 0) }},
+		{"agent replaced later", func(s *system) { s.replaceAgent(0, 800*ms) }},
+		{"agent cut off from one entry", func(s *system) { s.cutOff(0, 2*time.Second, 0) }},
+		{"agent cut off from all entries", func(s *system) { s.cutOff(0, 2*time.Second, 0, 1) }},
+		{"starts late", order(leasestub.Faults{Start: leasestub.Fault{Late: 250 * ms}})},
+		{"starts too late", order(leasestub.Faults{Start: leasestub.Fault{Late: 500 * ms}})},
+		{"starts unanswered", order(leasestub.Faults{Start: leasestub.Fault{Unanswered: true}})},
+		{"stops lost and renewals unanswered", order(leasestub.Faults{Stop: leasestub.Fault{Lost: true}, Renew: leasestub.Fault{Unanswered: true}})},
+		{"worker silent", order(leasestub.Silent())},
+		{"worker restarted", func(s *system) { s.restartWorker(0, 0) }},
+		{"worker restarted later", func(s *system) { s.restartWorker(0, time.Second) }},
+		{"worker draining", func(s *system) { s.drain(0, 3*time.Second) }},
+		{"data centre out of service", func(s *system) { s.service("north", false) }},
+		{"store out for one entry", func(s *system) {
+			s.during(5*time.Second, func() { s.net.Cut(entryHost(0), storeHost) }, func() { s.net.Heal(entryHost(0), storeHost) })
+		}},
+		{"store silent for both entries", func(s *system) {
+			for i := range 2 {
+				s.during(2*time.Second, func() { s.net.Partition(entryHost(i), storeHost) }, func() { s.net.Heal(entryHost(i), storeHost) })
+			}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			run(t, func(s *system) {
+				load := func(n int) {
+					for i := range n {
+						s.submit(i%2, job{tasks: 1 + i%3, took: []time.Duration{60 * ms, 200 * ms, 900 * ms}[i%3]})
+						time.Sleep(160 * ms) // half of the capacity
+					}
+				}
+				load(5)
+				s.note("%s", tc.name)
+				tc.fault(s)
+				load(40)
+				s.callers.Wait()
+				for _, j := range s.jobs {
+					s.Check(j.outcome, qt.Equals, entry.OutcomeDone, qt.Commentf(j.id))
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/leasedtest/system_test.go
@@ -0,0 +1,353 @@
+package leasedtest
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"chicorytray.example/chicorytray/agent"
+	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/entry"
+	"chicorytray.example/chicorytray/internal/faultnet"
+	"chicorytray.example/chicorytray/internal/leasestub"
+	"chicorytray.example/chicorytray/internal/storestub"
+	"chicorytray.example/chicorytray/lease"
+	"chicorytray.example/chicorytray/settings"
+	"chicorytray.example/chicorytray/store/httpstore"
+	"chicorytray.example/chicorytray/wire"
+)
+
+const (
+	ms        = time.Millisecond
+	resend    = 1300 * ms
+	storeHost = "10.0.3.1"
+	storeURL  = "http://" + storeHost + ":7500"
+	// announceInterval of workers to the agents beside them.
+	announceInterval = 300 * ms
+	maxSubmissions   = 4
+)
+
+type entryProcess struct {
+	*process
+	*entry.Entry
+}
+
+type agentProcess struct {
+	*process
+	*agent.Agent
+}
+
+// worker is a machine and what its operators did.
+type worker struct {
+	*leasestub.Machine
+	centre  string
+	mu      sync.Mutex
+	up      bool
+	drained time.Time // when the agent acknowledged; zero while not draining
+}
+
+// span is a time in which nothing may start at the workers that match.
+type span struct {
+	what, worker, centre string
+	from, to             time.Time
+}
+
+// system is a whole system on a network with faults.
+type system struct {
+	*qt.C
+	net      *faultnet.Network
+	store    *storestub.Stub
+	evidence *leasestub.Evidence
+	workers  []*worker
+	centres  []string
+	began    time.Time
+	callers  sync.WaitGroup
+	faults   sync.WaitGroup // faults that end by themselves
+	wg       sync.WaitGroup // everything that ends with the system
+	over     chan struct{}
+
+	mu       sync.Mutex
+	entries  []*entryProcess
+	agents   []*agentProcess
+	jobs     []*job
+	document *config.Document
+	out      map[string]time.Time // data centres out of service
+	spans    []span
+	trace    strings.Builder
+}
+
+// note adds a line to the trace of a failure.
+func (s *system) note(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fmt.Fprintf(&s.trace, "%v ", time.Since(s.began))
+	fmt.Fprintf(&s.trace, format+"\n", args...)
+}
+
+// start starts 2 entries and 3 agents, the third in the given data centre.
+func start(c *qt.C, third string) *system {
+	s := &system{C: c, net: faultnet.New(), store: storestub.New(), evidence: leasestub.NewEvidence(),
+		centres: []string{"north", "south", third}, over: make(chan struct{}), out: map[string]time.Time{}}
+	s.document = document()
+	s.put()
+	l, err := s.net.Listen(storeHost + ":7500")
+	s.Assert(err, qt.IsNil)
+	web := &http.Server{Handler: s.store.Handler()}
+	s.wg.Go(func() { _ = web.Serve(l) })
+	s.wg.Go(func() { <-s.over; _ = web.Close() })
+	for i, centre := range s.centres {
+		s.workers = append(s.workers, &worker{centre: centre, up: true, Machine: leasestub.New(leasestub.Options{
+			ID: fmt.Sprint("w", i), Pool: "bench", Address: fmt.Sprintf("10.0.2.%d:8200", i), Evidence: s.evidence, Delay: ms,
+			Slow: lease.ClockDrift * float64(i) / 2, Capacity: wire.Resources{MilliCPU: 16000, MemoryMB: 16000},
+		})})
+	}
+	for i := range 2 {
+		for j := range 3 {
+			s.net.Delay(entryHost(i), agentHost(j), ms)
+		}
+		s.entries = append(s.entries, s.startEntry(i))
+	}
+	for i := range 3 {
+		s.agents = append(s.agents, s.startAgent(i))
+	}
+	for i := range 3 {
+		s.wg.Go(func() { s.announceAlways(i) })
+	}
+	time.Sleep(2 * time.Second)
+	s.began = time.Now()
+	return s
+}
+
+func document() *config.Document {
+	d := &config.Document{
+		Generation: 1, Accounts: []config.Account{{Name: "portal", TokenSHA256: []string{config.HashToken("t")}}},
+		Templates: []config.Template{{
+			Name: "step", Account: "portal", Kind: config.KindLeased, DeadlineMS: 3600, ExpectedMS: 200,
+			Pool: "bench", MaxAttempts: 3, SlackFactor: 4, TargetMS: 1000, Needs: config.Needs{MilliCPU: 4000, MemoryMB: 64},
+		}},
+	}
+	for _, name := range []string{"north", "south", "west"} {
+		d.DataCentres = append(d.DataCentres, config.DataCentre{Name: name, Region: "r", InService: true})
+	}
+	return d
+}
+
+func (s *system) put() {
+	data, err := s.document.Encode()
+	s.Assert(err, qt.IsNil)
+	s.store.Put(config.Key, data)
+}
+
+// service takes a data centre out of service or brings it back.
+func (s *system) service(centre string, in bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from, isOut := s.out[centre]
+	if in != isOut {
+		return
+	}
+	s.document.Generation++
+	for i := range s.document.DataCentres {
+		if s.document.DataCentres[i].Name == centre {
+			s.document.DataCentres[i].InService = in
+		}
+	}
+	s.put()
+	if !in {
+		s.out[centre] = time.Now()
+		return
+	}
+	delete(s.out, centre)
+	s.spans = append(s.spans, span{"out of service", "", centre, from.Add(5 * time.Second), time.Now()})
+}
+
+func entryHost(i int) string { return fmt.Sprintf("10.0.0.%d", i+1) }
+func agentHost(i int) string { return fmt.Sprintf("10.0.1.%d", i+1) }
+
+// platformTiming are the intervals of section 13.3 of the design page.
+func platformTiming() settings.Timing {
+	d := func(n time.Duration) settings.Duration { return settings.Duration(n * ms) }
+	t := settings.DefaultTiming()
+	t.Heartbeat, t.PeerHeartbeat, t.Suspect, t.Lapse, t.Reconcile = d(150), d(350), d(400), d(500), d(1150)
+	t.Gate, t.PingAfter, t.PingTimeout, t.CallTimeout, t.StoreTimeout = d(3000), d(250), d(150), d(300), d(600)
+	return t
+}
+
+func (s *system) storeFor(p *process) *httpstore.Client {
+	c, err := httpstore.New(httpstore.Options{URL: storeURL, CallTimeout: 600 * ms, LinearizableReads: true, Dial: p.dial})
+	s.Assert(err, qt.IsNil)
+	return c
+}
+
+func (s *system) listen(p *process, port string) net.Listener {
+	l, err := s.net.Listen(p.host + port)
+	s.Assert(err, qt.IsNil)
+	return heldListener{l, p}
+}
+
+func seeds() []string { return []string{entryHost(0) + ":7000", entryHost(1) + ":7000"} }
+
+// startEntry starts the entry's process; it may follow one that was killed.
+func (s *system) startEntry(i int) *entryProcess {
+	p := newProcess(entryHost(i), s.net)
+	conf := settings.DefaultEntry()
+	conf.ID, conf.DataCentre, conf.Seeds, conf.Timing = fmt.Sprint("e", i), s.centres[i], seeds(), platformTiming()
+	conf.CallerAddress, conf.PeerAddress, conf.AdminAddress, conf.Store.URL = p.host+":8000", p.host+":7000", p.host+":9000", storeURL
+	s.Assert(conf.Validate(), qt.IsNil)
+	e, err := entry.New(entry.Options{Settings: conf, Store: s.storeFor(p), Dial: p.dial, Metrics: pausingScope{tally.NoopScope, p},
+		Callers: s.listen(p, ":8000"), Peers: s.listen(p, ":7000"), Admin: s.listen(p, ":9000")})
+	s.Assert(err, qt.IsNil)
+	p.begin(e.Run)
+	return &entryProcess{p, e}
+}
+
+// startAgent starts the agent's process beside its worker.
+func (s *system) startAgent(i int) *agentProcess {
+	p, w, leased := newProcess(agentHost(i), s.net), s.workers[i], settings.DefaultLeased()
+	conf := settings.DefaultAgent()
+	conf.ID, conf.DataCentre, conf.Worker, conf.Seeds, conf.Timing = fmt.Sprint("a", i), w.centre, fmt.Sprint("w", i), seeds(), platformTiming()
+	conf.PeerAddress, conf.AdminAddress, conf.Store.URL, conf.Connections, conf.Leased = p.host+":7100", p.host+":9100", storeURL, 0, &leased
+	s.Assert(conf.Validate(), qt.IsNil)
+	a, err := agent.New(agent.Options{Settings: conf, Store: s.storeFor(p), Dial: p.dial,
+		Connect: func(n lease.Announcement) agent.Worker { return w.Connect(n) },
+		Peers:   s.listen(p, ":7100"), Admin: s.listen(p, ":9100")})
+	s.Assert(err, qt.IsNil)
+	p.begin(a.Run)
+	return &agentProcess{p, a}
+}
+
+func (s *system) entry(i int) *entryProcess { s.mu.Lock(); defer s.mu.Unlock(); return s.entries[i] }
+func (s *system) agent(i int) *agentProcess { s.mu.Lock(); defer s.mu.Unlock(); return s.agents[i] }
+
+// announceAlways is the worker's part in announcing itself.
+func (s *system) announceAlways(i int) {
+	for {
+		s.announce(i)
+		select {
+		case <-time.After(announceInterval):
+		case <-s.over:
+			return
+		}
+	}
+}
+
+// announce reports whether an agent acknowledged the announcement.
+func (s *system) announce(i int) bool {
+	w, a := s.workers[i], s.agent(i)
+	w.mu.Lock()
+	up := w.up
+	w.mu.Unlock()
+	select {
+	case <-a.gone:
+		return false
+	default:
+	}
+	if up {
+		a.WorkerAnnounced(w.Announcement())
+	}
+	return up
+}
+
+// during begins a fault and ends it later.
+func (s *system) during(d time.Duration, begin, end func()) {
+	begin()
+	s.faults.Go(func() { time.Sleep(d); end() })
+}
+
+// replaceEntry kills an entry; a new process follows after the time.
+func (s *system) replaceEntry(i int, after time.Duration) {
+	if !s.entry(i).kill() {
+		return
+	}
+	s.during(after, func() {}, func() {
+		e := s.startEntry(i)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.entries[i] = e
+	})
+}
+
+// replaceAgent kills an agent; a new process follows after the time, which is
+// at least that of starting a process.
+func (s *system) replaceAgent(i int, after time.Duration) {
+	if !s.agent(i).kill() {
+		return
+	}
+	s.during(max(after, 20*ms), func() {}, func() {
+		a := s.startAgent(i)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.agents[i] = a
+	})
+}
+
+// pauseEntry pauses an entry.
+func (s *system) pauseEntry(i int, d time.Duration) {
+	e := s.entry(i)
+	s.during(d, func() { e.setPaused(true) }, func() { e.setPaused(false) })
+}
+
+// cutOff drops what the agent and the entries send to each other.
+func (s *system) cutOff(agent int, d time.Duration, entries ...int) {
+	for _, e := range entries {
+		s.during(d, func() { s.net.Partition(entryHost(e), agentHost(agent)) }, func() { s.net.Heal(entryHost(e), agentHost(agent)) })
+	}
+}
+
+// restartWorker crashes a worker; a new life under the same identifier follows.
+func (s *system) restartWorker(i int, after time.Duration) {
+	w := s.workers[i]
+	w.mu.Lock()
+	if !w.up {
+		w.mu.Unlock()
+		return
+	}
+	w.up = false
+	w.Crash()
+	drained := w.drained
+	w.drained = time.Time{}
+	w.mu.Unlock()
+	if !drained.IsZero() {
+		s.mu.Lock()
+		s.spans = append(s.spans, span{"draining", fmt.Sprint("w", i), "", drained.Add(2 * time.Second), time.Now()})
+		s.mu.Unlock()
+	}
+	s.during(after, func() {}, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.Boot()
+		w.up = true
+	})
+}
+
+// drain makes a worker announce that it drains, and replaces it later.
+func (s *system) drain(i int, d time.Duration) {
+	w := s.workers[i]
+	w.Drain()
+	if s.announce(i) {
+		w.mu.Lock()
+		w.drained = time.Now()
+		w.mu.Unlock()
+	}
+	s.during(d, func() {}, func() { s.restartWorker(i, 0) })
+}
+
+// end kills all processes.
+func (s *system) end() {
+	close(s.over)
+	for i := range s.entries {
+		s.entry(i).kill()
+	}
+	for i := range s.agents {
+		s.agent(i).kill()
+		s.workers[i].Crash()
+	}
+	s.wg.Wait()
+	time.Sleep(5 * time.Second) // calls to the store time out
+}
