leasedtest: kill an entry while the workers lose stops

Cause: with the rule switched off that no lease is extended while a stop is unanswered, on a scratch copy, all tests and 300 random schedules passed.

Change: a case with runs that outlast the resend interval.

Result: the case fails without the rule (overlapping runs) and passes with it; go test -race -count=1 ./internal/leasedtest: ok.

--- a/internal/leasedtest/single_test.go
+++ b/internal/leasedtest/single_test.go
@@ -75,6 +75,14 @@
 		{"starts too late", order(leasestub.Faults{Start: leasestub.Fault{Late: 500 * ms}})},
 		{"starts unanswered", order(leasestub.Faults{Start: leasestub.Fault{Unanswered: true}})},
 		{"stops lost and renewals unanswered", order(leasestub.Faults{Stop: leasestub.Fault{Lost: true}, Renew: leasestub.Fault{Unanswered: true}})},
+		{"entry killed while stops are lost", func(s *system) {
+			s.submit(0, job{tasks: 3, took: 2 * time.Second})
+			time.Sleep(100 * ms)
+			for _, w := range s.workers {
+				s.during(3*time.Second, func() { w.SetFaults(leasestub.Faults{Stop: leasestub.Fault{Lost: true}}) }, func() { w.SetFaults(leasestub.Faults{}) })
+			}
+			s.replaceEntry(0, time.Second)
+		}},
 		{"worker silent", order(leasestub.Silent())},
 		{"worker restarted", func(s *system) { s.restartWorker(0, 0) }},
 		{"worker restarted later", func(s *system) { s.restartWorker(0, time.Second) }},
