leasedtest: submit bursts in random schedules

Cause: in 200 random schedules no job was refused by every submission, so that the check of refused jobs never applied.

Change: an event that submits 15 jobs at once, more than the workers hold.

--- a/internal/leasedtest/random_test.go
+++ b/internal/leasedtest/random_test.go
@@ -35,7 +35,7 @@
 }
 
 var kinds = []string{
-	"submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "leave", "leave", "leave",
+	"submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "burst", "leave", "leave", "leave",
 	"kill entry", "pause entry", "pause entry", "kill agent", "cut", "cut", "cut off", "drop", "drop back", "freeze", "reset",
 	"starts late", "starts unanswered", "stops lost", "stops late", "renewals unanswered", "silent", "unhealthy",
 	"restart worker", "drain", "out of service", "store down", "store cut", "store silent",
@@ -65,6 +65,10 @@
 	switch e.kind {
 	case "submit":
 		s.submit(e.entry, e.job)
+	case "burst": // more than the workers hold, so that jobs are refused
+		for range 15 {
+			s.submit(e.entry, e.job)
+		}
 	case "leave":
 		if n := len(s.jobs); n > 0 {
 			s.jobs[max(0, n-1-e.agent)].leave()
