--- a/agent/leased_session_test.go
+++ b/agent/leased_session_test.go
@@ -1,12 +1,15 @@
 package agent
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"chicorytray.example/chicorytray/internal/leasestub"
 	"chicorytray.example/chicorytray/lease"
+	"chicorytray.example/chicorytray/ledger"
 	"chicorytray.example/chicorytray/wire"
 )
 
@@ -156,3 +159,26 @@
 		r.expect(<-running, wire.OutcomeInterrupted, wire.ReasonLapsed)
 	})
 }
+
+// Guards against a start that is ordered after a pause of the agent in which the
+// task's session lapsed, because nothing looked for lapsed sessions meanwhile.
+func TestNoStartAfterAnUnnoticedLapse(t *testing.T) {
+	virtualLeased(t, leasedSetup{}, func(r *leasedRig, e *entryStub) {
+		a, m := r.agent, e.order("j", cores(8), leasestub.Spec{})
+		ctx, cancel := context.WithCancelCause(r.ctx)
+		defer cancel(nil)
+		id := taskID{ledger.OwnerOf(m.Session), wire.TaskKey{Session: m.Session.Number, Sequence: m.Sequence}}
+		a.mu.Lock()
+		a.tasks[id] = &task{taskID: id, session: m.Session, task: m.Task, began: time.Now(), cancel: cancel}
+		a.ledger.Lapse(time.Now().Add(time.Second), a.timing.Lapse.Of())
+		a.mu.Unlock()
+		_, refusal := a.leased.order(ctx, m.Task)
+		a.mu.Lock()
+		delete(a.tasks, id)
+		a.mu.Unlock()
+		r.Assert(refusal, qt.IsNotNil)
+		r.Check(refusal.Outcome, qt.Equals, wire.OutcomeNotRun)
+		r.Check(refusal.Reason, qt.Equals, wire.ReasonLapsed)
+		r.Check(r.started("j"), qt.Equals, 0)
+	})
+}
