wire: messages for durable jobs

Cause: section 14 of the design needs the ends of runs and requests for jobs to pass between the processes. Only types; nothing sends them yet.

--- a/wire/agent.go
+++ b/wire/agent.go
@@ -104,6 +104,13 @@
 	// of from any entry; negative when there is none. It shows an entry that
 	// cannot read the store that others can.
 	ReadAge time.Duration
+	// Adopted means that the agent has adopted its worker, so that every end
+	// there which is not acknowledged is in Unclaimed or belongs to an open
+	// session. Unclaimed has the oldest MaxUnclaimed of them.
+	Adopted   bool
+	Unclaimed []EndedRun
+	// MoreUnclaimed means that there are further ones.
+	MoreUnclaimed bool
 }
 
 // HeartbeatReply answers a HeartbeatRequest.
@@ -125,6 +132,10 @@
 	// for none. Only this extends the session of leased tasks, counted from
 	// the moment the heartbeat was sent.
 	Renews uint64
+	// Settled are the unclaimed ends that the agent may acknowledge to its
+	// worker. Voided are those that it may acknowledge only after the
+	// worker's lease has ended, because their tasks were started again.
+	Settled, Voided []EndedRun
 }
 
 // IntroduceRequest tells an agent of an entry. An agent that started while it
--- a/wire/entry.go
+++ b/wire/entry.go
@@ -13,6 +13,9 @@
 	DataCentres    []string // in which the sender heard a process within the suspect time
 	Demand         []AccountDemand
 	Stopping       bool
+	// Pending counts the sender's durable jobs of which no task has started,
+	// by template.
+	Pending map[string]int
 }
 
 // AccountDemand is the number of tasks a second that callers of a client
--- a/wire/task.go
+++ b/wire/task.go
@@ -46,6 +46,9 @@
 	Job  string
 	Step int
 	Spec string // for the worker; not interpreted
+	// Durable means that the end of the run is acknowledged to the worker
+	// only after the entry has acknowledged the result.
+	Durable bool
 }
 
 // Outcome of one task at an agent.
