--- a/wire/durable.go
+++ b/wire/durable.go
@@ -1,18 +1,21 @@
 package wire
 
 // EndedRun is the end of a run at a worker that the agent has not acknowledged.
-// Job, Step and Index name the task in the caller's terms; Number is the number
-// of its run at this worker.
+// Job, Step and Index name the task in the caller's terms.
 type EndedRun struct {
-	Job    string
-	Step   int
-	Index  int
-	Number uint64
+	Job   string
+	Step  int
+	Index int
+	Tag   RunTag
 	// Done or Failed; neither for a run that ended in another way, which has
 	// no result and does not count as an attempt.
 	Done, Failed bool
 }
 
+// RunTag is a hash of a worker's life, a task and the number of its run. It
+// tells whether the end of a run was applied already; 0 means none.
+type RunTag uint64
+
 // MaxUnclaimed bounds the unclaimed ends in one heartbeat. At about 40 bytes an
 // end they take 4 KB.
 const MaxUnclaimed = 100
--- a/wire/task.go
+++ b/wire/task.go
@@ -104,6 +104,7 @@
 	Detail   string
 	Response Response
 	Took     time.Duration // from start to whole answer at the agent
+	Tag      RunTag        // of the run of a durable job's task that ended done or failed
 }
 
 // Load is an agent's state as piggybacked on its messages.
