queue: make the order of waiting tasks a policy

Cause: section 13.7 of the design asks for orders other than urgency, to be compared with it. Ruled out: a second queue structure for the new orders. Objective, Remaining and Value use the same levels, classes and heaps, with all jobs in one account and two levels: those that later jobs may still pass, in the order of the policy, and those that they may not, by arrival.

Change: type Policy with Urgency (the default), Objective, Remaining and Value, each in its own file. The times at which a value falls are changes of the position like promotions, so the heap of promotions carries them and Next costs what it did.

Result: all earlier tests of the package pass unchanged. The loss property then runs for each policy. New are a table of each policy's order and a property of the bound on being passed; it fails for the three new policies when a job is moved an eighth of the time too late.

Under Urgency the bound on being passed holds only against jobs of the same account that arrive after half of the time, because its behaviour was to stay as it is; under the others it holds against all later jobs.

--- a/queue/order.go
+++ b/queue/order.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// level holds the waiting jobs of one urgency.
+// level holds the waiting jobs of one urgency. Policies that ignore urgency
+// have the levels levelFirst and levelRest.
 type level struct {
 	urgency int
 	classes map[string]*class
@@ -46,10 +47,15 @@
 // job is a Job with the state of its tasks.
 type job struct {
 	Job
-	urgency   int // after promotions
-	step      time.Duration
-	promoteAt time.Time
-	passed    time.Duration // limit of the part of the key that depends on work
+	urgency  int       // level in which the job waits; 0 is served first
+	changeAt time.Time // next change of the position that depends on time alone
+	// passed is the time after its arrival until which later jobs may pass
+	// the job: half of the time to its deadline, or Options.MaxPassed if that
+	// is shorter.
+	passed    time.Duration
+	step      time.Duration // waiting time that promotes by one urgency; Urgency only
+	objective time.Duration // after the arrival
+	worth     float64       // of its completion if it started now; Value only
 	arrived   time.Duration // since the queue's first job
 	arrival   uint64        // order of arrival
 	waiting   map[int]bool  // true: in front or back; false: given out
@@ -73,17 +79,19 @@
 	j.Urgency = max(j.Urgency, 0)
 	j.Expected = max(j.Expected, 0)
 	n := &job{
-		Job: j, urgency: j.Urgency,
-		step: q.options.AgingStep, passed: q.options.MaxPassed,
-		arrived: j.Arrived.Sub(q.epoch), arrival: q.arrivals,
+		Job:       j,
+		passed:    q.options.MaxPassed,
+		objective: min(j.Objective, MaxObjective),
+		arrived:   j.Arrived.Sub(q.epoch), arrival: q.arrivals,
 		waiting: make(map[int]bool),
 	}
 	if !j.Deadline.IsZero() {
-		half := max(j.Deadline.Sub(j.Arrived)/2, 0)
-		n.passed = min(n.passed, half)
-		n.step = min(n.step, half/time.Duration(max(j.Urgency, 1)))
+		n.passed = min(n.passed, max(j.Deadline.Sub(j.Arrived)/2, 0))
 	}
-	n.promoteAt = j.Arrived.Add(n.step)
+	if n.objective <= 0 {
+		n.objective = n.passed
+	}
+	q.options.Policy.enter(n, q.options)
 	return n
 }
 
@@ -104,21 +112,6 @@
 	return index
 }
 
-// key orders the jobs of an account. Arrival and work are added, so a waiting
-// job gains on every later one at the same speed and the order of two jobs
-// changes only when their work does.
-func (j *job) key() time.Duration {
-	remaining := time.Duration(j.queued()) * j.Expected
-	return j.arrived + min(remaining, j.passed)
-}
-
-func jobLess(a, b *job) bool {
-	if ka, kb := a.key(), b.key(); ka != kb {
-		return ka < kb
-	}
-	return a.arrival < b.arrival
-}
-
 func shareLess(a, b *share) bool {
 	if a.account.attained != b.account.attained {
 		return a.account.attained < b.account.attained
@@ -139,11 +132,11 @@
 
 // best returns the share to serve, or nil if no class of the level has room.
 // Classes that could not come first are not asked for.
-func (l *level) best(call uint64, feasible func(class string) bool) *share {
+func (l *level) best(call uint64, feasible func(class string) bool, less func(a, b *job) bool) *share {
 	var best *share
 	for _, c := range l.list {
 		s := c.shares.top()
-		if best != nil && !before(s, best) {
+		if best != nil && !before(s, best, less) {
 			continue
 		}
 		if c.room.ask(call, feasible) {
@@ -154,11 +147,11 @@
 }
 
 // before orders the first shares of two classes.
-func before(a, b *share) bool {
+func before(a, b *share, less func(a, b *job) bool) bool {
 	if a.account != b.account {
 		return shareLess(a, b)
 	}
-	return jobLess(a.jobs.top(), b.jobs.top())
+	return less(a.jobs.top(), b.jobs.top())
 }
 
 // attach puts a job with waiting tasks where its urgency, class and account
@@ -203,14 +196,14 @@
 
 func (q *Queue) shareOf(j *job) *share {
 	c := q.classOf(j)
-	a := q.accountOf(j.Account)
+	a := q.accountOf(q.options.Policy.account(j))
 	for _, s := range a.shares {
 		if s.class == c {
 			return s
 		}
 	}
 	s := &share{account: a, class: c, jobs: heap[*job]{
-		less:     jobLess,
+		less:     q.jobLess,
 		position: func(j *job) *int { return &j.shareIndex },
 	}}
 	a.shares = append(a.shares, s)
@@ -321,8 +314,8 @@
 	}
 }
 
-// advance promotes the jobs whose time has come and takes out those whose
-// deadline passed.
+// advance applies the changes of the order that are due and takes out the jobs
+// whose deadline passed.
 func (q *Queue) advance(now time.Time) {
 	for q.expiry.len() > 0 && !q.expiry.top().Deadline.After(now) {
 		j := q.expiry.top()
@@ -330,17 +323,10 @@
 		j.expired = true
 		q.expired[j.ID] = true
 	}
-	for q.aging.len() > 0 && !q.aging.top().promoteAt.After(now) {
-		q.promote(q.aging.top(), now)
+	for q.aging.len() > 0 && !q.aging.top().changeAt.After(now) {
+		j := q.aging.top()
+		q.detach(j)
+		q.options.Policy.change(j, now)
+		q.attach(j)
 	}
 }
-
-// promote moves a job as many steps as its waiting time allows.
-func (q *Queue) promote(j *job, now time.Time) {
-	q.detach(j)
-	for j.urgency > 0 && !j.promoteAt.After(now) {
-		j.urgency--
-		j.promoteAt = j.promoteAt.Add(j.step)
-	}
-	q.attach(j)
-}
--- a/queue/property_test.go
+++ b/queue/property_test.go
@@ -41,8 +41,14 @@
 // Guards against a task that is lost or given out twice, whatever the order of
 // operations, and against counters that drift from what waits.
 func TestNoTaskIsLostOrGivenTwice(t *testing.T) {
+	for _, policy := range queue.Policies() {
+		t.Run(policy.Name(), func(t *testing.T) { noTaskIsLostOrGivenTwice(t, policy) })
+	}
+}
+
+func noTaskIsLostOrGivenTwice(t *testing.T, policy queue.Policy) {
 	rapid.Check(t, func(t *rapid.T) {
-		q := queue.New(queue.Options{})
+		q := queue.New(queue.Options{Policy: policy})
 		m := &model{jobs: map[string]queue.Job{}, waiting: map[queue.TaskRef]bool{}, given: map[queue.TaskRef]bool{}, reported: map[string]bool{}}
 		ids := rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f"})
 		t.Repeat(map[string]func(*rapid.T){
@@ -54,7 +60,9 @@
 						ID: id, Account: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "account"),
 						Class:   rapid.SampledFrom([]string{"p", "q"}).Draw(t, "class"),
 						Urgency: rapid.IntRange(0, 3).Draw(t, "urgency"), Arrived: at(m.now),
-						Expected: time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond,
+						Expected:  time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond,
+						Objective: time.Duration(rapid.IntRange(0, 3).Draw(t, "objective")) * time.Second,
+						MilliCPU:  int64(rapid.IntRange(0, 2000).Draw(t, "cpu")), Value: float64(rapid.IntRange(0, 3).Draw(t, "value")),
 					}
 					if rapid.Bool().Draw(t, "limited") {
 						j.Deadline = at(m.now + time.Duration(rapid.IntRange(1, 9).Draw(t, "deadline"))*time.Second)
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -1,6 +1,6 @@
 // Package queue keeps waiting tasks and says which one is next.
 //
-// The order is
+// The order is a Policy. That of Urgency, the default, is
 //
 //  1. urgency: 0 before 1. A waiting job is promoted by one step each
 //     Options.AgingStep, and sooner if needed to reach urgency 0 by half of
@@ -13,6 +13,9 @@
 //     by later ones for at most half of its time to the deadline, or
 //     Options.MaxPassed if that is shorter.
 //
+// Objective, Remaining and Value ignore urgency and accounts. Under each of
+// them, later jobs pass a job for at most the time given in 3.
+//
 // Tasks of one class have the same placement constraints. Next asks once for
 // each class that could come next whether there is room, and skips all jobs of
 // a class without room at once. Its cost grows with the number of classes that
@@ -58,8 +61,9 @@
 
 // Options of a Queue. A zero field takes its default.
 type Options struct {
+	Policy    Policy        // order of the tasks; nil is Urgency
 	AgingStep time.Duration // waiting time that promotes a job by one urgency
-	MaxPassed time.Duration // longest time for which later, smaller jobs of the account pass a job
+	MaxPassed time.Duration // longest time for which later jobs pass a job; under Urgency, those of the account
 	MaxCredit time.Duration // work that an account without room can save up
 }
 
@@ -80,6 +84,11 @@
 	// means none.
 	Deadline time.Time
 	Expected time.Duration // learned duration of one task
+	// Objective is the time from the arrival in which the job is to end; 0
+	// takes half of the time to the deadline. At most MaxObjective.
+	Objective time.Duration
+	MilliCPU  int64   // of one task, in thousandths of a core; 0 counts as one core
+	Value     float64 // of the job's completion, relative to other jobs; 0 counts as 1
 }
 
 // Queue holds the waiting tasks.
@@ -99,10 +108,14 @@
 	rooms    map[string]*room
 	calls    uint64 // of Next
 	sweepAt  int    // number of accounts at which idle ones are forgotten
+	jobLess  func(a, b *job) bool
 }
 
 // New returns an empty queue.
 func New(o Options) *Queue {
+	if o.Policy == nil {
+		o.Policy = Urgency{}
+	}
 	if o.AgingStep <= 0 {
 		o.AgingStep = DefaultAgingStep
 	}
@@ -119,8 +132,9 @@
 		expired:  make(map[string]bool),
 		rooms:    make(map[string]*room),
 		sweepAt:  minSweep,
+		jobLess:  o.Policy.less,
 		aging: heap[*job]{
-			less:     func(a, b *job) bool { return a.promoteAt.Before(b.promoteAt) },
+			less:     func(a, b *job) bool { return a.changeAt.Before(b.changeAt) },
 			position: func(j *job) *int { return &j.agingIndex },
 		},
 		expiry: heap[*job]{
@@ -173,7 +187,7 @@
 	q.advance(now)
 	q.calls++
 	for _, l := range q.levels {
-		if s := l.best(q.calls, feasible); s != nil {
+		if s := l.best(q.calls, feasible, q.jobLess); s != nil {
 			return q.take(s), true
 		}
 	}
@@ -189,7 +203,8 @@
 	index := j.pop()
 	j.waiting[index] = false
 	q.added(j, -1)
-	// With less work left, the job stays the first of its account.
+	// With less work left, the job stays the first of its account under
+	// every policy.
 	if j.queued() == 0 {
 		q.detach(j)
 	}
@@ -243,7 +258,8 @@
 func (q *Queue) Work() time.Duration { return q.work }
 
 // MostUrgent returns the urgency of the first waiting task, promotions by
-// aging included.
+// aging included. Under policies that ignore urgency it is 0 if later jobs may
+// not pass a waiting job any more, else 1.
 func (q *Queue) MostUrgent() (urgency int, ok bool) {
 	if len(q.levels) == 0 {
 		return 0, false
--- a/queue/state.go
+++ b/queue/state.go
@@ -15,13 +15,15 @@
 	Accounts []AccountState `json:"accounts"`
 }
 
-// LevelState counts the waiting jobs of one urgency, promotions included.
+// LevelState counts the waiting jobs of one urgency, promotions included; see
+// MostUrgent for policies that ignore urgency.
 type LevelState struct {
 	Urgency int            `json:"urgency"`
 	Classes map[string]int `json:"jobs_by_class"`
 }
 
-// AccountState says how much an account attained and has waiting.
+// AccountState says how much an account attained and has waiting. Policies
+// that ignore accounts count all jobs under the empty name.
 type AccountState struct {
 	Name     string  `json:"name"`
 	Attained float64 `json:"attained_s"` // seconds of work
--- /dev/null
+++ b/queue/value.go
@@ -0,0 +1,71 @@
+package queue
+
+import "time"
+
+// The value of a job by the time of its end; section 13.1 of docs/design.md.
+const (
+	// LateWorth is the part of its value that a job earns after its objective.
+	LateWorth = 0.2
+	// WorthlessAfter times its objective a job earns nothing.
+	WorthlessAfter = 3
+)
+
+// milliPerCore is the number of thousandths of a core.
+const milliPerCore = 1000
+
+// Worth returns the part of its value that a job earns when it ends that long
+// after its arrival, 0 to 1. The objective is at most MaxObjective.
+func Worth(response, objective time.Duration) float64 {
+	switch {
+	case response <= objective:
+		return 1
+	case response <= WorthlessAfter*objective:
+		return LateWorth
+	}
+	return 0
+}
+
+// Value takes the next task from the job with the highest value for each
+// core-second of its remaining work. The value is the one at the job's expected
+// completion if all its waiting tasks start now.
+type Value struct{ unranked }
+
+// Name implements Policy.
+func (Value) Name() string { return "value" }
+
+func (v Value) enter(j *job, o Options) {
+	if j.Value <= 0 {
+		j.Value = 1
+	}
+	if j.MilliCPU <= 0 {
+		j.MilliCPU = milliPerCore
+	}
+	v.unranked.enter(j, o)
+	v.change(j, j.Arrived)
+}
+
+func (v Value) change(j *job, now time.Time) {
+	v.unranked.change(j, now)
+	j.worth = j.Value * Worth(now.Sub(j.Arrived)+j.Expected, j.objective)
+	for _, lasts := range []time.Duration{j.objective, WorthlessAfter * j.objective} {
+		// A job that ends exactly at the limit still earns the value before it.
+		falls := j.Arrived.Add(lasts - j.Expected + 1)
+		if falls.After(now) && falls.Before(j.changeAt) {
+			j.changeAt = falls
+		}
+	}
+}
+
+func (Value) less(a, b *job) bool {
+	density, densityB := a.worth/a.coreTime(), b.worth/b.coreTime()
+	if a.urgency == levelFirst || density == densityB {
+		return arrivedBefore(a, b)
+	}
+	return density > densityB
+}
+
+// coreTime is the remaining work in thousandths of a core times nanoseconds. A
+// task without an expected duration counts as 1 ns.
+func (j *job) coreTime() float64 {
+	return float64(j.queued()) * float64(max(j.Expected, 1)) * float64(j.MilliCPU)
+}
