entry, settings, config: choose the order of waiting tasks by a setting

Cause: the policies of package queue had no way into an entry. Ruled out: settings that import queue.

Change: entry setting `order` (urgency, objective, remaining, value; default urgency; others are rejected with the accepted names), optional template field `value` for every kind (0 to 1,000,000, where 0 counts as 1). The entry hands the objective, the cores of a task and the value to the queue.

Conclusion: an entry without the setting behaves as before.

--- a/config/document.go
+++ b/config/document.go
@@ -92,6 +92,9 @@
 	// ExpectedMS is the declared duration of one task in milliseconds. It is
 	// a hint; durations are learned.
 	ExpectedMS int64 `json:"expected_ms,omitempty"`
+	// Value of a job relative to jobs of other templates, for entries whose
+	// order is "value"; 0 counts as 1.
+	Value float64 `json:"value,omitempty"`
 	// Pool of workers that run the tasks; KindLeased only.
 	Pool string `json:"pool,omitempty"`
 	// MaxAttempts of a task that fails, at least 1; KindLeased only.
--- a/config/validate.go
+++ b/config/validate.go
@@ -21,6 +21,8 @@
 	MaxDeadlineMS = 3_600_000
 	// MaxDelayMS is the largest delay between data centres, in milliseconds.
 	MaxDelayMS = 10_000
+	// MaxValue is the largest relative value of a job.
+	MaxValue = 1e6
 	// MaxTasksPerJobLimit is the largest limit on tasks of one job.
 	MaxTasksPerJobLimit = 10_000
 	// MaxQueuedTasksLimit is the largest limit on queued tasks; an entry
@@ -152,6 +154,8 @@
 	}
 	v.check(0 <= t.ExpectedMS && t.ExpectedMS <= longest, path+".expected_ms",
 		"%d is not accepted; give 0 to deadline_ms", t.ExpectedMS)
+	v.check(0 <= t.Value && t.Value <= MaxValue, path+".value",
+		"%v is not accepted; give 0 to %v, where 0 counts as 1", t.Value, int64(MaxValue))
 	v.leased(path, t)
 	v.tasks(path, t, maxTasks)
 }
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -96,7 +96,7 @@
 		self: e.self, timing: e.settings.Timing, limits: e.settings.Limits, log: e.log, metrics: e.metrics, dial: e.dial,
 		events: make(chan event, eventBuffer), ended: make(chan struct{}),
 		confirm: e.confirm, peers: e.peers.entries,
-		queue: queue.New(queue.Options{}), table: placement.NewTable(policyOf(e.settings.Placement)),
+		queue: queue.New(queue.Options{Policy: orderOf(e.settings.Order)}), table: placement.NewTable(policyOf(e.settings.Placement)),
 		admission: admission.New(admission.Options{MaxQueuedTasks: math.MaxInt}),
 		shares:    quota.New(quota.Options{Self: e.self.ID, Interval: e.settings.Timing.PeerHeartbeat.Of()}),
 		durations: estimate.New(estimate.Options{}), detector: ejection.New(ejection.Options{}),
@@ -118,6 +118,16 @@
 	return placement.IdleFirst{}
 }
 
+// orderOf returns the order of waiting tasks of that name in the settings.
+func orderOf(name string) queue.Policy {
+	for _, p := range queue.Policies() {
+		if p.Name() == name {
+			return p
+		}
+	}
+	return queue.Urgency{}
+}
+
 // spawn makes calls to an agent on a goroutine of their own.
 func (d *dispatcher) spawn(f func(ctx context.Context)) {
 	d.calls.Go(func() { f(d.ctx) })
--- a/entry/leased.go
+++ b/entry/leased.go
@@ -25,6 +25,7 @@
 	asked   workload
 	callers int // submissions that wait for the answer
 
+	objective time.Duration // of the response time, from the arrival
 	// worthless is when the job is given up if no task has started. One that
 	// has started goes on to its deadline: "failed" would not be true of it,
 	// and a caller that is told nothing else sends it again from the start.
@@ -169,9 +170,11 @@
 	if s.expected > 0 {
 		j.expected = d.durations.Blended(j.template.Name, s.expected)
 	}
-	j.leased.worthless = j.arrived.Add(giveUpAfter(j.template, s.deadline, jobWork{
-		expected: j.expected, tasks: j.count, milliCPU: j.class.Needs.MilliCPU, poolMilliCPU: d.table.KnownMilliCPU(j.class),
-	}))
+	work := Work{
+		Expected: j.expected, Tasks: j.count, MilliCPU: j.class.Needs.MilliCPU, PoolMilliCPU: d.table.KnownMilliCPU(j.class),
+	}
+	j.leased.objective = Objective(j.template, work)
+	j.leased.worthless = j.arrived.Add(GiveUpAfter(j.template, s.deadline, work))
 	return j
 }
 
--- a/entry/objective.go
+++ b/entry/objective.go
@@ -5,11 +5,10 @@
 	"time"
 
 	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/queue"
 )
 
 const (
-	// abandonAfter times its objective a job is worth nothing.
-	abandonAfter = 3
 	// estimateMargin of the expected duration is added before a job is given
 	// up, because estimates are off by 40 %.
 	estimateMargin = 0.5
@@ -17,30 +16,40 @@
 	poolShare = 0.25
 )
 
-// jobWork is the work of a job.
-type jobWork struct {
-	expected     time.Duration // of one task
-	tasks        int
-	milliCPU     int64 // of one task, in thousandths of a core
-	poolMilliCPU int64 // of the pool; 0 when no agent of it is known
+// Work is the work of a job of leased tasks.
+type Work struct {
+	Expected     time.Duration // of one task
+	Tasks        int
+	MilliCPU     int64 // of one task, in thousandths of a core
+	PoolMilliCPU int64 // of the pool; 0 when no agent of it is known
 }
 
 // waves returns how many times in turn the tasks take their share of the pool.
-func (w jobWork) waves() float64 {
-	if w.poolMilliCPU <= 0 {
+func (w Work) waves() float64 {
+	if w.PoolMilliCPU <= 0 {
 		return 1
 	}
-	return max(1, math.Ceil(float64(w.tasks)*float64(w.milliCPU)/(poolShare*float64(w.poolMilliCPU))))
+	return max(1, math.Ceil(float64(w.Tasks)*float64(w.MilliCPU)/(poolShare*float64(w.PoolMilliCPU))))
 }
 
 // objective of the response time, in nanoseconds.
-func objective(t *config.Template, w jobWork) float64 {
-	return t.SlackFactor*float64(w.expected)*w.waves() + float64(t.TargetMS)*float64(time.Millisecond)
+func objective(t *config.Template, w Work) float64 {
+	return t.SlackFactor*float64(w.Expected)*w.waves() + float64(t.TargetMS)*float64(time.Millisecond)
 }
 
-// giveUpAfter returns the time from a job's arrival at which it is given up.
-func giveUpAfter(t *config.Template, deadline time.Duration, w jobWork) time.Duration {
-	worthless := abandonAfter*objective(t, w) + estimateMargin*float64(w.expected)
+// Objective returns the response time within which a job earns its full value,
+// at most queue.MaxObjective.
+func Objective(t *config.Template, w Work) time.Duration {
+	if o := objective(t, w); o < float64(queue.MaxObjective) {
+		return time.Duration(o)
+	}
+	return queue.MaxObjective
+}
+
+// GiveUpAfter returns the time from a job's arrival at which it is given up if
+// none of its tasks has started.
+func GiveUpAfter(t *config.Template, deadline time.Duration, w Work) time.Duration {
+	worthless := queue.WorthlessAfter*objective(t, w) + estimateMargin*float64(w.Expected)
 	if worthless >= float64(deadline) {
 		return deadline
 	}
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -76,10 +76,15 @@
 	for i := range indexes {
 		indexes[i] = i
 	}
-	d.queue.Add(d.now, queue.Job{
+	waiting := queue.Job{
 		ID: j.id, Account: j.account, Class: j.queueClass.Name, Urgency: j.template.Urgency,
 		Arrived: j.arrived, Deadline: j.deadline, Expected: j.expected,
-	}, indexes)
+		MilliCPU: j.class.Needs.MilliCPU, Value: j.template.Value,
+	}
+	if j.leased != nil {
+		waiting.Objective = j.leased.objective
+	}
+	d.queue.Add(d.now, waiting, indexes)
 }
 
 // cancel ends a job on request. The answer waits until it is known which of
--- a/settings/load.go
+++ b/settings/load.go
@@ -79,6 +79,7 @@
 		Limits:    DefaultLimits(),
 		Codec:     CodecGob,
 		Placement: PlacementIdleFirst,
+		Order:     OrderUrgency,
 		Log:       Log{Level: "info"},
 	}
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -34,6 +34,7 @@
 	c.Check(e.Timing, qt.Equals, DefaultTiming())
 	c.Check(e.Limits, qt.Equals, DefaultLimits())
 	c.Check(e.Codec, qt.Equals, "gob")
+	c.Check(e.Order, qt.Equals, "urgency")
 	c.Check(e.Log.Level, qt.Equals, "info")
 	a, err := parseAgent("a.json", []byte(with(minimalAgent, `"timing":{"reconcile":"7s"},"queue_limit":0`)))
 	c.Assert(err, qt.IsNil)
@@ -86,6 +87,7 @@
 		{"peer certificate without CA", with(minimalEntry, `"peer_tls":{"cert_file":"c","key_file":"k"}`), "peer_tls.ca_file"},
 		{"codec", with(minimalEntry, `"codec":"json"`), "codec"},
 		{"placement", with(minimalEntry, `"placement":"best"`), "placement"},
+		{"order", with(minimalEntry, `"order":"arrival"`), "order"},
 		{"level", with(minimalEntry, `"log":{"level":"loud"}`), "log.level"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/settings/types.go
+++ b/settings/types.go
@@ -22,6 +22,19 @@
 	PlacementIdleFirst = "idle_first"
 )
 
+// Orders in which an entry gives out waiting tasks.
+const (
+	OrderUrgency   = "urgency"
+	OrderObjective = "objective"
+	OrderRemaining = "remaining"
+	OrderValue     = "value"
+)
+
+// Orders returns the accepted names of orders, the default first.
+func Orders() []string {
+	return []string{OrderUrgency, OrderObjective, OrderRemaining, OrderValue}
+}
+
 // Placements returns the accepted names of placement policies.
 func Placements() []string {
 	return []string{PlacementIdleFirst, PlacementRandom}
@@ -119,6 +132,8 @@
 	Codec  string   `json:"codec"` // "gob" (default) or "msgpack"
 	// Placement is the policy that chooses an agent. Default "idle_first".
 	Placement string `json:"placement"`
+	// Order of waiting tasks. Default "urgency".
+	Order     string `json:"order"`
 	CallerTLS TLS    `json:"caller_tls"`
 	PeerTLS   TLS    `json:"peer_tls"`
 	Log       Log    `json:"log"`
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -46,6 +46,7 @@
 	ps.limits(e.Limits)
 	ps.oneOf("codec", e.Codec, CodecGob, CodecMsgpack)
 	ps.oneOf("placement", e.Placement, Placements()...)
+	ps.oneOf("order", e.Order, Orders()...)
 	ps.tls("caller_tls", e.CallerTLS, false)
 	ps.tls("peer_tls", e.PeerTLS, true)
 	ps.oneOf("log.level", e.Log.Level, "debug", "info", "warn", "error")
