dev: compare the orders of waiting tasks by simulation

Cause: section 13.7 asks for a deterministic comparison under the loads of the users' platform. Ruled out: the load tool, which runs real processes in real time and gives other figures each time.

Change: chicorytray-dev orders simulates one entry's queue and a pool of 11 workers with the real packages queue, placement, admission and the entry's rules of the objective and of giving up. It writes one table for each load with mean, lowest and highest over the seeds, and says which orders earn more than urgency by more than the spread.

Conclusion: the orders can be compared with one command.

--- a/cmd/chicorytray-dev/main.go
+++ b/cmd/chicorytray-dev/main.go
@@ -23,7 +23,7 @@
 func run(args []string) int {
 	flags := flag.NewFlagSet("chicorytray-dev", flag.ContinueOnError)
 	c := subcommands.NewCommander(flags, "chicorytray-dev")
-	verbs := []subcommands.Command{&demoCommand{}, &loadCommand{}, &capacityCommand{}, &capacityChildCommand{},
+	verbs := []subcommands.Command{&demoCommand{}, &loadCommand{}, &ordersCommand{}, &capacityCommand{}, &capacityChildCommand{},
 		&storeCommand{}, &upstreamCommand{},
 		c.HelpCommand(), c.FlagsCommand()}
 	names := map[string]bool{"-h": true, "-help": true, "--help": true}
--- a/cmd/chicorytray-dev/main_test.go
+++ b/cmd/chicorytray-dev/main_test.go
@@ -21,6 +21,8 @@
 		{"load", "-policy", "pull"},
 		{"load", "-events", "out:anping@5s"},
 		{"load", "extra"},
+		{"orders", "-seeds", "4"},
+		{"orders", "-duration", "11s"},
 		{"store", "extra"},
 		{"upstream", "-slots", "0"},
 		{"upstream", "-service", "0s"},
--- /dev/null
+++ b/cmd/chicorytray-dev/orders.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"chicorytray.example/chicorytray/internal/dev/orders"
+)
+
+// Bounds of the flags of the orders verb. Fewer seeds say nothing about the
+// spread; windows of 2 s have to fit the duration.
+const (
+	minOrderSeeds, maxOrderSeeds       = 5, 1000
+	minOrderDuration, maxOrderDuration = 10 * time.Second, time.Hour
+	orderStep                          = 2 * time.Second
+)
+
+// ordersCommand compares the orders of waiting tasks.
+type ordersCommand struct{ o orders.Options }
+
+func (*ordersCommand) Name() string { return "orders" }
+func (*ordersCommand) Synopsis() string {
+	return "compare the orders of waiting tasks by simulation"
+}
+func (*ordersCommand) Usage() string {
+	return `chicorytray-dev orders [flags]
+Prints a table for each load, with the mean (lowest to highest) over the seeds.
+The same flags always print the same.
+`
+}
+
+// SetFlags defines the flags.
+func (c *ordersCommand) SetFlags(f *flag.FlagSet) {
+	f.DurationVar(&c.o.Duration, "duration", time.Minute, "simulated time during which jobs arrive, a multiple of 2s")
+	f.IntVar(&c.o.Seeds, "seeds", minOrderSeeds, "number of seeds")
+	f.BoolVar(&c.o.Admission, "admission", true, "refuse jobs as an entry does")
+}
+
+// Execute runs the verb.
+func (c *ordersCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := c.check(); err != nil || f.NArg() > 0 {
+		return usage(f, err)
+	}
+	if err := orders.Run(ctx, c.o, os.Stdout); err != nil {
+		return failure(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *ordersCommand) check() error {
+	if d := c.o.Duration; d < minOrderDuration || d > maxOrderDuration || d%orderStep != 0 {
+		return fmt.Errorf("duration %s; accepted: %s to %s in steps of %s", d, minOrderDuration, maxOrderDuration, orderStep)
+	}
+	if c.o.Seeds < minOrderSeeds || c.o.Seeds > maxOrderSeeds {
+		return fmt.Errorf("seeds %d; accepted: %d to %d", c.o.Seeds, minOrderSeeds, maxOrderSeeds)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/dev/orders/orders_test.go
@@ -0,0 +1,51 @@
+package orders
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/queue"
+)
+
+// Guards against a comparison that depends on anything but its options, such as
+// the order of a map, and against one that stops half-way and looks complete.
+func TestTheSameSeedsGiveTheSameTables(t *testing.T) {
+	c := qt.New(t)
+	var first, second strings.Builder
+	o := Options{Duration: 4 * time.Second, Seeds: 2, Admission: true}
+	c.Assert(Run(context.Background(), o, &first), qt.IsNil)
+	c.Assert(Run(context.Background(), o, &second), qt.IsNil)
+	c.Assert(first.String(), qt.Equals, second.String())
+	c.Assert(strings.Count(first.String(), "| measure |"), qt.Equals, len(Scenarios()))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	c.Assert(Run(ctx, o, &first), qt.ErrorIs, context.Canceled)
+}
+
+// Guards against a load other than the one named, a job that is lost, and work
+// that the pool could not have done.
+func TestEveryJobEndsWithinThePool(t *testing.T) {
+	const duration, cores = 10 * time.Second, workers * workerMilliCPU / milliPerCore
+	for _, sc := range Scenarios() {
+		for _, p := range queue.Policies() {
+			jobs, offered, spent := sc.arrivals(duration, 1), 0.0, 0.0
+			qt.Assert(t, simulate(context.Background(), p, jobs, 1, false), qt.IsNil)
+			for _, j := range jobs {
+				offered += j.coreSeconds()
+				spent += j.spent
+				whole := j.completed >= j.ideal() && j.completed <= j.deadline && j.open == 0
+				partial := j.completed == 0 && (j.open > 0 || !j.started)
+				qt.Assert(t, j.ended && (whole || partial), qt.IsTrue, qt.Commentf("%s, %s: %+v", sc.Name, p.Name(), j))
+			}
+			if sc.Burst == 1 {
+				load := offered / duration.Seconds() / cores
+				qt.Check(t, load > 0.9*sc.Load && load < 1.1*sc.Load, qt.IsTrue, qt.Commentf("%s: %.3f", sc.Name, load))
+			}
+			qt.Check(t, spent <= cores*(duration+mostDeadline).Seconds(), qt.IsTrue, qt.Commentf("%s, %s", sc.Name, p.Name()))
+		}
+	}
+}
--- /dev/null
+++ b/internal/dev/orders/report.go
@@ -0,0 +1,180 @@
+package orders
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"time"
+
+	"chicorytray.example/chicorytray/queue"
+)
+
+// window is the length of the intervals of which the worst is reported.
+const window = 2 * time.Second
+
+// Options of a comparison.
+type Options struct {
+	Duration  time.Duration // of the arrivals, a multiple of 2 s
+	Seeds     int           // the seeds are 1 to Seeds
+	Admission bool          // refuse jobs as an entry does; else accept all
+}
+
+// measures of one run, in the order of measureNames.
+type measures [8]float64
+
+const (
+	wholeShare = iota
+	worstWindow
+	worstKind
+	medianRatio
+	highRatio
+	goodput
+	discarded
+	refusedShare
+)
+
+var measureNames = [len(measures{})]string{
+	"value earned, whole run", "value earned, worst 2 s", "value earned, worst kind", "response over ideal, median",
+	"response over ideal, p99", "goodput, core-s/s", "discarded, core-s", "not started, share of jobs",
+}
+
+// Run compares all orders under all loads and writes a table for each load.
+func Run(ctx context.Context, o Options, w io.Writer) error {
+	for i, sc := range Scenarios() {
+		results := make(map[string][]measures)
+		for seed := range uint64(o.Seeds) {
+			for _, p := range queue.Policies() {
+				jobs := sc.arrivals(o.Duration, seed+1)
+				if err := simulate(ctx, p, jobs, seed+1, o.Admission); err != nil {
+					return err
+				}
+				results[p.Name()] = append(results[p.Name()], measure(jobs, o.Duration))
+			}
+		}
+		if i > 0 {
+			fmt.Fprintln(w)
+		}
+		if err := writeTable(w, sc, results); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// share of an offered value.
+type share struct{ earned, offered float64 }
+
+func (s *share) add(earned float64) {
+	s.earned += earned
+	s.offered++
+}
+
+// worst returns the lowest part that was earned.
+func worst(shares []share) float64 {
+	lowest := 1.0
+	for _, s := range shares {
+		if s.offered > 0 {
+			lowest = min(lowest, s.earned/s.offered)
+		}
+	}
+	return lowest
+}
+
+// measure sums up a run. All jobs have the value 1 and count in the window in
+// which they arrived. Goodput is the work of the jobs that completed while others
+// arrived, discarded is the work for jobs that earned nothing.
+func measure(jobs []*job, duration time.Duration) measures {
+	var m measures
+	var whole share
+	windows, byKind := make([]share, duration/window), make([]share, len(kinds))
+	var ratios []float64
+	for _, j := range jobs {
+		earned := 0.0
+		if j.completed > 0 {
+			earned = queue.Worth(j.completed, j.objective)
+			ratios = append(ratios, j.completed.Seconds()/j.ideal().Seconds())
+			if j.arrived+j.completed <= duration { // later ones had the pool to themselves
+				m[goodput] += j.coreSeconds() / duration.Seconds()
+			}
+		}
+		if earned == 0 {
+			m[discarded] += j.spent
+		}
+		if !j.started {
+			m[refusedShare] += 1 / float64(len(jobs))
+		}
+		whole.add(earned)
+		windows[j.arrived/window].add(earned)
+		byKind[j.kind].add(earned)
+	}
+	m[wholeShare], m[worstWindow], m[worstKind] = worst([]share{whole}), worst(windows), worst(byKind)
+	slices.Sort(ratios)
+	m[medianRatio], m[highRatio] = quantile(ratios, 0.5), quantile(ratios, 0.99)
+	return m
+}
+
+// quantile of sorted values; 0 of none.
+func quantile(sorted []float64, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[max(int(math.Ceil(q*float64(len(sorted))))-1, 0)]
+}
+
+// spread is the mean of one measure over the seeds, its lowest and highest.
+type spread struct{ mean, low, high float64 }
+
+func spreadOf(runs []measures, measure int) spread {
+	s := spread{low: math.Inf(1), high: math.Inf(-1)}
+	for _, r := range runs {
+		s.mean += r[measure] / float64(len(runs))
+		s.low, s.high = min(s.low, r[measure]), max(s.high, r[measure])
+	}
+	return s
+}
+
+// exceeds reports whether the means differ by more than either spread.
+func (s spread) exceeds(o spread) bool {
+	return s.mean-o.mean > max(s.high-s.low, o.high-o.low)
+}
+
+func (s spread) String() string {
+	digits := 3
+	if s.high >= 100 {
+		digits = 0
+	}
+	return fmt.Sprintf("%.*f (%.*f to %.*f)", digits, s.mean, digits, s.low, digits, s.high)
+}
+
+// writeTable writes the measures of each order, mean (lowest to highest).
+func writeTable(w io.Writer, sc Scenario, results map[string][]measures) error {
+	policies := queue.Policies()
+	fmt.Fprintf(w, "%s:\n\n| measure |", sc.Name)
+	rule := "|---|"
+	for _, p := range policies {
+		fmt.Fprintf(w, " %s |", p.Name())
+		rule += "---|"
+	}
+	fmt.Fprintf(w, "\n%s\n", rule)
+	for i, name := range measureNames {
+		fmt.Fprintf(w, "| %s |", name)
+		for _, p := range policies {
+			fmt.Fprintf(w, " %s |", spreadOf(results[p.Name()], i))
+		}
+		fmt.Fprintln(w)
+	}
+	standard := results[policies[0].Name()]
+	fmt.Fprintf(w, "| earns more than %s by more than the spread, whole run / worst 2 s |", policies[0].Name())
+	for _, p := range policies {
+		runs := results[p.Name()]
+		fmt.Fprintf(w, " %s / %s |", yes(spreadOf(runs, wholeShare).exceeds(spreadOf(standard, wholeShare))),
+			yes(spreadOf(runs, worstWindow).exceeds(spreadOf(standard, worstWindow))))
+	}
+	_, err := fmt.Fprintln(w)
+	return err
+}
+
+func yes(b bool) string { return cmp.Or(map[bool]string{true: "yes"}[b], "no") }
--- /dev/null
+++ b/internal/dev/orders/simulation.go
@@ -0,0 +1,258 @@
+package orders
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"time"
+
+	"chicorytray.example/chicorytray/admission"
+	"chicorytray.example/chicorytray/entry"
+	"chicorytray.example/chicorytray/placement"
+	"chicorytray.example/chicorytray/queue"
+)
+
+// epoch is the begin of every run.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// job is one job of a run.
+type job struct {
+	id                string
+	kind              int
+	arrived, deadline time.Duration // since the begin; since the arrival
+	class             placement.Class
+	tasks             []task
+
+	objective time.Duration // since the arrival
+	open      int           // tasks that have not ended
+	started   bool
+	ended     bool
+	completed time.Duration // response time; 0 if the job did not complete
+	spent     float64       // core-seconds
+	racks     placement.Spread
+}
+
+// task of a job.
+type task struct {
+	duration time.Duration
+	agent    string // where it runs; empty while it does not
+	began    time.Duration
+}
+
+// expected duration of a task.
+func (j *job) expected() time.Duration { return kinds[j.kind].mean }
+
+// work of one task, in thousandths of a core times nanoseconds.
+func (j *job) work() float64 { return float64(j.expected()) * float64(j.class.Needs.MilliCPU) }
+
+// ideal is the response time of the job alone on an idle pool.
+func (j *job) ideal() (longest time.Duration) {
+	for _, t := range j.tasks {
+		longest = max(longest, t.duration)
+	}
+	return longest
+}
+
+// coreSeconds of the whole job.
+func (j *job) coreSeconds() (sum float64) {
+	for _, t := range j.tasks {
+		sum += t.duration.Seconds() * j.cores()
+	}
+	return sum
+}
+
+func (j *job) cores() float64 { return float64(j.class.Needs.MilliCPU) / milliPerCore }
+
+const milliPerCore = 1000
+
+// simulation is one run under one policy.
+type simulation struct {
+	now       time.Duration
+	queue     *queue.Queue
+	table     *placement.Table
+	admission *admission.Controller // nil accepts every job
+	rate      admission.Rate
+	jobs      map[string]*job
+	classes   map[string]placement.Class
+	events    events
+	order     int // of events, for those at the same time
+
+	waiting int     // tasks in the queue
+	work    float64 // of the waiting tasks
+	running float64 // work of the running tasks
+}
+
+// simulate runs the jobs, and returns when all have ended.
+func simulate(ctx context.Context, policy queue.Policy, jobs []*job, seed uint64, admit bool) error {
+	s := &simulation{
+		queue: queue.New(queue.Options{Policy: policy}), table: placement.NewTable(placement.IdleFirst{}),
+		jobs: make(map[string]*job), classes: make(map[string]placement.Class),
+	}
+	if admit {
+		s.admission = admission.New(admission.Options{})
+	}
+	s.table.SetSeed(seed)
+	for i := range workers {
+		s.table.Upsert(placement.Agent{
+			ID: fmt.Sprint(i), Rack: fmt.Sprint(i / workersPerRack), Pool: poolName, Slots: workerMilliCPU / milliPerCore,
+			Capacity: placement.Resources{MilliCPU: workerMilliCPU, MemoryMB: workerMemoryMB},
+		})
+	}
+	for _, j := range jobs {
+		s.at(j.arrived, func() { s.arrive(j) })
+	}
+	for s.events.Len() > 0 && ctx.Err() == nil {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.do()
+		s.pump()
+	}
+	return ctx.Err()
+}
+
+func (s *simulation) at(t time.Duration, do func()) {
+	s.order++
+	heap.Push(&s.events, event{t, s.order, do})
+}
+
+func (s *simulation) time() time.Time { return epoch.Add(s.now) }
+
+// arrive admits a job as an entry admits one of leased tasks.
+func (s *simulation) arrive(j *job) {
+	work := entry.Work{
+		Expected: j.expected(), Tasks: len(j.tasks), MilliCPU: j.class.Needs.MilliCPU, PoolMilliCPU: s.table.KnownMilliCPU(j.class),
+	}
+	j.objective = entry.Objective(&template, work)
+	giveUp := entry.GiveUpAfter(&template, j.deadline, work)
+	if !s.admits(j, giveUp) {
+		j.ended = true
+		return
+	}
+	j.open = len(j.tasks)
+	s.jobs[j.id], s.classes[j.class.Name] = j, j.class
+	s.at(j.arrived+giveUp, func() {
+		if !j.started {
+			s.end(j)
+		}
+	})
+	s.at(j.arrived+j.deadline, func() { s.end(j) })
+	indexes := make([]int, len(j.tasks))
+	for i := range indexes {
+		indexes[i] = i
+	}
+	s.count(j, len(j.tasks))
+	s.queue.Add(s.time(), queue.Job{
+		ID: j.id, Account: accountName, Class: j.class.Name, Urgency: kinds[j.kind].urgent,
+		Arrived: s.time(), Deadline: s.time().Add(j.deadline), Expected: j.expected(),
+		Objective: j.objective, MilliCPU: j.class.Needs.MilliCPU,
+	}, indexes)
+}
+
+func (s *simulation) admits(j *job, giveUp time.Duration) bool {
+	if s.admission == nil {
+		return true
+	}
+	return s.admission.Decide(s.time(), admission.Request{
+		Account: accountName, Urgency: kinds[j.kind].urgent, Tasks: len(j.tasks),
+		Expected: j.expected(), Deadline: giveUp, DeadlineShare: 1,
+	}, admission.State{
+		// On average, half of the work of the running tasks is left.
+		QueuedTasks: s.waiting, QueuedWork: time.Duration((s.work + s.running/2) / float64(j.class.Needs.MilliCPU)),
+		Slots: s.table.Slots(j.class), Rate: s.rate.Value(),
+	}).Accept
+}
+
+// count adds tasks of a job to those that wait.
+func (s *simulation) count(j *job, tasks int) {
+	s.waiting += tasks
+	s.work += float64(tasks) * j.work()
+}
+
+// pump starts waiting tasks while workers have room.
+func (s *simulation) pump() {
+	feasible := func(class string) bool { return s.table.Feasible(s.classes[class]) }
+	for s.table.HasRoom() {
+		ref, ok := s.queue.Next(s.time(), feasible)
+		if !ok {
+			return
+		}
+		j := s.jobs[ref.Job]
+		id, ok := s.table.ChooseFor(placement.Query{Class: j.class, RackTasks: j.racks.Count})
+		if !ok {
+			s.queue.Return(ref)
+			return
+		}
+		s.start(j, ref.Index, id)
+	}
+}
+
+func (s *simulation) start(j *job, index int, agent string) {
+	t := &j.tasks[index]
+	t.agent, t.began, j.started = agent, s.now, true
+	s.table.Sent(agent, j.class.Needs)
+	j.racks.Add(s.table.Rack(agent))
+	s.queue.Started(accountName, j.expected())
+	s.count(j, -1)
+	s.running += j.work()
+	core := j.class
+	core.Needs.MilliCPU = milliPerCore
+	s.rate.Observe(s.time(), time.Duration(j.work()/milliPerCore), s.table.Slots(core), s.waiting > 0 && !s.table.Feasible(j.class))
+	s.at(s.now+t.duration, func() {
+		if j.ended {
+			return // the run was stopped
+		}
+		s.stopped(j, t)
+		if j.open--; j.open == 0 {
+			j.completed = s.now - j.arrived
+			s.end(j)
+		}
+	})
+}
+
+// stopped frees what a task took.
+func (s *simulation) stopped(j *job, t *task) {
+	s.table.Settled(t.agent, j.class.Needs)
+	j.racks.Done(s.table.Rack(t.agent))
+	j.spent += (s.now - t.began).Seconds() * j.cores()
+	s.running -= j.work()
+	t.agent = ""
+}
+
+// end withdraws the waiting tasks of a job and stops the running ones.
+func (s *simulation) end(j *job) {
+	if j.ended {
+		return
+	}
+	j.ended = true
+	s.count(j, -len(s.queue.Remove(j.id)))
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.agent != "" {
+			s.stopped(j, t)
+		}
+	}
+	delete(s.jobs, j.id)
+}
+
+// event is something that happens at a time; those at the same time happen in
+// the order in which they were planned.
+type event struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	(*e)[last] = event{}
+	*e = (*e)[:last]
+	return x
+}
--- /dev/null
+++ b/internal/dev/orders/workload.go
@@ -0,0 +1,126 @@
+package orders
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/placement"
+)
+
+// The workload and the pool of section 13.7 of docs/design.md.
+const (
+	workers        = 11
+	workersPerRack = 3
+	workerMilliCPU = 64_000
+	workerMemoryMB = 256 << 10
+	taskMemoryMB   = 64
+	// Needs of a task in thousandths of a core, in steps so that jobs share
+	// classes, as at an entry, which rounds.
+	leastMilliCPU, mostMilliCPU, stepMilliCPU = 2_000, 9_400, 200
+	leastDeadline, mostDeadline               = 1900 * time.Millisecond, 3600 * time.Millisecond
+	// durationSpread is the part of its mean by which a task's duration
+	// differs at most, evenly distributed.
+	durationSpread = 0.4
+	slackFactor    = 1.6
+	targetMS       = 60
+	poolName       = "pool"
+	// accountName is the account of all jobs: the users' platform has one.
+	accountName = "account"
+)
+
+// kind of job.
+type kind struct {
+	name   string
+	tasks  int
+	mean   time.Duration // of one task
+	rate   float64       // jobs a second, before it is scaled to the load
+	urgent int
+}
+
+var kinds = []kind{
+	{"8 x 60 ms", 8, 60 * time.Millisecond, 34, 0},
+	{"4 x 900 ms", 4, 900 * time.Millisecond, 6, 2},
+	{"2 x 200 ms", 2, 200 * time.Millisecond, 100, 1},
+}
+
+var template = config.Template{
+	Name: "job", Account: accountName, Kind: config.KindLeased, Pool: poolName, SlackFactor: slackFactor, TargetMS: targetMS,
+}
+
+// Bursts begin after burstFirst and every burstEvery.
+const (
+	burstLength = 3 * time.Second
+	burstFirst  = 6 * time.Second
+	burstEvery  = 15 * time.Second
+)
+
+// Scenario is a load that the orders are compared under.
+type Scenario struct {
+	Name  string
+	Load  float64 // offered work as a part of the pool's cores
+	Burst float64 // rate during bursts, as a multiple
+}
+
+// Scenarios returns the loads of section 13.7 of the design page.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{"80 % load", 0.8, 1}, {"120 % load", 1.2, 1}, {"150 % load", 1.5, 1},
+		{"80 % load, three-fold for 3 s in every 15 s", 0.8, 3},
+	}
+}
+
+// rate returns the multiple of the mean rate at a time.
+func (s Scenario) rate(at time.Duration) float64 {
+	if at >= burstFirst && (at-burstFirst)%burstEvery < burstLength {
+		return s.Burst
+	}
+	return 1
+}
+
+// arrivals draws the jobs of a run, in order of arrival.
+func (s Scenario) arrivals(duration time.Duration, seed uint64) []*job {
+	work := 0.0 // cores, before scaling
+	for _, k := range kinds {
+		work += k.rate * float64(k.tasks) * k.mean.Seconds() * (leastMilliCPU + mostMilliCPU) / 2
+	}
+	scale := s.Load * workers * workerMilliCPU / work
+	var jobs []*job
+	for i, k := range kinds {
+		random := rand.New(rand.NewPCG(seed, uint64(i)))
+		highest := k.rate * scale * max(s.Burst, 1)
+		for at := time.Duration(0); ; {
+			at += time.Duration(random.ExpFloat64() / highest * float64(time.Second))
+			if at >= duration {
+				break
+			}
+			if j := drawJob(i, at, random); random.Float64() < s.rate(at)/max(s.Burst, 1) {
+				jobs = append(jobs, j)
+			}
+		}
+	}
+	slices.SortStableFunc(jobs, func(a, b *job) int { return cmp.Compare(a.arrived, b.arrived) })
+	for i, j := range jobs {
+		j.id = fmt.Sprint(i)
+	}
+	return jobs
+}
+
+func drawJob(kind int, at time.Duration, random *rand.Rand) *job {
+	k := kinds[kind]
+	j := &job{kind: kind, arrived: at, tasks: make([]task, k.tasks)}
+	j.deadline = leastDeadline + time.Duration(random.Int64N(int64(mostDeadline-leastDeadline)))
+	milliCPU := leastMilliCPU + stepMilliCPU*random.Int64N((mostMilliCPU-leastMilliCPU)/stepMilliCPU+1)
+	j.class = placement.Class{
+		Name: fmt.Sprint(milliCPU), Pool: poolName,
+		Needs: placement.Resources{MilliCPU: milliCPU, MemoryMB: taskMemoryMB},
+	}
+	for i := range j.tasks {
+		share := 1 + durationSpread*(2*random.Float64()-1)
+		j.tasks[i].duration = time.Duration(float64(k.mean) * share)
+	}
+	return j
+}
