--- a/entry/leased_test.go
+++ b/entry/leased_test.go
@@ -18,7 +18,7 @@
 
 // leasedEntry starts an entry with a template "step" of leased tasks and the
 // intervals of section 13.3 of the design page.
-func (h *harness) leasedEntry(change func(*config.Template)) *Entry {
+func (h *harness) leasedEntry(change func(*config.Template), options ...func(*Options)) *Entry {
 	h.putConfig(2, func(d *config.Document) {
 		t := config.Template{
 			Name: "step", Account: "portal", Kind: config.KindLeased, DeadlineMS: 10000, ExpectedMS: 200,
@@ -33,6 +33,9 @@
 		t := &o.Settings.Timing
 		t.Heartbeat, t.PeerHeartbeat, t.Suspect, t.Lapse, t.Reconcile = 150*ms, 350*ms, 400*ms, 600*ms, 1300*ms
 		t.PingAfter, t.PingTimeout, t.Gate = 250*ms, 150*ms, 3000*ms
+		for _, change := range options {
+			change(o)
+		}
 	})
 }
 
@@ -114,6 +117,31 @@
 	})
 }
 
+// Guards against a setting that has no effect, and against an order that is not
+// told the cores of a task.
+func TestOrderOfWaitingTasks(t *testing.T) {
+	for order, want := range map[string]string{"": "short", settings.OrderUrgency: "short", settings.OrderValue: "light"} {
+		inBubble(t, func(h *harness) {
+			e := h.leasedEntry(nil, func(o *Options) { o.Settings.Order = order })
+			started := make(chan string, 100)
+			h.worker(1, script{}).set(func(t wire.Task) script { started <- t.Leased.Job; return lasting(200) })
+			settle()
+			full := h.submit(e, "full", 8) // takes all cores
+			short := h.submitted(e, Submission{Job: "short", Template: "step", Count: 8, Expected: 150 * time.Millisecond})
+			light := h.submitted(e, Submission{
+				Job: "light", Template: "step", Count: 8, Expected: 200 * time.Millisecond, Needs: wire.Resources{MilliCPU: 1000},
+			})
+			for _, s := range []*submitted{full, short, light} {
+				h.Check(s.wait(), qt.Equals, Answer{Outcome: OutcomeDone})
+			}
+			for range 8 {
+				h.Check(<-started, qt.Equals, "full")
+			}
+			h.Check(<-started, qt.Equals, want, qt.Commentf("order %q", order))
+		})
+	}
+}
+
 // Guards against a second run of a job that is submitted again while it runs or
 // seconds after its answer was lost, and against an answer kept for ever.
 func TestResentJobIsJoined(t *testing.T) {
