store: transactions; lists in pages

Cause: durable jobs change several keys together, and the number of their records outgrows one answer; the interface had neither. Ruled out: HoldWrites of the stand-in already loses an answer and carries the write out later only if its condition still holds, so no fault was added; a contract case now shows it. A key may be both expected and changed, but neither twice; other transactions are refused before a call is made. The answer repeats the number of entries, so that the answer of a process in between counts as lost. Lists over HTTP come in pages of at most 1,000 keys or 1 MB of values. Conclusion: callers can rely on whole-or-nothing changes of up to 32 entries.

--- a/entry/counted.go
+++ b/entry/counted.go
@@ -54,6 +54,13 @@
 	return kv, err
 }
 
+// Transact counts and passes on the call.
+func (c countedStore) Transact(ctx context.Context, t store.Transaction) (uint64, error) {
+	revision, err := c.Store.Transact(ctx, t)
+	c.count(ctx, err)
+	return revision, err
+}
+
 // Grant counts and passes on the call.
 func (c countedStore) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
 	id, err := c.Store.Grant(ctx, ttl)
--- a/internal/storestub/faults.go
+++ b/internal/storestub/faults.go
@@ -35,7 +35,8 @@
 func (s *Stub) LoseAnswers(n int) { s.set(func(f *faults) { f.lose = n }) }
 
 // HoldWrites loses the answers of the next n writes at once and carries the
-// writes out after d, as when a request is held up on its way.
+// writes out after d, as when a request is held up on its way. A write has no
+// effect if its condition no longer holds by then.
 func (s *Stub) HoldWrites(n int, d time.Duration) {
 	s.set(func(f *faults) { f.hold, f.holdFor = n, d })
 }
--- a/internal/storestub/handler.go
+++ b/internal/storestub/handler.go
@@ -11,8 +11,12 @@
 	"chicorytray.example/chicorytray/store/storeapi"
 )
 
-// maxRequestBytes holds the largest value in base64 and its envelope.
-const maxRequestBytes = 2 * store.MaxValueBytes
+// Largest bodies of requests: a value of the largest size in base64 with its
+// envelope, and a transaction of such values.
+const (
+	maxRequestBytes     = 2 * store.MaxValueBytes
+	maxTransactionBytes = store.MaxTransaction * maxRequestBytes
+)
 
 // Handler serves the service over HTTP. A lost answer closes the connection
 // without a response.
@@ -22,6 +26,7 @@
 	mux.HandleFunc("PUT "+storeapi.PathKey, s.servePut)
 	mux.HandleFunc("DELETE "+storeapi.PathKey, s.serveDelete)
 	mux.HandleFunc("GET "+storeapi.PathKeys, s.serveList)
+	mux.HandleFunc("POST "+storeapi.PathTransaction, s.serveTransaction)
 	mux.HandleFunc("GET "+storeapi.PathVerify, s.serveVerify)
 	mux.HandleFunc("GET "+storeapi.PathWatch, s.serveWatch)
 	mux.HandleFunc("POST "+storeapi.PathLease, s.serveGrant)
@@ -52,14 +57,30 @@
 }
 
 func (s *Stub) serveList(w http.ResponseWriter, r *http.Request) {
-	list, err := s.List(r.Context(), r.FormValue(storeapi.ParamPrefix))
-	keys := storeapi.Keys{Keys: make([]storeapi.KV, len(list))}
-	for i, kv := range list {
+	list, err := s.listPage(r.Context(), r.FormValue(storeapi.ParamPrefix), r.FormValue(storeapi.ParamAfter))
+	keys := storeapi.Keys{Keys: make([]storeapi.KV, len(list.keys)), More: list.more}
+	for i, kv := range list.keys {
 		keys.Keys[i] = storeapi.KV(kv)
 	}
 	reply(w, keys, err)
 }
 
+func (s *Stub) serveTransaction(w http.ResponseWriter, r *http.Request) {
+	var body storeapi.Transaction
+	if !decode(w, r, &body, maxTransactionBytes) {
+		return
+	}
+	t := store.Transaction{Remove: body.Remove}
+	for _, e := range body.Expect {
+		t.Expect = append(t.Expect, store.Expectation(e))
+	}
+	for _, write := range body.Write {
+		t.Write = append(t.Write, store.Write(write))
+	}
+	revision, err := s.Transact(r.Context(), t)
+	reply(w, storeapi.Transacted{Entries: t.Entries(), Revision: revision}, err)
+}
+
 func (s *Stub) servePut(w http.ResponseWriter, r *http.Request) {
 	expect, ok := number(w, r, storeapi.ParamExpect)
 	if !ok {
@@ -72,7 +93,7 @@
 		}
 	}
 	var body storeapi.Value
-	if !decode(w, r, &body) {
+	if !decode(w, r, &body, maxRequestBytes) {
 		return
 	}
 	key := r.URL.Query().Get(storeapi.ParamKey)
@@ -88,7 +109,7 @@
 
 func (s *Stub) serveGrant(w http.ResponseWriter, r *http.Request) {
 	var body storeapi.Grant
-	if !decode(w, r, &body) {
+	if !decode(w, r, &body, maxRequestBytes) {
 		return
 	}
 	lease, err := s.Grant(r.Context(), time.Duration(body.TTLMS)*time.Millisecond)
@@ -115,8 +136,8 @@
 	return n, err == nil
 }
 
-func decode(w http.ResponseWriter, r *http.Request, into any) bool {
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(into)
+func decode(w http.ResponseWriter, r *http.Request, into any, limit int64) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit)).Decode(into)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	}
--- /dev/null
+++ b/internal/storestub/multikey.go
@@ -0,0 +1,116 @@
+package storestub
+
+import (
+	"bytes"
+	"context"
+	"maps"
+	"slices"
+	"strings"
+
+	"chicorytray.example/chicorytray/store"
+)
+
+// Bounds of a page of a list that is served over HTTP. A page ends with the key
+// that reaches either.
+const (
+	pageKeys  = 1000
+	pageBytes = 1 << 20
+)
+
+// List implements store.Store. It returns all keys in one call.
+func (s *Stub) List(ctx context.Context, prefix string) ([]store.KV, error) {
+	return call(ctx, s, List, func() ([]store.KV, error) {
+		list, _ := s.above(prefix, "", false)
+		return list, nil
+	})
+}
+
+// page is a part of a list and whether more keys follow.
+type page struct {
+	keys []store.KV
+	more bool
+}
+
+// listPage returns the first page of the keys with the prefix that are above
+// after.
+func (s *Stub) listPage(ctx context.Context, prefix, after string) (page, error) {
+	return call(ctx, s, List, func() (page, error) {
+		keys, more := s.above(prefix, after, true)
+		return page{keys, more}, nil
+	})
+}
+
+// above returns the keys with the prefix that are above after, or a page of
+// them; the caller holds the lock.
+func (s *Stub) above(prefix, after string, paged bool) (list []store.KV, more bool) {
+	keys := s.readable()
+	list = []store.KV{}
+	size := 0
+	for _, key := range slices.Sorted(maps.Keys(keys)) {
+		if !strings.HasPrefix(key, prefix) || after != "" && key <= after {
+			continue
+		}
+		if paged && (len(list) == pageKeys || size >= pageBytes) {
+			return list, true
+		}
+		list = append(list, keys[key].kv(key))
+		size += len(keys[key].value)
+	}
+	return list, false
+}
+
+// Transact implements store.Store.
+func (s *Stub) Transact(ctx context.Context, t store.Transaction) (revision uint64, err error) {
+	if err := t.Validate(); err != nil {
+		return 0, err
+	}
+	t = clone(t)
+	return call(ctx, s, Transact, func() (uint64, error) {
+		if err := s.check(t); err != nil {
+			return 0, err
+		}
+		s.apply(t)
+		return s.revision, nil
+	})
+}
+
+// clone copies a transaction, which may be applied after its caller has changed
+// it.
+func clone(t store.Transaction) store.Transaction {
+	t.Expect, t.Write, t.Remove = slices.Clone(t.Expect), slices.Clone(t.Write), slices.Clone(t.Remove)
+	for i := range t.Write {
+		t.Write[i].Value = bytes.Clone(t.Write[i].Value)
+	}
+	return t
+}
+
+// check returns why the transaction cannot be applied; the caller holds the lock.
+func (s *Stub) check(t store.Transaction) error {
+	for _, w := range t.Write {
+		if w.Lease != 0 && s.leases[w.Lease] == nil {
+			return store.ErrLeaseExpired
+		}
+	}
+	for _, e := range t.Expect {
+		if s.keys[e.Key].revision != e.Revision {
+			return store.ErrConflict
+		}
+	}
+	return nil
+}
+
+// apply makes the changes of a transaction at one revision; the caller holds
+// the lock.
+func (s *Stub) apply(t store.Transaction) {
+	if len(t.Write)+len(t.Remove) == 0 {
+		return
+	}
+	s.revision++
+	for _, w := range t.Write {
+		s.keys[w.Key] = record{w.Value, s.revision, w.Lease}
+	}
+	for _, key := range t.Remove {
+		delete(s.keys, key)
+	}
+	s.notify()
+}
--- a/internal/storestub/stub.go
+++ b/internal/storestub/stub.go
@@ -9,8 +9,6 @@
 	"bytes"
 	"context"
 	"maps"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -27,6 +25,7 @@
 	Verify         Kind = "verify"
 	CompareAndSwap Kind = "compare_and_swap"
 	Delete         Kind = "delete"
+	Transact       Kind = "transact"
 	Grant          Kind = "grant"
 	KeepAlive      Kind = "keep_alive"
 	Revoke         Kind = "revoke"
@@ -111,20 +110,6 @@
 	return call(ctx, s, Get, func() (store.KV, error) { return s.read(key) })
 }
 
-// List implements store.Store.
-func (s *Stub) List(ctx context.Context, prefix string) ([]store.KV, error) {
-	return call(ctx, s, List, func() ([]store.KV, error) {
-		keys := s.readable()
-		list := []store.KV{}
-		for _, key := range slices.Sorted(maps.Keys(keys)) {
-			if strings.HasPrefix(key, prefix) {
-				list = append(list, keys[key].kv(key))
-			}
-		}
-		return list, nil
-	})
-}
-
 // CompareAndSwap implements store.Store.
 func (s *Stub) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, id store.LeaseID) (store.KV, error) {
 	if len(value) > store.MaxValueBytes {
--- a/internal/systemtest/process_test.go
+++ b/internal/systemtest/process_test.go
@@ -226,6 +226,10 @@
 	return err
 }
 
+func (s *processStore) Transact(ctx context.Context, t store.Transaction) (uint64, error) {
+	return call(ctx, s, func() (uint64, error) { return s.inner.Transact(ctx, t) })
+}
+
 func (s *processStore) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
 	return call(ctx, s, func() (store.LeaseID, error) { return s.inner.Grant(ctx, ttl) })
 }
--- a/store/httpstore/call.go
+++ b/store/httpstore/call.go
@@ -18,8 +18,8 @@
 	"chicorytray.example/chicorytray/store/storeapi"
 )
 
-// maxAnswerBytes bounds an answer. The largest is a list of registrations;
-// 1,000 of them take under 1 MB.
+// maxAnswerBytes bounds an answer. The largest is a page of a list; the
+// stand-in's take at most 3 MB in base64, other services may send larger ones.
 const maxAnswerBytes = 64 << 20
 
 // errNotSent means that no byte of the request was written and none will be.
--- a/store/httpstore/client.go
+++ b/store/httpstore/client.go
@@ -172,20 +172,6 @@
 	return found(kv, err)
 }
 
-// List implements store.Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]store.KV, error) {
-	var keys storeapi.Keys
-	err := c.read(ctx, c.callTimeout, storeapi.PathKeys, url.Values{storeapi.ParamPrefix: {prefix}}, &keys)
-	if err != nil {
-		return nil, err
-	}
-	list := make([]store.KV, len(keys.Keys))
-	for i, kv := range keys.Keys {
-		list[i] = store.KV(kv)
-	}
-	return list, nil
-}
-
 // Watch implements store.Store. It fails as unavailable when the watch
 // timeout ends without a change; the caller watches again.
 func (c *Client) Watch(ctx context.Context, key string, after uint64) (store.KV, error) {
--- a/store/store.go
+++ b/store/store.go
@@ -55,13 +55,21 @@
 	Verify(ctx context.Context, key string, revision uint64) error
 	// Get returns the key, or ErrNotFound.
 	Get(ctx context.Context, key string) (KV, error)
-	// List returns all keys with the prefix, ordered by key.
+	// List returns all keys with the prefix, ordered by key. The list may be
+	// read in several calls of the service: what changes during the call may
+	// or may not be in it.
 	List(ctx context.Context, prefix string) ([]KV, error)
 	// CompareAndSwap writes value if the key's revision is expect; 0 means
 	// that the key must not exist. The key disappears with its lease.
 	CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease LeaseID) (KV, error)
 	// Delete removes the key if its revision is expect.
 	Delete(ctx context.Context, key string, expect uint64) error
+	// Transact applies the transaction as a whole if all its expectations
+	// hold and all its leases exist; otherwise it returns ErrConflict or
+	// ErrLeaseExpired and changes nothing. revision is the new revision of
+	// the keys written; without writes it has no meaning. The other errors
+	// are those of CompareAndSwap, and ErrInvalidTransaction.
+	Transact(ctx context.Context, t Transaction) (revision uint64, err error)
 	// Grant creates a lease that lasts ttl unless it is kept alive.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// KeepAlive extends the lease by its ttl, or returns ErrLeaseExpired.
--- a/store/storetest/cases.go
+++ b/store/storetest/cases.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"testing/synctest"
 	"time"
 
@@ -15,15 +16,19 @@
 	return errors.Is(err, want) || err == nil && want == nil
 }
 
-var cases = []struct {
+// plainCase runs without faults.
+type plainCase struct {
 	name string
 	run  func(c *checker)
-}{
+}
+
+var cases = []plainCase{
 	{"revisions grow and values read back", readsBack},
 	{"unusual keys and values", unusualKeys},
 	{"a write at a wrong revision conflicts", conflicts},
 	{"delete", deletes},
 	{"list by prefix in order", lists},
+	{"list of many keys", listsMany},
 	{"a verification checks the revision and changes nothing", verifies},
 	{"value size", valueSize},
 	{"returned values are copies", copies},
@@ -112,6 +117,30 @@
 	}
 }
 
+// listsMany guards against a list that ends with, or repeats, a page.
+func listsMany(c *checker) {
+	const keys, large = 2500, 4
+	value := bytes.Repeat([]byte{1}, store.MaxValueBytes)
+	for i := range keys {
+		key := fmt.Sprintf("many/%04d", i)
+		c.Stub.Put(key, value[:1])
+		if i < large {
+			c.Stub.Put(key, value)
+		}
+	}
+	c.Stub.Put("many0", nil)
+	list, err := c.Store.List(c.ctx(), "many/")
+	c.wants("list", err, nil)
+	if len(list) != keys {
+		c.Fatalf("listed %d keys, want %d", len(list), keys)
+	}
+	for i, kv := range list {
+		if want := fmt.Sprintf("many/%04d", i); kv.Key != want || kv.Revision == 0 || (len(kv.Value) == len(value)) != (i < large) {
+			c.Fatalf("place %d of the list: key %q at revision %d with %d bytes", i, kv.Key, kv.Revision, len(kv.Value))
+		}
+	}
+}
+
 func verifies(c *checker) {
 	verify := func(what, key string, revision uint64, want error) {
 		c.Helper()
--- a/store/storetest/faults.go
+++ b/store/storetest/faults.go
@@ -151,9 +151,21 @@
 	c.Stub.SetSilentWatch(false)
 	c.Stub.SetStale(false)
 	synctest.Wait()
+	f.checkWhole(c)
 	if f.after == "" {
 		c.missing("a")
 		return
 	}
 	c.holds("a", f.after)
 }
+
+// checkWhole guards against a transaction of which a part took effect: replace
+// writes keys "a" and "b" and removes "other", or does none of it.
+func (f faultCase) checkWhole(c *checker) {
+	a, _ := c.Stub.Peek("a")
+	_, wrote := c.Stub.Peek("b")
+	_, kept := c.Stub.Peek("other")
+	if replaced := string(a.Value) == "replaced"; wrote != replaced || kept == replaced {
+		c.Errorf("key \"a\" replaced: %v, key \"b\" written: %v, key \"other\" kept: %v", replaced, wrote, kept)
+	}
+}
--- a/store/storetest/suite.go
+++ b/store/storetest/suite.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,12 +27,12 @@
 // Run checks the implementation that setup returns. setup runs inside the
 // bubble of each case and registers its cleanup with t.
 func Run(t *testing.T, setup func(t *testing.T) Fixture) {
-	for _, c := range cases {
+	for _, c := range slices.Concat(cases, transactions) {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { c.run(&checker{t, setup(t)}) })
 		})
 	}
-	for _, f := range faultCases {
+	for _, f := range slices.Concat(faultCases, transactionFaults) {
 		t.Run("fault/"+f.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { f.check(&checker{t, setup(t)}) })
 		})
--- /dev/null
+++ b/store/transaction.go
@@ -0,0 +1,79 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+)
+
+// MaxTransaction is the largest number of entries in one transaction:
+// expectations, writes and removals together. The platform's service accepts no
+// more.
+const MaxTransaction = 32
+
+// ErrInvalidTransaction means that a transaction has no entries, more than
+// MaxTransaction, or names a key twice. It was not carried out.
+var ErrInvalidTransaction = errors.New("store: invalid transaction")
+
+// Transaction is a set of changes that take effect together, or not at all. A
+// key occurs at most once among the expectations, and at most once among the
+// writes and removals. A key that is changed needs no expectation.
+type Transaction struct {
+	Expect []Expectation
+	Write  []Write
+	// Remove lists keys. A key that does not exist is left so.
+	Remove []string
+}
+
+// Expectation is the revision that a key must have; 0 means that the key must
+// not exist.
+type Expectation struct {
+	Key      string
+	Revision uint64
+}
+
+// Write is a key's new value. The key disappears with its lease.
+type Write struct {
+	Key   string
+	Value []byte
+	Lease LeaseID
+}
+
+// Entries returns the number of entries that count against MaxTransaction.
+func (t Transaction) Entries() int { return len(t.Expect) + len(t.Write) + len(t.Remove) }
+
+// Validate returns ErrInvalidTransaction, or ErrTooLarge if a value exceeds
+// MaxValueBytes.
+func (t Transaction) Validate() error {
+	if n := t.Entries(); n == 0 || n > MaxTransaction {
+		return fmt.Errorf("%w: %d entries; want 1 to %d", ErrInvalidTransaction, n, MaxTransaction)
+	}
+	expected, changed := map[string]bool{}, map[string]bool{}
+	for _, e := range t.Expect {
+		if err := once(expected, e.Key, "expected"); err != nil {
+			return err
+		}
+	}
+	for _, w := range t.Write {
+		if err := once(changed, w.Key, "changed"); err != nil {
+			return err
+		}
+		if len(w.Value) > MaxValueBytes {
+			return fmt.Errorf("%w: key %q has %d bytes; want at most %d", ErrTooLarge, w.Key, len(w.Value), MaxValueBytes)
+		}
+	}
+	for _, key := range t.Remove {
+		if err := once(changed, key, "changed"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// once records a key, or returns an error if it was recorded before.
+func once(seen map[string]bool, key, how string) error {
+	if seen[key] {
+		return fmt.Errorf("%w: key %q is %s twice", ErrInvalidTransaction, key, how)
+	}
+	seen[key] = true
+	return nil
+}
