store: ValidUntil of a registration; first write that fails

Cause: an entry that owns durable jobs has to know until when its registration certainly lasts. On the way a fault was found: if the first write of a restarted process failed, or its outcome was unknown, the next check took the value of the earlier process for that of a newer one. The process stayed unregistered (ErrReplaced) for as long as the old lease lasted. Ruled out: replacing any other value as long as the key was never held, because a newer process may have replaced a first write whose answer was lost. Only the revision that the write expected is taken as old. Change: Registrar.ValidUntil is 0.98 of the TTL after the last successful renewal was sent, zero while not registered and once Remove has begun. It is not extended before the key was read. Conclusion: ValidUntil covers the end of the lease; it does not cover a newer process that registers under the same key, nor a service that lost its state.

--- a/store/registrar.go
+++ b/store/registrar.go
@@ -30,6 +30,9 @@
 	minRetry      = 100 * time.Millisecond
 	// defaultCallTimeout of one call of the service.
 	defaultCallTimeout = time.Second
+	// leaseShare is the share of a lease's TTL that certainly passes before
+	// the lease ends, because the service's clock may be 2 % fast.
+	leaseShare = 0.98
 )
 
 // ErrReplaced means that another process has registered under the same key.
@@ -61,9 +64,16 @@
 	// replaces what an earlier process of this name left; later ones do not,
 	// because then the other process is the newer one.
 	held bool
+	// expected is the revision that the last write of the key expected. While
+	// the key still has it, that write has not taken effect.
+	expected uint64
+	// leaseUntil is when the lease may end, by when its last extension was
+	// sent. The zero time stands for no lease.
+	leaseUntil time.Time
 
 	mu         sync.Mutex
 	registered bool
+	validUntil time.Time // zero while not registered
 }
 
 // NewRegistrar returns a Registrar; Run starts it.
@@ -150,6 +160,17 @@
 	return r.registered
 }
 
+// ValidUntil returns the moment until which the registration certainly lasts:
+// 0.98 of the TTL after the last successful renewal was sent, which may have
+// passed. It is zero while the key is not registered and once Remove has begun.
+// It does not cover a newer process that registers under the same key, nor a
+// service that lost its state; both show at the next renewal.
+func (r *Registrar) ValidUntil() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.validUntil
+}
+
 // Run registers the key and renews the registration until ctx ends. The
 // registration stays; Remove ends it.
 func (r *Registrar) Run(ctx context.Context) {
@@ -177,6 +198,10 @@
 	if r.lease == 0 {
 		return nil
 	}
+	// The revocation may take effect although its answer is lost.
+	r.mu.Lock()
+	r.validUntil = time.Time{}
+	r.mu.Unlock()
 	err := r.call(ctx, func(ctx context.Context) error { return r.options.Store.Revoke(ctx, r.lease) })
 	if err != nil && !errors.Is(err, ErrLeaseExpired) {
 		return err
@@ -203,6 +228,12 @@
 	r.mu.Lock()
 	changed := r.registered != registered
 	r.registered = registered
+	switch {
+	case !registered:
+		r.validUntil = time.Time{}
+	case err == nil:
+		r.validUntil = r.leaseUntil
+	}
 	r.mu.Unlock()
 	r.held = r.held || registered
 	if changed || err != nil && !errors.Is(err, ErrLeaseExpired) && !errors.Is(err, ErrNotFound) {
@@ -217,6 +248,7 @@
 	if r.lease == 0 {
 		return ErrLeaseExpired
 	}
+	sent := time.Now()
 	err := r.call(ctx, func(ctx context.Context) error { return r.options.Store.KeepAlive(ctx, r.lease) })
 	if err != nil {
 		if errors.Is(err, ErrLeaseExpired) {
@@ -224,17 +256,22 @@
 		}
 		return err
 	}
+	r.extended(sent)
 	kv, err := r.read(ctx)
-	if err == nil && !bytes.Equal(kv.Value, r.options.Value) {
-		return ErrReplaced
+	switch {
+	case err != nil || bytes.Equal(kv.Value, r.options.Value):
+		return err
+	case !r.held && kv.Revision == r.expected:
+		return ErrNotFound // what an earlier process left; the first write failed
 	}
-	return err
+	return ErrReplaced
 }
 
 // register writes the key under a lease. A write with an unknown outcome is
 // settled by the next renewal's check, under the same lease.
 func (r *Registrar) register(ctx context.Context) error {
 	if r.lease == 0 {
+		sent := time.Now()
 		err := r.call(ctx, func(ctx context.Context) (err error) {
 			r.lease, err = r.options.Store.Grant(ctx, r.options.TTL)
 			return err
@@ -243,6 +280,7 @@
 			r.lease = 0
 			return err
 		}
+		r.extended(sent)
 	}
 	kv, err := r.read(ctx)
 	if err != nil && !errors.Is(err, ErrNotFound) {
@@ -251,12 +289,19 @@
 	if err == nil && r.held && !bytes.Equal(kv.Value, r.options.Value) {
 		return ErrReplaced
 	}
+	r.expected = kv.Revision
 	return r.call(ctx, func(ctx context.Context) error {
 		_, err := r.options.Store.CompareAndSwap(ctx, r.options.Key, kv.Revision, r.options.Value, r.lease)
 		return err
 	})
 }
 
+// extended notes that the lease was granted or extended by a call sent at the
+// given time.
+func (r *Registrar) extended(sent time.Time) {
+	r.leaseUntil = sent.Add(time.Duration(leaseShare * float64(r.options.TTL)))
+}
+
 // read returns the key as registered.
 func (r *Registrar) read(ctx context.Context) (kv KV, err error) {
 	err = r.call(ctx, func(ctx context.Context) error {
