lease: keep the progress of runs and notice those that stand still

Cause: a run that stands still holds its job until the deadline, because only its end is listed. Ruled out: counting the whole interval between two lists up to four renewal intervals (design, 13.8). A worker paused for 400 ms shows one such interval without progress and would have all its runs counted as stalled; so an interval counts for one renewal interval at most and stall_after has to be longer than renew, which makes two lists without progress necessary. Change: lease.Runs keeps percent, elapsed time and time without progress of each run; new setting leased.stall_after (250 ms). Nothing acts on it yet.

--- /dev/null
+++ b/lease/progress_test.go
@@ -0,0 +1,105 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// shows is one list: the time since the one before, and the percent of the run,
+// or less than 0 if the run is not in it.
+type shows struct {
+	after   time.Duration
+	percent int
+}
+
+// Guards against a stalled run that is not noticed, against a long task of which
+// one percent takes long, and against a pause of the worker or of the agent that
+// counts as a standstill.
+func TestStalledRuns(t *testing.T) {
+	steady := func(n int, after time.Duration, step int) []shows {
+		var out []shows
+		for i := range n {
+			out = append(out, shows{after, i * step})
+		}
+		return out
+	}
+	for _, tc := range []struct {
+		name  string
+		lists []shows
+		still time.Duration
+		stall bool
+	}{
+		{"progress", steady(10, 150*ms, 3), 0, false},
+		{"one interval", []shows{{10 * ms, 5}, {150 * ms, 5}}, 150 * ms, false},
+		{"two intervals", []shows{{10 * ms, 5}, {150 * ms, 5}, {150 * ms, 5}}, 300 * ms, true},
+		{"never any progress", []shows{{10 * ms, 0}, {150 * ms, 0}, {150 * ms, 0}}, 300 * ms, true},
+		{"many short intervals", steady(50, 5*ms, 0), 245 * ms, false},
+		{"just long enough", steady(51, 5*ms, 0), 250 * ms, true},
+		{"progress again", []shows{{10 * ms, 5}, {150 * ms, 5}, {150 * ms, 5}, {150 * ms, 6}}, 0, false},
+		{"a short pause counts as one interval", []shows{{10 * ms, 5}, {590 * ms, 5}, {10 * ms, 5}}, 160 * ms, false},
+		{"a long pause does not count", []shows{{10 * ms, 5}, {150 * ms, 5}, {601 * ms, 5}}, 150 * ms, false},
+		{"a list without the run", []shows{{10 * ms, 5}, {100 * ms, -1}, {100 * ms, 5}, {100 * ms, 5}}, 100 * ms, false},
+		{"less than a tenth of its age", append(steady(28, 150*ms, 1), shows{150 * ms, 27}, shows{150 * ms, 27}), 300 * ms, false},
+		{"a tenth of its age", append(steady(17, 150*ms, 1), shows{150 * ms, 16}, shows{150 * ms, 16}), 300 * ms, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, table := qt.New(t), ordered()
+			table.options.Renew, table.options.StallAfter = 150*ms, 250*ms
+			table.answer("")
+			for _, l := range tc.lists {
+				table.pass(l.after)
+				if l.percent < 0 {
+					table.fresh(nil)
+					continue
+				}
+				table.fresh([]Active{{run1, l.percent}})
+			}
+			p, ok := table.Progress(run1)
+			c.Assert(ok, qt.IsTrue)
+			c.Check(p.Still, qt.Equals, tc.still)
+			c.Check(p.Stalled, qt.Equals, tc.stall)
+			if tc.stall {
+				c.Check(table.TakeStalled(), qt.DeepEquals, []Run{run1})
+			}
+		})
+	}
+}
+
+// Guards against a stalled run that is reported again with every list, and one
+// that is being stopped and still reported.
+func TestStalledOnce(t *testing.T) {
+	c, table := qt.New(t), ordered()
+	table.options.Renew, table.options.StallAfter = 150*ms, 250*ms
+	table.answer("")
+	reports := 0
+	for range 10 {
+		table.pass(150 * ms)
+		table.fresh([]Active{{run1, 40}})
+		reports += len(table.TakeStalled())
+	}
+	c.Check(reports, qt.Equals, 1)
+	table.Stop(run1)
+	_, ok := table.Progress(run1)
+	c.Check(ok, qt.IsFalse)
+}
+
+// Guards against a projection from the wrong start, and against a task that
+// cannot be judged and counts as slow.
+func TestProjection(t *testing.T) {
+	for _, tc := range []struct {
+		p        Progress
+		expected time.Duration
+		total    time.Duration
+		slow     bool
+	}{
+		{Progress{Percent: 0, Elapsed: time.Second}, 100 * ms, 0, false},
+		{Progress{Percent: 25, Elapsed: 200 * ms}, 0, 800 * ms, false},
+		{Progress{Percent: 25, Elapsed: 75 * ms}, 200 * ms, 300 * ms, false},
+		{Progress{Percent: 25, Elapsed: 76 * ms}, 200 * ms, 304 * ms, true},
+	} {
+		qt.Check(t, tc.p.Projected(), qt.Equals, tc.total)
+		qt.Check(t, tc.p.Slow(tc.expected), qt.Equals, tc.slow)
+	}
+}
--- a/lease/runs.go
+++ b/lease/runs.go
@@ -52,6 +52,11 @@
 	Validity time.Duration
 	// StopTime is how long a worker takes to end a run whose lease ended.
 	StopTime time.Duration
+	// Renew is the usual interval between two lists while something runs.
+	Renew time.Duration
+	// StallAfter is the least time without progress after which a run is
+	// stalled; 0 means never.
+	StallAfter time.Duration
 }
 
 // Runs is the table of the runs at one life of a worker.
@@ -68,6 +73,7 @@
 	table   map[Task]*entry
 	foreign map[Run]bool // runs that another agent process ordered
 	clean   bool         // the newest list had no foreign run
+	stalled []Run        // for TakeStalled
 	numbers numbers
 }
 
@@ -85,6 +91,7 @@
 	// stopped and stoppedAt say the same of its stop.
 	stopped   bool
 	stoppedAt uint64
+	progress  progress
 }
 
 // NewRuns returns the empty table of a life that is not adopted yet.
@@ -283,9 +290,10 @@
 	if l.Refusal != "" || n.number <= r.listed {
 		return nil, nil // a list that arrives late shows runs that ended since
 	}
+	previous := r.listed
 	r.listed = n.number
 	left = r.ends(now, l.Ended)
-	stop = r.active(now, l.Active)
+	stop = r.active(now, previous, l)
 	absent, doubtful := r.missing(n.number, l)
 	return append(left, absent...), append(stop, doubtful...)
 }
@@ -320,13 +328,16 @@
 
 // active takes the active runs of a list and returns the foreign ones that it
 // shows for the first time.
-func (r *Runs) active(now time.Time, runs []Active) []Run {
+func (r *Runs) active(now time.Time, previous uint64, l List) []Run {
 	var fresh []Run
 	foreign := map[Run]bool{}
-	for _, a := range runs {
+	for _, a := range l.Active {
 		r.numbers.note(now, a.Run)
 		if e := r.find(a.Run); e != nil {
 			e.begin()
+			if e.progress.advance(r.options, previous, r.listed, l.Clock, a.Percent) && e.state == Running {
+				r.stalled = append(r.stalled, a.Run)
+			}
 			continue
 		}
 		foreign[a.Run] = true
@@ -400,13 +411,15 @@
 	Run   Run
 	State State
 	Began bool // the worker accepted the start or listed the run
+
+	Progress Progress
 }
 
 // Entries returns the runs of the table in no particular order.
 func (r *Runs) Entries() []Entry {
 	out := make([]Entry, 0, len(r.table))
 	for _, e := range r.table {
-		out = append(out, Entry{e.run, e.state, e.began})
+		out = append(out, Entry{e.run, e.state, e.began, e.progress.Progress})
 	}
 	return out
 }
--- a/settings/leased_test.go
+++ b/settings/leased_test.go
@@ -47,6 +47,8 @@
 		{"no worker", strings.Replace(leasedAgent, `"worker":"w1",`, "", 1), `worker: .*`},
 		{"null", strings.Replace(leasedAgent, `"leased":{}`, `"leased":null`, 1), `leased: null .*`},
 		{"unknown field", leased(`"lase":"1s"`), `leased\.lase: unknown field.*`},
+		{"no time to stall", leased(`"stall_after":"0s"`), `leased\.stall_after: "0s" .*more than 0s.*`},
+		{"stall within a renewal", leased(`"stall_after":"150ms"`), `leased\.stall_after: "150ms" .*more than 150ms \(renew\).*`},
 		{"no time to stop", leased(`"stop_time":"0s"`), `leased\.stop_time: "0s" .*more than 0s.*`},
 		{"lease within two lost answers", leased(`"order_timeout":"175ms","renew":"100ms"`), `leased\.lease: "450ms" .*more than 450ms \(renew \+ 2 order_timeout\).*`},
 		{"lease within a lost renewal", leased(`"renew":"175ms"`), `leased\.lease: "450ms" .*more than 450ms \(2 renew \+ order_timeout\).*`},
--- a/settings/load.go
+++ b/settings/load.go
@@ -53,6 +53,7 @@
 		OrderValidity: Duration(300 * time.Millisecond),
 		StopTime:      Duration(50 * time.Millisecond),
 		Resend:        Duration(1300 * time.Millisecond),
+		StallAfter:    Duration(250 * time.Millisecond),
 	}
 }
 
--- a/settings/timing.go
+++ b/settings/timing.go
@@ -80,6 +80,7 @@
 	}{
 		{"leased.lease", l.Lease}, {"leased.renew", l.Renew}, {"leased.order_timeout", l.OrderTimeout},
 		{"leased.order_validity", l.OrderValidity}, {"leased.stop_time", l.StopTime}, {"leased.resend", l.Resend},
+		{"leased.stall_after", l.StallAfter},
 	} {
 		ps.positive(f.field, f.value)
 	}
@@ -93,6 +94,9 @@
 	// A start extends the lease of its run until the next renewal.
 	ps.longer("leased.order_validity", l.OrderValidity, l.Renew.Of()+l.OrderTimeout.Of(), "renew + order_timeout")
 	ps.atMost("leased.order_validity", l.OrderValidity, l.Lease.Of(), "lease")
+	// An interval between two lists counts for renew at most, so that a stall is
+	// never seen in one interval alone.
+	ps.longer("leased.stall_after", l.StallAfter, l.Renew.Of(), "renew")
 	sum := t.Lapse.Of() + t.Heartbeat.Of()/2 + l.Lease.Of()*(100+clockDrift)/100 + 2*l.StopTime.Of()
 	const of = "timing.lapse + timing.heartbeat/2 + 1.02 leased.lease + 2 leased.stop_time"
 	ps.longer("timing.reconcile", t.Reconcile, sum, of)
--- a/settings/types.go
+++ b/settings/types.go
@@ -145,6 +145,10 @@
 	// connection broke. More than Timing.Lapse + 3/2 Heartbeat + Lease and its
 	// clock drift of 2 % + 2 StopTime. Default 1300ms.
 	Resend Duration `json:"resend"`
+	// StallAfter is the least time without progress after which a run is
+	// reported to its entry as stalled. More than Renew, so that one pause
+	// between two lists is no stall. Default 250ms.
+	StallAfter Duration `json:"stall_after"`
 }
 
 // Limits on what callers may send and receive.
