agent: report stalled and slow runs to their entries

Cause: entries learn nothing of a run between its start and its end. Ruled out: a message of its own, because a heartbeat to the entry is due within 150 ms anyway and a stall makes it due at once; telling tasks apart by the worker's names alone, because two entries can have the same job for a moment, so an attempt now keeps the entry's job identifier. Change: wire.Task.Expected and HeartbeatRequest.Behind, both at the end of their structs, so that processes of protocol version 1 with and without them understand each other (test for both codecs); counter runs_stalled, progress in the state dump; the stand-in's runs can stand still, be slow, and its machine can be paused. TestWorkerLeft compares the new fields of the dump as well.

--- /dev/null
+++ b/agent/behind.go
@@ -0,0 +1,69 @@
+package agent
+
+import (
+	"cmp"
+	"slices"
+
+	"chicorytray.example/chicorytray/lease"
+	"chicorytray.example/chicorytray/ledger"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// behind lists the entry's runs that are stalled or slow; nil when there are
+// none. The caller holds mu.
+func (l *leased) behind(owner ledger.Owner) []wire.BehindRun {
+	f := l.life
+	if f == nil || f.runs.Empty() {
+		return nil
+	}
+	var out []wire.BehindRun
+	for id, t := range l.agent.tasks {
+		run, ok := f.runOf(t)
+		if !ok || id.owner != owner {
+			continue
+		}
+		p, ok := f.runs.Progress(run)
+		if ok && (p.Stalled || p.Slow(t.task.Expected)) {
+			out = append(out, wire.BehindRun{Key: id.key, Percent: p.Percent, Elapsed: p.Elapsed, Stalled: p.Stalled})
+		}
+	}
+	slices.SortFunc(out, func(x, y wire.BehindRun) int {
+		return cmp.Or(cmp.Compare(x.Key.Session, y.Key.Session), cmp.Compare(x.Key.Sequence, y.Key.Sequence))
+	})
+	return out
+}
+
+// runOf returns the run that was ordered for the task and has not ended. A task
+// of another entry for the same job has none: its order is refused. The
+// agent's lock is held.
+func (f *life) runOf(t *task) (lease.Run, bool) {
+	if t.cancel == nil || t.task.Leased == nil {
+		return lease.Run{}, false
+	}
+	run, ok := f.runs.RunOf(leaseTask(t.task))
+	if !ok {
+		return lease.Run{}, false
+	}
+	at := f.waiting[run]
+	return run, at != nil && at.job == t.task.Job
+}
+
+// reportStalled makes a heartbeat due at once to each entry of which a run
+// became stalled; the caller holds mu.
+func (l *leased) reportStalled(f *life) {
+	stalled := f.runs.TakeStalled()
+	if len(stalled) == 0 {
+		return
+	}
+	l.agent.metrics.runsStalled.Inc(int64(len(stalled)))
+	for id, t := range l.agent.tasks {
+		run, ok := f.runOf(t)
+		if !ok || !slices.Contains(stalled, run) {
+			continue
+		}
+		p, _ := f.runs.Progress(run)
+		l.agent.log.Warn().Str("job", t.task.Job).Int("task", t.task.Index).Int("percent", p.Percent).
+			Dur("elapsed_ms", p.Elapsed).Dur("still_ms", p.Still).Msg("run_stalled")
+		l.agent.entries.kickOne(id.owner)
+	}
+}
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -205,6 +205,9 @@
 	if !a.storeAt.IsZero() {
 		r.ReadAge = max(0, now.Sub(a.storeAt))
 	}
+	if a.leased != nil {
+		r.Behind = a.leased.behind(to)
+	}
 	return r
 }
 
--- a/agent/leased.go
+++ b/agent/leased.go
@@ -42,7 +42,8 @@
 type attempt struct {
 	life  *life
 	order lease.StartOrder
-	left  chan lease.Left
+	job   string          // of the task, by the entry's identifier
+	left  chan lease.Left // capacity 1
 	base  context.Context // of the process
 }
 
@@ -103,8 +104,8 @@
 	if idle {
 		f.kick(false) // the renewal that is out does not extend the lease
 	}
-	at := &attempt{life: f, order: o, left: make(chan lease.Left, 1), base: a.base}
-	f.waiting[o.Run] = at.left
+	at := &attempt{life: f, order: o, job: t.Job, left: make(chan lease.Left, 1), base: a.base}
+	f.waiting[o.Run] = at
 	go l.send(at)
 	return at, nil
 }
@@ -154,8 +155,8 @@
 // deliver wakes the tasks whose runs left the table; the caller holds mu.
 func (l *leased) deliver(f *life, left []lease.Left) {
 	for _, r := range left {
-		if c := f.waiting[r.Run]; c != nil {
-			c <- r
+		if at := f.waiting[r.Run]; at != nil {
+			at.left <- r
 			delete(f.waiting, r.Run)
 		}
 	}
--- a/agent/leased_session_test.go
+++ b/agent/leased_session_test.go
@@ -111,7 +111,7 @@
 		state := r.agent.State().Leased
 		r.Check(state.Left, qt.IsTrue)
 		r.Assert(state.Runs, qt.HasLen, 1)
-		r.Check(state.Runs[0], qt.Equals, RunState{Task: "lost/0/0", Number: 1, State: string(lease.Running), Began: true})
+		r.Check(state.Runs[0], qt.Equals, RunState{Task: "lost/0/0", Number: 1, State: string(lease.Running), Began: true, Percent: 10, ElapsedMS: 1000})
 		r.machine.Crash()
 		r.expect(<-lost, wire.OutcomeInterrupted, wire.ReasonWorkerLost)
 		r.Check(r.agent.State().Leased.Life, qt.Equals, "")
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -13,7 +13,7 @@
 	sessionsLapsed, sessionsFenced                    tally.Counter
 	upstreamErrors, upstreamTimeouts, upstreamUnsent  tally.Counter
 	refusedOutOfService, gateClosed, busy, duplicates tally.Counter
-	interrupted, ordersUnanswered                     tally.Counter
+	interrupted, ordersUnanswered, runsStalled        tally.Counter
 	offers, offersUsed, entriesSuspect, recordsLost   tally.Counter
 	running, queued, confirmationAge, generation      tally.Gauge
 	took                                              tally.Timer
@@ -32,7 +32,8 @@
 		refusedOutOfService: s.Counter("refused_out_of_service"), gateClosed: s.Counter("gate_closed"),
 		busy: s.Counter("refused_busy"), duplicates: s.Counter("duplicate_messages"),
 		interrupted: s.Counter("tasks_interrupted"), ordersUnanswered: s.Counter("orders_unanswered"),
-		offers: s.Counter("offers"), offersUsed: s.Counter("offers_used"),
+		runsStalled: s.Counter("runs_stalled"),
+		offers:      s.Counter("offers"), offersUsed: s.Counter("offers_used"),
 		entriesSuspect: s.Counter("entries_suspect"), recordsLost: s.Counter("records_evicted"),
 		running: s.Gauge("tasks_running"), queued: s.Gauge("tasks_queued"),
 		confirmationAge: s.Gauge("confirmation_age_seconds"), generation: s.Gauge("config_generation"),
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -224,5 +224,6 @@
 	for _, run := range stop {
 		go l.stop(f, run)
 	}
+	l.reportStalled(f)
 	l.refresh()
 }
--- a/agent/state.go
+++ b/agent/state.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"chicorytray.example/chicorytray/lease"
 	"chicorytray.example/chicorytray/ledger"
 	"chicorytray.example/chicorytray/rpcconn"
 	"chicorytray.example/chicorytray/wire"
@@ -59,6 +60,12 @@
 	Number uint64 `json:"number"`
 	State  string `json:"state"`
 	Began  bool   `json:"began"`
+
+	// By the worker's lists; -1 while none has shown the run.
+	Percent   int   `json:"percent"`
+	ElapsedMS int64 `json:"elapsed_ms"` // since the first list that showed it
+	StillMS   int64 `json:"still_ms"`   // without progress
+	Stalled   bool  `json:"stalled"`
 }
 
 // TaskState is one task that waits or runs.
@@ -142,15 +149,24 @@
 		LeaseEndMS: latest.Milliseconds(), ClockPastMS: clock.Milliseconds(), Runs: []RunState{},
 	}
 	for _, r := range f.runs.Entries() {
-		t := r.Run.Task
-		s.Runs = append(s.Runs, RunState{
-			Task: fmt.Sprintf("%s/%d/%d", t.Job, t.Step, t.Index), Number: r.Run.Number, State: string(r.State), Began: r.Began,
-		})
+		s.Runs = append(s.Runs, runState(r))
 	}
 	slices.SortFunc(s.Runs, func(x, y RunState) int { return cmp.Compare(x.Task, y.Task) })
 	return s
 }
 
+func runState(r lease.Entry) RunState {
+	t, p := r.Run.Task, r.Progress
+	s := RunState{
+		Task: fmt.Sprintf("%s/%d/%d", t.Job, t.Step, t.Index), Number: r.Run.Number, State: string(r.State), Began: r.Began,
+		Percent: -1, ElapsedMS: -1, StillMS: -1, Stalled: p.Stalled,
+	}
+	if p.Listed {
+		s.Percent, s.ElapsedMS, s.StillMS = p.Percent, p.Elapsed.Milliseconds(), p.Still.Milliseconds()
+	}
+	return s
+}
+
 func (e *entries) state(now time.Time, backlogs map[ledger.Owner]wire.Backlog) []EntryState {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -29,8 +29,8 @@
 	announced lease.Announcement
 	worker    Worker
 	runs      *lease.Runs
-	waiting   map[lease.Run]chan lease.Left // for the end of each run, capacity 1
-	ctx       context.Context               // of its orders
+	waiting   map[lease.Run]*attempt // for the end of each run
+	ctx       context.Context        // of its orders
 	cancel    context.CancelFunc
 	over      bool // it has ended
 	left      bool // the registry says that the worker left
@@ -98,10 +98,11 @@
 	s := l.settings
 	l.token++ // orders of the life before are not to be carried out in this one
 	l.life = &life{
-		announced: n, worker: l.agent.options.Connect(n), waiting: map[lease.Run]chan lease.Left{},
+		announced: n, worker: l.agent.options.Connect(n), waiting: map[lease.Run]*attempt{},
 		wake: make(chan struct{}, 1), immediate: true,
 		runs: lease.NewRuns(lease.Options{
 			Token: l.token, Lease: s.Lease.Of(), Validity: s.OrderValidity.Of(), StopTime: s.StopTime.Of(),
+			Renew: s.Renew.Of(), StallAfter: s.StallAfter.Of(),
 		}),
 	}
 	l.life.ctx, l.life.cancel = context.WithCancel(context.Background())
--- a/internal/leasestub/conn.go
+++ b/internal/leasestub/conn.go
@@ -28,6 +28,24 @@
 	FailAll bool
 	// Unhealthy refuses every start.
 	Unhealthy bool
+	// Stall makes all runs stand still.
+	Stall bool
+	// Slowdown is how many times slower all runs are; 0 means not slower.
+	Slowdown float64
+	// Paused makes the machine do nothing but let leases end: orders are lost,
+	// runs stand still, and lists that are due come when the pause is over.
+	Paused bool
+}
+
+// speed of runs: 1 is normal.
+func (f Faults) speed() float64 {
+	switch {
+	case f.Stall || f.Paused:
+		return 0
+	case f.Slowdown > 0:
+		return 1 / f.Slowdown
+	}
+	return 1
 }
 
 // Silent are the faults of a machine to which no order gets through.
@@ -60,6 +78,7 @@
 	}
 	m.mu.Lock()
 	f := fault(m.faults)
+	f.Lost = f.Lost || m.faults.Paused
 	m.orders[kind]++
 	if m.life == nil || m.faults.Refuse {
 		m.mu.Unlock()
@@ -152,7 +171,19 @@
 	if !ready && !wait.For(ctx, limit, changed) {
 		return lease.List{}, ctx.Err()
 	}
-	m.mu.Lock()
+	for {
+		m.mu.Lock()
+		resumed := m.resumed
+		if !m.faults.Paused {
+			break
+		}
+		m.mu.Unlock()
+		select {
+		case <-resumed:
+		case <-ctx.Done():
+			return lease.List{}, ctx.Err()
+		}
+	}
 	defer m.mu.Unlock()
 	if l.over {
 		return lease.List{}, errClosed
--- a/internal/leasestub/life.go
+++ b/internal/leasestub/life.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"math"
 	"slices"
 	"time"
 
@@ -29,13 +30,39 @@
 	needs    wire.Resources
 	took     time.Duration
 	start    *Start
-	began    time.Time
+	done     time.Duration // work done until since, of took
+	since    time.Time
+	speed    float64 // work done in a unit of time
 	lease    lease.Clock
 	expiry   *time.Timer
 	work     *time.Timer
 	stopping bool
 }
 
+// progress is the work done so far.
+func (r *run) progress() time.Duration {
+	return min(r.took, r.done+time.Duration(float64(time.Since(r.since))*r.speed))
+}
+
+// setSpeed changes how fast the run works, and when it will be done.
+func (r *run) setSpeed(speed float64) {
+	r.done, r.since, r.speed = r.progress(), time.Now(), speed
+	if r.stopping {
+		return
+	}
+	r.work.Stop()
+	if speed > 0 {
+		r.work.Reset(time.Duration(math.Ceil(float64(r.took-r.done) / speed)))
+	}
+}
+
+// setSpeed changes how fast all runs work.
+func (l *life) setSpeed(speed float64) {
+	for _, r := range l.runs {
+		r.setSpeed(speed)
+	}
+}
+
 // clock is the worker's clock now.
 func (l *life) clock() lease.Clock {
 	elapsed := time.Since(l.booted)
@@ -87,7 +114,7 @@
 		return lease.RefusedUnhealthy
 	}
 	l.highest[o.Run.Task] = o.Run.Number
-	r := &run{needs: spec.Needs, took: spec.took(), began: time.Now(), lease: o.Until}
+	r := &run{needs: spec.Needs, took: spec.took(), since: time.Now(), speed: 1, lease: o.Until}
 	l.runs[o.Run] = r
 	r.start = m.evidence.begin(Start{Run: o.Run, Worker: m.options.ID, At: time.Now()}, used, m.options.Capacity)
 	how := lease.Done
@@ -95,6 +122,7 @@
 		how = lease.Failed
 	}
 	r.work = time.AfterFunc(r.took, func() { l.finish(o.Run, how) })
+	r.setSpeed(m.faults.speed())
 	r.expiry = time.AfterFunc(l.until(r.lease), func() { l.lapse(o.Run) })
 	return ""
 }
@@ -171,8 +199,7 @@
 func (l *life) list() lease.List {
 	out := lease.List{Clock: l.clock(), Ended: slices.Clone(l.ended)}
 	for id, r := range l.runs {
-		done := 100 * time.Since(r.began) / max(r.took, 1)
-		out.Active = append(out.Active, lease.Active{Run: id, Percent: int(min(done, 100))})
+		out.Active = append(out.Active, lease.Active{Run: id, Percent: int(100 * r.progress() / max(r.took, 1))})
 	}
 	slices.SortFunc(out.Active, func(a, b lease.Active) int {
 		x, y := a.Run, b.Run
--- a/internal/leasestub/machine.go
+++ b/internal/leasestub/machine.go
@@ -74,6 +74,7 @@
 	sequence uint64
 	draining bool
 	faults   Faults
+	resumed  chan struct{}  // closed and replaced when the machine is not paused any more
 	orders   map[string]int // received, by kind
 }
 
@@ -85,7 +86,7 @@
 	if o.Evidence == nil {
 		o.Evidence = NewEvidence()
 	}
-	m := &Machine{options: o, evidence: o.Evidence, orders: map[string]int{}}
+	m := &Machine{options: o, evidence: o.Evidence, orders: map[string]int{}, resumed: make(chan struct{})}
 	m.Boot()
 	return m
 }
@@ -134,6 +135,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.faults = f
+	if m.life != nil {
+		m.life.setSpeed(f.speed())
+	}
+	if !f.Paused {
+		close(m.resumed)
+		m.resumed = make(chan struct{})
+	}
 }
 
 // Announcement returns the next announcement of the present or last life.
--- a/internal/leasestub/stub_test.go
+++ b/internal/leasestub/stub_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -51,3 +52,47 @@
 		})
 	}
 }
+
+// Guards against a stand-in whose runs go on while they should stand still, or
+// that finishes slowed runs at the wrong time.
+func TestSpeedOfRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := New(Options{ID: "a", Capacity: wire.Resources{MilliCPU: 1000}})
+		c := m.Connect(m.Announcement())
+		run := c.begin(t.Context(), "j")
+		began := time.Now()
+		percent := func() int {
+			list, err := c.Renew(t.Context(), lease.RenewOrder{Until: 2 * bootClock})
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, list.Active, qt.HasLen, 1)
+			qt.Check(t, list.Active[0].Run, qt.Equals, run)
+			return list.Active[0].Percent
+		}
+		for _, phase := range []struct {
+			faults  Faults
+			lasts   time.Duration
+			percent int
+		}{
+			{Faults{}, 200 * time.Millisecond, 20},
+			{Faults{Stall: true}, time.Second, 20},
+			{Faults{Slowdown: 4}, 400 * time.Millisecond, 30},
+			{Faults{Stall: true}, time.Second, 30},
+		} {
+			m.SetFaults(phase.faults)
+			time.Sleep(phase.lasts)
+			qt.Check(t, percent(), qt.Equals, phase.percent)
+		}
+		m.SetFaults(Faults{Paused: true})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := c.Renew(ctx, lease.RenewOrder{})
+		qt.Check(t, err, qt.IsNotNil)
+		m.SetFaults(Faults{})
+		time.Sleep(701 * time.Millisecond)
+		qt.Check(t, m.Evidence().Running(), qt.Equals, 0)
+		end := m.Evidence().Starts()[0]
+		qt.Check(t, end.How, qt.Equals, lease.Done)
+		qt.Check(t, end.Ended.Sub(began), qt.Equals, 4300*time.Millisecond)
+		m.Crash()
+	})
+}
--- /dev/null
+++ b/rpcconn/compatible_test.go
@@ -0,0 +1,82 @@
+package rpcconn
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/wire"
+)
+
+// earlierHeartbeat and earlierTask are the messages of processes that do not
+// know the progress of runs, reduced to structs with fewer fields at the end.
+type earlierHeartbeat struct {
+	Agent      wire.AgentRef
+	KnownEntry wire.Incarnation
+	Load       wire.Load
+	Leaving    bool
+	Healthy    bool
+	Generation uint64
+	ReadAge    time.Duration
+}
+
+type earlierTask struct {
+	Job               string
+	Index, Attempt    int
+	Template, Account string
+	Urgency           int
+	Needs             wire.Resources
+	Request           wire.Request
+	MaxResponse       int64
+	Remaining         time.Duration
+	AnyStatus         bool
+	Leased            *wire.LeasedTask
+}
+
+type earlierRun struct {
+	Session  wire.Session
+	Sequence uint64
+	Task     earlierTask
+	Backlog  wire.Backlog
+	Acked    []wire.TaskKey
+}
+
+// Guards against processes of one protocol version that cannot read each
+// other's heartbeats and tasks while they are replaced one after the other.
+func TestFieldsAddedWithinAVersion(t *testing.T) {
+	beat := wire.HeartbeatRequest{KnownEntry: 3, Generation: 7, ReadAge: time.Second,
+		Behind: []wire.BehindRun{{Key: wire.TaskKey{Session: 1, Sequence: 2}, Percent: 40, Stalled: true}}}
+	task := wire.RunRequest{Sequence: 5, Task: wire.Task{Job: "j", Leased: &wire.LeasedTask{Job: "k"}, Expected: time.Second},
+		Backlog: wire.Backlog{Tasks: 4}, Acked: []wire.TaskKey{{Session: 1, Sequence: 1}}}
+	for _, codec := range []Codec{CodecGob, CodecMsgpack} {
+		t.Run(string(codec), func(t *testing.T) {
+			c := qt.New(t)
+			pass := func(in, out any) {
+				var b bytes.Buffer
+				c.Assert(newEncoder(codec, &b).Encode(in), qt.IsNil)
+				d := newDecoder(codec)
+				d.reset(b.Bytes())
+				c.Assert(d.decode(out), qt.IsNil)
+			}
+			var oldBeat earlierHeartbeat
+			pass(beat, &oldBeat)
+			c.Check(oldBeat.ReadAge, qt.Equals, time.Second)
+			var newBeat wire.HeartbeatRequest
+			pass(oldBeat, &newBeat)
+			beat := beat
+			beat.Behind = nil
+			c.Check(newBeat, qt.DeepEquals, beat)
+			var oldTask earlierRun
+			pass(task, &oldTask)
+			c.Check(oldTask.Backlog.Tasks, qt.Equals, 4)
+			c.Check(oldTask.Acked, qt.HasLen, 1)
+			var newTask wire.RunRequest
+			pass(oldTask, &newTask)
+			task := task
+			task.Task.Expected = 0
+			c.Check(newTask, qt.DeepEquals, task)
+		})
+	}
+}
--- a/wire/agent.go
+++ b/wire/agent.go
@@ -104,6 +104,17 @@
 	// of from any entry; negative when there is none. It shows an entry that
 	// cannot read the store that others can.
 	ReadAge time.Duration
+	// Behind lists the runs of the entry's leased tasks that are stalled or slow.
+	Behind []BehindRun
+}
+
+// BehindRun is a run of a leased task that makes no progress or too little.
+type BehindRun struct {
+	Key     TaskKey
+	Percent int // of its work, 0 to 100
+	// Elapsed is the time since the worker first listed the run, by its clock.
+	Elapsed time.Duration
+	Stalled bool // without progress; otherwise it is slow
 }
 
 // HeartbeatReply answers a HeartbeatRequest.
--- a/wire/doc.go
+++ b/wire/doc.go
@@ -8,4 +8,6 @@
 
 // ProtocolVersion is checked in the hello that precedes the first call on a
 // connection. Processes with different versions refuse to talk to each other.
+// Within a version, fields are only added, and at the end of their struct: the
+// msgpack codec tells fields apart by their order alone.
 const ProtocolVersion = 1
--- a/wire/task.go
+++ b/wire/task.go
@@ -37,6 +37,8 @@
 	AnyStatus bool
 	// Leased is set for a leased task, which has no Request.
 	Leased *LeasedTask
+	// Expected is the learned duration of a leased task; 0 when not known.
+	Expected time.Duration
 }
 
 // LeasedTask is what a worker that runs leased tasks needs to know of a task.
