entry: stop stalled and slow runs where their tasks are better off elsewhere

Cause: a job waits until its deadline for a run that stands still, and for one at a slow worker. Ruled out: a new message (Cancel stops a run and its outcome, interrupted, is given only once the end is proved); room that waiting tasks can use (they are placed before the decision); counting the failed outcome at the end of the run, which comes up to one lease later when stops are ignored. Change: package straggler decides; ejection.Detector.Slowness gives the factor; a second retry.Budget of a tenth of the starts with a burst of 10 and nothing for time; a restarted task waits for another agent, as a failed one does; counters runs_restarted by reason, restarts in the dump of a job. Concurrent runs: the entry sends the task again only after the outcome of the cancelled run, so a restart is a cancellation followed by the paths for interrupted and unknown outcomes. Conclusion: an agent that refused the task as busy counts as one to which it was not sent, since nothing of it started there.

--- a/ejection/ejection.go
+++ b/ejection/ejection.go
@@ -162,9 +162,12 @@
 	state   state
 	history history
 	weight  float64
-	since   time.Time // of the state
-	pause   time.Duration
-	probes  struct{ succeeded, failed int }
+	// slowness relative to the median agent at the last evaluation; 0 when not
+	// known.
+	slowness float64
+	since    time.Time // of the state
+	pause    time.Duration
+	probes   struct{ succeeded, failed int }
 }
 
 // New returns a Detector without agents.
@@ -213,6 +216,15 @@
 	}
 }
 
+// Slowness returns how many times slower than the median agent an agent in use
+// was at the last Evaluate; 0 when that is not known.
+func (d *Detector) Slowness(id string) float64 {
+	if a, ok := d.agents[id]; ok {
+		return a.slowness
+	}
+	return 0
+}
+
 // Ejected returns the number of agents that are ejected now.
 func (d *Detector) Ejected() int { return d.ejected }
 
--- a/ejection/rules.go
+++ b/ejection/rules.go
@@ -12,6 +12,7 @@
 	var list []judged
 	var ratios []float64
 	for _, a := range d.agents {
+		a.slowness = 0
 		if a.state != inUse {
 			continue
 		}
@@ -29,6 +30,7 @@
 		if list[i].slowness > 0 {
 			// Half of the agents may be slow without raising the reference.
 			list[i].slowness /= ratios[(len(ratios)-1)/2]
+			list[i].agent.slowness = list[i].slowness
 		}
 	}
 	slices.SortFunc(list, func(a, b judged) int { return cmp.Compare(a.id, b.id) })
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -206,6 +206,9 @@
 	d.queue.Started(j.account, j.expected)
 	d.metrics.tasksSent.Inc(1)
 	if j.leased != nil {
+		if j.tasks[index].Attempt == 0 {
+			d.restartBudget.Request(d.now)
+		}
 		d.countPending(j)
 		d.countLeasedStart(j)
 		return
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -126,6 +126,7 @@
 	if a.session.state == sessionClosed {
 		d.open(a)
 	}
+	d.behind(a, req.Behind)
 	reply := d.heartbeatReply(a)
 	if req.KnownEntry == d.self.Incarnation {
 		reply.Entry = d.self.Brief()
--- /dev/null
+++ b/entry/behind.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"slices"
+
+	"chicorytray.example/chicorytray/ejection"
+	"chicorytray.example/chicorytray/placement"
+	"chicorytray.example/chicorytray/straggler"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// restart is a run that is being stopped so that its task starts elsewhere.
+type restart struct {
+	agent *agent
+	// target is the agent that had room for the task. No other restart counts
+	// on it meanwhile, because the room may be for one task only.
+	target string
+}
+
+// behind decides about the runs that an agent reports as stalled or slow.
+func (d *dispatcher) behind(a *agent, runs []wire.BehindRun) {
+	if len(runs) == 0 || a.session.state != sessionOpen || !d.mayStartNow() {
+		return
+	}
+	d.pump() // room that waiting tasks can use is none for a restart
+	for _, b := range runs {
+		t := a.session.tasks[b.Key]
+		if t == nil || t.job.leased == nil || t.job.closing != nil {
+			continue
+		}
+		if _, stopping := d.restarts[t]; !stopping {
+			d.restartIfWorthwhile(a, t, b)
+		}
+	}
+}
+
+func (d *dispatcher) restartIfWorthwhile(a *agent, t *sent, b wire.BehindRun) {
+	j := t.job
+	target, ok := d.roomElsewhere(a, t)
+	reason, ok := straggler.Decide(straggler.Run{
+		Percent: b.Percent, Elapsed: b.Elapsed, Stalled: b.Stalled,
+		Expected: j.expected, Left: j.deadline.Sub(d.now), Slowness: d.detector.Slowness(a.ref.ID),
+		Restarts: int(j.leased.restarts[t.index]), Stopping: d.stoppingAt(a),
+		Elsewhere: ok, ThereSlowness: d.detector.Slowness(target), Budget: d.restartBudget.Available(d.now) >= 1,
+	})
+	if !ok || !d.restartBudget.Allow(d.now) {
+		return
+	}
+	j.leased.restarts[t.index]++
+	d.restarts[t] = restart{agent: a, target: target}
+	d.metrics.restarted(reason)
+	d.log.Warn().Str("job", j.id).Int("task", t.index).Str("agent", a.ref.ID).Str("reason", string(reason)).
+		Int("percent", b.Percent).Dur("elapsed_ms", b.Elapsed).Msg("run is restarted elsewhere")
+	if reason == straggler.Stalled {
+		d.nextEvaluation = d.now
+		d.detector.Observe(d.now, a.ref.ID, ejection.Outcome{Failed: true, Job: j.id})
+	}
+	d.cancelSent(a, t)
+}
+
+// roomElsewhere returns an agent that can start the task now, to which it was
+// not sent before and on which no other restart counts.
+func (d *dispatcher) roomElsewhere(a *agent, t *sent) (target string, ok bool) {
+	tried := t.job.tried[t.index]
+	return d.table.ChooseFor(placement.Query{Class: t.job.class, Avoid: func(id string) bool {
+		return id == a.ref.ID || slices.Contains(tried, id) || d.countedOn(id)
+	}})
+}
+
+func (d *dispatcher) countedOn(agent string) bool {
+	for _, r := range d.restarts {
+		if r.target == agent {
+			return true
+		}
+	}
+	return false
+}
+
+// stoppingAt counts the runs of the agent that are being stopped for a restart.
+func (d *dispatcher) stoppingAt(a *agent) int {
+	n := 0
+	for _, r := range d.restarts {
+		if r.agent == a {
+			n++
+		}
+	}
+	return n
+}
--- a/entry/collect.go
+++ b/entry/collect.go
@@ -18,6 +18,7 @@
 			continue
 		}
 		j := v.task.job
+		delete(d.restarts, v.task)
 		d.table.Settled(a.ref.ID, j.class.Needs)
 		j.at[v.task.index] = location{}
 		j.racks.Done(a.ref.Rack)
@@ -52,7 +53,7 @@
 // awaitOrCancel handles a task that still runs after reconciliation.
 func (d *dispatcher) awaitOrCancel(a *agent, t *sent) {
 	d.await(a, t)
-	if t.job.closing != nil {
+	if _, restarts := d.restarts[t]; restarts || t.job.closing != nil {
 		d.cancelSent(a, t)
 	}
 }
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -65,6 +65,9 @@
 	durations *estimate.Durations
 	detector  *ejection.Detector
 	budget    *retry.Budget
+	// restartBudget limits the restarts of stalled and slow runs, because
+	// discarded work costs capacity.
+	restartBudget *retry.Budget
 
 	agents         map[string]*agent
 	jobs           map[string]*job
@@ -87,6 +90,7 @@
 	nextEvaluation time.Time
 	starts         []location
 	cancels        map[*agent][]wire.TaskKey
+	restarts       map[*sent]restart // until the run has ended
 	backlog        backlogState
 	peers          func() []wire.EntryRef // entries known, for agents
 }
@@ -100,8 +104,9 @@
 		admission: admission.New(admission.Options{MaxQueuedTasks: math.MaxInt}),
 		shares:    quota.New(quota.Options{Self: e.self.ID, Interval: e.settings.Timing.PeerHeartbeat.Of()}),
 		durations: estimate.New(estimate.Options{}), detector: ejection.New(ejection.Options{}),
-		budget: retry.New(retry.Options{}),
-		agents: map[string]*agent{}, jobs: map[string]*job{}, accounts: map[string]*accountUse{},
+		budget: retry.New(retry.Options{}), restartBudget: retry.New(retry.Options{PerSecond: -1}),
+		restarts: map[*sent]restart{},
+		agents:   map[string]*agent{}, jobs: map[string]*job{}, accounts: map[string]*accountUse{},
 		leased: map[string]*job{}, pending: map[string]int{}, pools: map[string]*pool{},
 		classes: map[string]*class{}, cancels: map[*agent][]wire.TaskKey{},
 	}
--- a/entry/leased.go
+++ b/entry/leased.go
@@ -33,6 +33,7 @@
 
 	attempts      []uint8 // failed ones, by task
 	interruptions []uint8 // by task
+	restarts      []uint8 // of stalled or slow runs, by task
 	// out counts the tasks at agents, and those whose run may go on.
 	out     int
 	ran     bool // some task started
@@ -113,7 +114,7 @@
 	for i := range tasks {
 		tasks[i] = wire.Task{
 			Job: j.id, Index: i, Template: j.template.Name, Account: j.account, Urgency: j.template.Urgency,
-			Needs: j.class.Needs, Leased: work,
+			Needs: j.class.Needs, Leased: work, Expected: j.expected,
 		}
 	}
 	return tasks
@@ -164,6 +165,7 @@
 	j.leased = &leasedJob{
 		name: name, asked: s.workload, callers: 1,
 		attempts: make([]uint8, j.count), interruptions: make([]uint8, j.count),
+		restarts: make([]uint8, j.count),
 	}
 	j.results = nil // leased tasks have none
 	if s.expected > 0 {
@@ -261,7 +263,7 @@
 func (j *job) trim() {
 	if j.answered && j.leased.out == 0 {
 		j.states, j.at, j.mayRan, j.tried = nil, nil, nil, nil
-		j.leased.attempts, j.leased.interruptions = nil, nil
+		j.leased.attempts, j.leased.interruptions, j.leased.restarts = nil, nil, nil
 	}
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/uber-go/tally/v4"
 
+	"chicorytray.example/chicorytray/straggler"
 	"chicorytray.example/chicorytray/wire"
 )
 
@@ -33,6 +34,7 @@
 	configInvalid        tally.Counter
 	registrationsExpired tally.Counter
 	tasksInterrupted     tally.Counter
+	runsRestarted        map[straggler.Reason]tally.Counter
 }
 
 func newMetrics(s tally.Scope) metrics {
@@ -64,9 +66,19 @@
 		configInvalid:        s.Counter("config_invalid"),
 		registrationsExpired: s.Counter("registrations_expired"),
 		tasksInterrupted:     s.Counter("tasks_interrupted"),
+		runsRestarted: map[straggler.Reason]tally.Counter{
+			straggler.Stalled: restartCounter(s, straggler.Stalled), straggler.Slow: restartCounter(s, straggler.Slow),
+		},
 	}
 }
 
+func restartCounter(s tally.Scope, r straggler.Reason) tally.Counter {
+	return s.Tagged(map[string]string{"reason": string(r)}).Counter("runs_restarted")
+}
+
+// restarted counts a run that is stopped so that its task starts elsewhere.
+func (m metrics) restarted(r straggler.Reason) { m.runsRestarted[r].Inc(1) }
+
 // countRefusal counts an agent's refusal of a task by its reason.
 func (d *dispatcher) countRefusal(r wire.Reason) {
 	switch r {
--- a/entry/place.go
+++ b/entry/place.go
@@ -64,7 +64,7 @@
 		a := d.place(j, ref.Index)
 		if a == nil {
 			heldBack = append(heldBack, ref)
-			if !d.failedBefore(j, ref.Index) {
+			if !d.setBack(j, ref.Index) {
 				break
 			}
 			continue
@@ -77,12 +77,13 @@
 }
 
 // maxHeldBack bounds the tasks that are passed over at a time because only
-// agents at which they failed have room.
+// agents at which they failed or stalled have room.
 const maxHeldBack = 16
 
-// failedBefore reports whether the task has used up an attempt.
-func (d *dispatcher) failedBefore(j *job, index int) bool {
-	return j.leased != nil && j.leased.attempts[index] > 0
+// setBack reports whether a run of the task failed or was stopped because it was
+// stalled or slow.
+func (d *dispatcher) setBack(j *job, index int) bool {
+	return j.leased != nil && (j.leased.attempts[index] > 0 || j.leased.restarts[index] > 0)
 }
 
 // feasible reports whether a task of the class can be started now.
@@ -93,8 +94,9 @@
 
 // place picks the agent for a task, spreading a job over racks. A repeated
 // attempt goes to an agent that the task has not met, where that is possible. A
-// task that failed waits for such an agent: one that fails whatever it starts
-// has room when the others have none, and would use up all attempts at once.
+// task that failed or was restarted waits for such an agent: one that fails
+// whatever it starts has room when the others have none, and would use up all
+// attempts at once.
 func (d *dispatcher) place(j *job, index int) *agent {
 	q := placement.Query{Class: j.class}
 	if j.count > 1 {
@@ -106,7 +108,7 @@
 		if id, ok := d.table.ChooseFor(avoiding); ok {
 			return d.agents[id]
 		}
-		if d.failedBefore(j, index) && d.usableBeside(j.class, tried) {
+		if d.setBack(j, index) && d.usableBeside(j.class, tried) {
 			return nil
 		}
 	}
--- a/entry/state.go
+++ b/entry/state.go
@@ -103,10 +103,11 @@
 	Done        int    `json:"done"`
 	Failing     string `json:"failing,omitempty"` // reason of a job that ends without success
 	// Of a job of leased tasks: the caller's identifier, and the failed and
-	// interrupted runs of all its tasks.
+	// interrupted runs of all its tasks, and those stopped as stalled or slow.
 	Identifier    string `json:"identifier,omitempty"`
 	Attempts      int    `json:"attempts,omitempty"`
 	Interruptions int    `json:"interruptions,omitempty"`
+	Restarts      int    `json:"restarts,omitempty"`
 }
 
 // StateAccount describes an account's tasks at this entry.
@@ -216,6 +217,7 @@
 		for i := range j.leased.attempts {
 			s.Attempts += int(j.leased.attempts[i])
 			s.Interruptions += int(j.leased.interruptions[i])
+			s.Restarts += int(j.leased.restarts[i])
 		}
 	}
 	return s
