leasedtest: test that jobs leave workers where runs stand still or are slow

Cause: the restart of runs had tests of its parts only. Found: a slow worker all of whose runs are restarted has no outcomes, so its factor is forgotten after the window of 10 s and it gets full load again. Observing the projected time by BehindRun.Elapsed was tried first: it lacks the time before the first list, reads 2.1 instead of 4, and the factor falls below 2. Now a restarted slow run is an outcome with the time since it was sent; without that TestJobsLeaveASlowWorker fails. TestLongTaskIsNotRestarted fails without the factor, TestNoRestartWithoutRoomElsewhere without the room, TestPausesAreNoStandstill when an interval counts whole. Conclusion: the factor compares outcomes of all durations of a template, so a sound worker that had only long tasks of it for 10 s, while its peers had short ones, counts as slow; seen in a draft of TestPausesAreNoStandstill, not changed here.

--- a/entry/behind.go
+++ b/entry/behind.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"chicorytray.example/chicorytray/ejection"
 	"chicorytray.example/chicorytray/placement"
@@ -51,11 +52,23 @@
 	d.metrics.restarted(reason)
 	d.log.Warn().Str("job", j.id).Int("task", t.index).Str("agent", a.ref.ID).Str("reason", string(reason)).
 		Int("percent", b.Percent).Dur("elapsed_ms", b.Elapsed).Msg("run is restarted elsewhere")
-	if reason == straggler.Stalled {
+	d.observeRestart(a, t, b)
+	d.cancelSent(a, t)
+}
+
+// observeRestart feeds the detection of faulty upstreams, for which a stalled
+// run failed. A slow one counts with its projected duration: without these
+// outcomes the detector would forget after its window that the worker is slow.
+// The time is that since the task was sent, because Elapsed lacks the time before
+// the first list, which is most of a short run when it is reported.
+func (d *dispatcher) observeRestart(a *agent, t *sent, b wire.BehindRun) {
+	o := ejection.Outcome{Failed: b.Stalled, Job: t.job.id}
+	if b.Stalled {
 		d.nextEvaluation = d.now
-		d.detector.Observe(d.now, a.ref.ID, ejection.Outcome{Failed: true, Job: j.id})
+	} else {
+		o.Took, o.Expected = d.now.Sub(t.at)*100/time.Duration(max(b.Percent, 1)), t.job.expected
 	}
-	d.cancelSent(a, t)
+	d.detector.Observe(d.now, a.ref.ID, o)
 }
 
 // roomElsewhere returns an agent that can start the task now, to which it was
--- a/internal/leasedtest/process_test.go
+++ b/internal/leasedtest/process_test.go
@@ -9,7 +9,9 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"chicorytray.example/chicorytray/agent"
 	"chicorytray.example/chicorytray/internal/faultnet"
+	"chicorytray.example/chicorytray/lease"
 )
 
 var errDead = errors.New("leasedtest: the process was killed")
@@ -69,6 +71,45 @@
 	p.changed.Broadcast()
 }
 
+// hold pauses what the process receives and sends at once, or ends that. Its
+// timers go on.
+func (p *process) hold(yes bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.paused = yes
+	p.changed.Broadcast()
+}
+
+// heldWorker holds the orders and the answers of an agent's worker while the
+// agent is paused.
+type heldWorker struct {
+	agent.Worker
+	process *process
+}
+
+func held[A, B any](ctx context.Context, p *process, do func(context.Context, A) (B, error), order A) (out B, err error) {
+	if _, err := p.pass(); err != nil {
+		return out, err
+	}
+	out, err = do(ctx, order)
+	if _, dead := p.pass(); dead != nil {
+		return out, dead
+	}
+	return out, err
+}
+
+func (w heldWorker) Start(ctx context.Context, o lease.StartOrder) (lease.Answer, error) {
+	return held(ctx, w.process, w.Worker.Start, o)
+}
+
+func (w heldWorker) Stop(ctx context.Context, o lease.StopOrder) (lease.Answer, error) {
+	return held(ctx, w.process, w.Worker.Stop, o)
+}
+
+func (w heldWorker) Renew(ctx context.Context, o lease.RenewOrder) (lease.List, error) {
+	return held(ctx, w.process, w.Worker.Renew, o)
+}
+
 // tick holds the dispatcher during a pause, so that it notices a gap in time as
 // a process that was really stopped does.
 func (p *process) tick() {
--- a/internal/leasedtest/random_test.go
+++ b/internal/leasedtest/random_test.go
@@ -38,7 +38,7 @@
 	"submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "burst", "leave", "leave", "leave",
 	"kill entry", "pause entry", "pause entry", "kill agent", "cut", "cut", "cut off", "drop", "drop back", "freeze", "reset",
 	"starts late", "starts unanswered", "stops lost", "stops late", "renewals unanswered", "silent", "unhealthy",
-	"restart worker", "drain", "out of service", "store down", "store cut", "store silent",
+	"runs stand still", "runs slow", "restart worker", "drain", "out of service", "store down", "store cut", "store silent",
 }
 
 func drawEvent(t *rapid.T) event {
@@ -105,6 +105,10 @@
 		faulty(leasestub.Silent())
 	case "unhealthy":
 		faulty(leasestub.Faults{Unhealthy: true})
+	case "runs stand still":
+		faulty(leasestub.Faults{Stall: true})
+	case "runs slow":
+		faulty(leasestub.Faults{Slowdown: 2 + float64(e.job.tasks)})
 	case "restart worker":
 		s.restartWorker(e.agent, e.lasts/3)
 	case "drain":
--- a/internal/leasedtest/system_test.go
+++ b/internal/leasedtest/system_test.go
@@ -215,7 +215,7 @@
 	conf.PeerAddress, conf.AdminAddress, conf.Store.URL, conf.Connections, conf.Leased = p.host+":7100", p.host+":9100", storeURL, 0, &leased
 	s.Assert(conf.Validate(), qt.IsNil)
 	a, err := agent.New(agent.Options{Settings: conf, Store: s.storeFor(p), Dial: p.dial,
-		Connect: func(n lease.Announcement) agent.Worker { return w.Connect(n) },
+		Connect: func(n lease.Announcement) agent.Worker { return heldWorker{w.Connect(n), p} },
 		Peers:   s.listen(p, ":7100"), Admin: s.listen(p, ":9100")})
 	s.Assert(err, qt.IsNil)
 	p.begin(a.Run)
