leasemodel: model the restart of a run elsewhere

Cause: the model cancelled only when the caller had left, and then the entry gave the task up; a restart cancels while the task stays at its agent and is sent again on the report that it does not run. Change: the kind Restart, an entry's cancellation of a task that it keeps; it costs one fault. Restart alone without the proof of the end: overlap.

--- a/internal/leasemodel/entry.go
+++ b/internal/leasemodel/entry.go
@@ -58,6 +58,13 @@
 	if session.open && session.cancel > 0 && reachable(s, e, a) {
 		m.step("entry %d cancels the task at agent %d", func(s *state) { m.cancel(s, e, a) }, e, a)
 	}
+	// The task stays sent until its agent reports that it does not run.
+	if session.open && session.cancel == 0 && en.task == sent && int(en.at) == a {
+		m.fault(Restart, "entry %d decides to restart the task of agent %d elsewhere", func(s *state) {
+			en := &s.entries[e]
+			en.sessions[a].cancel, en.sessions[a].cancelAge = en.sequence, 0
+		}, e, a)
+	}
 	if en.woke && s.agents[a].active() && !s.beatLink[e][a] && m.renews(s, e, a) {
 		m.step("entry %d answers a new heartbeat of agent %d right after its pause", func(s *state) {
 			m.renewed(&s.agents[a], e, 0)
--- a/internal/leasemodel/model_test.go
+++ b/internal/leasemodel/model_test.go
@@ -78,3 +78,18 @@
 		})
 	}
 }
+
+// A task that an entry restarts elsewhere overlaps with its run there, also when
+// the stop is not answered or the agent dies meanwhile; or the model has no
+// restart that would show it.
+func TestRestartsDoNotOverlap(t *testing.T) {
+	c := qt.New(t)
+	with := Config{Bounds: Scaled(), Faults: 3, Kinds: []Kind{Restart, OrdersDown, AgentDies}}
+	r := Check(with)
+	c.Assert(r.Breach, qt.Equals, "", qt.Commentf("%v", r))
+	c.Assert(r.Complete, qt.IsTrue)
+	c.Log(r)
+	with.Faults, with.Kinds = 1, []Kind{Restart}
+	r = Check(with.Without(EndProved))
+	c.Assert(r.Breach, qt.Equals, overlap.String(), qt.Commentf("without proof of the end: %v", r))
+}
--- a/internal/leasemodel/rules.go
+++ b/internal/leasemodel/rules.go
@@ -126,4 +126,5 @@
 	OpenUnheard  // the reply to Agent.OpenSession is lost
 	RenewalHeld  // the reply to a heartbeat is delayed
 	StartHeld    // a start order is carried out late
+	Restart      // an entry cancels a stalled or slow run to start its task elsewhere
 )
