entry: test that a worker where every run stalls is ejected

Cause: the system tests have three workers, of which none may be ejected. Change: a test with four scripted agents, one of which reports all runs as stalled. Conclusion: ejection bounds the discarded work, the budget only caps it.

--- /dev/null
+++ b/entry/behind_test.go
@@ -0,0 +1,37 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a worker on which every run stalls and that goes on getting
+// tasks, against concurrent runs of a restarted task, and against restarts that
+// stay in the table when their runs have ended.
+func TestStallingWorkerIsEjected(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e := h.leasedEntry(nil)
+		stalling := h.worker(1, lasting(60_000))
+		stalling.mu.Lock()
+		stalling.stalls = true
+		stalling.mu.Unlock()
+		for i := range 3 {
+			h.worker(i+2, lasting(200))
+		}
+		settle()
+		for i := range 20 {
+			h.Check(h.submit(e, fmt.Sprint("j", i), 1).wait().Outcome, qt.Equals, OutcomeDone)
+		}
+		e.dispatcher.ask(func(d *dispatcher) {
+			h.Check(d.agents[stalling.ref.ID].ejected, qt.IsTrue)
+			h.Check(d.restarts, qt.HasLen, 0)
+		})
+		h.Check(h.ups.count() <= 20+6, qt.IsTrue, qt.Commentf("%d starts", h.ups.count()))
+		h.Check(h.ups.concurrent, qt.Equals, 1)
+		time.Sleep(time.Second)
+		h.checkLeftovers(e)
+	})
+}
--- a/entry/fakeagent_test.go
+++ b/entry/fakeagent_test.go
@@ -116,6 +116,7 @@
 	runs    int // Run messages
 	config  wire.AgentConfig
 	leaving bool
+	stalls  bool                 // all runs are reported as stalled
 	read    time.Time            // newest read of the store of which an entry told
 	renewed map[string]time.Time // when the last heartbeat was sent that renewed a session, by entry process
 	seen    map[string]uint64    // highest sequence by entry process, in its newest session
@@ -260,6 +261,11 @@
 	if !a.read.IsZero() {
 		req.ReadAge = time.Since(a.read)
 	}
+	for _, r := range a.records {
+		if a.stalls && !r.done && r.process == *entry {
+			req.Behind = append(req.Behind, wire.BehindRun{Key: r.key, Elapsed: 300 * time.Millisecond, Stalled: true})
+		}
+	}
 	a.mu.Unlock()
 	sent := time.Now()
 	var reply wire.HeartbeatReply
