--- a/wire/agent.go
+++ b/wire/agent.go
@@ -104,6 +104,8 @@
 	// of from any entry; negative when there is none. It shows an entry that
 	// cannot read the store that others can.
 	ReadAge time.Duration
+	// Behind lists the runs of the entry's leased tasks that are stalled or slow.
+	Behind []BehindRun
 	// Adopted means that the agent has adopted its worker, so that every end
 	// there which is not acknowledged is in Unclaimed or belongs to an open
 	// session. Unclaimed has the oldest MaxUnclaimed of them.
@@ -113,6 +115,15 @@
 	MoreUnclaimed bool
 }
 
+// BehindRun is a run of a leased task that makes no progress or too little.
+type BehindRun struct {
+	Key     TaskKey
+	Percent int // of its work, 0 to 100
+	// Elapsed is the time since the worker first listed the run, by its clock.
+	Elapsed time.Duration
+	Stalled bool // without progress; otherwise it is slow
+}
+
 // HeartbeatReply answers a HeartbeatRequest.
 type HeartbeatReply struct {
 	// Entry has only ID and Incarnation if the agent knows this process.
