leasedtest, faultnet: test that an unanswered Cancel ends renewals

Cause: that an entry does not renew a session in which a Cancel is unanswered was proved by the model and a unit test only, because faultnet broke all connections between two hosts alike. Change: DropDialled and FreezeDialled apply to the connections that one of two hosts dialled, by direction. TestCancelIsLost loses what the entry sends on its own connections, and the workers' stops, while heartbeats go on; its caller leaves during a pause of 140 ms and resends at the other entry. Ruled out: without the pause the rule changes nothing in this schedule.

--- a/internal/faultnet/conn.go
+++ b/internal/faultnet/conn.go
@@ -22,6 +22,7 @@
 // stream is one direction of a connection.
 type stream struct {
 	from, to string
+	dialler  string // host that opened the connection
 	changed  *sync.Cond
 	chunks   []chunk
 	size     int
@@ -46,8 +47,8 @@
 func (n *Network) connect(from, to, address string) (client, server *conn) {
 	n.nextPort++
 	local := addr(fmt.Sprintf("%s:%d", from, n.nextPort))
-	there := &stream{from: from, to: to, changed: sync.NewCond(&n.mu)}
-	back := &stream{from: to, to: from, changed: sync.NewCond(&n.mu)}
+	there := &stream{from: from, to: to, dialler: from, changed: sync.NewCond(&n.mu)}
+	back := &stream{from: to, to: from, dialler: from, changed: sync.NewCond(&n.mu)}
 	client = &conn{net: n, from: from, to: to, local: local, remote: addr(address), in: back, out: there}
 	server = &conn{net: n, from: to, to: from, local: addr(address), remote: local, in: there, out: back}
 	n.conns[client], n.conns[server] = struct{}{}, struct{}{}
@@ -64,7 +65,7 @@
 
 // carries reports whether data passes in the direction now.
 func (n *Network) carries(s *stream) bool {
-	return !s.frozen && !n.dropped[pair{s.from, s.to}]
+	return !s.frozen && !n.drops(pair{s.from, s.to}, s.dialler)
 }
 
 // Read waits for data, the end of the connection or the deadline.
--- a/internal/faultnet/network.go
+++ b/internal/faultnet/network.go
@@ -27,6 +27,7 @@
 	changed   *sync.Cond // a rule changed; wakes dials that wait
 	cut       map[pair]bool
 	dropped   map[pair]bool // by direction
+	dialled   map[side]bool // dropped on connections of one dialling side
 	delays    map[pair]time.Duration
 	accepted  int
 	nextPort  int
@@ -35,11 +36,17 @@
 // pair is an ordered pair of hosts.
 type pair struct{ from, to string }
 
+// side is one direction of the connections that one of two hosts dialled.
+type side struct {
+	pair
+	dialler string
+}
+
 // New returns an empty network without faults or delays.
 func New() *Network {
 	n := &Network{
 		listeners: map[string]*listener{}, conns: map[*conn]struct{}{},
-		cut: map[pair]bool{}, dropped: map[pair]bool{}, delays: map[pair]time.Duration{},
+		cut: map[pair]bool{}, dropped: map[pair]bool{}, dialled: map[side]bool{}, delays: map[pair]time.Duration{},
 		nextPort: 40000,
 	}
 	n.changed = sync.NewCond(&n.mu)
@@ -78,7 +85,7 @@
 	if d := n.delays[pair{from, to}] + n.delays[pair{to, from}]; d > 0 {
 		n.wait(ctx, d)
 	}
-	for ctx.Err() == nil && (n.dropped[pair{from, to}] || n.dropped[pair{to, from}]) {
+	for ctx.Err() == nil && (n.drops(pair{from, to}, from) || n.drops(pair{to, from}, from)) {
 		n.changed.Wait()
 	}
 	if ctx.Err() != nil {
@@ -139,12 +146,26 @@
 	n.update(func() { n.dropped[pair{a, b}], n.dropped[pair{b, a}] = true, true })
 }
 
-// Heal ends Cut, Drop and Partition between two hosts.
+// DropDialled is Drop for the connections between two hosts that one of them,
+// the dialler, opened or opens. Those that the other host dialled work.
+func (n *Network) DropDialled(dialler, from, to string) {
+	n.update(func() { n.dialled[side{pair{from, to}, dialler}] = true })
+}
+
+// drops reports whether what is sent in the direction on a connection of the
+// dialler vanishes now; the caller holds the lock.
+func (n *Network) drops(p pair, dialler string) bool {
+	return n.dropped[p] || n.dialled[side{p, dialler}]
+}
+
+// Heal ends Cut, Drop, DropDialled and Partition between two hosts.
 func (n *Network) Heal(a, b string) {
 	n.update(func() {
 		for _, p := range []pair{{a, b}, {b, a}} {
 			delete(n.cut, p)
 			delete(n.dropped, p)
+			delete(n.dialled, side{p, a})
+			delete(n.dialled, side{p, b})
 		}
 	})
 }
@@ -164,9 +185,16 @@
 // FreezeDirection is Freeze for what is sent from one host to the other; the
 // connections still carry data the other way.
 func (n *Network) FreezeDirection(from, to string) {
+	n.FreezeDialled(from, from, to)
+	n.FreezeDialled(to, from, to)
+}
+
+// FreezeDialled is FreezeDirection for the connections that one of the two
+// hosts, the dialler, opened.
+func (n *Network) FreezeDialled(dialler, from, to string) {
 	n.update(func() {
 		for c := range n.conns {
-			if c.from == from && c.to == to {
+			if c.from == from && c.to == to && c.out.dialler == dialler {
 				c.out.frozen = true
 			}
 		}
--- /dev/null
+++ b/internal/leasedtest/cancel_test.go
@@ -0,0 +1,49 @@
+package leasedtest
+
+import (
+	"testing"
+	"time"
+
+	"chicorytray.example/chicorytray/internal/leasestub"
+)
+
+// Guards against an entry that renews a session although its Cancel is
+// unanswered: the runs would then outlive the resend interval. The connection of
+// the entry's calls loses Cancel, heartbeats go on, the workers lose orders to
+// stop, and the entry notices that the caller left after a pause of less than
+// one heartbeat. Whether runs meet depends on the phases of heartbeats and leases,
+// so the schedule is repeated with other phases.
+func TestCancelIsLost(t *testing.T) {
+	run(t, func(s *system) {
+		for i := range 10 {
+			s.loseCancel(time.Duration(50+20*i) * ms)
+		}
+	})
+}
+
+// loseCancel makes a caller leave entry 0 some time after its job started, while
+// Cancel messages are lost, and waits until the job has run at entry 1.
+func (s *system) loseCancel(after time.Duration) {
+	// Answers to this job keep the entry from pinging the connections, and its
+	// needs spread the tasks of the other over the workers.
+	others := s.submit(0, job{tasks: 3, milliCPU: 9000, took: after + 200*ms})
+	time.Sleep(5 * ms)
+	victim := s.submit(0, job{tasks: 3, took: 1900 * ms})
+	time.Sleep(after)
+	e := s.entry(0)
+	e.setPaused(true)
+	for !e.isPaused() {
+		time.Sleep(ms)
+	}
+	victim.leave()
+	for i := range s.workers {
+		w, from, to := s.workers[i], entryHost(0), agentHost(i)
+		s.during(1500*ms, func() { s.net.DropDialled(from, from, to) }, func() { s.net.Heal(from, to) })
+		s.during(1500*ms, func() { w.SetFaults(leasestub.Faults{Stop: leasestub.Fault{Lost: true}}) }, func() { w.SetFaults(leasestub.Faults{}) })
+	}
+	time.Sleep(140 * ms)
+	e.setPaused(false)
+	<-others.ended
+	<-victim.ended
+	time.Sleep(2 * time.Second)
+}
--- a/internal/leasedtest/process_test.go
+++ b/internal/leasedtest/process_test.go
@@ -69,6 +69,12 @@
 	p.changed.Broadcast()
 }
 
+func (p *process) isPaused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.paused
+}
+
 // tick holds the dispatcher during a pause, so that it notices a gap in time as
 // a process that was really stopped does.
 func (p *process) tick() {
--- a/internal/leasedtest/random_test.go
+++ b/internal/leasedtest/random_test.go
@@ -39,6 +39,7 @@
 	"kill entry", "pause entry", "pause entry", "kill agent", "cut", "cut", "cut off", "drop", "drop back", "freeze", "reset",
 	"starts late", "starts unanswered", "stops lost", "stops late", "renewals unanswered", "silent", "unhealthy",
 	"restart worker", "drain", "out of service", "store down", "store cut", "store silent",
+	"drop calls", "drop replies", "drop heartbeats", "drop renewals", "freeze calls", "freeze renewals",
 }
 
 func drawEvent(t *rapid.T) event {
@@ -58,6 +59,9 @@
 	faulty := func(f leasestub.Faults) {
 		s.during(e.lasts, func() { s.workers[e.agent].SetFaults(f) }, func() { s.workers[e.agent].SetFaults(leasestub.Faults{}) })
 	}
+	dropDialled := func(dialler string) func(a, b string) {
+		return func(a, b string) { s.net.DropDialled(dialler, a, b) }
+	}
 	link := func(rule func(a, b string), a, b string) {
 		s.during(e.lasts, func() { rule(a, b) }, func() { s.net.Heal(a, b) })
 	}
@@ -89,6 +93,18 @@
 		link(s.net.Drop, to, from)
 	case "freeze":
 		s.net.Freeze(from, to)
+	case "drop calls": // of the entry, among them Cancel; heartbeats go on
+		link(dropDialled(from), from, to)
+	case "drop replies":
+		link(dropDialled(from), to, from)
+	case "drop heartbeats":
+		link(dropDialled(to), to, from)
+	case "drop renewals": // the replies to heartbeats
+		link(dropDialled(to), from, to)
+	case "freeze calls":
+		s.net.FreezeDialled(from, from, to)
+	case "freeze renewals":
+		s.net.FreezeDialled(to, from, to)
 	case "reset":
 		link(s.net.Cut, from, to)
 	case "starts late":
