leasedtest: test planned stops under a load of leased jobs

Cause: planned stops with leased tasks had no test without the bench. Change: TestPlannedStops stops and replaces 2 entries and 3 agents one after the other, twice, under one job every 400 ms with tasks of 60 ms to 2.6 s. The load balancer asks for readiness every 2 s. Every job must be done with its first submission, no run may end other than as done, and no stop may last longer than 2.2 s of notice and the longest deadline of 3.6 s. Ruled out: tasks of 3.2 s, or a job every 350 ms. With one worker away they wait longer than their deadline allows, so jobs are sent again for lack of room; that is no fault of the stop.

--- a/internal/leasedtest/caller_test.go
+++ b/internal/leasedtest/caller_test.go
@@ -25,6 +25,7 @@
 
 	leaves  chan struct{} // the caller leaves its present submission
 	ended   chan struct{}
+	sent    int  // submissions
 	open    bool // some submission was not refused
 	outcome entry.Outcome
 }
@@ -58,6 +59,7 @@
 func (s *system) call(j *job, target int) {
 	for range maxSubmissions {
 		s.note("%s: %d tasks of %v to e%d", j.id, j.tasks, j.took, target)
+		j.sent++
 		a, whole := s.once(j, target)
 		s.note("%s: %v %+v", j.id, whole, a)
 		j.open = j.open || !whole || a.Outcome != entry.OutcomeNotRun
--- a/internal/leasedtest/system_test.go
+++ b/internal/leasedtest/system_test.go
@@ -1,6 +1,7 @@
 package leasedtest
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -176,6 +177,7 @@
 	t := settings.DefaultTiming()
 	t.Heartbeat, t.PeerHeartbeat, t.Suspect, t.Lapse, t.Reconcile = d(150), d(350), d(400), d(500), d(1150)
 	t.Gate, t.PingAfter, t.PingTimeout, t.CallTimeout, t.StoreTimeout = d(3000), d(250), d(150), d(300), d(600)
+	t.StopNotice = d(2200)
 	return t
 }
 
@@ -287,6 +289,17 @@
 	})
 }
 
+// stop makes a planned stop, and replaces the process. It returns how long the
+// stop took.
+func (s *system) stop(stop func(context.Context) error, replace func()) time.Duration {
+	began := time.Now()
+	s.Check(stop(context.Background()), qt.IsNil)
+	took := time.Since(began)
+	time.Sleep(ms) // the callers have the answers
+	replace()
+	return took
+}
+
 // pauseEntry pauses an entry.
 func (s *system) pauseEntry(i int, d time.Duration) {
 	e := s.entry(i)
