agent, leasedtest: bound the wait for entries after a loss of power to 5 s

Cause: a loss of power of everything but the store had no test. TestLossOfPower ends all processes and workers at one moment for 15 s and lets them return within 2 s, without seeds, as deployed. It found that agents which return 14 s before the entries may be late: their wait between reads of the registrations had grown towards 30 s, and a restarted entry knows no agent that it could introduce itself to. Change: discoverBackoffMax is 5 s instead of 30 s. 1,000 agents without any entry then make at most about 380 reads a second (calculated), of 2,000 allowed. Ruled out: with seeds the late return does not occur in one run, because agents dial the seeds at least every 1.5 s. A refused job is final for its caller, so the test sends new ones until one is done.

--- a/agent/entries.go
+++ b/agent/entries.go
@@ -22,9 +22,11 @@
 	// mentions is forgotten. Entries mention each other every 10 s.
 	forgetEntryAfter = 30 * time.Second
 	// Bounds of the wait before another read of the store while no entry is
-	// reachable. At the greatest, 1,000 agents make about 70 reads a second.
+	// reachable. After a loss of power, agents that return long before the
+	// entries have to find them well within 12 s. At the greatest, 1,000 agents
+	// make about 380 reads a second.
 	discoverBackoffBase = 200 * time.Millisecond
-	discoverBackoffMax  = 30 * time.Second
+	discoverBackoffMax  = 5 * time.Second
 )
 
 // entries keeps the known entries and a link to each of a subset. Its lock is
--- a/internal/leasedtest/caller_test.go
+++ b/internal/leasedtest/caller_test.go
@@ -1,6 +1,7 @@
 package leasedtest
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -22,6 +23,8 @@
 	took     time.Duration
 	deadline time.Duration
 	fails    bool
+	// submissions at most, until an answer is final. Default maxSubmissions.
+	submissions int
 
 	leaves  chan struct{} // the caller leaves its present submission
 	ended   chan struct{}
@@ -57,7 +60,7 @@
 
 // call submits a job until it has a final answer, as section 13.1 says.
 func (s *system) call(j *job, target int) {
-	for range maxSubmissions {
+	for range cmp.Or(j.submissions, maxSubmissions) {
 		s.note("%s: %d tasks of %v to e%d", j.id, j.tasks, j.took, target)
 		j.sent++
 		a, whole := s.once(j, target)
--- /dev/null
+++ b/internal/leasedtest/power_test.go
@@ -0,0 +1,107 @@
+package leasedtest
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/entry"
+)
+
+const (
+	// outage of all machines. Registrations of entries expire within 10 s.
+	outage = 15 * time.Second
+	// jitter of the return of each process and worker.
+	jitter = 2 * time.Second
+	// resumes is when the first job has to be completed after a loss of power.
+	resumes = 12 * time.Second
+	// Limits of the store, in calls a second.
+	maxWrites, maxReads = 400, 2000
+)
+
+// losePower ends all entries, agents and workers at once. They return after the
+// outage with jitter, entries and agents later by the given times.
+func (s *system) losePower(entries, agents time.Duration) {
+	began := time.Now()
+	after := func(later time.Duration) time.Duration { return outage + later + rand.N(jitter) }
+	for i := range s.workers {
+		s.restartWorker(i, after(0))
+		s.net.Reset(agentHost(i))
+	}
+	for i := range s.entries {
+		s.replaceEntry(i, after(entries))
+	}
+	for i := range s.agents {
+		s.replaceAgent(i, after(agents))
+	}
+	s.Check(time.Since(began), qt.Equals, time.Duration(0))
+}
+
+// storeLoad returns the greatest numbers of calls that the store receives in a
+// second during the time.
+func (s *system) storeLoad(d time.Duration) (writes, reads int) {
+	const step = 50 * ms
+	var w, r []int
+	for range d/step + 1 {
+		nw, nr := 0, 0
+		for kind, n := range s.store.Calls() {
+			if kind.Write() {
+				nw += n
+			} else {
+				nr += n
+			}
+		}
+		w, r = append(w, nw), append(r, nr)
+		first := max(0, len(w)-1-int(time.Second/step))
+		writes, reads = max(writes, nw-w[first]), max(reads, nr-r[first])
+		time.Sleep(step)
+	}
+	return writes, reads
+}
+
+// Guards against a system that does not serve again, or that overloads the store,
+// after all machines but the store lost their power at the same moment.
+func TestLossOfPower(t *testing.T) {
+	accepted := func(s *system) {
+		s.submit(0, job{tasks: 3, took: 900 * ms, submissions: 30})
+		time.Sleep(4 * ms)
+	}
+	for _, tc := range []struct {
+		name            string
+		before          func(s *system)
+		entries, agents time.Duration // they return later by this
+	}{
+		{name: "idle", before: func(*system) {}},
+		{name: "job accepted", before: accepted},
+		{name: "configuration changed", before: func(s *system) { s.service("north", false) }},
+		{name: "agents return first", before: accepted, entries: resumes + jitter},
+		{name: "entries return first", before: accepted, agents: resumes + jitter},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			run(t, func(s *system) {
+				tc.before(s)
+				s.seeds = nil // as deployed: the store tells the entries
+				s.losePower(tc.entries, tc.agents)
+				time.Sleep(outage)
+				returned, later := time.Now(), max(tc.entries, tc.agents)
+				s.faults.Go(func() {
+					writes, reads := s.storeLoad(later + resumes)
+					s.note("store: at most %d writes and %d reads a second", writes, reads)
+					s.Check(writes < maxWrites && reads < maxReads, qt.IsTrue, qt.Commentf("%d writes, %d reads", writes, reads))
+				})
+				for i, done := 0, false; !done && time.Since(returned) < later+2*resumes; i++ {
+					j := s.submit(i%2, job{tasks: 2, took: 200 * ms, submissions: 1})
+					<-j.ended
+					if done = j.outcome == entry.OutcomeDone; !done {
+						time.Sleep(resend)
+					}
+				}
+				took := time.Since(returned) - later
+				s.note("served %v after the return", took)
+				s.Check(took <= resumes, qt.IsTrue, qt.Commentf("served after %v", took))
+			})
+		})
+	}
+}
--- a/internal/leasedtest/system_test.go
+++ b/internal/leasedtest/system_test.go
@@ -67,6 +67,7 @@
 	evidence *leasestub.Evidence
 	workers  []*worker
 	centres  []string
+	seeds    []string // of the processes that start
 	began    time.Time
 	callers  sync.WaitGroup
 	faults   sync.WaitGroup // faults that end by themselves
@@ -94,7 +95,8 @@
 // start starts 2 entries and 3 agents, the third in the given data centre.
 func start(c *qt.C, third string) *system {
 	s := &system{C: c, net: faultnet.New(), store: storestub.New(), evidence: leasestub.NewEvidence(),
-		centres: []string{"north", "south", third}, over: make(chan struct{}), out: map[string]time.Time{}}
+		centres: []string{"north", "south", third}, over: make(chan struct{}), out: map[string]time.Time{},
+		seeds: []string{entryHost(0) + ":7000", entryHost(1) + ":7000"}}
 	s.document = document()
 	s.put()
 	l, err := s.net.Listen(storeHost + ":7500")
@@ -193,13 +195,11 @@
 	return heldListener{l, p}
 }
 
-func seeds() []string { return []string{entryHost(0) + ":7000", entryHost(1) + ":7000"} }
-
 // startEntry starts the entry's process; it may follow one that was killed.
 func (s *system) startEntry(i int) *entryProcess {
 	p := newProcess(entryHost(i), s.net)
 	conf := settings.DefaultEntry()
-	conf.ID, conf.DataCentre, conf.Seeds, conf.Timing = fmt.Sprint("e", i), s.centres[i], seeds(), platformTiming()
+	conf.ID, conf.DataCentre, conf.Seeds, conf.Timing = fmt.Sprint("e", i), s.centres[i], s.seeds, platformTiming()
 	conf.CallerAddress, conf.PeerAddress, conf.AdminAddress, conf.Store.URL = p.host+":8000", p.host+":7000", p.host+":9000", storeURL
 	s.Assert(conf.Validate(), qt.IsNil)
 	e, err := entry.New(entry.Options{Settings: conf, Store: s.storeFor(p), Dial: p.dial, Metrics: pausingScope{tally.NoopScope, p},
@@ -213,7 +213,7 @@
 func (s *system) startAgent(i int) *agentProcess {
 	p, w, leased := newProcess(agentHost(i), s.net), s.workers[i], settings.DefaultLeased()
 	conf := settings.DefaultAgent()
-	conf.ID, conf.DataCentre, conf.Worker, conf.Seeds, conf.Timing = fmt.Sprint("a", i), w.centre, fmt.Sprint("w", i), seeds(), platformTiming()
+	conf.ID, conf.DataCentre, conf.Worker, conf.Seeds, conf.Timing = fmt.Sprint("a", i), w.centre, fmt.Sprint("w", i), s.seeds, platformTiming()
 	conf.PeerAddress, conf.AdminAddress, conf.Store.URL, conf.Connections, conf.Leased = p.host+":7100", p.host+":9100", storeURL, 0, &leased
 	s.Assert(conf.Validate(), qt.IsNil)
 	a, err := agent.New(agent.Options{Settings: conf, Store: s.storeFor(p), Dial: p.dial,
