--- a/internal/leasedtest/process_test.go
+++ b/internal/leasedtest/process_test.go
@@ -110,6 +110,12 @@
 	return held(ctx, w.process, w.Worker.Renew, o)
 }
 
+func (p *process) isPaused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.paused
+}
+
 // tick holds the dispatcher during a pause, so that it notices a gap in time as
 // a process that was really stopped does.
 func (p *process) tick() {
