ejection: judge a worker's slowness by its quickest new outcomes

Cause: on the merged code TestPlannedStops failed: two sound runs were stopped as slow. The tasks of its template take 60 ms to 2.6 s, and an agent that happened to have long ones counted as slow by the median of its outcomes; the projected time of a restarted run confirmed it. Ruled out: the lower quartile of all outcomes of the window: a worker that has just become slow still has quick ones in it, and TestJobsLeaveASlowWorker failed. Change: Slowness takes the lower quartile of the newest 8 outcomes. Weights go by the median as before.

--- a/ejection/ejection.go
+++ b/ejection/ejection.go
@@ -217,7 +217,10 @@
 }
 
 // Slowness returns how many times slower than the median agent an agent in use
-// was at the last Evaluate; 0 when that is not known.
+// was at the last Evaluate; 0 when that is not known. It goes by the
+// quickest quarter of the agent's newest outcomes, relative to their expected
+// duration: where one template has short and long tasks, an agent that had
+// several long ones is not slow.
 func (d *Detector) Slowness(id string) float64 {
 	if a, ok := d.agents[id]; ok {
 		return a.slowness
--- a/ejection/ejection_test.go
+++ b/ejection/ejection_test.go
@@ -249,6 +249,36 @@
 	c.Assert(f.weight["agent04"], qt.Equals, 0.1)
 }
 
+// Guards against discarded work of a sound worker that had more long tasks of a
+// template than its peers, and against a slow worker that is not recognised.
+func TestSlownessWithTasksOfDifferentLength(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		short, long time.Duration // at agent 4; half of its tasks and more are long
+		slow        bool
+	}{
+		{"sound worker with long tasks", 100 * time.Millisecond, 2 * time.Second, false},
+		{"slow worker with long tasks", 400 * time.Millisecond, 8 * time.Second, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFleet(11)
+			for n := range 8 {
+				f.round(func(i int) ejection.Outcome {
+					o := ejection.Outcome{Took: 100 * time.Millisecond, Expected: 100 * time.Millisecond}
+					if i == 4 {
+						o.Took = tc.long
+						if n%3 == 0 {
+							o.Took = tc.short
+						}
+					}
+					return o
+				})
+			}
+			qt.Check(t, f.Slowness("agent04") >= 2, qt.Equals, tc.slow)
+		})
+	}
+}
+
 // Guards against more ejected agents than the cap, whatever happens, and
 // against changes that contradict the number of ejected agents.
 func TestEjectedShareNeverExceedsTheCap(t *testing.T) {
--- a/ejection/history.go
+++ b/ejection/history.go
@@ -60,6 +60,7 @@
 	outcomes int
 	streak   int     // failures since the last success
 	ratio    float64 // median of taken to expected time; 0 with too few timed outcomes
+	quick    float64 // lower quartile of the newest minTimed of the same
 }
 
 func (f figures) rate() float64 { return float64(f.failures) / float64(max(f.outcomes, 1)) }
@@ -87,9 +88,13 @@
 		}
 	}
 	if len(timed) >= minTimed {
+		newest := timed[:minTimed]
+		slices.Sort(newest)
+		f.quick = float64(newest[minTimed/4])
 		slices.Sort(timed)
 		f.ratio = float64(timed[len(timed)/2])
 	}
+
 	return f
 }
 
--- a/ejection/rules.go
+++ b/ejection/rules.go
@@ -29,8 +29,9 @@
 	for i := range list {
 		if list[i].slowness > 0 {
 			// Half of the agents may be slow without raising the reference.
-			list[i].slowness /= ratios[(len(ratios)-1)/2]
-			list[i].agent.slowness = list[i].slowness
+			median := ratios[(len(ratios)-1)/2]
+			list[i].slowness /= median
+			list[i].agent.slowness = list[i].quick / median
 		}
 	}
 	slices.SortFunc(list, func(a, b judged) int { return cmp.Compare(a.id, b.id) })
