--- /dev/null
+++ b/durable/encoding.go
@@ -0,0 +1,304 @@
+package durable
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"chicorytray.example/chicorytray/store"
+	"chicorytray.example/chicorytray/wire"
+)
+
+const (
+	// formatVersion of both records. A process that meets another one leaves
+	// the key unchanged.
+	formatVersion = 1
+	// runBytes bounds the encoded size of a TaskRun: quotes, a comma, an index
+	// of at most 6 digits, a colon and 16 hexadecimal digits make 26.
+	runBytes = 26
+	// growthRuns is the number of runs for each task that a new record reserves
+	// room for: the one that ends done, and a failed one.
+	growthRuns = 2
+	// maxCount is the largest number of tasks of a job, ten times the limit on
+	// the tasks of one job that a configuration may set.
+	maxCount = 100_000
+)
+
+// errInvalid means that a record has a missing or unusable field.
+var errInvalid = errors.New("durable: invalid record")
+
+// openValue is the JSON form of a Record.
+type openValue struct {
+	Version    int            `json:"v"`
+	Identifier string         `json:"id"`
+	Account    string         `json:"account"`
+	Template   string         `json:"template"`
+	Count      int            `json:"count"`
+	Needs      wire.Resources `json:"needs"`
+	Spec       string         `json:"spec"`
+	Expected   int64          `json:"expected_ns,omitempty"`
+	Accepted   int64          `json:"accepted_ms"`
+	Owner      Epoch          `json:"owner"`
+	Serial     hexNumber      `json:"serial"`
+	Started    bool           `json:"started,omitempty"`
+	Restarted  bool           `json:"restarted,omitempty"`
+	Done       []runText      `json:"done,omitempty"`
+	Failed     []runText      `json:"failed,omitempty"`
+}
+
+// endValue is the JSON form of an End.
+type endValue struct {
+	Version    int    `json:"v"`
+	Identifier string `json:"id"`
+	Account    string `json:"account"`
+	Template   string `json:"template"`
+	Workload   string `json:"workload"`
+	State      State  `json:"state"`
+	Ended      int64  `json:"ended_ms"`
+	Restarted  bool   `json:"restarted,omitempty"`
+}
+
+// hexNumber is a number as text, because JSON tools lose digits of integers
+// above 2^53.
+type hexNumber uint64
+
+// MarshalText implements encoding.TextMarshaler.
+func (n hexNumber) MarshalText() ([]byte, error) {
+	return []byte(strconv.FormatUint(uint64(n), 16)), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (n *hexNumber) UnmarshalText(text []byte) error {
+	v, err := strconv.ParseUint(string(text), 16, 64)
+	*n = hexNumber(v)
+	return err
+}
+
+// runText is a TaskRun as "index:tag", the tag in hexadecimal digits.
+type runText TaskRun
+
+// MarshalText implements encoding.TextMarshaler.
+func (r runText) MarshalText() ([]byte, error) {
+	return fmt.Appendf(nil, "%d:%x", r.Index, uint64(r.Tag)), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (r *runText) UnmarshalText(text []byte) error {
+	index, tag, _ := strings.Cut(string(text), ":")
+	i, err := strconv.Atoi(index)
+	if err != nil {
+		return err
+	}
+	t, err := strconv.ParseUint(tag, 16, 64)
+	*r = runText{i, wire.RunTag(t)}
+	return err
+}
+
+// Workload returns a hash of what must agree in submissions under one
+// identifier: account, template, number and needs of the tasks, and spec.
+func (r *Record) Workload() string {
+	h := sha256.New()
+	for _, s := range []string{r.Account, r.Template, r.Spec} {
+		_, _ = fmt.Fprintf(h, "%d:%s", len(s), s)
+	}
+	_, _ = fmt.Fprintf(h, "%d %d %d %d", r.Count, r.Needs.Accelerators, r.Needs.MemoryMB, r.Needs.MilliCPU)
+	return hex.EncodeToString(h.Sum(nil)[:16])
+}
+
+// Encode returns the value of the record's key. It fails with store.ErrTooLarge
+// if the store cannot hold the value.
+func (r *Record) Encode() ([]byte, error) {
+	if err := r.validate(); err != nil {
+		return nil, err
+	}
+	return encode(openValue{
+		Version: formatVersion, Identifier: r.Identifier, Account: r.Account, Template: r.Template,
+		Count: r.Count, Needs: r.Needs, Spec: r.Spec, Expected: int64(r.Expected), Accepted: millis(r.Accepted),
+		Owner: r.Owner, Serial: hexNumber(r.Serial), Started: r.Started, Restarted: r.Restarted,
+		Done: convert[runText](r.Done), Failed: convert[runText](r.Failed),
+	})
+}
+
+// fits returns store.ErrTooLarge if the record of a new job has no room for the
+// runs to come.
+func (r *Record) fits() error {
+	value, err := r.Encode()
+	if err == nil && len(value)+growthRuns*runBytes*r.Count > store.MaxValueBytes {
+		return fmt.Errorf("%w: %d bytes and %d tasks", store.ErrTooLarge, len(value), r.Count)
+	}
+	return err
+}
+
+// DecodeRecord decodes the value of an open record's key. It fails with
+// ErrUnreadable for an unknown version, for another key's value, and for
+// anything that Encode does not return.
+func DecodeRecord(key string, value []byte) (Record, error) {
+	var v openValue
+	if err := decode(value, &v); err != nil {
+		return Record{}, unreadable(key, err)
+	}
+	r := Record{
+		Identifier: v.Identifier, Account: v.Account, Template: v.Template,
+		Count: v.Count, Needs: v.Needs, Spec: v.Spec, Expected: time.Duration(v.Expected), Accepted: fromMillis(v.Accepted),
+		Owner: v.Owner, Serial: uint64(v.Serial), Started: v.Started, Restarted: v.Restarted,
+		Done: convert[TaskRun](v.Done), Failed: convert[TaskRun](v.Failed),
+	}
+	again, err := r.Encode()
+	if err := same(key, OpenPrefix+r.Identifier, v.Version, value, again, err); err != nil {
+		return Record{}, err
+	}
+	return r, nil
+}
+
+// Encode returns the value of the end's key.
+func (e *End) Encode() ([]byte, error) {
+	if err := e.validate(); err != nil {
+		return nil, err
+	}
+	return encode(endValue{
+		Version: formatVersion, Identifier: e.Identifier, Account: e.Account, Template: e.Template,
+		Workload: e.Workload, State: e.State, Ended: millis(e.Ended), Restarted: e.Restarted,
+	})
+}
+
+// DecodeEnd decodes the value of an end record's key. It fails as DecodeRecord
+// does.
+func DecodeEnd(key string, value []byte) (End, error) {
+	var v endValue
+	if err := decode(value, &v); err != nil {
+		return End{}, unreadable(key, err)
+	}
+	e := End{
+		Identifier: v.Identifier, Account: v.Account, Template: v.Template,
+		Workload: v.Workload, State: v.State, Ended: fromMillis(v.Ended), Restarted: v.Restarted,
+	}
+	again, err := e.Encode()
+	if err := same(key, EndedPrefix+e.Identifier, v.Version, value, again, err); err != nil {
+		return End{}, err
+	}
+	return e, nil
+}
+
+// equal reports whether both are stored as the same value.
+func (e *End) equal(o *End) bool {
+	a, errA := e.Encode()
+	b, errB := o.Encode()
+	return errA == nil && errB == nil && bytes.Equal(a, b)
+}
+
+func (r *Record) validate() error {
+	if err := texts(r.Identifier, r.Account, r.Template, r.Spec, string(r.Owner)); err != nil {
+		return err
+	}
+	if r.Identifier == "" || r.Count < 1 || r.Count > maxCount || r.Expected < 0 {
+		return fmt.Errorf("%w: identifier %q, %d tasks, expected duration %v", errInvalid, r.Identifier, r.Count, r.Expected)
+	}
+	done := map[int]bool{}
+	for _, run := range r.Done {
+		if run.Index < 0 || run.Index >= r.Count || done[run.Index] {
+			return fmt.Errorf("%w: done task %d of %d, or it is done twice", errInvalid, run.Index, r.Count)
+		}
+		done[run.Index] = true
+	}
+	for _, run := range r.Failed {
+		if run.Index < 0 || run.Index >= r.Count {
+			return fmt.Errorf("%w: failed task %d of %d", errInvalid, run.Index, r.Count)
+		}
+	}
+	return nil
+}
+
+func (e *End) validate() error {
+	if err := texts(e.Identifier, e.Account, e.Template, e.Workload, string(e.State)); err != nil {
+		return err
+	}
+	if e.Identifier == "" || e.State != Completed && e.State != Failed && e.State != Cancelled {
+		return fmt.Errorf("%w: identifier %q, state %q", errInvalid, e.Identifier, e.State)
+	}
+	return nil
+}
+
+// texts refuses what JSON cannot hold unchanged.
+func texts(list ...string) error {
+	for _, s := range list {
+		if !utf8.ValidString(s) {
+			return fmt.Errorf("%w: text that is not valid UTF-8", errInvalid)
+		}
+	}
+	return nil
+}
+
+func encode(v any) ([]byte, error) {
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	if err := e.Encode(v); err != nil {
+		return nil, fmt.Errorf("durable: encode: %w", err)
+	}
+	value := bytes.TrimSuffix(b.Bytes(), []byte("\n"))
+	if len(value) > store.MaxValueBytes {
+		return nil, fmt.Errorf("%w: %d bytes", store.ErrTooLarge, len(value))
+	}
+	return value, nil
+}
+
+func decode(value []byte, into any) error {
+	if len(value) > store.MaxValueBytes {
+		return store.ErrTooLarge
+	}
+	return json.Unmarshal(value, into)
+}
+
+// same checks a decoded value against its key and its only encoding, which
+// excludes unknown, repeated and differently cased fields.
+func same(key, want string, version int, value, again []byte, err error) error {
+	switch {
+	case version != formatVersion:
+		return unreadable(key, fmt.Errorf("format version %d", version))
+	case err != nil:
+		return unreadable(key, err)
+	case key != want:
+		return unreadable(key, fmt.Errorf("value of key %q", want))
+	case !bytes.Equal(value, again):
+		return unreadable(key, errors.New("not in the form that this version writes"))
+	}
+	return nil
+}
+
+func unreadable(key string, cause error) error {
+	return fmt.Errorf("%w: key %q: %w", ErrUnreadable, key, cause)
+}
+
+func millis(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+func fromMillis(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
+
+func convert[To, From interface {
+	~struct {
+		Index int
+		Tag   wire.RunTag
+	}
+}](list []From) []To {
+	var to []To
+	for _, r := range list {
+		to = append(to, To(r))
+	}
+	return to
+}
--- /dev/null
+++ b/durable/encoding_test.go
@@ -0,0 +1,157 @@
+package durable
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/store"
+	"chicorytray.example/chicorytray/wire"
+)
+
+func sample(id string) Record {
+	return Record{
+		Identifier: id, Account: "a<b>", Template: "t", Count: 3, Needs: wire.Resources{MilliCPU: 2000, MemoryMB: 64},
+		Spec: `{"x":1}`, Expected: time.Second, Accepted: time.UnixMilli(1_700_000_000_123),
+	}
+}
+
+func sampleEnd(id string) End {
+	r := sample(id)
+	return End{
+		Identifier: id, Account: r.Account, Template: r.Template, Workload: r.Workload(), State: Completed,
+		Ended: time.UnixMilli(1_700_000_001_000),
+	}
+}
+
+// Guards against a record that changes when it is stored, such as tags and
+// serials above 2^53.
+func TestRoundTrip(t *testing.T) {
+	c := qt.New(t)
+	r := sample("j")
+	r.Owner, r.Serial, r.Started, r.Restarted = "e-1f-2", 1<<63+1, true, true
+	r.Done = []TaskRun{{2, 1<<64 - 1}, {0, 7}}
+	r.Failed = []TaskRun{{1, 8}, {1, 9}}
+	value, err := r.Encode()
+	c.Assert(err, qt.IsNil)
+	got, err := DecodeRecord(OpenPrefix+"j", value)
+	c.Assert(err, qt.IsNil)
+	c.Check(got, qt.DeepEquals, r)
+	e := sampleEnd("j")
+	value, err = e.Encode()
+	c.Assert(err, qt.IsNil)
+	end, err := DecodeEnd(EndedPrefix+"j", value)
+	c.Assert(err, qt.IsNil)
+	c.Check(end, qt.DeepEquals, e)
+}
+
+// Guards against records of other versions, or damaged ones, being taken for
+// something that they are not.
+func TestUnreadable(t *testing.T) {
+	c := qt.New(t)
+	r, e := sample("j"), sampleEnd("j")
+	value, _ := r.Encode()
+	end, _ := e.Encode()
+	for _, replace := range [][2]string{
+		{`"v":1`, `"v":2`},
+		{`"v":1`, `"v":1,"new":true`},
+		{`"v":1`, `"v":1,"v":1`},
+		{`"v":1`, `"V":1`},
+		{`"id":"j"`, `"id":"k"`},
+		{`"id":"j"`, `"id":null`},
+		{`{`, ` {`},
+		{`}`, `}}`},
+		{`}`, ``},
+		{`"count":3`, `"count":0`},
+		{`"serial":"0"`, `"serial":"00"`},
+		{`"serial":"0"`, `"serial":"0","done":["3:1"]`},
+		{`"serial":"0"`, `"serial":"0","done":["1:1","1:2"]`},
+		{`"state":"completed"`, `"state":"queued"`},
+	} {
+		for _, original := range [][]byte{value, end} {
+			damaged := bytes.Replace(original, []byte(replace[0]), []byte(replace[1]), 1)
+			if bytes.Equal(damaged, original) {
+				continue
+			}
+			_, errOpen := DecodeRecord(OpenPrefix+"j", damaged)
+			_, errEnd := DecodeEnd(EndedPrefix+"j", damaged)
+			c.Check(errOpen, qt.ErrorIs, ErrUnreadable, qt.Commentf("%s", damaged))
+			c.Check(errEnd, qt.ErrorIs, ErrUnreadable, qt.Commentf("%s", damaged))
+		}
+	}
+}
+
+// Guards against a job that is accepted and outgrows the store's values later,
+// and against records that cannot be decoded again.
+func TestSizeLimits(t *testing.T) {
+	c := qt.New(t)
+	r := sample("j")
+	r.Spec = strings.Repeat("x", store.MaxValueBytes-1000)
+	c.Check(r.fits(), qt.IsNil)
+	r.Count = 100
+	c.Check(r.fits(), qt.ErrorIs, store.ErrTooLarge)
+	r.Spec += strings.Repeat("x", 1000)
+	_, err := r.Encode()
+	c.Check(err, qt.ErrorIs, store.ErrTooLarge)
+	r.Spec = "\xff"
+	_, err = r.Encode()
+	c.Check(err, qt.ErrorIs, errInvalid)
+
+	r = sample("j")
+	r.Count = 10_000
+	c.Assert(r.fits(), qt.IsNil)
+	empty, _ := r.Encode()
+	for i := range r.Count {
+		r.Done = append(r.Done, TaskRun{i, 1<<64 - 1})
+	}
+	full, err := r.Encode()
+	c.Assert(err, qt.IsNil)
+	c.Check(len(full)-len(empty) <= r.Count*runBytes, qt.IsTrue)
+}
+
+// Guards against different work under one identifier being taken for the same.
+func TestWorkload(t *testing.T) {
+	c := qt.New(t)
+	r := sample("j")
+	first := r.Workload()
+	r.Owner, r.Serial, r.Started, r.Accepted, r.Expected = "e", 7, true, time.Time{}, 0
+	c.Check(r.Workload(), qt.Equals, first)
+	for _, change := range []func(*Record){
+		func(r *Record) { r.Account += "x" },
+		func(r *Record) { r.Account, r.Template = "a", "<b>t" },
+		func(r *Record) { r.Count++ },
+		func(r *Record) { r.Needs.MemoryMB++ },
+		func(r *Record) { r.Spec = "" },
+	} {
+		other := sample("j")
+		change(&other)
+		c.Check(other.Workload(), qt.Not(qt.Equals), first)
+	}
+}
+
+// Guards against a value that is accepted although it is written differently,
+// so that a rewrite would lose a part of it.
+func FuzzDecode(f *testing.F) {
+	r, e := sample("j"), sampleEnd("j")
+	r.Done = []TaskRun{{1, 2}}
+	value, _ := r.Encode()
+	end, _ := e.Encode()
+	for _, seed := range [][]byte{value, end, nil, []byte("{}"), []byte(`{"v":1}`), []byte("null")} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, value []byte) {
+		if r, err := DecodeRecord(OpenPrefix+"j", value); err == nil {
+			if again, err := r.Encode(); err != nil || !bytes.Equal(again, value) {
+				t.Fatalf("%q is written as %q (%v)", value, again, err)
+			}
+		}
+		if e, err := DecodeEnd(EndedPrefix+"j", value); err == nil {
+			if again, err := e.Encode(); err != nil || !bytes.Equal(again, value) {
+				t.Fatalf("%q is written as %q (%v)", value, again, err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/durable/orphans.go
@@ -0,0 +1,113 @@
+package durable
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"time"
+)
+
+// rankWait is the time that an entry leaves to each entry ranked before it,
+// which covers a scan each second and the takeover.
+const rankWait = 2 * time.Second
+
+// OpenRecord is an open record as read, with the revision of its key.
+type OpenRecord struct {
+	Record
+	Revision uint64
+}
+
+// Scan is what one look at the store showed, and what the entry knows.
+type Scan struct {
+	Open    []OpenRecord
+	Owners  map[Epoch]bool  // epochs that have a key, read after Open
+	Entries map[string]bool // registered entries, and whether each is reachable
+	Own     Epoch           // of this entry; empty while there is none
+	Held    func(identifier string) bool
+}
+
+// Orphans decides which open records an entry takes over. It remembers since
+// when each orphan is known.
+type Orphans struct {
+	self  string
+	since map[string]seen
+}
+
+type seen struct {
+	owner Epoch
+	at    time.Time
+}
+
+// NewOrphans returns the Orphans of an entry.
+func NewOrphans(self string) *Orphans { return &Orphans{self: self, since: map[string]seen{}} }
+
+// Look returns the records to take over now, and the number of orphans that are
+// left to other entries for the time being.
+//
+// A record of the entry's own epoch that it does not hold counts as an orphan of
+// the second rank: a write that took effect after it was given up has left it,
+// and no other entry will take it while the epoch lasts.
+func (o *Orphans) Look(now time.Time, s Scan) (take []OpenRecord, waiting int) {
+	since := map[string]seen{}
+	for _, r := range s.Open {
+		if s.Held(r.Identifier) || s.Owners[r.Owner] && r.Owner != s.Own {
+			continue
+		}
+		first, ok := o.since[r.Identifier]
+		if !ok || first.owner != r.Owner {
+			first = seen{r.Owner, now}
+		}
+		since[r.Identifier] = first
+		rank := 1
+		if s.Own == "" || r.Owner != s.Own {
+			rank = o.rank(r.Identifier, s.Entries)
+		}
+		if now.Sub(first.at) >= time.Duration(rank)*rankWait {
+			take = append(take, r)
+		} else {
+			waiting++
+		}
+	}
+	o.since = since
+	return take, waiting
+}
+
+// rank returns the number of reachable entries that precede this one.
+func (o *Orphans) rank(identifier string, entries map[string]bool) int {
+	own, before := weight(o.self, identifier), 0
+	for entry, reachable := range entries {
+		if !reachable || entry == o.self {
+			continue
+		}
+		if w := weight(entry, identifier); w > own || w == own && entry < o.self {
+			before++
+		}
+	}
+	return before
+}
+
+// First returns the first of the reachable entries for an identifier, with self
+// included.
+func First(self, identifier string, entries map[string]bool) string {
+	best, most := self, weight(self, identifier)
+	for entry, reachable := range entries {
+		w := weight(entry, identifier)
+		if reachable && (w > most || w == most && entry < best) {
+			best, most = entry, w
+		}
+	}
+	return best
+}
+
+// weight is the rendezvous weight of an entry for a job.
+func weight(entry, identifier string) uint64 {
+	h := fnv.New64a()
+	_ = binary.Write(h, binary.BigEndian, uint32(len(entry))) // separates the two names
+	_, _ = h.Write([]byte(entry))
+	_, _ = h.Write([]byte(identifier))
+	x := h.Sum64()
+	// FNV leaves the high bits of similar short names close together; this is
+	// the finalizer of SplitMix64.
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/durable/owner_test.go
@@ -0,0 +1,113 @@
+package durable
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against an epoch that is valid longer than the store keeps its key, and
+// against one that becomes valid again.
+func TestOwner(t *testing.T) {
+	c := qt.New(t)
+	const valid = 2640 * time.Millisecond // 3 s x 0.98 - 300 ms
+	at := func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
+	o := NewOwner(300 * time.Millisecond)
+	c.Check(o.Valid(at(0)), qt.IsFalse)
+	c.Check(o.Begin(at(3*time.Second), "e-1-1", 1, 5, at(0)), qt.IsFalse)
+	c.Check(o.Begin(at(time.Second), "e-1-2", 2, 6, at(0)), qt.IsTrue)
+	c.Check(o.Valid(at(valid-1)), qt.IsTrue)
+	c.Check(o.Valid(at(valid)), qt.IsFalse)
+	o.Renewed(at(2*time.Second), 2, at(time.Second))
+	c.Check(o.Valid(at(time.Second+valid-1)), qt.IsTrue)
+	o.Renewed(at(2*time.Second), 2, at(0)) // an answer that comes out of order
+	o.Renewed(at(2*time.Second), 1, at(2*time.Second))
+	c.Check(o.Valid(at(time.Second+valid-1)), qt.IsTrue)
+	c.Check(o.Valid(at(time.Second+valid)), qt.IsFalse)
+	o.Renewed(at(time.Second+valid), 2, at(time.Second+valid))
+	c.Check(o.Valid(at(time.Second+valid)), qt.IsFalse)
+	o.End()
+	c.Check(o.Valid(at(0)), qt.IsFalse)
+	c.Check(newEpoch("edge-1", "a", 3).Entry(), qt.Equals, "edge-1")
+	c.Check(Epoch("edge-1").Entry(), qt.Equals, "")
+}
+
+// Guards against an orphan that nobody takes or that several entries take at
+// once, and against taking a job whose owner is there.
+func TestOrphans(t *testing.T) {
+	c := qt.New(t)
+	entries := map[string]bool{"a": true, "b": true, "c": true, "gone": false}
+	var open []OpenRecord
+	for i := range 300 {
+		r := sample(fmt.Sprint(i))
+		r.Owner = "gone-1-1"
+		open = append(open, OpenRecord{r, 1})
+	}
+	alive := sample("alive")
+	alive.Owner = "a-1-1"
+	open = append(open, OpenRecord{alive, 1})
+	owners := map[Epoch]bool{"a-1-1": true, "b-1-1": true, "c-1-1": true}
+	all := []*Orphans{NewOrphans("a"), NewOrphans("b"), NewOrphans("c")}
+	taken := map[string]int{}
+	for _, o := range all {
+		take, waiting := o.Look(time.Unix(0, 0), Scan{
+			Open: open, Owners: owners, Entries: entries, Own: Epoch(o.self + "-1-1"),
+			Held: func(id string) bool { return id == "alive" && o.self == "a" },
+		})
+		c.Check(len(take)+waiting, qt.Equals, 300)
+		c.Check(len(take) > 70 && len(take) < 130, qt.IsTrue, qt.Commentf("%s takes %d of 300", o.self, len(take)))
+		for _, r := range take {
+			taken[r.Identifier]++
+			c.Check(First(o.self, r.Identifier, entries), qt.Equals, o.self)
+		}
+	}
+	c.Check(taken, qt.HasLen, 300)
+}
+
+// Guards against an orphan that is left because the first entry does not take
+// it, and against one of the own epoch that nobody else can take.
+func TestOrphansWait(t *testing.T) {
+	c := qt.New(t)
+	entries := map[string]bool{"a": true, "b": true, "c": true}
+	id := "job"
+	order := []string{First("a", id, entries)}
+	entries[order[0]] = false
+	for e, reachable := range entries {
+		if reachable {
+			order = append(order, First(e, id, entries))
+			break
+		}
+	}
+	entries[order[0]] = true
+	for e := range entries {
+		if e != order[0] && e != order[1] {
+			order = append(order, e)
+		}
+	}
+	r := sample(id)
+	r.Owner = "old-1-1"
+	for rank, self := range order {
+		for _, owner := range []Epoch{"old-1-1", Epoch(self + "-1-1")} {
+			want := time.Duration(rank) * rankWait
+			owners := map[Epoch]bool{}
+			if owner != "old-1-1" {
+				want, owners[owner] = rankWait, true
+			}
+			r.Owner = owner
+			scan := Scan{
+				Open: []OpenRecord{{r, 1}}, Owners: owners, Entries: entries, Own: Epoch(self + "-1-1"),
+				Held: func(string) bool { return false },
+			}
+			o := NewOrphans(self)
+			var took time.Duration = -1
+			for d := time.Duration(0); d <= 6*time.Second && took < 0; d += time.Second {
+				if take, _ := o.Look(time.Unix(0, 0).Add(d), scan); len(take) > 0 {
+					took = d
+				}
+			}
+			c.Check(took, qt.Equals, want, qt.Commentf("%s of rank %d, owner %s", self, rank, owner))
+		}
+	}
+}
--- a/durable/record.go
+++ b/durable/record.go
@@ -54,15 +54,6 @@
 	Failed    []TaskRun
 }
 
-// Workload returns a hash of what must agree in submissions under one identifier.
-func (r *Record) Workload() string { panic("not built") }
-
-// Encode returns the value of the record's key.
-func (r *Record) Encode() ([]byte, error) { panic("not built") }
-
-// DecodeRecord decodes the value of an open record's key.
-func DecodeRecord(key string, value []byte) (Record, error) { panic("not built") }
-
 // End is the end record of a job.
 type End struct {
 	Identifier string
@@ -73,9 +64,3 @@
 	Ended      time.Time
 	Restarted  bool
 }
-
-// Encode returns the value of the end's key.
-func (e *End) Encode() ([]byte, error) { panic("not built") }
-
-// DecodeEnd decodes the value of an end record's key.
-func DecodeEnd(key string, value []byte) (End, error) { panic("not built") }
