durable: Keeper

Cause: the Keeper's bodies were not built. Ruled out: renewing and writing in one loop, because a write that waits for its timeout would delay renewals; one loop each for the lease, the writes, the scans and the callbacks. Change: Keeper over store.Store; ErrJobsLeft of HandOver. A renewal ends with the validity, so that its end is noticed in time. Reads on which a job is given up are verified if the store is not linearizable.

--- a/durable/keeper.go
+++ b/durable/keeper.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -25,12 +29,18 @@
 	ErrUnreadable = errors.New("durable: stored record is unreadable")
 )
 
+// Defaults of Options.
+const (
+	defaultCommitInterval = 25 * time.Millisecond
+	defaultCallTimeout    = 300 * time.Millisecond
+)
+
 // Options of a Keeper.
 type Options struct {
 	Store       store.Store
 	Entry       string        // identifier of this entry
 	Incarnation string        // of its process
-	CallTimeout time.Duration // of one call of the store
+	CallTimeout time.Duration // of one call of the store; 0 means 300 ms
 	// CommitInterval between the beginnings of transactions; 0 means 25 ms.
 	CommitInterval time.Duration
 	// Entries returns the identifiers of the entries that are registered in
@@ -59,18 +69,83 @@
 }
 
 // Keeper writes the records of one entry. It is safe for concurrent use.
-// Callbacks are called on its goroutines and must not block.
-type Keeper struct{ options Options }
+// Callbacks are called on its goroutines, one at a time, and must not block.
+type Keeper struct {
+	options Options
+
+	mu    sync.Mutex
+	batch *Batch
+	owner *Owner
+	calls []func() // callbacks that are due
+	// wanted is set once the entry needs an epoch.
+	wanted bool
+	// stopped is set by HandOver; no further epoch begins.
+	stopped bool
+	// endLease of end records, granted at endLeaseAt; 0 while there is none.
+	endLease   store.LeaseID
+	endLeaseAt time.Time
+	lost       map[string]time.Time // peers whose epochs are watched, and since when
+	reads      sharedReads
+
+	wakeWriter, wakeLease, wakeScan, wakeCalls chan struct{}
+
+	commits, conflicts, takeovers tally.Counter
+}
 
 // NewKeeper returns a Keeper; Run starts it.
-func NewKeeper(o Options) *Keeper { return &Keeper{options: o} }
+func NewKeeper(o Options) *Keeper {
+	if o.CommitInterval == 0 {
+		o.CommitInterval = defaultCommitInterval
+	}
+	if o.CallTimeout == 0 {
+		o.CallTimeout = defaultCallTimeout
+	}
+	if o.Jitter == nil {
+		o.Jitter = rand.N[time.Duration]
+	}
+	if o.Metrics == nil {
+		o.Metrics = tally.NoopScope
+	}
+	signal := func() chan struct{} { return make(chan struct{}, 1) }
+	k := &Keeper{
+		options: o, owner: NewOwner(o.CallTimeout), lost: map[string]time.Time{},
+		wakeWriter: signal(), wakeLease: signal(), wakeScan: signal(), wakeCalls: signal(),
+		commits: o.Metrics.Counter("durable_commits"), conflicts: o.Metrics.Counter("durable_conflicts"),
+		takeovers: o.Metrics.Counter("durable_takeovers"),
+	}
+	k.batch = NewBatch(Events{
+		TakenOver: k.tookOver, Lost: k.lostJob, Unwritable: k.unwritable, EpochGone: k.invalidate, Call: k.call,
+	})
+	return k
+}
 
 // Run registers epochs, writes and takes over until ctx ends. It then revokes
-// the lease if every job was given up or ended.
-func (k *Keeper) Run(ctx context.Context) { panic("not built") }
+// the lease if every job was given up or ended, and answers what is pending.
+func (k *Keeper) Run(ctx context.Context) {
+	var loops, calls sync.WaitGroup
+	over := make(chan struct{})
+	calls.Go(func() { k.dispatch(over) })
+	loops.Go(func() { k.keepLease(ctx) })
+	loops.Go(func() { k.write(ctx) })
+	loops.Go(func() { k.scan(ctx) })
+	loops.Wait()
+	// An error leaves the lease to its time to live.
+	_ = k.HandOver(context.WithoutCancel(ctx))
+	k.locked(func() {
+		k.stopped = true
+		k.owner.End()
+		k.batch.Reset()
+	})
+	close(over)
+	calls.Wait()
+}
 
 // Valid reports whether the entry may start tasks of durable jobs at that time.
-func (k *Keeper) Valid(now time.Time) bool { panic("not built") }
+func (k *Keeper) Valid(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.owner.Valid(now)
+}
 
 // Found is what the store has under an identifier: an open record, an end, or
 // neither.
@@ -85,25 +160,37 @@
 // with nil and what was found if the identifier is in use for the same work.
 // While the outcome is unknown it is not called; the Keeper goes on, until the
 // validity ends (ErrUnknown).
-func (k *Keeper) Create(r Record, done func(found Found, err error)) { panic("not built") }
+func (k *Keeper) Create(r Record, done func(found Found, err error)) {
+	k.locked(func() {
+		if k.stopped {
+			k.call(func() { done(Found{}, ErrInvalidEpoch) })
+			return
+		}
+		k.batch.Create(time.Now(), copied(r), done)
+		k.want()
+	})
+}
 
 // Update writes the record of a job that the entry owns, at the latest within
 // the given time. A later Update of the job replaces one that is not written
-// yet. done is called with nil when this state or a later one is stored, and is
-// not called if the job is lost or given up. Owner and Serial are set by the
+// yet. done is called when this state or a later one is stored, and is not
+// called if the job is lost or given up. Owner and Serial are set by the
 // Keeper.
-func (k *Keeper) Update(r Record, within time.Duration, done func()) { panic("not built") }
+func (k *Keeper) Update(r Record, within time.Duration, done func()) {
+	k.locked(func() { k.batch.Update(copied(r), time.Now().Add(within), done) })
+}
 
 // Finish replaces the record of a job that the entry owns by its end. done is
 // called when the end is stored, and is not called if the job is lost.
-func (k *Keeper) Finish(e End, done func()) { panic("not built") }
-
-// GiveUp forgets a job without a write.
-func (k *Keeper) GiveUp(identifier string) { panic("not built") }
+func (k *Keeper) Finish(e End, done func()) {
+	k.locked(func() { k.batch.Finish(time.Now(), e, done) })
+}
 
-// Lookup reads what the store has under the identifier: the open record first,
-// then the end.
-func (k *Keeper) Lookup(ctx context.Context, identifier string) (Found, error) { panic("not built") }
+// GiveUp forgets a job without a write. While the own epoch lasts, a later scan
+// may hand it over to this entry again (Handler.TakenOver).
+func (k *Keeper) GiveUp(identifier string) {
+	k.locked(func() { k.batch.GiveUp(identifier) })
+}
 
 // Presence is what the store says of the job of an unclaimed end.
 type Presence int
@@ -117,27 +204,152 @@
 	OpenUnreadable                 // its record cannot be decoded
 )
 
-// Presences looks identifiers up in reads that begin after the call. Calls that
-// come within a second share their reads.
-func (k *Keeper) Presences(ctx context.Context, identifiers []string) (map[string]Presence, error) {
-	panic("not built")
-}
-
 // PeerLost makes the Keeper look for orphans soon, and each second until there
 // are none and the lost entry has no epoch any more.
-func (k *Keeper) PeerLost(entry string) { panic("not built") }
+func (k *Keeper) PeerLost(entry string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.lost[entry] = time.Now()
+	wake(k.wakeScan)
+}
+
+// ErrJobsLeft means that a lease was not revoked because the entry has jobs.
+var ErrJobsLeft = errors.New("durable: the entry has durable jobs")
 
 // HandOver revokes the ownership lease after the entry has given up or ended
-// all its jobs, so that others take them over at once.
-func (k *Keeper) HandOver(ctx context.Context) error { panic("not built") }
+// all its jobs, so that others take them over at once. No epoch begins
+// afterwards. It fails with ErrJobsLeft, or with the store's error; the lease
+// then ends with its time to live.
+func (k *Keeper) HandOver(ctx context.Context) error {
+	k.mu.Lock()
+	if jobs, _ := k.batch.Len(); jobs > 0 {
+		k.mu.Unlock()
+		return fmt.Errorf("%w: %d", ErrJobsLeft, jobs)
+	}
+	lease := k.owner.lease
+	k.stopped = true
+	k.owner.End()
+	k.mu.Unlock()
+	if lease == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
+	defer cancel()
+	if err := k.options.Store.Revoke(ctx, lease); err != nil && !errors.Is(err, store.ErrLeaseExpired) {
+		return fmt.Errorf("durable: revoke the ownership lease: %w", err)
+	}
+	return nil
+}
 
 // Status is for the state dump.
 type Status struct {
 	Epoch      Epoch
 	ValidUntil time.Time // zero while there is none
 	Jobs       int
-	Pending    int // changes that are not written yet
+	Pending    int // jobs with changes that are not written yet
 }
 
 // Status returns what the Keeper is doing.
-func (k *Keeper) Status() Status { panic("not built") }
+func (k *Keeper) Status() Status {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	jobs, pending := k.batch.Len()
+	return Status{Epoch: k.owner.epoch, ValidUntil: k.owner.until, Jobs: jobs, Pending: pending}
+}
+
+// locked runs f under the lock, after the validity has been checked, and wakes
+// the writer.
+func (k *Keeper) locked(f func()) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire(time.Now())
+	f()
+	wake(k.wakeWriter)
+}
+
+// expire gives all jobs up when the validity has ended.
+func (k *Keeper) expire(now time.Time) {
+	if k.owner.epoch != "" && !k.owner.Valid(now) {
+		k.invalidate()
+	}
+}
+
+// invalidate ends the present epoch.
+func (k *Keeper) invalidate() {
+	if k.owner.epoch == "" {
+		return
+	}
+	k.options.Log.Warn().Str("epoch", string(k.owner.epoch)).Msg("durable ownership ended")
+	k.owner.End()
+	k.batch.Reset()
+	k.call(k.options.Handler.Invalidated)
+	wake(k.wakeLease)
+}
+
+// want lets the Keeper begin an epoch if it has none.
+func (k *Keeper) want() {
+	k.wanted = true
+	if k.owner.epoch == "" {
+		wake(k.wakeLease)
+	}
+}
+
+func (k *Keeper) tookOver(r Record) {
+	k.takeovers.Inc(1)
+	at := time.Now()
+	k.call(func() { k.options.Handler.TakenOver(r, at) })
+}
+
+func (k *Keeper) lostJob(identifier string, cause error) {
+	k.options.Log.Warn().Str("job", identifier).AnErr("cause", cause).Msg("durable job lost")
+	k.call(func() { k.options.Handler.Lost(identifier) })
+}
+
+func (k *Keeper) unwritable(identifier string, cause error) {
+	k.options.Log.Error().Str("job", identifier).Err(cause).Msg("durable record cannot be written")
+}
+
+// call queues a callback; the caller holds the lock.
+func (k *Keeper) call(f func()) {
+	k.calls = append(k.calls, f)
+	wake(k.wakeCalls)
+}
+
+// dispatch calls the callbacks in order until over is closed and none is left.
+func (k *Keeper) dispatch(over <-chan struct{}) {
+	for {
+		k.mu.Lock()
+		calls := k.calls
+		k.calls = nil
+		k.mu.Unlock()
+		for _, f := range calls {
+			f()
+		}
+		if len(calls) > 0 {
+			continue
+		}
+		select {
+		case <-k.wakeCalls:
+		case <-over:
+			k.mu.Lock()
+			left := len(k.calls)
+			k.mu.Unlock()
+			if left == 0 {
+				return
+			}
+		}
+	}
+}
+
+// copied returns a record that shares no lists with its caller's.
+func copied(r Record) Record {
+	r.Done, r.Failed = slices.Clone(r.Done), slices.Clone(r.Failed)
+	return r
+}
+
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/durable/leasing.go
@@ -0,0 +1,135 @@
+package durable
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"chicorytray.example/chicorytray/internal/wait"
+	"chicorytray.example/chicorytray/store"
+)
+
+// Waits after calls that failed.
+const (
+	// renewRetry fits at least four attempts into the validity that is left
+	// when a renewal fails.
+	renewRetry = 250 * time.Millisecond
+	// beginRetry, half of it at random, is the wait before another attempt to
+	// register an epoch while the store is out of reach.
+	beginRetry = time.Second
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = time.Second
+)
+
+// keepLease registers epochs and renews the ownership lease until ctx ends.
+func (k *Keeper) keepLease(ctx context.Context) {
+	var number uint64
+	var renewAt time.Time
+	for ctx.Err() == nil {
+		k.mu.Lock()
+		now := time.Now()
+		k.expire(now)
+		begin := k.wanted && !k.stopped && k.owner.epoch == ""
+		lease, until := k.owner.lease, k.owner.until
+		k.mu.Unlock()
+		switch {
+		case begin:
+			number++
+			sent := time.Now()
+			if err := k.begin(ctx, number); err != nil {
+				k.beginFailed(err)
+				wait.For(ctx, beginRetry/2+k.options.Jitter(beginRetry/2), nil)
+				continue
+			}
+			renewAt = sent.Add(renewInterval)
+		case lease == 0:
+			wait.For(ctx, time.Hour, k.wakeLease)
+		case now.Before(renewAt):
+			wait.For(ctx, min(renewAt.Sub(now), until.Sub(now)), k.wakeLease)
+		default:
+			renewAt = k.renew(ctx, lease, now, until)
+		}
+	}
+}
+
+// begin registers a new epoch. After an unknown outcome its name is not used any
+// more; a key that is written late disappears with its lease.
+func (k *Keeper) begin(ctx context.Context, number uint64) error {
+	s := k.options.Store
+	sent := time.Now()
+	var lease store.LeaseID
+	err := k.timed(ctx, func(ctx context.Context) (err error) {
+		lease, err = s.Grant(ctx, LeaseTTL)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	epoch := newEpoch(k.options.Entry, k.options.Incarnation, number)
+	var kv store.KV
+	err = k.timed(ctx, func(ctx context.Context) (err error) {
+		kv, err = s.CompareAndSwap(ctx, epoch.Key(), 0, []byte(k.options.Entry), lease)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.stopped {
+		return nil // the lease ends with its time to live
+	}
+	if !k.owner.Begin(time.Now(), epoch, lease, kv.Revision, sent) {
+		k.owner.End()
+		return fmt.Errorf("%w: registered too late", ErrInvalidEpoch)
+	}
+	k.options.Log.Info().Str("epoch", string(epoch)).Msg("durable ownership began")
+	wake(k.wakeWriter)
+	wake(k.wakeScan)
+	return nil
+}
+
+// beginFailed refuses the creations that wait for an epoch.
+func (k *Keeper) beginFailed(err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.options.Log.Warn().Err(err).Msg("durable ownership did not begin")
+	k.batch.RefuseCreations(fmt.Errorf("%w: %w", ErrNotStored, err))
+}
+
+// renew extends the lease and returns when to do so next. The call ends with the
+// validity, so that its end is noticed in time.
+func (k *Keeper) renew(ctx context.Context, lease store.LeaseID, sent, until time.Time) time.Time {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	err := k.timed(ctx, func(ctx context.Context) error { return k.options.Store.KeepAlive(ctx, lease) })
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	switch {
+	case k.owner.lease != lease:
+		return now
+	case errors.Is(err, store.ErrLeaseExpired):
+		k.invalidate()
+		return now
+	case err != nil:
+		return now.Add(renewRetry)
+	}
+	k.owner.Renewed(now, lease, sent)
+	return sent.Add(renewInterval)
+}
+
+// timed makes one call of the store.
+func (k *Keeper) timed(ctx context.Context, call func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
+	defer cancel()
+	return call(ctx)
+}
+
+// backoff returns the wait after a number of failures: exponential, half of it
+// at random.
+func (k *Keeper) backoff(failures int) time.Duration {
+	d := min(maxBackoff, minBackoff<<min(failures, 8))
+	return d/2 + k.options.Jitter(d/2)
+}
--- /dev/null
+++ b/durable/lookup.go
@@ -0,0 +1,176 @@
+package durable
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"chicorytray.example/chicorytray/store"
+)
+
+// presenceInterval is the least time between the reads for Presences.
+const presenceInterval = time.Second
+
+// Lookup reads what the store has under the identifier: the open record first,
+// then the end. It fails with ErrUnreadable or with the store's error.
+func (k *Keeper) Lookup(ctx context.Context, identifier string) (Found, error) {
+	kv, err := k.read(ctx, OpenPrefix+identifier)
+	if err != nil {
+		return Found{}, err
+	}
+	if kv.Revision != 0 {
+		r, err := DecodeRecord(kv.Key, kv.Value)
+		if err != nil {
+			return Found{}, err
+		}
+		return Found{Open: &r}, nil
+	}
+	if kv, err = k.read(ctx, EndedPrefix+identifier); err != nil || kv.Revision == 0 {
+		return Found{}, err
+	}
+	end, err := DecodeEnd(kv.Key, kv.Value)
+	if err != nil {
+		return Found{}, err
+	}
+	return Found{End: &end}, nil
+}
+
+// sharedReads are the reads for Presences.
+type sharedReads struct {
+	next *presenceRead // has not begun
+	last time.Time     // beginning of the newest one
+}
+
+// presenceRead is one round of reads for several callers.
+type presenceRead struct {
+	wanted map[string]bool
+	done   chan struct{}
+	found  map[string]Presence
+	err    error
+}
+
+// Presences looks identifiers up in reads that begin after the call. Calls that
+// come within a second share their reads. It fails with the store's error.
+func (k *Keeper) Presences(ctx context.Context, identifiers []string) (map[string]Presence, error) {
+	if len(identifiers) == 0 {
+		return nil, nil
+	}
+	r := k.join(identifiers)
+	select {
+	case <-r.done:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if r.err != nil {
+		return nil, r.err
+	}
+	found := map[string]Presence{}
+	for _, id := range identifiers {
+		found[id] = r.found[id]
+	}
+	return found, nil
+}
+
+// join adds identifiers to the next round of reads.
+func (k *Keeper) join(identifiers []string) *presenceRead {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	r := k.reads.next
+	if r == nil {
+		r = &presenceRead{wanted: map[string]bool{}, done: make(chan struct{})}
+		k.reads.next = r
+		time.AfterFunc(max(0, presenceInterval-time.Since(k.reads.last)), func() { k.readPresences(r) })
+	}
+	for _, id := range identifiers {
+		r.wanted[id] = true
+	}
+	return r
+}
+
+func (k *Keeper) readPresences(r *presenceRead) {
+	k.mu.Lock()
+	k.reads.next, k.reads.last = nil, time.Now()
+	k.mu.Unlock()
+	defer close(r.done)
+	ctx := context.Background()
+	list, err := k.list(ctx, OpenPrefix)
+	if err != nil {
+		r.err = err
+		return
+	}
+	open := map[string]store.KV{}
+	for _, kv := range list {
+		open[kv.Key] = kv
+	}
+	r.found = map[string]Presence{}
+	var missing []string
+	for id := range r.wanted {
+		kv, ok := open[OpenPrefix+id]
+		if !ok {
+			missing = append(missing, id)
+			continue
+		}
+		r.found[id] = Open
+		if _, err := DecodeRecord(kv.Key, kv.Value); err != nil {
+			r.found[id] = OpenUnreadable
+		}
+	}
+	r.err = k.readEnds(ctx, r, missing)
+}
+
+// endReaders is the number of end records that are read at the same time.
+const endReaders = 8
+
+// readEnds looks up the jobs that are not open.
+func (k *Keeper) readEnds(ctx context.Context, r *presenceRead, identifiers []string) (failed error) {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	work := make(chan string, len(identifiers))
+	for _, id := range identifiers {
+		work <- id
+	}
+	close(work)
+	for range min(endReaders, len(identifiers)) {
+		group.Go(func() {
+			for id := range work {
+				p, err := k.presenceOfEnd(ctx, id)
+				mu.Lock()
+				r.found[id] = p
+				if err != nil {
+					failed = err
+				}
+				mu.Unlock()
+				if err != nil {
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	return failed
+}
+
+// presenceOfEnd looks up a job that was not in the list of open records.
+func (k *Keeper) presenceOfEnd(ctx context.Context, identifier string) (Presence, error) {
+	if !k.options.Store.Linearizable() {
+		// The list may have shown a state before the job's creation.
+		err := k.timed(ctx, func(ctx context.Context) error {
+			return k.options.Store.Verify(ctx, OpenPrefix+identifier, 0)
+		})
+		if err != nil {
+			return Absent, err
+		}
+	}
+	kv, err := k.read(ctx, EndedPrefix+identifier)
+	if err != nil || kv.Revision == 0 {
+		return Absent, err
+	}
+	switch end, err := DecodeEnd(kv.Key, kv.Value); {
+	case err != nil:
+		return OpenUnreadable, nil
+	case end.Restarted:
+		return EndedRestarted, nil
+	default:
+		return EndedOnce, nil
+	}
+}
--- /dev/null
+++ b/durable/rig_test.go
@@ -0,0 +1,285 @@
+package durable_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"chicorytray.example/chicorytray/durable"
+	"chicorytray.example/chicorytray/internal/storestub"
+	"chicorytray.example/chicorytray/store"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// rig is a store with several entries, and what their handlers were told.
+type rig struct {
+	*qt.C
+	stub      *storestub.Stub
+	mu        sync.Mutex
+	reachable map[string]bool
+	nodes     []*node
+}
+
+// node is one entry process. It owns what its Keeper told it that it owns.
+type node struct {
+	rig    *rig
+	name   string
+	keeper *durable.Keeper
+	cut    *partial
+	stop   func() // ends the process without a planned stop
+
+	owned       map[string]durable.Record
+	lost        []string
+	invalidated int
+	takenAt     map[string]time.Time
+}
+
+// partial is a store that one entry cannot reach for some time.
+type partial struct {
+	store.Store
+	mu  sync.Mutex
+	off bool
+}
+
+func (p *partial) set(off bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.off = off
+}
+
+func (p *partial) down() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.off {
+		return store.ErrUnavailable
+	}
+	return nil
+}
+
+func (p *partial) KeepAlive(ctx context.Context, id store.LeaseID) error {
+	if err := p.down(); err != nil {
+		return err
+	}
+	return p.Store.KeepAlive(ctx, id)
+}
+
+func (p *partial) Transact(ctx context.Context, t store.Transaction) (uint64, error) {
+	if err := p.down(); err != nil {
+		return 0, err
+	}
+	return p.Store.Transact(ctx, t)
+}
+
+func (p *partial) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	if err := p.down(); err != nil {
+		return 0, err
+	}
+	return p.Store.Grant(ctx, ttl)
+}
+
+func (p *partial) Revoke(ctx context.Context, id store.LeaseID) error {
+	if err := p.down(); err != nil {
+		return err
+	}
+	return p.Store.Revoke(ctx, id)
+}
+
+// run runs f in virtual time with n entries, and checks afterwards that no job
+// was lost.
+func run(t *testing.T, n int, f func(*rig)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := &rig{C: qt.New(t), stub: storestub.New(), reachable: map[string]bool{}}
+		defer func() {
+			for _, n := range r.nodes {
+				n.stop()
+			}
+			synctest.Wait()
+		}()
+		for i := range n {
+			r.start(fmt.Sprintf("edge-%d", i), "1")
+		}
+		synctest.Wait()
+		f(r)
+	})
+}
+
+func (r *rig) start(name, incarnation string) *node {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{
+		rig: r, name: name, cut: &partial{Store: r.stub},
+		owned: map[string]durable.Record{}, takenAt: map[string]time.Time{},
+	}
+	n.stop = func() {
+		n.cut.set(true) // so that the lease is not revoked
+		cancel()
+	}
+	r.mu.Lock()
+	r.reachable[name] = true
+	r.nodes = append(r.nodes, n)
+	r.mu.Unlock()
+	n.keeper = durable.NewKeeper(durable.Options{
+		Store: n.cut, Entry: name, Incarnation: incarnation, CallTimeout: 300 * time.Millisecond,
+		Entries: r.entries, Handler: n, Log: zerolog.Nop(),
+		Jitter: func(d time.Duration) time.Duration { return d / 2 },
+	})
+	go n.keeper.Run(ctx)
+	return n
+}
+
+func (r *rig) entries() map[string]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	entries := map[string]bool{}
+	for name, reachable := range r.reachable {
+		entries[name] = reachable
+	}
+	return entries
+}
+
+// kill ends a process; the others learn of it.
+func (r *rig) kill(n *node) {
+	n.stop()
+	r.mu.Lock()
+	r.reachable[n.name] = false
+	n.owned = map[string]durable.Record{}
+	r.mu.Unlock()
+	for _, other := range r.nodes {
+		if other != n {
+			other.keeper.PeerLost(n.name)
+		}
+	}
+}
+
+// own records an owner; there may be no other that is valid.
+func (n *node) own(rec durable.Record) {
+	n.rig.mu.Lock()
+	defer n.rig.mu.Unlock()
+	for _, other := range n.rig.nodes {
+		if _, owns := other.owned[rec.Identifier]; owns && other.keeper.Valid(time.Now()) {
+			n.rig.Errorf("%s owns %s, which %s owns", n.name, rec.Identifier, other.name)
+		}
+	}
+	n.owned[rec.Identifier] = rec
+}
+
+func (n *node) TakenOver(rec durable.Record, at time.Time) {
+	n.own(rec)
+	n.rig.mu.Lock()
+	defer n.rig.mu.Unlock()
+	n.takenAt[rec.Identifier] = at
+}
+
+func (n *node) Lost(identifier string) {
+	n.rig.mu.Lock()
+	defer n.rig.mu.Unlock()
+	delete(n.owned, identifier)
+	n.lost = append(n.lost, identifier)
+}
+
+func (n *node) Invalidated() {
+	n.rig.mu.Lock()
+	defer n.rig.mu.Unlock()
+	n.invalidated++
+	n.owned = map[string]durable.Record{}
+}
+
+func record(id string) durable.Record {
+	return durable.Record{
+		Identifier: id, Account: "a", Template: "t", Count: 2, Needs: wire.Resources{MilliCPU: 1000},
+		Spec: "s", Accepted: time.Now(),
+	}
+}
+
+func end(id string) durable.End {
+	r := record(id)
+	return durable.End{
+		Identifier: id, Account: r.Account, Template: r.Template, Workload: r.Workload(),
+		State: durable.Completed, Ended: time.Now(),
+	}
+}
+
+// answer is what a callback of Create was told.
+type answer struct {
+	calls int
+	found durable.Found
+	err   error
+	after time.Duration
+}
+
+func (n *node) create(rec durable.Record) *answer {
+	a, began := &answer{}, time.Now()
+	n.keeper.Create(rec, func(found durable.Found, err error) {
+		if err == nil && found == (durable.Found{}) {
+			n.own(rec)
+		}
+		n.rig.mu.Lock()
+		defer n.rig.mu.Unlock()
+		a.calls++
+		a.found, a.err, a.after = found, err, time.Since(began)
+	})
+	return a
+}
+
+func (n *node) update(rec durable.Record, within time.Duration) *answer {
+	a, began := &answer{}, time.Now()
+	n.keeper.Update(rec, within, func() {
+		n.rig.mu.Lock()
+		defer n.rig.mu.Unlock()
+		a.calls, a.after = a.calls+1, time.Since(began)
+	})
+	return a
+}
+
+func (n *node) finish(e durable.End) *answer {
+	a, began := &answer{}, time.Now()
+	n.keeper.Finish(e, func() {
+		n.rig.mu.Lock()
+		defer n.rig.mu.Unlock()
+		delete(n.owned, e.Identifier)
+		a.calls, a.after = a.calls+1, time.Since(began)
+	})
+	return a
+}
+
+// wait lets time pass.
+func wait(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// calls returns the calls that f causes.
+func (r *rig) calls(f func()) int {
+	before := r.stub.TotalCalls()
+	f()
+	return r.stub.TotalCalls() - before
+}
+
+// stored returns the open record of a job.
+func (r *rig) stored(id string) *durable.Record {
+	kv, ok := r.stub.Peek(durable.OpenPrefix + id)
+	if !ok {
+		return nil
+	}
+	rec, err := durable.DecodeRecord(kv.Key, kv.Value)
+	r.Assert(err, qt.IsNil)
+	return &rec
+}
+
+// owners returns the number of entries that own the job.
+func (r *rig) owners(id string) (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, node := range r.nodes {
+		if _, ok := node.owned[id]; ok {
+			n++
+		}
+	}
+	return n
+}
