durable: repeated submissions find the job; documentation

Change: only the first submission has the job, others find its record. Lookup verifies only absence. The property test also covers takeovers after reads of an older state, and creations that are stored although they were refused.

--- a/durable/doc.go
+++ b/durable/doc.go
@@ -30,7 +30,7 @@
 //     has ended, then one or two attempts a second to begin an epoch; a
 //     transaction is repeated after 50 to 1,000 ms, a scan after 500 to 1,000 ms.
 //   - Lookup: one Get, two if there is no open record. Presences: one List a
-//     second, and a Get for each job that is not open. Each of these Gets comes
-//     with a Verify if the store is not linearizable; so does each job that is not
-//     open in Presences.
+//     second, and a Get for each job that is not open. If the store is not
+//     linearizable, one Verify for each key that does not exist; Verify costs as
+//     much as a write.
 package durable
--- a/durable/keeper_test.go
+++ b/durable/keeper_test.go
@@ -71,7 +71,11 @@
 		wait(time.Second)
 		r.Check(again.found.End, qt.IsNotNil)
 		r.Check(different.err, qt.ErrorIs, durable.ErrOtherWork)
-		wait(179 * time.Second)
+		n.create(record("k"))
+		wait(59 * time.Second)
+		n.finish(end("k"))
+		wait(119 * time.Second)
+		r.Check(r.stub.Calls()[storestub.Grant], qt.Equals, 3) // no end under a lease older than 60 s
 		_, kept := r.stub.Peek(durable.EndedPrefix + "j")
 		r.Check(kept, qt.IsTrue)
 		idle := r.calls(func() { wait(30 * time.Second) })
@@ -139,7 +143,6 @@
 			s.SetLatency(400 * time.Millisecond)
 			time.AfterFunc(time.Second, func() { s.SetLatency(0) })
 		},
-		"end lease gone": func(s *storestub.Stub) {},
 	} {
 		run(t, 1, func(r *rig) {
 			n := r.nodes[0]
@@ -160,25 +163,36 @@
 	}
 }
 
-// Guards against jobs that go on after the validity ended, and against jobs that
-// nobody takes when the store is back.
+// Guards against jobs that go on after the validity ended, also while a call
+// waits for its answer, and against jobs that nobody takes when the store is
+// back.
 func TestLeaseExpiresDuringOutage(t *testing.T) {
-	run(t, 2, func(r *rig) {
-		n := r.nodes[0]
-		n.create(record("j"))
-		wait(time.Second)
-		r.stub.SetDown(true)
-		wait(2700 * time.Millisecond)
-		r.Check(n.keeper.Valid(time.Now()), qt.IsFalse)
-		r.Check(n.invalidated, qt.Equals, 1)
-		r.Check(r.owners("j"), qt.Equals, 0)
-		before := r.stub.TotalCalls()
-		wait(10 * time.Second)
-		r.Check(r.stub.TotalCalls()-before < 60, qt.IsTrue, qt.Commentf("%d calls in 10 s of outage", r.stub.TotalCalls()-before))
-		r.stub.SetDown(false)
-		wait(10 * time.Second)
-		r.Check(r.owners("j"), qt.Equals, 1)
-	})
+	for _, fault := range []func(*storestub.Stub, bool){
+		(*storestub.Stub).SetDown,
+		func(s *storestub.Stub, on bool) {
+			s.SetLatency(0)
+			if on {
+				s.SetLatency(time.Minute)
+			}
+		},
+	} {
+		run(t, 2, func(r *rig) {
+			n := r.nodes[0]
+			n.create(record("j"))
+			wait(time.Second)
+			fault(r.stub, true)
+			wait(1500 * time.Millisecond)
+			wait(time.Until(n.keeper.Status().ValidUntil))
+			r.Check(n.keeper.Valid(time.Now()), qt.IsFalse)
+			r.Check(n.invalidated, qt.Equals, 1)
+			r.Check(r.owners("j"), qt.Equals, 0)
+			calls := r.calls(func() { wait(10 * time.Second) })
+			r.Check(calls < 60, qt.IsTrue, qt.Commentf("%d calls in 10 s of outage", calls))
+			fault(r.stub, false)
+			wait(time.Minute) // until slow calls have ended
+			r.Check(r.owners("j"), qt.Equals, 1)
+		})
+	}
 }
 
 // Guards against two owners when one entry cannot reach the store while it and
@@ -356,7 +370,7 @@
 		for i := range 3 {
 			r.start(fmt.Sprintf("edge-%d", i), "2")
 		}
-		began, before, most := time.Now(), 0, 0
+		began, most := time.Now(), 0
 		var all time.Duration
 		taken := func() (n int) {
 			r.mu.Lock()
@@ -366,12 +380,12 @@
 			}
 			return n
 		}
-		for range 200 {
-			wait(50 * time.Millisecond)
-			if time.Since(began)%time.Second == 0 {
-				now := r.stub.TotalCalls()
-				most, before = max(most, now-before), now
-			}
+		const step = 20 * time.Millisecond
+		samples := []int{0}
+		for range 500 {
+			wait(step)
+			samples = append(samples, r.stub.TotalCalls())
+			most = max(most, samples[len(samples)-1]-samples[max(0, len(samples)-1-int(time.Second/step))])
 			if all == 0 && taken() == jobs {
 				all = time.Since(began)
 			}
--- a/durable/lookup.go
+++ b/durable/lookup.go
@@ -12,9 +12,10 @@
 const presenceInterval = time.Second
 
 // Lookup reads what the store has under the identifier: the open record first,
-// then the end. It fails with ErrUnreadable or with the store's error.
+// then the end. If the store is not linearizable, an open record may be one from
+// before its last change. It fails with ErrUnreadable or with the store's error.
 func (k *Keeper) Lookup(ctx context.Context, identifier string) (Found, error) {
-	kv, err := k.read(ctx, OpenPrefix+identifier)
+	kv, err := k.absent(ctx, OpenPrefix+identifier)
 	if err != nil {
 		return Found{}, err
 	}
@@ -25,7 +26,7 @@
 		}
 		return Found{Open: &r}, nil
 	}
-	if kv, err = k.read(ctx, EndedPrefix+identifier); err != nil || kv.Revision == 0 {
+	if kv, err = k.absent(ctx, EndedPrefix+identifier); err != nil || kv.Revision == 0 {
 		return Found{}, err
 	}
 	end, err := DecodeEnd(kv.Key, kv.Value)
@@ -154,14 +155,11 @@
 func (k *Keeper) presenceOfEnd(ctx context.Context, identifier string) (Presence, error) {
 	if !k.options.Store.Linearizable() {
 		// The list may have shown a state before the job's creation.
-		err := k.timed(ctx, func(ctx context.Context) error {
-			return k.options.Store.Verify(ctx, OpenPrefix+identifier, 0)
-		})
-		if err != nil {
+		if err := k.verify(ctx, OpenPrefix+identifier, 0); err != nil {
 			return Absent, err
 		}
 	}
-	kv, err := k.read(ctx, EndedPrefix+identifier)
+	kv, err := k.absent(ctx, EndedPrefix+identifier)
 	if err != nil || kv.Revision == 0 {
 		return Absent, err
 	}
--- a/durable/plan.go
+++ b/durable/plan.go
@@ -245,7 +245,13 @@
 	}
 	switch c.kind {
 	case create:
+		// The first caller has the job; repeated submissions have found it.
+		first, others := j.created[:1], j.created[1:]
+		j.created = first
 		b.decided(j, Found{}, nil)
+		found := c.record
+		j.created = others
+		b.decided(j, Found{Open: &found}, nil)
 	case takeOver:
 		b.events.TakenOver(c.record)
 	case finish:
--- a/durable/property_test.go
+++ b/durable/property_test.go
@@ -30,6 +30,8 @@
 	entries  []*modelEntry
 	accepted map[string]bool
 	answers  map[string]int // calls of each callback
+	made     int64          // records, each with its own time of acceptance
+	refused  map[int64]bool // those that were reported as not stored
 }
 
 type modelEntry struct {
@@ -76,9 +78,9 @@
 }
 
 func (e *modelEntry) own(r Record) {
-	for _, other := range e.m.entries {
+	for _, other := range e.m.entries { // e included
 		if _, owns := other.owns[r.Identifier]; owns {
-			e.m.t.Fatalf("%s owns %s, and %s owns it", other.name, r.Identifier, e.name)
+			e.m.t.Fatalf("%s owns %s, and %s is told that it owns it", other.name, r.Identifier, e.name)
 		}
 	}
 	e.owns[r.Identifier] = r
@@ -124,14 +126,18 @@
 	case action == 0 && !owns:
 		r := sample(id)
 		r.Spec = rapid.SampledFrom([]string{"same", "same", "other"}).Draw(m.t, "spec")
+		m.made++
+		made := m.made
+		r.Accepted = time.UnixMilli(made)
 		called := m.once()
 		e.batch.Create(m.now, r, func(f Found, err error) {
 			called()
+			m.refused[made] = errors.Is(err, ErrNotStored) || errors.Is(err, ErrInvalidEpoch)
 			if err != nil {
 				return
 			}
 			m.accepted[id] = true
-			if _, open := e.owns[id]; f == (Found{}) && !open {
+			if f == (Found{}) {
 				e.own(r)
 			}
 		})
@@ -163,8 +169,9 @@
 		e.batch.GiveUp(id)
 	case action == 4:
 		old, ok := m.record(id)
+		// A read of an older state may not show the owner's key.
 		_, alive := m.keys[old.Owner.Key()]
-		if ok && (!alive || old.Owner == e.epoch.Own) {
+		if ok && (!alive || old.Owner == e.epoch.Own || rapid.Bool().Draw(m.t, "stale")) {
 			e.batch.TakeOver(m.now, old)
 		}
 	}
@@ -243,7 +250,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		m := &model{
 			t: rt, now: time.Unix(1000, 0), keys: map[string]store.KV{},
-			accepted: map[string]bool{}, answers: map[string]int{},
+			accepted: map[string]bool{}, answers: map[string]int{}, refused: map[int64]bool{},
 		}
 		for _, name := range []string{"a", "b", "c"} {
 			m.add(name)
@@ -284,9 +291,13 @@
 func (m *model) checkRecords(ids []string) {
 	for _, id := range ids {
 		_, ended := m.keys[EndedPrefix+id]
-		if _, open := m.record(id); open == ended && (open || m.accepted[id]) {
+		r, open := m.record(id)
+		if open == ended && (open || m.accepted[id]) {
 			m.t.Fatalf("%s: accepted %v, open %v, ended %v", id, m.accepted[id], open, ended)
 		}
+		if open && m.refused[r.Accepted.UnixMilli()] {
+			m.t.Fatalf("%s is stored, but its creation was refused", id)
+		}
 	}
 }
 
@@ -324,34 +335,75 @@
 
 // Guards against a wrong answer to a submission whose creation conflicts.
 func TestCreateConflicts(t *testing.T) {
-	same, other := sample("j"), sample("j")
+	same, other, end := sample("j"), sample("j"), sampleEnd("j")
 	other.Spec = "other"
-	end := sampleEnd("j")
 	for name, f := range map[string]struct {
 		evidence Evidence
 		want     error
-		open     bool
-		end      bool
+		found    Found
 	}{
-		"same work":       {Evidence{Open: &same, Revision: 9}, nil, true, false},
-		"other work":      {Evidence{Open: &other, Revision: 9}, ErrOtherWork, false, false},
-		"unreadable":      {Evidence{OpenError: ErrUnreadable, Revision: 9}, ErrUnreadable, false, false},
-		"same work ended": {Evidence{End: &end}, nil, false, true},
-		"unreadable end":  {Evidence{EndError: ErrUnreadable}, ErrUnreadable, false, false},
+		"same work":       {Evidence{Open: &same, Revision: 9}, nil, Found{Open: &same}},
+		"other work":      {Evidence{Open: &other, Revision: 9}, ErrOtherWork, Found{}},
+		"unreadable":      {Evidence{OpenError: ErrUnreadable, Revision: 9}, ErrUnreadable, Found{}},
+		"same work ended": {Evidence{End: &end}, nil, Found{End: &end}},
+		"unreadable end":  {Evidence{EndError: ErrUnreadable}, ErrUnreadable, Found{}},
 	} {
 		b := NewBatch(Events{Call: func(f func()) { f() }})
 		calls := 0
 		b.Create(time.Unix(1, 0), same, func(found Found, err error) {
 			calls++
-			if !errors.Is(err, f.want) || (found.Open != nil) != f.open || (found.End != nil) != f.end {
+			if !errors.Is(err, f.want) || found != f.found {
 				t.Errorf("%s: found %+v, error %v", name, found, err)
 			}
 		})
-		p := b.Next(time.Unix(1, 0), Epochs{Own: "e-1-1", Revision: 1})
-		b.Outcome(time.Unix(1, 0), p, 0, store.ErrConflict)
-		b.Resolve(time.Unix(1, 0), b.Next(time.Unix(1, 0), Epochs{}), f.evidence)
+		conflicts(b, f.evidence)
 		if jobs, _ := b.Len(); calls != 1 || jobs != 0 {
 			t.Errorf("%s: %d answers, %d jobs left", name, calls, jobs)
 		}
 	}
 }
+
+// conflicts lets the next change conflict and gives the Batch the evidence.
+func conflicts(b *Batch, e Evidence) {
+	epochs := Epochs{Own: "e-1-1", Revision: 1, EndLease: 1}
+	b.Outcome(time.Unix(1, 0), b.Next(time.Unix(1, 0), epochs), 0, store.ErrConflict)
+	b.Resolve(time.Unix(1, 0), b.Next(time.Unix(1, 0), epochs), e)
+}
+
+// Guards against a state or an end that counts as stored, or a job that counts
+// as lost, although the records read say otherwise.
+func TestWriteConflicts(t *testing.T) {
+	own, older, foreign := sample("j"), sample("j"), sample("j")
+	own.Owner, own.Serial, older.Owner, older.Serial, foreign.Owner = "e-1-1", 2, "e-1-1", 1, "f-1-1"
+	end, other := sampleEnd("j"), sampleEnd("j")
+	other.State = Cancelled
+	for name, f := range map[string]struct {
+		evidence       Evidence
+		written, ended string // what an update and an end lead to
+	}{
+		"took effect": {Evidence{Open: &own, Revision: 9}, "stored", "again"},
+		"older state": {Evidence{Open: &older, Revision: 9}, "again", "again"},
+		"other owner": {Evidence{Open: &foreign, Revision: 9}, "lost", "lost"},
+		"unreadable":  {Evidence{OpenError: ErrUnreadable, Revision: 9}, "lost", "lost"},
+		"same end":    {Evidence{End: &end}, "lost", "stored"},
+		"other end":   {Evidence{End: &other}, "lost", "lost"},
+		"nothing":     {Evidence{}, "lost", "lost"},
+	} {
+		for _, ends := range []bool{false, true} {
+			got, want := "again", f.written
+			b := NewBatch(Events{Call: func(f func()) { f() }, Lost: func(string, error) { got = "lost" }})
+			b.Create(time.Unix(1, 0), sample("j"), func(Found, error) {})
+			b.Outcome(time.Unix(1, 0), b.Next(time.Unix(1, 0), Epochs{Own: "e-1-1", Revision: 1}), 5, nil)
+			if done := func() { got = "stored" }; ends {
+				want = f.ended
+				b.Finish(time.Unix(1, 0), end, done)
+			} else {
+				b.Update(sample("j"), time.Unix(1, 0), done)
+			}
+			conflicts(b, f.evidence)
+			if _, pending := b.Len(); got != want || pending != map[string]int{"again": 1}[want] {
+				t.Errorf("%s, end %v: %s with %d changes left; want %s", name, ends, got, pending, want)
+			}
+		}
+	}
+}
--- a/durable/writer.go
+++ b/durable/writer.go
@@ -196,19 +196,47 @@
 	return e, nil
 }
 
+// reads is the number of attempts to read a key whose revision changes between
+// the read and its verification.
+const reads = 3
+
 // read returns the present state of a key, at revision 0 if it does not exist.
 func (k *Keeper) read(ctx context.Context, key string) (kv store.KV, err error) {
-	s := k.options.Store
+	for range reads {
+		if kv, err = k.get(ctx, key); err != nil || k.options.Store.Linearizable() {
+			return kv, err
+		}
+		if err = k.verify(ctx, key, kv.Revision); !errors.Is(err, store.ErrConflict) {
+			return kv, err
+		}
+	}
+	return kv, fmt.Errorf("%w: key %q changes while it is read", store.ErrUnavailable, key)
+}
+
+// absent reads a key of which an older state will do if it exists. That it does
+// not exist is verified.
+func (k *Keeper) absent(ctx context.Context, key string) (kv store.KV, err error) {
+	if kv, err = k.get(ctx, key); err != nil || kv.Revision != 0 || k.options.Store.Linearizable() {
+		return kv, err
+	}
+	if err = k.verify(ctx, key, 0); errors.Is(err, store.ErrConflict) {
+		return k.read(ctx, key)
+	}
+	return kv, err
+}
+
+// get reads a key, whose revision is 0 if it does not exist.
+func (k *Keeper) get(ctx context.Context, key string) (kv store.KV, err error) {
 	err = k.timed(ctx, func(ctx context.Context) error {
-		kv, err = s.Get(ctx, key)
+		kv, err = k.options.Store.Get(ctx, key)
 		return err
 	})
 	if errors.Is(err, store.ErrNotFound) {
-		kv, err = store.KV{Key: key}, nil
+		return store.KV{Key: key}, nil
 	}
-	if err != nil || s.Linearizable() {
-		return kv, err
-	}
-	err = k.timed(ctx, func(ctx context.Context) error { return s.Verify(ctx, key, kv.Revision) })
 	return kv, err
 }
+
+func (k *Keeper) verify(ctx context.Context, key string, revision uint64) error {
+	return k.timed(ctx, func(ctx context.Context) error { return k.options.Store.Verify(ctx, key, revision) })
+}
