durable: tests of the commit interval and of the end of the validity

Cause: mutations of the code showed that neither the interval between transactions, nor a renewal that is under way when the validity ends, was tested.

--- a/durable/keeper_test.go
+++ b/durable/keeper_test.go
@@ -46,12 +46,13 @@
 		rec.Done = []durable.TaskRun{{Index: 1, Tag: 5}}
 		wait(100 * time.Millisecond)
 		settled := n.update(rec, 200*time.Millisecond)
+		rec.Done[0].Tag = 6 // after the call the record is the caller's again
 		wait(time.Second)
 		r.Check(started.after, qt.Equals, 300*time.Millisecond)
 		r.Check(settled.after, qt.Equals, 200*time.Millisecond)
 		r.Check(r.stub.Calls()[storestub.Transact], qt.Equals, 2)
 		stored := r.stored("j")
-		r.Check(stored.Done, qt.DeepEquals, rec.Done)
+		r.Check(stored.Done, qt.DeepEquals, []durable.TaskRun{{Index: 1, Tag: 5}})
 		r.Check(stored.Serial, qt.Equals, uint64(2))
 
 		ended := n.finish(end("j"))
@@ -175,22 +176,54 @@
 				s.SetLatency(time.Minute)
 			}
 		},
+		func(s *storestub.Stub, on bool) { // down at first, and silent when the validity ends
+			s.SetDown(on)
+			s.SetLatency(0)
+			if on {
+				time.AfterFunc(1300*time.Millisecond, func() { s.SetLatency(time.Minute) })
+			}
+		},
 	} {
-		run(t, 2, func(r *rig) {
+		for offset := time.Duration(0); offset < time.Second; offset += 100 * time.Millisecond {
+			run(t, 2, func(r *rig) {
+				n := r.nodes[0]
+				n.create(record("j"))
+				wait(time.Second + offset)
+				fault(r.stub, true)
+				wait(1500 * time.Millisecond)
+				wait(time.Until(n.keeper.Status().ValidUntil))
+				r.Check(n.keeper.Valid(time.Now()), qt.IsFalse)
+				r.Check(n.invalidated, qt.Equals, 1)
+				r.Check(r.owners("j"), qt.Equals, 0)
+				calls := r.calls(func() { wait(10 * time.Second) })
+				r.Check(calls < 60, qt.IsTrue, qt.Commentf("%d calls in 10 s of outage", calls))
+				fault(r.stub, false)
+				wait(time.Minute) // until slow calls have ended
+				r.Check(r.owners("j"), qt.Equals, 1)
+			})
+		}
+	}
+}
+
+// Guards against transactions that follow each other too fast for the store:
+// each entry makes at most 40 a second, and all together 320.
+func TestCommitInterval(t *testing.T) {
+	for entries, want := range map[int]int{1: 40, 32: 10} {
+		run(t, 1, func(r *rig) {
 			n := r.nodes[0]
-			n.create(record("j"))
+			for i := 1; i < entries; i++ {
+				r.mu.Lock()
+				r.reachable[fmt.Sprintf("edge-%d", i)] = false
+				r.mu.Unlock()
+			}
+			n.create(record("first"))
 			wait(time.Second)
-			fault(r.stub, true)
-			wait(1500 * time.Millisecond)
-			wait(time.Until(n.keeper.Status().ValidUntil))
-			r.Check(n.keeper.Valid(time.Now()), qt.IsFalse)
-			r.Check(n.invalidated, qt.Equals, 1)
-			r.Check(r.owners("j"), qt.Equals, 0)
-			calls := r.calls(func() { wait(10 * time.Second) })
-			r.Check(calls < 60, qt.IsTrue, qt.Commentf("%d calls in 10 s of outage", calls))
-			fault(r.stub, false)
-			wait(time.Minute) // until slow calls have ended
-			r.Check(r.owners("j"), qt.Equals, 1)
+			before := r.stub.Calls()[storestub.Transact]
+			for i := range 999 {
+				n.create(record(fmt.Sprint(i)))
+				wait(time.Millisecond)
+			}
+			r.Check(r.stub.Calls()[storestub.Transact]-before, qt.Equals, want)
 		})
 	}
 }
--- a/durable/owner_test.go
+++ b/durable/owner_test.go
@@ -71,43 +71,22 @@
 func TestOrphansWait(t *testing.T) {
 	c := qt.New(t)
 	entries := map[string]bool{"a": true, "b": true, "c": true}
-	id := "job"
-	order := []string{First("a", id, entries)}
-	entries[order[0]] = false
-	for e, reachable := range entries {
-		if reachable {
-			order = append(order, First(e, id, entries))
-			break
-		}
-	}
-	entries[order[0]] = true
-	for e := range entries {
-		if e != order[0] && e != order[1] {
-			order = append(order, e)
-		}
-	}
-	r := sample(id)
-	r.Owner = "old-1-1"
-	for rank, self := range order {
-		for _, owner := range []Epoch{"old-1-1", Epoch(self + "-1-1")} {
-			want := time.Duration(rank) * rankWait
-			owners := map[Epoch]bool{}
-			if owner != "old-1-1" {
-				want, owners[owner] = rankWait, true
-			}
+	r, ranks := sample("job"), map[int]bool{}
+	for self := range entries {
+		o := NewOrphans(self)
+		rank := o.rank(r.Identifier, entries)
+		ranks[rank] = true
+		own := Epoch(self + "-1-1")
+		for owner, want := range map[Epoch]time.Duration{"old-1-1": time.Duration(rank) * rankWait, own: rankWait} {
 			r.Owner = owner
-			scan := Scan{
-				Open: []OpenRecord{{r, 1}}, Owners: owners, Entries: entries, Own: Epoch(self + "-1-1"),
-				Held: func(string) bool { return false },
-			}
-			o := NewOrphans(self)
-			var took time.Duration = -1
-			for d := time.Duration(0); d <= 6*time.Second && took < 0; d += time.Second {
-				if take, _ := o.Look(time.Unix(0, 0).Add(d), scan); len(take) > 0 {
-					took = d
-				}
+			for d := time.Duration(0); d <= want; d += time.Second {
+				take, _ := o.Look(time.Unix(0, 0).Add(d), Scan{
+					Open: []OpenRecord{{r, 1}}, Owners: map[Epoch]bool{own: true}, Entries: entries, Own: own,
+					Held: func(string) bool { return false },
+				})
+				c.Check(len(take) == 1, qt.Equals, d == want, qt.Commentf("%s of rank %d, owner %s, after %v", self, rank, owner, d))
 			}
-			c.Check(took, qt.Equals, want, qt.Commentf("%s of rank %d, owner %s", self, rank, owner))
 		}
 	}
+	c.Check(ranks, qt.HasLen, 3)
 }
