--- a/durable/rig_test.go
+++ b/durable/rig_test.go
@@ -100,7 +100,7 @@
 			for _, n := range r.nodes {
 				n.stop()
 			}
-			synctest.Wait()
+			wait(time.Minute) // until slow calls have ended
 		}()
 		for i := range n {
 			r.start(fmt.Sprintf("edge-%d", i), "1")
