lease: hold the ends of durable runs until they are settled

Cause: Runs acknowledged each end to the worker when it was listed. An end whose result was not stored yet was then lost with the agent or the entry, and the task ran again after it had ended done.

Ruled out: keeping the ends in the ledger, because its records end with the entry's session, when the ends are needed most.

Change: Hold marks a run whose end is held; ends of runs that this process did not order, or gave up before, are held as found. Settle allows the acknowledgement, Void lets the lease end first. The acknowledged sequence stays below the first held end, and each end is processed once. A list of MaxEnds ends may lack others: it proves nothing about absent runs and does not complete an adoption. The latest end of the lease that an earlier process can have requested counts for Void.

Conclusion: the decision part is complete; the agent connects it to sessions and heartbeats.

--- /dev/null
+++ b/lease/ends.go
@@ -0,0 +1,218 @@
+package lease
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"chicorytray.example/chicorytray/wire"
+)
+
+const (
+	// MaxEnds is the most ends that a worker lists at a time, oldest first.
+	// Behind a list of as many there may be further ones.
+	MaxEnds = 500
+	// longestLease bounds how far an earlier agent process extended the lease:
+	// workers accept no longer one (design, section 13.1).
+	longestLease = time.Second
+	// maxDeparted bounds each half of the runs that are remembered after they
+	// left the table without a listed end. The end of a forgotten one is
+	// treated as that of a run that another agent process ordered.
+	maxDeparted = 1000
+)
+
+// Tag returns the tag of a run in this life; it is never 0.
+func (l Life) Tag(r Run) wire.RunTag {
+	var b []byte
+	for _, s := range []string{l.ID, r.Task.Job} {
+		b = binary.AppendUvarint(b, uint64(len(s)))
+		b = append(b, s...)
+	}
+	b = binary.AppendVarint(b, l.Born)
+	b = binary.AppendVarint(b, int64(r.Task.Step))
+	b = binary.AppendVarint(b, int64(r.Task.Index))
+	b = binary.AppendUvarint(b, r.Number)
+	sum := sha256.Sum256(b)
+	return max(1, wire.RunTag(binary.BigEndian.Uint64(sum[:8])))
+}
+
+// HeldEnd is a listed end that may not be acknowledged to the worker yet.
+type HeldEnd struct {
+	End
+	Tag wire.RunTag
+	At  time.Time // when it was listed
+	// Found means that the run was not in the table when its end was listed:
+	// another agent process ordered it, or it was given up before.
+	Found bool
+	// Voided means that the end waits for the end of the worker's lease.
+	Voided bool
+
+	lapsed bool // the lease certainly ended after the run did
+}
+
+// endTable keeps the ends of one life that are not settled, and what follows
+// for the sequence that is acknowledged to the worker.
+type endTable struct {
+	seen     uint64 // highest sequence that was listed
+	held     []*HeldEnd
+	full     bool  // the newest list may lack ends
+	earlier  Clock // bound of the lease's end that an earlier process requested
+	departed [2]map[Run]departure
+}
+
+// departure is a run that left the table before its end was listed.
+type departure struct{ durable, lapsed bool }
+
+// acked is the sequence up to which all ends are settled.
+func (t *endTable) acked() uint64 {
+	if len(t.held) == 0 {
+		return t.seen
+	}
+	return t.held[0].Sequence - 1
+}
+
+// fresh returns the ends that were not listed before, by sequence.
+func (t *endTable) fresh(l []End) []End {
+	var out []End
+	for _, e := range l {
+		if e.Sequence > t.seen {
+			out = append(out, e)
+		}
+	}
+	slices.SortFunc(out, func(a, b End) int { return cmp.Compare(a.Sequence, b.Sequence) })
+	if len(out) > 0 {
+		t.seen = out[len(out)-1].Sequence
+	}
+	return out
+}
+
+// index returns the position of the held end, or -1.
+func (t *endTable) index(tag wire.RunTag) int {
+	return slices.IndexFunc(t.held, func(h *HeldEnd) bool { return h.Tag == tag })
+}
+
+// lapse notes that the lease has certainly ended and settles the voided ends.
+func (t *endTable) lapse() {
+	t.held = slices.DeleteFunc(t.held, func(h *HeldEnd) bool {
+		h.lapsed = true
+		return h.Voided
+	})
+}
+
+// depart remembers a run that leaves the table.
+func (t *endTable) depart(run Run, d departure) {
+	if t.departed[0] == nil || len(t.departed[0]) >= maxDeparted {
+		t.departed[0], t.departed[1] = map[Run]departure{}, t.departed[0]
+	}
+	t.departed[0][run] = d
+}
+
+// departure returns what is remembered of a run, and forgets it.
+func (t *endTable) departure(run Run) (departure, bool) {
+	for _, half := range t.departed {
+		if d, ok := half[run]; ok {
+			delete(half, run)
+			return d, true
+		}
+	}
+	return departure{}, false
+}
+
+// Hold makes the end of a run in the table wait for Settle or Void before it is
+// acknowledged to the worker.
+func (r *Runs) Hold(run Run) {
+	if e := r.find(run); e != nil {
+		e.durable = true
+	}
+}
+
+// hold keeps a listed end that is not settled by being listed. Stopped and
+// lapsed runs have no result that could be lost, and do not count as attempts.
+func (r *Runs) hold(now time.Time, end End, e *entry) {
+	d, known := r.unsettled.departure(end.Run)
+	switch {
+	case end.How == Stopped || end.How == Lapsed || end.Run.Task.Job == "":
+		return
+	case e != nil && !e.durable || e == nil && known && !d.durable:
+		return
+	}
+	r.unsettled.held = append(r.unsettled.held, &HeldEnd{
+		End: end, Tag: r.options.Life.Tag(end.Run), At: now, Found: e == nil, lapsed: d.lapsed,
+	})
+}
+
+// Held returns the ends that are not settled, oldest first.
+func (r *Runs) Held() []HeldEnd {
+	out := make([]HeldEnd, len(r.unsettled.held))
+	for i, h := range r.unsettled.held {
+		out[i] = *h
+	}
+	return out
+}
+
+// Holds reports whether an end with the tag is held.
+func (r *Runs) Holds(tag wire.RunTag) bool { return r.unsettled.index(tag) >= 0 }
+
+// HeldCount returns the number of ends that are not settled.
+func (r *Runs) HeldCount() int { return len(r.unsettled.held) }
+
+// ListFull reports whether the worker may have further ends, which it lists
+// only after earlier ones are acknowledged.
+func (r *Runs) ListFull() bool { return r.unsettled.full }
+
+// Settle allows the acknowledgement of a held end and reports whether there was
+// one. A voided end stays until the lease has ended.
+func (r *Runs) Settle(tag wire.RunTag) bool {
+	t := &r.unsettled
+	i := t.index(tag)
+	if i < 0 || t.held[i].Voided {
+		return false
+	}
+	t.held = slices.Delete(t.held, i, i+1)
+	return true
+}
+
+// Void makes a held end wait for the certain end of the worker's lease, unless
+// the lease has ended since the run did. It reports whether there was such an
+// end. Until Lapse has settled it, the lease is not extended and Adopted is
+// false.
+func (r *Runs) Void(tag wire.RunTag) bool {
+	t := &r.unsettled
+	i := t.index(tag)
+	if i < 0 || t.held[i].Voided {
+		return false
+	}
+	if t.held[i].lapsed {
+		return r.Settle(tag)
+	}
+	t.held[i].Voided = true
+	return true
+}
+
+// Lapsing reports whether a voided end waits for the end of the lease.
+func (r *Runs) Lapsing() bool {
+	return slices.ContainsFunc(r.unsettled.held, func(h *HeldEnd) bool { return h.Voided })
+}
+
+// Lapse takes out all runs once the latest end of the lease that was ever sent
+// has certainly passed, by a lower bound of the worker's clock, and the worker
+// had the time to end them. It does so when the worker is silent, or when a
+// voided end waits for it, which is then settled. If runs were left, the worker
+// is not adopted any more.
+func (r *Runs) Lapse(now time.Time) []Left {
+	silent, lapsing := !r.Empty() && r.Silent(now), r.Lapsing()
+	reached := r.clock.reached(now) - r.options.StopTime
+	if !silent && !lapsing || reached <= r.latest {
+		return nil
+	}
+	if reached > r.unsettled.earlier {
+		r.unsettled.lapse()
+	}
+	if r.Empty() || !silent && r.Lapsing() {
+		return nil
+	}
+	r.clean = false
+	return r.all(FateLapsed)
+}
--- /dev/null
+++ b/lease/ends_test.go
@@ -0,0 +1,241 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"chicorytray.example/chicorytray/wire"
+)
+
+// tagOf is the tag of a run in the life of these tests, which has no name.
+func tagOf(r Run) wire.RunTag { return Life{}.Tag(r) }
+
+// acked is the sequence that the next renewal acknowledges.
+func (t *table) ackedNext() uint64 { return t.Renew(t.now, 0).Acked }
+
+// Guards against ends that are acknowledged before they are settled, and against
+// ends that nobody settles because nothing waits for them.
+func TestWhichEndsAreHeld(t *testing.T) {
+	foreign := Run{Task{Job: "f"}, 3}
+	for _, tc := range []struct {
+		name  string
+		do    func(t *table)
+		held  int
+		found bool
+	}{
+		{"not durable", func(t *table) { t.fresh(nil, End{1, run1, Done}) }, 0, false},
+		{"durable, done", func(t *table) { t.Hold(run1); t.fresh(nil, End{1, run1, Done}) }, 1, false},
+		{"durable, failed", func(t *table) { t.Hold(run1); t.fresh(nil, End{1, run1, Failed}) }, 1, false},
+		{"durable, of another kind", func(t *table) { t.Hold(run1); t.fresh(nil, End{1, run1, "evicted"}) }, 1, false},
+		{"durable, stopped", func(t *table) { t.Hold(run1); t.fresh(nil, End{1, run1, Stopped}) }, 0, false},
+		{"durable, lapsed", func(t *table) { t.Hold(run1); t.fresh(nil, End{1, run1, Lapsed}) }, 0, false},
+		{"listed twice", func(t *table) { t.Hold(run1); t.fresh(nil, End{1, run1, Done}); t.fresh(nil, End{1, run1, Done}) }, 1, false},
+		{"listed again after it was settled", func(t *table) {
+			t.Hold(run1)
+			t.fresh(nil, End{1, run1, Done})
+			t.Settle(tagOf(run1))
+			t.fresh(nil, End{1, run1, Done})
+		}, 0, false},
+		{"of another process", func(t *table) { t.fresh(nil, End{1, foreign, Done}) }, 1, true},
+		{"of another process, stopped", func(t *table) { t.fresh(nil, End{1, foreign, Stopped}) }, 0, false},
+		{"of no task", func(t *table) { t.fresh(nil, End{1, Run{}, Failed}) }, 0, false},
+		{"given up, not durable", func(t *table) {
+			t.Renew(t.now, 0)
+			t.lapse(time.Second)
+			t.fresh(nil, End{1, run1, Done})
+		}, 0, false},
+		{"given up, durable", func(t *table) {
+			t.Hold(run1)
+			t.Renew(t.now, 0)
+			t.lapse(time.Second)
+			t.fresh(nil, End{1, run1, Done})
+		}, 1, true},
+		{"refused for a foreign run of the number", func(t *table) {
+			t.answer(RefusedOld)
+			t.fresh(nil, End{1, run1, Done})
+		}, 1, true},
+		{"the life ended", func(t *table) { t.Hold(run1); t.fresh(nil, End{1, run1, Done}); t.LifeEnded() }, 0, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, table := qt.New(t), ordered()
+			tc.do(table)
+			c.Assert(table.Held(), qt.HasLen, tc.held)
+			if tc.held == 0 {
+				return
+			}
+			c.Check(table.Held()[0].Found, qt.Equals, tc.found)
+			c.Check(table.ackedNext(), qt.Equals, uint64(0))
+			c.Check(table.Settle(table.Held()[0].Tag), qt.IsTrue)
+			c.Check(table.ackedNext(), qt.Equals, uint64(1))
+		})
+	}
+}
+
+// Guards against a voided end that is acknowledged before the worker's lease has
+// certainly ended, also where an earlier agent process extended it, against one
+// that waits for ever, and against starts meanwhile.
+func TestVoidedEndWaitsForTheLease(t *testing.T) {
+	end := func(t *table) { t.Hold(run1); t.fresh(nil, End{1, run1, Done}) }
+	for _, tc := range []struct {
+		name string
+		do   func(t *table)
+		wait time.Duration // within it the end is held, 1 ms later it is not
+	}{
+		// An earlier process may have extended the lease to 1 s after the first
+		// list; the worker needs 50 ms to stop, on a clock that is 2 % slow.
+		{"of an earlier process", func(t *table) { t.answer(RefusedOld); t.fresh(nil, End{1, run1, Done}) }, 1071 * ms},
+		{"idle for long", func(t *table) { end(t); t.pass(3 * time.Second); t.fresh(nil) }, 0},
+		{"extended for another run", func(t *table) {
+			end(t)
+			t.pass(3 * time.Second)
+			t.fresh(nil, End{1, run1, Done})
+			_, _ = t.Start(t.now, Task{Job: "other"}, "")
+			t.fresh(nil, End{1, run1, Done})
+		}, 561 * ms},
+		{"lapsed before", func(t *table) {
+			end(t)
+			_, _ = t.Start(t.now, Task{Job: "k"}, "")
+			t.Renew(t.now, 0)
+			t.lapse(2 * time.Second)
+		}, 0},
+		{"of a run that was given up", func(t *table) {
+			t.Hold(run1)
+			t.Renew(t.now, 0)
+			t.lapse(2 * time.Second)
+			t.fresh(nil, End{1, run1, Done})
+		}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, table := qt.New(t), ordered()
+			tc.do(table)
+			c.Check(table.Void(tagOf(run1)), qt.IsTrue)
+			c.Check(table.Settle(tagOf(run1)), qt.IsFalse, qt.Commentf("the first answer decides"))
+			if tc.wait > 0 {
+				table.lapse(tc.wait - ms)
+				c.Check(table.Renew(table.now, 0).Until, qt.Equals, Clock(0))
+				c.Check(table.Adopted(), qt.IsFalse)
+				c.Check(table.ackedNext(), qt.Equals, uint64(0))
+			}
+			table.lapse(2 * ms)
+			c.Check(table.ackedNext(), qt.Equals, uint64(1))
+			c.Check(table.Lapsing(), qt.IsFalse)
+		})
+	}
+}
+
+// Guards against runs that count as lost, or a worker that counts as adopted,
+// because a list had no room for all ends.
+func TestFullListProvesNothing(t *testing.T) {
+	var ended []End
+	for i := range MaxEnds {
+		ended = append(ended, End{uint64(i) + 1, Run{Task{Job: "f", Index: i}, 1}, Stopped})
+	}
+	c, table := qt.New(t), ordered()
+	table.answer("")
+	table.pass(time.Second)
+	table.fresh(nil, ended...)
+	c.Check(table.ListFull(), qt.IsTrue)
+	c.Check(table.left, qt.HasLen, 0)
+	c.Check(table.Adopted(), qt.IsTrue, qt.Commentf("its earlier lists were not full"))
+	table.fresh(nil, End{MaxEnds + 1, run1, Done})
+	c.Check(table.left, qt.DeepEquals, []Left{{Run: run1, Fate: FateDone}})
+
+	fresh := NewRuns(Options{Lease: leaseOf})
+	l := List{Clock: boot, Ended: ended}
+	fresh.Listed(began, fresh.Renew(began, 0), l)
+	c.Check(fresh.Adopted(), qt.IsFalse)
+	l.Ended = nil
+	fresh.Listed(began, fresh.Renew(began, 0), l)
+	c.Check(fresh.Adopted(), qt.IsTrue)
+}
+
+// Guards against tags that two runs share, or that mean "none".
+func TestTagsDiffer(t *testing.T) {
+	seen := map[wire.RunTag]bool{0: true}
+	for _, l := range []Life{{}, {ID: "a"}, {ID: "a", Born: 1}, {ID: "aj"}} {
+		for _, r := range []Run{{}, run1, {Task{Job: "j"}, 2}, {Task{Job: "j", Step: 1}, 1}, {Task{Job: "j", Index: 1}, 1}} {
+			qt.Check(t, seen[l.Tag(r)], qt.IsFalse, qt.Commentf("%v %v", l, r))
+			seen[l.Tag(r)] = true
+		}
+	}
+}
+
+// Guards against an acknowledged sequence that passes an unsettled end or falls
+// behind the settled ones, for any order of ends, lists and settlements, and
+// against an end that is processed twice.
+func TestAcknowledgedSequence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := adopted()
+		settled := map[uint64]bool{}       // by sequence: may be acknowledged
+		unsettled := map[wire.RunTag]End{} // of durable runs, listed or not
+		at := []End{}                      // that the worker keeps
+		var last, listed, acked uint64
+		left := 0
+		check := func() {
+			n := r.Renew(r.now, 0)
+			want := uint64(0)
+			for want < listed && settled[want+1] {
+				want++
+			}
+			if n.Acked != want || n.Acked < acked {
+				t.Fatalf("acknowledges %d after %d, want %d of %d listed", n.Acked, acked, want, listed)
+			}
+			acked = n.Acked
+			for len(at) > 0 && at[0].Sequence <= acked {
+				at = at[1:]
+			}
+			shown := at[:min(len(at), rapid.IntRange(0, 5).Draw(t, "shown"))]
+			r.list(n, List{Clock: boot, Ended: shown})
+			for _, e := range shown {
+				listed = max(listed, e.Sequence)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"end": func(t *rapid.T) {
+				last++
+				o, err := r.Start(r.now, Task{Job: "j", Index: int(last)}, "")
+				if err != nil {
+					t.Fatal(err)
+				}
+				e := End{last, o.Run, rapid.SampledFrom([]How{Done, Failed, Stopped, Lapsed}).Draw(t, "how")}
+				settled[last] = true
+				if rapid.Bool().Draw(t, "durable") {
+					r.Hold(o.Run)
+					if settled[last] = e.How == Stopped || e.How == Lapsed; !settled[last] {
+						unsettled[tagOf(o.Run)] = e
+					}
+				}
+				at = append(at, e)
+				left++
+			},
+			"settle": func(t *rapid.T) {
+				held := r.Held()
+				if len(held) == 0 {
+					return
+				}
+				h := held[rapid.IntRange(0, len(held)-1).Draw(t, "held")]
+				if unsettled[h.Tag] != h.End || !r.Settle(h.Tag) {
+					t.Fatalf("holds %+v", h)
+				}
+				settled[h.Sequence] = true
+				delete(unsettled, h.Tag)
+			},
+			"list": func(*rapid.T) { check() },
+		})
+		for range left + 1 {
+			for _, h := range r.Held() {
+				r.Settle(h.Tag)
+				settled[h.Sequence] = true
+			}
+			check()
+			r.list(r.Renew(r.now, 0), List{Clock: boot, Ended: at})
+			listed = last
+		}
+		if len(r.left) != left || r.HeldCount() != 0 {
+			t.Fatalf("%d of %d runs left, %d held", len(r.left), left, r.HeldCount())
+		}
+	})
+}
--- a/lease/runs.go
+++ b/lease/runs.go
@@ -44,6 +44,7 @@
 
 // Options of a Runs.
 type Options struct {
+	Life  Life   // of the worker
 	Token uint64 // first fencing token
 	// Lease is how far a renewal extends the lease. A worker that owes an
 	// answer for as long is silent, and its lease is not extended any more.
@@ -64,11 +65,12 @@
 	latest  Clock     // the latest end of the lease that was ever sent
 	asked   uint64    // number of the newest renewal
 	listed  uint64    // number of the renewal that the newest list answers
-	acked   uint64
 	table   map[Task]*entry
 	foreign map[Run]bool // runs that another agent process ordered
 	clean   bool         // the newest list had no foreign run
 	numbers numbers
+
+	unsettled endTable
 }
 
 // entry is one run in the table.
@@ -77,6 +79,8 @@
 	until Clock // of its order
 	state State
 	began bool // the worker accepted the start or listed the run
+	// durable is set when the end of the run is held.
+	durable bool
 	// settled is set when the order was answered or given up, and then
 	// settledAt is the number of the newest renewal sent by then. Only lists
 	// of later renewals prove that the run is not there.
@@ -112,8 +116,9 @@
 }
 
 // Adopted reports whether the worker has shown that it runs nothing but what
-// is in the table. Before that nothing may be ordered.
-func (r *Runs) Adopted() bool { return r.clean }
+// is in the table, and all its ends. Before that, and while a voided end waits
+// for the end of the lease, nothing may be ordered.
+func (r *Runs) Adopted() bool { return r.clean && !r.Lapsing() }
 
 // Empty reports whether the table has no run.
 func (r *Runs) Empty() bool { return len(r.table) == 0 }
@@ -234,13 +239,13 @@
 
 // Renew returns the next renewal, which waits at the worker for at most the
 // given time. It extends the lease while a run is there that is not being
-// stopped and no stop is unanswered, unless the worker has been silent for the time of a lease: then the
-// end of the lease is let come.
+// stopped and no stop is unanswered, unless the worker has been silent for the
+// time of a lease or a voided end waits: then the end of the lease is let come.
 func (r *Runs) Renew(now time.Time, wait time.Duration) Renewal {
 	r.asked++
 	r.owe(now, wait)
-	o := RenewOrder{Token: r.token, Acked: r.acked, Wait: wait}
-	if r.extends() && !r.Silent(now) {
+	o := RenewOrder{Token: r.token, Acked: r.unsettled.acked(), Wait: wait}
+	if r.extends() && !r.Silent(now) && !r.Lapsing() {
 		o.Until = r.clock.reached(now) + r.options.Lease
 		r.latest = max(r.latest, o.Until)
 	}
@@ -284,6 +289,11 @@
 		return nil, nil // a list that arrives late shows runs that ended since
 	}
 	r.listed = n.number
+	r.unsettled.full = len(l.Ended) >= MaxEnds
+	if r.unsettled.earlier == 0 && l.Clock > 0 {
+		// The worker took the token, so it carries out no older order later.
+		r.unsettled.earlier = l.Clock + longestLease
+	}
 	left = r.ends(now, l.Ended)
 	stop = r.active(now, l.Active)
 	absent, doubtful := r.missing(n.number, l)
@@ -293,11 +303,13 @@
 // ends takes the ends of a list.
 func (r *Runs) ends(now time.Time, ended []End) []Left {
 	var left []Left
-	for _, end := range ended {
-		r.acked = max(r.acked, end.Sequence)
+	for _, end := range r.unsettled.fresh(ended) {
 		r.numbers.note(now, end.Run)
-		if r.find(end.Run) != nil {
-			left = append(left, r.leave(end.Run, fateOf(end.How), "")...)
+		e := r.find(end.Run)
+		r.hold(now, end, e)
+		if e != nil {
+			delete(r.table, end.Run.Task)
+			left = append(left, Left{Run: end.Run, Fate: fateOf(end.How)})
 		}
 	}
 	return left
@@ -334,12 +346,18 @@
 			fresh = append(fresh, a.Run)
 		}
 	}
-	r.foreign, r.clean = foreign, len(foreign) == 0
+	// Ends that are not listed yet may be those of runs that other agent
+	// processes ordered.
+	r.foreign, r.clean = foreign, len(foreign) == 0 && (r.clean || !r.unsettled.full)
 	return fresh
 }
 
-// missing handles the runs that a list shows neither active nor ended.
+// missing handles the runs that a list shows neither active nor ended. A list
+// that may lack ends proves nothing of them.
 func (r *Runs) missing(number uint64, l List) (left []Left, stop []Run) {
+	if r.unsettled.full {
+		return nil, nil
+	}
 	shown := make(map[Run]bool, len(l.Active))
 	for _, a := range l.Active {
 		shown[a.Run] = true
@@ -362,21 +380,10 @@
 	return left, stop
 }
 
-// Lapse takes out all runs of a silent worker once the latest end of the lease
-// that was ever sent has certainly passed, by a lower bound of the worker's
-// clock, and the worker had the time to end them. The worker is then not
-// adopted any more.
-func (r *Runs) Lapse(now time.Time) []Left {
-	if r.Empty() || !r.Silent(now) || r.clock.reached(now) <= r.latest+r.options.StopTime {
-		return nil
-	}
-	r.clean = false
-	return r.all(FateLapsed)
-}
-
-// LifeEnded takes out all runs because the worker's life has ended.
+// LifeEnded takes out all runs because the worker's life has ended. Its ends
+// have gone with it.
 func (r *Runs) LifeEnded() []Left {
-	r.clean = false
+	r.clean, r.unsettled = false, endTable{}
 	return r.all(FateLost)
 }
 
@@ -424,6 +431,9 @@
 }
 
 func (r *Runs) leave(run Run, f Fate, refusal Refusal) []Left {
+	if f != FateRefused {
+		r.unsettled.depart(run, departure{r.table[run.Task].durable, f == FateLapsed})
+	}
 	delete(r.table, run.Task)
 	return []Left{{run, f, refusal}}
 }
