leasestub: evidence of needless starts, bounded lists

Cause: the stand-in did not record whether an end was acknowledged, so no test could show that a durable task started after it was done or had failed too often. It listed any number of ends.

Ruled out: checking every job, because tests of jobs that are not durable start them again on purpose.

Change: Evidence.Durable names a job and its number of attempts. A start is a fault when an earlier run's end was acknowledged, then or later, without the worker's lease having ended in between; the stand-in keeps the latest ordered end of the lease for that.

Conclusion: tests of agents and of whole systems can count on Faults for durable jobs.

--- /dev/null
+++ b/internal/leasestub/ends_test.go
@@ -0,0 +1,110 @@
+package leasestub
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/lease"
+)
+
+// runs is a durable job's task at one machine.
+type runs struct {
+	*Conn
+	ctx    context.Context
+	number uint64
+}
+
+// run starts the task and lets the run end after 10 ms. The lease lasts for
+// another 100 ms.
+func (r *runs) run(fail bool) {
+	r.number++
+	_, _ = r.Start(r.ctx, lease.StartOrder{
+		Run: lease.Run{Task: lease.Task{Job: "j"}, Number: r.number}, Spec: Spec{MS: 10, Fail: fail}.Encode(),
+		Until: r.machine.life.clock() + 110*time.Millisecond,
+	})
+	time.Sleep(11 * time.Millisecond)
+}
+
+func (r *runs) renew(acked uint64, until lease.Clock) lease.List {
+	l, _ := r.Renew(r.ctx, lease.RenewOrder{Acked: acked, Until: until})
+	return l
+}
+
+// Guards against evidence that misses a needless start of a durable task, in
+// either order of start and acknowledgement, and against evidence that blames a
+// start that is allowed because the end was not acknowledged, or only after the
+// lease had ended.
+func TestEvidenceFindsNeedlessStarts(t *testing.T) {
+	lapse := func() { time.Sleep(200 * time.Millisecond) }
+	for _, tc := range []struct {
+		name   string
+		do     func(r *runs)
+		faults int
+	}{
+		{"done, acknowledged, started", func(r *runs) { r.run(false); r.renew(1, 0); r.run(false) }, 1},
+		{"done, started, acknowledged", func(r *runs) { r.run(false); r.run(false); r.renew(1, 0) }, 1},
+		{"done, started", func(r *runs) { r.run(false); r.run(false) }, 0},
+		{"done, lapsed, acknowledged, started", func(r *runs) { r.run(false); lapse(); r.renew(1, 0); r.run(false) }, 0},
+		{"done, lapsed, extended, acknowledged, started", func(r *runs) {
+			r.run(false)
+			lapse()
+			r.renew(0, r.machine.life.clock()+time.Second)
+			r.renew(1, 0)
+			r.run(false)
+		}, 0},
+		{"done, extended, acknowledged, started", func(r *runs) {
+			r.run(false)
+			r.renew(0, r.machine.life.clock()+time.Second)
+			lapse()
+			r.renew(1, 0)
+			r.run(false)
+		}, 1},
+		{"lapsed before the run", func(r *runs) { lapse(); r.run(false); r.renew(1, 0); r.run(false) }, 1},
+		{"failed once of two", func(r *runs) { r.run(true); r.renew(1, 0); r.run(true) }, 0},
+		{"failed twice of two", func(r *runs) { r.run(true); r.run(true); r.renew(2, 0); r.run(true) }, 1},
+		{"failed twice, the second after a lapse", func(r *runs) {
+			r.run(true)
+			r.renew(1, 0)
+			r.run(true)
+			lapse()
+			r.renew(2, 0)
+			r.run(true)
+		}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := New(Options{ID: "a"})
+				m.Evidence().Durable("j", 2)
+				tc.do(&runs{Conn: m.Connect(m.Announcement()), ctx: t.Context()})
+				qt.Check(t, m.Evidence().Faults(), qt.HasLen, tc.faults)
+				m.Crash()
+			})
+		})
+	}
+}
+
+// Guards against a list that shows more ends than a worker does, so that tests
+// never meet ends that are not listed yet.
+func TestListIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := New(Options{ID: "a"})
+		r := &runs{Conn: m.Connect(m.Announcement()), ctx: t.Context()}
+		for i := range lease.MaxEnds + 10 {
+			_, _ = r.Start(r.ctx, lease.StartOrder{
+				Run: lease.Run{Task: lease.Task{Job: fmt.Sprint(i)}, Number: 1}, Spec: Spec{MS: 1}.Encode(), Until: 2 * bootClock,
+			})
+		}
+		time.Sleep(2 * time.Millisecond)
+		l := r.renew(0, 0)
+		qt.Assert(t, l.Ended, qt.HasLen, lease.MaxEnds)
+		qt.Check(t, l.Ended[0].Sequence, qt.Equals, uint64(1))
+		l = r.renew(lease.MaxEnds, 0)
+		qt.Check(t, l.Ended, qt.HasLen, 10)
+		m.Crash()
+	})
+}
--- a/internal/leasestub/evidence.go
+++ b/internal/leasestub/evidence.go
@@ -17,18 +17,37 @@
 	Ended  time.Time // zero while it runs
 	// How it ended; empty while it runs, and when the worker's life ended.
 	How lease.How
+	// Acknowledged is when its end was acknowledged to the worker; zero before.
+	// Lapsed means that the worker's lease ended in between.
+	Acknowledged time.Time
+	Lapsed       bool
+
+	began, ended int  // order among all starts and ends; 0 while it runs
+	needless     bool // a fault was recorded for its start
 }
 
 // Evidence holds what really ran at one or several workers. It is safe for
 // concurrent use.
 type Evidence struct {
-	mu     sync.Mutex
-	starts []*Start
-	faults []string
+	mu        sync.Mutex
+	starts    []*Start
+	faults    []string
+	events    int            // starts and ends so far
+	maxFailed map[string]int // by durable job
 }
 
 // NewEvidence returns empty evidence.
-func NewEvidence() *Evidence { return &Evidence{} }
+func NewEvidence() *Evidence { return &Evidence{maxFailed: map[string]int{}} }
+
+// Durable makes Faults describe each start of a task of the job after a run of
+// the task ended done, or after the number of its runs ended failed, where these
+// ends were acknowledged then or later without the worker's lease having ended
+// in between.
+func (e *Evidence) Durable(job string, maxFailed int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.maxFailed[job] = maxFailed
+}
 
 // begin records a start and checks it against the other runs and the worker's
 // capacity, of which used includes the new run.
@@ -43,14 +62,60 @@
 	if !used.Fits(capacity) {
 		e.faults = append(e.faults, fmt.Sprintf("over capacity: %v at %s uses %+v of %+v", s.Run, s.Worker, used, capacity))
 	}
+	e.events++
+	s.began = e.events
 	e.starts = append(e.starts, &s)
+	e.checkStarts(s.Run.Task)
 	return &s
 }
 
 func (e *Evidence) end(s *Start, how lease.How) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s.Ended, s.How = time.Now(), how
+	e.events++
+	s.Ended, s.How, s.ended = time.Now(), how, e.events
+}
+
+// acknowledge records that the end of a run was acknowledged to its worker.
+func (e *Evidence) acknowledge(s *Start, lapsed bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.Acknowledged, s.Lapsed = time.Now(), lapsed
+	e.checkStarts(s.Run.Task)
+}
+
+// checkStarts records the needless starts of a durable job's task that were not
+// recorded before.
+func (e *Evidence) checkStarts(t lease.Task) {
+	maxFailed, durable := e.maxFailed[t.Job]
+	if !durable {
+		return
+	}
+	for _, s := range e.starts {
+		if s.Run.Task != t || s.needless {
+			continue
+		}
+		done, failed := e.endsBefore(s)
+		if s.needless = done > 0 || failed >= maxFailed; s.needless {
+			e.faults = append(e.faults, fmt.Sprintf("needless: %v at %s after %d done and %d failed ends", s.Run, s.Worker, done, failed))
+		}
+	}
+}
+
+// endsBefore counts the acknowledged ends of the task's runs before a start.
+func (e *Evidence) endsBefore(s *Start) (done, failed int) {
+	for _, o := range e.starts {
+		if o.Run.Task != s.Run.Task || o.ended == 0 || o.ended > s.began || o.Acknowledged.IsZero() || o.Lapsed {
+			continue
+		}
+		switch o.How {
+		case lease.Done:
+			done++
+		case lease.Failed:
+			failed++
+		}
+	}
+	return done, failed
 }
 
 // Starts returns a copy of all starts in their order.
@@ -85,7 +150,8 @@
 }
 
 // Faults describes each start of a task that had another run on a worker that
-// was up, and each start that took a worker above its capacity.
+// was up, each start that took a worker above its capacity, and the needless
+// starts of the jobs given to Durable.
 func (e *Evidence) Faults() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/leasestub/life.go
+++ b/internal/leasestub/life.go
@@ -20,6 +20,9 @@
 	highest  map[lease.Task]uint64
 	runs     map[lease.Run]*run
 	ended    []lease.End
+	ends     map[uint64]endOf // of ended, by sequence
+	lease    lease.Clock      // the latest end of the lease that was ordered
+	lapsed   lease.Clock      // the latest moment at which the lease is known to have ended
 	over     bool
 	changed  chan struct{} // closed and replaced when a run ends
 }
@@ -36,6 +39,12 @@
 	stopping bool
 }
 
+// endOf is a run that has ended, and when on the worker's clock.
+type endOf struct {
+	start *Start
+	at    lease.Clock
+}
+
 // clock is the worker's clock now.
 func (l *life) clock() lease.Clock {
 	elapsed := time.Since(l.booted)
@@ -87,6 +96,7 @@
 		return lease.RefusedUnhealthy
 	}
 	l.highest[o.Run.Task] = o.Run.Number
+	l.extend(o.Until)
 	r := &run{needs: spec.Needs, took: spec.took(), began: time.Now(), lease: o.Until}
 	l.runs[o.Run] = r
 	r.start = m.evidence.begin(Start{Run: o.Run, Worker: m.options.ID, At: time.Now()}, used, m.options.Capacity)
@@ -148,6 +158,7 @@
 	l.machine.evidence.end(r.start, how)
 	l.sequence++
 	l.ended = append(l.ended, lease.End{Sequence: l.sequence, Run: id, How: how})
+	l.ends[l.sequence] = endOf{r.start, l.clock()}
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
@@ -157,19 +168,43 @@
 	if refusal := l.admit(o.Token); refusal != "" {
 		return refusal
 	}
+	l.acknowledge(o.Acked)
+	l.extend(o.Until)
 	for _, r := range l.runs {
 		if o.Until > r.lease && l.clock() <= r.lease {
 			r.lease = o.Until
 			r.expiry.Reset(l.until(r.lease))
 		}
 	}
-	l.ended = slices.DeleteFunc(l.ended, func(e lease.End) bool { return e.Sequence <= o.Acked })
 	return ""
 }
 
-// list returns what runs and what has ended, ordered.
+// extend moves the end of the worker's lease, and notes first whether it had
+// ended.
+func (l *life) extend(until lease.Clock) {
+	if now := l.clock(); now > l.lease {
+		l.lapsed = now
+	}
+	l.lease = max(l.lease, until)
+}
+
+// acknowledge drops the ends up to the sequence. Those since which the lease has
+// not ended count as evidence.
+func (l *life) acknowledge(sequence uint64) {
+	l.ended = slices.DeleteFunc(l.ended, func(e lease.End) bool {
+		if e.Sequence > sequence {
+			return false
+		}
+		end := l.ends[e.Sequence]
+		delete(l.ends, e.Sequence)
+		l.machine.evidence.acknowledge(end.start, l.clock() > l.lease || l.lapsed >= end.at)
+		return true
+	})
+}
+
+// list returns what runs, ordered, and the oldest ends.
 func (l *life) list() lease.List {
-	out := lease.List{Clock: l.clock(), Ended: slices.Clone(l.ended)}
+	out := lease.List{Clock: l.clock(), Ended: slices.Clone(l.ended[:min(len(l.ended), lease.MaxEnds)])}
 	for id, r := range l.runs {
 		done := 100 * time.Since(r.began) / max(r.took, 1)
 		out.Active = append(out.Active, lease.Active{Run: id, Percent: int(min(done, 100))})
--- a/internal/leasestub/machine.go
+++ b/internal/leasestub/machine.go
@@ -102,7 +102,7 @@
 	}
 	m.born, m.sequence, m.draining = max(m.born+1, time.Now().UnixMilli()), 0, false
 	m.life = &life{machine: m, id: lease.Life{ID: m.options.ID, Born: m.born}, booted: time.Now(),
-		highest: map[lease.Task]uint64{}, runs: map[lease.Run]*run{}, changed: make(chan struct{})}
+		highest: map[lease.Task]uint64{}, runs: map[lease.Run]*run{}, ends: map[uint64]endOf{}, changed: make(chan struct{})}
 }
 
 // Crash ends the life and all its runs at once. Connections are refused until
