agent: report unclaimed ends and settle them

Cause: the end of a durable task's run has to reach the entry that owns the job, also when the entry that sent the task, or the agent's process, is gone.

Ruled out: reading the result's tag from the ledger on an acknowledgement, because the ledger forgets results 30 s after the session and evicts them. Counting a result as unclaimed when its entry opens the next session: that session lists it, and Await returns it. An order that is not sent once to a worker whose lease has to end: Adopted is false then, which already refuses starts.

Change: agent/ends.go keeps which task a held end belongs to. Acknowledgements settle ends without a session or a record. Ends whose entry has no open session, that were held for 2 s, or that were found are in heartbeats (Unclaimed, oldest 100 first; MoreUnclaimed also while the worker's list is full). Adopted is false while a durable run's end is open whose entry has no session. Settled and Voided are applied once; a voided end, or one unclaimed for 10 s, keeps the lease from being extended until it has certainly ended. Renewals are 25 ms apart while ends are held, since the worker lists them again. Result.Tag, the gauges ends_held and ends_unclaimed, and leased.ends in the dump.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -224,6 +224,9 @@
 		a.watchGate(now)
 		a.dispatch(now)
 		a.gauges(now)
+		if a.leased != nil {
+			a.leased.checkEnds(now)
+		}
 		a.mu.Unlock()
 	}
 }
--- /dev/null
+++ b/agent/ends.go
@@ -0,0 +1,217 @@
+package agent
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"chicorytray.example/chicorytray/internal/wait"
+	"chicorytray.example/chicorytray/lease"
+	"chicorytray.example/chicorytray/ledger"
+	"chicorytray.example/chicorytray/wire"
+)
+
+const (
+	// claimedFor is how long an end waits for the entry that got its result,
+	// and voidAfter how long an unclaimed one waits for an entry's answer
+	// (design, section 14.6).
+	claimedFor = 2 * time.Second
+	voidAfter  = 10 * time.Second
+	// heldSpacing is the least time between renewals while ends are held. A
+	// worker lists held ends again, so it may answer each renewal at once. At
+	// most 40 renewals a second and 25 ms until the next end is listed.
+	heldSpacing = 25 * time.Millisecond
+)
+
+// ends are the results that entries got of the held ends of one life, and the
+// age of unclaimed ones. The agent's lock covers it.
+type ends struct {
+	tasks     map[wire.RunTag]taskID
+	tags      map[taskID]wire.RunTag
+	unclaimed map[wire.RunTag]time.Time // since when
+}
+
+func newEnds() ends {
+	return ends{tasks: map[wire.RunTag]taskID{}, tags: map[taskID]wire.RunTag{}, unclaimed: map[wire.RunTag]time.Time{}}
+}
+
+// forget drops what is kept of an end that is settled or voided.
+func (e *ends) forget(tag wire.RunTag) {
+	if id, ok := e.tasks[tag]; ok {
+		delete(e.tags, id)
+	}
+	delete(e.tasks, tag)
+	delete(e.unclaimed, tag)
+}
+
+// reported notes which task's result has the tag of a held end, because the
+// entry acknowledges the result by its key. The caller holds mu.
+func (l *leased) reported(id taskID, tag wire.RunTag) {
+	if f := l.life; tag != 0 && f != nil && f.runs.Holds(tag) {
+		f.ends.tasks[tag], f.ends.tags[id] = id, tag
+	}
+}
+
+// acknowledged settles the ends of results that an entry has stored. Neither
+// the entry's session nor the ledger's record has to be left. The caller holds
+// mu.
+func (l *leased) acknowledged(owner ledger.Owner, keys []wire.TaskKey) {
+	f := l.life
+	if f == nil {
+		return
+	}
+	for _, key := range keys {
+		if tag, ok := f.ends.tags[taskID{owner, key}]; ok {
+			f.runs.Settle(tag)
+			f.ends.forget(tag)
+		}
+	}
+}
+
+// answered applies an entry's answers to unclaimed ends; the caller holds mu.
+func (l *leased) answered(now time.Time, settled, voided []wire.EndedRun) {
+	f := l.life
+	if f == nil {
+		return
+	}
+	for _, end := range settled {
+		if f.runs.Settle(end.Tag) {
+			f.ends.forget(end.Tag)
+		}
+	}
+	for _, end := range voided {
+		l.void(f, now, end.Tag, "voided_by_entry")
+	}
+}
+
+// void lets the worker's lease end before an end is acknowledged; the caller
+// holds mu.
+func (l *leased) void(f *life, now time.Time, tag wire.RunTag, cause string) {
+	if !f.runs.Void(tag) {
+		return
+	}
+	f.ends.forget(tag)
+	l.agent.log.Warn().Str("worker", f.announced.Life.ID).Str("tag", tagText(tag)).Str("cause", cause).Msg("end_voided")
+	l.lapse(f, now)
+	l.refresh()
+}
+
+// lapse takes out the runs of a worker whose lease has certainly ended; the
+// caller holds mu.
+func (l *leased) lapse(f *life, now time.Time) {
+	l.deliver(f, f.runs.Lapse(now))
+}
+
+// unclaimed returns the ends about which entries are asked, oldest first; the
+// caller holds mu. The result of a task belongs to its entry's process as long
+// as that has an open session, because a new session lists it.
+func (l *leased) unclaimed(f *life, now time.Time) []lease.HeldEnd {
+	var out []lease.HeldEnd
+	for _, h := range f.runs.Held() {
+		if h.Voided {
+			continue
+		}
+		id, known := f.ends.tasks[h.Tag]
+		if !h.Found && now.Sub(h.At) < claimedFor && (!known || l.agent.ledger.HasSession(id.owner)) {
+			delete(f.ends.unclaimed, h.Tag) // a session was opened again
+			continue
+		}
+		if f.ends.unclaimed[h.Tag].IsZero() {
+			f.ends.unclaimed[h.Tag] = now
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
+// checkEnds voids the ends that have been unclaimed for too long and reports
+// sizes; the caller holds mu.
+func (l *leased) checkEnds(now time.Time) {
+	held, unclaimed := 0, 0
+	if f := l.life; f != nil {
+		for _, h := range l.unclaimed(f, now) {
+			if now.Sub(f.ends.unclaimed[h.Tag]) >= voidAfter {
+				l.void(f, now, h.Tag, "not_answered")
+				continue
+			}
+			unclaimed++
+		}
+		held = f.runs.HeldCount()
+	}
+	l.agent.metrics.endsHeld.Update(float64(held))
+	l.agent.metrics.endsUnclaimed.Update(float64(unclaimed))
+}
+
+// describeEnds adds the worker's unclaimed ends to a heartbeat; the caller
+// holds mu.
+func (l *leased) describeEnds(now time.Time, r *wire.HeartbeatRequest) {
+	f := l.life
+	if f == nil {
+		return
+	}
+	r.Adopted = f.runs.Adopted() && !l.endsPending()
+	unclaimed := l.unclaimed(f, now)
+	r.MoreUnclaimed = len(unclaimed) > wire.MaxUnclaimed || f.runs.ListFull()
+	for _, h := range unclaimed[:min(len(unclaimed), wire.MaxUnclaimed)] {
+		t := h.Run.Task
+		r.Unclaimed = append(r.Unclaimed, wire.EndedRun{
+			Job: t.Job, Step: t.Step, Index: t.Index, Tag: h.Tag, Done: h.How == lease.Done, Failed: h.How == lease.Failed,
+		})
+	}
+}
+
+// endsPending reports whether the end of a durable task's run is not known yet
+// whose entry has no open session any more; the caller holds mu.
+func (l *leased) endsPending() bool {
+	for _, t := range l.agent.tasks {
+		if t.task.Leased.Durable && !t.began.IsZero() && !l.agent.ledger.HasSession(t.owner) {
+			return true
+		}
+	}
+	return false
+}
+
+// space waits between two renewals while ends are held. It returns false when
+// the life or the process ends.
+func (l *leased) space(f *life, began time.Time) bool {
+	l.agent.mu.Lock()
+	held := f.runs.HeldCount() > 0
+	l.agent.mu.Unlock()
+	pause := heldSpacing - time.Since(began)
+	return !held || pause <= 0 || wait.For(f.ctx, pause, f.wake)
+}
+
+// EndState is one end that is not acknowledged to the worker.
+type EndState struct {
+	Task     string `json:"task"` // job/step/index
+	Number   uint64 `json:"number"`
+	Sequence uint64 `json:"sequence"`
+	How      string `json:"how"`
+	Tag      string `json:"tag"`
+	HeldMS   int64  `json:"held_ms"`
+	// UnclaimedMS is -1 while the end belongs to an entry's session.
+	UnclaimedMS int64 `json:"unclaimed_ms"`
+	Voided      bool  `json:"voided"` // it waits for the end of the lease
+}
+
+// endStates describes the held ends, by sequence; the caller holds mu.
+func (f *life) endStates(now time.Time) []EndState {
+	out := []EndState{}
+	for _, h := range f.runs.Held() {
+		s := EndState{
+			Task: runName(h.Run.Task), Number: h.Run.Number, Sequence: h.Sequence, How: string(h.How), Tag: tagText(h.Tag),
+			HeldMS: now.Sub(h.At).Milliseconds(), UnclaimedMS: -1, Voided: h.Voided,
+		}
+		if at, ok := f.ends.unclaimed[h.Tag]; ok {
+			s.UnclaimedMS = now.Sub(at).Milliseconds()
+		}
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(x, y EndState) int { return cmp.Compare(x.Sequence, y.Sequence) })
+	return out
+}
+
+func runName(t lease.Task) string { return fmt.Sprintf("%s/%d/%d", t.Job, t.Step, t.Index) }
+
+func tagText(tag wire.RunTag) string { return fmt.Sprintf("%016x", uint64(tag)) }
--- /dev/null
+++ b/agent/ends_test.go
@@ -0,0 +1,260 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/internal/leasestub"
+	"chicorytray.example/chicorytray/lease"
+	"chicorytray.example/chicorytray/wire"
+)
+
+const durableJob = "d"
+
+// durable sends a task of a durable job that takes 100 ms and returns its key.
+func (e *entryStub) durable(index int, fail bool) (wire.TaskKey, <-chan answer) {
+	in := e.order(durableJob, cores(1), leasestub.Spec{Fail: fail})
+	in.Task.Index, in.Task.Leased.Durable = index, true
+	return wire.TaskKey{Session: in.Session.Number, Sequence: in.Sequence}, e.send(in)
+}
+
+// ends returns the agent's held ends.
+func (r *leasedRig) ends() []EndState { return r.agent.State().Leased.Ends }
+
+// acknowledged returns how many ends of durable tasks the worker dropped.
+func (r *leasedRig) acknowledged() (n int) {
+	for _, s := range r.machine.Evidence().Starts() {
+		if s.Run.Task.Job == durableJob && !s.Acknowledged.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// virtualDurable is virtualLeased with evidence of needless starts.
+func virtualDurable(t *testing.T, entries int, test func(r *leasedRig, e *entryStub)) {
+	virtualLeased(t, leasedSetup{entries: entries}, func(r *leasedRig, e *entryStub) {
+		r.machine.Evidence().Durable(durableJob, 2)
+		test(r, e)
+	})
+}
+
+// gauge returns the value of one of the agent's gauges.
+func (r *rig) gauge(name string) float64 {
+	for _, g := range r.metrics.Snapshot().Gauges() {
+		if g.Name() == name {
+			return g.Value()
+		}
+	}
+	r.Fatalf("no gauge %s", name)
+	return 0
+}
+
+// Guards against an end that is acknowledged to the worker before the entry has
+// stored it, or never, and against a result without the tag under which the
+// entry stores it.
+func TestDurableEndWaitsForItsEntry(t *testing.T) {
+	virtualDurable(t, 1, func(r *leasedRig, e *entryStub) {
+		key, done := e.durable(0, false)
+		time.Sleep(10 * time.Millisecond)
+		_, failed := e.durable(1, true)
+		a, b := <-done, <-failed
+		r.expect(a, wire.OutcomeDone, "")
+		r.expect(b, wire.OutcomeFailed, wire.ReasonUpstreamError)
+		life := r.machine.Announcement().Life
+		r.Check(a.Result.Tag, qt.Equals, life.Tag(lease.Run{Task: lease.Task{Job: durableJob}, Number: 1}))
+		r.Check(b.Result.Tag, qt.Equals, life.Tag(lease.Run{Task: lease.Task{Job: durableJob, Index: 1}, Number: 1}))
+		time.Sleep(time.Second)
+		r.Check(r.ends(), qt.HasLen, 2)
+		r.Check(r.gauge("ends_held"), qt.Equals, 2.0)
+		r.Check(r.acknowledged(), qt.Equals, 0)
+		r.Check(e.lastHeartbeat().Unclaimed, qt.HasLen, 0)
+		r.Check(e.lastHeartbeat().Adopted, qt.IsTrue)
+		e.set(func(e *entryStub) { e.acked = []wire.TaskKey{key} })
+		time.Sleep(400 * time.Millisecond)
+		r.Check(r.acknowledged(), qt.Equals, 1)
+		r.Check(r.ends(), qt.HasLen, 1)
+	})
+}
+
+// Guards against ends of tasks that are not durable, or of stopped runs, that
+// wait for an answer that nobody gives.
+func TestOtherEndsAreNotHeld(t *testing.T) {
+	virtualDurable(t, 1, func(r *leasedRig, e *entryStub) {
+		plain := <-e.lease("plain", 1, 100*time.Millisecond)
+		r.Check(plain.Result.Tag, qt.Equals, wire.RunTag(0))
+		_, stopped := e.durable(0, false)
+		e.cancelTask()
+		r.expect(<-stopped, wire.OutcomeInterrupted, wire.ReasonCancelled)
+		time.Sleep(200 * time.Millisecond)
+		r.Check(r.ends(), qt.HasLen, 0)
+		for _, s := range r.machine.Evidence().Starts() {
+			r.Check(s.Acknowledged.IsZero(), qt.IsFalse)
+		}
+		r.Check(e.lastHeartbeat().Unclaimed, qt.HasLen, 0)
+	})
+}
+
+// Guards against an agent that renews without a pause while the worker lists
+// held ends at once.
+func TestRenewalsAreSpacedWhileEndsAreHeld(t *testing.T) {
+	virtualDurable(t, 1, func(r *leasedRig, e *entryStub) {
+		_, done := e.durable(0, false)
+		<-done
+		before := r.machine.Orders("renew")
+		time.Sleep(time.Second)
+		n := r.machine.Orders("renew") - before
+		r.Check(n <= int(time.Second/heldSpacing)+1, qt.IsTrue, qt.Commentf("%d renewals", n))
+	})
+}
+
+// Guards against an end that other entries never learn of because its entry is
+// silent or does not store it, and against an acknowledgement that is lost
+// because the session has ended and the ledger has forgotten the result.
+func TestUnclaimedEnds(t *testing.T) {
+	for name, tc := range map[string]struct {
+		lose  func(r *leasedRig, e *entryStub)
+		after time.Duration // within which the end is unclaimed
+	}{
+		"session gone":   {func(r *leasedRig, e *entryStub) { r.net.Partition(agentHost, e.host) }, 900 * time.Millisecond},
+		"held too long":  {func(*leasedRig, *entryStub) {}, claimedFor + 200*time.Millisecond},
+		"session closed": {func(_ *leasedRig, e *entryStub) { e.set(func(e *entryStub) { e.renews = 0 }) }, 900 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			virtualDurable(t, 2, func(r *leasedRig, e *entryStub) {
+				key, done := e.durable(3, false)
+				tag := (<-done).Result.Tag
+				tc.lose(r, e)
+				time.Sleep(tc.after)
+				want := wire.EndedRun{Job: durableJob, Index: 3, Tag: tag, Done: true}
+				r.Check(r.entries[1].lastHeartbeat().Unclaimed, qt.DeepEquals, []wire.EndedRun{want})
+				r.Check(r.entries[1].lastHeartbeat().MoreUnclaimed, qt.IsFalse)
+				r.Check(r.gauge("ends_unclaimed"), qt.Equals, 1.0)
+				r.agent.mu.Lock()
+				r.agent.acknowledge(r.agent.leased.life.ends.tasks[tag].owner, []wire.TaskKey{key})
+				r.agent.mu.Unlock()
+				time.Sleep(400 * time.Millisecond)
+				r.Check(r.acknowledged(), qt.Equals, 1)
+				r.Check(r.entries[1].lastHeartbeat().Unclaimed, qt.HasLen, 0)
+			})
+		})
+	}
+}
+
+// replaceAgent starts the next agent process after kill. It adopts the worker.
+func (r *leasedRig) replaceAgent() {
+	<-r.ended
+	r.startLeased()
+	r.agent.WorkerAnnounced(r.machine.Announcement())
+	time.Sleep(400 * time.Millisecond)
+	for _, e := range r.entries {
+		e.open()
+	}
+}
+
+// Guards against ends that are lost when the agent's process is replaced, and
+// against a settled end that interrupts other runs.
+func TestReplacedAgentReportsTheEnds(t *testing.T) {
+	virtualDurable(t, 2, func(r *leasedRig, e *entryStub) {
+		_, done := e.durable(0, false)
+		tag := (<-done).Result.Tag
+		_, while := e.durable(1, true)
+		time.Sleep(50 * time.Millisecond)
+		_, last := e.durable(2, false)
+		r.machine.SetFaults(leasestub.Faults{Stop: leasestub.Fault{Lost: true}}) // as when the process crashes
+		r.kill()
+		time.Sleep(100 * time.Millisecond) // the runs end meanwhile
+		r.machine.SetFaults(leasestub.Faults{})
+		<-while
+		<-last
+		r.replaceAgent()
+		h := r.entries[1].lastHeartbeat()
+		r.Check(h.Adopted, qt.IsTrue)
+		r.Assert(h.Unclaimed, qt.HasLen, 3)
+		r.Check(h.Unclaimed[0], qt.Equals, wire.EndedRun{Job: durableJob, Tag: tag, Done: true})
+		r.Check(h.Unclaimed[1].Failed, qt.IsTrue)
+		running := e.lease("other", 2, 2*time.Second)
+		r.entries[1].set(func(e *entryStub) { e.settled = h.Unclaimed })
+		r.expect(<-running, wire.OutcomeDone, "")
+		r.Check(r.acknowledged(), qt.Equals, 3)
+		r.Check(e.lastHeartbeat().Unclaimed, qt.HasLen, 0)
+	})
+}
+
+// Guards against a voided end, or one that nobody answers for 10 s, that is
+// acknowledged although the worker's lease has not ended, and against an agent
+// that does not return afterwards.
+func TestLeaseEndsBeforeAVoidedEnd(t *testing.T) {
+	for name, void := range map[string]func(r *leasedRig, e *entryStub){
+		"voided": func(r *leasedRig, e *entryStub) {
+			time.Sleep(claimedFor + 400*time.Millisecond)
+			h := e.lastHeartbeat()
+			r.Assert(h.Unclaimed, qt.HasLen, 1)
+			e.set(func(e *entryStub) { e.voided = h.Unclaimed })
+		},
+		"not answered": func(*leasedRig, *entryStub) { time.Sleep(claimedFor + voidAfter - 200*time.Millisecond) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			virtualDurable(t, 1, func(r *leasedRig, e *entryStub) {
+				_, done := e.durable(0, false)
+				<-done
+				other := e.lease("other", 2, 15*time.Second)
+				void(r, e)
+				r.Check(r.acknowledged(), qt.Equals, 0)
+				a := <-other
+				r.expect(a, wire.OutcomeInterrupted, wire.ReasonLapsed)
+				r.Check(a.Result.Took < claimedFor+voidAfter+1200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", a.Result.Took))
+				time.Sleep(400 * time.Millisecond)
+				r.Check(r.acknowledged(), qt.Equals, 1)
+				r.Check(r.agent.State().Leaving, qt.HasLen, 0)
+				r.Check(r.ends(), qt.HasLen, 0)
+				_, again := e.durable(0, false)
+				r.expect(<-again, wire.OutcomeDone, "") // no needless start: the lease has ended
+			})
+		})
+	}
+}
+
+// Guards against more ends in a heartbeat than it may have, against an agent that
+// never reports the later ones, and against one that counts as adopted, or whose
+// report counts as complete, while the worker has ends that it has not listed.
+func TestManyUnclaimedEnds(t *testing.T) {
+	virtualDurable(t, 1, func(r *leasedRig, e *entryStub) {
+		r.kill()
+		<-r.ended
+		worker, n := r.machine.Connect(r.machine.Announcement()), lease.MaxEnds+30
+		for i := range n {
+			a, err := worker.Start(r.ctx, lease.StartOrder{
+				Run:  lease.Run{Task: lease.Task{Job: durableJob, Index: i}, Number: 1},
+				Spec: leasestub.Spec{MS: 1}.Encode(), Until: time.Hour, Token: uint64(time.Now().UnixMilli()),
+			})
+			r.Assert(err, qt.IsNil)
+			r.Assert(a.Refusal, qt.Equals, lease.Refusal(""))
+			time.Sleep(2 * time.Millisecond)
+		}
+		r.startLeased()
+		r.agent.WorkerAnnounced(r.machine.Announcement())
+		time.Sleep(400 * time.Millisecond)
+		seen := map[int]bool{}
+		for range 20 {
+			h := e.lastHeartbeat()
+			r.Check(len(h.Unclaimed) <= wire.MaxUnclaimed, qt.IsTrue)
+			if len(seen) == 0 {
+				r.Check(h.Unclaimed[0].Index, qt.Equals, 0)
+				r.Check(h.Adopted, qt.IsFalse)
+			}
+			for _, u := range h.Unclaimed {
+				seen[u.Index] = true
+			}
+			r.Check(h.MoreUnclaimed || len(seen) >= n, qt.IsTrue)
+			e.set(func(e *entryStub) { e.settled = h.Unclaimed })
+			time.Sleep(400 * time.Millisecond)
+		}
+		r.Check(seen, qt.HasLen, n)
+		r.Check(r.acknowledged(), qt.Equals, n)
+		r.Check(e.lastHeartbeat().Adopted, qt.IsTrue)
+		r.Check(e.lastHeartbeat().MoreUnclaimed, qt.IsFalse)
+	})
+}
--- a/agent/fence.go
+++ b/agent/fence.go
@@ -112,11 +112,14 @@
 	}
 }
 
-// acknowledge drops the records of results that an entry has; the caller holds
-// mu.
+// acknowledge drops the records of results that an entry has, and settles the
+// ends of their runs; the caller holds mu.
 func (a *Agent) acknowledge(owner ledger.Owner, keys []wire.TaskKey) {
 	if len(keys) > 0 {
 		a.ledger.Acknowledge(owner, keys)
+		if a.leased != nil {
+			a.leased.acknowledged(owner, keys)
+		}
 		a.notify()
 	}
 }
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -205,6 +205,9 @@
 	if !a.storeAt.IsZero() {
 		r.ReadAge = max(0, now.Sub(a.storeAt))
 	}
+	if a.leased != nil {
+		a.leased.describeEnds(now, &r)
+	}
 	return r
 }
 
@@ -219,6 +222,9 @@
 	a.ledger.Heard(owner, sent)
 	a.ledger.Renew(owner, r.Renews, sent)
 	a.acknowledge(owner, r.Acked)
+	if a.leased != nil {
+		a.leased.answered(now, r.Settled, r.Voided)
+	}
 	if _, announced := a.backlogs[owner]; announced {
 		// A reply that every agent gets must not make all of them offer.
 		a.entryBacklog(owner, r.Backlog)
--- a/agent/leased.go
+++ b/agent/leased.go
@@ -57,7 +57,11 @@
 		left := l.await(ctx, at)
 		switch {
 		case left.Fate != lease.FateRefused || ctx.Err() != nil:
-			return l.result(ctx, left)
+			r := l.result(ctx, left)
+			if t.Leased.Durable && (left.Fate == lease.FateDone || left.Fate == lease.FateFailed) {
+				r.Tag = at.life.announced.Life.Tag(left.Run)
+			}
+			return r
 		case left.Refusal == lease.RefusedOld || left.Refusal == lease.RefusedToken:
 			raises++
 		case left.Refusal == lease.RefusedLate:
@@ -105,6 +109,9 @@
 	}
 	at := &attempt{life: f, order: o, left: make(chan lease.Left, 1), base: a.base}
 	f.waiting[o.Run] = at.left
+	if t.Leased.Durable {
+		f.runs.Hold(o.Run)
+	}
 	go l.send(at)
 	return at, nil
 }
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -16,6 +16,7 @@
 	interrupted, ordersUnanswered                     tally.Counter
 	offers, offersUsed, entriesSuspect, recordsLost   tally.Counter
 	running, queued, confirmationAge, generation      tally.Gauge
+	endsHeld, endsUnclaimed                           tally.Gauge
 	took                                              tally.Timer
 }
 
@@ -36,6 +37,7 @@
 		entriesSuspect: s.Counter("entries_suspect"), recordsLost: s.Counter("records_evicted"),
 		running: s.Gauge("tasks_running"), queued: s.Gauge("tasks_queued"),
 		confirmationAge: s.Gauge("confirmation_age_seconds"), generation: s.Gauge("config_generation"),
+		endsHeld: s.Gauge("ends_held"), endsUnclaimed: s.Gauge("ends_unclaimed"),
 		took: s.Timer("task_time"),
 	}
 }
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -142,8 +142,12 @@
 	stop := context.AfterFunc(ctx, f.cancel)
 	defer stop()
 	for failures := 0; f.ctx.Err() == nil; {
+		began := time.Now()
 		if l.renew(f, failures > 0) {
 			failures = 0
+			if !l.space(f, began) {
+				return
+			}
 			continue
 		}
 		failures++
@@ -195,7 +199,7 @@
 		l.end(f, "connection_refused")
 		return false
 	case err != nil:
-		l.deliver(f, f.runs.Lapse(now))
+		l.lapse(f, now)
 		l.refresh()
 		return f.kicked
 	case list.Refusal == lease.RefusedLife:
@@ -221,6 +225,7 @@
 func (l *leased) listed(f *life, now time.Time, n lease.Renewal, list lease.List) {
 	left, stop := f.runs.Listed(now, n, list)
 	l.deliver(f, left)
+	l.lapse(f, now)
 	for _, run := range stop {
 		go l.stop(f, run)
 	}
--- a/agent/report.go
+++ b/agent/report.go
@@ -26,6 +26,9 @@
 			a.metrics.recordsLost.Inc(int64(n))
 		}
 	}
+	if a.leased != nil {
+		a.leased.reported(t.taskID, r.Tag)
+	}
 	a.busy--
 	a.free, a.typical = a.free.Plus(t.task.Needs), t.task.Needs
 	a.settle(t, r)
--- a/agent/rig_test.go
+++ b/agent/rig_test.go
@@ -136,6 +136,8 @@
 	offers     int
 	useOffers  bool
 	renews     uint64 // the open session, in heartbeat replies
+	// The next reply's answers to unclaimed ends.
+	settled, voided []wire.EndedRun
 
 	conn     *rpcconn.Client
 	session  wire.Session
@@ -180,12 +182,13 @@
 	*out = wire.HeartbeatReply{
 		Entry: e.ref, Generation: e.config.Generation, ConfirmAge: e.age, ReadAge: gate.None,
 		Entries: e.known, Backlog: e.backlog, Acked: e.acked, Renews: e.renews,
+		Settled: e.settled, Voided: e.voided,
 	}
 	if in.Generation < e.config.Generation {
 		c := e.config
 		out.Config = &c
 	}
-	e.acked = nil
+	e.acked, e.settled, e.voided = nil, nil, nil
 	return nil
 }
 
--- a/agent/state.go
+++ b/agent/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
@@ -51,6 +50,11 @@
 	LeaseEndMS  int64      `json:"lease_end_ms"`  // latest that was ever sent
 	ClockPastMS int64      `json:"clock_past_ms"` // lower bound of the worker's clock
 	Runs        []RunState `json:"runs"`
+	// Ends are those that are not acknowledged to the worker. MoreEnds means
+	// that the worker may have further ones, which it has not listed.
+	Ends     []EndState `json:"ends"`
+	MoreEnds bool       `json:"more_ends"`
+	Lapsing  bool       `json:"lapsing"` // an end waits for the end of the lease
 }
 
 // RunState is one run in the table.
@@ -132,7 +136,7 @@
 func (l *leased) state(now time.Time) *LeasedState {
 	f := l.life
 	if f == nil {
-		return &LeasedState{Token: l.token, Runs: []RunState{}}
+		return &LeasedState{Token: l.token, Runs: []RunState{}, Ends: []EndState{}}
 	}
 	n := f.announced
 	latest, clock := f.runs.End(now)
@@ -140,11 +144,12 @@
 		Life: n.Life.ID, Born: n.Life.Born, Pool: n.Pool, Address: n.Address, Draining: n.Draining, Left: f.left,
 		Adopted: f.runs.Adopted(), Silent: f.runs.Silent(now), Token: f.runs.Token(),
 		LeaseEndMS: latest.Milliseconds(), ClockPastMS: clock.Milliseconds(), Runs: []RunState{},
+		Ends: f.endStates(now), MoreEnds: f.runs.ListFull(), Lapsing: f.runs.Lapsing(),
 	}
 	for _, r := range f.runs.Entries() {
 		t := r.Run.Task
 		s.Runs = append(s.Runs, RunState{
-			Task: fmt.Sprintf("%s/%d/%d", t.Job, t.Step, t.Index), Number: r.Run.Number, State: string(r.State), Began: r.Began,
+			Task: runName(t), Number: r.Run.Number, State: string(r.State), Began: r.Began,
 		})
 	}
 	slices.SortFunc(s.Runs, func(x, y RunState) int { return cmp.Compare(x.Task, y.Task) })
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -34,6 +34,7 @@
 	cancel    context.CancelFunc
 	over      bool // it has ended
 	left      bool // the registry says that the worker left
+	ends      ends
 
 	// Of the renewal that is out.
 	interrupt context.CancelFunc // ends its wait; nil while it does not wait
@@ -99,9 +100,9 @@
 	l.token++ // orders of the life before are not to be carried out in this one
 	l.life = &life{
 		announced: n, worker: l.agent.options.Connect(n), waiting: map[lease.Run]chan lease.Left{},
-		wake: make(chan struct{}, 1), immediate: true,
+		wake: make(chan struct{}, 1), immediate: true, ends: newEnds(),
 		runs: lease.NewRuns(lease.Options{
-			Token: l.token, Lease: s.Lease.Of(), Validity: s.OrderValidity.Of(), StopTime: s.StopTime.Of(),
+			Life: n.Life, Token: l.token, Lease: s.Lease.Of(), Validity: s.OrderValidity.Of(), StopTime: s.StopTime.Of(),
 		}),
 	}
 	l.life.ctx, l.life.cancel = context.WithCancel(context.Background())
@@ -163,9 +164,9 @@
 	a.dispatch(time.Now())
 }
 
-// idle reports whether the life has nothing to do but to wait for a start; the
-// caller holds mu.
-func (f *life) idle() bool { return f.runs.Empty() && f.runs.Adopted() }
+// idle reports whether the life has nothing to do but to wait for a start: no
+// run is there and no end has to be acknowledged. The caller holds mu.
+func (f *life) idle() bool { return f.runs.Empty() && f.runs.Adopted() && f.runs.HeldCount() == 0 }
 
 // kick ends the wait of the renewal that is out, so that the next is sent at
 // once; an immediate one does not wait itself. The caller holds mu.
