--- a/agent/ends.go
+++ b/agent/ends.go
@@ -22,8 +22,19 @@
 	// worker lists held ends again, so it may answer each renewal at once. At
 	// most 40 renewals a second and 25 ms until the next end is listed.
 	heldSpacing = 25 * time.Millisecond
+	// noDeadline is the remaining time of a task of a durable job, whose message
+	// carries none. Longer than any process lives.
+	noDeadline = 100 * 365 * 24 * time.Hour
 )
 
+// remaining is the time that a task has left.
+func remaining(t wire.Task) time.Duration {
+	if t.Leased != nil && t.Leased.Durable && t.Remaining == 0 {
+		return noDeadline
+	}
+	return t.Remaining
+}
+
 // ends are the results that entries got of the held ends of one life, and the
 // age of unclaimed ones. The agent's lock covers it.
 type ends struct {
--- a/agent/ends_test.go
+++ b/agent/ends_test.go
@@ -16,7 +16,7 @@
 // durable sends a task of a durable job that takes 100 ms and returns its key.
 func (e *entryStub) durable(index int, fail bool) (wire.TaskKey, <-chan answer) {
 	in := e.order(durableJob, cores(1), leasestub.Spec{Fail: fail})
-	in.Task.Index, in.Task.Leased.Durable = index, true
+	in.Task.Index, in.Task.Leased.Durable, in.Task.Remaining = index, true, 0
 	return wire.TaskKey{Session: in.Session.Number, Sequence: in.Sequence}, e.send(in)
 }
 
--- a/agent/receive.go
+++ b/agent/receive.go
@@ -69,7 +69,7 @@
 	a.entryBacklog(ledger.OwnerOf(in.Session), in.Backlog)
 	t := &task{
 		taskID:  taskID{ledger.OwnerOf(in.Session), wire.TaskKey{Session: in.Session.Number, Sequence: in.Sequence}},
-		session: in.Session, task: in.Task, deadline: now.Add(in.Task.Remaining), done: make(chan struct{}),
+		session: in.Session, task: in.Task, deadline: now.Add(remaining(in.Task)), done: make(chan struct{}),
 	}
 	if reason := a.admit(t, now); reason != "" {
 		a.ledger.Withdraw(t.session, t.key)
--- a/wire/task.go
+++ b/wire/task.go
@@ -47,7 +47,8 @@
 	Step int
 	Spec string // for the worker; not interpreted
 	// Durable means that the end of the run is acknowledged to the worker
-	// only after the entry has acknowledged the result.
+	// only after the entry has acknowledged the result. Without Remaining the
+	// task has no deadline.
 	Durable bool
 }
 
