agent: random schedules of durable tasks

Cause: the tables of tests do not combine silent workers, replaced agents and replaced entries.

Ruled out: reusing the schedules of other leased tasks, whose entry has no store and starts jobs again after they were done.

Change: an entry stand-in that stores ends late, forgets them when its process is replaced, waits for a complete report before it starts lost tasks again, and answers unclaimed ends as in section 14.6. The worker's evidence finds needless starts.

--- /dev/null
+++ b/agent/ends_random_test.go
@@ -0,0 +1,228 @@
+package agent
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/internal/leasestub"
+	"chicorytray.example/chicorytray/lease"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// durableTasks are the tasks of the job that random schedules run. A task that
+// is done is replaced by one with another index.
+const durableTasks = 8
+
+// attempted is the result of a run that the entry has and has not stored.
+type attempted struct {
+	index int
+	key   wire.TaskKey
+	wire.Result
+}
+
+// durableEntry is an entry that stores ends as section 14.6 says. The lock of
+// the entryStub covers it.
+type durableEntry struct {
+	*leasedRig
+	*rand.Rand
+	e          *entryStub
+	next       int // index of the next task
+	free       []int
+	sent       map[int]*message
+	unstored   []attempted
+	stored     map[wire.RunTag]bool
+	done       map[int]bool
+	recovering time.Time // until when at least; zero: not
+	reported   map[wire.RunTag]wire.EndedRun
+	complete   time.Time // when the newest complete report came
+	lost       []int     // tasks that wait for the recovery
+
+	applied, voided int
+}
+
+// answer decides about the unclaimed ends of a heartbeat.
+func (d *durableEntry) answer(in *wire.HeartbeatRequest, out *wire.HeartbeatReply) {
+	if in.Adopted && !in.MoreUnclaimed {
+		d.complete = time.Now()
+	}
+	for _, end := range in.Unclaimed {
+		switch {
+		case d.stored[end.Tag]:
+			out.Settled = append(out.Settled, end)
+		case d.isUnstored(end.Tag):
+		case !d.recovering.IsZero():
+			d.reported[end.Tag] = end
+		case d.done[end.Index] || d.sent[end.Index] != nil:
+			out.Voided = append(out.Voided, end)
+			d.voided++
+		default:
+			d.apply(end.Index, end.Tag, end.Done)
+			out.Settled = append(out.Settled, end)
+		}
+	}
+}
+
+func (d *durableEntry) isUnstored(tag wire.RunTag) bool {
+	for _, u := range d.unstored {
+		if u.Tag == tag {
+			return true
+		}
+	}
+	return false
+}
+
+// apply stores an end.
+func (d *durableEntry) apply(index int, tag wire.RunTag, done bool) {
+	d.stored[tag] = true
+	d.done[index] = d.done[index] || done
+	d.applied++
+}
+
+// start sends a task that may run.
+func (d *durableEntry) start() {
+	if !d.recovering.IsZero() || len(d.free) == 0 {
+		return
+	}
+	index := d.free[0]
+	d.free = d.free[1:]
+	if d.done[index] {
+		d.next++
+		index = d.next
+	}
+	in := d.e.order(durableJob, cores(1+d.Int64N(3)), leasestub.Spec{MS: float64(1 + d.IntN(400)), Fail: d.IntN(6) == 0})
+	in.Task.Index, in.Task.Leased.Durable, in.Task.Remaining = index, true, 0
+	m := &message{key: wire.TaskKey{Session: in.Session.Number, Sequence: in.Sequence}}
+	d.sent[index] = m
+	d.e.mu.Unlock()
+	m.reply = d.e.send(in)
+	d.e.mu.Lock()
+}
+
+// collect takes the results so far, and stores some of those that it has.
+func (d *durableEntry) collect() {
+	for index, m := range d.sent {
+		select {
+		case a := <-m.reply:
+			d.Assert(a.err, qt.IsNil)
+			if a.Result.Tag != 0 {
+				d.unstored = append(d.unstored, attempted{index, m.key, a.Result})
+				continue
+			}
+			delete(d.sent, index)
+			d.free = append(d.free, index)
+		default:
+		}
+	}
+	for len(d.unstored) > 0 && d.IntN(3) == 0 {
+		u := d.unstored[0]
+		d.unstored = d.unstored[1:]
+		delete(d.sent, u.index)
+		d.apply(u.index, u.Tag, u.Outcome == wire.OutcomeDone)
+		d.e.acked = append(d.e.acked, u.key)
+		d.free = append(d.free, u.index)
+	}
+}
+
+// recover ends a recovery after a complete report.
+func (d *durableEntry) recover() {
+	// A heartbeat that arrived this much later was sent later.
+	if d.recovering.IsZero() || d.complete.Before(d.recovering.Add(50*time.Millisecond)) {
+		return
+	}
+	for tag, end := range d.reported {
+		d.apply(end.Index, tag, end.Done)
+	}
+	d.free = append(d.free, d.lost...)
+	d.lost, d.recovering, d.reported = nil, time.Time{}, map[wire.RunTag]wire.EndedRun{}
+}
+
+// forget loses what was sent and is not stored.
+func (d *durableEntry) forget() {
+	for index := range d.sent {
+		d.lost = append(d.lost, index)
+	}
+	clear(d.sent)
+	d.unstored = nil
+	d.recovering = time.Now().Add(platformTiming().Reconcile.Of())
+}
+
+// replaceEntry goes on as the next process of the entry.
+func (d *durableEntry) replaceEntry() {
+	d.forget()
+	d.e.ref.Incarnation += 100
+	d.e.session = wire.Session{Entry: d.e.ref.ID, Incarnation: d.e.ref.Incarnation}
+	d.e.renews, d.e.acked = 0, nil
+	d.e.mu.Unlock()
+	time.Sleep(300 * time.Millisecond)
+	d.e.open()
+	d.e.mu.Lock()
+}
+
+// step makes one random event happen.
+func (d *durableEntry) step() {
+	switch n := d.IntN(100); {
+	case n < 92:
+		d.start()
+	case n < 96:
+		f := leasestub.Faults{Renew: []leasestub.Fault{{Lost: true}, {Unanswered: true}, {Late: 200 * time.Millisecond}}[d.IntN(3)]}
+		if d.IntN(3) == 0 {
+			f = leasestub.Silent()
+		}
+		d.machine.SetFaults(f)
+		time.AfterFunc(time.Duration(d.IntN(1500))*time.Millisecond, func() { d.machine.SetFaults(leasestub.Faults{}) })
+	case n < 98:
+		d.replaceEntry()
+	default:
+		d.kill()
+		d.forget()
+		d.e.mu.Unlock()
+		d.replaceAgent()
+		d.e.mu.Lock()
+	}
+}
+
+// Guards against combinations of faults in which a durable task starts although
+// an acknowledged run of it was done, against ends that are never acknowledged,
+// and against an agent that never reports completely.
+func TestRandomDurableSchedules(t *testing.T) {
+	for seed := range *schedules {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 14))
+			o := leasestub.Options{Slow: lease.ClockDrift * random.Float64(), Delay: time.Duration(random.IntN(10)) * time.Millisecond}
+			virtualLeased(t, leasedSetup{machine: o}, func(r *leasedRig, e *entryStub) {
+				r.machine.Evidence().Durable(durableJob, 1000)
+				d := &durableEntry{leasedRig: r, Rand: random, e: e, next: durableTasks, sent: map[int]*message{},
+					stored: map[wire.RunTag]bool{}, done: map[int]bool{}, reported: map[wire.RunTag]wire.EndedRun{}}
+				for i := range durableTasks {
+					d.free = append(d.free, i)
+				}
+				e.mu.Lock()
+				e.decide = d.answer
+				turn := func(step func()) {
+					step()
+					e.mu.Unlock()
+					time.Sleep(time.Duration(d.IntN(120)) * time.Millisecond)
+					e.mu.Lock()
+					d.collect()
+					d.recover()
+				}
+				for range 300 {
+					turn(d.step)
+				}
+				for range 400 {
+					turn(func() {})
+				}
+				e.mu.Unlock()
+				t.Logf("%d starts, %d ends stored, %d voided", len(r.machine.Evidence().Starts()), d.applied, d.voided)
+				state := r.agent.State()
+				r.Check(state.Leased.Ends, qt.HasLen, 0)
+				r.Check(d.free, qt.HasLen, durableTasks)
+				r.Check(len(state.Tasks)+len(state.Leaving), qt.Equals, 0)
+			})
+		})
+	}
+}
--- a/agent/rig_test.go
+++ b/agent/rig_test.go
@@ -138,6 +138,7 @@
 	renews     uint64 // the open session, in heartbeat replies
 	// The next reply's answers to unclaimed ends.
 	settled, voided []wire.EndedRun
+	decide          func(*wire.HeartbeatRequest, *wire.HeartbeatReply) // changes each reply; may be nil
 
 	conn     *rpcconn.Client
 	session  wire.Session
@@ -189,6 +190,9 @@
 		out.Config = &c
 	}
 	e.acked, e.settled, e.voided = nil, nil, nil
+	if e.decide != nil {
+		e.decide(in, out)
+	}
 	return nil
 }
 
