agent: kick the renewal for a start while ends are held

Cause: while ends are held and nothing runs, the renewal that is out does not extend the lease either, but the life does not count as idle, so a start did not end its wait. Found in review; no test failed. With one lost renewal more, the first extension came 150 ms + 100 ms after an order valid for 300 ms.

Ruled out: leaving it, because a second lost answer would have let the run lapse.

Change: a start ends the wait of the renewal whenever the table is empty.

Result: go test -race ./agent passes.

Conclusion: starts are as before for agents without held ends.

--- a/agent/leased.go
+++ b/agent/leased.go
@@ -98,13 +98,13 @@
 	if ok, reason := a.may(now); !ok {
 		return refuse(reason)
 	}
-	idle := f.idle()
+	empty := f.runs.Empty()
 	o, err := f.runs.Start(now, leaseTask(t), t.Leased.Spec)
 	if err != nil {
 		// Another entry got the job again before the old run ended.
 		return refuse(wire.ReasonBusy)
 	}
-	if idle {
+	if empty {
 		f.kick(false) // the renewal that is out does not extend the lease
 	}
 	at := &attempt{life: f, order: o, left: make(chan lease.Left, 1), base: a.base}
