--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -207,6 +207,7 @@
 	}
 	if a.leased != nil {
 		r.Behind = a.leased.behind(to)
+		a.leased.describeEnds(now, &r)
 	}
 	return r
 }
@@ -222,6 +223,9 @@
 	a.ledger.Heard(owner, sent)
 	a.ledger.Renew(owner, r.Renews, sent)
 	a.acknowledge(owner, r.Acked)
+	if a.leased != nil {
+		a.leased.answered(now, r.Settled, r.Voided)
+	}
 	if _, announced := a.backlogs[owner]; announced {
 		// A reply that every agent gets must not make all of them offer.
 		a.entryBacklog(owner, r.Backlog)
--- a/agent/leased.go
+++ b/agent/leased.go
@@ -58,7 +58,11 @@
 		left := l.await(ctx, at)
 		switch {
 		case left.Fate != lease.FateRefused || ctx.Err() != nil:
-			return l.result(ctx, left)
+			r := l.result(ctx, left)
+			if t.Leased.Durable && (left.Fate == lease.FateDone || left.Fate == lease.FateFailed) {
+				r.Tag = at.life.announced.Life.Tag(left.Run)
+			}
+			return r
 		case left.Refusal == lease.RefusedOld || left.Refusal == lease.RefusedToken:
 			raises++
 		case left.Refusal == lease.RefusedLate:
@@ -95,17 +99,20 @@
 	if ok, reason := a.may(now); !ok {
 		return refuse(reason)
 	}
-	idle := f.idle()
+	empty := f.runs.Empty()
 	o, err := f.runs.Start(now, leaseTask(t), t.Leased.Spec)
 	if err != nil {
 		// Another entry got the job again before the old run ended.
 		return refuse(wire.ReasonBusy)
 	}
-	if idle {
+	if empty {
 		f.kick(false) // the renewal that is out does not extend the lease
 	}
 	at := &attempt{life: f, order: o, job: t.Job, left: make(chan lease.Left, 1), base: a.base}
 	f.waiting[o.Run] = at
+	if t.Leased.Durable {
+		f.runs.Hold(o.Run)
+	}
 	go l.send(at)
 	return at, nil
 }
