--- a/entry/agents.go
+++ b/entry/agents.go
@@ -80,8 +80,14 @@
 	usable     bool            // may get tasks when it has room
 	usableAt   time.Time       // when it last might, or announced itself
 	announced  time.Time
-	told       []wire.EntryRef // entries in the last heartbeat reply that listed them
-	toldAt     time.Time
+	// What its heartbeats say of ends: when the last one arrived and from which
+	// process, the last one with an adopted worker, and the earliest moment at
+	// which the last one that listed every end was sent.
+	beat, adopted, complete time.Time
+	beatBy                  wire.Incarnation
+	unclaimed               unclaimedEnds
+	told                    []wire.EntryRef // entries in the last heartbeat reply that listed them
+	toldAt                  time.Time
 }
 
 // drop closes the connection. Calls on it fail and put their tasks in doubt.
@@ -117,6 +123,7 @@
 	a.ref, a.heard = req.Agent, d.now
 	a.leaving, a.unhealthy, a.refusing, a.busy = req.Leaving, !req.Healthy, false, false
 	a.generation = req.Generation
+	a.sawReport(d.now, req)
 	if req.ReadAge >= 0 {
 		d.confirm.readElsewhere(d.now.Add(-req.ReadAge))
 	}
@@ -127,6 +134,7 @@
 		d.open(a)
 	}
 	reply := d.heartbeatReply(a)
+	d.answerUnclaimed(a, req.Unclaimed, &reply)
 	if req.KnownEntry == d.self.Incarnation {
 		reply.Entry = d.self.Brief()
 	}
--- a/entry/collect.go
+++ b/entry/collect.go
@@ -21,6 +21,7 @@
 		d.table.Settled(a.ref.ID, j.class.Needs)
 		j.at[v.task.index] = location{}
 		j.racks.Done(a.ref.Rack)
+		d.durableVerdict(j, a, v)
 		if j.leased != nil && v.kind == verdictUnknown {
 			d.hold(a, v)
 			continue
@@ -67,11 +68,17 @@
 	}
 	switch v.result.Reason {
 	case wire.ReasonDeadline:
+		if durableOf(j) != nil {
+			break // it has none; the task is sent again
+		}
 		j.settle(index, taskNotRun)
 		d.fail(j, closing{reason: wire.ReasonDeadline, detail: "the deadline passed before the task started", settle: true})
 		return
 	case reasonTooLarge, wire.ReasonInvalid:
 		// Every agent would refuse it.
+		if durableOf(j) != nil {
+			j.leased.exhausted = true
+		}
 		j.settle(index, taskNotRun)
 		d.fail(j, closing{reason: v.result.Reason, detail: taskDetail(index, a, v.result), settle: true})
 		return
@@ -220,7 +227,7 @@
 	for i, s := range j.states {
 		switch s {
 		case taskWaiting:
-			if j.leased == nil || j.leased.after == nil { // else it is not queued yet
+			if j.inQueue() {
 				d.addWaiting(j, -1)
 			}
 			j.settle(i, taskNotRun)
@@ -268,7 +275,7 @@
 // finish builds the answer and releases the caller. Nothing changes the
 // answer afterwards.
 func (d *dispatcher) finish(j *job) {
-	if j.answered {
+	if j.answered || durableOf(j) != nil && !d.endDurable(j) {
 		return
 	}
 	j.answered = true
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -11,6 +11,7 @@
 
 	"chicorytray.example/chicorytray/admission"
 	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/durable"
 	"chicorytray.example/chicorytray/ejection"
 	"chicorytray.example/chicorytray/estimate"
 	"chicorytray.example/chicorytray/internal/wait"
@@ -79,6 +80,7 @@
 	pools          map[string]*pool
 	leasedWaiting  reservations // leased tasks in the queue, of all pools
 	held           []held
+	durable        durableJobs
 	openJobs       int           // accepted and not answered
 	idle           chan struct{} // closed when openJobs is 0; nil while nobody waits
 	began          time.Time
@@ -105,6 +107,7 @@
 		leased: map[string]*job{}, pending: map[string]int{}, pools: map[string]*pool{},
 		classes: map[string]*class{}, cancels: map[*agent][]wire.TaskKey{},
 	}
+	d.durable = newDurableJobs(e.keeper, e.inbox, e.newJobID)
 	d.ctx, d.end = context.WithCancel(context.Background())
 	d.table.SetSeed(uint64(e.self.Incarnation))
 	return d
@@ -178,6 +181,7 @@
 		}
 		d.pump()
 		d.flushStarts()
+		d.flushRecords()
 		d.flushCancels()
 		d.announceBacklog()
 	}
@@ -206,6 +210,7 @@
 		d.checkAgent(a)
 	}
 	d.releaseHeld()
+	d.tickDurable()
 	d.evaluateAgents()
 	d.reportHeard()
 	d.forgetAnswers()
@@ -216,10 +221,16 @@
 func (d *dispatcher) closeAll() {
 	d.now = time.Now()
 	for _, j := range d.jobs {
-		if !j.answered {
+		if durableOf(j) != nil {
+			d.giveUpDurable(j, "the entry stopped")
+		} else if !j.answered {
 			d.fail(j, closing{reason: reasonStopping, detail: "the entry stopped before the job was done"})
 		}
 	}
+	for _, c := range d.durable.creating {
+		c.err = creationError(durable.ErrUnknown)
+		close(c.done)
+	}
 	for _, a := range d.agents {
 		a.drop()
 	}
--- /dev/null
+++ b/entry/durable.go
@@ -0,0 +1,215 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"chicorytray.example/chicorytray/durable"
+	"chicorytray.example/chicorytray/wire"
+)
+
+const (
+	// settleAfter bounds the time from the end of a run to the write that
+	// records it. Ends within it share one write.
+	settleAfter = 200 * time.Millisecond
+	// startedWithin bounds the time from the first start of a job to the write
+	// that records it, usually a write that is due anyway.
+	startedWithin = time.Second
+)
+
+// recordKeeper stores the records of durable jobs; see durable.Keeper.
+type recordKeeper interface {
+	Run(ctx context.Context)
+	Valid(now time.Time) bool
+	Create(r durable.Record, done func(found durable.Found, err error))
+	Update(r durable.Record, within time.Duration, done func())
+	Finish(e durable.End, done func())
+	GiveUp(identifier string)
+	Lookup(ctx context.Context, identifier string) (durable.Found, error)
+	Presences(ctx context.Context, identifiers []string) (map[string]durable.Presence, error)
+	PeerLost(entry string)
+	HandOver(ctx context.Context) error
+	Status() durable.Status
+	// Workload returns what must agree in submissions under one identifier.
+	Workload(r *durable.Record) string
+}
+
+// storedRecords is the recordKeeper over a store.
+type storedRecords struct{ *durable.Keeper }
+
+// Workload returns the hash that end records keep.
+func (storedRecords) Workload(r *durable.Record) string { return r.Workload() }
+
+// durableJobs are the dispatcher's durable jobs.
+type durableJobs struct {
+	keeper   recordKeeper // nil: durable jobs are refused
+	inbox    *inbox
+	open     map[string]*job // owned by this entry, by identifier
+	creating map[string]*creation
+	dirty    map[*job]time.Duration // jobs to be written, and within which time
+	// handedOver is closed when every job was given up for a planned stop; nil
+	// before the stop.
+	handedOver chan struct{}
+	nextID     func() string // for the jobs that are taken over
+	reported   time.Time     // when the metrics were updated
+}
+
+func newDurableJobs(k recordKeeper, in *inbox, nextID func() string) durableJobs {
+	return durableJobs{
+		keeper: k, inbox: in, nextID: nextID, open: map[string]*job{}, creating: map[string]*creation{}, dirty: map[*job]time.Duration{},
+	}
+}
+
+// durableJob is what a durable job has beside other leased jobs.
+type durableJob struct {
+	record  durable.Record
+	version uint64 // rises with each change that has to be written
+	stored  uint64 // newest version that is stored
+	// unstored is when the first end was learnt that is not stored; zero if
+	// there is none.
+	unstored  time.Time
+	unsettled []unsettledEnd
+	// runs lists, for each task, the agents of its runs of which neither an end
+	// nor an interruption is known, in the order of their starts.
+	runs     map[int][]string
+	sent     map[int]bool           // tasks that this entry sent
+	versions map[wire.RunTag]uint64 // that have ends learnt by this entry
+	recovery *recovery              // nil unless the job is recovering
+	end      durable.State          // its end record is being written; empty before
+	closed   bool                   // the end is stored, or the job was given up
+	lost     bool                   // given up
+}
+
+// unsettledEnd is the result of a run that is acknowledged to its agent once
+// the version is stored.
+type unsettledEnd struct {
+	version uint64
+	agent   *agent
+	process wire.Incarnation
+	key     wire.TaskKey
+}
+
+// durableOf returns what the job has as a durable one; nil for other jobs.
+func durableOf(j *job) *durableJob {
+	if j == nil || j.leased == nil {
+		return nil
+	}
+	return j.leased.durable
+}
+
+// remaining returns the time to the job's deadline, 0 for a job without one.
+func (j *job) remaining(now time.Time) time.Duration {
+	if j.deadline.IsZero() {
+		return 0
+	}
+	return j.deadline.Sub(now)
+}
+
+// inQueue reports whether the waiting tasks of an open job are in the queue.
+func (j *job) inQueue() bool {
+	u := durableOf(j)
+	return j.leased == nil || j.leased.after == nil && (u == nil || u.recovery == nil)
+}
+
+// mayStartDurable reports whether tasks of durable jobs may be started now.
+func (d *dispatcher) mayStartDurable() bool {
+	k := d.durable.keeper
+	return k != nil && d.durable.handedOver == nil && k.Valid(d.now)
+}
+
+// mayStartJob reports whether tasks of the job may be started now.
+func (d *dispatcher) mayStartJob(j *job) bool {
+	return j.closing == nil && (durableOf(j) == nil || d.mayStartDurable())
+}
+
+// answersFromMemory reports whether memory tells the state of durable jobs. It
+// does not after a pause, before another owner could have been noticed.
+func (d *dispatcher) answersFromMemory() bool {
+	return d.durable.keeper != nil && d.mayStartNow() && d.durable.keeper.Valid(d.now)
+}
+
+// inbox passes calls of the Keeper on to the dispatcher in their order without
+// blocking. The Keeper may hold a lock that the dispatcher waits for, so it
+// must not wait for a full queue of events.
+type inbox struct {
+	post   func(event) bool
+	mu     sync.Mutex
+	events []event
+	wake   chan struct{}
+}
+
+func newInbox(post func(event) bool) *inbox { return &inbox{post: post, wake: make(chan struct{}, 1)} }
+
+func (i *inbox) put(ev event) {
+	i.mu.Lock()
+	i.events = append(i.events, ev)
+	i.mu.Unlock()
+	select {
+	case i.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run posts the events until ctx ends.
+func (i *inbox) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-i.wake:
+		}
+		i.mu.Lock()
+		events := i.events
+		i.events = nil
+		i.mu.Unlock()
+		for _, ev := range events {
+			if !i.post(ev) {
+				return
+			}
+		}
+	}
+}
+
+// durableHandler passes what the Keeper reports on to the dispatcher.
+type durableHandler struct {
+	inbox   *inbox
+	pending *peerPending
+}
+
+// TakenOver hands over a job whose owner is gone.
+func (h durableHandler) TakenOver(r durable.Record, at time.Time) {
+	if !r.Started {
+		h.pending.takenOver(r.Owner, r.Template)
+	}
+	h.inbox.put(func(d *dispatcher) { d.takeOver(r, at) })
+}
+
+// Lost gives a job up that has another owner.
+func (h durableHandler) Lost(identifier string) {
+	h.inbox.put(func(d *dispatcher) {
+		if j := d.durable.open[identifier]; j != nil {
+			d.giveUpDurable(j, "another entry has the job")
+		}
+	})
+}
+
+// Invalidated gives all jobs up.
+func (h durableHandler) Invalidated() {
+	h.inbox.put(func(d *dispatcher) {
+		for _, j := range d.durable.open {
+			d.giveUpDurable(j, "the ownership lease ended")
+		}
+	})
+}
+
+// runDurable runs the Keeper until ctx ends.
+func (e *Entry) runDurable(ctx context.Context) {
+	if e.keeper == nil {
+		return
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { e.inbox.run(ctx) })
+	e.keeper.Run(ctx)
+	wg.Wait()
+}
--- /dev/null
+++ b/entry/durable_peers.go
@@ -0,0 +1,130 @@
+package entry
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"chicorytray.example/chicorytray/durable"
+	"chicorytray.example/chicorytray/membership"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// lostPending is how long the pending jobs of a peer that is not heard count.
+// They are taken over by then.
+const lostPending = 30 * time.Second
+
+// peerPending has the pending durable jobs that peers reported. It is safe for
+// concurrent use.
+type peerPending struct {
+	mu    sync.Mutex
+	peers map[string]reportedPending // by entry
+}
+
+type reportedPending struct {
+	at   time.Time
+	jobs map[string]int // by template
+}
+
+func (p *peerPending) heard(entry string, jobs map[string]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.peers == nil {
+		p.peers = map[string]reportedPending{}
+	}
+	p.peers[entry] = reportedPending{time.Now(), jobs}
+}
+
+// of returns the peers' pending jobs of a template.
+func (p *peerPending) of(template string) (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.peers, func(_ string, r reportedPending) bool { return time.Since(r.at) > lostPending })
+	for _, r := range p.peers {
+		n += r.jobs[template]
+	}
+	return n
+}
+
+// takenOver takes a job off the pending ones of its former owner.
+func (p *peerPending) takenOver(owner durable.Epoch, template string) {
+	entry, _, ok := jobOwner(string(owner))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r := p.peers[entry]; ok && r.jobs[template] > 0 {
+		r.jobs = maps.Clone(r.jobs)
+		r.jobs[template]--
+		p.peers[entry] = r
+	}
+}
+
+// PendingDurable returns the number of durable jobs of the template at all
+// entries of which no task has started. Those of peers are as of their last
+// heartbeat.
+func (e *Entry) PendingDurable(template string) int {
+	n := e.pending.of(template)
+	if e.started() {
+		e.dispatcher.ask(func(d *dispatcher) { n += d.pendingDurable()[template] })
+	}
+	return n
+}
+
+// pendingDurable counts this entry's durable jobs of which no task has started.
+func (d *dispatcher) pendingDurable() map[string]int {
+	var out map[string]int
+	for _, j := range d.durable.open {
+		if j.durableState() == durable.Queued {
+			if out == nil {
+				out = map[string]int{}
+			}
+			out[j.template.Name]++
+		}
+	}
+	return out
+}
+
+// firstEntry returns the entry that comes first for a durable job, and whether
+// it is another one.
+func (e *Entry) firstEntry(identifier string) (wire.EntryRef, bool) {
+	var candidates []string
+	for id, reachable := range e.peers.registered() {
+		if reachable {
+			candidates = append(candidates, id)
+		}
+	}
+	id := membership.First(identifier, candidates)
+	if id == e.self.ID {
+		return wire.EntryRef{}, false
+	}
+	return e.peers.find(id)
+}
+
+// registered returns the entries that are registered in the store, this one
+// included, and whether each is reachable. A stopping one takes no jobs.
+func (p *peers) registered() map[string]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string]bool{p.self.ID: true}
+	for id, e := range p.known {
+		if e.registered {
+			out[id] = !e.stopping && e.failures == 0 && time.Since(e.replied) < p.timing.PeerHeartbeat.Of()+p.timing.Suspect.Of()
+		}
+	}
+	return out
+}
+
+// keeperOptions are the options of this entry's Keeper.
+func (e *Entry) keeperOptions() durable.Options {
+	return durable.Options{
+		Store: e.options.Store, Entry: e.self.ID, Incarnation: e.self.Incarnation.String(),
+		CallTimeout: e.settings.Timing.StoreTimeout.Of(), Entries: e.peers.registered,
+		Handler: durableHandler{e.inbox, &e.pending}, Log: e.log, Metrics: e.metrics.scope,
+	}
+}
+
+// peerLost makes the Keeper look for jobs of the entry.
+func (e *Entry) peerLost(entry string) {
+	if e.keeper != nil {
+		e.keeper.PeerLost(entry)
+	}
+}
--- /dev/null
+++ b/entry/durable_query.go
@@ -0,0 +1,203 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"chicorytray.example/chicorytray/durable"
+	"chicorytray.example/chicorytray/rpcconn"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// Errors about durable jobs. Match them with errors.Is.
+var (
+	// ErrNoJob means that there is no durable job under the identifier.
+	ErrNoJob = errors.New("entry: no such job")
+	// ErrNoAnswer means that neither the store nor the job's owner told what
+	// was asked.
+	ErrNoAnswer = errors.New("entry: it cannot be found out now")
+)
+
+// DurableState returns the state of a durable job at any entry. The error is
+// ErrNoJob or ErrNoAnswer.
+func (e *Entry) DurableState(ctx context.Context, identifier string) (durable.State, error) {
+	reply, err := e.askAbout(ctx, wire.DurableRequest{Verb: wire.DurableState, Identifier: identifier})
+	return durable.State(reply.State), err
+}
+
+// CancelDurable cancels a durable job at any entry. With found and no error the
+// job has ended, and none of its tasks starts later. The error is ErrNoAnswer.
+func (e *Entry) CancelDurable(ctx context.Context, identifier string) (found bool, err error) {
+	_, err = e.askAbout(ctx, wire.DurableRequest{Verb: wire.DurableCancel, Identifier: identifier})
+	if errors.Is(err, ErrNoJob) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+// askAbout answers a request for the state or the cancellation of a job: from
+// memory, from the entry that comes first for it, or by its record.
+func (e *Entry) askAbout(ctx context.Context, req wire.DurableRequest) (wire.DurableReply, error) {
+	if !e.started() || e.keeper == nil {
+		return wire.DurableReply{}, ErrNoJob
+	}
+	if reply := e.ownDurable(ctx, req); reply.Known {
+		return reply, answerError(reply)
+	}
+	asked := ""
+	if first, other := e.firstEntry(req.Identifier); other {
+		asked = first.ID
+		if reply, _, err := e.askDurable(ctx, first, req); err == nil && reply.Known {
+			return reply, answerError(reply)
+		}
+	}
+	lookup, cancel := context.WithTimeout(ctx, 2*e.settings.Timing.StoreTimeout.Of()) // two reads
+	found, err := e.keeper.Lookup(lookup, req.Identifier)
+	cancel()
+	switch {
+	case err != nil:
+		e.log.Info().Str("identifier", req.Identifier).Err(err).Msg("durable job not looked up")
+		return wire.DurableReply{}, ErrNoAnswer
+	case found.Open != nil && (req.Account == "" || found.Open.Account == req.Account):
+		return e.askRecord(ctx, req, found.Open, asked)
+	case found.Open == nil && found.End != nil && (req.Account == "" || found.End.Account == req.Account):
+		return wire.DurableReply{Known: true, State: string(found.End.State)}, nil
+	}
+	return wire.DurableReply{}, ErrNoJob
+}
+
+// answerError returns the error of a reply that is known.
+func answerError(r wire.DurableReply) error {
+	if r.Outcome == "" || Outcome(r.Outcome) == OutcomeAccepted {
+		return nil
+	}
+	return ErrNoAnswer
+}
+
+// askRecord asks the owner of an open record, unless that was asked already.
+func (e *Entry) askRecord(ctx context.Context, req wire.DurableRequest, r *durable.Record, asked string) (wire.DurableReply, error) {
+	owner, incarnation, ok := jobOwner(string(r.Owner)) // an epoch has the form of a job's identifier
+	if ref, known := e.peers.find(owner); ok && known && owner != asked && ref.Incarnation == incarnation {
+		if reply, _, err := e.askDurable(ctx, ref, req); err == nil && reply.Known {
+			return reply, answerError(reply)
+		}
+	}
+	if req.Verb == wire.DurableCancel {
+		return wire.DurableReply{}, ErrNoAnswer
+	}
+	state := durable.Queued
+	if r.Started {
+		state = durable.InProgress
+	}
+	return wire.DurableReply{Known: true, State: string(state)}, nil
+}
+
+// askDurable makes the call at another entry. sent is false when it is certain
+// that the entry did not receive the request.
+func (e *Entry) askDurable(ctx context.Context, to wire.EntryRef, req wire.DurableRequest) (reply wire.DurableReply, sent bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, e.settings.Timing.CallTimeout.Of())
+	defer cancel()
+	conn, err := e.dial(ctx, to.Address)
+	if err == nil {
+		defer func() { _ = conn.Close() }()
+		err = conn.Call(ctx, "Entry.Durable", &req, &reply)
+		sent = !errors.Is(err, rpcconn.ErrNotSent)
+	}
+	if err != nil {
+		e.log.Info().Str("to", to.ID).Str("identifier", req.Identifier).Err(err).Msg("entry did not answer about a durable job")
+	}
+	return reply, sent, err
+}
+
+// rpcDurable serves another entry. It never passes a request on.
+func (e *Entry) rpcDurable(ctx context.Context, req *wire.DurableRequest, reply *wire.DurableReply) error {
+	ctx, cancel := context.WithTimeout(ctx, e.settings.Timing.CallTimeout.Of())
+	defer cancel()
+	if req.Verb == wire.DurableSubmit {
+		*reply = e.submittedDurable(ctx, req)
+		return nil
+	}
+	*reply = e.ownDurable(ctx, *req)
+	return nil
+}
+
+// submittedDurable accepts a job that another entry passed on.
+func (e *Entry) submittedDurable(ctx context.Context, req *wire.DurableRequest) wire.DurableReply {
+	in := req.Submission
+	if in == nil {
+		return wire.DurableReply{}
+	}
+	s, err := e.submissionOf(Submission{
+		Job: req.Identifier, Template: in.Template, Count: in.Count, Needs: in.Needs, Spec: in.Spec,
+		Expected: time.Duration(in.ExpectedMS) * time.Millisecond,
+	})
+	if err == nil {
+		s.request.Durable = true
+		err = checkTasks(s)
+	}
+	known := false
+	if err == nil {
+		if known, err = e.rememberedDurable(s); !known {
+			err = e.createDurable(ctx, s)
+		}
+	}
+	if p := (*problem)(nil); errors.As(err, &p) && notHere(p.Reason) {
+		return wire.DurableReply{} // the entry that asks may be able to
+	}
+	a := durableAnswer(err)
+	return wire.DurableReply{
+		Known: true, Outcome: string(a.Outcome), Reason: a.Reason, Detail: a.Detail, RetryAfterMS: a.RetryAfter.Milliseconds(),
+	}
+}
+
+// notHere reports whether a refusal concerns only the entry that made it.
+func notHere(r wire.Reason) bool {
+	return r == reasonStopping || r == reasonNoConfig || r == reasonNoTemplate
+}
+
+// ownDurable answers from memory.
+func (e *Entry) ownDurable(ctx context.Context, req wire.DurableRequest) (reply wire.DurableReply) {
+	var j *job
+	e.dispatcher.ask(func(d *dispatcher) {
+		own := d.leased[req.Identifier]
+		u := durableOf(own)
+		if u == nil || u.lost || req.Account != "" && own.account != req.Account || !d.answersFromMemory() {
+			return
+		}
+		reply = wire.DurableReply{Known: true, State: string(own.durableState())}
+		if req.Verb == wire.DurableCancel {
+			j = own
+			d.cancelLeased(j)
+		}
+	})
+	if j == nil {
+		return reply
+	}
+	reply.Outcome = string(OutcomeUnknown)
+	select {
+	case <-j.done:
+	case <-ctx.Done():
+		return reply
+	}
+	e.dispatcher.ask(func(*dispatcher) {
+		if u := j.leased.durable; !u.lost {
+			reply.State, reply.Outcome = string(u.end), string(OutcomeAccepted)
+		}
+	})
+	return reply
+}
+
+// durableProblem gives an error about a durable job the form for callers.
+func durableProblem(err error, identifier string) *problem {
+	if errors.Is(err, ErrNoJob) {
+		p := notRun(http.StatusNotFound, reasonNoJob, "there is no job %q", identifier)
+		p.Job = identifier
+		return p
+	}
+	p := unknownOutcome(reasonStoreOut, "neither the store nor the job's entry answers now")
+	p.Status, p.Title, p.Job = http.StatusServiceUnavailable, http.StatusText(http.StatusServiceUnavailable), identifier
+	p.retryAfter = retryRefused
+	return p
+}
--- /dev/null
+++ b/entry/durable_stop.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"context"
+	"time"
+)
+
+// handOver gives up all durable jobs for a planned stop: their runs are
+// stopped, what ended is stored, and the ownership lease is revoked, so that
+// other entries continue the jobs at once.
+func (e *Entry) handOver(ctx context.Context) {
+	if e.keeper == nil {
+		return
+	}
+	var done <-chan struct{}
+	if !e.dispatcher.ask(func(d *dispatcher) { done = d.beginHandOver() }) {
+		return
+	}
+	t := e.settings.Timing
+	// Runs that cannot be stopped end by Reconcile; what ended is stored within
+	// a few calls of the store, or stays unsettled at its agent.
+	limit, cancel := context.WithTimeout(ctx, t.Reconcile.Of()+3*t.StoreTimeout.Of())
+	defer cancel()
+	select {
+	case <-done:
+	case <-limit.Done():
+		e.log.Warn().Msg("durable jobs were not all handed over; they are taken over when the lease ends")
+		return
+	}
+	call, cancelCall := context.WithTimeout(ctx, t.StoreTimeout.Of())
+	defer cancelCall()
+	if err := e.keeper.HandOver(call); err != nil {
+		e.log.Warn().Err(err).Msg("ownership lease not revoked; durable jobs are taken over when it ends")
+	}
+}
+
+// beginHandOver stops the runs of all durable jobs. The channel is closed when
+// they have ended and every job was given up.
+func (d *dispatcher) beginHandOver() <-chan struct{} {
+	if d.durable.handedOver == nil {
+		d.durable.handedOver = make(chan struct{})
+	}
+	for _, j := range d.durable.open {
+		if u := j.leased.durable; u.stored < u.version && u.end == "" {
+			d.change(j, 0)
+		}
+		for i, s := range j.states {
+			if l := j.at[i]; s == taskSent && l.agent != nil {
+				d.cancelSent(l.agent, l.task)
+			}
+		}
+	}
+	d.checkHandOver()
+	return d.durable.handedOver
+}
+
+// checkHandOver gives up the jobs of which no run goes on and whose record is
+// stored.
+func (d *dispatcher) checkHandOver() {
+	if d.durable.handedOver == nil {
+		return
+	}
+	for _, j := range d.durable.open {
+		u := j.leased.durable
+		if u.end == "" && j.leased.out == 0 && u.stored >= u.version {
+			d.giveUpDurable(j, "the entry is stopping")
+		}
+	}
+	if len(d.durable.open)+len(d.durable.creating) > 0 {
+		return
+	}
+	select {
+	case <-d.durable.handedOver:
+	default:
+		close(d.durable.handedOver)
+	}
+}
+
+// StateDurable describes the durable jobs of an entry.
+type StateDurable struct {
+	// Epoch of ownership; empty while there is none.
+	Epoch string `json:"epoch"`
+	// ValidMS is how long the ownership lease is valid; 0 if it is not.
+	ValidMS int64 `json:"valid_ms"`
+	// Jobs that are open, of which Recovering wait for agents' reports.
+	Jobs       int `json:"jobs"`
+	Recovering int `json:"recovering"`
+	// Creating are the submissions whose record is being written.
+	Creating int `json:"creating"`
+	// PendingWrites are changes that are not stored.
+	PendingWrites int `json:"pending_writes"`
+	// Held are tasks that wait for the report of an agent that was lost.
+	Held int `json:"held"`
+}
+
+// dumpDurable describes the durable jobs; nil for an entry that keeps none.
+func (d *dispatcher) dumpDurable() *StateDurable {
+	if d.durable.keeper == nil {
+		return nil
+	}
+	k := d.durable.keeper.Status()
+	s := &StateDurable{
+		Epoch: string(k.Epoch), Jobs: len(d.durable.open), Creating: len(d.durable.creating), PendingWrites: k.Pending,
+	}
+	if !k.ValidUntil.IsZero() {
+		s.ValidMS = max(0, k.ValidUntil.Sub(d.now)).Milliseconds()
+	}
+	for _, j := range d.durable.open {
+		if j.leased.durable.recovery != nil {
+			s.Recovering++
+		}
+	}
+	for _, h := range d.held {
+		if durableOf(h.job) != nil {
+			s.Held++
+		}
+	}
+	return s
+}
+
+// reportDurable updates the gauge durable_jobs.
+func (d *dispatcher) reportDurable() {
+	if d.durable.keeper == nil || d.now.Sub(d.durable.reported) < time.Second {
+		return
+	}
+	d.durable.reported = d.now
+	counts := map[string]int{"queued": 0, "in_progress": 0, "recovering": 0}
+	for _, j := range d.durable.open {
+		state := string(j.durableState())
+		if j.leased.durable.recovery != nil {
+			state = "recovering"
+		}
+		counts[state]++
+	}
+	for state, n := range counts {
+		d.metrics.scope.Tagged(map[string]string{"state": state}).Gauge("durable_jobs").Update(float64(n))
+	}
+}
--- /dev/null
+++ b/entry/durable_submit.go
@@ -0,0 +1,318 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/durable"
+	"chicorytray.example/chicorytray/wire"
+)
+
+const (
+	reasonDurableLimit wire.Reason = "too_many_durable_jobs"
+	reasonUnreadable   wire.Reason = "record_unreadable"
+	// retryDurable is when a caller may try again after a refusal for too many
+	// open jobs, which change slowly because they may run for long.
+	retryDurable = 5 * time.Second
+)
+
+// creation is a submission whose record is being written.
+type creation struct {
+	asked workload
+	job   *job
+	done  chan struct{} // closed when the outcome is known
+	err   error         // read after done
+}
+
+// SubmitDurable accepts a job that runs to its end whatever fails. The outcome
+// is OutcomeAccepted once the job is stored, OutcomeNotRun if it never runs, and
+// OutcomeUnknown otherwise; the caller then submits it again. The submission's
+// deadline is ignored.
+func (e *Entry) SubmitDurable(ctx context.Context, in Submission) Answer {
+	in.Deadline = 0
+	s, err := e.submissionOf(in)
+	if err == nil {
+		s.request.Durable = true
+		err = checkTasks(s)
+	}
+	if err == nil {
+		err = e.acceptDurable(ctx, s)
+	}
+	return durableAnswer(err)
+}
+
+func durableAnswer(err error) Answer {
+	if err == nil {
+		return Answer{Outcome: OutcomeAccepted}
+	}
+	p := asProblem(err)
+	return Answer{Outcome: p.Outcome, Reason: p.Reason, Detail: p.Detail, RetryAfter: p.retryAfter}
+}
+
+// acceptDurable returns nil once the job is stored, here or at the entry that
+// comes first for its identifier.
+func (e *Entry) acceptDurable(ctx context.Context, s *submission) error {
+	if known, err := e.rememberedDurable(s); known {
+		return err
+	}
+	passedOn := false
+	if first, other := e.firstEntry(s.request.Job); other {
+		reply, sent, err := e.askDurable(ctx, first, submitRequest(s))
+		if err == nil && reply.Known {
+			return submitError(reply)
+		}
+		passedOn = sent && err != nil
+	}
+	err := e.createDurable(ctx, s)
+	if p := (*problem)(nil); passedOn && errors.As(err, &p) && p.retryAfter > 0 {
+		return unknownOutcome(p.Reason, "the entry that was asked first did not answer, and this one: %s", p.Detail)
+	}
+	return err
+}
+
+func submitRequest(s *submission) wire.DurableRequest {
+	return wire.DurableRequest{
+		Verb: wire.DurableSubmit, Identifier: s.request.Job, Account: s.account.Name,
+		Submission: &wire.DurableSubmission{
+			Template: s.template.Name, Count: s.request.Count, Needs: needsOf(s).Resources(), Spec: s.request.Spec,
+			ExpectedMS: s.expected.Milliseconds(),
+		},
+	}
+}
+
+// submitError returns the answer of another entry as an error; nil if it
+// accepted the job.
+func submitError(r wire.DurableReply) error {
+	p := unknownOutcome(r.Reason, "%s", r.Detail)
+	switch Outcome(r.Outcome) {
+	case OutcomeAccepted:
+		return nil
+	case OutcomeNotRun:
+		p = notRun(http.StatusServiceUnavailable, r.Reason, "%s", r.Detail)
+		if r.RetryAfterMS == 0 {
+			p.Status, p.Title = http.StatusUnprocessableEntity, http.StatusText(http.StatusUnprocessableEntity)
+		}
+	}
+	p.retryAfter = time.Duration(r.RetryAfterMS) * time.Millisecond
+	return p
+}
+
+// rememberedDurable answers a submission of a job that this entry has.
+func (e *Entry) rememberedDurable(s *submission) (known bool, err error) {
+	s.workload = workloadOf(s)
+	if !e.dispatcher.ask(func(d *dispatcher) {
+		j := d.leased[s.request.Job]
+		if u := durableOf(j); u == nil || u.lost || !d.answersFromMemory() {
+			return
+		}
+		known, err = true, d.sameWork(j.leased.asked, s)
+	}) {
+		return true, retryLater(time.Second, reasonStopping, "the entry is stopping")
+	}
+	return known, err
+}
+
+func (d *dispatcher) sameWork(asked workload, s *submission) error {
+	if asked != s.workload {
+		return notRun(http.StatusUnprocessableEntity, reasonJobMismatch, "the job's identifier is in use for other work; this was not run")
+	}
+	return nil
+}
+
+// createDurable stores the job here. When ctx ends before the outcome is known,
+// the entry goes on and runs the job if it is stored.
+func (e *Entry) createDurable(ctx context.Context, s *submission) error {
+	id := e.newJobID()
+	var c *creation
+	err := error(nil)
+	if !e.dispatcher.ask(func(d *dispatcher) { c, err = d.createDurable(s, id) }) {
+		return retryLater(time.Second, reasonStopping, "the entry is stopping")
+	}
+	if c == nil {
+		return err
+	}
+	select {
+	case <-c.done:
+		return c.err
+	case <-ctx.Done():
+		return unknownOutcome(reasonStoreOut, "it is not known yet whether the job was stored")
+	}
+}
+
+// createDurable begins to write the record of a new job. It returns nil and nil
+// for a job that the entry has.
+func (d *dispatcher) createDurable(s *submission, id string) (*creation, error) {
+	name := s.request.Job
+	if c := d.durable.creating[name]; c != nil {
+		return c, d.sameWork(c.asked, s)
+	}
+	if j := d.durable.open[name]; j != nil {
+		return nil, d.sameWork(j.leased.asked, s)
+	}
+	if err := d.refuseDurable(s, name); err != nil {
+		return nil, err
+	}
+	j := d.newDurableJob(s, name)
+	if err := d.checkLeasedRunnable(j); err != nil {
+		return nil, err
+	}
+	d.shares.Count(d.now, j.account, j.count)
+	j.leased.durable.record = durable.Record{
+		Identifier: name, Account: j.account, Template: j.template.Name, Count: j.count, Needs: j.class.Needs,
+		Spec: s.request.Spec, Expected: s.expected, Accepted: time.UnixMilli(d.now.UnixMilli()),
+	}
+	c := &creation{asked: s.workload, job: j, done: make(chan struct{})}
+	d.durable.creating[name] = c
+	d.durable.keeper.Create(j.leased.durable.record, func(found durable.Found, err error) {
+		d.durable.inbox.put(func(d *dispatcher) { d.created(s, c, id, found, err) })
+	})
+	return c, nil
+}
+
+// refuseDurable returns why no new durable job is taken.
+func (d *dispatcher) refuseDurable(s *submission, name string) error {
+	if d.stopping || d.durable.handedOver != nil {
+		return retryLater(retryRefused, reasonStopping, "the entry is stopping")
+	}
+	if d.durable.keeper == nil {
+		return retryLater(retryRefused, reasonStoreOut, "this entry keeps no durable jobs")
+	}
+	if j := d.leased[name]; j != nil && !j.answered && durableOf(j) == nil {
+		return d.sameWork(j.leased.asked, s)
+	}
+	open := len(d.durable.open) + len(d.durable.creating)
+	if limit := d.limits.MaxDurableJobs; open >= limit {
+		p := retryLater(retryDurable, reasonDurableLimit, "the entry has %d open durable jobs; the limit is %d", open, limit)
+		p.Status, p.Title = http.StatusTooManyRequests, http.StatusText(http.StatusTooManyRequests)
+		return p
+	}
+	return nil
+}
+
+// newDurableJob returns a job without a deadline.
+func (d *dispatcher) newDurableJob(s *submission, name string) *job {
+	j := d.newLeasedJob(s, name)
+	j.deadline, j.leased.worthless = time.Time{}, time.Time{}
+	j.leased.durable = &durableJob{}
+	// Its tasks start only while the ownership lease is valid, so they must not
+	// share the order of waiting with those of other jobs.
+	j.class.Name = "durable " + j.class.Name
+	j.queueClass.Name = "durable " + j.queueClass.Name
+	return j
+}
+
+// created handles the outcome of a creation.
+func (d *dispatcher) created(s *submission, c *creation, id string, found durable.Found, err error) {
+	name := c.job.leased.name
+	if d.durable.creating[name] == c {
+		delete(d.durable.creating, name)
+	}
+	c.err = creationError(err)
+	defer close(c.done)
+	if err != nil || found.Open != nil || found.End != nil {
+		return // refused, or stored before under this identifier
+	}
+	if d.stopping {
+		// Another entry takes the job over once this one has handed over.
+		d.durable.keeper.GiveUp(name)
+		return
+	}
+	d.durable.open[name] = c.job
+	d.addLeased(s, c.job, id)
+}
+
+// creationError returns what the caller is told.
+func creationError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, durable.ErrOtherWork):
+		return notRun(http.StatusUnprocessableEntity, reasonJobMismatch, "the job's identifier is in use for other work; this was not run")
+	case errors.Is(err, durable.ErrNotStored):
+		return retryLater(retryRefused, reasonStoreOut, "the job could not be stored")
+	case errors.Is(err, durable.ErrInvalidEpoch):
+		return retryLater(retryRefused, reasonOwnership, "this entry may not accept durable jobs now")
+	case errors.Is(err, durable.ErrUnreadable):
+		return retryLater(retryRefused, reasonUnreadable, "the record stored under the job's identifier is unreadable")
+	}
+	p := unknownOutcome(reasonOwnership, "it is not known whether the job was stored")
+	p.Status, p.Title = http.StatusBadGateway, http.StatusText(http.StatusBadGateway)
+	return p
+}
+
+// submissionOfRecord gives a stored job the form that the filters use. The
+// template may be missing in the configuration; it is then a stand-in.
+func (d *dispatcher) submissionOfRecord(r durable.Record) (s *submission, known bool) {
+	s = &submission{
+		kind: config.KindLeased, requestID: r.Identifier, arrived: r.Accepted, view: d.view, expected: r.Expected,
+		account: &config.Account{Name: r.Account}, template: &config.Template{Name: r.Template, Account: r.Account, Kind: config.KindLeased},
+		request: jobRequest{
+			Template: r.Template, Job: r.Identifier, Count: r.Count, Spec: r.Spec, Durable: true,
+			Needs: &config.Needs{Accelerators: r.Needs.Accelerators, MemoryMB: r.Needs.MemoryMB, MilliCPU: r.Needs.MilliCPU},
+		},
+		deadline: max(r.Expected, d.limits.MaxDeadline.Of()), // bounds only the expected duration
+	}
+	if d.view != nil {
+		if t, ok := d.view.Template(r.Template); ok && t.Kind == config.KindLeased {
+			s.template, known = t, true
+		}
+	}
+	s.workload = workloadOf(s)
+	return s, known
+}
+
+// takeOver adds a job whose owner is gone. Nothing of it starts before the runs
+// of the old owner are accounted for.
+func (d *dispatcher) takeOver(r durable.Record, at time.Time) {
+	if d.durable.open[r.Identifier] != nil {
+		return
+	}
+	s, known := d.submissionOfRecord(r)
+	j := d.newDurableJob(s, r.Identifier)
+	u := j.leased.durable
+	u.record = r
+	u.record.Done, u.record.Failed = slices.Clone(r.Done), slices.Clone(r.Failed)
+	u.recovery = &recovery{
+		submission: s, known: known, at: at, ends: map[wire.RunTag]wire.EndedRun{},
+		ready: latest(d.now, at.Add(d.timing.Reconcile.Of()), d.began.Add(d.timing.Lapse.Of())),
+	}
+	j.leased.ran = r.Started
+	j.leased.callers = 0
+	for _, run := range r.Done {
+		j.settle(run.Index, taskDone)
+	}
+	for _, run := range r.Failed {
+		j.leased.attempts[run.Index]++
+	}
+	d.durable.open[r.Identifier] = j
+	d.addLeased(s, j, d.durable.nextID())
+	d.log.Info().Str("job", j.id).Str("identifier", r.Identifier).Int("done", len(r.Done)).Msg("durable job taken over")
+	if d.durable.handedOver != nil {
+		d.giveUpDurable(j, "the entry is stopping")
+	}
+}
+
+func latest(times ...time.Time) (t time.Time) {
+	for _, u := range times {
+		if u.After(t) {
+			t = u
+		}
+	}
+	return t
+}
+
+// checkDurable refuses an identifier under which the job could not be found.
+func checkDurable(r *jobRequest) error {
+	switch _, _, form := jobOwner(r.Job); {
+	case r.Job == "":
+		return notRun(http.StatusBadRequest, reasonInvalid, "job is missing; it identifies a durable job")
+	case form, strings.Contains(r.Job, "/"):
+		return notRun(http.StatusBadRequest, reasonInvalid, "job has a slash or the form of an identifier that entries give")
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/durable_test.go
@@ -0,0 +1,328 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/durable"
+	"chicorytray.example/chicorytray/settings"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// durableEntry starts an entry whose records are kept in s.
+func (h *harness) durableEntry(number int, s *recordStore, change func(*settings.Entry)) (*Entry, *fakeKeeper) {
+	if number == 1 {
+		h.putConfig(2, func(d *config.Document) {
+			d.Templates = append(d.Templates, config.Template{
+				Name: "step", Account: "portal", Kind: config.KindLeased, DeadlineMS: 5000, ExpectedMS: 200, Pool: "bench",
+				MaxAttempts: 2, SlackFactor: 4, TargetMS: 2000, Needs: config.Needs{MilliCPU: 4000, MemoryMB: 64},
+			})
+		})
+	}
+	var k *fakeKeeper
+	e := h.entry(number, "anping", func(o *Options) {
+		t := &o.Settings.Timing
+		t.Heartbeat, t.PeerHeartbeat, t.Suspect, t.Lapse, t.Reconcile = 150*ms, 350*ms, 400*ms, 600*ms, 1300*ms
+		t.PingAfter, t.PingTimeout, t.Gate, t.CallTimeout, t.StoreTimeout = 250*ms, 150*ms, 3000*ms, 300*ms, 300*ms
+		if change != nil {
+			change(&o.Settings)
+		}
+		o.newKeeper = func(opts durable.Options) recordKeeper { k = newFakeKeeper(s, opts); return k }
+	})
+	return e, k
+}
+
+// reporting starts a worker whose agent reports its unclaimed ends.
+func (h *harness) reporting(number int, s script, entries ...string) *fakeAgent {
+	a := h.worker(number, s)
+	a.mu.Lock()
+	a.adopted = true
+	a.mu.Unlock()
+	return a
+}
+
+func step(job string, count int) Submission {
+	return Submission{Job: job, Template: "step", Count: count}
+}
+
+func (h *harness) accepted(e *Entry, in Submission) {
+	h.Helper()
+	h.Check(e.SubmitDurable(context.Background(), in), qt.Equals, Answer{Outcome: OutcomeAccepted})
+}
+
+func (h *harness) state(e *Entry, job string) durable.State {
+	h.Helper()
+	s, err := e.DurableState(context.Background(), job)
+	h.Check(err, qt.IsNil)
+	return s
+}
+
+// ends returns what the agent was told of ends that are stored or voided.
+func (a *fakeAgent) ends() (acked, settled, voided int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.acked), len(a.settled), len(a.voided)
+}
+
+// Guards against a task that starts before its job is stored, an end that is
+// acknowledged before it is stored, a job that is given up at a deadline, more
+// writes than needed, and against leftovers.
+func TestDurableJobRuns(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		s := newRecordStore()
+		e, k := h.durableEntry(1, s, nil)
+		a := h.reporting(1, lasting(100))
+		settle()
+		k.set(func() { k.blocked = true })
+		answer := make(chan Answer, 1)
+		h.wg.Go(func() { answer <- e.SubmitDurable(context.Background(), step("1f", 4)) })
+		time.Sleep(time.Second)
+		h.Check(h.ups.count(), qt.Equals, 0)
+		k.set(func() { k.blocked = false })
+		h.Check(<-answer, qt.Equals, Answer{Outcome: OutcomeAccepted})
+		k.set(func() { k.blocked = true })
+		time.Sleep(time.Second)
+		h.Check(h.ups.count(), qt.Equals, 4)
+		acked, _, _ := a.ends()
+		h.Check(acked, qt.Equals, 0)
+		h.Check(h.state(e, "1f"), qt.Equals, durable.InProgress)
+		k.set(func() { k.blocked = false })
+		time.Sleep(time.Second)
+		acked, _, _ = a.ends()
+		h.Check(acked, qt.Equals, 4)
+		h.Check(h.state(e, "1f"), qt.Equals, durable.Completed)
+		h.Check(k.writes["1f"], qt.Equals, 1)
+		h.accepted(e, step("1f", 4)) // submitted again
+		h.checkLeftovers(e)
+		h.accepted(e, step("1f", 4)) // known only to the store
+		h.Check(h.state(e, "1f"), qt.Equals, durable.Completed)
+		h.Check(h.ups.count(), qt.Equals, 4)
+
+		// Longer than every deadline.
+		a.set(fixed(lasting(70_000)))
+		h.accepted(e, step("2f", 1))
+		time.Sleep(71 * time.Second)
+		h.Check(h.state(e, "2f"), qt.Equals, durable.Completed)
+		h.Check(h.ups.most(), qt.Equals, 1)
+	})
+}
+
+// Guards against a refusal of a job that may be stored, an acceptance of one
+// that is not, and other work under an identifier.
+func TestDurableSubmissionAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		err     error
+		blocked bool
+		want    Outcome
+		reason  wire.Reason
+		again   bool // a time to submit again is given
+	}{
+		{"not stored", durable.ErrNotStored, false, OutcomeNotRun, reasonStoreOut, true},
+		{"other work", durable.ErrOtherWork, false, OutcomeNotRun, reasonJobMismatch, false},
+		{"no epoch", durable.ErrInvalidEpoch, false, OutcomeNotRun, reasonOwnership, true},
+		{"unreadable", durable.ErrUnreadable, false, OutcomeNotRun, reasonUnreadable, true},
+		{"unknown", durable.ErrUnknown, false, OutcomeUnknown, reasonOwnership, false},
+		{"no answer", nil, true, OutcomeUnknown, reasonStoreOut, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			inBubble(t, func(h *harness) {
+				e, k := h.durableEntry(1, newRecordStore(), nil)
+				h.reporting(1, lasting(100))
+				settle()
+				k.set(func() { k.fail, k.blocked = tc.err, tc.blocked })
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				a := e.SubmitDurable(ctx, step("1f", 1))
+				h.Check(a.Outcome, qt.Equals, tc.want)
+				h.Check(a.Reason, qt.Equals, tc.reason)
+				h.Check(a.RetryAfter > 0, qt.Equals, tc.again)
+				h.Check(h.ups.count(), qt.Equals, 0)
+				k.set(func() { k.blocked = false })
+				time.Sleep(time.Second)
+				h.Check(h.ups.count() == 1, qt.Equals, tc.blocked) // it was stored after all
+			})
+		})
+	}
+}
+
+// Guards against submissions of other work under a job's identifier, too many
+// open jobs, and a limit that counts ended ones.
+func TestDurableAdmission(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e, _ := h.durableEntry(1, newRecordStore(), func(s *settings.Entry) { s.Limits.MaxDurableJobs = 2 })
+		h.reporting(1, lasting(1000))
+		settle()
+		h.accepted(e, step("1f", 1))
+		h.accepted(e, step("2f", 1))
+		h.accepted(e, step("2f", 1))
+		h.Check(e.SubmitDurable(context.Background(), step("2f", 2)).Reason, qt.Equals, reasonJobMismatch)
+		h.Check(e.Submit(context.Background(), step("2f", 1)).Reason, qt.Equals, reasonJobMismatch)
+		a := e.SubmitDurable(context.Background(), step("3f", 1))
+		h.Check(a.Reason, qt.Equals, reasonDurableLimit)
+		h.Check(a.RetryAfter > 0, qt.IsTrue)
+		time.Sleep(2 * time.Second)
+		h.accepted(e, step("3f", 1))
+	})
+}
+
+// Guards against a job that fails before or after its last attempt, and an
+// attempt that is not stored.
+func TestDurableJobFails(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		s := newRecordStore()
+		e, _ := h.durableEntry(1, s, nil)
+		failed := script{took: time.Millisecond, result: &wire.Result{Outcome: wire.OutcomeFailed, Reason: wire.ReasonUpstreamError}}
+		h.reporting(1, failed)
+		settle()
+		h.accepted(e, step("1f", 1))
+		time.Sleep(time.Second)
+		h.Check(h.state(e, "1f"), qt.Equals, durable.Failed)
+		h.Check(h.ups.count(), qt.Equals, 2)
+		_, end := s.get("1f")
+		h.Check(end.State, qt.Equals, durable.Failed)
+	})
+}
+
+// Guards against a cancellation that is acknowledged before it is stored, tasks
+// that start afterwards, and against an acknowledgement without a job.
+func TestDurableJobIsCancelled(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		s := newRecordStore()
+		e, k := h.durableEntry(1, s, nil)
+		h.reporting(1, lasting(5000))
+		settle()
+		h.accepted(e, step("1f", 12)) // 8 of them run
+		k.set(func() { k.blocked = true })
+		time.Sleep(time.Second)
+		done := make(chan bool, 1)
+		h.wg.Go(func() {
+			found, err := e.CancelDurable(context.Background(), "1f")
+			done <- found && err == nil
+		})
+		time.Sleep(time.Second)
+		h.Check(done, qt.HasLen, 0)
+		k.set(func() { k.blocked = false })
+		h.Check(<-done, qt.IsTrue)
+		_, end := s.get("1f")
+		h.Check(end.State, qt.Equals, durable.Cancelled)
+		started := h.ups.count()
+		time.Sleep(10 * time.Second)
+		h.Check(h.ups.count(), qt.Equals, started)
+		h.Check(h.state(e, "1f"), qt.Equals, durable.Cancelled)
+		found, err := e.CancelDurable(context.Background(), "none")
+		h.Check(found, qt.IsFalse)
+		h.Check(err, qt.IsNil)
+	})
+}
+
+// Guards against runs that go on, or ends that are written or acknowledged,
+// after the entry lost a job or may not own any.
+func TestDurableJobIsGivenUp(t *testing.T) {
+	for name, fault := range map[string]func(*fakeKeeper){
+		"lost":        func(k *fakeKeeper) { k.options.Handler.Lost("1f") },
+		"invalidated": func(k *fakeKeeper) { k.set(func() { k.invalid = true }); k.options.Handler.Invalidated() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(h *harness) {
+				s := newRecordStore()
+				e, k := h.durableEntry(1, s, nil)
+				a := h.reporting(1, lasting(1000))
+				settle()
+				h.accepted(e, step("1f", 12))
+				time.Sleep(900 * time.Millisecond)
+				fault(k)
+				time.Sleep(5 * time.Second)
+				h.Check(h.ups.count(), qt.Equals, 8)
+				h.Check(a.idle(), qt.IsTrue)
+				r, end := s.get("1f")
+				h.Check(r.Done, qt.HasLen, 0)
+				h.Check(end.State, qt.Equals, durable.State(""))
+				h.checkLeftovers(e)
+			})
+		})
+	}
+}
+
+// Guards against a start without a valid ownership lease before the Keeper said so.
+func TestNoDurableStartWithoutOwnership(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e, k := h.durableEntry(1, newRecordStore(), nil)
+		a := h.reporting(1, lasting(100))
+		settle()
+		a.set(func(t wire.Task) script { return script{refuse: wire.ReasonBusy} })
+		h.accepted(e, step("1f", 1))
+		k.set(func() { k.invalid = true })
+		time.Sleep(100 * time.Millisecond)
+		a.set(fixed(lasting(100)))
+		h.Check(h.submit(e, "2f", 1).wait().Outcome, qt.Equals, OutcomeDone) // others go on
+		time.Sleep(time.Second)
+		h.Check(h.ups.count(), qt.Equals, 1)
+		k.set(func() { k.invalid = false })
+		time.Sleep(time.Second)
+		h.Check(h.ups.count(), qt.Equals, 2)
+	})
+}
+
+// Guards against a planned stop that leaves jobs to the end of the lease, loses
+// an end, or waits for jobs without a deadline.
+func TestPlannedStopHandsOver(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		s := newRecordStore()
+		e, k := h.durableEntry(1, s, func(s *settings.Entry) { s.Timing.StopNotice = 1000 * ms })
+		h.reporting(1, script{}).set(func(t wire.Task) script { return []script{lasting(100), lasting(100_000)}[min(t.Index, 1)] })
+		settle()
+		h.accepted(e, step("1f", 4))
+		begin := time.Now()
+		h.Check(e.Stop(context.Background()), qt.IsNil)
+		h.Check(time.Since(begin) < 3*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(begin)))
+		h.Check(k.handed, qt.IsTrue)
+		h.Check(k.gaveUp, qt.DeepEquals, []string{"1f"})
+		r, _ := s.get("1f")
+		h.Check(r.Done, qt.HasLen, 1)
+		h.Check(r.Started, qt.IsTrue)
+		now, _ := h.ups.running("1f/1")
+		h.Check(now, qt.Equals, 0)
+	})
+}
+
+// Guards against answers over HTTP that tell another account of a job, and
+// wrong statuses.
+func TestDurableOverHTTP(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e, k := h.durableEntry(1, newRecordStore(), nil)
+		h.reporting(1, lasting(1000))
+		settle()
+		post := func(job string) int {
+			return call(e, http.MethodPost, "/v1/jobs", fmt.Sprintf(`{"template":"step","durable":true,"count":1,"job":%q}`, job)).Code
+		}
+		other := []string{"Authorization", "Bearer other-token"}
+		h.Check(post("1f"), qt.Equals, http.StatusAccepted)
+		h.Check(post(""), qt.Equals, http.StatusBadRequest)
+		h.Check(post(e.newJobID()), qt.Equals, http.StatusBadRequest)
+		for range 2 { // the second time only the store knows the job
+			h.Check(call(e, http.MethodGet, "/v1/jobs/1f", "", other...).Code, qt.Equals, http.StatusNotFound)
+			h.Check(call(e, http.MethodDelete, "/v1/jobs/1f", "", other...).Code, qt.Equals, http.StatusNotFound)
+			time.Sleep(20 * time.Second)
+		}
+		w := call(e, http.MethodGet, "/v1/jobs/1f", "")
+		h.Check(w.Code, qt.Equals, http.StatusOK)
+		h.Check(strings.TrimSpace(w.Body.String()), qt.Equals, `{"job":"1f","state":"completed"}`)
+		h.Check(post("2f"), qt.Equals, http.StatusAccepted)
+		synctest.Wait()
+		h.Check(call(e, http.MethodGet, "/v1/jobs/2f", "").Code, qt.Equals, http.StatusAccepted)
+		h.Check(call(e, http.MethodDelete, "/v1/jobs/2f", "").Code, qt.Equals, http.StatusOK)
+		h.Check(call(e, http.MethodGet, "/v1/jobs/none", "").Code, qt.Equals, http.StatusNotFound)
+		k.set(func() { k.silent = true })
+		h.Check(call(e, http.MethodGet, "/v1/jobs/none", "").Code, qt.Equals, http.StatusServiceUnavailable)
+		h.Check(e.State().Durable.Jobs, qt.Equals, 0)
+	})
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"chicorytray.example/chicorytray/durable"
 	"chicorytray.example/chicorytray/rpcconn"
 	"chicorytray.example/chicorytray/settings"
 	"chicorytray.example/chicorytray/store"
@@ -35,6 +36,9 @@
 	CallerHandler http.Handler
 	// Listeners; nil listens on the settings' address.
 	Callers, Peers, Admin net.Listener
+
+	// newKeeper replaces the Keeper of durable jobs in tests.
+	newKeeper func(durable.Options) recordKeeper
 }
 
 // Entry is one entry process.
@@ -55,6 +59,9 @@
 	registration *registration
 	peers        *peers
 	dispatcher   *dispatcher
+	keeper       recordKeeper // nil: durable jobs are refused
+	inbox        *inbox
+	pending      peerPending
 	claims       claimer
 	claimed      claimedJobs
 	jobs         atomic.Uint64 // number of the last job identifier
@@ -106,7 +113,7 @@
 	}
 	e.peers = &peers{
 		self: e.self, timing: t, seeds: e.settings.Seeds, log: e.log, dial: e.dial, confirm: e.confirm, config: e.config,
-		beat: e.heartbeat, heard: e.heardPeer, known: map[string]*peer{}, wake: make(chan struct{}, 1),
+		beat: e.heartbeat, heard: e.heardPeer, lost: e.peerLost, known: map[string]*peer{}, wake: make(chan struct{}, 1),
 	}
 	var err error
 	e.registration, err = newRegistration(e.options.Store, t, e.self, e.log, e.metrics, e.peers.listed)
@@ -115,6 +122,10 @@
 	}
 	e.claimed.jobs = map[string]*claimedJob{}
 	e.claims = newClaimer(e.options.Store, e.settings)
+	e.inbox = newInbox(func(ev event) bool { return e.dispatcher.post(ev) })
+	if make := e.options.newKeeper; make != nil {
+		e.keeper = make(e.keeperOptions())
+	}
 	e.dispatcher = newDispatcher(e)
 	return nil
 }
@@ -136,7 +147,7 @@
 	var wg sync.WaitGroup
 	dispatcherStop := make(chan struct{})
 	wg.Go(func() { e.dispatcher.run(dispatcherStop) })
-	for _, part := range []func(context.Context){e.config.run, e.config.watch, e.registration.run, e.peers.run} {
+	for _, part := range []func(context.Context){e.config.run, e.config.watch, e.registration.run, e.peers.run, e.runDurable} {
 		wg.Go(func() { part(ctx) })
 	}
 	serveErr := e.serveAll(ctx, l)
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -26,6 +26,8 @@
 	OutcomeNotRun Outcome = "not_run"
 	// OutcomeFailed means that tasks ran and the submission failed.
 	OutcomeFailed Outcome = "failed"
+	// OutcomeAccepted means that a durable job is stored and will run to its end.
+	OutcomeAccepted Outcome = "accepted"
 	// OutcomeDone means that every task ended with success.
 	OutcomeDone Outcome = outcomeDone
 	// OutcomeUnknown means that tasks may have run.
--- a/entry/fakeagent_test.go
+++ b/entry/fakeagent_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -120,9 +122,14 @@
 	renewed map[string]time.Time // when the last heartbeat was sent that renewed a session, by entry process
 	seen    map[string]uint64    // highest sequence by entry process, in its newest session
 	linger  time.Duration        // that leased runs outlive this process
-	dead    bool
-	stop    context.CancelFunc
-	done    *sync.WaitGroup
+	// Of durable jobs' tasks: what its heartbeats say, and what it was answered.
+	adopted, more   bool
+	unclaimed       []wire.EndedRun
+	settled, voided []wire.EndedRun
+	acked           []wire.TaskKey
+	dead            bool
+	stop            context.CancelFunc
+	done            *sync.WaitGroup
 }
 
 type record struct {
@@ -256,7 +263,8 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	a.mu.Lock()
-	req := wire.HeartbeatRequest{Agent: a.ref, Load: a.loadFor(*entry), Leaving: a.leaving, Healthy: true, Generation: a.config.Generation, ReadAge: -1}
+	req := wire.HeartbeatRequest{Agent: a.ref, Load: a.loadFor(*entry), Leaving: a.leaving, Healthy: true, Generation: a.config.Generation, ReadAge: -1,
+		Adopted: a.adopted, MoreUnclaimed: a.more, Unclaimed: slices.Clone(a.unclaimed)}
 	if !a.read.IsZero() {
 		req.ReadAge = time.Since(a.read)
 	}
@@ -274,6 +282,11 @@
 	if reply.Config != nil {
 		a.config = *reply.Config
 	}
+	a.acked = append(a.acked, reply.Acked...)
+	a.settled, a.voided = append(a.settled, reply.Settled...), append(a.voided, reply.Voided...)
+	a.unclaimed = slices.DeleteFunc(a.unclaimed, func(r wire.EndedRun) bool {
+		return slices.Contains(reply.Settled, r) || slices.Contains(reply.Voided, r)
+	})
 	*entry = reply.Entry.ID + reply.Entry.Incarnation.String()
 	if p := *entry; reply.Renews != 0 && reply.Renews == a.opened[p] {
 		a.renewed[p] = sent
@@ -332,6 +345,7 @@
 	a.mu.Lock()
 	s := a.script(req.Task)
 	a.runs++
+	a.acked = append(a.acked, req.Acked...)
 	if s.dieBefore {
 		a.mu.Unlock()
 		a.die()
@@ -387,6 +401,10 @@
 
 func (a *fakeAgent) execute(ctx context.Context, r *record, s script, t wire.Task) {
 	defer r.cancel()
+	durable := t.Leased != nil && t.Leased.Durable
+	if durable {
+		t.Remaining = math.MaxInt64 // it has no deadline
+	}
 	wait.For(ctx, min(s.took, t.Remaining), nil)
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -403,6 +421,9 @@
 		body := fmt.Sprintf("%s:%s", t.Request.Path, t.Request.Body)
 		r.result = wire.Result{Outcome: wire.OutcomeDone, Took: s.took, Response: wire.Response{Status: 200, Body: []byte(body)}}
 	}
+	if durable && r.result.Outcome != wire.OutcomeInterrupted {
+		r.result.Tag = wire.RunTag(a.ref.Incarnation) + wire.RunTag(r.key.Sequence) + wire.RunTag(r.key.Session)<<32
+	}
 	r.done = true
 	a.ups.end(t) // before the reply, which lets the entry start the next task
 	if a.ref.Incarnation == r.at {
--- /dev/null
+++ b/entry/fakekeeper_test.go
@@ -0,0 +1,224 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"chicorytray.example/chicorytray/durable"
+)
+
+// recordStore is the store of the records of all fakeKeepers of a test.
+type recordStore struct {
+	mu    sync.Mutex
+	open  map[string]durable.Record
+	ended map[string]durable.End
+}
+
+func newRecordStore() *recordStore {
+	return &recordStore{open: map[string]durable.Record{}, ended: map[string]durable.End{}}
+}
+
+func (s *recordStore) get(id string) (durable.Record, durable.End) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open[id], s.ended[id]
+}
+
+// writeTime is how long a fakeKeeper takes to write.
+const writeTime = 20 * time.Millisecond
+
+// fakeKeeper is a recordKeeper with scripted faults. It writes nothing while it
+// is blocked.
+type fakeKeeper struct {
+	options durable.Options
+	store   *recordStore
+
+	mu      sync.Mutex
+	wake    *sync.Cond
+	invalid bool
+	blocked bool
+	fail    error // of creations
+	silent  bool  // Lookup fails
+	writes  map[string]int
+	waiting map[string][]func() // of the newest version of a record
+	late    map[string]durable.Record
+	gaveUp  []string
+	handed  bool
+	lost    []string
+}
+
+func newFakeKeeper(s *recordStore, o durable.Options) *fakeKeeper {
+	k := &fakeKeeper{
+		options: o, store: s, writes: map[string]int{}, waiting: map[string][]func(){}, late: map[string]durable.Record{},
+	}
+	k.wake = sync.NewCond(&k.mu)
+	return k
+}
+
+func (k *fakeKeeper) set(change func()) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	change()
+	k.wake.Broadcast()
+}
+
+func (k *fakeKeeper) epoch() durable.Epoch {
+	return durable.Epoch(fmt.Sprintf("%s-%s-1", k.options.Entry, k.options.Incarnation))
+}
+
+func (k *fakeKeeper) Run(ctx context.Context) {
+	<-ctx.Done()
+	k.set(func() { k.blocked = false })
+}
+
+func (k *fakeKeeper) Valid(time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.invalid
+}
+
+// after runs write once the time to write has passed and the Keeper is not blocked.
+func (k *fakeKeeper) after(within time.Duration, write func()) {
+	time.AfterFunc(within+writeTime, func() {
+		k.mu.Lock()
+		for k.blocked {
+			k.wake.Wait()
+		}
+		k.mu.Unlock()
+		write()
+	})
+}
+
+func (k *fakeKeeper) Create(r durable.Record, done func(durable.Found, error)) {
+	k.after(0, func() {
+		k.mu.Lock()
+		err := k.fail
+		k.mu.Unlock()
+		if err != nil {
+			done(durable.Found{}, err)
+			return
+		}
+		k.store.mu.Lock()
+		old, open := k.store.open[r.Identifier]
+		end, ended := k.store.ended[r.Identifier]
+		found := durable.Found{}
+		switch {
+		case open && k.Workload(&old) == k.Workload(&r):
+			found.Open = &old
+		case ended && end.Workload == k.Workload(&r):
+			found.End = &end
+		case open, ended:
+			err = durable.ErrOtherWork
+		default:
+			r.Owner = k.epoch()
+			k.store.open[r.Identifier] = r
+		}
+		k.store.mu.Unlock()
+		done(found, err)
+	})
+}
+
+func (k *fakeKeeper) Update(r durable.Record, within time.Duration, done func()) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.late[r.Identifier] = r
+	k.waiting[r.Identifier] = append(k.waiting[r.Identifier], done)
+	k.after(within, func() { k.write(r.Identifier) })
+}
+
+func (k *fakeKeeper) write(id string) {
+	k.mu.Lock()
+	r, dones := k.late[id], k.waiting[id]
+	delete(k.late, id)
+	delete(k.waiting, id)
+	if len(dones) > 0 {
+		k.writes[id]++
+	}
+	k.mu.Unlock()
+	if len(dones) == 0 {
+		return // written with an earlier update, or given up
+	}
+	k.store.mu.Lock()
+	r.Owner = k.epoch()
+	k.store.open[id] = r
+	k.store.mu.Unlock()
+	for _, done := range dones {
+		done()
+	}
+}
+
+func (k *fakeKeeper) Finish(e durable.End, done func()) {
+	k.mu.Lock()
+	delete(k.late, e.Identifier)
+	delete(k.waiting, e.Identifier)
+	k.mu.Unlock()
+	k.after(0, func() {
+		k.store.mu.Lock()
+		delete(k.store.open, e.Identifier)
+		k.store.ended[e.Identifier] = e
+		k.store.mu.Unlock()
+		k.set(func() { k.writes[e.Identifier]++ })
+		done()
+	})
+}
+
+func (k *fakeKeeper) GiveUp(id string) {
+	k.set(func() {
+		k.gaveUp = append(k.gaveUp, id)
+		delete(k.late, id)
+		delete(k.waiting, id)
+	})
+}
+
+func (k *fakeKeeper) Lookup(_ context.Context, id string) (f durable.Found, err error) {
+	k.mu.Lock()
+	silent := k.silent
+	k.mu.Unlock()
+	if silent {
+		return f, context.DeadlineExceeded
+	}
+	k.store.mu.Lock()
+	defer k.store.mu.Unlock()
+	if r, ok := k.store.open[id]; ok {
+		f.Open = &r
+	}
+	if e, ok := k.store.ended[id]; ok {
+		f.End = &e
+	}
+	return f, nil
+}
+
+func (k *fakeKeeper) Presences(_ context.Context, ids []string) (map[string]durable.Presence, error) {
+	out := map[string]durable.Presence{}
+	for _, id := range ids {
+		f, err := k.Lookup(nil, id)
+		switch {
+		case err != nil:
+			return nil, err
+		case f.Open != nil:
+			out[id] = durable.Open
+		case f.End != nil && f.End.Restarted:
+			out[id] = durable.EndedRestarted
+		case f.End != nil:
+			out[id] = durable.EndedOnce
+		default:
+			out[id] = durable.Absent
+		}
+	}
+	return out, nil
+}
+
+func (k *fakeKeeper) PeerLost(entry string) { k.set(func() { k.lost = append(k.lost, entry) }) }
+
+func (k *fakeKeeper) HandOver(context.Context) error {
+	k.set(func() { k.handed = true })
+	return nil
+}
+
+func (k *fakeKeeper) Status() durable.Status { return durable.Status{Epoch: k.epoch()} }
+
+func (k *fakeKeeper) Workload(r *durable.Record) string {
+	return fmt.Sprint(r.Account, r.Template, r.Count, r.Needs, r.Spec)
+}
--- a/entry/hold.go
+++ b/entry/hold.go
@@ -15,6 +15,11 @@
 	agent  string
 	until  time.Time
 	reason wire.Reason
+	// Of a task of a durable job: when it came here, and the version of the
+	// record that has to be stored before the task starts again without a
+	// report of its agent; 0 for none.
+	since   time.Time
+	version uint64
 }
 
 // hold keeps a leased task of unknown outcome from being started again until
@@ -24,8 +29,8 @@
 	if until.IsZero() {
 		until = d.now.Add(d.timing.Reconcile.Of())
 	}
-	h := held{job: v.task.job, index: v.task.index, agent: a.ref.ID, until: until, reason: v.result.Reason}
-	if d.now.Before(until) {
+	h := held{job: v.task.job, index: v.task.index, agent: a.ref.ID, until: until, reason: v.result.Reason, since: d.now}
+	if !d.mayRelease(&h) {
 		d.held = append(d.held, h)
 		return
 	}
@@ -46,7 +51,7 @@
 	var due []held
 	kept := d.held[:0]
 	for _, h := range d.held {
-		if d.now.Before(h.until) {
+		if !d.mayRelease(&h) {
 			kept = append(kept, h)
 		} else {
 			due = append(due, h)
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -14,7 +14,8 @@
 // jobStatus is the body of GET for a running job and of DELETE.
 type jobStatus struct {
 	Job string `json:"job"`
-	// State is running or answered.
+	// State is running or answered; of a durable job that was submitted
+	// accepted, and of one that is asked for its durable.State.
 	State string `json:"state"`
 	// Outcome is done, not_run, failed or unknown; empty while it runs.
 	Outcome string `json:"outcome,omitempty"`
@@ -24,6 +25,9 @@
 // or that the job still runs.
 func (e *Entry) getJob(c echo.Context) error {
 	id := c.Param("id")
+	if served, err := e.serveDurableJob(c, id, wire.DurableState); served {
+		return err
+	}
 	r, err := e.findJob(c, id, "Entry.Job", 0)
 	if err != nil {
 		return problemAnswer(asProblem(err)).write(c)
@@ -38,6 +42,9 @@
 // outcome it ended with.
 func (e *Entry) deleteJob(c echo.Context) error {
 	id := c.Param("id")
+	if served, err := e.serveDurableJob(c, id, wire.DurableCancel); served {
+		return err
+	}
 	r, err := e.findJob(c, id, "Entry.CancelJob", maxJobWait)
 	if err != nil {
 		return problemAnswer(asProblem(err)).write(c)
--- a/entry/leased.go
+++ b/entry/leased.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -41,7 +42,8 @@
 	// after is an earlier job under the same identifier whose runs may go on.
 	// Nothing of this job starts before they have ended.
 	after     *job
-	followers []*job // jobs of which this one is the earlier
+	followers []*job      // jobs of which this one is the earlier
+	durable   *durableJob // nil unless the job is durable
 
 	cancelled  bool // on request, so that a repetition must not run
 	repeatable bool // a repetition gets the same answer
@@ -52,13 +54,14 @@
 // workload is what must agree in submissions under one identifier.
 type workload struct {
 	account string
+	durable bool
 	count   int
 	needs   config.Needs
 	spec    [sha256.Size]byte // a hash, because it is kept with the answer
 }
 
 func workloadOf(s *submission) workload {
-	w := workload{account: s.account.Name, count: s.request.Count, spec: sha256.Sum256([]byte(s.request.Spec))}
+	w := workload{account: s.account.Name, durable: s.request.Durable, count: s.request.Count, spec: sha256.Sum256([]byte(s.request.Spec))}
 	if s.request.Needs != nil {
 		w.needs = *s.request.Needs
 	}
@@ -80,8 +83,8 @@
 		return notRun(http.StatusBadRequest, reasonInvalid, format, args...)
 	}
 	if s.kind != config.KindLeased {
-		if r.Job != "" || r.Count != 0 || r.Needs != nil || r.Spec != "" {
-			return invalid("job, count, needs and spec are accepted only for templates of kind %s", config.KindLeased)
+		if r.Job != "" || r.Count != 0 || r.Needs != nil || r.Spec != "" || r.Durable {
+			return invalid("job, count, needs, spec and durable are accepted only for templates of kind %s", config.KindLeased)
 		}
 		return nil
 	}
@@ -98,6 +101,9 @@
 	case needs.MilliCPU <= 0:
 		return invalid("needs.milli_cpu is missing or not positive")
 	}
+	if r.Durable {
+		return checkDurable(r)
+	}
 	return nil
 }
 
@@ -109,7 +115,7 @@
 // leasedTasks builds the tasks of a job.
 func leasedTasks(s *submission, j *job) []wire.Task {
 	tasks := make([]wire.Task, j.count)
-	work := &wire.LeasedTask{Job: j.leased.name, Spec: s.request.Spec}
+	work := &wire.LeasedTask{Job: j.leased.name, Spec: s.request.Spec, Durable: s.request.Durable}
 	for i := range tasks {
 		tasks[i] = wire.Task{
 			Job: j.id, Index: i, Template: j.template.Name, Account: j.account, Urgency: j.template.Urgency,
@@ -146,6 +152,14 @@
 	if err := d.decideLeased(s, j); err != nil {
 		return err
 	}
+	d.addLeased(s, j, id)
+	return nil
+}
+
+// addLeased takes over a job that was not refused.
+func (d *dispatcher) addLeased(s *submission, j *job, id string) {
+	name := j.leased.name
+	earlier := d.leased[name]
 	j.id = id
 	j.tasks = leasedTasks(s, j)
 	s.job = j
@@ -156,7 +170,6 @@
 	}
 	d.accept(j)
 	d.enqueueTasks(j)
-	return nil
 }
 
 func (d *dispatcher) newLeasedJob(s *submission, name string) *job {
@@ -195,6 +208,9 @@
 
 // cancelLeased ends a job on request.
 func (d *dispatcher) cancelLeased(j *job) {
+	if u := durableOf(j); u != nil && u.end != "" {
+		return // it ends already
+	}
 	if !j.answered {
 		j.leased.cancelled = true
 		d.cancel(j, "the job was cancelled")
@@ -223,11 +239,13 @@
 		j.settle(index, taskFailed)
 		return
 	}
-	l.interruptions[index]++
+	if l.interruptions[index] < math.MaxUint8 {
+		l.interruptions[index]++
+	}
 	d.metrics.tasksInterrupted.Inc(1)
 	d.log.Info().Str("job", j.id).Int("task", index).Str("agent", agent).Str("reason", string(reason)).
 		Msg("run was interrupted")
-	if l.interruptions[index] <= maxInterruptions {
+	if l.durable != nil || l.interruptions[index] <= maxInterruptions {
 		d.again(j, index, agent)
 		return
 	}
@@ -248,7 +266,7 @@
 	j.leased.followers = nil
 	for _, f := range followers {
 		f.leased.after = nil
-		if f.closing == nil {
+		if f.closing == nil && f.inQueue() {
 			d.queueTasks(f)
 		}
 		d.forgetLeased(f)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -86,6 +86,7 @@
 func (d *dispatcher) reportGauges() {
 	d.metrics.queueLength.Update(float64(d.queue.Len()))
 	d.metrics.jobsOpen.Update(float64(d.openJobs))
+	d.reportDurable()
 	age := -1.0
 	if a := d.confirmAge(); a >= 0 {
 		age = a.Seconds()
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -33,6 +33,9 @@
 	// beat builds this entry's heartbeat; heard handles a peer's.
 	beat  func() wire.PeerHeartbeat
 	heard func(wire.PeerHeartbeat)
+	// lost learns of a peer that is not reached or was replaced; it must not
+	// block.
+	lost func(entry string)
 
 	mu    sync.Mutex
 	known map[string]*peer // by entry identifier
@@ -126,8 +129,14 @@
 	if ref.ID == "" || ref.ID == p.self.ID {
 		return
 	}
+	replaced := false
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer func() {
+		p.mu.Unlock()
+		if replaced {
+			p.lost(ref.ID)
+		}
+	}()
 	known := p.known[ref.ID]
 	if known != nil && known.ref.Incarnation == ref.Incarnation {
 		return
@@ -137,6 +146,7 @@
 			return
 		}
 		known.stop()
+		replaced = true
 	}
 	p.known[ref.ID] = &peer{ref: ref, added: time.Now()}
 	p.log.Info().Str("entry", ref.ID).Str("address", ref.Address).Msg("peer entry learnt")
@@ -223,6 +233,7 @@
 		p.mu.Unlock()
 		if failures == 1 {
 			p.log.Warn().Str("entry", e.ref.ID).Err(err).Msg("peer entry not reached")
+			p.lost(e.ref.ID)
 		}
 		pause := p.timing.PeerHeartbeat.Of()
 		if failures > 0 {
--- a/entry/pipeline.go
+++ b/entry/pipeline.go
@@ -20,6 +20,9 @@
 	if err == nil {
 		err = checkTasks(s)
 	}
+	if err == nil && s.request.Durable {
+		return e.respond(c, s, e.serveDurable(c.Request().Context(), s))
+	}
 	if err == nil && s.kind == config.KindLeased {
 		return e.respond(c, s, e.serveLeased(c.Request().Context(), s))
 	}
--- a/entry/place.go
+++ b/entry/place.go
@@ -12,6 +12,7 @@
 type class struct {
 	placement.Class
 	account string
+	durable bool
 	jobs    int // that are not answered; the last one drops the class
 }
 
@@ -30,7 +31,7 @@
 func (d *dispatcher) useClass(j *job) {
 	c := d.classes[j.queueClass.Name]
 	if c == nil {
-		c = &class{account: j.account, Class: j.queueClass}
+		c = &class{account: j.account, durable: durableOf(j) != nil, Class: j.queueClass}
 		d.classes[c.Name] = c
 	}
 	c.jobs++
@@ -58,8 +59,8 @@
 			break
 		}
 		j := d.jobs[ref.Job]
-		if j == nil || j.closing != nil {
-			continue // withdrawn; its job was removed from the queue
+		if j == nil || j.closing != nil || j.states[ref.Index] != taskWaiting {
+			continue // withdrawn, or an end of an earlier run was learnt
 		}
 		a := d.place(j, ref.Index)
 		if a == nil {
@@ -88,7 +89,7 @@
 // feasible reports whether a task of the class can be started now.
 func (d *dispatcher) feasible(name string) bool {
 	c := d.classes[name]
-	return c != nil && d.mayStart(c.account) && d.table.Feasible(c.Class)
+	return c != nil && (!c.durable || d.mayStartDurable()) && d.mayStart(c.account) && d.table.Feasible(c.Class)
 }
 
 // place picks the agent for a task, spreading a job over racks. A repeated
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -57,25 +57,29 @@
 
 // enqueueTasks makes all tasks of a job wait for their start.
 func (d *dispatcher) enqueueTasks(j *job) {
-	j.timer = time.AfterFunc(j.refuseAfter().Sub(d.now), func() {
-		d.post(func(d *dispatcher) { d.timeUp(j) })
-	})
+	if durableOf(j) == nil {
+		j.timer = time.AfterFunc(j.refuseAfter().Sub(d.now), func() {
+			d.post(func(d *dispatcher) { d.timeUp(j) })
+		})
+	}
 	j.queued = true
 	if j.leased != nil {
 		d.countPending(j)
-		if j.leased.after != nil {
-			return // runsEnded adds them to the queue
+		if !j.inQueue() {
+			return // runsEnded, or the end of the recovery, adds them to the queue
 		}
 	}
 	d.queueTasks(j)
 }
 
 func (d *dispatcher) queueTasks(j *job) {
-	d.addWaiting(j, j.count)
-	indexes := make([]int, j.count)
-	for i := range indexes {
-		indexes[i] = i
+	indexes := make([]int, 0, j.count)
+	for i, s := range j.states {
+		if s == taskWaiting {
+			indexes = append(indexes, i)
+		}
 	}
+	d.addWaiting(j, len(indexes))
 	d.queue.Add(d.now, queue.Job{
 		ID: j.id, Account: j.account, Class: j.queueClass.Name, Urgency: j.template.Urgency,
 		Arrived: j.arrived, Deadline: j.deadline, Expected: j.expected,
--- a/entry/receive.go
+++ b/entry/receive.go
@@ -43,6 +43,8 @@
 	Needs *config.Needs `json:"needs,omitempty"`
 	// Spec is passed on to the workers.
 	Spec string `json:"spec,omitempty"`
+	// Durable asks for acceptance at once and a run to the end whatever fails.
+	Durable bool `json:"durable,omitempty"`
 }
 
 // taskRequest asks for one run of a task that the template defines. Without a
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -23,6 +23,7 @@
 	rpcconn.Handle(s, "Entry.PushConfig", e.rpcPushConfig)
 	rpcconn.Handle(s, "Entry.Job", e.rpcJob)
 	rpcconn.Handle(s, "Entry.CancelJob", e.rpcCancelJob)
+	rpcconn.Handle(s, "Entry.Durable", e.rpcDurable)
 	return s
 }
 
@@ -56,6 +57,7 @@
 	}
 	e.dispatcher.ask(func(d *dispatcher) {
 		b.Stopping = d.stopping
+		b.Pending = d.pendingDurable()
 		for account, tasks := range d.shares.Demand(d.now) {
 			b.Demand = append(b.Demand, wire.AccountDemand{Account: account, Tasks: tasks})
 		}
@@ -65,6 +67,7 @@
 
 // heardPeer takes over the demand that a peer reported.
 func (e *Entry) heardPeer(b wire.PeerHeartbeat) {
+	e.pending.heard(b.Entry.ID, b.Pending)
 	e.dispatcher.post(func(d *dispatcher) {
 		if b.Stopping {
 			d.shares.Forget(b.Entry.ID)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -86,6 +86,7 @@
 	}) {
 		return ErrStopped
 	}
+	e.handOver(ctx)
 	select {
 	case <-idle:
 	case <-ctx.Done():
--- a/entry/session.go
+++ b/entry/session.go
@@ -114,7 +114,7 @@
 		case t == nil:
 			// Resolved earlier, but the acknowledgement was lost. A running
 			// task keeps its record until it has finished.
-			if r.Finished {
+			if r.Finished && !hasEnd(r.Result) {
 				s.acked = append(s.acked, r.Key)
 			}
 		case r.Finished:
@@ -148,7 +148,7 @@
 func (s *session) answered(key wire.TaskKey, r wire.Result) (verdict, bool) {
 	t := s.tasks[key]
 	if t == nil {
-		if r.Outcome != wire.OutcomeNotRun {
+		if r.Outcome != wire.OutcomeNotRun && !hasEnd(r) {
 			s.acked = append(s.acked, key)
 		}
 		return verdict{}, false
@@ -235,12 +235,24 @@
 
 func (s *session) resolve(t *sent, kind verdictKind, r wire.Result) verdict {
 	delete(s.tasks, t.key)
-	if kind == verdictResult {
+	if kind == verdictResult && !endOfDurable(t.job, r) {
 		s.acked = append(s.acked, t.key)
 	}
 	return verdict{kind: kind, task: t, result: r}
 }
 
+// hasEnd reports whether the result is the end of a run of a durable job's task.
+// It is acknowledged only after it was stored; the agent reports it as unclaimed
+// otherwise.
+func hasEnd(r wire.Result) bool {
+	return r.Tag != 0 && (r.Outcome == wire.OutcomeDone || r.Outcome == wire.OutcomeFailed)
+}
+
+// endOfDurable reports whether the dispatcher acknowledges the result.
+func endOfDurable(j *job, r wire.Result) bool {
+	return durableOf(j) != nil && (r.Outcome == wire.OutcomeDone || r.Outcome == wire.OutcomeFailed)
+}
+
 // takeAcked returns the acknowledgements that the next message carries.
 func (s *session) takeAcked() []wire.TaskKey {
 	a := s.acked
--- a/entry/start.go
+++ b/entry/start.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"chicorytray.example/chicorytray/rpcconn"
@@ -14,6 +15,9 @@
 // connection is watched by pings.
 const leasedCallSlack = 10 * time.Second
 
+// noLimit bounds calls for tasks without a deadline: pings watch the connection.
+const noLimit = time.Duration(math.MaxInt64)
+
 // start assigns a task to an agent. The message leaves with flushStarts.
 func (d *dispatcher) start(j *job, index int, a *agent) {
 	task := a.session.send(j, index, d.now)
@@ -21,6 +25,7 @@
 	j.at[index] = location{a, task}
 	d.table.Sent(a.ref.ID, j.class.Needs)
 	d.countStart(j, index, a)
+	d.durableStarted(j, index, a)
 	d.starts = append(d.starts, location{a, task})
 }
 
@@ -34,7 +39,7 @@
 	now := d.mayStartNow()
 	for _, l := range d.starts {
 		a, j, index := l.agent, l.task.job, l.task.index
-		if !now || a.conn == nil || l.task.key.Session != a.session.id.Number || j.closing != nil {
+		if !now || a.conn == nil || l.task.key.Session != a.session.id.Number || !d.mayStartJob(j) {
 			// The session or the job ended after the task was placed.
 			if v, ok := a.session.neverSent(l.task.key); ok {
 				d.apply(a, []verdict{v})
@@ -42,7 +47,7 @@
 			continue
 		}
 		t := j.tasks[index]
-		t.Remaining = j.deadline.Sub(d.now)
+		t.Remaining = j.remaining(d.now)
 		req := wire.RunRequest{
 			Session: a.session.id, Sequence: l.task.key.Sequence, Task: t,
 			Backlog: d.currentBacklog(a.ref.Pool), Acked: a.session.takeAcked(),
@@ -56,7 +61,7 @@
 
 // await asks for the result of a task that the agent reported as running.
 func (d *dispatcher) await(a *agent, task *sent) {
-	remaining := max(0, task.job.deadline.Sub(d.now))
+	remaining := max(0, task.job.remaining(d.now))
 	req := wire.AwaitRequest{Session: a.session.id, Key: task.key}
 	d.call(a, task.key, remaining, "Agent.Await", &req, nil)
 }
@@ -68,6 +73,9 @@
 	limit := remaining + d.timing.Lapse.Of()
 	if task := a.session.tasks[key]; task != nil && task.job.leased != nil {
 		limit += leasedCallSlack
+		if task.job.deadline.IsZero() {
+			limit = noLimit
+		}
 	}
 	d.spawn(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, limit)
--- a/entry/state.go
+++ b/entry/state.go
@@ -18,6 +18,8 @@
 	Peers         []StatePeer        `json:"peers"`    // by identifier
 	Jobs          []StateJob         `json:"jobs"`     // open ones, oldest first
 	Accounts      []StateAccount     `json:"accounts"` // that sent jobs, by name
+	// Durable is nil for an entry that keeps no durable jobs.
+	Durable *StateDurable `json:"durable,omitempty"`
 	// Messages are counted by method since the start.
 	Messages map[string]rpcconn.Count `json:"messages"`
 }
@@ -107,6 +109,10 @@
 	Identifier    string `json:"identifier,omitempty"`
 	Attempts      int    `json:"attempts,omitempty"`
 	Interruptions int    `json:"interruptions,omitempty"`
+	// Of a durable job: its state, and whether it waits for agents' reports.
+	// Its remaining time is 0, because it has no deadline.
+	DurableState string `json:"durable_state,omitempty"`
+	Recovering   bool   `json:"recovering,omitempty"`
 }
 
 // StateAccount describes an account's tasks at this entry.
@@ -158,6 +164,7 @@
 
 func (d *dispatcher) dump(s *State) {
 	s.Entry.Stopping = d.stopping
+	s.Durable = d.dumpDurable()
 	s.Queue = StateQueue{Tasks: d.queue.Len(), WorkMS: d.queue.Work().Milliseconds(), MostUrgent: -1}
 	if u, ok := d.queue.MostUrgent(); ok {
 		s.Queue.MostUrgent = u
@@ -196,7 +203,7 @@
 func (d *dispatcher) dumpJob(j *job) StateJob {
 	s := StateJob{
 		ID: j.id, Account: j.account, Template: j.template.Name, RequestID: j.requestID,
-		AgeMS: d.now.Sub(j.arrived).Milliseconds(), RemainingMS: j.deadline.Sub(d.now).Milliseconds(), Tasks: j.count,
+		AgeMS: d.now.Sub(j.arrived).Milliseconds(), RemainingMS: j.remaining(d.now).Milliseconds(), Tasks: j.count,
 	}
 	for _, st := range j.states {
 		switch st {
@@ -217,6 +224,9 @@
 			s.Attempts += int(j.leased.attempts[i])
 			s.Interruptions += int(j.leased.interruptions[i])
 		}
+		if u := j.leased.durable; u != nil {
+			s.DurableState, s.Recovering = string(j.durableState()), u.recovery != nil
+		}
 	}
 	return s
 }
--- a/membership/subset.go
+++ b/membership/subset.go
@@ -84,3 +84,15 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// First returns the entry that comes first for a key by rendezvous hashing; ""
+// without entries. It changes only for the keys of an entry that goes or comes.
+func First(key string, entries []string) string {
+	best, most := "", uint64(0)
+	for _, id := range entries {
+		if s := score(key, id); best == "" || s > most || s == most && id < best {
+			best, most = id, s
+		}
+	}
+	return best
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -67,6 +67,7 @@
 		MaxMessageBytes: DefaultMaxMessageBytes,
 		AnswerRetention: Duration(time.Minute),
 		ClaimRetention:  Duration(10 * time.Minute),
+		MaxDurableJobs:  10000,
 	}
 }
 
--- a/settings/types.go
+++ b/settings/types.go
@@ -165,6 +165,9 @@
 	AnswerRetention Duration `json:"answer_retention"`
 	// ClaimRetention of idempotency keys. Default 10m.
 	ClaimRetention Duration `json:"claim_retention"`
+	// MaxDurableJobs that are open at an entry; further submissions are refused.
+	// Jobs that are taken over are not refused. Default 10000.
+	MaxDurableJobs int `json:"max_durable_jobs"`
 }
 
 // Agent holds the settings of chicorytray-agent.
--- a/wire/durable.go
+++ b/wire/durable.go
@@ -35,6 +35,9 @@
 type DurableRequest struct {
 	Verb       DurableVerb
 	Identifier string
+	// Account whose job is asked for; that of another account is reported as
+	// not known. Empty asks for the job of any.
+	Account    string
 	Submission *DurableSubmission // with DurableSubmit
 }
 
