entry: test takeovers, lost agents, unclaimed ends and several entries

Cause: recovery and requests at other entries had no tests, and Pending counted durable jobs, too. Change: tests against the fake Keeper in virtual time. They found that a job whose submission gave no needs was refused as other work when another entry had passed it on: the workload held what the submission gave, not what its tasks need. The race detector then found that the fake agent read a field of its process without the lock when a process is started again soon; it takes the lock now. Result: TestDurableJobsAtOtherEntries failed before the change of workloadOf; all new tests pass after it, three runs with -race. Conclusion: the workload of a durable job is compared by the needs of its tasks.

--- a/entry/durable.go
+++ b/entry/durable.go
@@ -38,6 +38,8 @@
 // storedRecords is the recordKeeper over a store.
 type storedRecords struct{ *durable.Keeper }
 
+var _ recordKeeper = storedRecords{}
+
 // Workload returns the hash that end records keep.
 func (storedRecords) Workload(r *durable.Record) string { return r.Workload() }
 
--- a/entry/durable_record.go
+++ b/entry/durable_record.go
@@ -180,7 +180,6 @@
 	d.recordStored(j, math.MaxUint64)
 	u.closed = true
 	delete(d.durable.open, j.leased.name)
-	d.countPending(j)
 	d.finish(j)
 }
 
--- a/entry/durable_recover.go
+++ b/entry/durable_recover.go
@@ -169,11 +169,11 @@
 	d.fail(j, closing{reason: wire.ReasonUpstreamError, detail: "a task failed as often as its template allows"})
 }
 
-// applyEnd records an end that an agent reported outside of a session, and
-// returns whether it counts.
-func (d *dispatcher) applyEnd(j *job, end wire.EndedRun) bool {
+// applyEnd records an end that an agent reported outside of a session,
+// unless the task is done.
+func (d *dispatcher) applyEnd(j *job, end wire.EndedRun) {
 	if end.Index < 0 || end.Index >= j.count || j.states[end.Index] == taskDone {
-		return false
+		return
 	}
 	queued := j.inQueue() && j.states[end.Index] == taskWaiting
 	j.mayRan[end.Index], j.leased.ran = true, true
@@ -183,13 +183,12 @@
 			d.addWaiting(j, -1) // pump passes over it
 		}
 		j.settle(end.Index, taskDone)
-		return true
+		return
 	}
 	j.leased.attempts[end.Index]++
 	if j.leased.durable.recovery == nil && int(j.leased.attempts[end.Index]) >= j.template.MaxAttempts {
 		d.exhaust(j, end.Index)
 	}
-	return true
 }
 
 // mayRelease reports whether the run of a held task has ended and nothing more
--- /dev/null
+++ b/entry/durable_recover_test.go
@@ -0,0 +1,329 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/durable"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// orphan stores the record of a job of an entry that is gone and hands it over.
+func (k *fakeKeeper) orphan(r durable.Record) {
+	r.Account, r.Template, r.Needs, r.Owner = "portal", "step", wire.Resources{MilliCPU: 4000, MemoryMB: 64}, "gone-0000000000000001-1"
+	k.store.mu.Lock()
+	k.store.open[r.Identifier] = r
+	k.store.mu.Unlock()
+	k.options.Handler.TakenOver(r, time.Now())
+}
+
+// list makes the agent report an end.
+func (a *fakeAgent) list(ends ...wire.EndedRun) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.unclaimed = append(a.unclaimed, ends...)
+}
+
+// Guards against starts of a job that was taken over before its old runs have
+// ended or the agents told of their ends, a task that is started again although
+// it is done, and a job that waits for ever for an agent.
+func TestTakeover(t *testing.T) {
+	done := wire.EndedRun{Job: "1f", Index: 1, Tag: 77, Done: true}
+	failed := wire.EndedRun{Job: "1f", Index: 2, Tag: 78, Failed: true}
+	for _, tc := range []struct {
+		name      string
+		failed    []durable.TaskRun
+		ends      []wire.EndedRun
+		before    func(h *harness, a *fakeAgent)
+		after     time.Duration // first start after the takeover, at the earliest
+		starts    int
+		settled   int
+		restarted bool
+		want      durable.State
+	}{
+		{name: "nothing reported", after: 1300 * time.Millisecond, starts: 3, want: durable.Completed},
+		{name: "ends reported", ends: []wire.EndedRun{done, failed}, after: 1300 * time.Millisecond, starts: 2, settled: 2, want: durable.Completed},
+		{
+			name: "last attempt reported", failed: []durable.TaskRun{{Index: 2, Tag: 70}}, ends: []wire.EndedRun{done, failed},
+			settled: 2, want: durable.Failed,
+		},
+		{name: "recorded end reported", ends: []wire.EndedRun{{Job: "1f", Tag: 5, Done: true}}, after: 1300 * time.Millisecond, starts: 3, settled: 1, want: durable.Completed},
+		{
+			name: "not adopted", before: func(_ *harness, a *fakeAgent) { a.adopted = false },
+			after: 5 * time.Second, starts: 3, restarted: true, want: durable.Completed,
+		},
+		{
+			name: "silent", before: func(h *harness, _ *fakeAgent) { h.net.Partition("10.0.1.1", "10.0.2.1") },
+			after: 5 * time.Second, starts: 3, restarted: true, want: durable.Completed,
+		},
+		{
+			name: "further ends", before: func(_ *harness, a *fakeAgent) {
+				a.more = true
+				time.AfterFunc(8*time.Second, func() { a.mu.Lock(); a.more = false; a.mu.Unlock() })
+			},
+			after: 8 * time.Second, starts: 3, want: durable.Completed,
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			inBubble(t, func(h *harness) {
+				s := newRecordStore()
+				e, k := h.durableEntry(1, s, nil)
+				a := h.reporting(1, lasting(100))
+				h.reporting(2, lasting(100))
+				settle()
+				a.mu.Lock()
+				if tc.before != nil {
+					tc.before(h, a)
+				}
+				a.mu.Unlock()
+				begin := time.Now()
+				k.orphan(durable.Record{
+					Identifier: "1f", Count: 4, Started: true, Done: []durable.TaskRun{{Index: 0, Tag: 5}}, Failed: tc.failed,
+				})
+				a.list(tc.ends...)
+				for h.ups.count() == 0 && time.Since(begin) < 20*time.Second {
+					time.Sleep(10 * time.Millisecond)
+				}
+				h.Check(tc.starts == 0 || time.Since(begin) >= tc.after && time.Since(begin) < tc.after+2*time.Second, qt.IsTrue,
+					qt.Commentf("first start after %v", time.Since(begin)))
+				time.Sleep(3 * time.Second)
+				h.Check(h.state(e, "1f"), qt.Equals, tc.want)
+				h.Check(h.ups.count(), qt.Equals, tc.starts)
+				_, settled, voided := a.ends()
+				h.Check(settled, qt.Equals, tc.settled)
+				h.Check(voided, qt.Equals, 0)
+				_, end := s.get("1f")
+				h.Check(end.Restarted, qt.Equals, tc.restarted)
+			})
+		})
+	}
+}
+
+// Guards against a job that is lost when its template is not configured where
+// it is taken over.
+func TestTakeoverWithoutTemplate(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e, k := h.durableEntry(1, newRecordStore(), nil)
+		h.reporting(1, lasting(100))
+		h.putConfig(3, nil) // without the template
+		settle()
+		k.orphan(durable.Record{Identifier: "1f", Count: 2})
+		time.Sleep(10 * time.Second)
+		h.Check(h.state(e, "1f"), qt.Equals, durable.Queued)
+		h.Check(e.PendingDurable("step"), qt.Equals, 1)
+		h.putConfig(4, withStep)
+		time.Sleep(5 * time.Second)
+		h.Check(h.state(e, "1f"), qt.Equals, durable.Completed)
+		h.Check(h.ups.count(), qt.Equals, 2)
+		h.checkLeftovers(e)
+	})
+}
+
+// Guards against a task of a lost agent that starts again although its run
+// ended, before the agent's next process could tell, or never.
+func TestDurableTaskOfLostAgent(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		back      time.Duration // when a new process begins; 0 for never
+		reports   string        // how the run ended by its report; empty: not reported
+		after     time.Duration
+		starts    int
+		restarted bool
+	}{
+		{name: "never back", after: 5 * time.Second, starts: 2, restarted: true},
+		{name: "back without the end", back: 2 * time.Second, after: 1300 * time.Millisecond, starts: 2},
+		{name: "back with the end", back: 2 * time.Second, reports: "done", starts: 1},
+		{name: "back soon with the end", back: 50 * time.Millisecond, reports: "done", starts: 1},
+		{name: "back with a failure", back: 2 * time.Second, reports: "failed", starts: 2},
+		{name: "back too late", back: 9 * time.Second, reports: "done", after: 5 * time.Second, starts: 2, restarted: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			inBubble(t, func(h *harness) {
+				s := newRecordStore()
+				e, _ := h.durableEntry(1, s, nil)
+				a := h.reporting(1, lasting(60_000))
+				settle()
+				h.accepted(e, step("1f", 1))
+				time.Sleep(100 * time.Millisecond)
+				h.reporting(2, lasting(20_000))
+				a.die()
+				begin := time.Now()
+				if tc.back > 0 {
+					time.Sleep(tc.back)
+					if tc.reports != "" {
+						a.list(wire.EndedRun{Job: "1f", Tag: 9, Done: tc.reports == "done", Failed: tc.reports == "failed"})
+					}
+					a.start()
+				}
+				for h.ups.count() < 2 && time.Since(begin) < 12*time.Second {
+					time.Sleep(10 * time.Millisecond)
+				}
+				h.Check(tc.after == 0 || time.Since(begin) >= tc.after, qt.IsTrue, qt.Commentf("%v", time.Since(begin)))
+				time.Sleep(3 * time.Second)
+				h.Check(h.ups.count(), qt.Equals, tc.starts)
+				h.Check(h.ups.concurrent, qt.Equals, 1)
+				r, _ := s.get("1f")
+				h.Check(r.Restarted, qt.Equals, tc.restarted, qt.Commentf("%+v", r))
+				_, settled, voided := a.ends()
+				h.Check(settled, qt.Equals, map[bool]int{true: 1}[tc.reports != "" && !tc.restarted])
+				h.Check(voided, qt.Equals, map[bool]int{true: 1}[tc.reports != "" && tc.restarted])
+				if tc.reports == "done" && !tc.restarted {
+					h.Check(h.state(e, "1f"), qt.Equals, durable.Completed)
+				}
+			})
+		})
+	}
+}
+
+// Guards against wrong answers about ends of jobs that the entry does not own.
+func TestUnclaimedEndsOfOtherJobs(t *testing.T) {
+	for name, tc := range map[string]struct {
+		store           func(*recordStore)
+		silent          bool
+		settled, voided int
+	}{
+		"no record":        {settled: 1},
+		"open":             {store: func(s *recordStore) { s.open["1f"] = durable.Record{Identifier: "1f"} }},
+		"ended":            {store: func(s *recordStore) { s.ended["1f"] = durable.End{} }, settled: 1},
+		"ended, restarted": {store: func(s *recordStore) { s.ended["1f"] = durable.End{Restarted: true} }, voided: 1},
+		"store silent":     {silent: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(h *harness) {
+				s := newRecordStore()
+				if tc.store != nil {
+					tc.store(s)
+				}
+				_, k := h.durableEntry(1, s, nil)
+				k.set(func() { k.silent = tc.silent })
+				a := h.reporting(1, script{})
+				settle()
+				a.list(wire.EndedRun{Job: "1f", Tag: 9, Done: true})
+				time.Sleep(time.Second)
+				_, settled, voided := a.ends()
+				h.Check(settled, qt.Equals, tc.settled)
+				h.Check(voided, qt.Equals, tc.voided)
+			})
+		})
+	}
+}
+
+// Guards against ends of a job that is not durable, and of one whose task was
+// sent again, that are answered wrongly.
+func TestUnclaimedEndsOfOwnJobs(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		s := newRecordStore()
+		e, _ := h.durableEntry(1, s, nil)
+		a := h.reporting(1, lasting(2000))
+		settle()
+		h.submit(e, "best", 1)
+		h.accepted(e, step("1f", 1))
+		time.Sleep(200 * time.Millisecond)
+		other := h.reporting(2, script{})
+		settled := wire.EndedRun{Job: "best", Tag: 1, Done: true}
+		neither := wire.EndedRun{Job: "1f", Tag: 2, Done: true} // may be the run that goes on
+		voided := wire.EndedRun{Job: "1f", Tag: 3, Done: true}  // of another agent, before the task was sent again
+		interrupted := wire.EndedRun{Job: "1f", Tag: 4}
+		a.list(settled, neither, interrupted)
+		other.list(voided)
+		time.Sleep(500 * time.Millisecond)
+		for _, of := range []*fakeAgent{a, other} {
+			of.mu.Lock()
+			defer of.mu.Unlock()
+		}
+		h.Check(a.settled, qt.DeepEquals, []wire.EndedRun{settled, interrupted})
+		h.Check(a.voided, qt.HasLen, 0)
+		h.Check(other.voided, qt.DeepEquals, []wire.EndedRun{voided})
+	})
+}
+
+// pair starts two entries that know each other.
+func (h *harness) pair() (es [2]*Entry, ks [2]*fakeKeeper, s *recordStore) {
+	s = newRecordStore()
+	for i := range es {
+		es[i], ks[i] = h.durableEntry(i+1, s, nil)
+	}
+	a := newFakeAgent(h.net, h.ups, 1, "anping", "10.0.1.1:7000", "10.0.1.2:7000")
+	a.beatEvery, a.adopted = 150*time.Millisecond, true
+	a.ref.Pool, a.ref.Slots, a.ref.Capacity = "bench", 32, wire.Resources{MemoryMB: 128000, MilliCPU: 32000}
+	a.set(fixed(lasting(30_000)))
+	a.start()
+	h.ends = append(h.ends, a.wait)
+	time.Sleep(12 * time.Second) // both have listed the registrations
+	return es, ks, s
+}
+
+// Guards against two records or owners of a job that is submitted at several
+// entries, a state that depends on the entry that is asked, a cancellation that
+// only the owner can make, and against jobs that are counted twice.
+func TestDurableJobsAtOtherEntries(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		es, _, _ := h.pair()
+		for i := range 8 {
+			job := fmt.Sprint("j", i)
+			h.accepted(es[i%2], step(job, 1))
+			h.accepted(es[(i+1)%2], step(job, 1))
+			first, other := es[0].firstEntry(job)
+			owner := es[0]
+			if other {
+				h.Check(first.ID, qt.Equals, "e2")
+				owner = es[1]
+			}
+			h.Check(owner.dispatcher.ask(func(d *dispatcher) { h.Check(d.durable.open[job], qt.IsNotNil) }), qt.IsTrue)
+			time.Sleep(50 * time.Millisecond)
+			h.Check(h.state(es[0], job), qt.Equals, durable.InProgress)
+			h.Check(h.state(es[1], job), qt.Equals, durable.InProgress)
+		}
+		h.Check(h.ups.most(), qt.Equals, 1)
+		h.accepted(es[0], step("j8", 1)) // no room
+		time.Sleep(time.Second)
+		h.Check(es[0].PendingDurable("step"), qt.Equals, 1)
+		h.Check(es[1].PendingDurable("step"), qt.Equals, 1)
+		for i := range 9 {
+			i = 8 - i // the waiting one first
+			found, err := es[0].CancelDurable(context.Background(), fmt.Sprint("j", i))
+			h.Check(found && err == nil, qt.IsTrue)
+			h.Check(h.state(es[1], fmt.Sprint("j", i)), qt.Equals, durable.Cancelled)
+		}
+		h.Check(h.ups.count(), qt.Equals, 8)
+	})
+}
+
+// Guards against a refusal although the entry that was asked first may have
+// accepted, a submission that fails because that entry is out of reach, and
+// against a state or a cancellation that is made up.
+func TestFirstEntryIsOutOfReach(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		es, ks, _ := h.pair()
+		var jobs []string // of which e2 is first
+		for i := 0; len(jobs) < 3; i++ {
+			if _, other := es[0].firstEntry(fmt.Sprint("j", i)); other {
+				jobs = append(jobs, fmt.Sprint("j", i))
+			}
+		}
+		h.accepted(es[0], step(jobs[0], 1))
+		time.Sleep(2 * time.Second)
+		ks[1].set(func() { ks[1].blocked = true }) // receives, and does not answer
+		ks[0].set(func() { ks[0].fail = durable.ErrNotStored })
+		h.Check(es[0].SubmitDurable(context.Background(), step(jobs[1], 1)).Outcome, qt.Equals, OutcomeUnknown)
+		h.net.Partition("10.0.1.1", "10.0.1.2")
+		time.Sleep(3 * time.Second)
+		h.Check(es[0].SubmitDurable(context.Background(), step(jobs[2], 1)).Outcome, qt.Equals, OutcomeNotRun)
+		ks[0].set(func() { ks[0].fail = nil })
+		h.accepted(es[0], step(jobs[2], 1))
+		h.Check(h.state(es[0], jobs[0]), qt.Equals, durable.InProgress) // by its record
+		_, err := es[0].CancelDurable(context.Background(), jobs[0])
+		h.Check(err, qt.ErrorIs, ErrNoAnswer)
+		_, err = es[0].DurableState(context.Background(), "none")
+		h.Check(err, qt.ErrorIs, ErrNoJob)
+		ks[0].mu.Lock()
+		h.Check(ks[0].lost, qt.DeepEquals, []string{"e2"})
+		ks[0].mu.Unlock()
+		h.net.Heal("10.0.1.1", "10.0.1.2")
+		ks[1].set(func() { ks[1].blocked = false })
+	})
+}
--- a/entry/durable_test.go
+++ b/entry/durable_test.go
@@ -20,12 +20,7 @@
 // durableEntry starts an entry whose records are kept in s.
 func (h *harness) durableEntry(number int, s *recordStore, change func(*settings.Entry)) (*Entry, *fakeKeeper) {
 	if number == 1 {
-		h.putConfig(2, func(d *config.Document) {
-			d.Templates = append(d.Templates, config.Template{
-				Name: "step", Account: "portal", Kind: config.KindLeased, DeadlineMS: 5000, ExpectedMS: 200, Pool: "bench",
-				MaxAttempts: 2, SlackFactor: 4, TargetMS: 2000, Needs: config.Needs{MilliCPU: 4000, MemoryMB: 64},
-			})
-		})
+		h.putConfig(2, withStep)
 	}
 	var k *fakeKeeper
 	e := h.entry(number, "anping", func(o *Options) {
@@ -40,8 +35,15 @@
 	return e, k
 }
 
+func withStep(d *config.Document) {
+	d.Templates = append(d.Templates, config.Template{
+		Name: "step", Account: "portal", Kind: config.KindLeased, DeadlineMS: 5000, ExpectedMS: 200, Pool: "bench",
+		MaxAttempts: 2, SlackFactor: 4, TargetMS: 2000, Needs: config.Needs{MilliCPU: 4000, MemoryMB: 64},
+	})
+}
+
 // reporting starts a worker whose agent reports its unclaimed ends.
-func (h *harness) reporting(number int, s script, entries ...string) *fakeAgent {
+func (h *harness) reporting(number int, s script) *fakeAgent {
 	a := h.worker(number, s)
 	a.mu.Lock()
 	a.adopted = true
--- a/entry/fakeagent_test.go
+++ b/entry/fakeagent_test.go
@@ -375,6 +375,7 @@
 	a.records[recordName(req.Session, key)] = r
 	a.load.Free = a.load.Free.Minus(req.Task.Needs)
 	a.changed(1)
+	done := a.done // of this process
 	a.mu.Unlock()
 	a.ups.start(a.ref.DataCentre, req.Task)
 	if s.dieDuring {
@@ -382,7 +383,7 @@
 		a.die()
 		return errScripted
 	}
-	a.done.Go(func() { a.execute(taskCtx, r, s, req.Task) })
+	done.Go(func() { a.execute(taskCtx, r, s, req.Task) })
 	select {
 	case <-r.ended:
 	case <-ctx.Done():
--- a/entry/fakekeeper_test.go
+++ b/entry/fakekeeper_test.go
@@ -190,10 +190,10 @@
 	return f, nil
 }
 
-func (k *fakeKeeper) Presences(_ context.Context, ids []string) (map[string]durable.Presence, error) {
+func (k *fakeKeeper) Presences(ctx context.Context, ids []string) (map[string]durable.Presence, error) {
 	out := map[string]durable.Presence{}
 	for _, id := range ids {
-		f, err := k.Lookup(nil, id)
+		f, err := k.Lookup(ctx, id)
 		switch {
 		case err != nil:
 			return nil, err
--- a/entry/leased.go
+++ b/entry/leased.go
@@ -62,7 +62,9 @@
 
 func workloadOf(s *submission) workload {
 	w := workload{account: s.account.Name, durable: s.request.Durable, count: s.request.Count, spec: sha256.Sum256([]byte(s.request.Spec))}
-	if s.request.Needs != nil {
+	if s.request.Durable {
+		w.needs = needsOf(s) // as its record has them, which other entries compare with
+	} else if s.request.Needs != nil {
 		w.needs = *s.request.Needs
 	}
 	return w
@@ -296,7 +298,7 @@
 // countPending keeps the numbers of jobs of which no task has started.
 func (d *dispatcher) countPending(j *job) {
 	l := j.leased
-	pending := !j.answered && !l.ran && l.out == 0
+	pending := !j.answered && !l.ran && l.out == 0 && l.durable == nil // those are counted by pendingDurable
 	if pending == l.pending {
 		return
 	}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -159,8 +159,8 @@
 	})
 }
 
-// Pending returns the number of jobs of the template of which no task has
-// started.
+// Pending returns the number of jobs of the template that are not durable and of
+// which no task has started.
 func (e *Entry) Pending(template string) (n int) {
 	if e.started() {
 		e.dispatcher.ask(func(d *dispatcher) { n = d.pending[template] })
