--- a/ctl/processes.go
+++ b/ctl/processes.go
@@ -77,7 +77,7 @@
 	Queue struct {
 		Tasks int `json:"tasks"`
 	} `json:"queue"`
-	// Durable is nil for an entry that keeps no durable jobs.
+	// Durable is nil for an entry that never had a durable job.
 	Durable *DurableState `json:"durable,omitempty"`
 	Agents  []AgentState  `json:"agents"`
 	Peers   []PeerState   `json:"peers"`
--- a/entry/durable.go
+++ b/entry/durable.go
@@ -38,8 +38,6 @@
 // storedRecords is the recordKeeper over a store.
 type storedRecords struct{ *durable.Keeper }
 
-var _ recordKeeper = storedRecords{}
-
 // Workload returns the hash that end records keep.
 func (storedRecords) Workload(r *durable.Record) string { return r.Workload() }
 
@@ -55,6 +53,7 @@
 	handedOver chan struct{}
 	nextID     func() string // for the jobs that are taken over
 	reported   time.Time     // when the metrics were updated
+	met        bool          // the entry has had a durable job
 }
 
 func newDurableJobs(k recordKeeper, in *inbox, nextID func() string) durableJobs {
@@ -177,12 +176,13 @@
 type durableHandler struct {
 	inbox   *inbox
 	pending *peerPending
+	silent  time.Duration // after which a peer counts as lost
 }
 
 // TakenOver hands over a job whose owner is gone.
 func (h durableHandler) TakenOver(r durable.Record, at time.Time) {
 	if !r.Started {
-		h.pending.takenOver(r.Owner, r.Template)
+		h.pending.takenOver(r.Template, h.silent)
 	}
 	h.inbox.put(func(d *dispatcher) { d.takeOver(r, at) })
 }
--- a/entry/durable_peers.go
+++ b/entry/durable_peers.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"chicorytray.example/chicorytray/durable"
-	"chicorytray.example/chicorytray/membership"
 	"chicorytray.example/chicorytray/wire"
 )
 
@@ -46,15 +45,19 @@
 	return n
 }
 
-// takenOver takes a job off the pending ones of its former owner.
-func (p *peerPending) takenOver(owner durable.Epoch, template string) {
-	entry, _, ok := jobOwner(string(owner))
+// takenOver takes a job off the pending ones of a peer that has not been heard
+// for that long, which probably was its owner. Jobs that other entries take over
+// go on counting for the lost peer, too, until lostPending has passed.
+func (p *peerPending) takenOver(template string, silent time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if r := p.peers[entry]; ok && r.jobs[template] > 0 {
-		r.jobs = maps.Clone(r.jobs)
-		r.jobs[template]--
-		p.peers[entry] = r
+	for entry, r := range p.peers {
+		if time.Since(r.at) > silent && r.jobs[template] > 0 {
+			r.jobs = maps.Clone(r.jobs)
+			r.jobs[template]--
+			p.peers[entry] = r
+			return
+		}
 	}
 }
 
@@ -86,13 +89,7 @@
 // firstEntry returns the entry that comes first for a durable job, and whether
 // it is another one.
 func (e *Entry) firstEntry(identifier string) (wire.EntryRef, bool) {
-	var candidates []string
-	for id, reachable := range e.peers.registered() {
-		if reachable {
-			candidates = append(candidates, id)
-		}
-	}
-	id := membership.First(identifier, candidates)
+	id := durable.First(e.self.ID, identifier, e.peers.registered())
 	if id == e.self.ID {
 		return wire.EntryRef{}, false
 	}
@@ -118,7 +115,7 @@
 	return durable.Options{
 		Store: e.options.Store, Entry: e.self.ID, Incarnation: e.self.Incarnation.String(),
 		CallTimeout: e.settings.Timing.StoreTimeout.Of(), Entries: e.peers.registered,
-		Handler: durableHandler{e.inbox, &e.pending}, Log: e.log, Metrics: e.metrics.scope,
+		Handler: durableHandler{e.inbox, &e.pending, e.settings.Timing.PeerHeartbeat.Of() + e.settings.Timing.Suspect.Of()}, Log: e.log, Metrics: e.metrics.scope,
 	}
 }
 
--- a/entry/durable_recover_test.go
+++ b/entry/durable_recover_test.go
@@ -243,9 +243,13 @@
 
 // pair starts two entries that know each other.
 func (h *harness) pair() (es [2]*Entry, ks [2]*fakeKeeper, s *recordStore) {
+	return h.pairOver(func(*Options) {})
+}
+
+func (h *harness) pairOver(change func(*Options)) (es [2]*Entry, ks [2]*fakeKeeper, s *recordStore) {
 	s = newRecordStore()
 	for i := range es {
-		es[i], ks[i] = h.durableEntry(i+1, s, nil)
+		es[i], ks[i] = h.durableEntryWith(i+1, s, change)
 	}
 	a := newFakeAgent(h.net, h.ups, 1, "anping", "10.0.1.1:7000", "10.0.1.2:7000")
 	a.beatEvery, a.adopted = 150*time.Millisecond, true
--- a/entry/durable_stop.go
+++ b/entry/durable_stop.go
@@ -93,9 +93,9 @@
 	Held int `json:"held"`
 }
 
-// dumpDurable describes the durable jobs; nil for an entry that keeps none.
+// dumpDurable describes the durable jobs; nil for an entry that never had any.
 func (d *dispatcher) dumpDurable() *StateDurable {
-	if d.durable.keeper == nil {
+	if !d.durable.met {
 		return nil
 	}
 	k := d.durable.keeper.Status()
@@ -120,7 +120,7 @@
 
 // reportDurable updates the gauge durable_jobs.
 func (d *dispatcher) reportDurable() {
-	if d.durable.keeper == nil || d.now.Sub(d.durable.reported) < time.Second {
+	if !d.durable.met || d.now.Sub(d.durable.reported) < time.Second {
 		return
 	}
 	d.durable.reported = d.now
--- a/entry/durable_submit.go
+++ b/entry/durable_submit.go
@@ -166,6 +166,7 @@
 		Identifier: name, Account: j.account, Template: j.template.Name, Count: j.count, Needs: j.class.Needs,
 		Spec: s.request.Spec, Expected: s.expected, Accepted: time.UnixMilli(d.now.UnixMilli()),
 	}
+	d.durable.met = true
 	c := &creation{asked: s.workload, job: j, done: make(chan struct{})}
 	d.durable.creating[name] = c
 	d.durable.keeper.Create(j.leased.durable.record, func(found durable.Found, err error) {
@@ -289,6 +290,7 @@
 	for _, run := range r.Failed {
 		j.leased.attempts[run.Index]++
 	}
+	d.durable.met = true
 	d.durable.open[r.Identifier] = j
 	d.addLeased(s, j, d.durable.nextID())
 	d.log.Info().Str("job", j.id).Str("identifier", r.Identifier).Int("done", len(r.Done)).Msg("durable job taken over")
--- a/entry/durable_test.go
+++ b/entry/durable_test.go
@@ -19,6 +19,14 @@
 
 // durableEntry starts an entry whose records are kept in s.
 func (h *harness) durableEntry(number int, s *recordStore, change func(*settings.Entry)) (*Entry, *fakeKeeper) {
+	return h.durableEntryWith(number, s, func(o *Options) {
+		if change != nil {
+			change(&o.Settings)
+		}
+	})
+}
+
+func (h *harness) durableEntryWith(number int, s *recordStore, change func(*Options)) (*Entry, *fakeKeeper) {
 	if number == 1 {
 		h.putConfig(2, withStep)
 	}
@@ -27,10 +35,8 @@
 		t := &o.Settings.Timing
 		t.Heartbeat, t.PeerHeartbeat, t.Suspect, t.Lapse, t.Reconcile = 150*ms, 350*ms, 400*ms, 600*ms, 1300*ms
 		t.PingAfter, t.PingTimeout, t.Gate, t.CallTimeout, t.StoreTimeout = 250*ms, 150*ms, 3000*ms, 300*ms, 300*ms
-		if change != nil {
-			change(&o.Settings)
-		}
 		o.newKeeper = func(opts durable.Options) recordKeeper { k = newFakeKeeper(s, opts); return k }
+		change(o)
 	})
 	return e, k
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -123,8 +123,10 @@
 	e.claimed.jobs = map[string]*claimedJob{}
 	e.claims = newClaimer(e.options.Store, e.settings)
 	e.inbox = newInbox(func(ev event) bool { return e.dispatcher.post(ev) })
-	if make := e.options.newKeeper; make != nil {
-		e.keeper = make(e.keeperOptions())
+	if replaced := e.options.newKeeper; replaced != nil {
+		e.keeper = replaced(e.keeperOptions())
+	} else {
+		e.keeper = storedRecords{durable.NewKeeper(e.keeperOptions())}
 	}
 	e.dispatcher = newDispatcher(e)
 	return nil
--- a/entry/state.go
+++ b/entry/state.go
@@ -18,7 +18,7 @@
 	Peers         []StatePeer        `json:"peers"`    // by identifier
 	Jobs          []StateJob         `json:"jobs"`     // open ones, oldest first
 	Accounts      []StateAccount     `json:"accounts"` // that sent jobs, by name
-	// Durable is nil for an entry that keeps no durable jobs.
+	// Durable is nil for an entry that never had a durable job.
 	Durable *StateDurable `json:"durable,omitempty"`
 	// Messages are counted by method since the start.
 	Messages map[string]rpcconn.Count `json:"messages"`
