entry: count no waiting tasks of a job that fails at the end of its recovery

Ruled out: an error in fail, which leaves out tasks that are not queued. Change: the job fails while it is recovering. Checks for a missing Keeper, which New always makes, are removed. Conclusion: the counts of a pool and an account stay right.

--- a/entry/durable.go
+++ b/entry/durable.go
@@ -43,7 +43,7 @@
 
 // durableJobs are the dispatcher's durable jobs.
 type durableJobs struct {
-	keeper   recordKeeper // nil: durable jobs are refused
+	keeper   recordKeeper
 	inbox    *inbox
 	open     map[string]*job // owned by this entry, by identifier
 	creating map[string]*creation
@@ -115,8 +115,7 @@
 
 // mayStartDurable reports whether tasks of durable jobs may be started now.
 func (d *dispatcher) mayStartDurable() bool {
-	k := d.durable.keeper
-	return k != nil && d.durable.handedOver == nil && k.Valid(d.now)
+	return d.durable.handedOver == nil && d.durable.keeper.Valid(d.now)
 }
 
 // mayStartJob reports whether tasks of the job may be started now.
@@ -127,7 +126,7 @@
 // answersFromMemory reports whether memory tells the state of durable jobs. It
 // does not after a pause, before another owner could have been noticed.
 func (d *dispatcher) answersFromMemory() bool {
-	return d.durable.keeper != nil && d.mayStartNow() && d.durable.keeper.Valid(d.now)
+	return d.mayStartNow() && d.durable.keeper.Valid(d.now)
 }
 
 // inbox passes calls of the Keeper on to the dispatcher in their order without
@@ -207,9 +206,6 @@
 
 // runDurable runs the Keeper until ctx ends.
 func (e *Entry) runDurable(ctx context.Context) {
-	if e.keeper == nil {
-		return
-	}
 	var wg sync.WaitGroup
 	wg.Go(func() { e.inbox.run(ctx) })
 	e.keeper.Run(ctx)
--- a/entry/durable_ends.go
+++ b/entry/durable_ends.go
@@ -40,7 +40,7 @@
 			}
 		}
 	}
-	if len(ask) > 0 && !a.unclaimed.asking && d.durable.keeper != nil {
+	if len(ask) > 0 && !a.unclaimed.asking {
 		slices.Sort(ask)
 		d.lookUpEnds(a, slices.Compact(ask))
 	}
--- a/entry/durable_http.go
+++ b/entry/durable_http.go
@@ -33,7 +33,7 @@
 // serveDurableJob serves GET and DELETE of a durable job. It reports false for
 // the identifier of another job.
 func (e *Entry) serveDurableJob(c echo.Context, id string, verb wire.DurableVerb) (bool, error) {
-	if _, _, other := jobOwner(id); other || e.keeper == nil {
+	if _, _, other := jobOwner(id); other {
 		return false, nil
 	}
 	token, _ := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
--- a/entry/durable_keeper_test.go
+++ b/entry/durable_keeper_test.go
@@ -8,7 +8,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"chicorytray.example/chicorytray/durable"
-	"chicorytray.example/chicorytray/wire"
 )
 
 // Guards against differences between the fake Keeper and the one over a store:
@@ -45,6 +44,6 @@
 		time.Sleep(leasedRetention + time.Second)
 		h.Check(h.state(es[0], "last"), qt.Equals, durable.Cancelled)
 		a := es[0].SubmitDurable(context.Background(), step("last", 3))
-		h.Check(a.Reason, qt.Equals, wire.Reason(reasonJobMismatch))
+		h.Check(a.Reason, qt.Equals, reasonJobMismatch)
 	})
 }
--- a/entry/durable_peers.go
+++ b/entry/durable_peers.go
@@ -121,7 +121,5 @@
 
 // peerLost makes the Keeper look for jobs of the entry.
 func (e *Entry) peerLost(entry string) {
-	if e.keeper != nil {
-		e.keeper.PeerLost(entry)
-	}
+	e.keeper.PeerLost(entry)
 }
--- a/entry/durable_query.go
+++ b/entry/durable_query.go
@@ -40,8 +40,8 @@
 // askAbout answers a request for the state or the cancellation of a job: from
 // memory, from the entry that comes first for it, or by its record.
 func (e *Entry) askAbout(ctx context.Context, req wire.DurableRequest) (wire.DurableReply, error) {
-	if !e.started() || e.keeper == nil {
-		return wire.DurableReply{}, ErrNoJob
+	if !e.started() {
+		return wire.DurableReply{}, ErrNoAnswer
 	}
 	if reply := e.ownDurable(ctx, req); reply.Known {
 		return reply, answerError(reply)
--- a/entry/durable_recover.go
+++ b/entry/durable_recover.go
@@ -143,13 +143,13 @@
 
 // endRecovery queues the tasks that are left.
 func (d *dispatcher) endRecovery(j *job) {
-	j.leased.durable.recovery = nil
 	for i, n := range j.leased.attempts {
 		if j.states[i] == taskWaiting && int(n) >= j.template.MaxAttempts {
-			d.exhaust(j, i)
+			d.exhaust(j, i) // while the job is recovering, because its tasks are not queued
 			return
 		}
 	}
+	j.leased.durable.recovery = nil
 	if j.open == 0 {
 		d.finishIfSettled(j)
 		return
--- a/entry/durable_recover_test.go
+++ b/entry/durable_recover_test.go
@@ -98,6 +98,7 @@
 				h.Check(voided, qt.Equals, 0)
 				_, end := s.get("1f")
 				h.Check(end.Restarted, qt.Equals, tc.restarted)
+				h.checkLeftovers(e)
 			})
 		})
 	}
--- a/entry/durable_stop.go
+++ b/entry/durable_stop.go
@@ -9,9 +9,6 @@
 // stopped, what ended is stored, and the ownership lease is revoked, so that
 // other entries continue the jobs at once.
 func (e *Entry) handOver(ctx context.Context) {
-	if e.keeper == nil {
-		return
-	}
 	var done <-chan struct{}
 	if !e.dispatcher.ask(func(d *dispatcher) { done = d.beginHandOver() }) {
 		return
--- a/entry/durable_submit.go
+++ b/entry/durable_submit.go
@@ -180,9 +180,6 @@
 	if d.stopping || d.durable.handedOver != nil {
 		return retryLater(retryRefused, reasonStopping, "the entry is stopping")
 	}
-	if d.durable.keeper == nil {
-		return retryLater(retryRefused, reasonStoreOut, "this entry keeps no durable jobs")
-	}
 	if j := d.leased[name]; j != nil && !j.answered && durableOf(j) == nil {
 		return d.sameWork(j.leased.asked, s)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -59,7 +59,7 @@
 	registration *registration
 	peers        *peers
 	dispatcher   *dispatcher
-	keeper       recordKeeper // nil: durable jobs are refused
+	keeper       recordKeeper
 	inbox        *inbox
 	pending      peerPending
 	claims       claimer
