--- a/entry/behind.go
+++ b/entry/behind.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -40,7 +41,7 @@
 	target, ok := d.roomElsewhere(a, t)
 	reason, ok := straggler.Decide(straggler.Run{
 		Percent: b.Percent, Elapsed: b.Elapsed, Stalled: b.Stalled,
-		Expected: j.expected, Left: j.deadline.Sub(d.now), Slowness: d.detector.Slowness(a.ref.ID),
+		Expected: j.expected, Left: timeLeft(j, d.now), Slowness: d.detector.Slowness(a.ref.ID),
 		Restarts: int(j.leased.restarts[t.index]), Stopping: d.stoppingAt(a),
 		Elsewhere: ok, ThereSlowness: d.detector.Slowness(target), Budget: d.restartBudget.Available(d.now) >= 1,
 	})
@@ -56,6 +57,14 @@
 	d.cancelSent(a, t)
 }
 
+// timeLeft is the time until the job's deadline; a durable job has none.
+func timeLeft(j *job, now time.Time) time.Duration {
+	if j.deadline.IsZero() {
+		return math.MaxInt64
+	}
+	return j.deadline.Sub(now)
+}
+
 // observeRestart feeds the detection of faulty upstreams, for which a stalled
 // run failed. A slow one counts with its projected duration: without these
 // outcomes the detector would forget after its window that the worker is slow.
