--- a/entry/submit.go
+++ b/entry/submit.go
@@ -129,7 +129,8 @@
 	return nil
 }
 
-// Cancel ends a job that the entry has, and reports whether it had it. None of
+// Cancel ends a job that the entry has and that is not durable, and reports
+// whether it had it. None of
 // its tasks is ordered again, also if the job is submitted again soon. A start
 // order that is on its way may still be carried out, until its validity ends.
 func (e *Entry) Cancel(name string) bool {
@@ -141,20 +142,22 @@
 	return had
 }
 
-// Running reports whether the entry has the job and it has not ended.
+// Running reports whether the entry has the job, which is not durable, and it
+// has not ended.
 func (e *Entry) Running(name string) bool {
 	running := false
 	e.askJob(name, func(*dispatcher, *job) { running = true })
 	return running
 }
 
-// askJob runs f on the dispatcher if it has the job and it has not ended.
+// askJob runs f on the dispatcher if it has the job, it has not ended and is not
+// durable.
 func (e *Entry) askJob(name string, f func(*dispatcher, *job)) {
 	if !e.started() {
 		return
 	}
 	e.dispatcher.ask(func(d *dispatcher) {
-		if j := d.leased[name]; j != nil && !j.answered {
+		if j := d.leased[name]; j != nil && !j.answered && j.leased.durable == nil {
 			f(d, j)
 		}
 	})
