entry: an answer about an open durable job may wait for its end

Cause: callers ask for the state when the last task ends, which is before its end is stored, and then again only about 250 ms later. Ruled out: shorter intervals of transactions and renewals, which cost calls and gain at most 25 ms.

--- a/entry/durable_query.go
+++ b/entry/durable_query.go
@@ -20,10 +20,13 @@
 	ErrNoAnswer = errors.New("entry: it cannot be found out now")
 )
 
-// DurableState returns the state of a durable job at any entry. The error is
-// ErrNoJob or ErrNoAnswer.
-func (e *Entry) DurableState(ctx context.Context, identifier string) (durable.State, error) {
-	reply, err := e.askAbout(ctx, wire.DurableRequest{Verb: wire.DurableState, Identifier: identifier})
+// DurableState returns the state of a durable job at any entry. The answer for a
+// job that has not ended waits for its end, for at most the given time and half
+// of the call timeout, because callers often ask while the last end is being
+// stored. The error is ErrNoJob or ErrNoAnswer.
+func (e *Entry) DurableState(ctx context.Context, identifier string, wait time.Duration) (durable.State, error) {
+	wait = min(wait, e.settings.Timing.CallTimeout.Of()/2) // another entry may have to be asked
+	reply, err := e.askAbout(ctx, wire.DurableRequest{Verb: wire.DurableState, Identifier: identifier, Wait: wait})
 	return durable.State(reply.State), err
 }
 
@@ -167,15 +170,23 @@
 			return
 		}
 		reply = wire.DurableReply{Known: true, State: string(own.durableState())}
-		if req.Verb == wire.DurableCancel {
+		switch {
+		case req.Verb == wire.DurableCancel:
 			j = own
 			d.cancelLeased(j)
+			reply.Outcome = string(OutcomeUnknown)
+		case req.Verb == wire.DurableState && req.Wait > 0 && !own.answered:
+			j = own
 		}
 	})
 	if j == nil {
 		return reply
 	}
-	reply.Outcome = string(OutcomeUnknown)
+	if req.Verb == wire.DurableState {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, req.Wait)
+		defer cancel()
+	}
 	select {
 	case <-j.done:
 	case <-ctx.Done():
--- a/entry/durable_recover_test.go
+++ b/entry/durable_recover_test.go
@@ -323,7 +323,7 @@
 		h.Check(h.state(es[0], jobs[0]), qt.Equals, durable.InProgress) // by its record
 		_, err := es[0].CancelDurable(context.Background(), jobs[0])
 		h.Check(err, qt.ErrorIs, ErrNoAnswer)
-		_, err = es[0].DurableState(context.Background(), "none")
+		_, err = es[0].DurableState(context.Background(), "none", 0)
 		h.Check(err, qt.ErrorIs, ErrNoJob)
 		ks[0].mu.Lock()
 		h.Check(ks[0].lost, qt.DeepEquals, []string{"e2"})
--- a/entry/durable_test.go
+++ b/entry/durable_test.go
@@ -68,7 +68,7 @@
 
 func (h *harness) state(e *Entry, job string) durable.State {
 	h.Helper()
-	s, err := e.DurableState(context.Background(), job)
+	s, err := e.DurableState(context.Background(), job, 0)
 	h.Check(err, qt.IsNil)
 	return s
 }
--- a/wire/durable.go
+++ b/wire/durable.go
@@ -1,5 +1,7 @@
 package wire
 
+import "time"
+
 // EndedRun is the end of a run at a worker that the agent has not acknowledged.
 // Job, Step and Index name the task in the caller's terms.
 type EndedRun struct {
@@ -39,6 +41,9 @@
 	// not known. Empty asks for the job of any.
 	Account    string
 	Submission *DurableSubmission // with DurableSubmit
+	// Wait is how long the state of a job that has not ended may be held back
+	// for its end; with DurableState.
+	Wait time.Duration
 }
 
 // DurableSubmission is a durable job as it is submitted.
