--- a/entry/durable_query.go
+++ b/entry/durable_query.go
@@ -43,8 +43,11 @@
 // askAbout answers a request for the state or the cancellation of a job: from
 // memory, from the entry that comes first for it, or by its record.
 func (e *Entry) askAbout(ctx context.Context, req wire.DurableRequest) (wire.DurableReply, error) {
-	if !e.started() {
+	switch {
+	case !e.started():
 		return wire.DurableReply{}, ErrNoAnswer
+	case e.durableOff():
+		return wire.DurableReply{}, ErrNoJob
 	}
 	if reply := e.ownDurable(ctx, req); reply.Known {
 		return reply, answerError(reply)
--- a/entry/durable_submit.go
+++ b/entry/durable_submit.go
@@ -57,6 +57,9 @@
 // acceptDurable returns nil once the job is stored, here or at the entry that
 // comes first for its identifier.
 func (e *Entry) acceptDurable(ctx context.Context, s *submission) error {
+	if e.durableOff() {
+		return refuseDurable()
+	}
 	if known, err := e.rememberedDurable(s); known {
 		return err
 	}
--- a/entry/durable_test.go
+++ b/entry/durable_test.go
@@ -35,12 +35,31 @@
 		t := &o.Settings.Timing
 		t.Heartbeat, t.PeerHeartbeat, t.Suspect, t.Lapse, t.Reconcile = 150*ms, 350*ms, 400*ms, 600*ms, 1300*ms
 		t.PingAfter, t.PingTimeout, t.Gate, t.CallTimeout, t.StoreTimeout = 250*ms, 150*ms, 3000*ms, 300*ms, 300*ms
+		o.Settings.Limits.MaxDurableJobs = 10_000
 		o.newKeeper = func(opts durable.Options) recordKeeper { k = newFakeKeeper(s, opts); return k }
 		change(o)
 	})
 	return e, k
 }
 
+// Guards against durable jobs that are accepted, or calls of the store for them,
+// at an entry whose settings allow none.
+func TestDurableJobsAreOff(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e, k := h.durableEntry(1, newRecordStore(), func(s *settings.Entry) { s.Limits.MaxDurableJobs = 0 })
+		time.Sleep(time.Second)
+		a := e.SubmitDurable(context.Background(), step("j", 1))
+		h.Check(a.Outcome, qt.Equals, OutcomeNotRun)
+		h.Check(a.Reason, qt.Equals, reasonDurableOff)
+		_, err := e.DurableState(context.Background(), "j", 0)
+		h.Check(err, qt.ErrorIs, ErrNoJob)
+		found, err := e.CancelDurable(context.Background(), "j")
+		h.Check(found, qt.IsFalse)
+		h.Check(err, qt.IsNil)
+		h.Check(k, qt.IsNil)
+	})
+}
+
 func withStep(d *config.Document) {
 	d.Templates = append(d.Templates, config.Template{
 		Name: "step", Account: "portal", Kind: config.KindLeased, DeadlineMS: 5000, ExpectedMS: 200, Pool: "bench",
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -123,9 +123,12 @@
 	e.claimed.jobs = map[string]*claimedJob{}
 	e.claims = newClaimer(e.options.Store, e.settings)
 	e.inbox = newInbox(func(ev event) bool { return e.dispatcher.post(ev) })
-	if replaced := e.options.newKeeper; replaced != nil {
+	switch replaced := e.options.newKeeper; {
+	case e.durableOff():
+		e.keeper = noRecords{}
+	case replaced != nil:
 		e.keeper = replaced(e.keeperOptions())
-	} else {
+	default:
 		e.keeper = storedRecords{durable.NewKeeper(e.keeperOptions())}
 	}
 	e.dispatcher = newDispatcher(e)
--- a/settings/load.go
+++ b/settings/load.go
@@ -68,7 +68,6 @@
 		MaxMessageBytes: DefaultMaxMessageBytes,
 		AnswerRetention: Duration(time.Minute),
 		ClaimRetention:  Duration(10 * time.Minute),
-		MaxDurableJobs:  10000,
 	}
 }
 
--- a/settings/types.go
+++ b/settings/types.go
@@ -185,7 +185,9 @@
 	// ClaimRetention of idempotency keys. Default 10m.
 	ClaimRetention Duration `json:"claim_retention"`
 	// MaxDurableJobs that are open at an entry; further submissions are refused.
-	// Jobs that are taken over are not refused. Default 10000.
+	// 0, the default, refuses all: durable jobs do not hold their guarantees
+	// under every failure yet (issue 11). Either none or all entries of a
+	// deployment have 0. Jobs that are taken over are not refused.
 	MaxDurableJobs int `json:"max_durable_jobs"`
 }
 
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -216,7 +216,7 @@
 	ps.atLeast("limits.max_result_bytes", l.MaxResultBytes, 1)
 	ps.atLeast("limits.max_answer_bytes", l.MaxAnswerBytes, l.MaxResultBytes)
 	ps.atLeast("limits.max_header_bytes", int64(l.MaxHeaderBytes), 1<<10)
-	ps.atLeast("limits.max_durable_jobs", int64(l.MaxDurableJobs), 1)
+	ps.atLeast("limits.max_durable_jobs", int64(l.MaxDurableJobs), 0)
 	ps.positive("limits.max_deadline", l.MaxDeadline)
 	ps.positive("limits.answer_retention", l.AnswerRetention)
 	ps.longer("limits.claim_retention", l.ClaimRetention, l.MaxDeadline.Of(), "limits.max_deadline")
