--- a/internal/leasedtest/caller_test.go
+++ b/internal/leasedtest/caller_test.go
@@ -42,14 +42,19 @@
 	if j.deadline == 0 {
 		j.deadline = 3600 * ms
 	}
-	s.mu.Lock()
-	j.id = fmt.Sprintf("%016x", len(s.jobs)+1)
-	s.jobs = append(s.jobs, &j)
-	s.mu.Unlock()
+	s.register(&j)
 	s.callers.Go(func() { defer close(j.ended); s.call(&j, target) })
 	return &j
 }
 
+// register gives a job its identifier.
+func (s *system) register(j *job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j.id = fmt.Sprintf("%016x", len(s.jobs)+1)
+	s.jobs = append(s.jobs, j)
+}
+
 // leave makes the job's caller leave and send the job again later.
 func (j *job) leave() {
 	select {
@@ -78,35 +83,49 @@
 	}
 }
 
+// spec returns what the workers run of a job.
+func (j *job) spec() leasestub.Spec {
+	return leasestub.Spec{MS: float64(j.took) / float64(ms), Fail: j.fails, Needs: wire.Resources{MilliCPU: j.milliCPU, MemoryMB: 64}}
+}
+
 // once makes one submission and reports whether a whole answer arrived.
 func (s *system) once(j *job, target int) (entry.Answer, bool) {
+	spec := j.spec()
+	return ask(s, target, j.deadline, j.leaves, func(ctx context.Context, e *entryProcess) entry.Answer {
+		return e.Submit(ctx, entry.Submission{Job: j.id, Template: "step", Count: j.tasks, Needs: spec.Needs,
+			Spec: spec.Encode(), Deadline: j.deadline})
+	})
+}
+
+// ask makes a call at an entry and reports whether a whole answer arrived. The
+// caller goes away when the timeout has passed, when it leaves, and when the
+// entry's process dies.
+func ask[T any](s *system, target int, timeout time.Duration, leaves <-chan struct{}, call func(context.Context, *entryProcess) T) (answer T, whole bool) {
 	e := s.entry(target)
-	spec := leasestub.Spec{MS: float64(j.took) / float64(ms), Fail: j.fails, Needs: wire.Resources{MilliCPU: j.milliCPU, MemoryMB: 64}}
 	ctx, cancel := context.WithCancel(context.Background())
-	got := make(chan entry.Answer, 1)
+	got := make(chan T, 1)
 	s.wg.Go(func() {
 		if _, err := e.pass(); err == nil {
-			got <- e.Submit(ctx, entry.Submission{Job: j.id, Template: "step", Count: j.tasks, Needs: spec.Needs,
-				Spec: spec.Encode(), Deadline: j.deadline})
+			got <- call(ctx, e)
 		}
 	})
-	timeout := time.NewTimer(j.deadline)
-	defer timeout.Stop()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
 	select {
 	case a := <-got:
 		cancel()
 		select {
 		case <-e.gone: // the process died with the answer
-			return entry.Answer{}, false
+			return answer, false
 		default:
 			return a, true
 		}
 	case <-e.gone:
-	case <-j.leaves:
-	case <-timeout.C:
+	case <-leaves:
+	case <-timer.C:
 	}
 	s.wg.Go(func() { e.leave(cancel) })
-	return entry.Answer{}, false
+	return answer, false
 }
 
 // checkDone checks that all tasks of a job ended with success.
--- a/internal/leasedtest/system_test.go
+++ b/internal/leasedtest/system_test.go
@@ -78,6 +78,7 @@
 	entries  []*entryProcess
 	agents   []*agentProcess
 	jobs     []*job
+	durables []*durableJob
 	document *config.Document
 	out      map[string]time.Time // data centres out of service
 	spans    []span
