agent: read a worker's announcement under the lock

Cause: the race detector found that the tag of a durable task's run is made from the life's announcement without the agent's lock, while an announcement may replace it (TestDurableSingleFaults/owner_paused_past_its_validity). Ruled out: a wrong tag. The identity of a life does not change, but its strings are written. Change: the lock is held while the tag is made. Result: one data race in a run of the single faults before, none after in one run. Conclusion: the race is gone; the lock is held for one hash of a finished run.

--- a/agent/leased.go
+++ b/agent/leased.go
@@ -60,7 +60,9 @@
 		case left.Fate != lease.FateRefused || ctx.Err() != nil:
 			r := l.result(ctx, left)
 			if t.Leased.Durable && (left.Fate == lease.FateDone || left.Fate == lease.FateFailed) {
+				l.agent.mu.Lock() // an announcement may be coming in
 				r.Tag = at.life.announced.Life.Tag(left.Run)
+				l.agent.mu.Unlock()
 			}
 			return r
 		case left.Refusal == lease.RefusedOld || left.Refusal == lease.RefusedToken:
