durable: look for orphans of an own epoch that ended

Cause: when an entry's validity ends and it registers its next epoch at once, the store has the key of the old epoch for up to 3 s. The scan at the beginning of the new epoch finds no orphans then, peers do not take the entry for lost, and the jobs wait for the next regular scan. Ruled out: a lost record. The job in question was accepted when it was sent again, by the record that it had from the old epoch, and completed after that scan. Change: an entry watches its own former epochs like those of lost peers: a scan each second until the list shows none but the present one. Conclusion: jobs of an epoch that ended are taken over as quickly as those of a lost peer.

--- a/durable/doc.go
+++ b/durable/doc.go
@@ -21,7 +21,8 @@
 //     ends jobs, one Grant a minute for the lease of the ends.
 //   - A takeover: 2 of the 32 entries, one more for each old epoch in the
 //     transaction and one for the own epoch, so up to 15 jobs in a transaction.
-//     While there are orphans or a lost peer has an epoch: a scan each second.
+//     While there are orphans, or a lost peer has an epoch, or the store has the
+//     key of an epoch that this entry lost: a scan each second.
 //   - A conflict: one transaction for each of its jobs, and for those that
 //     conflict alone a Get of the open record, one of the end if there is none,
 //     and one of the own epoch's key after a creation or a takeover; the same
--- a/durable/keeper.go
+++ b/durable/keeper.go
@@ -84,7 +84,7 @@
 	// endLease of end records, granted at endLeaseAt; 0 while there is none.
 	endLease   store.LeaseID
 	endLeaseAt time.Time
-	lost       map[string]time.Time // peers whose epochs are watched, and since when
+	lost       map[string]time.Time // entries whose former epochs are watched, and since when
 	reads      sharedReads
 
 	wakeWriter, wakeLease, wakeScan, wakeCalls chan struct{}
@@ -282,6 +282,8 @@
 	k.options.Log.Warn().Str("epoch", string(k.owner.epoch)).Msg("durable ownership ended")
 	k.owner.End()
 	k.batch.Reset()
+	// Its jobs are orphans only once the store has removed its key.
+	k.lost[k.options.Entry] = time.Now()
 	k.call(k.options.Handler.Invalidated)
 	wake(k.wakeLease)
 }
--- a/durable/scan.go
+++ b/durable/scan.go
@@ -13,7 +13,7 @@
 const (
 	idleScan   = 5 * time.Minute  // while the entry has never met a durable job
 	normalScan = 30 * time.Second // the longest that an orphan is overlooked
-	quickScan  = time.Second      // while there are orphans, or a peer was lost
+	quickScan  = time.Second      // while there are orphans, or a peer or the own epoch was lost
 	// scanJitter, as a share of the interval, keeps entries that started
 	// together from reading together.
 	scanJitter = 0.1
@@ -126,17 +126,20 @@
 	return left
 }
 
-// settle ends the watch of lost peers without an epoch that the scan could show,
-// and reports whether any peer is watched still.
+// settle ends the watch of lost entries without an epoch that the scan could
+// show, other than the present one of this entry, and reports whether any entry
+// is watched still.
 func (s *scanner) settle(began time.Time, owners map[Epoch]bool) (watching bool) {
 	k := s.k
 	entries := k.options.Entries()
 	has := map[string]bool{}
-	for epoch := range owners {
-		has[epoch.Entry()] = true
-	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	for epoch := range owners {
+		if epoch != k.owner.epoch {
+			has[epoch.Entry()] = true
+		}
+	}
 	for entry, since := range k.lost {
 		back := entries[entry] && began.Sub(since) >= peerBack
 		if !since.After(began) && (!has[entry] || back) {
