leasedtest: durable jobs under single faults

Cause: no test broke a whole system while durable jobs ran. Change: twelve faults, one at a time, under 50 durable jobs: entry killed, replaced or not, cut off from the store, paused past its validity, agents killed before ends are stored, agent cut off from an entry, loss of power, store down, its answers lost, its writes late, worker restarted.

--- a/internal/leasedtest/durable_test.go
+++ b/internal/leasedtest/durable_test.go
@@ -59,3 +59,46 @@
 		}
 	})
 }
+
+// Guards against single faults that lose a durable job, run a task of it again or
+// make an answer about it wrong.
+func TestDurableSingleFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault func(s *system)
+	}{
+		{"owner killed", func(s *system) { s.replaceEntry(0, time.Second) }},
+		{"owner killed and not replaced", func(s *system) { s.replaceEntry(0, 2*time.Minute) }},
+		{"owner cut off from the store", func(s *system) {
+			s.during(6*time.Second, func() { s.net.Cut(entryHost(0), storeHost) }, func() { s.net.Heal(entryHost(0), storeHost) })
+		}},
+		{"owner paused past its validity", func(s *system) { s.pauseEntry(0, 5*time.Second) }},
+		{"agent killed before an end is stored", func(s *system) {
+			for range 5 { // ends are written within 200 ms
+				s.store.SetDown(true)
+				time.Sleep(250 * ms)
+				s.replaceAgent(0, 0)
+				s.store.SetDown(false)
+				time.Sleep(2 * time.Second)
+			}
+		}},
+		{"agent cut off from the owner", func(s *system) { s.cutOff(0, 3*time.Second, 0) }},
+		{"all killed at once", func(s *system) { s.losePower(0, 0) }},
+		{"store down", func(s *system) {
+			s.during(5*time.Second, func() { s.store.SetDown(true) }, func() { s.store.SetDown(false) })
+		}},
+		{"store answers lost", func(s *system) { s.store.LoseAnswers(20) }},
+		{"late effects", func(s *system) { s.store.HoldWrites(10, 2*time.Second) }},
+		{"late effects after the validity", func(s *system) { s.store.HoldWrites(10, 4*time.Second) }},
+		{"worker restarted", func(s *system) { s.restartWorker(0, 0) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runDurable(t, func(s *system) {
+				s.loadDurable(10, 2)
+				s.note("%s", tc.name)
+				tc.fault(s)
+				s.loadDurable(40, 3)
+			})
+		})
+	}
+}
