leasedtest: durable jobs in random schedules

Cause: single faults do not show what combinations break. Change: random schedules mix durable jobs, other jobs, the faults of the other random schedules, lost and late store writes and losses of power.

--- /dev/null
+++ b/internal/leasedtest/durable_random_test.go
@@ -0,0 +1,103 @@
+package leasedtest
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// durableChecks is the number of random schedules with durable jobs in CI.
+const durableChecks = "15"
+
+// durableKinds are events with durable jobs, and the faults of other schedules.
+var durableKinds = append([]string{
+	"durable", "durable", "durable", "durable", "durable", "durable", "durable", "durable", "durable", "durable", "durable", "durable burst",
+	"submit", "leave durable", "leave durable", "resubmit", "resubmit", "cancel", "cancel", "lose power",
+	"store answers lost", "store answers lost", "store writes late", "store writes late", "store down",
+	"kill entry", "kill entry", "pause entry", "kill agent", "kill agent", "store cut", "store silent",
+}, faultKinds()...)
+
+// faultKinds returns each fault of the schedules of other jobs once.
+func faultKinds() (out []string) {
+	seen := map[string]bool{"submit": true, "burst": true, "leave": true}
+	for _, k := range kinds {
+		if !seen[k] {
+			seen[k] = true
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// applyDurable makes one event happen.
+func (s *system) applyDurable(e event) {
+	all := s.durableJobs()
+	recent := func() *durableJob { return all[max(0, len(all)-1-e.agent)] }
+	some := len(all) > 0
+	switch e.kind {
+	case "durable":
+		s.submitDurable(e.entry, e.job)
+	case "durable burst":
+		for range 15 {
+			s.submitDurable(e.entry, e.job)
+		}
+	case "leave durable":
+		if some {
+			recent().leave()
+		}
+	case "resubmit":
+		if some {
+			s.resubmit(recent(), e.entry)
+		}
+	case "cancel":
+		if some {
+			s.cancelDurable(recent(), e.entry)
+		}
+	case "lose power":
+		s.note("%v", e)
+		s.losePower(0, 0)
+	case "store answers lost":
+		s.note("%v", e)
+		s.store.LoseAnswers(e.job.tasks)
+	case "store writes late":
+		s.note("%v", e)
+		s.store.HoldWrites(e.job.tasks, 2*e.lasts)
+	default:
+		s.apply(e)
+	}
+}
+
+// Guards against combinations of faults that lose a durable job, run a task of it
+// again or make an answer about it wrong.
+func TestDurableRandomSchedules(t *testing.T) { checkDurableSchedules(t, false) }
+
+// Guards against combinations of faults that make the number of pending jobs wrong.
+func TestPendingInDurableRandomSchedules(t *testing.T) { checkDurableSchedules(t, true) }
+
+// checkDurableSchedules runs random schedules; pending tells whether the numbers
+// of pending jobs are checked as well.
+func checkDurableSchedules(t *testing.T, pending bool) {
+	fixSchedules(t, durableChecks)
+	rapid.Check(t, func(r *rapid.T) {
+		events := rapid.SliceOfN(rapid.Custom(func(r *rapid.T) event { return drawEvent(r, durableKinds) }), 5, 40).Draw(r, "events")
+		f := &failures{}
+		synctest.Test(t, func(*testing.T) {
+			s := start(qt.New(f), "west")
+			stop := s.watch(pending)
+			for _, e := range events {
+				time.Sleep(e.after)
+				s.applyDurable(e)
+			}
+			s.faults.Wait()
+			s.finishDurable()
+			stop()
+			s.finish()
+		})
+		if f.Failed() {
+			r.Fatalf("%s", f.text)
+		}
+	})
+}
