entry: go on counting the pending jobs of a peer's earlier process

Cause: a random schedule killed an entry with pending durable jobs and replaced it after 2.3 s. The first heartbeat of the new process, with no jobs, replaced what its predecessor had reported, while the jobs were not taken over yet: the peer counted 0 of 2 pending jobs. Ruled out: the loss of the report after 30 s; the peer counted the jobs until the replacement. Change: reports are kept by entry and incarnation. Those of an earlier process end as those of a lost peer do. Like those, jobs that another entry takes over count twice until 30 s have passed. Conclusion: one of the faults of the number of pending jobs is fixed; the rest is open.

--- a/entry/durable_peers.go
+++ b/entry/durable_peers.go
@@ -17,7 +17,14 @@
 // concurrent use.
 type peerPending struct {
 	mu    sync.Mutex
-	peers map[string]reportedPending // by entry
+	peers map[entryRun]reportedPending
+}
+
+// entryRun is one process of an entry. The jobs of a process that ended count
+// until they are taken over, also when the next process reports its own.
+type entryRun struct {
+	id          string
+	incarnation wire.Incarnation
 }
 
 type reportedPending struct {
@@ -25,20 +32,20 @@
 	jobs map[string]int // by template
 }
 
-func (p *peerPending) heard(entry string, jobs map[string]int) {
+func (p *peerPending) heard(entry wire.EntryRef, jobs map[string]int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.peers == nil {
-		p.peers = map[string]reportedPending{}
+		p.peers = map[entryRun]reportedPending{}
 	}
-	p.peers[entry] = reportedPending{time.Now(), jobs}
+	p.peers[entryRun{entry.ID, entry.Incarnation}] = reportedPending{time.Now(), jobs}
 }
 
 // of returns the peers' pending jobs of a template.
 func (p *peerPending) of(template string) (n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	maps.DeleteFunc(p.peers, func(_ string, r reportedPending) bool { return time.Since(r.at) > lostPending })
+	maps.DeleteFunc(p.peers, func(_ entryRun, r reportedPending) bool { return time.Since(r.at) > lostPending })
 	for _, r := range p.peers {
 		n += r.jobs[template]
 	}
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -67,7 +67,7 @@
 
 // heardPeer takes over the demand that a peer reported.
 func (e *Entry) heardPeer(b wire.PeerHeartbeat) {
-	e.pending.heard(b.Entry.ID, b.Pending)
+	e.pending.heard(b.Entry, b.Pending)
 	e.dispatcher.post(func(d *dispatcher) {
 		if b.Stopping {
 			d.shares.Forget(b.Entry.ID)
