--- /dev/null
+++ b/internal/leasedtest/durable_test.go
@@ -0,0 +1,104 @@
+package leasedtest
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/durable"
+)
+
+// runDurable runs a test while states and numbers of pending jobs are asked for.
+func runDurable(t *testing.T, test func(s *system)) {
+	t.Helper()
+	run(t, func(s *system) {
+		stop := s.watch(true)
+		test(s)
+		s.finishDurable()
+		stop()
+	})
+}
+
+// loadDurable submits durable jobs at random entries. Every fifth is sent again
+// while its caller waits, every sixth after it was accepted, every seventh is
+// cancelled, and the tasks of every eighth fail.
+func (s *system) loadDurable(n int, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 0))
+	for i := range n {
+		j := s.submitDurable(random.IntN(2), job{tasks: 1 + i%3, took: []time.Duration{60 * ms, 200 * ms, 900 * ms}[i%3], fails: i%8 == 7})
+		if i%5 == 4 {
+			j.leave()
+		}
+		if i%6 == 5 {
+			s.resubmit(j, random.IntN(2))
+		}
+		time.Sleep(time.Duration(random.IntN(320)) * ms)
+		if i%7 == 6 {
+			s.cancelDurable(j, random.IntN(2))
+		}
+	}
+}
+
+// Guards against durable jobs that are lost, run twice or answered wrongly
+// without any fault, and against a wrong number of pending jobs under overload.
+func TestDurableJobs(t *testing.T) {
+	runDurable(t, func(s *system) {
+		s.loadDurable(40, 1)
+		for i := range 60 { // five times what the workers hold
+			s.submitDurable(i%2, job{took: time.Second})
+		}
+		s.finishDurable()
+		for _, j := range s.durableJobs() {
+			accepted, _, cancels, final := j.know()
+			s.Check(accepted.IsZero(), qt.IsFalse, qt.Commentf(j.id))
+			if !cancels && !j.fails {
+				s.Check(final, qt.Equals, durable.Completed, qt.Commentf(j.id))
+			}
+		}
+	})
+}
+
+// Guards against single faults that lose a durable job, run a task of it again or
+// make an answer about it wrong.
+func TestDurableSingleFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault func(s *system)
+	}{
+		{"owner killed", func(s *system) { s.replaceEntry(0, time.Second) }},
+		{"owner killed and not replaced", func(s *system) { s.replaceEntry(0, 2*time.Minute) }},
+		{"owner cut off from the store", func(s *system) {
+			s.during(6*time.Second, func() { s.net.Cut(entryHost(0), storeHost) }, func() { s.net.Heal(entryHost(0), storeHost) })
+		}},
+		{"owner paused past its validity", func(s *system) { s.pauseEntry(0, 5*time.Second) }},
+		{"agent killed before an end is stored", func(s *system) {
+			for range 5 { // ends are written within 200 ms
+				s.store.SetDown(true)
+				time.Sleep(250 * ms)
+				s.replaceAgent(0, 0)
+				s.store.SetDown(false)
+				time.Sleep(2 * time.Second)
+			}
+		}},
+		{"agent cut off from the owner", func(s *system) { s.cutOff(0, 3*time.Second, 0) }},
+		{"all killed at once", func(s *system) { s.losePower(0, 0) }},
+		{"store down", func(s *system) {
+			s.during(5*time.Second, func() { s.store.SetDown(true) }, func() { s.store.SetDown(false) })
+		}},
+		{"store answers lost", func(s *system) { s.store.LoseAnswers(20) }},
+		{"late effects", func(s *system) { s.store.HoldWrites(10, 2*time.Second) }},
+		{"late effects after the validity", func(s *system) { s.store.HoldWrites(10, 4*time.Second) }},
+		{"worker restarted", func(s *system) { s.restartWorker(0, 0) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runDurable(t, func(s *system) {
+				s.loadDurable(10, 2)
+				s.note("%s", tc.name)
+				tc.fault(s)
+				s.loadDurable(40, 3)
+			})
+		})
+	}
+}
