--- a/internal/leasedtest/durable_caller_test.go
+++ b/internal/leasedtest/durable_caller_test.go
@@ -110,7 +110,7 @@
 		err   error
 	}
 	a, whole := ask(s, target, askTimeout, nil, func(ctx context.Context, e *entryProcess) answer {
-		state, err := e.DurableState(ctx, j.id)
+		state, err := e.DurableState(ctx, j.id, 0)
 		return answer{state, err}
 	})
 	switch {
--- a/internal/leasedtest/system_test.go
+++ b/internal/leasedtest/system_test.go
@@ -202,6 +202,7 @@
 	conf := settings.DefaultEntry()
 	conf.ID, conf.DataCentre, conf.Seeds, conf.Timing = fmt.Sprint("e", i), s.centres[i], s.seeds, platformTiming()
 	conf.CallerAddress, conf.PeerAddress, conf.AdminAddress, conf.Store.URL = p.host+":8000", p.host+":7000", p.host+":9000", storeURL
+	conf.Limits.MaxDurableJobs = 10_000
 	s.Assert(conf.Validate(), qt.IsNil)
 	e, err := entry.New(entry.Options{Settings: conf, Store: s.storeFor(p), Dial: p.dial, Metrics: pausingScope{tally.NoopScope, p},
 		Callers: s.listen(p, ":8000"), Peers: s.listen(p, ":7000"), Admin: s.listen(p, ":9000")})
