--- a/durable/orphans.go
+++ b/durable/orphans.go
@@ -1,9 +1,9 @@
 package durable
 
 import (
-	"encoding/binary"
-	"hash/fnv"
 	"time"
+
+	"chicorytray.example/chicorytray/membership"
 )
 
 // rankWait is the time that an entry leaves to each entry ranked before it,
@@ -73,12 +73,12 @@
 
 // rank returns the number of reachable entries that precede this one.
 func (o *Orphans) rank(identifier string, entries map[string]bool) int {
-	own, before := weight(o.self, identifier), 0
+	own, before := membership.Weight(o.self, identifier), 0
 	for entry, reachable := range entries {
 		if !reachable || entry == o.self {
 			continue
 		}
-		if w := weight(entry, identifier); w > own || w == own && entry < o.self {
+		if w := membership.Weight(entry, identifier); w > own || w == own && entry < o.self {
 			before++
 		}
 	}
@@ -88,26 +88,12 @@
 // First returns the first of the reachable entries for an identifier, with self
 // included.
 func First(self, identifier string, entries map[string]bool) string {
-	best, most := self, weight(self, identifier)
+	best, most := self, membership.Weight(self, identifier)
 	for entry, reachable := range entries {
-		w := weight(entry, identifier)
+		w := membership.Weight(entry, identifier)
 		if reachable && (w > most || w == most && entry < best) {
 			best, most = entry, w
 		}
 	}
 	return best
 }
-
-// weight is the rendezvous weight of an entry for a job.
-func weight(entry, identifier string) uint64 {
-	h := fnv.New64a()
-	_ = binary.Write(h, binary.BigEndian, uint32(len(entry))) // separates the two names
-	_, _ = h.Write([]byte(entry))
-	_, _ = h.Write([]byte(identifier))
-	x := h.Sum64()
-	// FNV leaves the high bits of similar short names close together; this is
-	// the finalizer of SplitMix64.
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -130,9 +130,9 @@
 }
 
 // Cancel ends a job that the entry has and that is not durable, and reports
-// whether it had it. None of
-// its tasks is ordered again, also if the job is submitted again soon. A start
-// order that is on its way may still be carried out, until its validity ends.
+// whether it had it. None of its tasks is ordered again, also if the job is
+// submitted again soon. A start order that is on its way may still be carried
+// out, until its validity ends.
 func (e *Entry) Cancel(name string) bool {
 	had := false
 	e.askJob(name, func(d *dispatcher, j *job) {
