agent: keep a test's pauses from coinciding with renewals

Cause: TestPauseOfTheWorkerIsNoStall failed in about 1 of 30 runs: the run's lease had lapsed. A trace shows a list that is due exactly when the pause begins and a retry exactly when it ends; in virtual time their order is random, and a renewal that is lost at both makes the worker silent for 450 ms. Ruled out: a shorter pause, which would test less; a fault of the agent: with a pause of 200 ms, a wait of 150 ms and retries 100 ms apart the lease is used up exactly. Change: pauses begin 7 µs later.

--- a/agent/behind_test.go
+++ b/agent/behind_test.go
@@ -82,7 +82,10 @@
 	virtualLeased(t, leasedSetup{}, func(r *leasedRig, e *entryStub) {
 		done := e.lease("j", 4, 5*time.Second)
 		for offset := range 10 {
-			time.Sleep(time.Duration(300+15*offset) * time.Millisecond)
+			// 200 ms are the longest pause that a lease of 450 ms outlasts, with
+			// a wait of 150 ms and retries 100 ms apart. The 7 µs keep its begin
+			// and end from coinciding with renewals in random order.
+			time.Sleep(time.Duration(300+15*offset)*time.Millisecond + 7*time.Microsecond)
 			r.machine.SetFaults(leasestub.Faults{Paused: true})
 			time.Sleep(200 * time.Millisecond)
 			r.machine.SetFaults(leasestub.Faults{})
