store: end calls that stall instead of calls that take long

Cause: on a link of 2 Mbit/s an answer with 960 routes takes longer than the time-out of 600 ms, so that no read ever ended and the next one began at once.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -114,6 +114,7 @@
 	e.confirmation = newConfirmation(t, e.self.DataCentre, e.log)
 	e.config = &configuration{
 		store: e.options.Store, timing: t, log: e.log, metrics: e.metrics, confirmation: e.confirmation, onChange: e.onConfigChange,
+		transfer: make(chan struct{}, 1),
 	}
 	e.peers = &peers{
 		self: e.self, timing: t, seeds: e.settings.Seeds, log: e.log, dial: e.dial, confirmation: e.confirmation, config: e.config,
--- a/entry/store_metrics.go
+++ b/entry/store_metrics.go
@@ -21,7 +21,7 @@
 	c.metrics.storeCalls.Inc(1)
 	switch {
 	case err == nil, errors.Is(err, store.ErrNotFound), errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrLeaseExpired):
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(context.Cause(ctx), context.Canceled):
 	case errors.Is(err, store.ErrUnknownOutcome):
 		c.metrics.storeUnknown.Inc(1)
 	default:
--- a/store/httpstore/call.go
+++ b/store/httpstore/call.go
@@ -27,9 +27,12 @@
 var errNotSent = errors.New("httpstore: the request was not sent")
 
 // read makes a call that changes nothing. It returns ErrUnavailable or an error
-// that the service reported.
+// that the service reported. The call ends when no part of the answer has arrived
+// for the timeout.
 func (c *Client) read(ctx context.Context, timeout time.Duration, path string, query url.Values, answer any) error {
-	err := c.do(ctx, timeout, http.MethodGet, path, query, nil, answer)
+	ctx, cancel := store.WithStallTimeout(ctx, timeout)
+	defer cancel()
+	err := c.do(ctx, http.MethodGet, path, query, nil, answer)
 	if err == nil || isServiceFailure(err) {
 		return err
 	}
@@ -45,7 +48,9 @@
 	if err != nil {
 		return merry.Prepend(err, "httpstore: encode request body")
 	}
-	err = c.do(ctx, c.callTimeout, method, path, query, data, answer)
+	ctx, cancel := context.WithTimeout(ctx, c.callTimeout)
+	defer cancel()
+	err = c.do(ctx, method, path, query, data, answer)
 	switch {
 	case err == nil || isServiceFailure(err):
 		return err
@@ -76,9 +81,7 @@
 // do makes one call, which waits for the budget of calls per second. The error
 // matches errNotSent or an error of storeapi.Failures; after any other error the
 // outcome of the call is unknown.
-func (c *Client) do(ctx context.Context, timeout time.Duration, method, path string, query url.Values, body []byte, answer any) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+func (c *Client) do(ctx context.Context, method, path string, query url.Values, body []byte, answer any) error {
 	if err := c.budget.Wait(ctx); err != nil {
 		c.overBudget.Add(1)
 		return fmt.Errorf("%w: budget of %v calls per second: %w", errNotSent, c.budget.Limit(), err)
@@ -102,7 +105,7 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	return decodeAnswer(response, answer)
+	return decodeAnswer(ctx, response, answer)
 }
 
 // newRequest returns a request. It removes GetBody from requests with a body,
@@ -127,8 +130,8 @@
 // decodeAnswer reads the answer to a call. It takes an answer as a failure that
 // the service reported only if the body has the code that belongs to the status,
 // because a proxy may have sent the answer.
-func decodeAnswer(response *http.Response, answer any) error {
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+func decodeAnswer(ctx context.Context, response *http.Response, answer any) error {
+	data, err := io.ReadAll(io.LimitReader(store.ProgressReader(ctx, response.Body), maxAnswerBytes+1))
 	if err != nil {
 		return fmt.Errorf("httpstore: answer cut off: %w", err)
 	}
--- /dev/null
+++ b/store/progress_test.go
@@ -0,0 +1,48 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/store"
+)
+
+// Guards against a call that ends although its answer keeps arriving, that goes on
+// after the answer has stopped arriving, or that lasts for ever; and against a
+// stall that counts as a cancellation by the caller.
+func TestStallTimeout(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		progress time.Duration // interval of the reports; 0: none
+		until    time.Duration // of the last report
+		want     time.Duration // end of the context
+	}{
+		{"no answer", 0, 0, time.Second},
+		{"answer stops", 900 * time.Millisecond, 4 * time.Second, 4600 * time.Millisecond},
+		{"answer never ends", 900 * time.Millisecond, time.Hour, 30 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				began := time.Now()
+				outer, cancelOuter := store.WithStallTimeout(context.Background(), time.Second)
+				defer cancelOuter()
+				ctx, cancel := store.WithStallTimeout(outer, time.Second)
+				defer cancel()
+				ended := make(chan time.Duration, 1)
+				context.AfterFunc(ctx, func() { ended <- time.Since(began) })
+				for tc.progress > 0 && ctx.Err() == nil && time.Since(began)+tc.progress < tc.until {
+					time.Sleep(tc.progress)
+					store.ReportProgress(ctx)
+				}
+				c.Check(<-ended, qt.Equals, tc.want)
+				c.Check(errors.Is(context.Cause(ctx), context.DeadlineExceeded), qt.IsTrue)
+			})
+		})
+	}
+}
