entry, platform: transfer the desired state once per change

Cause: entries read the whole desired state every second and, when a peer had a newer one, from each peer at once on the connection of the heartbeats, within its time-out of 300 ms. A fetch from a peer has a connection of its own, at most one is in progress, and while the store is reachable the entry's own read is awaited first.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -19,6 +19,10 @@
 // removed.
 const forgetPeerAfter = 30 * time.Second
 
+// fetchTimeout bounds the transfer of a configuration from a peer. 1 MB takes 4 s
+// on a link of 2 Mbit/s.
+const fetchTimeout = 10 * time.Second
+
 // peers tracks the other entries. Every entry sends heartbeats to every other
 // entry, because the account shares depend on the demand at all of them. The
 // messages of one entry grow in proportion to the number of entries, which is
@@ -27,6 +31,7 @@
 	self         wire.EntryRef
 	timing       settings.Timing
 	seeds        []string
+	ctx          context.Context // of the fetches; set by run
 	log          zerolog.Logger
 	dial         agentDialer
 	confirmation *confirmation
@@ -42,6 +47,11 @@
 	mu    sync.Mutex
 	known map[string]*peer // by entry identifier
 	wake  chan struct{}    // wakes run when a peer was added
+	// newestReported is the highest generation that a peer has reported, and
+	// behindSince when this entry was first behind it.
+	newestReported uint64
+	behindSince    time.Time
+	fetch          chan struct{} // closed when the fetch in progress has ended; nil if there is none
 }
 
 // peer is one other entry.
@@ -60,6 +70,7 @@
 // seed entries while that is needed, and removes peers that are gone.
 func (p *peers) run(ctx context.Context) {
 	seedAttempts := 0
+	p.ctx = ctx
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for ctx.Err() == nil {
@@ -276,9 +287,8 @@
 	if err := e.conn.Call(ctx, "Entry.PeerHeartbeat", &heartbeat, &reply); err != nil {
 		return err
 	}
-	var fetchErr error
 	if reply.Generation > p.config.generation() {
-		fetchErr = p.fetchConfig(ctx, e.conn)
+		p.catchUp(ctx, e.ref.Address, reply.Generation)
 	}
 	if reply.Generation > p.config.generation() {
 		// The peer's confirmation is of a newer configuration than this entry
@@ -286,7 +296,66 @@
 		reply.ConfirmAge = gate.NoAge
 	}
 	p.handleReply(e, sent, reply)
-	return fetchErr
+	return nil
+}
+
+// catchUp fetches the configuration from a peer that reported a newer generation,
+// on a connection of its own, and returns when that has ended or ctx ends. At most
+// one fetch is in progress: a large document would otherwise fill the link from
+// many peers at once, and on the connection of the heartbeats it would delay them.
+// While the store is reachable, this entry's own read is awaited first.
+func (p *peers) catchUp(ctx context.Context, address string, generation uint64) {
+	now, own := time.Now(), p.config.generation()
+	p.mu.Lock()
+	if p.newestReported <= own {
+		p.behindSince = now
+	}
+	p.newestReported = max(p.newestReported, generation)
+	ownRead := p.confirmation.storeReachable() && now.Sub(p.behindSince) < p.timing.ConfigRead.AsDuration()
+	fetch := p.fetch
+	if fetch == nil && !ownRead {
+		fetch = make(chan struct{})
+		p.fetch = fetch
+		go p.fetchFrom(address, generation)
+	}
+	p.mu.Unlock()
+	if fetch == nil {
+		return
+	}
+	select {
+	case <-fetch:
+	case <-ctx.Done():
+	}
+}
+
+// fetchFrom fetches the configuration from the entry at the address, unless a
+// read that was in progress has brought the generation meanwhile.
+func (p *peers) fetchFrom(address string, generation uint64) {
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		close(p.fetch)
+		p.fetch = nil
+	}()
+	select {
+	case p.config.transfer <- struct{}{}:
+	case <-p.ctx.Done():
+		return
+	}
+	defer func() { <-p.config.transfer }()
+	if p.config.generation() >= generation {
+		return
+	}
+	ctx, cancel := context.WithTimeout(p.ctx, fetchTimeout)
+	defer cancel()
+	conn, err := p.dial(ctx, address)
+	if err == nil {
+		err = p.fetchConfig(ctx, conn)
+		_ = conn.Close()
+	}
+	if err != nil {
+		p.log.Warn().Str("address", address).Uint64("generation", generation).Err(err).Msg("configuration not fetched from a peer")
+	}
 }
 
 // handleReply records the reply to a heartbeat that was sent at that time. If
