leasemodel: sessions without tasks may be dormant

Most heartbeats are exchanged by agents and entries that share no task. Before they become rarer, the model lets a session without a task go without renewals for longer than L: a task that arrives in it waits for a renewal and is never started without one; only a run makes the lapse urgent.

--- a/internal/leasemodel/doc.go
+++ b/internal/leasemodel/doc.go
@@ -34,6 +34,7 @@
 // over ends before anything else happens in that tick. "At least" in ticks
 // therefore stands for "longer than" in the design. Heartbeats and renewals are
 // exchanged at every tick: a longer interval only makes them older, which ends
-// runs earlier. After a pause an entry settles, which means that it starts
+// runs earlier. A session without a task may be dormant when one arrives: it was
+// not renewed for L, and the task waits for a renewal. After a pause an entry settles, which means that it starts
 // nothing, for one tick, the shortest time.
 package leasemodel
--- a/internal/leasemodel/entry.go
+++ b/internal/leasemodel/entry.go
@@ -152,6 +152,13 @@
 			s.entries[e].markSent(a)
 			m.acceptTask(s, e, a, s.entries[e].sessions[a].number, s.entries[e].sequence)
 		}, e, a)
+		if !s.involved(e, a) {
+			m.step("entry %d sends the task to agent %d, whose session is dormant", func(s *state) {
+				s.entries[e].markSent(a)
+				m.makeDormant(&s.agents[a], e)
+				m.acceptTask(s, e, a, s.entries[e].sessions[a].number, s.entries[e].sequence)
+			}, e, a)
+		}
 	}
 	delayed := func(s *state) message {
 		en := &s.entries[e]
--- a/internal/leasemodel/machine.go
+++ b/internal/leasemodel/machine.go
@@ -187,6 +187,13 @@
 				s.removeDelayed(i)
 				m.acceptTask(s, e, a, msg.number, msg.sequence)
 			}, e, a)
+			if !ag.lapseMatters(e) {
+				m.step("the task sent by entry %d reaches agent %d, whose session is dormant", func(s *state) {
+					s.removeDelayed(i)
+					m.makeDormant(&s.agents[a], e)
+					m.acceptTask(s, e, a, msg.number, msg.sequence)
+				}, e, a)
+			}
 		}
 	case openMessage:
 		if ag.active() {
