agent, entry, ledger: fewer heartbeats between processes without common tasks

A session without tasks stays open without renewals (dormant); a task that arrives in it makes the agent send a heartbeat at once and starts after the renewal. Entries expect heartbeats accordingly. An agent that refuses a task for lack of room or knows of waiting tasks keeps the short interval. Tests: TestDormantSession; the tests of lapses now hold a running task, since only that is stopped; TestUnclaimedEnds keeps its bounds.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -59,6 +59,7 @@
 	leaving         map[leaveReason]bool
 	health          health
 	backlogs        map[ledger.Owner]wire.Backlog
+	quickUntil      map[ledger.Owner]time.Time // see isBusyFor
 	reservations    []reservation
 	storeReadAt     time.Time     // time of the newest store read that any entry reported
 	changed         chan struct{} // closed and replaced by notifyChanged
@@ -102,6 +103,7 @@
 		stopped: make(chan struct{}), drained: make(chan struct{}), changed: make(chan struct{}),
 		gate: gate.New(s.Timing.Gate.AsDuration()), free: s.Capacity, health: health{ok: true},
 		tasks: map[taskID]*task{}, leaving: map[leaveReason]bool{}, backlogs: map[ledger.Owner]wire.Backlog{},
+		quickUntil: map[ledger.Owner]time.Time{},
 		self: wire.AgentRef{
 			ID: s.ID, Incarnation: wire.NewIncarnation(), Address: s.PeerAddress, Admin: s.AdminAddress,
 			DataCentre: s.DataCentre, Rack: s.Rack, Worker: s.Worker, Upstream: s.Upstream,
--- a/agent/ends.go
+++ b/agent/ends.go
@@ -92,6 +92,19 @@
 	}
 }
 
+// holdsEndOf reports whether an end of a task of the entry is held, which the entry
+// acknowledges in its replies to heartbeats; the caller holds mu.
+func (l *leasedExecutor) holdsEndOf(owner ledger.Owner) bool {
+	if l.life != nil {
+		for _, id := range l.life.heldEnds.taskByTag {
+			if id.owner == owner {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // applyEndAnswers applies an entry's answers to unclaimed ends: settled ends are
 // released and voided ones discarded. The caller holds mu.
 func (l *leasedExecutor) applyEndAnswers(now time.Time, settled, voided []wire.EndedRun) {
@@ -139,8 +152,8 @@
 			continue
 		}
 		id, known := life.heldEnds.taskByTag[h.Tag]
-		if !h.Untracked && now.Sub(h.ListedAt) < ownerAckTimeout && (!known || l.agent.ledger.HasSession(id.owner)) {
-			delete(life.heldEnds.unclaimedSince, h.Tag) // the entry has opened a session again
+		if !h.Untracked && now.Sub(h.ListedAt) < ownerAckTimeout && (!known || l.agent.ledger.Renewed(id.owner, now, l.agent.timing.Lapse.AsDuration())) {
+			delete(life.heldEnds.unclaimedSince, h.Tag) // the entry has a session again
 			continue
 		}
 		if life.heldEnds.unclaimedSince[h.Tag].IsZero() {
--- a/agent/entries.go
+++ b/agent/entries.go
@@ -55,7 +55,7 @@
 func newEntries(a *Agent) *entries {
 	return &entries{
 		agent: a, log: a.log, known: map[string]knownEntry{}, links: map[string]*link{},
-		peers: membership.New(a.timing.Suspect.AsDuration()), changed: make(chan struct{}, 1),
+		peers: membership.New(a.timing.IdleSuspect()), changed: make(chan struct{}, 1),
 	}
 }
 
@@ -283,6 +283,18 @@
 	}
 }
 
+// reschedule makes the link to one entry determine again when its next heartbeat
+// is due.
+func (e *entries) reschedule(owner ledger.Owner) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for address, l := range e.links {
+		if e.known[address].ref.ID == owner.Entry {
+			l.reschedule()
+		}
+	}
+}
+
 // sendOffer sends an offer to the entry and reports whether it did. The entry
 // must have a link and must have answered the previous offer.
 func (e *entries) sendOffer(owner ledger.Owner, req wire.OfferRequest) bool {
--- a/agent/fence.go
+++ b/agent/fence.go
@@ -104,10 +104,38 @@
 		}
 	}
 	for owner := range a.backlogs {
-		if !a.ledger.HasSession(owner) {
+		if !a.ledger.HasSession(owner) || !a.isBusyFor(owner, now) {
 			delete(a.backlogs, owner)
 		}
 	}
+	for owner, until := range a.quickUntil {
+		if !now.Before(until) {
+			delete(a.quickUntil, owner)
+		}
+	}
+}
+
+// isBusyFor reports whether heartbeats to the entry are sent at the short interval:
+// it has a task or the end of one here, or it has tasks waiting and was heard of
+// recently. The session of such an entry must not lapse, and the entry has to learn
+// soon that there is room. The caller holds mu.
+func (a *Agent) isBusyFor(owner ledger.Owner, now time.Time) bool {
+	if now.Before(a.quickUntil[owner]) {
+		return true
+	}
+	for id := range a.tasks {
+		if id.owner == owner {
+			return true
+		}
+	}
+	return a.leased != nil && a.leased.holdsEndOf(owner)
+}
+
+// noteInterest records that the entry has tasks waiting, which it announced or
+// which were refused here for lack of room; the caller holds mu.
+func (a *Agent) noteInterest(owner ledger.Owner, now time.Time) {
+	a.quickUntil[owner] = now.Add(a.timing.Lapse.AsDuration())
+	a.entries.reschedule(owner)
 }
 
 // completeWithdrawn refuses the queued tasks that the ledger dropped with their
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -36,9 +36,10 @@
 	agent   *Agent
 	address string
 	cancel  context.CancelFunc
-	wake    chan struct{} // capacity 1
+	wake    chan struct{} // capacity 1; ends the wait for the next heartbeat
 
 	mu           sync.Mutex
+	urgent       bool            // the next heartbeat is due at once
 	conn         *rpcconn.Client // nil while not connected
 	offerPending bool
 	leavingAcked bool // the entry answered a heartbeat with Leaving set
@@ -55,6 +56,14 @@
 // requestHeartbeat makes the link send its next heartbeat as soon as
 // maxHeartbeatsPerInterval allows.
 func (l *link) requestHeartbeat() {
+	l.mu.Lock()
+	l.urgent = true
+	l.mu.Unlock()
+	l.reschedule()
+}
+
+// reschedule makes the link determine again when its next heartbeat is due.
+func (l *link) reschedule() {
 	select {
 	case l.wake <- struct{}{}:
 	default:
@@ -65,14 +74,17 @@
 // on a new connection; if that fails too, the entry becomes suspect.
 func (l *link) run(ctx context.Context) {
 	defer l.closeConn()
-	interval := l.agent.timing.Heartbeat.AsDuration()
 	// The random delay spreads the connections of agents that start at the
 	// same time.
-	if !wait.For(ctx, rand.N(interval/maxHeartbeatsPerInterval), nil) {
+	if !wait.For(ctx, rand.N(l.agent.timing.Heartbeat.AsDuration()/maxHeartbeatsPerInterval), nil) {
 		return
 	}
 	failures := 0
 	for {
+		sent := time.Now()
+		l.mu.Lock()
+		l.urgent = false
+		l.mu.Unlock()
 		err := l.sendHeartbeat(ctx)
 		if err != nil && ctx.Err() == nil {
 			l.closeConn()
@@ -92,13 +104,51 @@
 			continue
 		}
 		failures = 0
-		spacing := interval / maxHeartbeatsPerInterval
-		if !wait.For(ctx, spacing, nil) || !wait.For(ctx, interval-spacing, l.wake) {
+		if !l.waitUntilDue(ctx, sent) {
 			return
 		}
 	}
 }
 
+// waitUntilDue waits until the next heartbeat is due after the one that was sent
+// at the given time. It returns false if ctx ended.
+func (l *link) waitUntilDue(ctx context.Context, sent time.Time) bool {
+	t := l.agent.timing
+	// The random part keeps the agents of an entry from sending at the same time.
+	idle := t.IdleInterval()
+	idle -= rand.N(max(1, (idle-t.Heartbeat.AsDuration())/4))
+	if !wait.For(ctx, t.Heartbeat.AsDuration()/maxHeartbeatsPerInterval, nil) {
+		return false
+	}
+	for {
+		l.mu.Lock()
+		urgent := l.urgent
+		l.mu.Unlock()
+		interval := idle
+		if l.agent.needsHeartbeats(ledger.Owner{Entry: l.receivedRef.ID, Incarnation: l.receivedRef.Incarnation}) {
+			interval = t.Heartbeat.AsDuration()
+		}
+		left := time.Until(sent.Add(interval))
+		if urgent || left <= 0 {
+			return true
+		}
+		if !wait.For(ctx, left, l.wake) {
+			return false
+		}
+	}
+}
+
+// needsHeartbeats reports whether heartbeats to the entry are sent at the short
+// interval. That is also so while the configuration is not confirmed, which only the
+// reply to a heartbeat does.
+func (a *Agent) needsHeartbeats(owner ledger.Owner) bool {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	_, reason := a.mayStart(now)
+	return reason == wire.ReasonConfigUnconfirmed || a.isBusyFor(owner, now)
+}
+
 func (l *link) closeConn() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/agent/leased_session_test.go
+++ b/agent/leased_session_test.go
@@ -170,6 +170,8 @@
 		id := taskID{ledger.OwnerOf(m.Session), wire.TaskKey{Session: m.Session.Number, Sequence: m.Sequence}}
 		a.mu.Lock()
 		a.tasks[id] = &task{taskID: id, session: m.Session, task: m.Task, startedAt: time.Now(), cancel: cancel}
+		r.Check(a.ledger.Enqueue(m.Session, m.Sequence, m.Task), qt.IsNil)
+		r.Check(a.ledger.Start(m.Session, m.Sequence), qt.IsNil)
 		a.ledger.ExpireSessions(time.Now().Add(time.Second), a.timing.Lapse.AsDuration())
 		a.mu.Unlock()
 		_, refusal := a.leased.orderStart(ctx, m.Task)
--- a/agent/receive.go
+++ b/agent/receive.go
@@ -76,6 +76,9 @@
 	if reason := a.refusalReason(t, now); reason != "" {
 		a.ledger.Withdraw(t.session, t.key)
 		a.metrics.countRefusal(reason)
+		if reason == wire.ReasonAgentBusy {
+			a.noteInterest(t.owner, now)
+		}
 		refusal := notRun(reason, "")
 		return nil, &refusal
 	}
--- a/agent/run.go
+++ b/agent/run.go
@@ -13,6 +13,7 @@
 func (a *Agent) enqueue(t *task) {
 	a.tasks[t.taskID] = t
 	a.queue = append(a.queue, t)
+	a.entries.reschedule(t.owner)
 	t.expiryTimer = time.AfterFunc(time.Until(t.deadline), func() { a.expireQueued(t) })
 	a.loadSequence++
 }
@@ -37,6 +38,10 @@
 			return
 		}
 		t := a.queue[i]
+		if a.leased != nil && !a.ledger.Renewed(t.owner, now, a.timing.Lapse.AsDuration()) {
+			i++ // waits for the reply to a heartbeat
+			continue
+		}
 		if a.runningTasks+a.reservedForOthers(t.owner, now) >= a.self.Slots {
 			i++ // the free slots are reserved for other entries
 			continue
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -61,7 +61,7 @@
 	lastHeard        time.Time // last heartbeat, or reply to OpenSession
 	leaving          bool
 	unhealthy        bool
-	suspect          bool // silent for longer than Timing.Suspect
+	suspect          bool // see isSilent
 	ejected          bool // by the detection of faulty upstreams
 	refusing         bool // refused a task for a lasting reason; cleared by its next heartbeat
 	busy             bool // refused a task for lack of room; cleared by its next heartbeat or load report
@@ -295,7 +295,7 @@
 // tasks in doubt whose time has run out, removes the agent or reconnects to it.
 func (d *dispatcher) checkAgent(a *agent) {
 	silence := d.now.Sub(a.lastHeard)
-	if suspect := silence > d.timing.Suspect.AsDuration(); suspect != a.suspect {
+	if suspect := d.isSilent(a); suspect != a.suspect {
 		a.suspect = suspect
 		if suspect {
 			d.metrics.agentsSuspect.Inc(1)
@@ -318,6 +318,20 @@
 	d.checkConnection(a)
 }
 
+// isSilent reports whether a heartbeat of the agent is overdue. An agent without
+// tasks of this entry sends them at the interval Timing.IdleHeartbeat, and at the
+// shorter one as soon as the first task has arrived.
+func (d *dispatcher) isSilent(a *agent) bool {
+	if len(a.session.tasks) == 0 {
+		return d.now.Sub(a.lastHeard) > d.timing.IdleSuspect()
+	}
+	since := a.lastHeard
+	if a.session.busySince.After(since) {
+		since = a.session.busySince
+	}
+	return d.now.Sub(since) > d.timing.Suspect.AsDuration()
+}
+
 // sendIntroduction makes this entry known to a silent agent. A restarted agent
 // knows no entry if it cannot read the store.
 func (d *dispatcher) sendIntroduction(a *agent) {
@@ -343,6 +357,7 @@
 // carrying data while new ones work.
 func (d *dispatcher) checkConnection(a *agent) {
 	if a.conn == nil || a.pinging || len(a.session.tasks) == 0 ||
+		d.now.Sub(a.session.busySince) < d.timing.PingAfter.AsDuration() ||
 		d.now.Sub(a.conn.LastReceived()) < d.timing.PingAfter.AsDuration() {
 		return
 	}
--- a/entry/confirm.go
+++ b/entry/confirm.go
@@ -196,26 +196,26 @@
 
 // reportLag returns the longest time until a read of the store by another entry
 // is reported here: the interval of its reads, the timeout of the call, and two
-// heartbeat intervals of an agent, which learns of the read from that entry and
+// idle heartbeat intervals of an agent, which learns of the read from that entry and
 // reports it to this one.
 func (c *confirmation) reportLag() time.Duration {
-	return c.timing.ConfigRead.AsDuration() + c.timing.StoreTimeout.AsDuration() + 2*c.timing.Heartbeat.AsDuration()
+	return c.timing.ConfigRead.AsDuration() + c.timing.StoreTimeout.AsDuration() + 2*c.timing.IdleInterval()
 }
 
 // dataCentreAges returns, for each data centre from which a process was heard
-// within Timing.Suspect, how long ago that was. The caller holds the lock.
+// within Timing.IdleSuspect, how long ago that was. The caller holds the lock.
 func (c *confirmation) dataCentreAges(now time.Time) map[string]time.Duration {
 	heard := map[string]time.Duration{}
 	consider := func(dataCentre string, at time.Time) {
 		age := max(0, now.Sub(at))
-		if age > c.timing.Suspect.AsDuration() {
+		if age > c.timing.IdleSuspect() {
 			return
 		}
 		if known, ok := heard[dataCentre]; !ok || age < known {
 			heard[dataCentre] = age
 		}
 	}
-	if now.Sub(c.resumedAt) > c.timing.Suspect.AsDuration() {
+	if now.Sub(c.resumedAt) > c.timing.IdleSuspect() {
 		for dataCentre, at := range c.agentsLastHeard {
 			consider(dataCentre, at)
 		}
@@ -227,7 +227,7 @@
 }
 
 // recentDataCentres lists the data centres from which a process was heard within
-// Timing.Suspect, sorted by name.
+// Timing.IdleSuspect, sorted by name.
 func (c *confirmation) recentDataCentres(now time.Time) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/entry/session.go
+++ b/entry/session.go
@@ -56,6 +56,7 @@
 	state       sessionState
 	sequence    uint64 // of the last task sent in the session
 	tasks       map[wire.TaskKey]*sentTask
+	busySince   time.Time      // when the first of the tasks was sent, while there are any
 	pendingAcks []wire.TaskKey // resolved tasks whose start record the agent may delete
 	reconcileBy time.Time      // when tasks in doubt are resolved as unknown; zero if none are in doubt
 }
@@ -144,6 +145,9 @@
 // recordSend records a task that is about to be sent. The session must be open.
 func (s *session) recordSend(j *job, index int, now time.Time) *sentTask {
 	s.sequence++
+	if len(s.tasks) == 0 {
+		s.busySince = now
+	}
 	t := &sentTask{job: j, index: index, sentAt: now, key: wire.TaskKey{Session: s.id.Number, Sequence: s.sequence}}
 	s.tasks[t.key] = t
 	return t
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -26,6 +26,8 @@
 	session         uint64 // number of the current or last session
 	open            bool
 	lastContact     time.Time
+	waitingSince    time.Time // time of the last message that arrived while no task was queued
+	running         int       // started tasks that have not finished, of all sessions
 	usedSequences   sequences
 	highestSequence uint64               // highest sequence enqueued in the current session
 	queued          map[uint64]wire.Task // of the current session, by sequence
@@ -57,9 +59,11 @@
 	}
 }
 
-// RequireRenewals makes sessions last only as long as RenewSession extends them.
-// Other messages then do not extend a session: they may have been delayed, and
-// sent before the entry gave the session up.
+// RequireRenewals makes the tasks of a session last only as long as RenewSession
+// extends it. Other messages then do not extend a session: they may have been
+// delayed, and sent before the entry gave the session up. A session without tasks
+// stays open without renewals; it is dormant, and its next task may start only
+// when Renewed reports true.
 func (l *Ledger) RequireRenewals() { l.requireRenewals = true }
 
 // RenewSession extends the entry's session, if it is the open one. at is a time
@@ -70,6 +74,13 @@
 	}
 }
 
+// Renewed reports whether the entry has an open session that was extended within
+// the time limit, so that its tasks may start.
+func (l *Ledger) Renewed(id Owner, now time.Time, limit time.Duration) bool {
+	o, ok := l.owners[id]
+	return ok && o.open && now.Sub(o.lastContact) <= limit
+}
+
 // Incarnation identifies the agent process whose starts are recorded.
 func (l *Ledger) Incarnation() wire.Incarnation { return l.incarnation }
 
@@ -152,6 +163,9 @@
 	if !l.requireRenewals {
 		o.lastContact = now
 	}
+	if len(o.queued) == 0 {
+		o.waitingSince = now
+	}
 	if o.truncatedIn < s.Number {
 		o.truncatedIn = 0
 	}
@@ -201,6 +215,7 @@
 	}
 	delete(o.queued, seq)
 	o.records[key] = &record{}
+	o.running++
 	l.records++
 	l.stats.Queued--
 	l.stats.Running++
@@ -246,6 +261,7 @@
 	}
 	r.result = result
 	r.position = l.finished.PushBack(recordRef{id, key})
+	o.running--
 	l.stats.Running--
 	l.stats.Finished++
 	l.evict()
@@ -265,6 +281,7 @@
 		return ErrNotFound
 	}
 	delete(o.records, key)
+	o.running--
 	l.records--
 	l.stats.Running--
 	return nil
@@ -299,13 +316,14 @@
 }
 
 // ExpireSessions ends the sessions that were not extended for longer than after,
-// and returns their queued tasks, which it drops. The records of started tasks
-// stay until ownerRetention has passed, too.
+// except dormant ones, and returns their queued tasks, which it drops. A task that
+// arrived in a dormant session waits as long for a renewal. The records of started
+// tasks stay until ownerRetention has passed, too.
 func (l *Ledger) ExpireSessions(now time.Time, after time.Duration) []WithdrawnTask {
 	var dropped []WithdrawnTask
 	for id, o := range l.owners {
 		silence := now.Sub(o.lastContact)
-		if o.open && silence > after {
+		if o.open && silence > after && !l.mayWait(o, now, after) {
 			o.open = false
 			l.stats.Lapsed++
 			dropped = append(dropped, l.dropQueued(id, o)...)
@@ -317,6 +335,18 @@
 	return dropped
 }
 
+// mayWait reports whether a session that was not extended in time stays open: it
+// has no running task, and no queued one or one that arrived recently.
+func (l *Ledger) mayWait(o *owner, now time.Time, after time.Duration) bool {
+	switch {
+	case !l.requireRenewals || o.running > 0:
+		return false
+	case len(o.queued) > 0:
+		return now.Sub(o.waitingSince) <= after
+	}
+	return now.Sub(o.lastContact) <= max(ownerRetention, after)
+}
+
 // forget drops the records of an owner's finished tasks, and the owner unless a
 // task still runs.
 func (l *Ledger) forget(id Owner, o *owner) {
--- a/ledger/renewal_test.go
+++ b/ledger/renewal_test.go
@@ -9,9 +9,10 @@
 	"chicorytray.example/chicorytray/wire"
 )
 
-// Guards against a session of leased tasks that outlasts its entry because it is
-// extended by a message without a known time of sending, or by one that renews
-// another session; and against one that expires although it was renewed.
+// Guards against a session with a running leased task that outlasts its entry
+// because it is extended by a message without a known time of sending, or by one
+// that renews another session; and against one that expires although it was
+// renewed.
 func TestOnlyRenewalsExtendASession(t *testing.T) {
 	const after = 600 * time.Millisecond
 	at := func(d time.Duration) time.Time { return start.Add(d * time.Millisecond) }
@@ -44,12 +45,65 @@
 			l.RequireRenewals()
 			_, err := l.OpenSession(session(1), start)
 			c.Assert(err, qt.IsNil)
+			c.Assert(l.Enqueue(session(1), 1, wire.Task{}), qt.IsNil)
+			c.Assert(l.Start(session(1), 1), qt.IsNil)
 			tc.do(l)
 			number, _ := l.LatestSequence(owner1)
 			c.Assert(l.Enqueue(session(number), 9, wire.Task{}), qt.IsNil)
 			c.Check(l.ExpireSessions(tc.lastRenewal.Add(after), after), qt.HasLen, 0)
+			c.Check(l.Renewed(owner1, tc.lastRenewal.Add(after), after), qt.IsTrue)
+			c.Check(l.Renewed(owner1, tc.lastRenewal.Add(after+1), after), qt.IsFalse)
 			c.Check(l.ExpireSessions(tc.lastRenewal.Add(after+1), after), qt.HasLen, 1)
 			c.Check(l.HasSession(owner1), qt.IsFalse)
 		})
 	}
 }
+
+// Guards against a dormant session that ends although it has no task, so that an
+// entry has to open another one before each task; against a task in it that may
+// start without a renewal; and against one that waits for longer than the limit.
+func TestDormantSession(t *testing.T) {
+	const after = 600 * time.Millisecond
+	at := func(d time.Duration) time.Time { return start.Add(d * time.Millisecond) }
+	setUp := func(t *testing.T) (*qt.C, *Ledger) {
+		c, l := qt.New(t), New(1, 10)
+		l.RequireRenewals()
+		_, err := l.OpenSession(session(1), start)
+		c.Assert(err, qt.IsNil)
+		c.Check(l.ExpireSessions(at(5000), after), qt.HasLen, 0)
+		c.Check(l.HasSession(owner1), qt.IsTrue)
+		for i, d := range []time.Duration{5000, 5300} { // the second task does not extend the wait
+			c.Assert(l.RecordMessage(session(1), at(d)), qt.IsNil)
+			c.Assert(l.Enqueue(session(1), uint64(i+1), wire.Task{}), qt.IsNil)
+		}
+		c.Check(l.ExpireSessions(at(5600), after), qt.HasLen, 0)
+		c.Check(l.Renewed(owner1, at(5600), after), qt.IsFalse)
+		return c, l
+	}
+	t.Run("not renewed", func(t *testing.T) {
+		c, l := setUp(t)
+		c.Check(l.ExpireSessions(at(5601), after), qt.HasLen, 2)
+		c.Check(l.HasSession(owner1), qt.IsFalse)
+	})
+	t.Run("renewed", func(t *testing.T) {
+		c, l := setUp(t)
+		l.RenewSession(owner1, 1, at(5500))
+		c.Check(l.Renewed(owner1, at(5600), after), qt.IsTrue)
+		c.Check(l.ExpireSessions(at(6100), after), qt.HasLen, 0)
+		c.Assert(l.Start(session(1), 1), qt.IsNil)
+		c.Check(l.ExpireSessions(at(6101), after), qt.HasLen, 1)
+		c.Check(l.HasSession(owner1), qt.IsFalse)
+	})
+	t.Run("renewed, ended, dormant again", func(t *testing.T) {
+		c, l := setUp(t)
+		l.RenewSession(owner1, 1, at(5500))
+		for _, sequence := range []uint64{1, 2} {
+			c.Assert(l.Start(session(1), sequence), qt.IsNil)
+			c.Assert(l.Finish(owner1, wire.TaskKey{Session: 1, Sequence: sequence}, wire.Result{}), qt.IsNil)
+		}
+		c.Check(l.ExpireSessions(at(60000), after), qt.HasLen, 0)
+		c.Check(l.HasSession(owner1), qt.IsTrue)
+		c.Check(l.ExpireSessions(at(5500).Add(ownerRetention+1), after), qt.HasLen, 0)
+		c.Check(l.HasSession(owner1), qt.IsFalse)
+	})
+}
--- a/settings/timing.go
+++ b/settings/timing.go
@@ -42,6 +42,9 @@
 	} {
 		ps.positive(f.field, f.value)
 	}
+	if t.IdleHeartbeat < 0 || t.IdleHeartbeat > maxInterval {
+		ps.add("timing.idle_heartbeat", t.IdleHeartbeat.AsDuration().String(), "0s to 24h")
+	}
 	if t.StopNotice < 0 || t.StopNotice > maxInterval {
 		ps.add("timing.stop_notice", t.StopNotice.AsDuration().String(), "0s to 24h")
 	}
@@ -53,9 +56,9 @@
 // timingRelations checks the intervals against each other.
 func (ps *problems) timingRelations(t Timing) {
 	// With regular reads and heartbeats, the age of an agent's confirmation
-	// reaches config_read + heartbeat. A shorter gate would close from time to
+	// reaches config_read + idle_heartbeat. A shorter gate would close from time to
 	// time without any fault.
-	ps.longerThan("timing.gate", t.Gate, t.ConfigRead.AsDuration()+t.Heartbeat.AsDuration(), "config_read + heartbeat")
+	ps.longerThan("timing.gate", t.Gate, t.ConfigRead.AsDuration()+t.IdleInterval(), "config_read + the longer of heartbeat and idle_heartbeat")
 	if t.Gate.AsDuration() > maxGate {
 		ps.add("timing.gate", t.Gate.AsDuration().String(), fmt.Sprintf("at most %s, the bound for starts in a data centre out of service", maxGate))
 	}
--- a/settings/types.go
+++ b/settings/types.go
@@ -50,9 +50,14 @@
 // checked against each other because guarantees depend on their order. Each is
 // more than 0 and at most 24h, except StopNotice, which may be 0.
 type Timing struct {
-	// Heartbeat is the interval between the heartbeats of an agent to an entry.
-	// Default 500ms.
+	// Heartbeat is the interval between the heartbeats of an agent to an entry
+	// that has tasks there, queued, running or waiting for room. Default 500ms.
 	Heartbeat Duration `json:"heartbeat"`
+	// IdleHeartbeat is the longest interval between the heartbeats of an agent to
+	// an entry that has no tasks there. A value below Heartbeat, such as 0, the
+	// default, means Heartbeat. With ConfigRead less than Gate, and unless the
+	// tasks are leased less than Lapse.
+	IdleHeartbeat Duration `json:"idle_heartbeat"`
 	// PeerHeartbeat is the interval between the heartbeats of an entry to
 	// another entry. Default 1s.
 	PeerHeartbeat Duration `json:"peer_heartbeat"`
@@ -62,7 +67,9 @@
 	ConfigRead Duration `json:"config_read"`
 	// Suspect is the time without a message from a process after which it gets
 	// no new work. More than two Heartbeat, so that one lost heartbeat has no
-	// effect, and more than PeerHeartbeat. Default 1500ms.
+	// effect, and more than PeerHeartbeat. Where heartbeats are sent at the
+	// interval IdleHeartbeat, the time is longer by what that exceeds Heartbeat.
+	// Default 1500ms.
 	Suspect Duration `json:"suspect"`
 	// Gate is the largest age of the last confirmation of its configuration at
 	// which an agent starts a task. More than ConfigRead plus Heartbeat, and at
@@ -100,6 +107,17 @@
 	StopNotice Duration `json:"stop_notice"`
 }
 
+// IdleInterval is the interval that IdleHeartbeat sets.
+func (t Timing) IdleInterval() time.Duration {
+	return max(t.Heartbeat, t.IdleHeartbeat).AsDuration()
+}
+
+// IdleSuspect is Suspect for a process that sends heartbeats at the interval
+// IdleHeartbeat.
+func (t Timing) IdleSuspect() time.Duration {
+	return t.Suspect.AsDuration() + t.IdleInterval() - t.Heartbeat.AsDuration()
+}
+
 // TLS names the PEM files of one side of a connection. If all are empty, which
 // is the default, TLS is not used.
 type TLS struct {
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -78,6 +78,8 @@
 		ps.leased(*a.Leased, a.Timing)
 	} else {
 		ps.upstream(a)
+		// Sessions of HTTP tasks are extended by heartbeats and messages only.
+		ps.longerThan("timing.lapse", a.Timing.Lapse, a.Timing.IdleInterval(), "idle_heartbeat")
 	}
 	return ps
 }
