entry: heartbeats between entries bounded for each entry

Cause: every entry sent a heartbeat to every other one each 350 ms, 3,400 a second with 35 entries, and both the request and the reply carried the demand of all accounts, of which the receiver of a request uses nothing. Change: an entry sends at most 25 such heartbeats a second to all peers together; the time after which a peer counts as silent and the intervals of the quota shares follow. Requests carry only the sender's reference. Up to 8 peers nothing changes. Test: TestPeerIntervalGrowsWithTheNumberOfPeers.

--- a/entry/confirm.go
+++ b/entry/confirm.go
@@ -49,6 +49,7 @@
 	age            time.Duration // the peer's confirmation age; negative for none
 	storeReachable bool          // from the peer
 	dataCentre     string        // of the peer
+	suspectAfter   time.Duration // time after sentAt after which the peer counts as silent
 }
 
 func newConfirmation(t settings.Timing, dataCentre string, log zerolog.Logger) *confirmation {
@@ -181,7 +182,7 @@
 		o.AgentReadAges = []time.Duration{max(0, now.Sub(c.newestAgentRead))}
 	}
 	for _, p := range c.peers {
-		if now.Sub(p.sentAt) > c.timing.Suspect.AsDuration() {
+		if now.Sub(p.sentAt) > p.suspectAfter {
 			o.ReportLag = c.reportLag()
 			continue
 		}
--- a/entry/durable_peers.go
+++ b/entry/durable_peers.go
@@ -117,7 +117,7 @@
 	out := map[string]bool{p.self.ID: true}
 	for id, e := range p.known {
 		if e.registered {
-			out[id] = !e.stopping && e.failures == 0 && time.Since(e.lastReplySent) < p.timing.PeerHeartbeat.AsDuration()+p.timing.Suspect.AsDuration()
+			out[id] = !e.stopping && e.failures == 0 && time.Since(e.lastReplySent) < p.timing.PeerHeartbeat.AsDuration()+p.timing.PeerSuspect(len(p.known))
 		}
 	}
 	return out
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -25,8 +25,8 @@
 
 // peers tracks the other entries. Every entry sends heartbeats to every other
 // entry, because the account shares depend on the demand at all of them. The
-// messages of one entry grow in proportion to the number of entries, which is
-// small.
+// interval grows with the number of entries, so that the messages of one entry do
+// not; at 100 entries it is 4 s.
 type peers struct {
 	self         wire.EntryRef
 	timing       settings.Timing
@@ -36,10 +36,9 @@
 	dial         agentDialer
 	confirmation *confirmation
 	config       *configuration
-	// newHeartbeat builds this entry's heartbeat; onHeartbeat handles the heartbeat
-	// in a peer's reply.
-	newHeartbeat func() wire.PeerHeartbeat
-	onHeartbeat  func(wire.PeerHeartbeat)
+	// onHeartbeat handles the heartbeat in a peer's reply, with the interval at
+	// which such heartbeats arrive.
+	onHeartbeat func(heartbeat wire.PeerHeartbeat, interval time.Duration)
 	// onPeerLost is called with the identifier of a peer that became unreachable
 	// or whose process was replaced. It must not block.
 	onPeerLost func(entry string)
@@ -160,7 +159,7 @@
 		return
 	}
 	if known != nil {
-		if !direct && time.Since(known.lastReplySent) < p.timing.Suspect.AsDuration() {
+		if !direct && time.Since(known.lastReplySent) < p.timing.PeerSuspect(len(p.known)) {
 			return
 		}
 		known.stop()
@@ -255,9 +254,9 @@
 			p.log.Warn().Str("entry", e.ref.ID).Err(err).Msg("peer entry unreachable")
 			p.onPeerLost(e.ref.ID)
 		}
-		pause := p.timing.PeerHeartbeat.AsDuration()
+		pause := p.timing.PeerInterval(p.count())
 		if failures > 0 {
-			pause = fullJitter(pause, failures)
+			pause = fullJitter(p.timing.PeerHeartbeat.AsDuration(), failures)
 		}
 		wait.For(ctx, pause, nil)
 	}
@@ -282,7 +281,8 @@
 		}
 	}()
 	sent := time.Now()
-	heartbeat := p.newHeartbeat()
+	// The peer takes nothing else from a request; see rpcPeerHeartbeat.
+	heartbeat := wire.PeerHeartbeat{Entry: p.self}
 	var reply wire.PeerHeartbeat
 	if err := e.conn.Call(ctx, "Entry.PeerHeartbeat", &heartbeat, &reply); err != nil {
 		return err
@@ -367,11 +367,20 @@
 	}
 	p.mu.Lock()
 	e.lastReplySent, e.stopping = sent, reply.Stopping
+	known := len(p.known)
 	p.mu.Unlock()
 	p.confirmation.recordPeerReply(e.ref.ID, peerReport{
 		sentAt: sent, age: reply.ConfirmAge, storeReachable: reply.StoreReachable, dataCentre: reply.Entry.DataCentre,
+		suspectAfter: p.timing.PeerSuspect(known),
 	})
-	p.onHeartbeat(reply)
+	p.onHeartbeat(reply, p.timing.PeerInterval(known))
+}
+
+// count returns the number of known peers.
+func (p *peers) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.known)
 }
 
 // findEntry returns the reference of the peer with the identifier, if it is
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -50,8 +50,8 @@
 	return nil
 }
 
-// newPeerHeartbeat returns the heartbeat that this entry sends to its peers,
-// also in reply to theirs.
+// newPeerHeartbeat returns the heartbeat with which this entry replies to those
+// of its peers.
 func (e *Entry) newPeerHeartbeat() wire.PeerHeartbeat {
 	now := time.Now()
 	age, _ := e.confirmation.age(now)
@@ -71,9 +71,10 @@
 
 // handlePeerHeartbeat records the demand and the pending durable jobs that a peer
 // reported.
-func (e *Entry) handlePeerHeartbeat(b wire.PeerHeartbeat) {
+func (e *Entry) handlePeerHeartbeat(b wire.PeerHeartbeat, interval time.Duration) {
 	e.peerPending.update(b.Entry, b.Pending)
 	e.dispatcher.post(func(d *dispatcher) {
+		d.shares.SetInterval(interval)
 		if b.Stopping {
 			d.shares.RemoveEntry(b.Entry.ID)
 			return
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -113,6 +113,12 @@
 	}
 }
 
+// SetInterval sets Options.Interval, and Options.PeerTimeout to its default for
+// that interval. The interval changes with the number of entries.
+func (s *Shares) SetInterval(interval time.Duration) {
+	s.options.Interval, s.options.PeerTimeout = interval, peerTimeoutIntervals*interval
+}
+
 // RecordTasks records the number of tasks that callers of an account requested,
 // whether they were accepted or refused.
 func (s *Shares) RecordTasks(_ time.Time, account string, tasks int) {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -188,3 +188,20 @@
 	_, err = config.Parse(data)
 	c.Check(err, qt.IsNil)
 }
+
+// Guards against heartbeats between entries whose number grows with the square of
+// the number of entries, and against peers that count as silent because of the
+// longer interval.
+func TestPeerIntervalGrowsWithTheNumberOfPeers(t *testing.T) {
+	timing := DefaultTiming()
+	timing.PeerHeartbeat, timing.Suspect = Duration(350*time.Millisecond), Duration(400*time.Millisecond)
+	for _, tc := range []struct {
+		peers int
+		want  time.Duration
+	}{{0, 350 * time.Millisecond}, {8, 350 * time.Millisecond}, {34, 1360 * time.Millisecond}, {249, 9960 * time.Millisecond}} {
+		c := qt.New(t)
+		c.Check(timing.PeerInterval(tc.peers), qt.Equals, tc.want)
+		c.Check(time.Duration(tc.peers)*time.Second <= peerHeartbeatsPerSecond*timing.PeerInterval(tc.peers), qt.IsTrue)
+		c.Check(timing.PeerSuspect(tc.peers), qt.Equals, tc.want+50*time.Millisecond)
+	}
+}
--- a/settings/types.go
+++ b/settings/types.go
@@ -59,7 +59,8 @@
 	// tasks are leased less than Lapse.
 	IdleHeartbeat Duration `json:"idle_heartbeat"`
 	// PeerHeartbeat is the interval between the heartbeats of an entry to
-	// another entry. Default 1s.
+	// another entry. It is longer with many entries; see PeerInterval. Default
+	// 1s.
 	PeerHeartbeat Duration `json:"peer_heartbeat"`
 	// ConfigRead is the interval at which an entry reads the configuration from
 	// the store. It also watches the configuration, but a watch may stop
@@ -112,6 +113,23 @@
 	return max(t.Heartbeat, t.IdleHeartbeat).AsDuration()
 }
 
+// peerHeartbeatsPerSecond is the largest number of heartbeats that an entry sends
+// to all its peers in a second. With a fixed interval the messages of an entry
+// would grow with the number of entries, and those of all with its square.
+const peerHeartbeatsPerSecond = 25
+
+// PeerInterval returns the interval between the heartbeats of an entry to each of
+// a number of peers: PeerHeartbeat, or longer if peerHeartbeatsPerSecond would be
+// exceeded.
+func (t Timing) PeerInterval(peers int) time.Duration {
+	return max(t.PeerHeartbeat.AsDuration(), time.Duration(peers)*time.Second/peerHeartbeatsPerSecond)
+}
+
+// PeerSuspect is Suspect for one of a number of peers.
+func (t Timing) PeerSuspect(peers int) time.Duration {
+	return t.Suspect.AsDuration() + t.PeerInterval(peers) - t.PeerHeartbeat.AsDuration()
+}
+
 // IdleSuspect is Suspect for a process that sends heartbeats at the interval
 // IdleHeartbeat.
 func (t Timing) IdleSuspect() time.Duration {
