agent: offer a free slot to the next entry if the first cannot be told

Cause: offerFreeSlots ended when an offer could not be sent, because its entry had no connection or had not answered an earlier offer; the slot then stayed unused until the next task ended, while other entries had tasks waiting. Test: TestFreeSlotIsOfferedToTheNextEntry failed before.

--- a/agent/fault_test.go
+++ b/agent/fault_test.go
@@ -410,6 +410,28 @@
 	})
 }
 
+// Guards against a free slot that stays unused because the entry with the most
+// urgent tasks cannot be sent an offer.
+func TestFreeSlotIsOfferedToTheNextEntry(t *testing.T) {
+	withRig(t, setup{slots: 1, queue: 0, entries: 3}, func(r *rig) {
+		user, less, most := r.entries[0], r.entries[1], r.entries[2]
+		for _, e := range r.entries {
+			e.open()
+		}
+		answer := user.run("a", 100*time.Millisecond)
+		less.announce(wire.Backlog{Tasks: 9, Urgency: 2})
+		most.announce(wire.Backlog{Tasks: 1, Urgency: 1})
+		a := r.agent
+		a.entries.mu.Lock()
+		link := a.entries.links[most.ref.Address]
+		a.entries.mu.Unlock()
+		link.closeConn() // until the next heartbeat
+		r.expect(<-answer, wire.OutcomeDone, "")
+		synctest.Wait()
+		r.Check(offers(user, less, most), qt.DeepEquals, []int{0, 1, 0})
+	})
+}
+
 // Guards against an entry whose steady stream of tasks takes the slots from
 // entries with more urgent tasks, and against a reservation that never expires.
 func TestFreedSlotIsReservedForTheMostUrgentEntry(t *testing.T) {
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -19,9 +19,10 @@
 }
 
 // offerFreeSlots offers free slots to entries that announced a backlog, each in
-// the order of mostUrgent, and reserves them. If the next one is user, the entry
-// whose task just ended, no offer is sent, because the reply to that task shows
-// the free slot. The caller holds mu.
+// the order of mostUrgent, and reserves them. An entry that cannot be sent an offer
+// now is passed over. If the next one is user, the entry whose task just ended, no
+// offer is sent, because the reply to that task shows the free slot. The caller
+// holds mu.
 func (a *Agent) offerFreeSlots(user ledger.Owner, now time.Time) {
 	if len(a.queue) > 0 || len(a.leaving) > 0 || len(a.backlogs) == 0 {
 		return
@@ -29,8 +30,9 @@
 	if ok, _ := a.mayStart(now); !ok {
 		return
 	}
+	unreachable := map[ledger.Owner]bool{}
 	for a.runningTasks+a.reservedForOthers(ledger.Owner{}, now) < a.self.Slots && a.roomToOffer(now) {
-		best, ok := a.mostUrgent()
+		best, ok := a.mostUrgent(unreachable)
 		if !ok || best == user && a.backlogs[best].Tasks > 0 {
 			return
 		}
@@ -39,7 +41,8 @@
 		req := wire.OfferRequest{Agent: a.self.ID, Incarnation: a.self.Incarnation, Load: a.loadFor(best)}
 		if !a.entries.sendOffer(best, req) {
 			a.releaseReservation(best)
-			return
+			unreachable[best] = true
+			continue
 		}
 		time.AfterFunc(reservationTTL, a.reservationExpired)
 	}
@@ -47,9 +50,9 @@
 
 // mostUrgent returns the entry to which the next slot is offered: the one with
 // the most urgent backlog and, among equals, with the fewest tasks and
-// reservations here, then the one with the lowest identifier. The caller holds
-// mu.
-func (a *Agent) mostUrgent() (best ledger.Owner, found bool) {
+// reservations here, then the one with the lowest identifier. Entries in except
+// are left out. The caller holds mu.
+func (a *Agent) mostUrgent(except map[ledger.Owner]bool) (best ledger.Owner, found bool) {
 	held := map[ledger.Owner]int{}
 	for _, t := range a.tasks {
 		held[t.owner]++
@@ -60,6 +63,8 @@
 	for owner, b := range a.backlogs {
 		c := a.backlogs[best]
 		switch {
+		case except[owner]:
+			continue
 		case !found, b.Urgency < c.Urgency:
 		case b.Urgency > c.Urgency, held[owner] > held[best]:
 			continue
