--- a/agent/ends.go
+++ b/agent/ends.go
@@ -158,6 +158,7 @@
 		}
 		if life.heldEnds.unclaimedSince[h.Tag].IsZero() {
 			life.heldEnds.unclaimedSince[h.Tag] = now
+			l.agent.entries.requestHeartbeats() // which report the end
 		}
 		out = append(out, h)
 	}
--- a/agent/ends_test.go
+++ b/agent/ends_test.go
@@ -140,6 +140,7 @@
 				r.agent.mu.Unlock()
 				time.Sleep(400 * time.Millisecond)
 				r.Check(r.acknowledged(), qt.Equals, 1)
+				time.Sleep(time.Second) // until the next heartbeat of an idle agent
 				r.Check(r.entries[1].lastHeartbeat().Unclaimed, qt.HasLen, 0)
 			})
 		})
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -139,14 +139,15 @@
 }
 
 // needsHeartbeats reports whether heartbeats to the entry are sent at the short
-// interval. That is also so while the configuration is not confirmed, which only the
-// reply to a heartbeat does.
+// interval. That is also so while the configuration is not confirmed, or ends are
+// unclaimed, since only replies to heartbeats change that.
 func (a *Agent) needsHeartbeats(owner ledger.Owner) bool {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	_, reason := a.mayStart(now)
-	return reason == wire.ReasonConfigUnconfirmed || a.isBusyFor(owner, now)
+	return reason == wire.ReasonConfigUnconfirmed || a.isBusyFor(owner, now) ||
+		a.leased != nil && a.leased.life != nil && len(a.leased.unclaimedEnds(a.leased.life, now)) > 0
 }
 
 func (l *link) closeConn() {
--- a/agent/leased_rig_test.go
+++ b/agent/leased_rig_test.go
@@ -76,6 +76,7 @@
 func platformTiming() settings.Timing {
 	t := settings.DefaultTiming()
 	t.Heartbeat, t.PeerHeartbeat = settings.Duration(150*time.Millisecond), settings.Duration(350*time.Millisecond)
+	t.IdleHeartbeat = settings.Duration(time.Second)
 	t.Suspect, t.Lapse = settings.Duration(400*time.Millisecond), settings.Duration(500*time.Millisecond)
 	t.Reconcile, t.Gate = settings.Duration(1150*time.Millisecond), settings.Duration(3*time.Second)
 	t.PingAfter, t.PingTimeout = settings.Duration(250*time.Millisecond), settings.Duration(150*time.Millisecond)
--- a/agent/leased_session_test.go
+++ b/agent/leased_session_test.go
@@ -93,6 +93,9 @@
 		for _, e := range r.entries {
 			r.Check(described(e).Slots, qt.Equals, 8)
 			r.Check(e.lastHeartbeat().Load.Free, qt.Equals, cores(8))
+		}
+		time.Sleep(time.Second) // until the next heartbeat of an idle agent
+		for _, e := range r.entries {
 			r.Check(e.lastHeartbeat().Agent.IsIdentityOnly(), qt.IsTrue)
 		}
 	})
@@ -184,3 +187,32 @@
 		r.Check(r.started("j"), qt.Equals, 0)
 	})
 }
+
+// Guards against heartbeats at the short interval to an entry without tasks, and
+// against a task that waits for the long interval, that starts in a session which
+// was not renewed since, or that is refused because the session was idle.
+func TestTaskInAnIdleSession(t *testing.T) {
+	withLeasedRig(t, leasedSetup{}, func(r *leasedRig, e *entryStub) {
+		time.Sleep(5 * time.Second)
+		count := func() (n int) {
+			e.update(func(e *entryStub) { n = len(e.heartbeats) })
+			return n
+		}
+		before := count()
+		time.Sleep(10 * time.Second)
+		idle := count() - before
+		r.Check(idle >= 9 && idle <= 14, qt.IsTrue, qt.Commentf("%d heartbeats in 10 s", idle))
+
+		began := time.Now()
+		r.expect(<-e.runLeased("renewed", 1, 100*time.Millisecond), wire.OutcomeDone, "")
+		r.Check(time.Since(began) < 140*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+
+		time.Sleep(5 * time.Second)
+		e.update(func(e *entryStub) { e.renews = 0 }) // the entry has given the session up
+		time.Sleep(time.Second)
+		began = time.Now()
+		r.expect(<-e.runLeased("not renewed", 1, 100*time.Millisecond), wire.OutcomeNotRun, wire.ReasonSessionFenced)
+		r.Check(time.Since(began) <= 600*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+		r.Check(r.started("not renewed"), qt.Equals, 0)
+	})
+}
--- a/entry/session_test.go
+++ b/entry/session_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"chicorytray.example/chicorytray/settings"
 	"chicorytray.example/chicorytray/wire"
 )
 
@@ -157,3 +158,35 @@
 	qt.Check(t, describeVerdicts(lost), qt.Equals, "0 unknown start_record_lost")
 	qt.Check(t, lost[0].reconcileBy.Sub(now), qt.Equals, reconcileLimit)
 }
+
+// Guards against an idle agent that counts as silent between two heartbeats at the
+// longer interval, and against one that does not although it has tasks and sends
+// none at the shorter interval.
+func TestSilenceIsMeasuredByTheIntervalInUse(t *testing.T) {
+	timing := settings.DefaultTiming()
+	timing.Heartbeat, timing.IdleHeartbeat, timing.Suspect = settings.Duration(150*time.Millisecond), settings.Duration(time.Second), settings.Duration(400*time.Millisecond)
+	start := time.Unix(0, 0)
+	for _, tc := range []struct {
+		name             string
+		heard, busySince time.Duration // busySince is negative without a task
+		now              time.Duration
+		want             bool
+	}{
+		{"idle, within the interval", 0, -1, 1250 * time.Millisecond, false},
+		{"idle, overdue", 0, -1, 1251 * time.Millisecond, true},
+		{"first task after a long interval", 0, time.Second, 1400 * time.Millisecond, false},
+		{"no heartbeat since the first task", 0, time.Second, 1401 * time.Millisecond, true},
+		{"heard since the first task", 1200 * time.Millisecond, time.Second, 1600 * time.Millisecond, false},
+		{"silent since then", 1200 * time.Millisecond, time.Second, 1601 * time.Millisecond, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			d := &dispatcher{timing: timing, now: start.Add(tc.now)}
+			a := &agent{lastHeard: start.Add(tc.heard), session: newSession(wire.EntryRef{ID: "e"}, 1)}
+			if tc.busySince >= 0 {
+				a.session.recordSend(&job{}, 0, start.Add(tc.busySince))
+				a.session.recordSend(&job{}, 1, start.Add(tc.now)) // a later task does not extend the time
+			}
+			qt.Check(t, d.isSilent(a), qt.Equals, tc.want)
+		})
+	}
+}
--- a/internal/leasedtest/system_test.go
+++ b/internal/leasedtest/system_test.go
@@ -184,6 +184,7 @@
 func platformTiming() settings.Timing {
 	d := func(n time.Duration) settings.Duration { return settings.Duration(n * ms) }
 	t := settings.DefaultTiming()
+	t.IdleHeartbeat = d(1000)
 	t.Heartbeat, t.PeerHeartbeat, t.Suspect, t.Lapse, t.Reconcile = d(150), d(350), d(400), d(500), d(1150)
 	t.Gate, t.PingAfter, t.PingTimeout, t.CallTimeout, t.StoreTimeout = d(3000), d(250), d(150), d(300), d(600)
 	t.StopNotice = d(2200)
