--- a/entry/entry.go
+++ b/entry/entry.go
@@ -105,7 +105,10 @@
 			Admin: o.Settings.AdminAddress, DataCentre: o.Settings.DataCentre,
 		},
 	}
-	return e, e.assemble()
+	if err := e.assemble(); err != nil {
+		return nil, err
+	}
+	return e, nil
 }
 
 // assemble creates the components of the entry, which refer to each other.
