agent: connect to a restarted entry at once

Cause: an idle agent noticed the end of an entry's process only with its next heartbeat, up to 1 s later, so that a restarted entry was without agents for longer than with the short interval. Change: the end of the connection makes the next heartbeat due. Test: TestIdleAgentFindsARestartedEntryAtOnce failed before.

--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -175,6 +175,12 @@
 	l.mu.Lock()
 	l.conn = conn
 	l.mu.Unlock()
+	// A restarted entry is connected to again at once, and not when the next
+	// heartbeat at the long interval is due.
+	go func() {
+		<-conn.Done()
+		l.requestHeartbeat()
+	}()
 	return conn, nil
 }
 
--- a/agent/leased_session_test.go
+++ b/agent/leased_session_test.go
@@ -216,3 +216,22 @@
 		r.Check(r.started("not renewed"), qt.Equals, 0)
 	})
 }
+
+// Guards against an entry that restarts and is not heard by idle agents until
+// their next heartbeat at the long interval.
+func TestIdleAgentFindsARestartedEntryAtOnce(t *testing.T) {
+	withLeasedRig(t, leasedSetup{}, func(r *leasedRig, e *entryStub) {
+		time.Sleep(5 * time.Second)
+		count := func() (n int) {
+			e.update(func(e *entryStub) { n = len(e.heartbeats) })
+			return n
+		}
+		for before := count(); count() == before; { // just after a heartbeat
+			time.Sleep(time.Millisecond)
+		}
+		before := count()
+		r.net.Reset(e.host) // as when the process ends
+		time.Sleep(200 * time.Millisecond)
+		r.Check(count() > before, qt.IsTrue)
+	})
+}
