agent: no start in a session that is about to lapse

Cause: a task that arrived in an idle session 480 to 500 ms after its last renewal started at once and was stopped a few milliseconds later, because the session lapsed before the reply to the heartbeat that the task caused; its job was late by the restart. Ruled out: a doubted session or a restart of a slow run (trace of the heartbeats: last renewal at 3.303, start at 3.801, lapse noticed at 3.803, before the reply of that moment was applied). Change: a leased task starts only within two heartbeat intervals after a renewal, and otherwise waits for the next one; a reply renews before sessions are expired. internal/leasemodel already lets a session be renewed until its lapse is noticed. Tests: TestTaskJustBeforeTheLapseOfAnIdleSession failed before.

--- a/agent/fault_test.go
+++ b/agent/fault_test.go
@@ -425,7 +425,8 @@
 		a.entries.mu.Lock()
 		link := a.entries.links[most.ref.Address]
 		a.entries.mu.Unlock()
-		link.closeConn() // until the next heartbeat
+		r.net.Partition(agentHost, most.host) // so that no connection replaces the closed one
+		link.closeConn()
 		r.expect(<-answer, wire.OutcomeDone, "")
 		synctest.Wait()
 		r.Check(offers(user, less, most), qt.DeepEquals, []int{0, 1, 0})
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -284,11 +284,11 @@
 	owner := ledger.Owner{Entry: r.Entry.ID, Incarnation: r.Entry.Incarnation}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.expireSessions(now)
 	// The reply may have been delayed, so what it says is only known to hold at
-	// the time at which the heartbeat was sent.
+	// the time at which the heartbeat was sent. Sessions expire by that time.
 	a.ledger.RecordContact(owner, sent)
 	a.ledger.RenewSession(owner, r.Renews, sent)
+	a.expireSessions(now)
 	a.acknowledge(owner, r.Acked)
 	if a.leased != nil {
 		a.leased.applyEndAnswers(now, r.Settled, r.Voided)
--- a/agent/leased_session_test.go
+++ b/agent/leased_session_test.go
@@ -217,6 +217,25 @@
 	})
 }
 
+// Guards against a run that is stopped because its session, last renewed shortly
+// before the lapse, lapses before the reply to the heartbeat that the task causes.
+func TestTaskJustBeforeTheLapseOfAnIdleSession(t *testing.T) {
+	withLeasedRig(t, leasedSetup{}, func(r *leasedRig, e *entryStub) {
+		r.net.Delay(agentHost, e.host, time.Millisecond)
+		for age := 480 * time.Millisecond; age <= 505*time.Millisecond; age += time.Millisecond {
+			time.Sleep(3 * time.Second)
+			var before, now int
+			count := func(n *int) { e.update(func(e *entryStub) { *n = len(e.heartbeats) }) }
+			count(&before)
+			for count(&now); now == before; count(&now) {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(age)
+			r.expect(<-e.runLeased(age.String(), 1, 200*time.Millisecond), wire.OutcomeDone, "")
+		}
+	})
+}
+
 // Guards against an entry that restarts and is not heard by idle agents until
 // their next heartbeat at the long interval.
 func TestIdleAgentFindsARestartedEntryAtOnce(t *testing.T) {
@@ -231,6 +250,7 @@
 		}
 		before := count()
 		r.net.Reset(e.host) // as when the process ends
+		e.listen()
 		time.Sleep(200 * time.Millisecond)
 		r.Check(count() > before, qt.IsTrue)
 	})
--- a/agent/run.go
+++ b/agent/run.go
@@ -8,6 +8,12 @@
 	"chicorytray.example/chicorytray/wire"
 )
 
+// maxHeartbeatsToStart is the largest age, in short heartbeat intervals, of the
+// last renewal of a session in which a leased task starts. It is well below
+// Timing.Lapse, because a run that starts just before the lapse would be stopped
+// before the reply to the heartbeat that the task caused.
+const maxHeartbeatsToStart = 2
+
 // enqueue adds an accepted task to the queue and starts the timer of its
 // deadline; the caller holds mu.
 func (a *Agent) enqueue(t *task) {
@@ -38,7 +44,7 @@
 			return
 		}
 		t := a.queue[i]
-		if a.leased != nil && !a.ledger.Renewed(t.owner, now, a.timing.Lapse.AsDuration()) {
+		if a.leased != nil && !a.ledger.Renewed(t.owner, now, maxHeartbeatsToStart*a.timing.Heartbeat.AsDuration()) {
 			i++ // waits for the reply to a heartbeat
 			continue
 		}
