agent, lease: report the runs that a crashed worker loses

Change: RunTable.LifeEnded says for each lost run how long the worker is known to have gone on after it began. The agent logs that (run_lost), the number of runs of a life that ended and whether the end was announced, and counts workers_crashed and runs_lost. The entry's line of an interrupted run has the template and the number of interruptions.

--- a/agent/worker.go
+++ b/agent/worker.go
@@ -125,18 +125,40 @@
 		return
 	}
 	life.ended = true
-	l.notifyRemoved(life, life.runs.LifeEnded())
+	lost := life.runs.LifeEnded()
+	l.recordLifeEnd(life, cause, lost)
+	l.notifyRemoved(life, lost)
 	life.cancel()
 	life.worker.Close()
 	l.highestToken = max(l.highestToken, life.runs.Token())
 	if l.life == life {
 		l.life = nil
 	}
-	l.agent.log.Warn().Str("worker", life.announced.Life.ID).Int64("born", life.announced.Life.Born).
-		Str("cause", cause).Msg("worker_life_ended")
 	l.updateLeaving()
 }
 
+// leaves reports whether the worker has announced the end of its life, which is
+// then no crash. The caller holds mu.
+func (w *life) leaves() bool { return w.announced.Draining || w.deregistered }
+
+// recordLifeEnd logs and counts the end of a life and the runs that were lost
+// with it; the caller holds mu.
+func (l *leasedExecutor) recordLifeEnd(life *life, cause string, lost []lease.RemovedRun) {
+	l.agent.log.Warn().Str("worker", life.announced.Life.ID).Int64("born", life.announced.Life.Born).
+		Str("cause", cause).Bool("planned", life.leaves()).Int("runs", len(lost)).Msg("worker_life_ended")
+	for _, r := range lost {
+		e := l.agent.log.Info().Str("caller_job", r.Run.Task.Job).Int("task", r.Run.Task.Index).Dur("survived_ms", r.Survived)
+		if at := life.attempts[r.Run]; at != nil {
+			e = e.Str("job", at.job)
+		}
+		e.Msg("run_lost")
+	}
+	l.agent.metrics.runsLost.Inc(int64(len(lost)))
+	if !life.leaves() {
+		l.agent.metrics.workersCrashed.Inc(1)
+	}
+}
+
 // updateLeaving makes the agent leave unless its worker is registered, adopted
 // and not silent. A worker is adopted once its replies have shown that it runs
 // nothing but what is in the table; see lease.RunTable.Adopted. The caller holds
--- a/entry/leased.go
+++ b/entry/leased.go
@@ -262,8 +262,8 @@
 		l.interruptions[index]++
 	}
 	d.metrics.tasksInterrupted.Inc(1)
-	d.log.Info().Str("job", j.id).Int("task", index).Str("agent", agent).Str("reason", string(reason)).
-		Msg("run was interrupted")
+	d.log.Info().Str("job", j.id).Str("template", j.template.Name).Int("task", index).Str("agent", agent).Str("reason", string(reason)).
+		Uint8("interruptions", l.interruptions[index]).Msg("run was interrupted")
 	if l.durable != nil || l.interruptions[index] <= maxInterruptions {
 		d.retryTask(j, index, agent)
 		return
--- a/lease/runs.go
+++ b/lease/runs.go
@@ -40,6 +40,9 @@
 	Run     Run
 	Outcome Outcome
 	Refusal Refusal // set with OutcomeRefused
+	// Survived is how long the worker is known to have gone on after the run
+	// began, if the run was lost with the worker's life; otherwise 0.
+	Survived time.Duration
 }
 
 // Options are the parameters of a RunTable.
@@ -69,6 +72,7 @@
 	token       uint64
 	tokenStep   uint64 // added to the token when the worker refuses it next
 	clock       clockBound
+	answeredAt  time.Time  // when the newest answer of the worker arrived
 	silentAt    time.Time  // when the worker becomes silent unless it answers; zero without an unanswered renewal
 	latest      WorkerTime // the latest lease end in any order that was sent
 	lastRenewal uint64     // number of the newest renewal
@@ -87,7 +91,8 @@
 	run        Run
 	validUntil WorkerTime // of the start order
 	state      State
-	began      bool // the worker accepted the start or listed the run
+	began      bool      // the worker accepted the start or listed the run
+	beganAt    time.Time // when that answer arrived
 	// durable means that the end of the run will be held; see HoldEnd.
 	durable bool
 	// startResolved is set when the start order was answered or the wait for the
@@ -177,7 +182,7 @@
 // was refused. After an answer with RefusedOtherLife the caller also calls
 // LifeEnded.
 func (r *RunTable) StartAnswered(now time.Time, o StartOrder, a Answer) []RemovedRun {
-	r.clock.observe(now, a.Clock)
+	r.observe(now, a.Clock)
 	switch a.Refusal {
 	case RefusedTokenTooLow:
 		r.raiseToken(o.Token)
@@ -191,7 +196,7 @@
 	if a.Refusal != "" {
 		return r.remove(o.Run, OutcomeRefused, a.Refusal)
 	}
-	e.markBegun()
+	e.markBegun(now)
 	e.resolveStart(r.lastRenewal)
 	return nil
 }
@@ -238,7 +243,7 @@
 // carried it out. RefusedRunTooOld counts as such, because the run has been
 // stopped or has ended.
 func (r *RunTable) StopAnswered(now time.Time, o StopOrder, a Answer) bool {
-	r.clock.observe(now, a.Clock)
+	r.observe(now, a.Clock)
 	switch a.Refusal {
 	case RefusedTokenTooLow:
 		r.raiseToken(o.Token)
@@ -304,7 +309,7 @@
 // each only once. The caller handles a reply with RefusedOtherLife by LifeEnded
 // instead.
 func (r *RunTable) RenewalAnswered(now time.Time, n Renewal, reply RenewReply) (removed []RemovedRun, toStop []Run) {
-	r.clock.observe(now, reply.Clock)
+	r.observe(now, reply.Clock)
 	r.silentAt = time.Time{}
 	if reply.Refusal == RefusedTokenTooLow {
 		r.raiseToken(n.Token)
@@ -366,7 +371,7 @@
 	for _, a := range reply.Active {
 		r.numbers.record(now, a.Run)
 		if e := r.find(a.Run); e != nil {
-			e.markBegun()
+			e.markBegun(now)
 			if e.progress.update(r.options, previous, r.lastReply, reply.Clock, a.Percent) && e.state == Running {
 				r.stalled = append(r.stalled, a.Run)
 			}
@@ -418,7 +423,15 @@
 // Held ends are dropped: the worker has lost its list of ends.
 func (r *RunTable) LifeEnded() []RemovedRun {
 	r.adopted, r.ends = false, endTable{}
-	return r.removeAll(OutcomeLost)
+	var lost []RemovedRun
+	for _, e := range r.table {
+		survived := e.survived(r.answeredAt)
+		for _, run := range r.remove(e.run, OutcomeLost, "") {
+			run.Survived = survived
+			lost = append(lost, run)
+		}
+	}
+	return lost
 }
 
 // removeAll removes and returns all runs, with the given outcome.
@@ -437,24 +450,6 @@
 	return e != nil && e.began
 }
 
-// RunInfo is one run of the table, for the state dump.
-type RunInfo struct {
-	Run   Run
-	State State
-	Began bool // the worker accepted the start or listed the run
-
-	Progress Progress
-}
-
-// Runs returns the runs of the table in no particular order.
-func (r *RunTable) Runs() []RunInfo {
-	out := make([]RunInfo, 0, len(r.table))
-	for _, e := range r.table {
-		out = append(out, RunInfo{e.run, e.state, e.began, e.progress.Progress})
-	}
-	return out
-}
-
 // LeaseEnd returns the latest lease end in any order that was sent, and a lower
 // bound of the worker's clock.
 func (r *RunTable) LeaseEnd(now time.Time) (end, clock WorkerTime) { return r.latest, r.clock.min(now) }
@@ -475,7 +470,7 @@
 		r.ends.recordRemoval(run, removal{r.table[run.Task].durable, outcome == OutcomeLeaseExpired})
 	}
 	delete(r.table, run.Task)
-	return []RemovedRun{{run, outcome, refusal}}
+	return []RemovedRun{{Run: run, Outcome: outcome, Refusal: refusal}}
 }
 
 // outcomeIfBegun returns the outcome of a run that is absent at the worker: the
@@ -487,9 +482,12 @@
 	return outcome
 }
 
-// markBegun records that the worker accepted the start or listed the run.
-func (e *entry) markBegun() {
-	e.began = true
+// markBegun records that the worker accepted the start or listed the run, in an
+// answer that arrived at the given time.
+func (e *entry) markBegun(now time.Time) {
+	if !e.began {
+		e.began, e.beganAt = true, now
+	}
 	if e.state == Ordered {
 		e.state = Running
 	}
