leasedtest: tasks that crash their workers, failing

Cause: an interrupted run is restarted at once at another agent, whatever interrupted it, so a task that crashes its worker visits all workers.

Capacity can change while the stand-in runs; a start counts against the old capacity for 100 ms after it shrank, because a trace showed a start order that was sent 1 ms before the announcement (the users' rule allows the contact timeout and one heartbeat).

--- a/internal/leasestub/evidence.go
+++ b/internal/leasestub/evidence.go
@@ -22,6 +22,8 @@
 	// Lapsed means that the worker's lease expired between the two.
 	Acknowledged time.Time
 	Lapsed       bool
+	// Crashed means that the run crashed its worker.
+	Crashed bool
 
 	beganEvent, endedEvent int  // positions among all starts and ends, from 1; endedEvent is 0 while it runs
 	needless               bool // reported as a needless start
@@ -79,6 +81,34 @@
 	s.Ended, s.How, s.endedEvent = time.Now(), how, e.events
 }
 
+// maxStartsAfterCrashes is how often a task may start after maxCrashes workers have
+// crashed under it.
+const (
+	maxCrashes            = 3
+	maxStartsAfterCrashes = 2
+)
+
+// recordCrash records that a run crashed its worker. It reports the run if its task
+// had been started more often than permitted after earlier crashes.
+func (e *Evidence) recordCrash(s *Start) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.Crashed = true
+	crashes, later := 0, 0
+	for _, o := range e.starts {
+		switch {
+		case o.Run.Task != s.Run.Task:
+		case crashes >= maxCrashes:
+			later++
+		case o.Crashed:
+			crashes++
+		}
+	}
+	if later > maxStartsAfterCrashes {
+		e.violations = append(e.violations, fmt.Sprintf("crashes: %v at %s is start %d after %d workers crashed under the task", s.Run, s.Worker, later, crashes))
+	}
+}
+
 // recordAck records that the end of a run was acknowledged to its worker, and
 // whether the worker's lease has expired since the end.
 func (e *Evidence) recordAck(s *Start, lapsed bool) {
@@ -155,7 +185,7 @@
 
 // Violations returns descriptions of the violations found: each start of a task while
 // another run of it was active, each start that took a worker above its capacity,
-// and each needless start of a task of the jobs given to Durable.
+// each run that crashed one more worker than permitted, and each needless start of a task of the jobs given to Durable.
 func (e *Evidence) Violations() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/leasestub/life.go
+++ b/internal/leasestub/life.go
@@ -130,13 +130,16 @@
 	l.extendLease(o.ValidUntil)
 	r := &run{needs: spec.Needs, duration: spec.duration(), speedSince: time.Now(), speed: 1, leaseEnd: o.ValidUntil}
 	l.runs[o.Run] = r
-	r.record = m.evidence.recordStart(Start{Run: o.Run, Worker: m.options.ID, At: time.Now()}, used, m.options.Capacity)
+	r.record = m.evidence.recordStart(Start{Run: o.Run, Worker: m.options.ID, At: time.Now()}, used, m.countedCapacity())
 	how := lease.Done
 	if spec.Fail || m.faults.FailAll {
 		how = lease.Failed
 	}
 	r.workTimer = time.AfterFunc(r.duration, func() { l.finish(o.Run, how) })
 	r.setSpeed(m.faults.speed())
+	if spec.Crash && o.Run.Task.Index == 0 {
+		time.AfterFunc(time.Duration(spec.CrashMS*float64(time.Millisecond)), func() { m.crashBy(l, o.Run) })
+	}
 	r.leaseTimer = time.AfterFunc(l.timeUntil(r.leaseEnd), func() { l.expireLease(o.Run) })
 	return ""
 }
--- a/internal/leasestub/machine.go
+++ b/internal/leasestub/machine.go
@@ -37,6 +37,9 @@
 	StopTime time.Duration
 	// Delay is the delay of each message, in each direction.
 	Delay time.Duration
+	// Reboot is the time from a crash that a task caused until the machine boots
+	// again. 0 means that it stays down until Boot.
+	Reboot time.Duration
 	// Evidence receives the record of the machine's runs; several machines may
 	// share it. nil means a new one.
 	Evidence *Evidence
@@ -47,6 +50,10 @@
 	MS    float64        `json:"ms,omitempty"`   // duration in milliseconds; 0 means 100
 	Fail  bool           `json:"fail,omitempty"` // the run ends as failed
 	Needs wire.Resources `json:"needs"`
+	// Crash makes the job's first task crash the worker CrashMS milliseconds
+	// after each start of it.
+	Crash   bool    `json:"crash,omitempty"`
+	CrashMS float64 `json:"crash_ms,omitempty"`
 }
 
 // Encode returns the specification as JSON, the text of lease.StartOrder.Spec.
@@ -79,6 +86,9 @@
 	faults   Faults
 	resumed  chan struct{}  // closed and replaced when faults without a pause are set
 	orders   map[string]int // number received, by kind
+
+	capacityBefore  wire.Resources // before capacityChanged
+	capacityChanged time.Time
 }
 
 // New returns a machine that has booted.
@@ -121,6 +131,51 @@
 	}
 }
 
+// crashBy crashes the machine in the life in which the run was started, if the run
+// still goes on.
+func (m *Machine) crashBy(l *life, id lease.Run) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := l.runs[id]
+	if m.life != l || r == nil {
+		return
+	}
+	m.evidence.recordCrash(r.record)
+	l.terminate()
+	m.life = nil
+	if m.options.Reboot > 0 {
+		time.AfterFunc(m.options.Reboot, m.Boot)
+	}
+}
+
+// Up reports whether the machine has booted and not crashed since.
+func (m *Machine) Up() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.life != nil
+}
+
+// shrinkGrace is how long starts are still counted against the capacity before a
+// change: orders that were sent before the announcement may arrive after it.
+const shrinkGrace = 100 * time.Millisecond
+
+// SetCapacity changes the capacity while the machine runs. The announcements show
+// it; what runs goes on.
+func (m *Machine) SetCapacity(c wire.Resources) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.capacityBefore, m.capacityChanged = m.options.Capacity, time.Now()
+	m.options.Capacity = c
+}
+
+// countedCapacity returns the capacity against which a start is counted now.
+func (m *Machine) countedCapacity() wire.Resources {
+	if time.Since(m.capacityChanged) < shrinkGrace && m.options.Capacity.Fits(m.capacityBefore) {
+		return m.capacityBefore
+	}
+	return m.options.Capacity
+}
+
 // Restart crashes the machine and boots it at once, with the same address.
 func (m *Machine) Restart() {
 	m.Crash()
