containment, entry, agent, lease: give up tasks that crash their workers

Cause: the run of a task whose worker crashed was handled like one that was stopped. The entry restarted it at once at an agent that had not run it, up to 20 times and in durable jobs without limit, and its count was lost with the owner of the job. Class of fault: a retry whose limit does not look at what the earlier attempts did.

Change: an agent reports for each run that a crash took whether it may be the cause. package containment decides from these reports: a suspect starts again only on probation, at most one at a worker, and is given up after its second crash; no task has more than one start after the third crash. Durable records carry the crashes to the next owner. Planned ends of workers, stops and lapsed leases do not count.

Ruled out: giving up after a number of lost runs alone.

--- a/agent/gate.go
+++ b/agent/gate.go
@@ -25,6 +25,8 @@
 		return wire.ReasonResourcesDoNotFit
 	case !now.Before(t.deadline):
 		return wire.ReasonDeadline
+	case t.onProbation() && a.hasProbation():
+		return wire.ReasonProbation
 	}
 	ok, reason := a.mayStart(now)
 	switch {
@@ -45,6 +47,17 @@
 	return ""
 }
 
+// hasProbation reports whether a task on probation waits or runs here; the caller
+// holds mu.
+func (a *Agent) hasProbation() bool {
+	for _, t := range a.tasks {
+		if t.onProbation() {
+			return true
+		}
+	}
+	return false
+}
+
 // checkGate returns the queued tasks when the gate has been without a recent
 // confirmation for one heartbeat interval, so that their entries can place them
 // elsewhere; the caller holds mu.
--- a/agent/leased.go
+++ b/agent/leased.go
@@ -121,6 +121,9 @@
 	if t.Leased.Durable {
 		life.runs.HoldEnd(o.Run)
 	}
+	if t.Leased.Probation {
+		life.runs.MarkProbation(o.Run)
+	}
 	go l.sendStart(at)
 	return at, nil
 }
@@ -195,7 +198,9 @@
 	case lease.OutcomeLeaseExpired:
 		return interrupted(leasedReasonOf(ctx, wire.ReasonLeaseExpired))
 	case lease.OutcomeLost:
-		return interrupted(leasedReasonOf(ctx, wire.ReasonWorkerLost))
+		r := interrupted(leasedReasonOf(ctx, wire.ReasonWorkerLost))
+		r.Crash = removed.Crash
+		return r
 	case lease.OutcomeNeverStarted:
 		return notRun(leasedReasonOf(ctx, wire.ReasonWorkerRefused), "the worker did not carry out the start order")
 	case lease.OutcomeRefused:
--- /dev/null
+++ b/agent/probation_test.go
@@ -0,0 +1,52 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/internal/leasestub"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// Guards against two suspects at one worker, whose crash would then convict the
+// wrong one, and against a crash that is not reported as one.
+func TestOneTaskOnProbationAtAWorker(t *testing.T) {
+	withLeasedRig(t, leasedSetup{}, func(r *leasedRig, e *entryStub) {
+		send := func(job string, probation bool, spec leasestub.Spec) <-chan answer {
+			in := e.leasedRequest(job, cores(1), spec)
+			in.Task.Leased.Probation = probation
+			return e.send(in)
+		}
+		first := send("first", true, leasestub.Spec{MS: 300})
+		time.Sleep(20 * time.Millisecond)
+		second := <-send("second", true, leasestub.Spec{MS: 300})
+		r.Check(second.Result.Outcome, qt.Equals, wire.OutcomeNotRun)
+		r.Check(second.Result.Reason, qt.Equals, wire.ReasonProbation)
+		beside := <-send("beside", false, leasestub.Spec{MS: 50})
+		r.Check(beside.Result.Outcome, qt.Equals, wire.OutcomeDone)
+		r.Check((<-first).Result.Outcome, qt.Equals, wire.OutcomeDone)
+
+		bystander := send("bystander", false, leasestub.Spec{MS: 2000})
+		time.Sleep(200 * time.Millisecond)
+		crashing := <-send("crashing", true, leasestub.Spec{MS: 300, Crash: true})
+		r.Check(crashing.Result.Outcome, qt.Equals, wire.OutcomeInterrupted)
+		r.Check(crashing.Result.Crash, qt.Equals, wire.CrashSuspect)
+		r.Check((<-bystander).Result.Crash, qt.Equals, wire.CrashBystander)
+	})
+}
+
+// Guards against the planned end of a worker that is taken for a crash.
+func TestEndOfADrainingWorkerIsNoCrash(t *testing.T) {
+	withLeasedRig(t, leasedSetup{}, func(r *leasedRig, e *entryStub) {
+		lost := e.runLeased("j", 1, 2*time.Second)
+		time.Sleep(20 * time.Millisecond)
+		r.machine.Drain()
+		r.agent.WorkerAnnounced(r.machine.Announcement())
+		r.machine.Crash()
+		result := (<-lost).Result
+		r.Check(result.Outcome, qt.Equals, wire.OutcomeInterrupted)
+		r.Check(result.Crash, qt.Equals, wire.CrashNone)
+	})
+}
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chicorytray.example/chicorytray/lease"
+	"chicorytray.example/chicorytray/wire"
 )
 
 // milliPerCore is how many units of wire.Resources.MilliCPU make one core.
@@ -125,7 +126,7 @@
 		return
 	}
 	life.ended = true
-	lost := life.runs.LifeEnded()
+	lost := life.runs.LifeEnded(!life.leaves())
 	l.recordLifeEnd(life, cause, lost)
 	l.notifyRemoved(life, lost)
 	life.cancel()
@@ -147,7 +148,8 @@
 	l.agent.log.Warn().Str("worker", life.announced.Life.ID).Int64("born", life.announced.Life.Born).
 		Str("cause", cause).Bool("planned", life.leaves()).Int("runs", len(lost)).Msg("worker_life_ended")
 	for _, r := range lost {
-		e := l.agent.log.Info().Str("caller_job", r.Run.Task.Job).Int("task", r.Run.Task.Index).Dur("survived_ms", r.Survived)
+		e := l.agent.log.Info().Str("caller_job", r.Run.Task.Job).Int("task", r.Run.Task.Index).Dur("survived_ms", r.Survived).
+			Bool("suspect", r.Crash == wire.CrashSuspect)
 		if at := life.attempts[r.Run]; at != nil {
 			e = e.Str("job", at.job)
 		}
--- /dev/null
+++ b/containment/containment_test.go
@@ -0,0 +1,60 @@
+package containment_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/containment"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// Guards against a crashing task that is started too often, and against a bystander
+// that is put on probation or given up for the crashes of another task.
+func TestVerdicts(t *testing.T) {
+	const none, by, sus = wire.CrashNone, wire.CrashBystander, wire.CrashSuspect
+	const restart, probation, giveUp = containment.Restart, containment.Probation, containment.GiveUp
+	for _, tc := range []struct {
+		roles []wire.CrashRole
+		want  []containment.Verdict
+	}{
+		{[]wire.CrashRole{none, none, none}, []containment.Verdict{restart, restart, restart}},
+		{[]wire.CrashRole{sus, sus}, []containment.Verdict{probation, giveUp}},
+		{[]wire.CrashRole{sus, none, sus}, []containment.Verdict{probation, probation, giveUp}},
+		{[]wire.CrashRole{by, sus, by}, []containment.Verdict{restart, probation, giveUp}},
+		{[]wire.CrashRole{by, by, sus}, []containment.Verdict{restart, probation, giveUp}},
+		{[]wire.CrashRole{by, by, by, by}, []containment.Verdict{restart, probation, probation, giveUp}},
+	} {
+		var h containment.History
+		for i, role := range tc.roles {
+			qt.Check(t, h.Record(role), qt.Equals, tc.want[i], qt.Commentf("crash %d of %v", i, tc.roles))
+		}
+	}
+}
+
+// Guards against a sequence of crashes after which a task has three starts after the
+// third crash, also if one crash was forgotten.
+func TestNoTaskSurvivesItsCrashes(t *testing.T) {
+	for sequence := range 1 << 6 {
+		var h containment.History
+		crashes := 0
+		for verdict := containment.Restart; verdict != containment.GiveUp; crashes++ {
+			role := wire.CrashBystander
+			if sequence>>crashes&1 == 1 {
+				role = wire.CrashSuspect
+			}
+			verdict = h.Record(role)
+		}
+		qt.Check(t, crashes >= 2 && crashes <= 4, qt.IsTrue, qt.Commentf("%b: given up after %d crashes", sequence, crashes))
+	}
+}
+
+func ExampleHistory() {
+	var task containment.History
+	fmt.Println(task.Record(wire.CrashSuspect) == containment.Probation)
+	fmt.Println(task.Record(wire.CrashSuspect) == containment.GiveUp)
+	// Output:
+	// true
+	// true
+}
--- a/durable/encoding.go
+++ b/durable/encoding.go
@@ -23,6 +23,9 @@
 	// maxRunBytes is the largest encoded size of a TaskRun: two quotes, a comma, an
 	// index of up to 6 digits, a colon and 16 hexadecimal digits make 26 bytes.
 	maxRunBytes = 26
+	// maxCrashBytes is the largest encoded size of a TaskCrashes: two quotes, a comma,
+	// an index of up to 6 digits, two colons and two numbers of up to 3 digits.
+	maxCrashBytes = 17
 	// reservedRunsPerTask is the number of runs of each task for which a new record
 	// must have room: one that is done and one that failed.
 	reservedRunsPerTask = 2
@@ -51,6 +54,9 @@
 	Restarted  bool           `json:"restarted,omitempty"`
 	Done       []encodedRun   `json:"done,omitempty"`
 	Failed     []encodedRun   `json:"failed,omitempty"`
+	// Crashes is absent in records without any, so that processes of earlier
+	// versions can read those.
+	Crashes []encodedCrashes `json:"crashes,omitempty"`
 }
 
 // endValue is the JSON form of an EndRecord.
@@ -102,6 +108,34 @@
 	return err
 }
 
+// encodedCrashes is a TaskCrashes that is encoded as "index:crashes:suspicions", in
+// decimal.
+type encodedCrashes TaskCrashes
+
+// MarshalText implements encoding.TextMarshaler.
+func (c encodedCrashes) MarshalText() ([]byte, error) {
+	return fmt.Appendf(nil, "%d:%d:%d", c.Index, c.Crashes, c.Suspicions), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (c *encodedCrashes) UnmarshalText(text []byte) error {
+	parts := strings.Split(string(text), ":")
+	if len(parts) != 3 {
+		return fmt.Errorf("%w: %q does not have the form index:crashes:suspicions", errInvalid, text)
+	}
+	index, err := strconv.Atoi(parts[0])
+	if err != nil {
+		return err
+	}
+	crashes, err := strconv.ParseUint(parts[1], 10, 8)
+	if err != nil {
+		return err
+	}
+	suspicions, err := strconv.ParseUint(parts[2], 10, 8)
+	*c = encodedCrashes{index, uint8(crashes), uint8(suspicions)}
+	return err
+}
+
 // WorkloadHash returns a hash of the fields that must be equal in all submissions
 // under one identifier: account, template, number and needs of the tasks, and
 // spec.
@@ -125,15 +159,17 @@
 		Count: r.Count, Needs: r.Needs, Spec: r.Spec, Expected: int64(r.Expected), Accepted: millis(r.Accepted),
 		Owner: r.Owner, Serial: hexNumber(r.Serial), Started: r.Started, Restarted: r.Restarted,
 		Done: convertRuns[encodedRun](r.Done), Failed: convertRuns[encodedRun](r.Failed),
+		Crashes: convertCrashes[encodedCrashes](r.Crashes),
 	})
 }
 
 // checkRoom returns store.ErrTooLarge if the record of a new job could outgrow
-// store.MaxValueBytes when runs are added to it; see reservedRunsPerTask.
+// store.MaxValueBytes when runs and crashes are added to it; see
+// reservedRunsPerTask.
 func (r *Record) checkRoom() error {
 	value, err := r.Encode()
-	if err == nil && len(value)+reservedRunsPerTask*maxRunBytes*r.Count > store.MaxValueBytes {
-		return fmt.Errorf("%w: %d bytes, without the runs of %d tasks", store.ErrTooLarge, len(value), r.Count)
+	if err == nil && len(value)+(reservedRunsPerTask*maxRunBytes+maxCrashBytes)*r.Count > store.MaxValueBytes {
+		return fmt.Errorf("%w: %d bytes, without the runs and crashes of %d tasks", store.ErrTooLarge, len(value), r.Count)
 	}
 	return err
 }
@@ -151,6 +187,7 @@
 		Count: v.Count, Needs: v.Needs, Spec: v.Spec, Expected: time.Duration(v.Expected), Accepted: fromMillis(v.Accepted),
 		Owner: v.Owner, Serial: uint64(v.Serial), Started: v.Started, Restarted: v.Restarted,
 		Done: convertRuns[TaskRun](v.Done), Failed: convertRuns[TaskRun](v.Failed),
+		Crashes: convertCrashes[TaskCrashes](v.Crashes),
 	}
 	again, err := r.Encode()
 	if err := checkEncoding(key, OpenPrefix+r.Identifier, v.Version, value, again, err); err != nil {
@@ -216,6 +253,13 @@
 			return fmt.Errorf("%w: failed task %d is not one of the %d tasks", errInvalid, run.Index, r.Count)
 		}
 	}
+	crashed := map[int]bool{}
+	for _, c := range r.Crashes {
+		if c.Index < 0 || c.Index >= r.Count || crashed[c.Index] || c.Suspicions > c.Crashes {
+			return fmt.Errorf("%w: crashes %+v of a job of %d tasks, or of a task that is listed twice", errInvalid, c, r.Count)
+		}
+		crashed[c.Index] = true
+	}
 	return nil
 }
 
@@ -311,3 +355,18 @@
 	}
 	return to
 }
+
+// convertCrashes converts between lists of TaskCrashes and of encodedCrashes.
+func convertCrashes[To, From interface {
+	~struct {
+		Index      int
+		Crashes    uint8
+		Suspicions uint8
+	}
+}](list []From) []To {
+	var to []To
+	for _, c := range list {
+		to = append(to, To(c))
+	}
+	return to
+}
--- a/durable/record.go
+++ b/durable/record.go
@@ -38,6 +38,14 @@
 	Tag   wire.RunTag
 }
 
+// TaskCrashes counts the worker crashes under the runs of one task; see
+// containment.History.
+type TaskCrashes struct {
+	Index      int // of the task in its job
+	Crashes    uint8
+	Suspicions uint8
+}
+
 // Record is the open record of a job.
 type Record struct {
 	Identifier string
@@ -55,6 +63,7 @@
 	Restarted bool   // a task may have been started again although an earlier run of it was done
 	Done      []TaskRun
 	Failed    []TaskRun
+	Crashes   []TaskCrashes // at most one for each task
 }
 
 // EndRecord is the record of a job that has ended.
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -75,6 +75,8 @@
 	// is not renewed while there are any. It therefore expires if Cancel messages
 	// do not arrive although heartbeats do.
 	unansweredCancels int
+	probation         *sentTask       // the task that is on probation there; nil if there is none
+	noProbationUntil  time.Time       // set when the agent had one of another entry
 	placementEntry    placement.Agent // as last written to the placement table
 	usable            bool            // may get tasks when it has room
 	lastUsable        time.Time       // when it was last usable, or first heard of
--- a/entry/collect.go
+++ b/entry/collect.go
@@ -20,6 +20,9 @@
 		}
 		j := v.task.job
 		delete(d.restarts, v.task)
+		if a.probation == v.task {
+			a.probation = nil
+		}
 		d.table.RecordDone(a.ref.ID, j.class.Needs)
 		j.locations[v.task.index] = location{}
 		j.rackSpread.Done(a.ref.Rack)
@@ -98,6 +101,8 @@
 		d.updateUsable(a)
 	case wire.ReasonSessionFenced:
 		d.handleSessionInDoubt(a, v.task.key.Session, errFenced)
+	case wire.ReasonProbation:
+		a.noProbationUntil = d.now.Add(probationRetryDelay)
 	case wire.ReasonCancelled, wire.ReasonAgentLost:
 	default:
 		// The agent refuses all tasks until its next heartbeat says otherwise.
@@ -114,7 +119,12 @@
 func (d *dispatcher) requeue(j *job, index int) {
 	j.states[index] = taskWaiting
 	d.addWaiting(j, 1)
-	d.queue.Requeue(queue.TaskRef{Job: j.id, Index: index})
+	ref := queue.TaskRef{Job: j.id, Index: index}
+	if j.onProbation(index) {
+		d.probation = append(d.probation, ref)
+		return
+	}
+	d.queue.Requeue(ref)
 }
 
 // handleUnknown handles a task that may have run. It is retried only if its
@@ -157,7 +167,7 @@
 				a.refusing = true // until its next heartbeat, which says whether it is leaving
 				d.updateUsable(a)
 			}
-			d.handleLeasedInterruption(j, a.ref.ID, index, v.result.Reason)
+			d.handleLeasedInterruption(j, a.ref.ID, index, v.result)
 			return
 		}
 	}
@@ -232,6 +242,7 @@
 	}
 	j.failure = &c
 	d.queue.Remove(j.id)
+	d.withdrawProbation(j)
 	inFlight := false
 	for i, s := range j.states {
 		switch s {
--- /dev/null
+++ b/entry/crash.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"chicorytray.example/chicorytray/containment"
+	"chicorytray.example/chicorytray/durable"
+	"chicorytray.example/chicorytray/placement"
+	"chicorytray.example/chicorytray/queue"
+	"chicorytray.example/chicorytray/wire"
+)
+
+const (
+	// probationRetryDelay is how long an agent that refused a task because it has
+	// another one on probation, of another entry, gets no further one.
+	probationRetryDelay = 50 * time.Millisecond
+	// maxProbationSearches limits the searches without a result in one call of
+	// placeProbation.
+	maxProbationSearches = 4
+)
+
+// recordCrash records that a worker crashed under a run of the task, and returns the
+// verdict on the task. The record of a durable job is written at once, so that the
+// next owner of the job knows of the crash.
+func (d *dispatcher) recordCrash(j *job, index int, agent string, role wire.CrashRole) containment.Verdict {
+	l := j.leased
+	if l.crashes == nil {
+		l.crashes = map[int]containment.History{}
+	}
+	h := l.crashes[index]
+	verdict := h.Record(role)
+	l.crashes[index] = h
+	d.metrics.countCrash(role)
+	if role == wire.CrashSuspect {
+		d.log.Warn().Str("job", j.id).Str("template", j.template.Name).Int("task", index).Str("agent", agent).
+			Uint8("crashes", h.Crashes).Uint8("suspicions", h.Suspicions).Bool("given_up", verdict == containment.GiveUp).
+			Msg("task is suspected of the crash of a worker")
+	}
+	if u := durableOf(j); u != nil && !u.closed {
+		u.record.Crashes = l.crashRecords()
+		d.scheduleWrite(j, 0)
+	}
+	return verdict
+}
+
+// crashRecords returns the crashes under the job's tasks as they are stored, sorted
+// by index.
+func (l *leasedJob) crashRecords() []durable.TaskCrashes {
+	out := make([]durable.TaskCrashes, 0, len(l.crashes))
+	for i, h := range l.crashes {
+		out = append(out, durable.TaskCrashes{Index: i, Crashes: h.Crashes, Suspicions: h.Suspicions})
+	}
+	slices.SortFunc(out, func(a, b durable.TaskCrashes) int { return a.Index - b.Index })
+	return out
+}
+
+// giveUpCrashingTask fails the job because of a task that probably crashes the
+// workers on which it starts.
+func (d *dispatcher) giveUpCrashingTask(j *job, index int) {
+	d.metrics.crashingTasks.Inc(1)
+	j.setFinalState(index, taskFailed)
+	j.leased.exhausted = true
+	d.failJob(j, jobFailure{reason: wire.ReasonCrashedWorkers, detail: "task " + strconv.Itoa(index) + " is suspected of the crashes of " +
+		strconv.Itoa(int(j.leased.crashes[index].Crashes)) + " workers"})
+}
+
+// onProbation reports whether the task may start only alone among the suspects of
+// its worker.
+func (j *job) onProbation(index int) bool {
+	return j.leased != nil && j.leased.crashes[index].Verdict() != containment.Restart
+}
+
+// markProbation marks a task that is being sent to an agent as on probation there.
+func (a *agent) markProbation(j *job, index int, t *sentTask) {
+	a.probation = t
+	work := *j.tasks[index].Leased // the tasks of a job share it
+	work.Probation = true
+	j.tasks[index].Leased = &work
+}
+
+// placeProbation starts waiting tasks on probation, the oldest first, and drops
+// those that no longer wait. They are not in the queue, because they need a worker
+// of their own each, and would otherwise hold up the tasks behind them.
+func (d *dispatcher) placeProbation() {
+	searches := 0
+	d.probation = slices.DeleteFunc(d.probation, func(ref queue.TaskRef) bool {
+		j := d.jobs[ref.Job]
+		if j == nil || j.answered || j.failure != nil || j.states[ref.Index] != taskWaiting {
+			return true
+		}
+		if searches >= maxProbationSearches || !j.inQueue() || !d.mayStartJob(j) || !d.accountMayStart(j.account) {
+			return false
+		}
+		a := d.chooseForProbation(j, ref.Index)
+		if a == nil {
+			searches++
+			return false
+		}
+		d.assignTask(j, ref.Index, a)
+		return true
+	})
+}
+
+// chooseForProbation returns an agent without another task on probation, preferably
+// one that has not run the task; nil if there is none with room.
+func (d *dispatcher) chooseForProbation(j *job, index int) *agent {
+	occupied := func(id string) bool {
+		a := d.agents[id]
+		return a == nil || a.probation != nil || d.now.Before(a.noProbationUntil)
+	}
+	tried := j.avoidedAgents[index]
+	for _, avoid := range []func(string) bool{
+		func(id string) bool { return occupied(id) || slices.Contains(tried, id) }, occupied,
+	} {
+		if id, ok := d.table.ChooseFor(placement.Query{Class: j.class, Avoid: avoid}); ok {
+			return d.agents[id]
+		}
+	}
+	return nil
+}
+
+// withdrawProbation removes the tasks of a job that ends.
+func (d *dispatcher) withdrawProbation(j *job) {
+	d.probation = slices.DeleteFunc(d.probation, func(ref queue.TaskRef) bool { return ref.Job == j.id })
+}
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -83,6 +83,7 @@
 	pools              map[string]*pool          // by pool name
 	leasedWaiting      taskTotals                // leased tasks in the queue, of all pools
 	held               []heldTask
+	probation          []queue.TaskRef // waiting tasks that may start only on probation, oldest first
 	durable            durableJobs
 	openJobs           int           // number of accepted jobs that are not answered
 	idle               chan struct{} // closed when openJobs reaches 0; nil if nobody waits for that
--- a/entry/durable_record.go
+++ b/entry/durable_record.go
@@ -38,7 +38,7 @@
 		r, version := u.record, u.version
 		r.Started = r.Started || j.startedOrStarting()
 		u.record.Started = r.Started && j.leased.anyStarted
-		r.Done, r.Failed = slices.Clip(r.Done), slices.Clip(r.Failed)
+		r.Done, r.Failed, r.Crashes = slices.Clip(r.Done), slices.Clip(r.Failed), slices.Clip(r.Crashes)
 		d.durable.manager.Update(r, within, func() {
 			d.durable.inbox.put(func(d *dispatcher) { d.handleRecordStored(j, version) })
 		})
--- a/entry/durable_recover.go
+++ b/entry/durable_recover.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"chicorytray.example/chicorytray/containment"
 	"chicorytray.example/chicorytray/durable"
 	"chicorytray.example/chicorytray/wire"
 )
@@ -153,8 +154,16 @@
 // job if a task has used up its attempts.
 func (d *dispatcher) endRecovery(j *job) {
 	for i, n := range j.leased.failedRuns {
-		if j.states[i] == taskWaiting && int(n) >= j.template.MaxAttempts {
-			d.failExhausted(j, i) // before recovery is reset, while the tasks are not in the queue
+		if j.states[i] != taskWaiting {
+			continue
+		}
+		// Both before recovery is reset, while the tasks are not in the queue.
+		switch {
+		case int(n) >= j.template.MaxAttempts:
+			d.failExhausted(j, i)
+			return
+		case j.leased.crashes[i].Verdict() == containment.GiveUp:
+			d.giveUpCrashingTask(j, i)
 			return
 		}
 	}
--- a/entry/durable_submit.go
+++ b/entry/durable_submit.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/containment"
 	"chicorytray.example/chicorytray/durable"
 	"chicorytray.example/chicorytray/wire"
 )
@@ -300,6 +301,12 @@
 	for _, run := range r.Failed {
 		j.leased.failedRuns[run.Index]++
 	}
+	for _, c := range r.Crashes {
+		if j.leased.crashes == nil {
+			j.leased.crashes = map[int]containment.History{}
+		}
+		j.leased.crashes[c.Index] = containment.History{Crashes: c.Crashes, Suspicions: c.Suspicions}
+	}
 	d.durable.hadJobs = true
 	d.durable.open[r.Identifier] = j
 	d.addLeased(s, j, d.durable.newJobID())
--- a/entry/hold.go
+++ b/entry/hold.go
@@ -42,7 +42,7 @@
 	j := h.job
 	d.addRunning(j, -1)
 	j.possiblyRan[h.index], j.leased.anyStarted = true, true
-	d.handleLeasedInterruption(j, h.agent, h.index, h.reason)
+	d.handleLeasedInterruption(j, h.agent, h.index, wire.Result{Reason: h.reason})
 	d.afterTaskResolved(j)
 }
 
--- a/entry/leased.go
+++ b/entry/leased.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/containment"
 	"chicorytray.example/chicorytray/wire"
 )
 
@@ -38,6 +39,8 @@
 	failedRuns    []uint8 // number of failed runs, by task
 	interruptions []uint8 // number of interrupted runs, by task
 	restarts      []uint8 // number of runs stopped as stalled or slow, by task
+	// crashes has the tasks under whose runs a worker crashed, by index.
+	crashes map[int]containment.History
 	// openRuns counts the tasks that are at agents, and those whose run may still
 	// go on there.
 	openRuns       int
@@ -251,8 +254,8 @@
 
 // handleLeasedInterruption handles a run that certainly ended without a result.
 // It retries the task up to maxInterruptions times, in a durable job without
-// limit.
-func (d *dispatcher) handleLeasedInterruption(j *job, agent string, index int, reason wire.Reason) {
+// limit, unless the task probably crashes its workers.
+func (d *dispatcher) handleLeasedInterruption(j *job, agent string, index int, r wire.Result) {
 	l := j.leased
 	if j.failure != nil {
 		j.setFinalState(index, taskFailed)
@@ -262,14 +265,18 @@
 		l.interruptions[index]++
 	}
 	d.metrics.tasksInterrupted.Inc(1)
-	d.log.Info().Str("job", j.id).Str("template", j.template.Name).Int("task", index).Str("agent", agent).Str("reason", string(reason)).
+	d.log.Info().Str("job", j.id).Str("template", j.template.Name).Int("task", index).Str("agent", agent).Str("reason", string(r.Reason)).
 		Uint8("interruptions", l.interruptions[index]).Msg("run was interrupted")
+	if r.Crash != wire.CrashNone && d.recordCrash(j, index, agent, r.Crash) == containment.GiveUp {
+		d.giveUpCrashingTask(j, index)
+		return
+	}
 	if l.durable != nil || l.interruptions[index] <= maxInterruptions {
 		d.retryTask(j, index, agent)
 		return
 	}
 	j.setFinalState(index, taskFailed)
-	d.failJob(j, jobFailure{reason: reason, detail: "task " + strconv.Itoa(index) + " exceeded the limit of interruptions"})
+	d.failJob(j, jobFailure{reason: r.Reason, detail: "task " + strconv.Itoa(index) + " exceeded the limit of interruptions"})
 }
 
 // retryTask queues a task for another attempt, preferably at another agent than
@@ -300,7 +307,7 @@
 func (j *job) freeTaskState() {
 	if j.answered && j.leased.openRuns == 0 {
 		j.states, j.locations, j.possiblyRan, j.avoidedAgents = nil, nil, nil, nil
-		j.leased.failedRuns, j.leased.interruptions, j.leased.restarts = nil, nil, nil
+		j.leased.failedRuns, j.leased.interruptions, j.leased.restarts, j.leased.crashes = nil, nil, nil, nil
 	}
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -35,6 +35,8 @@
 	registrationsExpired  tally.Counter
 	tasksInterrupted      tally.Counter
 	runsRestarted         map[straggler.Reason]tally.Counter
+	crashedRuns           map[wire.CrashRole]tally.Counter
+	crashingTasks         tally.Counter // given up because workers crashed under them
 }
 
 func newMetrics(s tally.Scope) metrics {
@@ -66,6 +68,10 @@
 		configInvalid:         s.Counter("config_invalid"),
 		registrationsExpired:  s.Counter("registrations_expired"),
 		tasksInterrupted:      s.Counter("tasks_interrupted"),
+		crashingTasks:         s.Counter("tasks_given_up_for_crashes"),
+		crashedRuns: map[wire.CrashRole]tally.Counter{
+			wire.CrashBystander: crashCounter(s, "bystander"), wire.CrashSuspect: crashCounter(s, "suspect"),
+		},
 		runsRestarted: map[straggler.Reason]tally.Counter{
 			straggler.Stalled: restartCounter(s, straggler.Stalled), straggler.Slow: restartCounter(s, straggler.Slow),
 		},
@@ -76,6 +82,17 @@
 	return s.Tagged(map[string]string{"reason": string(r)}).Counter("runs_restarted")
 }
 
+func crashCounter(s tally.Scope, role string) tally.Counter {
+	return s.Tagged(map[string]string{"role": role}).Counter("runs_lost_in_crashes")
+}
+
+// countCrash counts a run that was lost in the crash of its worker.
+func (m metrics) countCrash(r wire.CrashRole) {
+	if c := m.crashedRuns[r]; c != nil {
+		c.Inc(1)
+	}
+}
+
 // countRestart counts a run that is stopped so that its task starts at another
 // agent.
 func (m metrics) countRestart(r straggler.Reason) { m.runsRestarted[r].Inc(1) }
--- a/entry/place.go
+++ b/entry/place.go
@@ -53,6 +53,7 @@
 	if !d.mayStartNow() {
 		return
 	}
+	d.placeProbation()
 	var skipped []queue.TaskRef
 	for d.table.HasRoom() && len(skipped) < maxSkippedTasks {
 		ref, ok := d.queue.Next(d.now, d.canStartClass)
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -113,7 +113,7 @@
 // run. The pool with the empty name runs the HTTP tasks.
 func (d *dispatcher) waitingInPool(name string) int {
 	if name == "" {
-		return d.queue.Len() - d.leasedWaiting.tasks
+		return d.queue.Len() + len(d.probation) - d.leasedWaiting.tasks
 	}
 	if p := d.pools[name]; p != nil {
 		return p.waiting
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -80,7 +80,12 @@
 func (d *dispatcher) addToQueue(j *job) {
 	indexes := make([]int, 0, j.count)
 	for i, s := range j.states {
-		if s == taskWaiting {
+		switch {
+		case s != taskWaiting:
+		case j.onProbation(i):
+			d.probation = append(d.probation, queue.TaskRef{Job: j.id, Index: i})
+			d.addWaiting(j, 1)
+		default:
 			indexes = append(indexes, i)
 		}
 	}
--- a/entry/start.go
+++ b/entry/start.go
@@ -24,6 +24,9 @@
 	task := a.session.recordSend(j, index, d.now)
 	j.states[index] = taskSent
 	j.locations[index] = location{a, task}
+	if j.onProbation(index) {
+		a.markProbation(j, index, task)
+	}
 	d.table.RecordSent(a.ref.ID, j.class.Needs)
 	d.countStart(j, index, a)
 	d.recordDurableStart(j, index, a)
--- a/lease/ends_test.go
+++ b/lease/ends_test.go
@@ -57,7 +57,7 @@
 			t.answerStart(RefusedRunTooOld)
 			t.poll(nil, RunEnd{1, run1, Done})
 		}, 1, true},
-		{"the life ended", func(t *rig) { t.HoldEnd(run1); t.poll(nil, RunEnd{1, run1, Done}); t.LifeEnded() }, 0, false},
+		{"the life ended", func(t *rig) { t.HoldEnd(run1); t.poll(nil, RunEnd{1, run1, Done}); t.LifeEnded(false) }, 0, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			c, table := qt.New(t), ordered()
--- a/lease/runs.go
+++ b/lease/runs.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"time"
+
+	"chicorytray.example/chicorytray/wire"
 )
 
 // ErrTaskRunning means that a run of the task is still in the table, so no
@@ -43,6 +45,7 @@
 	// Survived is how long the worker is known to have gone on after the run
 	// began, if the run was lost with the worker's life; otherwise 0.
 	Survived time.Duration
+	Crash    wire.CrashRole // set if the life ended by a crash
 }
 
 // Options are the parameters of a RunTable.
@@ -95,6 +98,8 @@
 	beganAt    time.Time // when that answer arrived
 	// durable means that the end of the run will be held; see HoldEnd.
 	durable bool
+	// probation means that the run is suspected of a crash; see MarkProbation.
+	probation bool
 	// startResolved is set when the start order was answered or the wait for the
 	// answer was given up. startResolvedAt is the number of the newest renewal
 	// at that time: only replies to later renewals prove that the run is absent.
@@ -419,21 +424,6 @@
 	return removed, toStop
 }
 
-// LifeEnded removes and returns all runs because the worker's life has ended.
-// Held ends are dropped: the worker has lost its list of ends.
-func (r *RunTable) LifeEnded() []RemovedRun {
-	r.adopted, r.ends = false, endTable{}
-	var lost []RemovedRun
-	for _, e := range r.table {
-		survived := e.survived(r.answeredAt)
-		for _, run := range r.remove(e.run, OutcomeLost, "") {
-			run.Survived = survived
-			lost = append(lost, run)
-		}
-	}
-	return lost
-}
-
 // removeAll removes and returns all runs, with the given outcome.
 func (r *RunTable) removeAll(outcome Outcome) []RemovedRun {
 	var removed []RemovedRun
--- a/lease/runs_test.go
+++ b/lease/runs_test.go
@@ -135,7 +135,7 @@
 		{"stop answered while the start is out, then absent", func(t *rig) { t.answerStop(""); t.poll(nil) }, ""},
 		{"list requested before the stop was answered", func(t *rig) { t.StartUnanswered(run1); t.meanwhile(func() { t.answerStop("") }, 0) }, ""},
 
-		{"the life ended", func(t *rig) { t.removed = t.LifeEnded() }, OutcomeLost},
+		{"the life ended", func(t *rig) { t.removed = t.LifeEnded(false) }, OutcomeLost},
 
 		// The start order extends the lease to 300 ms, the renewal to 500 ms. The
 		// worker has 50 ms more to stop its runs, on a clock that is 2 % slow.
@@ -234,6 +234,6 @@
 	c.Check(table.Adopted(), qt.IsFalse)
 	table.poll(nil)
 	c.Check(table.Adopted(), qt.IsTrue)
-	table.LifeEnded()
+	table.LifeEnded(false)
 	c.Check(table.Adopted(), qt.IsFalse)
 }
--- a/wire/task.go
+++ b/wire/task.go
@@ -53,6 +53,9 @@
 	// worker only after the entry has acknowledged the result. A durable task
 	// whose Remaining is 0 has no deadline.
 	Durable bool
+	// Probation means that a worker crashed under an earlier run of the task, which
+	// may have been the cause. A worker has at most one such task at a time.
+	Probation bool
 }
 
 // Outcome is the outcome of one task at an agent.
@@ -110,6 +113,11 @@
 	ReasonLeaseExpired Reason = "lease_lapsed"
 	// ReasonWorkerLost means that the worker crashed, restarted or left.
 	ReasonWorkerLost Reason = "worker_lost"
+	// ReasonProbation means that the agent has another task on probation.
+	ReasonProbation Reason = "other_task_on_probation"
+	// ReasonCrashedWorkers means that workers crashed under a task that is
+	// suspected to be the cause.
+	ReasonCrashedWorkers Reason = "crashed_workers"
 	// ReasonWorkerRefused means that the worker refused or ignored the order
 	// to start a task.
 	ReasonWorkerRefused Reason = "worker_refused"
@@ -125,8 +133,23 @@
 	// Tag identifies the run of a durable job's task that ended done or failed;
 	// otherwise 0.
 	Tag RunTag
+	// Crash is the part that the run has in a crash of its worker.
+	Crash CrashRole
 }
 
+// CrashRole is the part that a run has in the crash of the worker on which it was
+// lost.
+type CrashRole int
+
+const (
+	// CrashNone means that the run was not lost in a crash.
+	CrashNone CrashRole = iota
+	// CrashBystander means that the run is probably not the cause.
+	CrashBystander
+	// CrashSuspect means that the run may be the cause.
+	CrashSuspect
+)
+
 // Load is an agent's load, which it adds to its messages.
 type Load struct {
 	Sequence uint64 // grows with every change; of two loads the higher one is newer
