containment, entry, agent: confine templates whose tasks crash workers

Cause: each such task costs two workers for 3 s, and fresh tasks of the same template start on all workers. Class of fault: no bulkhead between templates.

Change: two convictions of a template within 10 s confine it to a part of its pool, which all entries choose alike by rendezvous hashing: 30 %, or what the other templates leave. Entries tell each other of convictions in peer heartbeats, at once until the template is confined. Jobs of a confined template are refused at once while none of its workers is usable. Agents start nothing within 25 ms of a task on probation.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -53,6 +53,7 @@
 	tasks           map[taskID]*task
 	queue           []*task
 	runningTasks    int // number of tasks that occupy a slot
+	lastStart       time.Time
 	free            wire.Resources
 	lastNeeds       wire.Resources // resource needs of the task that ended last
 	loadSequence    uint64         // value of wire.Load.Sequence; rises with each change of the load
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -47,17 +47,6 @@
 	return ""
 }
 
-// hasProbation reports whether a task on probation waits or runs here; the caller
-// holds mu.
-func (a *Agent) hasProbation() bool {
-	for _, t := range a.tasks {
-		if t.onProbation() {
-			return true
-		}
-	}
-	return false
-}
-
 // checkGate returns the queued tasks when the gate has been without a recent
 // confirmation for one heartbeat interval, so that their entries can place them
 // elsewhere; the caller holds mu.
--- a/agent/receive.go
+++ b/agent/receive.go
@@ -31,9 +31,6 @@
 	result      wire.Result
 }
 
-// onProbation reports whether the task is suspected of a crash of another worker.
-func (t *task) onProbation() bool { return t.task.Leased != nil && t.task.Leased.Probation }
-
 // newServer returns a server with the RPC methods that entries call.
 func (a *Agent) newServer(o rpcconn.Options) *rpcconn.Server {
 	s := rpcconn.NewServer(o)
--- a/agent/run.go
+++ b/agent/run.go
@@ -22,6 +22,9 @@
 	a.entries.reschedule(t.owner)
 	t.expiryTimer = time.AfterFunc(time.Until(t.deadline), func() { a.expireQueued(t) })
 	a.loadSequence++
+	if t.onProbation() {
+		a.dispatchAfterWindow()
+	}
 }
 
 // expireQueued refuses a task whose deadline passed while it was queued.
@@ -44,15 +47,7 @@
 			return
 		}
 		t := a.queue[i]
-		if a.leased != nil && !a.ledger.Renewed(t.owner, now, maxHeartbeatsToStart*a.timing.Heartbeat.AsDuration()) {
-			i++ // waits for the reply to a heartbeat
-			continue
-		}
-		if a.runningTasks+a.reservedForOthers(t.owner, now) >= a.self.Slots {
-			i++ // the free slots are reserved for other entries
-			continue
-		}
-		if !t.task.Needs.Fits(a.freeFor(t.owner, now)) || !now.Before(t.deadline) {
+		if !a.startable(t, now) || a.leased != nil && a.heldForProbation(t, now) {
 			i++
 			continue
 		}
@@ -67,12 +62,28 @@
 	}
 }
 
+// startable reports whether a queued task may start while the gate is open: its
+// session was renewed recently, and there are a slot and resources that are not
+// reserved for other entries. The caller holds mu.
+func (a *Agent) startable(t *task, now time.Time) bool {
+	switch {
+	case a.leased != nil && !a.ledger.Renewed(t.owner, now, maxHeartbeatsToStart*a.timing.Heartbeat.AsDuration()):
+		return false // waits for the reply to a heartbeat
+	case a.runningTasks+a.reservedForOthers(t.owner, now) >= a.self.Slots:
+		return false
+	}
+	return t.task.Needs.Fits(a.freeFor(t.owner, now)) && now.Before(t.deadline)
+}
+
 // start runs a task that the ledger has recorded as started; the caller holds
 // mu.
 func (a *Agent) start(t *task, now time.Time) {
 	a.queue = slices.DeleteFunc(a.queue, func(q *task) bool { return q == t })
 	t.expiryTimer.Stop()
-	t.startedAt = now
+	t.startedAt, a.lastStart = now, now
+	if t.onProbation() {
+		a.dispatchAfterWindow()
+	}
 	a.runningTasks++
 	a.free = a.free.Minus(t.task.Needs)
 	a.loadSequence++
--- /dev/null
+++ b/entry/confine_test.go
@@ -0,0 +1,163 @@
+package entry
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/containment"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// crashingPool is a pool of workers that crash under task 0 of each job whose
+// identifier begins with "bad".
+type crashingPool struct {
+	mu   sync.Mutex
+	runs map[string]map[int]bool // numbers of the workers that ran tasks, by template
+}
+
+func (h *harness) crashingPool(workers int) *crashingPool {
+	p := &crashingPool{runs: map[string]map[int]bool{}}
+	for i := range workers {
+		h.worker(i+1, script{}).setScript(func(t wire.Task) script { return p.run(i+1, t) })
+	}
+	return p
+}
+
+func (p *crashingPool) run(worker int, t wire.Task) script {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.runs[t.Template] == nil {
+		p.runs[t.Template] = map[int]bool{}
+	}
+	p.runs[t.Template][worker] = true
+	switch {
+	case strings.HasPrefix(t.Leased.Job, "bad") && t.Index == 0:
+		return script{duration: time.Millisecond, result: &wire.Result{
+			Outcome: wire.OutcomeInterrupted, Reason: wire.ReasonWorkerLost, Crash: wire.CrashSuspect}}
+	case strings.HasPrefix(t.Leased.Job, "long"):
+		return runsFor(9000)
+	}
+	return runsFor(50)
+}
+
+// workersUsed returns the number of workers that ran tasks of the template since the
+// last call.
+func (p *crashingPool) workersUsed(template string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.runs[template])
+	delete(p.runs, template)
+	return n
+}
+
+// addOtherTemplate adds a template "other" of the same pool to the configuration.
+func (h *harness) addOtherTemplate() {
+	h.storeConfig(3, func(d *config.Document) {
+		for _, name := range []string{"step", "other"} {
+			d.Templates = append(d.Templates, config.Template{
+				Name: name, Account: "portal", Kind: config.KindLeased, DeadlineMS: 10000, ExpectedMS: 200,
+				Pool: "bench", MaxAttempts: 3, SlackFactor: 4, TargetMS: 2000, Needs: config.Needs{MilliCPU: 4000, MemoryMB: 64},
+			})
+		}
+	})
+}
+
+func (h *harness) confined(e *Entry, template string) (members int) {
+	e.dispatcher.postAndWait(func(d *dispatcher) { members = len(d.confined.members[template]) })
+	return members
+}
+
+// Guards against a template that takes down the whole pool: after two of its tasks
+// were given up, it gets only the workers that the others do not need, at every
+// entry, and all workers again once it has behaved.
+func TestTemplateThatCrashesWorkersIsConfined(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e := h.leasedEntry(nil)
+		h.addOtherTemplate()
+		pool := h.crashingPool(10)
+		waitForDiscovery()
+		for i := range 2 {
+			h.Check(h.submit(e, fmt.Sprint("bad", i), 2).wait().Outcome, qt.Equals, OutcomeFailed)
+		}
+		h.Check(h.confined(e, "step") > 0, qt.IsTrue)
+		h.Check(h.confined(e, "other"), qt.Equals, 0)
+
+		long := h.submitAsync(e, Submission{Job: "long", Template: "other", Count: 40}) // half of the pool
+		time.Sleep(5 * time.Second)
+		pool.workersUsed("step")
+		for i := range 20 {
+			h.Check(h.submit(e, fmt.Sprint("good", i), 8).wait().Outcome, qt.Equals, OutcomeDone)
+		}
+		h.Check(h.confined(e, "step"), qt.Equals, 3)
+		h.Check(pool.workersUsed("step") <= 3, qt.IsTrue)
+		h.Check(long.wait().Outcome, qt.Equals, OutcomeDone)
+
+		time.Sleep(containment.Memory)
+		h.Check(h.confined(e, "step"), qt.Equals, 0)
+		h.submit(e, "after", 40).wait()
+		h.Check(pool.workersUsed("step") > 5, qt.IsTrue)
+	})
+}
+
+// Guards against jobs of a confined template that wait for workers that are down, and
+// against idle workers beside them while nobody else needs these.
+func TestJobsOfAConfinedTemplate(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e := h.leasedEntry(nil)
+		h.addOtherTemplate()
+		pool := h.crashingPool(10)
+		waitForDiscovery()
+		for i := range 2 {
+			h.submit(e, fmt.Sprint("bad", i), 2).wait()
+		}
+		time.Sleep(2 * time.Second)
+		pool.workersUsed("step")
+		h.submit(e, "idle", 40).wait()
+		h.Check(pool.workersUsed("step") > 5, qt.IsTrue)
+
+		e.dispatcher.postAndWait(func(d *dispatcher) {
+			for id := range d.confined.members["step"] {
+				d.agents[id].leaving = true
+				d.updateUsable(d.agents[id])
+			}
+		})
+		refused := h.submit(e, "refused", 2).wait()
+		h.Check(refused.Outcome, qt.Equals, OutcomeNotRun)
+		h.Check(refused.RetryAfter, qt.Equals, refusalRetryAfter)
+	})
+}
+
+// Guards against tasks on probation that hold up the tasks behind them while no
+// worker takes them.
+func TestTasksOnProbationDoNotHoldUpOthers(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e := h.leasedEntry(nil)
+		for i := range 2 {
+			h.worker(i+1, script{}).setScript(func(t wire.Task) script {
+				switch {
+				case t.Leased.Probation:
+					return script{refuse: wire.ReasonProbation}
+				case strings.HasPrefix(t.Leased.Job, "bad"):
+					return script{duration: time.Millisecond, result: &wire.Result{
+						Outcome: wire.OutcomeInterrupted, Reason: wire.ReasonWorkerLost, Crash: wire.CrashSuspect}}
+				}
+				return runsFor(50)
+			})
+		}
+		waitForDiscovery()
+		began := time.Now()
+		bad := h.submit(e, "bad", 30)
+		time.Sleep(100 * time.Millisecond)
+		h.Check(h.submit(e, "good", 8).wait().Outcome, qt.Equals, OutcomeDone)
+		h.Check(time.Since(began) < time.Second, qt.IsTrue)
+		h.Check(bad.wait().Outcome, qt.Equals, OutcomeUnknown)
+		e.dispatcher.postAndWait(func(d *dispatcher) { h.Check(d.probation, qt.HasLen, 0) })
+		h.checkNoStateLeft(e)
+	})
+}
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -37,6 +37,9 @@
 		d.log.Warn().Str("job", j.id).Str("template", j.template.Name).Int("task", index).Str("agent", agent).
 			Uint8("crashes", h.Crashes).Uint8("suspicions", h.Suspicions).Bool("given_up", verdict == containment.GiveUp).
 			Msg("task is suspected of the crash of a worker")
+		if d.confined.members[j.template.Name] != nil {
+			d.convict(j.template.Name)
+		}
 	}
 	if u := durableOf(j); u != nil && !u.closed {
 		u.record.Crashes = l.crashRecords()
@@ -60,6 +63,7 @@
 // workers on which it starts.
 func (d *dispatcher) giveUpCrashingTask(j *job, index int) {
 	d.metrics.crashingTasks.Inc(1)
+	d.convict(j.template.Name)
 	j.setFinalState(index, taskFailed)
 	j.leased.exhausted = true
 	d.failJob(j, jobFailure{reason: wire.ReasonCrashedWorkers, detail: "task " + strconv.Itoa(index) + " is suspected of the crashes of " +
@@ -103,22 +107,32 @@
 	})
 }
 
-// chooseForProbation returns an agent without another task on probation, preferably
-// one that has not run the task; nil if there is none with room.
+// chooseForProbation returns an agent without another task on probation; nil if there
+// is none with room. It prefers the agents to which the template would be confined,
+// so that the crashes of suspects do not take down more workers than those of a
+// confined template, and then agents that have not run the task.
 func (d *dispatcher) chooseForProbation(j *job, index int) *agent {
 	occupied := func(id string) bool {
 		a := d.agents[id]
 		return a == nil || a.probation != nil || d.now.Before(a.noProbationUntil)
 	}
-	tried := j.avoidedAgents[index]
-	for _, avoid := range []func(string) bool{
-		func(id string) bool { return occupied(id) || slices.Contains(tried, id) }, occupied,
-	} {
-		if id, ok := d.table.ChooseFor(placement.Query{Class: j.class, Avoid: avoid}); ok {
-			return d.agents[id]
+	tried := func(id string) bool { return slices.Contains(j.avoidedAgents[index], id) }
+	choose := func(avoid func(string) bool) *agent {
+		id, ok := d.chooseConfined(j.template.Name, placement.Query{Class: j.class, Avoid: avoid})
+		if !ok {
+			return nil
+		}
+		return d.agents[id]
+	}
+	if members := d.agentsToConfine(j.template.Name); len(members) > 0 {
+		if a := choose(func(id string) bool { return !members[id] || occupied(id) }); a != nil {
+			return a
 		}
 	}
-	return nil
+	if a := choose(func(id string) bool { return occupied(id) || tried(id) }); a != nil {
+		return a
+	}
+	return choose(occupied)
 }
 
 // withdrawProbation removes the tasks of a job that ends.
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -11,6 +11,7 @@
 
 	"chicorytray.example/chicorytray/admission"
 	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/containment"
 	"chicorytray.example/chicorytray/durable"
 	"chicorytray.example/chicorytray/ejection"
 	"chicorytray.example/chicorytray/estimate"
@@ -83,6 +84,7 @@
 	pools              map[string]*pool          // by pool name
 	leasedWaiting      taskTotals                // leased tasks in the queue, of all pools
 	held               []heldTask
+	confined           confinedTemplates
 	probation          []queue.TaskRef // waiting tasks that may start only on probation, oldest first
 	durable            durableJobs
 	openJobs           int           // number of accepted jobs that are not answered
@@ -96,13 +98,14 @@
 	restarts           map[*sentTask]restart     // runs that are being stopped for a restart
 	backlog            backlogState
 	knownEntries       func() []wire.EntryRef // returns the entries to be listed to agents
+	informPeers        func()                 // makes a heartbeat to each peer due at once; must not block
 }
 
 func newDispatcher(e *Entry) *dispatcher {
 	d := &dispatcher{
 		self: e.self, timing: e.settings.Timing, limits: e.settings.Limits, log: e.log, metrics: e.metrics, dial: e.dial,
 		events: make(chan event, eventBuffer), ended: make(chan struct{}),
-		confirmation: e.confirmation, knownEntries: e.peers.activeEntries,
+		confirmation: e.confirmation, knownEntries: e.peers.activeEntries, informPeers: e.peers.sendHeartbeats,
 		queue: queue.New(queue.Options{Policy: queuePolicy(e.settings.Order)}), table: placement.NewTable(placementPolicy(e.settings.Placement)),
 		admission: admission.New(admission.Options{MaxQueuedTasks: math.MaxInt}),
 		shares:    quota.New(quota.Options{Self: e.self.ID, Interval: e.settings.Timing.PeerHeartbeat.AsDuration()}),
@@ -180,6 +183,7 @@
 	defer d.cancelCalls()
 	defer close(d.ended)
 	d.startedAt = time.Now()
+	d.confined.Confinement = containment.NewConfinement(d.startedAt)
 	d.lastClockUpdate = d.startedAt
 	tick := wait.NewTicker(tickInterval)
 	defer tick.Stop()
@@ -232,6 +236,8 @@
 	d.releaseDueTasks()
 	d.tickDurable()
 	d.evaluateAgents()
+	d.observeDemand()
+	d.updateConfinement()
 	d.reportAgentsHeard()
 	d.evictAnswers()
 	d.updateGauges()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -121,7 +121,7 @@
 	}
 	e.peers = &peers{
 		self: e.self, timing: t, seeds: e.settings.Seeds, log: e.log, dial: e.dial, confirmation: e.confirmation, config: e.config,
-		onHeartbeat: e.handlePeerHeartbeat, onPeerLost: e.handlePeerLost, known: map[string]*peer{}, wake: make(chan struct{}, 1),
+		onHeartbeat: e.handlePeerHeartbeat, report: e.crashReport, onPeerLost: e.handlePeerLost, known: map[string]*peer{}, wake: make(chan struct{}, 1),
 	}
 	var err error
 	e.registration, err = newRegistration(e.options.Store, t, e.self, e.log, e.metrics, e.peers.updateRegistrations)
--- a/entry/leased.go
+++ b/entry/leased.go
@@ -39,6 +39,7 @@
 	failedRuns    []uint8 // number of failed runs, by task
 	interruptions []uint8 // number of interrupted runs, by task
 	restarts      []uint8 // number of runs stopped as stalled or slow, by task
+	confined      bool    // the template was confined when the job arrived; see loadOf
 	// crashes has the tasks under whose runs a worker crashed, by index.
 	crashes map[int]containment.History
 	// openRuns counts the tasks that are at agents, and those whose run may still
@@ -192,6 +193,7 @@
 		identifier: identifier, workload: s.workload, waitingCallers: 1,
 		failedRuns: make([]uint8, j.count), interruptions: make([]uint8, j.count),
 		restarts: make([]uint8, j.count),
+		confined: d.confined.members[j.template.Name] != nil,
 	}
 	j.results = nil // leased tasks return no results
 	if s.expected > 0 {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -36,6 +36,7 @@
 	tasksInterrupted      tally.Counter
 	runsRestarted         map[straggler.Reason]tally.Counter
 	crashedRuns           map[wire.CrashRole]tally.Counter
+	templatesConfined     tally.Gauge
 	crashingTasks         tally.Counter // given up because workers crashed under them
 }
 
@@ -68,6 +69,7 @@
 		configInvalid:         s.Counter("config_invalid"),
 		registrationsExpired:  s.Counter("registrations_expired"),
 		tasksInterrupted:      s.Counter("tasks_interrupted"),
+		templatesConfined:     s.Gauge("templates_confined"),
 		crashingTasks:         s.Counter("tasks_given_up_for_crashes"),
 		crashedRuns: map[wire.CrashRole]tally.Counter{
 			wire.CrashBystander: crashCounter(s, "bystander"), wire.CrashSuspect: crashCounter(s, "suspect"),
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"chicorytray.example/chicorytray/containment"
 	"chicorytray.example/chicorytray/gate"
 	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/settings"
@@ -39,6 +40,8 @@
 	// onHeartbeat handles the heartbeat in a peer's reply, with the interval at
 	// which such heartbeats arrive.
 	onHeartbeat func(heartbeat wire.PeerHeartbeat, interval time.Duration)
+	// report returns what this entry tells its peers about tasks that crash workers.
+	report func() containment.Report
 	// onPeerLost is called with the identifier of a peer that became unreachable
 	// or whose process was replaced. It must not block.
 	onPeerLost func(entry string)
@@ -66,6 +69,7 @@
 	failures      int // failed exchanges since the last successful one
 	conn          agentConn
 	cancel        context.CancelFunc // ends its heartbeats
+	due           chan struct{}      // capacity 1; makes the next heartbeat due at once
 }
 
 // run exchanges heartbeats with all known peers until ctx ends. It queries the
@@ -168,7 +172,7 @@
 		known.stop()
 		replaced = true
 	}
-	p.known[ref.ID] = &peer{ref: ref, learntAt: time.Now()}
+	p.known[ref.ID] = &peer{ref: ref, learntAt: time.Now(), due: make(chan struct{}, 1)}
 	p.active = nil
 	p.log.Info().Str("entry", ref.ID).Str("address", ref.Address).Msg("peer entry discovered")
 	select {
@@ -263,7 +267,19 @@
 		if failures > 0 {
 			pause = fullJitter(p.timing.PeerHeartbeat.AsDuration(), failures)
 		}
-		wait.For(ctx, pause, nil)
+		wait.For(ctx, pause, e.due)
+	}
+}
+
+// sendHeartbeats makes a heartbeat to each peer due at once.
+func (p *peers) sendHeartbeats() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.known {
+		select {
+		case e.due <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -287,7 +303,8 @@
 	}()
 	sent := time.Now()
 	// The peer takes nothing else from a request; see rpcPeerHeartbeat.
-	heartbeat := wire.PeerHeartbeat{Entry: p.self}
+	r := p.report()
+	heartbeat := wire.PeerHeartbeat{Entry: p.self, CrashingTasks: r.Convictions, Confined: r.Confined}
 	var reply wire.PeerHeartbeat
 	if err := e.conn.Call(ctx, "Entry.PeerHeartbeat", &heartbeat, &reply); err != nil {
 		return err
--- a/entry/peers_test.go
+++ b/entry/peers_test.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/containment"
 	"chicorytray.example/chicorytray/settings"
 	"chicorytray.example/chicorytray/wire"
 )
@@ -91,7 +92,8 @@
 			config: &configuration{log: log, metrics: newMetrics(tally.NoopScope), confirmation: confirmation, timing: timing,
 				onChange: func(*config.View) {}, transfer: make(chan struct{}, 1)},
 			onHeartbeat: func(wire.PeerHeartbeat, time.Duration) {}, onPeerLost: func(string) {},
-			known: map[string]*peer{}, wake: make(chan struct{}, 1),
+			report: func() containment.Report { return containment.Report{} },
+			known:  map[string]*peer{}, wake: make(chan struct{}, 1),
 			dial: func(_ context.Context, address string) (agentConn, error) { return peerConn{r, refs[address]}, nil },
 		}
 		for i := range 5 {
--- a/entry/place.go
+++ b/entry/place.go
@@ -13,7 +13,8 @@
 	placement.Class
 	account  string
 	durable  bool
-	openJobs int // jobs of the class that are not answered; the class is removed at 0
+	template string // of leased tasks; empty for HTTP tasks, whose templates share classes
+	openJobs int    // jobs of the class that are not answered; the class is removed at 0
 }
 
 // placementClasses returns the placement constraints of the submission's tasks,
@@ -33,6 +34,9 @@
 	c := d.classes[j.queueClass.Name]
 	if c == nil {
 		c = &class{account: j.account, durable: durableOf(j) != nil, Class: j.queueClass}
+		if j.leased != nil {
+			c.template = j.template.Name
+		}
 		d.classes[c.Name] = c
 	}
 	c.openJobs++
@@ -92,7 +96,7 @@
 // canStartClass reports whether a task of the class could be started now.
 func (d *dispatcher) canStartClass(name string) bool {
 	c := d.classes[name]
-	return c != nil && (!c.durable || d.mayStartDurable()) && d.accountMayStart(c.account) && d.table.Feasible(c.Class)
+	return c != nil && (!c.durable || d.mayStartDurable()) && d.accountMayStart(c.account) && d.feasible(c)
 }
 
 // chooseAgent returns the agent for a task, or nil if the task has to wait. It
@@ -108,14 +112,14 @@
 	if tried, ok := j.avoidedAgents[index]; ok {
 		avoiding := q
 		avoiding.Avoid = func(id string) bool { return slices.Contains(tried, id) }
-		if id, ok := d.table.ChooseFor(avoiding); ok {
+		if id, ok := d.chooseConfined(j.template.Name, avoiding); ok {
 			return d.agents[id]
 		}
 		if d.failedOrRestarted(j, index) && d.usableOtherThan(j.class, tried) {
 			return nil
 		}
 	}
-	if id, ok := d.table.ChooseFor(q); ok {
+	if id, ok := d.chooseConfined(j.template.Name, q); ok {
 		return d.agents[id]
 	}
 	return nil
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -38,6 +38,8 @@
 	waitingWork float64 // expected work of the waiting tasks
 	running     int     // tasks at agents
 	runningWork float64 // expected work of the tasks at agents
+	milliCPU    int64   // processor needs of all these tasks, in thousandths of a core
+	confined    bool    // the load of a confined template; see loadOf
 }
 
 // workAhead returns the work to be done before a job that arrives now. It assumes
@@ -53,6 +55,18 @@
 	return p
 }
 
+// loadOf returns the load to which the job's tasks belong: that of its pool, or one
+// of its own for a template that was confined when the job arrived, whose tasks
+// leave most of the pool to others.
+func (d *dispatcher) loadOf(j *job) *pool {
+	if j.leased.confined {
+		p := d.poolOf(j.class.Pool + "\x00" + j.template.Name)
+		p.confined = true
+		return p
+	}
+	return d.poolOf(j.class.Pool)
+}
+
 // removeUnusedPools removes pools without tasks that no template of the
 // configuration names.
 func (d *dispatcher) removeUnusedPools() {
@@ -81,8 +95,9 @@
 	}
 	d.leasedWaiting.tasks += n
 	d.leasedWaiting.work += time.Duration(n) * j.expected
-	p := d.poolOf(j.class.Pool)
+	p := d.loadOf(j)
 	p.waiting += n
+	p.milliCPU += int64(n) * j.class.Needs.MilliCPU
 	p.waitingWork += float64(n) * processorTime(j)
 	if p.waiting == 0 {
 		p.waitingWork = 0 // discards accumulated rounding errors
@@ -97,8 +112,9 @@
 		return
 	}
 	j.leased.openRuns += n
-	p := d.poolOf(j.class.Pool)
+	p := d.loadOf(j)
 	p.running += n
+	p.milliCPU += int64(n) * j.class.Needs.MilliCPU
 	p.runningWork += float64(n) * processorTime(j)
 	if p.running == 0 {
 		p.runningWork = 0
@@ -124,6 +140,9 @@
 // observeLeasedStart updates the rate at which this entry's work starts in the
 // pool with the start of one task of the job.
 func (d *dispatcher) observeLeasedStart(j *job) {
+	if j.leased.confined {
+		return
+	}
 	p := d.poolOf(j.class.Pool)
 	backlog := p.waiting > 0 && !d.table.Feasible(j.class)
 	cores := j.class
@@ -151,6 +170,9 @@
 	if err := d.checkQueueLimit(s, j); err != nil {
 		return err
 	}
+	if members := d.confined.members[j.template.Name]; members != nil {
+		return d.checkConfinedAdmission(s, j, members)
+	}
 	slots := d.table.Slots(j.class)
 	if slots == 0 && d.recentlyUsable(j.class) {
 		return nil // the job waits for agents until it is given up
@@ -193,6 +215,7 @@
 	rounded := needs
 	rounded.MilliCPU = queued.Needs.MilliCPU
 	b.WriteString(className(t, rounded))
+	b.WriteString(strconv.Quote(t.Name)) // a confined template must not hold up the tasks of others
 	exact.Name, queued.Name = b.String(), b.String()
 	return exact, queued
 }
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -42,10 +42,15 @@
 }
 
 // rpcPeerHeartbeat serves Entry.PeerHeartbeat. Of the request it uses only the
-// sender's reference. An entry takes the rest from the replies to its own
-// heartbeats, because it can bound the age of a reply; see confirmation.
+// sender's reference and its report of tasks that crash workers. An entry takes the
+// rest from the replies to its own heartbeats, because it can bound the age of a
+// reply; see confirmation.
 func (e *Entry) rpcPeerHeartbeat(_ context.Context, req *wire.PeerHeartbeat, reply *wire.PeerHeartbeat) error {
 	e.peers.learnEntry(req.Entry, true)
+	if len(req.CrashingTasks) > 0 {
+		sender := *req
+		e.dispatcher.post(func(d *dispatcher) { d.recordCrashReport(sender) })
+	}
 	*reply = e.newPeerHeartbeat()
 	return nil
 }
@@ -59,6 +64,8 @@
 		Entry: e.self, Generation: e.config.generation(), ConfirmAge: age,
 		StoreReachable: e.confirmation.storeReachable(), DataCentres: e.confirmation.recentDataCentres(now),
 	}
+	r := e.crashReport()
+	b.CrashingTasks, b.Confined = r.Convictions, r.Confined
 	e.dispatcher.postAndWait(func(d *dispatcher) {
 		b.Stopping = d.stopping
 		b.Pending = d.countPendingDurable()
@@ -69,12 +76,13 @@
 	return b
 }
 
-// handlePeerHeartbeat records the demand and the pending durable jobs that a peer
-// reported.
+// handlePeerHeartbeat records the demand, the pending durable jobs and the tasks that
+// crash workers that a peer reported.
 func (e *Entry) handlePeerHeartbeat(b wire.PeerHeartbeat, interval time.Duration) {
 	e.peerPending.update(b.Entry, b.Pending)
 	e.dispatcher.post(func(d *dispatcher) {
 		d.shares.SetInterval(interval)
+		d.recordCrashReport(b)
 		if b.Stopping {
 			d.shares.RemoveEntry(b.Entry.ID)
 			return
--- a/lease/crash.go
+++ b/lease/crash.go
@@ -6,11 +6,11 @@
 	"chicorytray.example/chicorytray/wire"
 )
 
-// suspicionWindow is how long a worker has to go on after a run began until the run
+// SuspicionWindow is how long a worker has to go on after a run began until the run
 // is no longer suspected of a crash. A task that a worker cannot take crashes it
 // within milliseconds; on the users' workers 5 ms were the most until the agent saw
 // the last answer.
-const suspicionWindow = 25 * time.Millisecond
+const SuspicionWindow = 25 * time.Millisecond
 
 // MarkProbation marks a run as suspected of an earlier crash. At most one run of the
 // table may be marked.
@@ -45,12 +45,12 @@
 }
 
 // suspects returns the condition under which a run may have caused the crash of the
-// worker: the run on probation if the worker did not survive it for suspicionWindow;
+// worker: the run on probation if the worker did not survive it for SuspicionWindow;
 // otherwise the runs that it did not survive for that time; and if there are none,
 // the run on probation.
 func (r *RunTable) suspects() func(*entry) bool {
 	onProbation := func(e *entry) bool { return e.probation }
-	recent := func(e *entry) bool { return e.survived(r.answeredAt) < suspicionWindow }
+	recent := func(e *entry) bool { return e.survived(r.answeredAt) < SuspicionWindow }
 	anyRecent := false
 	for _, e := range r.table {
 		if recent(e) && e.probation {
--- a/lease/crash_test.go
+++ b/lease/crash_test.go
@@ -39,7 +39,7 @@
 // on probation, or on any run after an announced end.
 func TestSuspectsOfACrash(t *testing.T) {
 	const none, by, sus = wire.CrashNone, wire.CrashBystander, wire.CrashSuspect
-	old, recent := time.Second, suspicionWindow-time.Millisecond
+	old, recent := time.Second, SuspicionWindow-time.Millisecond
 	for _, tc := range []struct {
 		name      string
 		survived  []time.Duration // by run; negative: the start was not answered
--- a/wire/entry.go
+++ b/wire/entry.go
@@ -18,6 +18,12 @@
 	// Pending is the number of the sender's durable jobs of which no task has
 	// started, by template.
 	Pending map[string]int
+	// CrashingTasks is the number of tasks that the sender gave up within
+	// containment.Memory because workers crashed under them, by template.
+	CrashingTasks map[string]int
+	// Confined lists the templates that are confined by what the sender knows; see
+	// containment.Report.
+	Confined []string
 }
 
 // AccountDemand is the rate at which callers of a client account submit tasks
