agent: send heartbeats soon to an entry whose task the worker refused

What callers saw: after a worker refused a start, because it was unhealthy, its entry did not use it again for up to a second, although it had recovered.

Cause: the entry takes such a worker for busy until the next heartbeat, and an agent without tasks of the entry sends one each second only (idle_heartbeat). Refusals for lack of room already bring the short interval; those of the worker did not.

Change: both do.

--- a/agent/fence.go
+++ b/agent/fence.go
@@ -132,7 +132,7 @@
 }
 
 // noteInterest records that the entry has tasks waiting, which it announced or
-// which were refused here for lack of room; the caller holds mu.
+// which were refused here for lack of room or by the worker; the caller holds mu.
 func (a *Agent) noteInterest(owner ledger.Owner, now time.Time) {
 	a.quickUntil[owner] = now.Add(a.timing.Lapse.AsDuration())
 	a.entries.reschedule(owner)
--- a/agent/report.go
+++ b/agent/report.go
@@ -33,8 +33,14 @@
 	a.runningTasks--
 	a.free, a.lastNeeds = a.free.Plus(t.task.Needs), t.task.Needs
 	a.complete(t, r)
-	if r.Outcome == wire.OutcomeNotRun && r.Reason == wire.ReasonUpstreamUnreachable {
-		a.leaveUntilReachable()
+	if r.Outcome == wire.OutcomeNotRun {
+		switch r.Reason {
+		case wire.ReasonUpstreamUnreachable:
+			a.leaveUntilReachable()
+		case wire.ReasonWorkerRefused:
+			// The entry sends nothing more until the next heartbeat.
+			a.noteInterest(t.owner, now)
+		}
 	}
 	a.dispatch(now)
 	a.offerFreeSlots(t.owner, now)
