entry: stop retrying an HTTP task that breaks one upstream after the other

Cause: the same as for leased tasks: the limit of the retries (a share of the traffic) does not look at what the earlier attempts of the task did.

Change: broken connections count in containment.History, as a bystander's crashes, because nothing tells whether the request was the cause.

Evidence: TestRequestThatBreaksUpstreamsIsGivenUp failed with 11 starts, and passes with at most 5 (three crashes and two more starts).

--- a/entry/collect.go
+++ b/entry/collect.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"chicorytray.example/chicorytray/containment"
 	"chicorytray.example/chicorytray/ejection"
 	"chicorytray.example/chicorytray/queue"
 	"chicorytray.example/chicorytray/wire"
@@ -128,7 +129,8 @@
 }
 
 // handleUnknown handles a task that may have run. It is retried only if its
-// template is idempotent and the retry budget allows it.
+// template is idempotent, the retry budget allows it, and it has not broken too many
+// upstreams.
 func (d *dispatcher) handleUnknown(j *job, a *agent, v verdict) {
 	index := v.task.index
 	d.observeOutcome(j, a, v, true)
@@ -136,7 +138,11 @@
 		Msg("task may have run")
 	j.possiblyRan[index] = true
 	d.metrics.tasksUnknown.Inc(1)
-	if j.failure == nil && j.template.Idempotent && d.retryBudget.Allow(d.now) {
+	// Nothing tells whether the upstream crashed because of this task, so it counts as
+	// a bystander; see containment.History.
+	crashing := v.result.Reason == wire.ReasonUpstreamError &&
+		d.recordCrash(j, index, a.ref.ID, wire.CrashBystander) == containment.GiveUp
+	if j.failure == nil && j.template.Idempotent && !crashing && d.retryBudget.Allow(d.now) {
 		j.tasks[index].Attempt++
 		j.avoidAgent(index, a.ref.ID)
 		d.metrics.retries.Inc(1)
--- a/entry/confine_test.go
+++ b/entry/confine_test.go
@@ -161,3 +161,27 @@
 		h.checkNoStateLeft(e)
 	})
 }
+
+// Guards against an idempotent request that breaks one upstream after the other, as
+// often as the retry budget allows.
+func TestRequestThatBreaksUpstreamsIsGivenUp(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e := h.entry(1, "anping", nil)
+		var agents []*fakeAgent
+		for i := range 9 {
+			a := h.agent(i+1, "anping")
+			a.setScript(sameScript(script{duration: time.Millisecond, result: &wire.Result{
+				Outcome: wire.OutcomeUnknown, Reason: wire.ReasonUpstreamError, Detail: "connection reset"}}))
+			agents = append(agents, a)
+		}
+		waitForDiscovery()
+		h.checkProblem(postJob(e, "check", "spell", 1), OutcomeUnknown)
+		runs := 0
+		for _, a := range agents {
+			a.mu.Lock()
+			runs += a.runs
+			a.mu.Unlock()
+		}
+		h.Check(runs <= 5, qt.IsTrue, qt.Commentf("%d upstreams broke; three may, and two more starts may follow", runs))
+	})
+}
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -21,17 +21,16 @@
 	maxProbationSearches = 4
 )
 
-// recordCrash records that a worker crashed under a run of the task, and returns the
-// verdict on the task. The record of a durable job is written at once, so that the
+// recordCrash records that a worker or an upstream crashed under a run of the task,
+// and returns the verdict on the task. The record of a durable job is written at once, so that the
 // next owner of the job knows of the crash.
 func (d *dispatcher) recordCrash(j *job, index int, agent string, role wire.CrashRole) containment.Verdict {
-	l := j.leased
-	if l.crashes == nil {
-		l.crashes = map[int]containment.History{}
+	if j.crashes == nil {
+		j.crashes = map[int]containment.History{}
 	}
-	h := l.crashes[index]
+	h := j.crashes[index]
 	verdict := h.Record(role)
-	l.crashes[index] = h
+	j.crashes[index] = h
 	d.metrics.countCrash(role)
 	if role == wire.CrashSuspect {
 		d.log.Warn().Str("job", j.id).Str("template", j.template.Name).Int("task", index).Str("agent", agent).
@@ -42,7 +41,7 @@
 		}
 	}
 	if u := durableOf(j); u != nil && !u.closed {
-		u.record.Crashes = l.crashRecords()
+		u.record.Crashes = j.crashRecords()
 		d.scheduleWrite(j, 0)
 	}
 	return verdict
@@ -50,9 +49,9 @@
 
 // crashRecords returns the crashes under the job's tasks as they are stored, sorted
 // by index.
-func (l *leasedJob) crashRecords() []durable.TaskCrashes {
-	out := make([]durable.TaskCrashes, 0, len(l.crashes))
-	for i, h := range l.crashes {
+func (j *job) crashRecords() []durable.TaskCrashes {
+	out := make([]durable.TaskCrashes, 0, len(j.crashes))
+	for i, h := range j.crashes {
 		out = append(out, durable.TaskCrashes{Index: i, Crashes: h.Crashes, Suspicions: h.Suspicions})
 	}
 	slices.SortFunc(out, func(a, b durable.TaskCrashes) int { return a.Index - b.Index })
@@ -67,13 +66,13 @@
 	j.setFinalState(index, taskFailed)
 	j.leased.exhausted = true
 	d.failJob(j, jobFailure{reason: wire.ReasonCrashedWorkers, detail: "task " + strconv.Itoa(index) + " is suspected of the crashes of " +
-		strconv.Itoa(int(j.leased.crashes[index].Crashes)) + " workers"})
+		strconv.Itoa(int(j.crashes[index].Crashes)) + " workers"})
 }
 
 // onProbation reports whether the task may start only alone among the suspects of
 // its worker.
 func (j *job) onProbation(index int) bool {
-	return j.leased != nil && j.leased.crashes[index].Verdict() != containment.Restart
+	return j.leased != nil && j.crashes[index].Verdict() != containment.Restart
 }
 
 // markProbation marks a task that is being sent to an agent as on probation there.
--- a/entry/durable_submit.go
+++ b/entry/durable_submit.go
@@ -302,10 +302,10 @@
 		j.leased.failedRuns[run.Index]++
 	}
 	for _, c := range r.Crashes {
-		if j.leased.crashes == nil {
-			j.leased.crashes = map[int]containment.History{}
+		if j.crashes == nil {
+			j.crashes = map[int]containment.History{}
 		}
-		j.leased.crashes[c.Index] = containment.History{Crashes: c.Crashes, Suspicions: c.Suspicions}
+		j.crashes[c.Index] = containment.History{Crashes: c.Crashes, Suspicions: c.Suspicions}
 	}
 	d.durable.hadJobs = true
 	d.durable.open[r.Identifier] = j
--- a/entry/job.go
+++ b/entry/job.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/containment"
 	"chicorytray.example/chicorytray/placement"
 	"chicorytray.example/chicorytray/wire"
 )
@@ -48,9 +49,11 @@
 	results       []wire.Result    // by task
 	possiblyRan   []bool           // whether a previous attempt may have run, by task
 	avoidedAgents map[int][]string // agents to avoid in the next attempt, by task
-	rackSpread    placement.Spread // racks of the tasks at agents
-	resultBytes   int64            // size of the results so far
-	openTasks     int              // number of tasks without a final state
+	// crashes has the tasks under whose runs a worker or an upstream crashed, by index.
+	crashes     map[int]containment.History
+	rackSpread  placement.Spread // racks of the tasks at agents
+	resultBytes int64            // size of the results so far
+	openTasks   int              // number of tasks without a final state
 
 	// failure is why the job fails; nil while it can still succeed.
 	failure      *jobFailure
--- a/entry/leased.go
+++ b/entry/leased.go
@@ -40,8 +40,6 @@
 	interruptions []uint8 // number of interrupted runs, by task
 	restarts      []uint8 // number of runs stopped as stalled or slow, by task
 	confined      bool    // the template was confined when the job arrived; see loadOf
-	// crashes has the tasks under whose runs a worker crashed, by index.
-	crashes map[int]containment.History
 	// openRuns counts the tasks that are at agents, and those whose run may still
 	// go on there.
 	openRuns       int
@@ -309,7 +307,7 @@
 func (j *job) freeTaskState() {
 	if j.answered && j.leased.openRuns == 0 {
 		j.states, j.locations, j.possiblyRan, j.avoidedAgents = nil, nil, nil, nil
-		j.leased.failedRuns, j.leased.interruptions, j.leased.restarts, j.leased.crashes = nil, nil, nil, nil
+		j.leased.failedRuns, j.leased.interruptions, j.leased.restarts, j.crashes = nil, nil, nil, nil
 	}
 }
 
