entry: remember crashes for the next submission of a job; show them in the dump

What callers saw: a job whose task crashed its worker, and found no worker for a second start before the deadline, was answered as unknown. Its caller sent it again, and it crashed a worker for each submission.

Cause: the crashes were forgotten with the job.

The dump has the confined templates, the convictions and the tasks that wait for probation, and the crashes of each job. Another entry that gets the next submission still does not know them.

--- a/containment/confinement.go
+++ b/containment/confinement.go
@@ -111,6 +111,24 @@
 	c.peers[peer] = r
 }
 
+// PeerConvictions returns the convictions that peers reported within Memory, by entry
+// and template.
+func (c *Confinement) PeerConvictions(now time.Time) map[string]map[string]int {
+	out := map[string]map[string]int{}
+	for peer, r := range c.peers {
+		if now.Sub(r.receivedAt) >= Memory {
+			continue
+		}
+		if out[peer.Entry] == nil {
+			out[peer.Entry] = map[string]int{}
+		}
+		for template, n := range r.Convictions {
+			out[peer.Entry][template] += n
+		}
+	}
+	return out
+}
+
 // Confined returns the templates that are confined now, in ascending order.
 func (c *Confinement) Confined(now time.Time) []string {
 	if len(c.own) == 0 && len(c.peers) == 0 {
--- a/entry/confine.go
+++ b/entry/confine.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"chicorytray.example/chicorytray/admission"
@@ -191,3 +192,27 @@
 	state.Slots, state.ServiceRate = int(slots), d.poolOf(j.class.Pool).rate.Value()
 	return admissionError(d.admission.Decide(d.now, request, state))
 }
+
+// StateContainment describes the tasks and templates that are kept apart because
+// workers crashed under them.
+type StateContainment struct {
+	// Waiting is the number of tasks that wait to start on probation.
+	Waiting     int                       `json:"waiting"`
+	Convictions map[string]int            `json:"convictions"` // of this entry in the last containment.Memory, by template
+	Templates   map[string][]string       `json:"templates"`   // the confined templates and their agents
+	Peers       map[string]map[string]int `json:"peers"`       // convictions that peers reported, by entry and template
+}
+
+func (d *dispatcher) dumpContainment() *StateContainment {
+	s := &StateContainment{
+		Waiting: len(d.probation), Convictions: d.confined.Report(d.now).Convictions, Templates: map[string][]string{},
+		Peers: d.confined.PeerConvictions(d.now),
+	}
+	for template, members := range d.confined.members {
+		s.Templates[template] = slices.Sorted(maps.Keys(members))
+	}
+	if s.Waiting+len(s.Convictions)+len(s.Templates)+len(s.Peers) == 0 {
+		return nil
+	}
+	return s
+}
--- a/entry/confine_test.go
+++ b/entry/confine_test.go
@@ -87,6 +87,7 @@
 		}
 		h.Check(h.confined(e, "step") > 0, qt.IsTrue)
 		h.Check(h.confined(e, "other"), qt.Equals, 0)
+		h.Check(e.State().Containment.Convictions, qt.DeepEquals, map[string]int{"step": 2})
 
 		long := h.submitAsync(e, Submission{Job: "long", Template: "other", Count: 40}) // half of the pool
 		time.Sleep(5 * time.Second)
@@ -100,6 +101,7 @@
 
 		time.Sleep(containment.Memory)
 		h.Check(h.confined(e, "step"), qt.Equals, 0)
+		h.Check(e.State().Containment, qt.IsNil)
 		h.submit(e, "after", 40).wait()
 		h.Check(pool.workersUsed("step") > 5, qt.IsTrue)
 	})
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -138,3 +139,39 @@
 func (d *dispatcher) withdrawProbation(j *job) {
 	d.probation = slices.DeleteFunc(d.probation, func(ref queue.TaskRef) bool { return ref.Job == j.id })
 }
+
+// rememberedCrashes are the crashes under the tasks of a job that ended without a
+// final answer.
+type rememberedCrashes struct {
+	workload workload
+	crashes  map[int]containment.History
+	at       time.Time // when the job ended
+}
+
+// rememberCrashes keeps the crashes under the tasks of a job whose caller will submit
+// it again: otherwise a task that gets no second start before the job's deadline
+// would crash a worker for each submission.
+func (d *dispatcher) rememberCrashes(j *job) {
+	if len(j.crashes) == 0 || j.leased.durable != nil {
+		return
+	}
+	if d.crashMemory == nil {
+		d.crashMemory = map[string]rememberedCrashes{}
+	}
+	d.crashMemory[j.leased.identifier] = rememberedCrashes{j.leased.workload, maps.Clone(j.crashes), d.now}
+}
+
+// recallCrashes gives a new job the crashes of an earlier submission of it.
+func (d *dispatcher) recallCrashes(j *job) {
+	m, ok := d.crashMemory[j.leased.identifier]
+	if ok && m.workload == j.leased.workload && j.leased.durable == nil {
+		delete(d.crashMemory, j.leased.identifier)
+		j.crashes = m.crashes
+	}
+}
+
+// forgetCrashes drops crashes that were remembered for longer than an answer would
+// have been.
+func (d *dispatcher) forgetCrashes() {
+	maps.DeleteFunc(d.crashMemory, func(_ string, m rememberedCrashes) bool { return d.now.Sub(m.at) >= leasedAnswerRetention })
+}
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -85,7 +85,8 @@
 	leasedWaiting      taskTotals                // leased tasks in the queue, of all pools
 	held               []heldTask
 	confined           confinedTemplates
-	probation          []queue.TaskRef // waiting tasks that may start only on probation, oldest first
+	crashMemory        map[string]rememberedCrashes // by the caller's identifier of the job
+	probation          []queue.TaskRef              // waiting tasks that may start only on probation, oldest first
 	durable            durableJobs
 	openJobs           int           // number of accepted jobs that are not answered
 	idle               chan struct{} // closed when openJobs reaches 0; nil if nobody waits for that
@@ -236,6 +237,7 @@
 	d.releaseDueTasks()
 	d.tickDurable()
 	d.evaluateAgents()
+	d.forgetCrashes()
 	d.observeDemand()
 	d.updateConfinement()
 	d.reportAgentsHeard()
--- a/entry/leased.go
+++ b/entry/leased.go
@@ -175,6 +175,7 @@
 	earlier := d.leasedJobs[identifier]
 	j.id = id
 	j.tasks = buildLeasedTasks(s, j)
+	d.recallCrashes(j)
 	s.job = j
 	d.leasedJobs[identifier] = j
 	if o := jobWithOpenRuns(earlier); o != nil {
@@ -349,6 +350,9 @@
 	}
 	failed := j.failure != nil && j.failure.reason != wire.ReasonCancelled && l.answer.Outcome == OutcomeFailed
 	l.answerReusable = j.failure == nil || l.cancelled || failed
+	if !l.answerReusable {
+		d.rememberCrashes(j)
+	}
 	d.updatePending(j)
 	d.forgetIdentifier(j)
 }
--- a/entry/state.go
+++ b/entry/state.go
@@ -18,6 +18,8 @@
 	Peers         []StatePeer        `json:"peers"`    // sorted by identifier
 	Jobs          []StateJob         `json:"jobs"`     // open jobs, oldest first, at most 1,000
 	Accounts      []StateAccount     `json:"accounts"` // accounts that submitted jobs, sorted by name
+	// Containment says what follows from crashes of workers; nil if nothing does.
+	Containment *StateContainment `json:"containment,omitempty"`
 	// Durable is nil if the process never had a durable job.
 	Durable *StateDurable `json:"durable,omitempty"`
 	// Messages are the message counts since the start, by method.
@@ -113,6 +115,7 @@
 	Attempts      int    `json:"attempts,omitempty"`
 	Interruptions int    `json:"interruptions,omitempty"`
 	Restarts      int    `json:"restarts,omitempty"`
+	Crashes       int    `json:"crashes,omitempty"` // of workers under its runs, also of HTTP tasks
 	// The following fields are set for a durable job: its state, and whether it
 	// was taken over and waits for agents' reports. RemainingMS of a durable job
 	// is 0, because it has no deadline.
@@ -170,7 +173,7 @@
 
 func (d *dispatcher) dump(s *State) {
 	s.Entry.Stopping = d.stopping
-	s.Durable = d.dumpDurable()
+	s.Durable, s.Containment = d.dumpDurable(), d.dumpContainment()
 	s.Queue = StateQueue{Tasks: d.queue.Len(), WorkMS: d.queue.Work().Milliseconds(), MostUrgent: -1}
 	if u, ok := d.queue.MostUrgent(); ok {
 		s.Queue.MostUrgent = u
@@ -221,6 +224,9 @@
 			s.Done++
 		}
 	}
+	for _, h := range j.crashes {
+		s.Crashes += int(h.Crashes)
+	}
 	if j.failure != nil {
 		s.Failing = string(j.failure.reason)
 	}
--- a/internal/leasedtest/crash_test.go
+++ b/internal/leasedtest/crash_test.go
@@ -9,6 +9,7 @@
 
 	"chicorytray.example/chicorytray/durable"
 	"chicorytray.example/chicorytray/entry"
+	"chicorytray.example/chicorytray/internal/leasestub"
 	"chicorytray.example/chicorytray/wire"
 )
 
@@ -122,3 +123,22 @@
 	}
 	return n
 }
+
+// Guards against a task that crashes a worker for each submission of its job, because
+// no worker takes it a second time before the deadline.
+func TestCrashesAreRememberedWhenTheJobIsSentAgain(t *testing.T) {
+	withSystem(t, func(s *system) {
+		for _, w := range s.workers[1:] {
+			w.SetFaults(leasestub.Faults{Unhealthy: true})
+		}
+		s.replaceEntry(1, time.Hour) // the caller finds the same entry each time
+		time.Sleep(time.Second)
+		bad := s.submit(0, job{tasks: 2, duration: 100 * ms, crashes: true, deadline: 1500 * ms, submissions: 8})
+		<-bad.ended
+		s.Check(bad.outcome, qt.Equals, entry.OutcomeFailed)
+		s.Check(s.crashes(bad.id), qt.Equals, 2)
+		for _, w := range s.workers[1:] {
+			w.SetFaults(leasestub.Faults{})
+		}
+	})
+}
