entry: retries and restarts of a confined template's tasks stay on its agents

Cause: found by reading. A task that failed waits for an agent on which it did not fail, if there is one; for a confined template that looked at all agents of the pool, so the task waited for agents on which it may not start, until the deadline. The search for the target of a restart had the same fault.

Change: both look at the agents of the template.

--- a/containment/confinement.go
+++ b/containment/confinement.go
@@ -69,8 +69,10 @@
 	if c.own == nil {
 		c.own = map[string][]time.Time{}
 	}
-	times := append(c.own[template], now)
-	c.own[template] = times[max(0, len(times)-maxConvictions):]
+	c.own[template] = append(c.own[template], now)
+	if excess := len(c.own[template]) - maxConvictions; excess > 0 {
+		c.own[template] = c.own[template][excess:]
+	}
 }
 
 // Report returns what this entry reports to its peers.
--- a/entry/confine_test.go
+++ b/entry/confine_test.go
@@ -17,6 +17,8 @@
 // crashingPool is a pool of workers that crash under task 0 of each job whose
 // identifier begins with "bad".
 type crashingPool struct {
+	agents []*fakeAgent
+
 	mu   sync.Mutex
 	runs map[string]map[int]bool // numbers of the workers that ran tasks, by template
 }
@@ -24,7 +26,9 @@
 func (h *harness) crashingPool(workers int) *crashingPool {
 	p := &crashingPool{runs: map[string]map[int]bool{}}
 	for i := range workers {
-		h.worker(i+1, script{}).setScript(func(t wire.Task) script { return p.run(i+1, t) })
+		a := h.worker(i+1, script{})
+		a.setScript(func(t wire.Task) script { return p.run(i+1, t) })
+		p.agents = append(p.agents, a)
 	}
 	return p
 }
@@ -40,6 +44,8 @@
 	case strings.HasPrefix(t.Leased.Job, "bad") && t.Index == 0:
 		return script{duration: time.Millisecond, result: &wire.Result{
 			Outcome: wire.OutcomeInterrupted, Reason: wire.ReasonWorkerLost, Crash: wire.CrashSuspect}}
+	case strings.HasPrefix(t.Leased.Job, "fails-once") && t.Attempt == 0:
+		return script{duration: time.Millisecond, result: &wire.Result{Outcome: wire.OutcomeFailed, Reason: wire.ReasonUpstreamError}}
 	case strings.HasPrefix(t.Leased.Job, "long"):
 		return runsFor(9000)
 	}
@@ -68,6 +74,21 @@
 	})
 }
 
+// confinedEntry starts an entry with ten workers, at which two tasks of the template
+// "step" have been given up.
+func (h *harness) confinedEntry() (*Entry, *crashingPool) {
+	e := h.leasedEntry(nil)
+	h.addOtherTemplate()
+	pool := h.crashingPool(10)
+	waitForDiscovery()
+	for i := range 2 {
+		h.Check(h.submit(e, fmt.Sprint("bad", i), 2).wait().Outcome, qt.Equals, OutcomeFailed)
+	}
+	return e, pool
+}
+
+// confined returns the number of agents to which the template is confined; 0 if it is
+// not.
 func (h *harness) confined(e *Entry, template string) (members int) {
 	e.dispatcher.postAndWait(func(d *dispatcher) { members = len(d.confined.members[template]) })
 	return members
@@ -78,13 +99,7 @@
 // entry, and all workers again once it has behaved.
 func TestTemplateThatCrashesWorkersIsConfined(t *testing.T) {
 	inBubble(t, func(h *harness) {
-		e := h.leasedEntry(nil)
-		h.addOtherTemplate()
-		pool := h.crashingPool(10)
-		waitForDiscovery()
-		for i := range 2 {
-			h.Check(h.submit(e, fmt.Sprint("bad", i), 2).wait().Outcome, qt.Equals, OutcomeFailed)
-		}
+		e, pool := h.confinedEntry()
 		h.Check(h.confined(e, "step") > 0, qt.IsTrue)
 		h.Check(h.confined(e, "other"), qt.Equals, 0)
 		h.Check(e.State().Containment.Convictions, qt.DeepEquals, map[string]int{"step": 2})
@@ -111,13 +126,7 @@
 // against idle workers beside them while nobody else needs these.
 func TestJobsOfAConfinedTemplate(t *testing.T) {
 	inBubble(t, func(h *harness) {
-		e := h.leasedEntry(nil)
-		h.addOtherTemplate()
-		pool := h.crashingPool(10)
-		waitForDiscovery()
-		for i := range 2 {
-			h.submit(e, fmt.Sprint("bad", i), 2).wait()
-		}
+		e, pool := h.confinedEntry()
 		time.Sleep(2 * time.Second)
 		pool.workersUsed("step")
 		h.submit(e, "idle", 40).wait()
@@ -135,6 +144,31 @@
 	})
 }
 
+// Guards against a failed task of a confined template that waits for an agent on which
+// it may not start, while the one agent that is left to it has room.
+func TestFailedTaskOfAConfinedTemplateIsTriedAgain(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e, pool := h.confinedEntry()
+		h.submitAsync(e, Submission{Job: "long", Template: "other", Count: 40})
+		time.Sleep(5 * time.Second)
+		members := map[string]bool{}
+		e.dispatcher.postAndWait(func(d *dispatcher) { members = d.confined.members["step"] })
+		h.Assert(members, qt.HasLen, 3)
+		left := 0
+		for _, a := range pool.agents {
+			if a.mu.Lock(); members[a.ref.ID] {
+				left++
+				a.leaving = left > 1
+			}
+			a.mu.Unlock()
+		}
+		time.Sleep(time.Second)
+		began := time.Now()
+		h.Check(h.submit(e, "fails-once", 1).wait().Outcome, qt.Equals, OutcomeDone)
+		h.Check(time.Since(began) < time.Second, qt.IsTrue)
+	})
+}
+
 // Guards against tasks on probation that hold up the tasks behind them while no
 // worker takes them.
 func TestTasksOnProbationDoNotHoldUpOthers(t *testing.T) {
--- a/entry/place.go
+++ b/entry/place.go
@@ -115,7 +115,7 @@
 		if id, ok := d.chooseConfined(j.template.Name, avoiding); ok {
 			return d.agents[id]
 		}
-		if d.failedOrRestarted(j, index) && d.usableOtherThan(j.class, tried) {
+		if d.failedOrRestarted(j, index) && d.usableOtherThan(j, tried) {
 			return nil
 		}
 	}
@@ -125,11 +125,12 @@
 	return nil
 }
 
-// usableOtherThan reports whether a usable agent exists that can run the class
+// usableOtherThan reports whether a usable agent exists that can run the job's tasks
 // once it has room and is not in tried.
-func (d *dispatcher) usableOtherThan(c placement.Class, tried []string) bool {
+func (d *dispatcher) usableOtherThan(j *job, tried []string) bool {
+	c, members := j.class, d.confined.members[j.template.Name]
 	for id, a := range d.agents {
-		if a.usable && a.ref.Pool == c.Pool && c.AllowsDataCentre(a.ref.DataCentre) && c.Needs.Fits(a.ref.Capacity) &&
+		if a.usable && (members == nil || members[id]) && a.ref.Pool == c.Pool && c.AllowsDataCentre(a.ref.DataCentre) && c.Needs.Fits(a.ref.Capacity) &&
 			!slices.Contains(tried, id) {
 			return true
 		}
--- a/entry/restart.go
+++ b/entry/restart.go
@@ -91,7 +91,7 @@
 // was not sent to before and that is not the target of another restart.
 func (d *dispatcher) findRestartTarget(a *agent, t *sentTask) (target string, ok bool) {
 	tried := t.job.avoidedAgents[t.index]
-	return d.table.ChooseFor(placement.Query{Class: t.job.class, Avoid: func(id string) bool {
+	return d.chooseConfined(t.job.template.Name, placement.Query{Class: t.job.class, Avoid: func(id string) bool {
 		return id == a.ref.ID || slices.Contains(tried, id) || d.isRestartTarget(id)
 	}})
 }
