--- a/containment/confinement.go
+++ b/containment/confinement.go
@@ -172,17 +172,24 @@
 // All entries that know the same agents choose the same ones in the same order,
 // without exchanging them.
 func Members(pool string, agents []string, demand float64) map[string]bool {
-	byWeight := slices.Clone(agents)
-	slices.SortFunc(byWeight, func(a, b string) int {
-		return cmp.Or(cmp.Compare(membership.RendezvousWeight(pool, b), membership.RendezvousWeight(pool, a)), cmp.Compare(a, b))
+	type weighted struct {
+		id     string
+		weight uint64
+	}
+	byWeight := make([]weighted, 0, len(agents))
+	for _, id := range agents {
+		byWeight = append(byWeight, weighted{id, membership.RendezvousWeight(pool, id)})
+	}
+	slices.SortFunc(byWeight, func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.id, b.id))
 	})
 	n := int(minShare * float64(len(agents)))
 	if n > 0 {
 		n = min(len(agents), max(n, int(math.Round((1-headroom*demand)*float64(len(agents))))))
 	}
 	members := make(map[string]bool, n)
-	for _, id := range byWeight[:n] {
-		members[id] = true
+	for _, a := range byWeight[:n] {
+		members[a.id] = true
 	}
 	return members
 }
--- a/containment/confinement_test.go
+++ b/containment/confinement_test.go
@@ -82,3 +82,19 @@
 	one, other := containment.Members("pool", []string{"a", "b", "c", "d", "e"}, 1), containment.Members("pool", []string{"e", "d", "c", "b", "a"}, 1)
 	qt.Check(t, one, qt.DeepEquals, other)
 }
+
+// BenchmarkMembers measures the choice of agents, which an entry makes once a second
+// for each confined template.
+func BenchmarkMembers(b *testing.B) {
+	for _, n := range []int{11, 100, 1000, 10000} {
+		agents := make([]string, n)
+		for i := range agents {
+			agents[i] = fmt.Sprint("agent-", i)
+		}
+		b.Run(fmt.Sprintf("agents=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				containment.Members("pool", agents, 0.6)
+			}
+		})
+	}
+}
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -77,3 +77,25 @@
 		})
 	}
 }
+
+// BenchmarkAvoidMost measures a decision that may use only three tenths of the agents,
+// as for the tasks of a confined template.
+func BenchmarkAvoidMost(b *testing.B) {
+	for _, agents := range []int{11, 100, 1000, 10000} {
+		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
+			table := loadedTable(placement.IdleFirst{}, agents)
+			allowed := map[string]bool{}
+			for i := range max(1, 3*agents/10) {
+				allowed[fmt.Sprint(i*7%agents)] = true
+			}
+			q := placement.Query{Class: placement.Class{Name: "plain"}, Avoid: func(id string) bool { return !allowed[id] }}
+			found := 0
+			for b.Loop() {
+				if _, ok := table.ChooseFor(q); ok {
+					found++
+				}
+			}
+			b.ReportMetric(float64(found)/float64(b.N), "found/op")
+		})
+	}
+}
