--- a/agent/probation_test.go
+++ b/agent/probation_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"chicorytray.example/chicorytray/internal/leasestub"
+	"chicorytray.example/chicorytray/lease"
 	"chicorytray.example/chicorytray/wire"
 )
 
@@ -37,6 +38,32 @@
 	})
 }
 
+// Guards against a crash that may have been caused by the task on probation or by one
+// that started within milliseconds of it.
+func TestNothingStartsBesideATaskOnProbation(t *testing.T) {
+	withLeasedRig(t, leasedSetup{}, func(r *leasedRig, e *entryStub) {
+		var answers []<-chan answer
+		for _, job := range []string{"before", "probation", "after"} {
+			in := e.leasedRequest(job, cores(1), leasestub.Spec{MS: 200})
+			in.Task.Leased.Probation = job == "probation"
+			answers = append(answers, e.send(in))
+			time.Sleep(2 * time.Millisecond)
+		}
+		for _, a := range answers {
+			r.Check((<-a).Result.Outcome, qt.Equals, wire.OutcomeDone)
+		}
+		starts := r.machine.Evidence().Starts()
+		r.Assert(starts, qt.HasLen, 3)
+		for i, job := range []string{"before", "probation", "after"} {
+			r.Check(starts[i].Run.Task.Job, qt.Equals, job)
+			if i > 0 {
+				r.Check(starts[i].At.Sub(starts[i-1].At) >= lease.SuspicionWindow, qt.IsTrue)
+				r.Check(starts[i].At.Sub(starts[i-1].At) <= 2*lease.SuspicionWindow, qt.IsTrue)
+			}
+		}
+	})
+}
+
 // Guards against the planned end of a worker that is taken for a crash.
 func TestEndOfADrainingWorkerIsNoCrash(t *testing.T) {
 	withLeasedRig(t, leasedSetup{}, func(r *leasedRig, e *entryStub) {
--- a/entry/confine.go
+++ b/entry/confine.go
@@ -36,7 +36,8 @@
 	demand map[string]float64
 }
 
-// updateConfinement determines which templates are confined, and to which agents.
+// updateConfinement determines which templates are confined, and to which agents. It
+// is called at each tick and after each change of the convictions.
 func (d *dispatcher) updateConfinement() {
 	c := &d.confined
 	names := c.Confined(d.now)
@@ -64,8 +65,7 @@
 	d.metrics.templatesConfined.Update(float64(len(members)))
 }
 
-// convict records that a task of the template was given up because workers crashed
-// under it. The peers are told at once until the template is confined: later
+// convict records a conviction of the template. The peers are told at once until the template is confined: later
 // convictions change nothing for them before the next heartbeat.
 func (d *dispatcher) convict(template string) {
 	inform := d.confined.members[template] == nil
@@ -105,6 +105,7 @@
 	return m
 }
 
+// findAgentsToConfine is agentsToConfine without its cache.
 func (d *dispatcher) findAgentsToConfine(template string) map[string]bool {
 	if d.view == nil {
 		return nil
@@ -203,6 +204,7 @@
 	Peers       map[string]map[string]int `json:"peers"`       // convictions that peers reported, by entry and template
 }
 
+// dumpContainment returns nil if there is nothing to tell.
 func (d *dispatcher) dumpContainment() *StateContainment {
 	s := &StateContainment{
 		Waiting: len(d.probation), Convictions: d.confined.Report(d.now).Convictions, Templates: map[string][]string{},
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -23,8 +23,9 @@
 )
 
 // recordCrash records that a worker or an upstream crashed under a run of the task,
-// and returns the verdict on the task. The record of a durable job is written at once, so that the
-// next owner of the job knows of the crash.
+// and returns the verdict on the task. The record of a durable job is written at
+// once, so that the next owner of the job knows of the crash. For a confined template
+// a suspicion counts like a conviction; see containment.Confinement.Convict.
 func (d *dispatcher) recordCrash(j *job, index int, agent string, role wire.CrashRole) containment.Verdict {
 	if j.crashes == nil {
 		j.crashes = map[int]containment.History{}
