containment: no job failed for a coincidence, no start before a crash is stored

A start order that never reached its worker counted as a start under which the worker crashed, and convicted its task. Agents now report such a run as unconfirmed: it leads to probation, but not to a conviction by itself. A run that ended half a millisecond before its worker crashed for another reason convicted its task, and a durable job was failed that could be done. While the store was down, a durable task crashed three workers, its owner lost the job, and the next owner, which knew of no crash, started it three times more. A task on probation of a durable job now waits until its crash is stored.

--- a/agent/worker.go
+++ b/agent/worker.go
@@ -149,7 +149,7 @@
 		Str("cause", cause).Bool("planned", life.leaves()).Int("runs", len(lost)).Msg("worker_life_ended")
 	for _, r := range lost {
 		e := l.agent.log.Info().Str("caller_job", r.Run.Task.Job).Int("task", r.Run.Task.Index).Dur("survived_ms", r.Survived).
-			Bool("suspect", r.Crash == wire.CrashSuspect)
+			Bool("suspect", r.Crash != wire.CrashNone && r.Crash != wire.CrashBystander)
 		if at := life.attempts[r.Run]; at != nil {
 			e = e.Str("job", at.job)
 		}
--- a/containment/containment.go
+++ b/containment/containment.go
@@ -19,16 +19,20 @@
 
 const (
 	// maxSuspicions is the number of crashes after which a suspect is given up: the
-	// first one puts it on probation, the second one convicts it.
-	maxSuspicions = 2
+	// first one puts it on probation, the second one convicts it. A task of a durable
+	// job needs one more, because its job was accepted for good: a run that ended a
+	// moment before a crash with another cause looks like a suspect too.
+	maxSuspicions        = 2
+	maxDurableSuspicions = 3
 	// probationCrashes is the number of crashes, in any role, after which a task
 	// starts only on probation. A task that crashes its worker only after a while is
 	// a bystander to every run that began later.
 	probationCrashes = 2
 	// suspectCrashes and maxCrashes are the numbers of crashes after which a task is
-	// given up if it was a suspect in one of them, and if it was in none. They keep a
-	// task below three starts after the third crash (docs/design.md, section 13.9),
-	// with a margin for one crash that is forgotten when an entry is lost.
+	// given up if it was suspected in one of them, and in any case; the former does not
+	// hold for a task of a durable job. They keep a task below three starts after the
+	// third crash (docs/design.md, section 13.9), with a margin for one crash that is
+	// forgotten when an entry is lost.
 	suspectCrashes = 3
 	maxCrashes     = 4
 )
@@ -46,28 +50,38 @@
 // History counts the worker crashes under the runs of one task. The zero value is
 // the history of a task without any.
 type History struct {
-	Crashes    uint8 // at most 255, all roles together
-	Suspicions uint8 // crashes in which a run of the task was a suspect; at most Crashes
+	Crashes    uint8 // all roles together
+	Suspicions uint8 // as a suspect
+	// Unconfirmed counts the crashes before the start of the task's run was confirmed.
+	// They may have had another cause, so they do not count as suspicions.
+	Unconfirmed uint8
 }
 
 // Record adds a crash, unless the role says that there was none, and returns the
-// verdict on the task.
-func (h *History) Record(role wire.CrashRole) Verdict {
+// verdict on the task. durable says whether the task belongs to a durable job.
+func (h *History) Record(role wire.CrashRole, durable bool) Verdict {
 	if role != wire.CrashNone && h.Crashes < maxCrashes {
 		h.Crashes++
-		if role == wire.CrashSuspect {
+		switch role {
+		case wire.CrashSuspect:
 			h.Suspicions++
+		case wire.CrashUnconfirmed:
+			h.Unconfirmed++
 		}
 	}
-	return h.Verdict()
+	return h.Verdict(durable)
 }
 
-// Verdict returns the verdict on the task.
-func (h History) Verdict() Verdict {
+// Verdict returns the verdict on the task. durable says whether it belongs to a
+// durable job.
+func (h History) Verdict(durable bool) Verdict {
+	suspected := h.Suspicions+h.Unconfirmed > 0
 	switch {
-	case h.Suspicions >= maxSuspicions, h.Suspicions > 0 && h.Crashes >= suspectCrashes, h.Crashes >= maxCrashes:
+	case h.Crashes >= maxCrashes, h.Suspicions >= maxDurableSuspicions:
 		return GiveUp
-	case h.Suspicions > 0, h.Crashes >= probationCrashes:
+	case !durable && (h.Suspicions >= maxSuspicions || suspected && h.Crashes >= suspectCrashes):
+		return GiveUp
+	case suspected, h.Crashes >= probationCrashes:
 		return Probation
 	}
 	return Restart
--- a/durable/record.go
+++ b/durable/record.go
@@ -41,9 +41,10 @@
 // TaskCrashes counts the worker crashes under the runs of one task; see
 // containment.History.
 type TaskCrashes struct {
-	Index      int // of the task in its job
-	Crashes    uint8
-	Suspicions uint8
+	Index       int // of the task in its job
+	Crashes     uint8
+	Suspicions  uint8
+	Unconfirmed uint8
 }
 
 // Record is the open record of a job.
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -31,12 +31,12 @@
 		j.crashes = map[int]containment.History{}
 	}
 	h := j.crashes[index]
-	verdict := h.Record(role)
+	verdict := h.Record(role, durableOf(j) != nil)
 	j.crashes[index] = h
 	d.metrics.countCrash(role)
-	if role == wire.CrashSuspect {
+	if role == wire.CrashSuspect || role == wire.CrashUnconfirmed {
 		d.log.Warn().Str("job", j.id).Str("template", j.template.Name).Int("task", index).Str("agent", agent).
-			Uint8("crashes", h.Crashes).Uint8("suspicions", h.Suspicions).Bool("given_up", verdict == containment.GiveUp).
+			Uint8("crashes", h.Crashes).Uint8("suspicions", h.Suspicions).Uint8("unconfirmed", h.Unconfirmed).Bool("given_up", verdict == containment.GiveUp).
 			Msg("task is suspected of the crash of a worker")
 		if d.confined.members[j.template.Name] != nil {
 			d.convict(j.template.Name)
@@ -44,7 +44,7 @@
 	}
 	if u := durableOf(j); u != nil && !u.closed {
 		u.record.Crashes = j.crashRecords()
-		d.scheduleWrite(j, 0)
+		u.crashVersion = d.scheduleWrite(j, 0)
 	}
 	return verdict
 }
@@ -54,7 +54,7 @@
 func (j *job) crashRecords() []durable.TaskCrashes {
 	out := make([]durable.TaskCrashes, 0, len(j.crashes))
 	for i, h := range j.crashes {
-		out = append(out, durable.TaskCrashes{Index: i, Crashes: h.Crashes, Suspicions: h.Suspicions})
+		out = append(out, durable.TaskCrashes{Index: i, Crashes: h.Crashes, Suspicions: h.Suspicions, Unconfirmed: h.Unconfirmed})
 	}
 	slices.SortFunc(out, func(a, b durable.TaskCrashes) int { return a.Index - b.Index })
 	return out
@@ -74,7 +74,7 @@
 // onProbation reports whether the task may start only alone among the suspects of
 // its worker.
 func (j *job) onProbation(index int) bool {
-	return j.leased != nil && j.crashes[index].Verdict() != containment.Restart
+	return j.leased != nil && j.crashes[index].Verdict(durableOf(j) != nil) != containment.Restart
 }
 
 // markProbation marks a task that is being sent to an agent as on probation there.
@@ -95,6 +95,9 @@
 		if j == nil || j.answered || j.failure != nil || j.states[ref.Index] != taskWaiting {
 			return true
 		}
+		if u := durableOf(j); u != nil && u.stored < u.crashVersion {
+			return false
+		}
 		if searches >= maxProbationSearches || !j.inQueue() || !d.mayStartJob(j) || !d.accountMayStart(j.account) {
 			return false
 		}
--- a/entry/durable.go
+++ b/entry/durable.go
@@ -77,9 +77,13 @@
 	runAgents   map[int][]string
 	sentHere    map[int]bool           // tasks that this entry sent
 	endVersions map[wire.RunTag]uint64 // record version that contains each end received by this entry
-	recovery    *recovery              // nil unless the job was taken over and is not yet continued
-	endState    durable.State          // final state, set when the write of the end record begins
-	closed      bool                   // the end record is stored, or the job was given up
+	// crashVersion is the newest record version that contains a crash. A task on
+	// probation starts only once it is stored: the next owner would otherwise start
+	// the task as often again.
+	crashVersion uint64
+	recovery     *recovery     // nil unless the job was taken over and is not yet continued
+	endState     durable.State // final state, set when the write of the end record begins
+	closed       bool          // the end record is stored, or the job was given up
 	// givenUp means that this entry no longer owns the job and must neither
 	// continue nor write it. Another entry takes it over.
 	givenUp bool
--- a/entry/durable_submit.go
+++ b/entry/durable_submit.go
@@ -305,7 +305,7 @@
 		if j.crashes == nil {
 			j.crashes = map[int]containment.History{}
 		}
-		j.crashes[c.Index] = containment.History{Crashes: c.Crashes, Suspicions: c.Suspicions}
+		j.crashes[c.Index] = containment.History{Crashes: c.Crashes, Suspicions: c.Suspicions, Unconfirmed: c.Unconfirmed}
 	}
 	d.durable.hadJobs = true
 	d.durable.open[r.Identifier] = j
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -73,6 +73,7 @@
 		crashingTasks:         s.Counter("tasks_given_up_for_crashes"),
 		crashedRuns: map[wire.CrashRole]tally.Counter{
 			wire.CrashBystander: crashCounter(s, "bystander"), wire.CrashSuspect: crashCounter(s, "suspect"),
+			wire.CrashUnconfirmed: crashCounter(s, "unconfirmed"),
 		},
 		runsRestarted: map[straggler.Reason]tally.Counter{
 			straggler.Stalled: restartCounter(s, straggler.Stalled), straggler.Slow: restartCounter(s, straggler.Slow),
--- a/internal/leasestub/machine.go
+++ b/internal/leasestub/machine.go
@@ -40,6 +40,8 @@
 	// Reboot is the time from a crash that a task caused until the machine boots
 	// again. 0 means that it stays down until Boot.
 	Reboot time.Duration
+	// OnCrash is called after a crash that a task caused, if it is not nil.
+	OnCrash func()
 	// Evidence receives the record of the machine's runs; several machines may
 	// share it. nil means a new one.
 	Evidence *Evidence
@@ -143,6 +145,9 @@
 	m.evidence.recordCrash(r.record)
 	l.terminate()
 	m.life = nil
+	if m.options.OnCrash != nil {
+		go m.options.OnCrash()
+	}
 	if m.options.Reboot > 0 {
 		time.AfterFunc(m.options.Reboot, m.Boot)
 	}
--- a/lease/crash.go
+++ b/lease/crash.go
@@ -33,6 +33,8 @@
 			run.Survived = survived
 			switch {
 			case !crashed:
+			case suspected(e) && !e.began:
+				run.Crash = wire.CrashUnconfirmed
 			case suspected(e):
 				run.Crash = wire.CrashSuspect
 			default:
--- a/wire/task.go
+++ b/wire/task.go
@@ -146,8 +146,11 @@
 	CrashNone CrashRole = iota
 	// CrashBystander means that the run is probably not the cause.
 	CrashBystander
-	// CrashSuspect means that the run may be the cause.
+	// CrashSuspect means that the run began and may be the cause.
 	CrashSuspect
+	// CrashUnconfirmed means that the run may be the cause if it began, which is not
+	// known: its start order was not answered.
+	CrashUnconfirmed
 )
 
 // Load is an agent's load, which it adds to its messages.
