containment, agent: two suspicions for all jobs; refused start orders are no crashes

And a start order that was refused because nothing listens at the worker's address counted as a start under which the worker crashed.

Change: two suspicions again, as the users' rule allows. The run of a refused start order is removed as never started before the life ends. A task that is suspected only by unconfirmed starts is given up after the fourth crash.

--- a/agent/orders.go
+++ b/agent/orders.go
@@ -34,6 +34,8 @@
 	switch {
 	case life.ended:
 	case errors.Is(err, lease.ErrWorkerDown):
+		// The order reached no process, so its run has no part in the worker's end.
+		l.notifyRemoved(life, life.runs.StartUnsent(o.Run))
 		l.endLife(life, "connection_refused")
 	case err != nil:
 		l.agent.metrics.ordersUnanswered.Inc(1)
--- a/containment/containment.go
+++ b/containment/containment.go
@@ -19,20 +19,19 @@
 
 const (
 	// maxSuspicions is the number of crashes after which a suspect is given up: the
-	// first one puts it on probation, the second one convicts it. A task of a durable
-	// job needs one more, because its job was accepted for good: a run that ended a
-	// moment before a crash with another cause looks like a suspect too.
-	maxSuspicions        = 2
-	maxDurableSuspicions = 3
+	// first one puts it on probation, the second one convicts it.
+	maxSuspicions = 2
 	// probationCrashes is the number of crashes, in any role, after which a task
 	// starts only on probation. A task that crashes its worker only after a while is
 	// a bystander to every run that began later.
 	probationCrashes = 2
+	// minConfirmed is the number of crashes under confirmed runs that a task has to have
+	// before it is given up for suspicions.
+	minConfirmed = 2
 	// suspectCrashes and maxCrashes are the numbers of crashes after which a task is
-	// given up if it was suspected in one of them, and in any case; the former does not
-	// hold for a task of a durable job. They keep a task below three starts after the
-	// third crash (docs/design.md, section 13.9), with a margin for one crash that is
-	// forgotten when an entry is lost.
+	// given up if it was suspected in one of them, and in any case. They keep a task
+	// below three starts after the third crash (docs/design.md, section 13.9), with a
+	// margin for one crash that is forgotten when an entry is lost.
 	suspectCrashes = 3
 	maxCrashes     = 4
 )
@@ -58,8 +57,8 @@
 }
 
 // Record adds a crash, unless the role says that there was none, and returns the
-// verdict on the task. durable says whether the task belongs to a durable job.
-func (h *History) Record(role wire.CrashRole, durable bool) Verdict {
+// verdict on the task.
+func (h *History) Record(role wire.CrashRole) Verdict {
 	if role != wire.CrashNone && h.Crashes < maxCrashes {
 		h.Crashes++
 		switch role {
@@ -69,17 +68,15 @@
 			h.Unconfirmed++
 		}
 	}
-	return h.Verdict(durable)
+	return h.Verdict()
 }
 
-// Verdict returns the verdict on the task. durable says whether it belongs to a
-// durable job.
-func (h History) Verdict(durable bool) Verdict {
+// Verdict returns the verdict on the task.
+func (h History) Verdict() Verdict {
 	suspected := h.Suspicions+h.Unconfirmed > 0
+	confirmed := h.Crashes-h.Unconfirmed >= minConfirmed
 	switch {
-	case h.Crashes >= maxCrashes, h.Suspicions >= maxDurableSuspicions:
-		return GiveUp
-	case !durable && (h.Suspicions >= maxSuspicions || suspected && h.Crashes >= suspectCrashes):
+	case h.Suspicions >= maxSuspicions, suspected && confirmed && h.Crashes >= suspectCrashes, h.Crashes >= maxCrashes:
 		return GiveUp
 	case suspected, h.Crashes >= probationCrashes:
 		return Probation
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -31,7 +31,7 @@
 		j.crashes = map[int]containment.History{}
 	}
 	h := j.crashes[index]
-	verdict := h.Record(role, durableOf(j) != nil)
+	verdict := h.Record(role)
 	j.crashes[index] = h
 	d.metrics.countCrash(role)
 	if role == wire.CrashSuspect || role == wire.CrashUnconfirmed {
@@ -74,7 +74,7 @@
 // onProbation reports whether the task may start only alone among the suspects of
 // its worker.
 func (j *job) onProbation(index int) bool {
-	return j.leased != nil && j.crashes[index].Verdict(durableOf(j) != nil) != containment.Restart
+	return j.leased != nil && j.crashes[index].Verdict() != containment.Restart
 }
 
 // markProbation marks a task that is being sent to an agent as on probation there.
--- a/entry/durable_recover.go
+++ b/entry/durable_recover.go
@@ -162,7 +162,7 @@
 		case int(n) >= j.template.MaxAttempts:
 			d.failExhausted(j, i)
 			return
-		case j.crashes[i].Verdict(true) == containment.GiveUp:
+		case j.crashes[i].Verdict() == containment.GiveUp:
 			d.giveUpCrashingTask(j, i)
 			return
 		}
