--- a/agent/probation_test.go
+++ b/agent/probation_test.go
@@ -31,7 +31,7 @@
 
 		bystander := send("bystander", false, leasestub.Spec{MS: 2000})
 		time.Sleep(200 * time.Millisecond)
-		crashing := <-send("crashing", true, leasestub.Spec{MS: 300, Crash: true})
+		crashing := <-send("crashing", true, leasestub.Spec{MS: 300, Crash: true, CrashMS: 5}) // after the answer to the start
 		r.Check(crashing.Result.Outcome, qt.Equals, wire.OutcomeInterrupted)
 		r.Check(crashing.Result.Crash, qt.Equals, wire.CrashSuspect)
 		r.Check((<-bystander).Result.Crash, qt.Equals, wire.CrashBystander)
