clock, entry, agent, durable: one clock a process; log suspensions of the machine

Cause: a suspension of the machine leaves no trace in logs or metrics, because Go's monotonic clock stands still meanwhile (CLOCK_MONOTONIC).

Change: package clock reads how far CLOCK_BOOTTIME, which counts suspensions, is ahead of the monotonic clock. Entry, agent and the manager of durable jobs take the time for sessions, pauses, gates, ages and leases from a Clock in their options. They log machine_suspended with its length and set the gauge suspended_seconds. Timers and deadlines of contexts still get durations, and an agent's table of runs keeps the steady clock, since its lower bound of the worker's clock must not be too high. The behaviour is unchanged: Now does not count the suspensions yet.

Measured: the tests of entry, agent, durable and claims pass.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"chicorytray.example/chicorytray/gate"
+	"chicorytray.example/chicorytray/internal/clock"
 	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/ledger"
 	"chicorytray.example/chicorytray/rpcconn"
@@ -34,6 +35,7 @@
 	http      *httpExecutor   // same as executor for an HTTP upstream, otherwise nil
 	leased    *leasedExecutor // same as executor for a worker of leased tasks, otherwise nil
 	entries   *entries
+	clock     *clock.Clock
 	startedAt time.Time
 
 	runCalled atomic.Bool   // set when Run is called
@@ -100,7 +102,7 @@
 	a := &Agent{
 		options: o, settings: s, timing: s.Timing, metrics: newMetrics(o.Metrics),
 		log:      o.Logger.With().Str("agent", s.ID).Logger(),
-		counters: rpcconn.NewCounters(), startedAt: time.Now(),
+		counters: rpcconn.NewCounters(), clock: o.Clock, startedAt: time.Now(),
 		stopped: make(chan struct{}), drained: make(chan struct{}), changed: make(chan struct{}),
 		gate: gate.New(s.Timing.Gate.AsDuration()), free: s.Capacity, health: health{ok: true},
 		tasks: map[taskID]*task{}, leaving: map[leaveReason]bool{}, backlogs: map[ledger.Owner]wire.Backlog{},
@@ -111,6 +113,9 @@
 			Slots: s.Slots, QueueLimit: s.QueueLimit, Capacity: s.Capacity,
 		},
 	}
+	if a.clock == nil {
+		a.clock = clock.System()
+	}
 	rpcOpts, err := o.rpcOptions(a.counters, a.log)
 	if err != nil {
 		return nil, err
@@ -200,7 +205,7 @@
 	if len(a.leaving) > 0 {
 		return errors.New(string(wire.ReasonAgentLeaving))
 	}
-	if ok, reason := a.mayStart(time.Now()); !ok {
+	if ok, reason := a.mayStart(a.clock.Now()); !ok {
 		return errors.New(string(reason))
 	}
 	return nil
@@ -223,25 +228,38 @@
 func (a *Agent) maintain(ctx context.Context) {
 	t := wait.NewTicker(a.timing.Heartbeat.AsDuration() / 2)
 	defer t.Stop()
+	var suspended time.Duration
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-		now := time.Now()
+		now := a.clock.Now()
 		a.mu.Lock()
 		a.expireSessions(now)
 		a.checkGate(now)
 		a.dispatch(now)
 		a.updateGauges(now)
+		suspended = a.reportSuspension(suspended)
 		if a.leased != nil {
-			a.leased.checkUnclaimedEnds(now)
+			a.leased.checkUnclaimedEnds(time.Now())
 		}
 		a.mu.Unlock()
 	}
 }
 
+// reportSuspension logs a suspension of the machine since the last call, which
+// returned before. It returns the total time of all suspensions.
+func (a *Agent) reportSuspension(before time.Duration) time.Duration {
+	total := a.clock.Suspended()
+	if total > before {
+		a.log.Warn().Dur("suspended_ms", total-before).Msg("machine_suspended")
+	}
+	a.metrics.suspended.Update(total.Seconds())
+	return total
+}
+
 // updateGauges sets the gauges of task counts, configuration generation and
 // confirmation age (-1 if there was no confirmation yet); the caller holds mu.
 func (a *Agent) updateGauges(now time.Time) {
--- a/agent/entries.go
+++ b/agent/entries.go
@@ -67,7 +67,7 @@
 	t := wait.NewTicker(e.agent.timing.Suspect.AsDuration())
 	defer t.Stop()
 	for {
-		for _, l := range e.updateLinks(time.Now()) {
+		for _, l := range e.updateLinks(e.agent.clock.Now()) {
 			linkCtx, cancel := context.WithCancel(ctx)
 			l.cancel = cancel
 			wg.Go(func() { l.run(linkCtx) })
@@ -103,7 +103,7 @@
 func (e *entries) anyAlive() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.peers.Alive(time.Now())) > 0
+	return len(e.peers.Alive(e.agent.clock.Now())) > 0
 }
 
 // learnEntries adds the entries that are registered in the store, and the seeds
@@ -129,7 +129,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, ref := range refs {
-		e.recordMention(ref, time.Now())
+		e.recordMention(ref, e.agent.clock.Now())
 	}
 }
 
@@ -155,7 +155,7 @@
 func (e *entries) recordIntroduction(ref wire.EntryRef) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.recordMention(ref, time.Now())
+	e.recordMention(ref, e.agent.clock.Now())
 }
 
 // setEntry records the reference of an entry and removes an earlier address of
@@ -310,7 +310,7 @@
 
 // recordReply records a heartbeat reply from the entry at the address.
 func (e *entries) recordReply(address string, r *wire.HeartbeatReply) {
-	now := time.Now()
+	now := e.agent.clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.peers.Suspect(address, now) {
@@ -345,7 +345,7 @@
 func (e *entries) recordFailure(address string, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.peers.Suspect(address, time.Now()) {
+	if !e.peers.Suspect(address, e.agent.clock.Now()) {
 		e.agent.metrics.entriesSuspect.Inc(1)
 		e.log.Warn().Err(err).Str("entry", e.known[address].ref.ID).Str("address", address).Msg("entry_suspect")
 	}
--- a/agent/fence.go
+++ b/agent/fence.go
@@ -14,7 +14,7 @@
 // that no message in them is accepted any more, returns their queued tasks, and
 // lists the tasks that were started in them.
 func (a *Agent) rpcOpenSession(_ context.Context, in *wire.OpenSessionRequest, out *wire.OpenSessionReply) error {
-	now := time.Now()
+	now := a.clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.expireSessions(now)
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -137,5 +137,5 @@
 		return
 	}
 	a.backlogs[owner] = b
-	a.noteInterest(owner, time.Now())
+	a.noteInterest(owner, a.clock.Now())
 }
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -81,7 +81,7 @@
 	}
 	failures := 0
 	for {
-		sent := time.Now()
+		sent := l.agent.clock.Now()
 		l.mu.Lock()
 		l.urgent = false
 		l.mu.Unlock()
@@ -128,7 +128,7 @@
 		if l.agent.needsHeartbeats(ledger.Owner{Entry: l.receivedRef.ID, Incarnation: l.receivedRef.Incarnation}) {
 			interval = t.Heartbeat.AsDuration()
 		}
-		left := time.Until(sent.Add(interval))
+		left := l.agent.clock.Until(sent.Add(interval))
 		if urgent || left <= 0 {
 			return true
 		}
@@ -142,12 +142,12 @@
 // interval. That is also so while the configuration is not confirmed, or ends are
 // unclaimed, since only replies to heartbeats change that.
 func (a *Agent) needsHeartbeats(owner ledger.Owner) bool {
-	now := time.Now()
+	now := a.clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	_, reason := a.mayStart(now)
 	return reason == wire.ReasonConfigUnconfirmed || a.isBusyFor(owner, now) ||
-		a.leased != nil && a.leased.life != nil && len(a.leased.unclaimedEnds(a.leased.life, now)) > 0
+		a.leased != nil && a.leased.life != nil && len(a.leased.unclaimedEnds(a.leased.life, time.Now())) > 0
 }
 
 func (l *link) closeConn() {
@@ -193,7 +193,7 @@
 	if err != nil {
 		return err
 	}
-	sent := time.Now()
+	sent := l.agent.clock.Now()
 	req := l.agent.newHeartbeat(sent, ledger.Owner{Entry: l.receivedRef.ID, Incarnation: l.receivedRef.Incarnation})
 	req.KnownEntry = l.receivedRef.Incarnation
 	full := req.Agent
@@ -272,7 +272,7 @@
 	}
 	if a.leased != nil {
 		r.Behind = a.leased.stragglers(to)
-		a.leased.addUnclaimedEnds(now, &r)
+		a.leased.addUnclaimedEnds(time.Now(), &r)
 	}
 	return r
 }
@@ -280,7 +280,7 @@
 // applyHeartbeatReply applies an entry's reply to the heartbeat that was sent at
 // the given time.
 func (a *Agent) applyHeartbeatReply(sent time.Time, r *wire.HeartbeatReply) {
-	now := time.Now()
+	now := a.clock.Now()
 	owner := ledger.Owner{Entry: r.Entry.ID, Incarnation: r.Entry.Incarnation}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -291,7 +291,7 @@
 	a.expireSessions(now)
 	a.acknowledge(owner, r.Acked)
 	if a.leased != nil {
-		a.leased.applyEndAnswers(now, r.Settled, r.Voided)
+		a.leased.applyEndAnswers(time.Now(), r.Settled, r.Voided)
 	}
 	if _, announced := a.backlogs[owner]; announced {
 		// Heartbeat replies only update an announced backlog. Every agent gets
--- a/agent/leased.go
+++ b/agent/leased.go
@@ -88,7 +88,7 @@
 // order may be sent after the worker announced that it drains or after the data
 // centre went out of service.
 func (l *leasedExecutor) orderStart(ctx context.Context, t wire.Task) (*attempt, *wire.Result) {
-	a, now := l.agent, time.Now()
+	a, now := l.agent, l.agent.clock.Now()
 	refuse := func(r wire.Reason) (*attempt, *wire.Result) {
 		result := notRun(r, "")
 		return nil, &result
@@ -108,7 +108,7 @@
 		return refuse(reason)
 	}
 	empty := life.runs.Empty()
-	o, err := life.runs.Start(now, leaseTask(t), t.Leased.Spec)
+	o, err := life.runs.Start(time.Now(), leaseTask(t), t.Leased.Spec)
 	if err != nil {
 		// The job was sent again, to another entry, before the old run ended.
 		return refuse(wire.ReasonAgentBusy)
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -17,7 +17,7 @@
 	workersCrashed, runsLost                                 tally.Counter
 	offers, offersUsed, entriesSuspect, recordsEvicted       tally.Counter
 	running, queued, confirmationAge, generation             tally.Gauge
-	endsHeld, endsUnclaimed                                  tally.Gauge
+	endsHeld, endsUnclaimed, suspended                       tally.Gauge
 	taskTime                                                 tally.Timer
 }
 
@@ -41,7 +41,8 @@
 		running: s.Gauge("tasks_running"), queued: s.Gauge("tasks_queued"),
 		confirmationAge: s.Gauge("confirmation_age_seconds"), generation: s.Gauge("config_generation"),
 		endsHeld: s.Gauge("ends_held"), endsUnclaimed: s.Gauge("ends_unclaimed"),
-		taskTime: s.Timer("task_time"),
+		suspended: s.Gauge("suspended_seconds"),
+		taskTime:  s.Timer("task_time"),
 	}
 }
 
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -132,7 +132,7 @@
 // handleOfferReply handles the reply to an offer. An entry that declined gets no
 // further offer until it announces a backlog again.
 func (a *Agent) handleOfferReply(owner ledger.Owner, used bool) {
-	now := time.Now()
+	now := a.clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if used {
@@ -149,7 +149,7 @@
 // reservationExpired uses a slot whose reservation may have expired: it starts a
 // queued task or offers the slot again.
 func (a *Agent) reservationExpired() {
-	now := time.Now()
+	now := a.clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.dispatch(now)
--- a/agent/options.go
+++ b/agent/options.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"chicorytray.example/chicorytray/internal/clock"
 	"chicorytray.example/chicorytray/lease"
 	"chicorytray.example/chicorytray/rpcconn"
 	"chicorytray.example/chicorytray/settings"
@@ -37,6 +38,11 @@
 	// Peers and Admin are the listeners for RPC and for the admin address; nil
 	// means to listen on Settings.PeerAddress or Settings.AdminAddress.
 	Peers, Admin net.Listener
+	// Clock measures sessions, the gate and deadlines; nil means the clock of this
+	// machine. The table of runs is kept by the steady clock instead, because it
+	// needs a lower bound of the worker's clock, which may stand still together
+	// with the machine.
+	Clock *clock.Clock
 }
 
 // check returns all problems of the options, joined into one error that wraps
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -180,7 +180,7 @@
 	l.agent.mu.Lock()
 	// Sessions that expired during a pause of this process are handled first,
 	// because the renewal would otherwise extend the lease of their runs.
-	l.agent.expireSessions(time.Now())
+	l.agent.expireSessions(l.agent.clock.Now())
 	n := life.runs.Renew(time.Now(), l.renewWait(life, retry))
 	life.nextImmediate, life.waitCancelled = false, false
 	if n.Wait > 0 {
--- a/agent/probation.go
+++ b/agent/probation.go
@@ -49,6 +49,6 @@
 	time.AfterFunc(lease.SuspicionWindow, func() {
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		a.dispatch(time.Now())
+		a.dispatch(a.clock.Now())
 	})
 }
--- a/agent/receive.go
+++ b/agent/receive.go
@@ -47,7 +47,7 @@
 // connection does not cancel the task: the entry learns the result in its next
 // session.
 func (a *Agent) rpcRun(ctx context.Context, in *wire.RunRequest, out *wire.RunReply) error {
-	now := time.Now()
+	now := a.clock.Now()
 	if err := a.validate(in); err != nil {
 		a.reply(ledger.OwnerOf(in.Session), out, invalidTask(err))
 		return nil
@@ -104,7 +104,7 @@
 // session, once it is finished. Without a record of the task the outcome is
 // wire.OutcomeUnknown.
 func (a *Agent) rpcAwait(ctx context.Context, in *wire.AwaitRequest, out *wire.RunReply) error {
-	now := time.Now()
+	now := a.clock.Now()
 	id := taskID{ledger.OwnerOf(in.Session), in.Key}
 	a.mu.Lock()
 	if err := a.checkSession(in.Session, now); err != nil {
@@ -127,7 +127,7 @@
 
 // rpcCancel withdraws queued tasks and cancels the execution of running ones.
 func (a *Agent) rpcCancel(_ context.Context, in *wire.CancelRequest, out *wire.CancelReply) error {
-	now := time.Now()
+	now := a.clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err := a.checkSession(in.Session, now); err != nil {
@@ -153,7 +153,7 @@
 
 // rpcAnnounce records an entry's backlog and applies its configuration.
 func (a *Agent) rpcAnnounce(_ context.Context, in *wire.AnnounceRequest, out *wire.AnnounceReply) error {
-	now := time.Now()
+	now := a.clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err := a.checkSession(in.Session, now); err != nil {
--- a/agent/report.go
+++ b/agent/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"chicorytray.example/chicorytray/ledger"
 	"chicorytray.example/chicorytray/wire"
@@ -11,7 +10,7 @@
 // recordResult stores the result of a started task in the ledger and frees its
 // slot and resources.
 func (a *Agent) recordResult(t *task, r wire.Result) {
-	now := time.Now()
+	now := a.clock.Now()
 	r.Took = now.Sub(t.startedAt)
 	a.countResult(r)
 	a.mu.Lock()
@@ -77,7 +76,7 @@
 // reserved for other entries count as used. The caller holds mu.
 func (a *Agent) loadFor(owner ledger.Owner) wire.Load {
 	l := a.load()
-	now := time.Now()
+	now := a.clock.Now()
 	l.Running += a.reservedForOthers(owner, now)
 	l.Free = a.freeFor(owner, now)
 	l.SeenSession, l.Seen = a.ledger.LatestSequence(owner)
--- a/agent/run.go
+++ b/agent/run.go
@@ -20,7 +20,7 @@
 	a.tasks[t.taskID] = t
 	a.queue = append(a.queue, t)
 	a.entries.reschedule(t.owner)
-	t.expiryTimer = time.AfterFunc(time.Until(t.deadline), func() { a.expireQueued(t) })
+	t.expiryTimer = time.AfterFunc(a.clock.Until(t.deadline), func() { a.expireQueued(t) })
 	a.loadSequence++
 	if t.onProbation() {
 		a.dispatchAfterWindow()
@@ -90,7 +90,7 @@
 	a.metrics.started.Inc(1)
 	ctx, cancel := context.WithCancelCause(a.taskCtx)
 	t.cancel = cancel
-	ctx, end := context.WithDeadline(ctx, t.deadline)
+	ctx, end := context.WithTimeout(ctx, a.clock.Until(t.deadline))
 	go func() {
 		defer cancel(nil)
 		defer end()
--- a/agent/state.go
+++ b/agent/state.go
@@ -98,7 +98,7 @@
 
 // State returns a snapshot of the agent's state.
 func (a *Agent) State() State {
-	now := time.Now()
+	now := a.clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := State{
@@ -107,7 +107,7 @@
 		Messages: a.counters.ByMethod(),
 	}
 	if a.leased != nil {
-		s.Leased = a.leased.state(now)
+		s.Leased = a.leased.state(time.Now())
 	}
 	for r := range a.leaving {
 		s.Leaving = append(s.Leaving, string(r))
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -63,7 +63,7 @@
 func (a *Agent) awaitLeavingAcknowledged(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, a.timing.Suspect.AsDuration())
 	defer cancel()
-	if a.waitUntil(bounded, func() bool { return a.entries.leavingAcknowledged(time.Now()) }) != nil {
+	if a.waitUntil(bounded, func() bool { return a.entries.leavingAcknowledged(a.clock.Now()) }) != nil {
 		a.log.Warn().Msg("entries_not_told")
 	}
 	if !wait.For(ctx, a.timing.Heartbeat.AsDuration()/2, nil) {
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -193,7 +193,7 @@
 	a.log.Info().Str("worker", self.Worker).Str("pool", self.Pool).Int64("milli_cpu", self.Capacity.MilliCPU).
 		Int64("memory_mb", self.Capacity.MemoryMB).Msg("worker_adopted")
 	a.entries.requestHeartbeats()
-	a.dispatch(time.Now())
+	a.dispatch(a.clock.Now())
 }
 
 // idle reports whether the worker is adopted, runs nothing, and has no ends that
--- a/durable/leasing.go
+++ b/durable/leasing.go
@@ -30,7 +30,7 @@
 	var renewAt time.Time
 	for ctx.Err() == nil {
 		m.mu.Lock()
-		now := time.Now()
+		now := m.options.Clock.Now()
 		m.checkValidity(now)
 		begin := m.epochWanted && !m.stopped && m.ownership.epoch == ""
 		lease, until := m.ownership.lease, m.ownership.validUntil
@@ -38,7 +38,7 @@
 		switch {
 		case begin:
 			number++
-			sent := time.Now()
+			sent := m.options.Clock.Now()
 			if err := m.beginEpoch(ctx, number); err != nil {
 				m.epochNotBegun(err)
 				wait.For(ctx, beginRetryDelay/2+m.options.Jitter(beginRetryDelay/2), nil)
@@ -60,7 +60,7 @@
 // the store removes it with the lease.
 func (m *Manager) beginEpoch(ctx context.Context, number uint64) error {
 	s := m.options.Store
-	sent := time.Now()
+	sent := m.options.Clock.Now()
 	var lease store.LeaseID
 	err := m.withTimeout(ctx, func(ctx context.Context) (err error) {
 		lease, err = s.Grant(ctx, LeaseTTL)
@@ -83,7 +83,7 @@
 	if m.stopped {
 		return nil // the lease expires by its time to live
 	}
-	if !m.ownership.Begin(time.Now(), epoch, lease, kv.Revision, sent) {
+	if !m.ownership.Begin(m.options.Clock.Now(), epoch, lease, kv.Revision, sent) {
 		m.ownership.End()
 		return fmt.Errorf("%w: registered too late", ErrInvalidEpoch)
 	}
@@ -106,12 +106,12 @@
 // is cancelled when the ownership expires at until, so that leaseLoop detects
 // the expiry in time.
 func (m *Manager) renewLease(ctx context.Context, lease store.LeaseID, sent, until time.Time) time.Time {
-	ctx, cancel := context.WithDeadline(ctx, until)
+	ctx, cancel := context.WithTimeout(ctx, m.options.Clock.Until(until))
 	defer cancel()
 	err := m.withTimeout(ctx, func(ctx context.Context) error { return m.options.Store.KeepAlive(ctx, lease) })
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := time.Now()
+	now := m.options.Clock.Now()
 	switch {
 	case m.ownership.lease != lease:
 		return now
--- a/durable/lookup.go
+++ b/durable/lookup.go
@@ -83,7 +83,7 @@
 	if r == nil {
 		r = &presenceRead{wanted: map[string]bool{}, done: make(chan struct{})}
 		m.sharedRead.nextRound = r
-		time.AfterFunc(max(0, presenceInterval-time.Since(m.sharedRead.lastBegan)), func() { m.readPresences(r) })
+		time.AfterFunc(max(0, presenceInterval-m.options.Clock.Since(m.sharedRead.lastBegan)), func() { m.readPresences(r) })
 	}
 	for _, id := range identifiers {
 		r.wanted[id] = true
@@ -94,7 +94,7 @@
 // readPresences makes a round of reads.
 func (m *Manager) readPresences(r *presenceRead) {
 	m.mu.Lock()
-	m.sharedRead.nextRound, m.sharedRead.lastBegan = nil, time.Now()
+	m.sharedRead.nextRound, m.sharedRead.lastBegan = nil, m.options.Clock.Now()
 	m.mu.Unlock()
 	defer close(r.done)
 	ctx := context.Background()
--- a/durable/manager.go
+++ b/durable/manager.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"chicorytray.example/chicorytray/internal/clock"
 	"chicorytray.example/chicorytray/store"
 )
 
@@ -54,6 +55,9 @@
 	Handler Handler
 	Log     zerolog.Logger
 	Metrics tally.Scope
+	// Clock measures the validity of the ownership lease; nil means one that counts
+	// no suspension of the machine.
+	Clock *clock.Clock
 	// Jitter returns a random duration below its argument; nil means rand.N.
 	Jitter func(time.Duration) time.Duration
 }
@@ -178,7 +182,7 @@
 			m.queueCallback(func() { done(LookupResult{}, ErrInvalidEpoch) })
 			return
 		}
-		m.batch.Create(time.Now(), cloneRecord(r), done)
+		m.batch.Create(m.options.Clock.Now(), cloneRecord(r), done)
 		m.requestEpoch()
 	})
 }
@@ -188,14 +192,14 @@
 // yet. done is called when this state or a later one is stored, and is not
 // called if the job is lost or given up. The Manager sets Owner and Serial.
 func (m *Manager) Update(r Record, within time.Duration, done func()) {
-	m.withLock(func() { m.batch.Update(cloneRecord(r), time.Now().Add(within), done) })
+	m.withLock(func() { m.batch.Update(cloneRecord(r), m.options.Clock.Now().Add(within), done) })
 }
 
 // Finish replaces the open record of a job that the entry owns by its end record.
 // done is called when the end record is stored, and is not called if the job is
 // lost.
 func (m *Manager) Finish(e EndRecord, done func()) {
-	m.withLock(func() { m.batch.Finish(time.Now(), e, done) })
+	m.withLock(func() { m.batch.Finish(m.options.Clock.Now(), e, done) })
 }
 
 // GiveUp drops a job without a write. While the own epoch lasts, a later scan may
@@ -222,7 +226,7 @@
 func (m *Manager) PeerLost(entry string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.watchedEntries[entry] = time.Now()
+	m.watchedEntries[entry] = m.options.Clock.Now()
 	wake(m.wakeScan)
 }
 
@@ -275,7 +279,7 @@
 func (m *Manager) withLock(f func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.checkValidity(time.Now())
+	m.checkValidity(m.options.Clock.Now())
 	f()
 	wake(m.wakeWriter)
 }
@@ -296,7 +300,7 @@
 	m.ownership.End()
 	m.batch.Reset()
 	// The jobs of the epoch become orphans only when the store removes its key.
-	m.watchedEntries[m.options.Entry] = time.Now()
+	m.watchedEntries[m.options.Entry] = m.options.Clock.Now()
 	m.queueCallback(m.options.Handler.OwnershipLost)
 	wake(m.wakeLease)
 }
@@ -311,7 +315,7 @@
 
 func (m *Manager) jobTakenOver(r Record) {
 	m.takeovers.Inc(1)
-	at := time.Now()
+	at := m.options.Clock.Now()
 	m.queueCallback(func() { m.options.Handler.JobTakenOver(r, at) })
 }
 
--- a/durable/scan.go
+++ b/durable/scan.go
@@ -46,8 +46,8 @@
 			continue
 		}
 		failures = 0
-		due := time.Now().Add(next)
-		if wait.For(ctx, next, m.wakeScan) && time.Now().Before(due) {
+		due := m.options.Clock.Now().Add(next)
+		if wait.For(ctx, next, m.wakeScan) && m.options.Clock.Now().Before(due) {
 			wait.For(ctx, m.options.Jitter(peerLossSpread), nil)
 		}
 	}
@@ -57,7 +57,7 @@
 // of orphans, and returns the wait before the next scan.
 func (s *scanner) scanOnce(ctx context.Context) (time.Duration, error) {
 	m := s.manager
-	began := time.Now()
+	began := m.options.Clock.Now()
 	open, err := m.list(ctx, OpenPrefix)
 	if err != nil {
 		return 0, err
@@ -112,7 +112,7 @@
 	m := s.manager
 	entries := m.options.Entries()
 	m.withLock(func() {
-		now := time.Now()
+		now := m.options.Clock.Now()
 		take, waiting := s.orphans.Select(now, ScanResult{
 			Open: open, Owners: owners, Entries: entries, Own: m.ownership.epoch, IsHeld: m.batch.Has,
 		})
--- a/durable/writer.go
+++ b/durable/writer.go
@@ -28,16 +28,16 @@
 	var notBefore time.Time
 	for ctx.Err() == nil {
 		if m.needsEndLease() {
-			began := time.Now()
+			began := m.options.Clock.Now()
 			if m.grantEndLease(ctx) != nil {
 				failures++
-				notBefore = time.Now().Add(m.backoff(failures))
-				wait.For(ctx, time.Until(notBefore), nil)
+				notBefore = m.options.Clock.Now().Add(m.backoff(failures))
+				wait.For(ctx, m.options.Clock.Until(notBefore), nil)
 				continue
 			}
 			notBefore = began.Add(m.commitInterval())
 		}
-		now := time.Now()
+		now := m.options.Clock.Now()
 		plan, at := m.nextPlan(now, notBefore)
 		if plan == nil {
 			pause := time.Hour
@@ -53,7 +53,7 @@
 			continue
 		}
 		failures++
-		if after := time.Now().Add(m.backoff(failures)); after.After(notBefore) {
+		if after := m.options.Clock.Now().Add(m.backoff(failures)); after.After(notBefore) {
 			notBefore = after
 		}
 	}
@@ -100,7 +100,7 @@
 		read, err := m.readConflict(ctx, plan)
 		m.withLock(func() {
 			if err == nil {
-				m.batch.Resolve(time.Now(), plan, read)
+				m.batch.Resolve(m.options.Clock.Now(), plan, read)
 			}
 		})
 		return err == nil
@@ -121,7 +121,7 @@
 				m.endLease = 0
 			}
 		}
-		m.batch.Outcome(time.Now(), plan, revision, err)
+		m.batch.Outcome(m.options.Clock.Now(), plan, revision, err)
 	})
 	return err == nil || isConflict(err)
 }
@@ -148,15 +148,15 @@
 func (m *Manager) needsEndLease() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.endLease != 0 && time.Since(m.endLeaseAt) >= endLeaseMaxAge {
+	if m.endLease != 0 && m.options.Clock.Since(m.endLeaseAt) >= endLeaseMaxAge {
 		m.endLease = 0
 	}
-	return m.endLease == 0 && m.ownership.Valid(time.Now()) && m.batch.HasEnds()
+	return m.endLease == 0 && m.ownership.Valid(m.options.Clock.Now()) && m.batch.HasEnds()
 }
 
 // grantEndLease requests a new lease for end records.
 func (m *Manager) grantEndLease(ctx context.Context) error {
-	sent := time.Now()
+	sent := m.options.Clock.Now()
 	var lease store.LeaseID
 	err := m.withTimeout(ctx, func(ctx context.Context) (err error) {
 		lease, err = m.options.Store.Grant(ctx, endLeaseTTL)
--- a/entry/collect.go
+++ b/entry/collect.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
 	"chicorytray.example/chicorytray/containment"
 	"chicorytray.example/chicorytray/ejection"
@@ -329,7 +328,7 @@
 
 func (d *dispatcher) logFinish(j *job) {
 	e := d.log.Info().Str("job", j.id).Str("account", j.account).Str("request_id", j.requestID).
-		Int("tasks", j.count).Int("status", j.answer.status).Dur("took_ms", time.Since(j.arrived))
+		Int("tasks", j.count).Int("status", j.answer.status).Dur("took_ms", d.clock.Since(j.arrived))
 	if j.failure != nil {
 		e = e.Str("reason", string(j.failure.reason))
 	}
--- a/entry/config.go
+++ b/entry/config.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/internal/clock"
 	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/settings"
 	"chicorytray.example/chicorytray/store"
@@ -33,6 +34,7 @@
 type configuration struct {
 	store        store.Store
 	timing       settings.Timing
+	clock        *clock.Clock
 	log          zerolog.Logger
 	metrics      metrics
 	confirmation *confirmation
@@ -151,7 +153,7 @@
 // the key has another revision than the one seen last, so that the read may be
 // stale.
 func (c *configuration) readOnce(ctx context.Context) error {
-	sent, known := time.Now(), c.generation()
+	sent, known := c.clock.Now(), c.generation()
 	c.mu.Lock()
 	seen := c.revision
 	c.mu.Unlock()
@@ -264,7 +266,7 @@
 	wait.For(ctx, rand.N(writeBackJitter), nil)
 	callCtx, cancel := context.WithTimeout(ctx, c.timing.StoreTimeout.AsDuration())
 	defer cancel()
-	sent := time.Now()
+	sent := c.clock.Now()
 	_, err := c.store.CompareAndSwap(callCtx, config.Key, revision, raw, 0)
 	if err == nil && generation == c.generation() {
 		c.confirmation.recordConfirmingRead(sent)
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -15,6 +15,7 @@
 	"chicorytray.example/chicorytray/durable"
 	"chicorytray.example/chicorytray/ejection"
 	"chicorytray.example/chicorytray/estimate"
+	"chicorytray.example/chicorytray/internal/clock"
 	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/placement"
 	"chicorytray.example/chicorytray/queue"
@@ -44,6 +45,7 @@
 type dispatcher struct {
 	self           wire.EntryRef
 	timing         settings.Timing
+	clock          *clock.Clock
 	limits         settings.Limits
 	log            zerolog.Logger
 	metrics        metrics
@@ -92,6 +94,7 @@
 	idle               chan struct{} // closed when openJobs reaches 0; nil if nobody waits for that
 	startedAt          time.Time
 	lastClockUpdate    time.Time                 // time of the last updateClock
+	suspended          time.Duration             // total of the suspensions that were logged
 	startsBlockedUntil time.Time                 // no task is started before; see updateClock
 	nextEvaluation     time.Time                 // of the agents by the detector
 	pendingStarts      []location                // assigned tasks, until flushStarts
@@ -104,7 +107,7 @@
 
 func newDispatcher(e *Entry) *dispatcher {
 	d := &dispatcher{
-		self: e.self, timing: e.settings.Timing, limits: e.settings.Limits, log: e.log, metrics: e.metrics, dial: e.dial,
+		self: e.self, timing: e.settings.Timing, clock: e.clock, limits: e.settings.Limits, log: e.log, metrics: e.metrics, dial: e.dial,
 		events: make(chan event, eventBuffer), ended: make(chan struct{}),
 		confirmation: e.confirmation, knownEntries: e.peers.activeEntries, informPeers: e.peers.sendHeartbeats,
 		queue: queue.New(queue.Options{Policy: queuePolicy(e.settings.Order)}), table: placement.NewTable(placementPolicy(e.settings.Placement)),
@@ -183,7 +186,7 @@
 	defer d.calls.Wait()
 	defer d.cancelCalls()
 	defer close(d.ended)
-	d.startedAt = time.Now()
+	d.startedAt = d.clock.Now()
 	d.confined.Confinement = containment.NewConfinement(d.startedAt)
 	d.lastClockUpdate = d.startedAt
 	tick := wait.NewTicker(tickInterval)
@@ -242,12 +245,13 @@
 	d.updateConfinement()
 	d.reportAgentsHeard()
 	d.evictAnswers()
+	d.reportSuspension()
 	d.updateGauges()
 }
 
 // closeAll ends all jobs and connections before the process exits.
 func (d *dispatcher) closeAll() {
-	d.now = time.Now()
+	d.now = d.clock.Now()
 	for _, j := range d.jobs {
 		if durableOf(j) != nil {
 			d.giveUpDurable(j, "the entry stopped")
--- a/entry/durable_peers.go
+++ b/entry/durable_peers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chicorytray.example/chicorytray/durable"
+	"chicorytray.example/chicorytray/internal/clock"
 	"chicorytray.example/chicorytray/wire"
 )
 
@@ -17,6 +18,7 @@
 // a job is pending while none of its tasks has started. It is safe for
 // concurrent use.
 type pendingByPeer struct {
+	clock *clock.Clock
 	mu    sync.Mutex
 	peers map[entryProcess]reportedPending
 }
@@ -40,7 +42,7 @@
 	if p.peers == nil {
 		p.peers = map[entryProcess]reportedPending{}
 	}
-	p.peers[entryProcess{entry.ID, entry.Incarnation}] = reportedPending{time.Now(), jobs}
+	p.peers[entryProcess{entry.ID, entry.Incarnation}] = reportedPending{p.clock.Now(), jobs}
 }
 
 // count returns the number of the peers' pending jobs of a template. It drops
@@ -48,7 +50,7 @@
 func (p *pendingByPeer) count(template string) (n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	maps.DeleteFunc(p.peers, func(_ entryProcess, r reportedPending) bool { return time.Since(r.at) > lostPeerRetention })
+	maps.DeleteFunc(p.peers, func(_ entryProcess, r reportedPending) bool { return p.clock.Since(r.at) > lostPeerRetention })
 	for _, r := range p.peers {
 		n += r.jobs[template]
 	}
@@ -63,7 +65,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for entry, r := range p.peers {
-		if time.Since(r.at) > peerTimeout && r.jobs[template] > 0 {
+		if p.clock.Since(r.at) > peerTimeout && r.jobs[template] > 0 {
 			r.jobs = maps.Clone(r.jobs)
 			r.jobs[template]--
 			p.peers[entry] = r
@@ -117,7 +119,7 @@
 	out := map[string]bool{p.self.ID: true}
 	for id, e := range p.known {
 		if e.registered {
-			out[id] = !e.stopping && e.failures == 0 && time.Since(e.lastReplySent) < p.timing.PeerHeartbeat.AsDuration()+p.timing.PeerSuspect(len(p.known))
+			out[id] = !e.stopping && e.failures == 0 && p.clock.Since(e.lastReplySent) < p.timing.PeerHeartbeat.AsDuration()+p.timing.PeerSuspect(len(p.known))
 		}
 	}
 	return out
@@ -127,7 +129,7 @@
 func (e *Entry) recordManagerOptions() durable.Options {
 	return durable.Options{
 		Store: e.options.Store, Entry: e.self.ID, Incarnation: e.self.Incarnation.String(),
-		CallTimeout: e.settings.Timing.StoreTimeout.AsDuration(), Entries: e.peers.registeredEntries,
+		CallTimeout: e.settings.Timing.StoreTimeout.AsDuration(), Clock: e.clock, Entries: e.peers.registeredEntries,
 		Handler: durableHandler{e.inbox, &e.peerPending, e.settings.Timing.PeerHeartbeat.AsDuration() + e.settings.Timing.Suspect.AsDuration()}, Log: e.log, Metrics: e.metrics.scope,
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"chicorytray.example/chicorytray/durable"
+	"chicorytray.example/chicorytray/internal/clock"
 	"chicorytray.example/chicorytray/rpcconn"
 	"chicorytray.example/chicorytray/settings"
 	"chicorytray.example/chicorytray/store"
@@ -39,6 +40,9 @@
 	// entries, and for operators. A nil listener means one on the address in the
 	// settings.
 	Callers, Peers, Admin net.Listener
+	// Clock measures pauses, leases, sessions and ages; nil means the clock of this
+	// machine.
+	Clock *clock.Clock
 
 	// newRecordManager replaces durable.Manager in tests; nil in production.
 	newRecordManager func(durable.Options) recordManager
@@ -55,6 +59,7 @@
 	rpcOptions rpcconn.Options
 	counters   *rpcconn.Counters
 	options    Options
+	clock      *clock.Clock
 	createdAt  time.Time // start of the uptime
 
 	confirmation  *confirmation
@@ -97,7 +102,7 @@
 	o.Store = instrumentedStore{o.Store, newMetrics(o.Metrics)}
 	e := &Entry{
 		settings: o.Settings, options: o, metrics: newMetrics(o.Metrics), rpcOptions: rpcOpts, counters: counters,
-		callerTLS: callers, dial: newDialer(rpcOpts, o.Dial), createdAt: time.Now(),
+		callerTLS: callers, dial: newDialer(rpcOpts, o.Dial), clock: o.Clock,
 		log:           o.Logger.With().Str("entry", o.Settings.ID).Logger(),
 		stopRequested: make(chan struct{}), stopped: make(chan struct{}),
 		self: wire.EntryRef{
@@ -105,6 +110,10 @@
 			Admin: o.Settings.AdminAddress, DataCentre: o.Settings.DataCentre,
 		},
 	}
+	if e.clock == nil {
+		e.clock = clock.System()
+	}
+	e.createdAt = e.clock.Now()
 	if err := e.assemble(); err != nil {
 		return nil, err
 	}
@@ -116,13 +125,14 @@
 	t := e.settings.Timing
 	e.confirmation = newConfirmation(t, e.self.DataCentre, e.log)
 	e.config = &configuration{
-		store: e.options.Store, timing: t, log: e.log, metrics: e.metrics, confirmation: e.confirmation, onChange: e.onConfigChange,
+		store: e.options.Store, timing: t, clock: e.clock, log: e.log, metrics: e.metrics, confirmation: e.confirmation, onChange: e.onConfigChange,
 		transfer: make(chan struct{}, 1),
 	}
 	e.peers = &peers{
-		self: e.self, timing: t, seeds: e.settings.Seeds, log: e.log, dial: e.dial, confirmation: e.confirmation, config: e.config,
+		self: e.self, timing: t, clock: e.clock, seeds: e.settings.Seeds, log: e.log, dial: e.dial, confirmation: e.confirmation, config: e.config,
 		onHeartbeat: e.handlePeerHeartbeat, report: e.crashReport, onPeerLost: e.handlePeerLost, known: map[string]*peer{}, wake: make(chan struct{}, 1),
 	}
+	e.peerPending.clock = e.clock
 	var err error
 	e.registration, err = newRegistration(e.options.Store, t, e.self, e.log, e.metrics, e.peers.updateRegistrations)
 	if err != nil {
@@ -226,7 +236,7 @@
 		return errors.New("not started")
 	case e.config.view() == nil:
 		return errors.New("no configuration")
-	case !e.dispatcher.hadUsableAgent.Load() && time.Since(e.createdAt) < e.settings.Timing.Lapse.AsDuration():
+	case !e.dispatcher.hadUsableAgent.Load() && e.clock.Since(e.createdAt) < e.settings.Timing.Lapse.AsDuration():
 		return errors.New("no usable agent yet")
 	}
 	return nil
--- a/entry/http.go
+++ b/entry/http.go
@@ -111,4 +111,4 @@
 }
 
 // sinceArrival returns the time since the submission arrived.
-func sinceArrival(s *submission) time.Duration { return time.Since(s.arrived) }
+func (e *Entry) sinceArrival(s *submission) time.Duration { return e.clock.Since(s.arrived) }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -37,6 +37,7 @@
 	runsRestarted         map[straggler.Reason]tally.Counter
 	crashedRuns           map[wire.CrashRole]tally.Counter
 	templatesConfined     tally.Gauge
+	suspended             tally.Gauge   // in seconds, since the start
 	crashingTasks         tally.Counter // given up because workers crashed under them
 }
 
@@ -61,6 +62,7 @@
 		refusedOutOfService:   s.Counter("refused_out_of_service"),
 		gateClosed:            s.Counter("gate_closed"),
 		queueLength:           s.Gauge("queue_length"),
+		suspended:             s.Gauge("suspended_seconds"),
 		jobsOpen:              s.Gauge("jobs_open"),
 		confirmationAge:       s.Gauge("confirmation_age"),
 		configGeneration:      s.Gauge("config_generation"),
@@ -121,6 +123,7 @@
 	d.metrics.queueLength.Update(float64(d.queue.Len()))
 	d.metrics.jobsOpen.Update(float64(d.openJobs))
 	d.updateDurableGauge()
+	d.metrics.suspended.Update(d.suspended.Seconds())
 	age := -1.0
 	if a := d.confirmationAge(); a >= 0 {
 		age = a.Seconds()
@@ -134,7 +137,7 @@
 // recordAnswer records the time to the answer to a submission and counts the
 // answer by status class.
 func (e *Entry) recordAnswer(s *submission, a *answer) {
-	e.metrics.answerTime.Record(sinceArrival(s))
+	e.metrics.answerTime.Record(e.sinceArrival(s))
 	e.metrics.scope.Tagged(map[string]string{"class": statusClass(a.status)}).Counter("answers").Inc(1)
 }
 
--- a/entry/pause.go
+++ b/entry/pause.go
@@ -17,7 +17,7 @@
 // interval since the last call means that the process was paused; starts are then
 // blocked for resumeDelay.
 func (d *dispatcher) updateClock() {
-	now := time.Now()
+	now := d.clock.Now()
 	gap := now.Sub(d.lastClockUpdate)
 	switch {
 	case d.lastClockUpdate.IsZero():
@@ -31,6 +31,14 @@
 	d.now, d.lastClockUpdate = now, now
 }
 
+// reportSuspension logs a suspension of the machine since the last call.
+func (d *dispatcher) reportSuspension() {
+	if total := d.clock.Suspended(); total > d.suspended {
+		d.log.Warn().Dur("suspended_ms", total-d.suspended).Msg("machine was suspended")
+		d.suspended = total
+	}
+}
+
 // mayStartNow updates the clock and reports whether tasks may be started now.
 // They may not within resumeDelay after a pause of the process.
 func (d *dispatcher) mayStartNow() bool {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -11,6 +11,7 @@
 
 	"chicorytray.example/chicorytray/containment"
 	"chicorytray.example/chicorytray/gate"
+	"chicorytray.example/chicorytray/internal/clock"
 	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/settings"
 	"chicorytray.example/chicorytray/wire"
@@ -31,6 +32,7 @@
 type peers struct {
 	self         wire.EntryRef
 	timing       settings.Timing
+	clock        *clock.Clock
 	seeds        []string
 	ctx          context.Context // of the fetches; set by run
 	log          zerolog.Logger
@@ -89,7 +91,7 @@
 			continue
 		}
 		seedAttempts = 0
-		p.forgetUnreachable(time.Now())
+		p.forgetUnreachable(p.clock.Now())
 		wait.For(ctx, p.timing.PeerHeartbeat.AsDuration(), p.wake)
 	}
 }
@@ -166,13 +168,13 @@
 		return
 	}
 	if known != nil {
-		if !direct && time.Since(known.lastReplySent) < p.timing.PeerSuspect(len(p.known)) {
+		if !direct && p.clock.Since(known.lastReplySent) < p.timing.PeerSuspect(len(p.known)) {
 			return
 		}
 		known.stop()
 		replaced = true
 	}
-	p.known[ref.ID] = &peer{ref: ref, learntAt: time.Now(), due: make(chan struct{}, 1)}
+	p.known[ref.ID] = &peer{ref: ref, learntAt: p.clock.Now(), due: make(chan struct{}, 1)}
 	p.active = nil
 	p.log.Info().Str("entry", ref.ID).Str("address", ref.Address).Msg("peer entry discovered")
 	select {
@@ -301,7 +303,7 @@
 			e.conn = nil
 		}
 	}()
-	sent := time.Now()
+	sent := p.clock.Now()
 	// The peer takes nothing else from a request; see rpcPeerHeartbeat.
 	r := p.report()
 	heartbeat := wire.PeerHeartbeat{Entry: p.self, CrashingTasks: r.Convictions, Confined: r.Confined}
@@ -327,7 +329,7 @@
 // many peers at once, and on the connection of the heartbeats it would delay them.
 // While the store is reachable, this entry's own read is awaited first.
 func (p *peers) catchUp(ctx context.Context, address string, generation uint64) {
-	now, own := time.Now(), p.config.generation()
+	now, own := p.clock.Now(), p.config.generation()
 	p.mu.Lock()
 	if p.newestReported <= own {
 		p.behindSince = now
--- a/entry/receive.go
+++ b/entry/receive.go
@@ -86,7 +86,7 @@
 // receive reads the complete request and checks it against the size limits.
 func (e *Entry) receive(c echo.Context, kind config.Kind) (*submission, error) {
 	r := c.Request()
-	s := &submission{kind: kind, requestID: c.Response().Header().Get(headerRequestID), arrived: time.Now()}
+	s := &submission{kind: kind, requestID: c.Response().Header().Get(headerRequestID), arrived: e.clock.Now()}
 	// The server's limit on the time to read a request must not end the wait for
 	// its answer. The error is ignored: a recorder in tests has no deadlines.
 	defer func() { _ = http.NewResponseController(c.Response()).SetReadDeadline(time.Time{}) }()
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -58,7 +58,7 @@
 // newPeerHeartbeat returns the heartbeat with which this entry replies to those
 // of its peers.
 func (e *Entry) newPeerHeartbeat() wire.PeerHeartbeat {
-	now := time.Now()
+	now := e.clock.Now()
 	age, _ := e.confirmation.age(now)
 	b := wire.PeerHeartbeat{
 		Entry: e.self, Generation: e.config.generation(), ConfirmAge: age,
--- a/entry/state.go
+++ b/entry/state.go
@@ -139,7 +139,7 @@
 // State returns a dump of the entry. After the entry has ended, the dump
 // contains only the state that the dispatcher does not own.
 func (e *Entry) State() State {
-	now := time.Now()
+	now := e.clock.Now()
 	age, basis := e.confirmation.age(now)
 	s := State{
 		Entry: StateEntry{
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -78,7 +78,7 @@
 	}
 	account, _ := v.AccountNamed(t.Account) // a valid document contains it
 	s := &submission{
-		kind: config.KindLeased, requestID: in.Job, arrived: time.Now(), view: v, account: account, template: t,
+		kind: config.KindLeased, requestID: in.Job, arrived: e.clock.Now(), view: v, account: account, template: t,
 		request: jobRequest{Template: in.Template, Job: in.Job, Count: in.Count, Spec: in.Spec},
 	}
 	if in.Needs != (wire.Resources{}) {
