clock, agent, leasedtest: suspended machines, failing

Callers: a job that was sent again runs twice at the same time.

The entry notices a pause by the gap between two readings of a clock that stands still while the machine is suspended, and an agent ends sessions by the same clock.

Change: processes of the system tests can be suspended: they receive and send nothing and their steady clock stands still, while the rest of the system goes on. Random schedules and the table of single faults suspend entries and agents.

--- a/agent/leased_rig_test.go
+++ b/agent/leased_rig_test.go
@@ -94,7 +94,7 @@
 	admin, err := r.net.Listen(conf.AdminAddress)
 	r.Assert(err, qt.IsNil)
 	r.agent, err = New(Options{
-		Settings: conf, Store: r.store, Dial: r.net.Dialer(agentHost), Peers: peers, Admin: admin, Metrics: r.metrics,
+		Settings: conf, Store: r.store, Dial: r.net.Dialer(agentHost), Peers: peers, Admin: admin, Metrics: r.metrics, Clock: r.clock(),
 		Connect: func(n lease.Announcement) Worker { return r.machine.Connect(n) },
 	})
 	r.Assert(err, qt.IsNil)
--- a/agent/leased_session_test.go
+++ b/agent/leased_session_test.go
@@ -163,6 +163,19 @@
 	})
 }
 
+// Guards against an agent that runs tasks in a session that expired while its machine
+// was suspended, because its steady clock stood still meanwhile.
+func TestSuspendedAgentEndsItsSessions(t *testing.T) {
+	withLeasedRig(t, leasedSetup{}, func(r *leasedRig, e *entryStub) {
+		running := e.runLeased("j", 4, 10*time.Second)
+		time.Sleep(time.Second)
+		e.update(func(e *entryStub) { e.renews = 0 })
+		r.suspend(2 * time.Second)
+		r.expect(<-e.runLeased("late", 4, time.Second), wire.OutcomeNotRun, wire.ReasonSessionFenced)
+		r.expect(<-running, wire.OutcomeInterrupted, wire.ReasonLeaseExpired)
+	})
+}
+
 // Guards against a start order after a pause of the agent during which the
 // task's session expired unnoticed.
 func TestNoStartAfterAnUnnoticedLapse(t *testing.T) {
--- a/agent/rig_test.go
+++ b/agent/rig_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"chicorytray.example/chicorytray/gate"
+	"chicorytray.example/chicorytray/internal/clock"
 	"chicorytray.example/chicorytray/internal/faultnet"
 	"chicorytray.example/chicorytray/internal/storestub"
 	"chicorytray.example/chicorytray/internal/upstreamstub"
@@ -41,6 +43,24 @@
 	ended   chan error // result of Run
 	metrics tally.TestScope
 	entries []*entryStub
+	// suspended is the time in nanoseconds for which the agent's steady clock stood
+	// still.
+	suspended atomic.Int64
+}
+
+// suspend lets the agent's steady clock stand still for the duration d, as on a
+// machine that is suspended. The agent's timers go on.
+func (r *rig) suspend(d time.Duration) {
+	for range int(d / time.Millisecond) {
+		r.suspended.Add(int64(time.Millisecond))
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// clock returns the agent's clock.
+func (r *rig) clock() *clock.Clock {
+	suspended := func() time.Duration { return time.Duration(r.suspended.Load()) }
+	return clock.New(func() time.Time { return time.Now().Add(-suspended()) }, suspended)
 }
 
 // setup has the options of a rig; zero values mean 2 slots, a queue of 2 and one
--- a/internal/leasedtest/process_test.go
+++ b/internal/leasedtest/process_test.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"chicorytray.example/chicorytray/agent"
+	"chicorytray.example/chicorytray/internal/clock"
 	"chicorytray.example/chicorytray/internal/faultnet"
 	"chicorytray.example/chicorytray/lease"
 )
@@ -28,7 +29,11 @@
 	mu                        sync.Mutex
 	changed                   *sync.Cond
 	pauseWanted, paused, dead bool
-	pausedAt                  time.Time // when the last pause of the dispatcher began
+	pausedAt                  time.Time // when the last pause began
+	// suspending means that the steady clock of the process stands still during the
+	// pause; suspended is the time for which it stood still in earlier pauses.
+	suspending bool
+	suspended  time.Duration
 }
 
 func newProcess(host string, n *faultnet.Network) *process {
@@ -69,17 +74,60 @@
 func (p *process) setPaused(yes bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pauseWanted, p.paused = yes, p.paused && yes
+	p.pauseWanted = yes
+	if !yes {
+		p.endPause()
+	}
+}
+
+// setSuspended is setPaused, or setIOPaused for an agent, with a steady clock that
+// stands still during the pause, as on a machine that is suspended.
+func (p *process) setSuspended(yes, ioOnly bool) {
+	if yes {
+		p.mu.Lock()
+		p.suspending = true
+		p.mu.Unlock()
+	}
+	if ioOnly {
+		p.setIOPaused(yes)
+	} else {
+		p.setPaused(yes)
+	}
+}
+
+// endPause resumes the process; the caller holds mu.
+func (p *process) endPause() {
+	if p.paused && p.suspending {
+		p.suspended += time.Since(p.pausedAt)
+	}
+	p.paused, p.suspending = false, false
 	p.changed.Broadcast()
 }
 
+// newClock returns the clock of the process. Its steady clock stands still while the
+// process is suspended.
+func (p *process) newClock() *clock.Clock {
+	suspended := func() time.Duration {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.paused && p.suspending {
+			return p.suspended + time.Since(p.pausedAt)
+		}
+		return p.suspended
+	}
+	return clock.New(func() time.Time { return time.Now().Add(-suspended()) }, suspended)
+}
+
 // setIOPaused pauses at once what the process receives and sends, or ends that. Its
 // timers continue.
 func (p *process) setIOPaused(yes bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.paused = yes
-	p.changed.Broadcast()
+	if !yes {
+		p.endPause()
+	} else if !p.paused {
+		p.paused, p.pausedAt = true, time.Now()
+	}
 }
 
 // pausingWorker delays the orders to an agent's worker, and their answers, while
--- a/internal/leasedtest/random_test.go
+++ b/internal/leasedtest/random_test.go
@@ -38,7 +38,7 @@
 // more often is drawn more often.
 var eventKinds = []string{
 	"submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "burst", "leave", "leave", "leave",
-	"kill entry", "pause entry", "pause entry", "kill agent", "cut", "cut", "cut off", "drop", "drop back", "freeze", "reset",
+	"kill entry", "pause entry", "pause entry", "suspend entry", "suspend agent", "kill agent", "cut", "cut", "cut off", "drop", "drop back", "freeze", "reset",
 	"starts late", "starts unanswered", "stops lost", "stops late", "renewals unanswered", "silent", "unhealthy",
 	"runs stand still", "runs slow", "restart worker", "drain", "out of service", "store down", "store cut", "store silent",
 	"drop calls", "drop replies", "drop heartbeats", "drop renewals", "freeze calls", "freeze renewals",
@@ -83,6 +83,10 @@
 		s.replaceEntry(e.entry, e.duration)
 	case "pause entry":
 		s.pauseEntry(e.entry, e.duration)
+	case "suspend entry":
+		s.suspendEntry(e.entry, e.duration)
+	case "suspend agent":
+		s.suspendAgent(e.agent, e.duration)
 	case "kill agent":
 		s.replaceAgent(e.agent, e.duration/2)
 	case "cut":
--- a/internal/leasedtest/single_test.go
+++ b/internal/leasedtest/single_test.go
@@ -54,15 +54,19 @@
 			s.injectFor(time.Second, func() { w.SetFaults(f) }, func() { w.SetFaults(leasestub.Faults{}) })
 		}
 	}
-	pause := func(d time.Duration) func(s *system) {
-		return func(s *system) {
-			s.pauseEntry(0, d)
-			time.Sleep(60 * ms) // the pause has begun
-			for _, j := range s.jobs {
-				j.disconnectCaller()
+	pauseBy := func(begin func(s *system, d time.Duration)) func(d time.Duration) func(s *system) {
+		return func(d time.Duration) func(s *system) {
+			return func(s *system) {
+				begin(s, d)
+				time.Sleep(60 * ms) // the pause has begun
+				for _, j := range s.jobs {
+					j.disconnectCaller()
+				}
 			}
 		}
 	}
+	pause := pauseBy(func(s *system, d time.Duration) { s.pauseEntry(0, d) })
+	suspend := pauseBy(func(s *system, d time.Duration) { s.suspendEntry(0, d) })
 	for _, tc := range []struct {
 		name  string
 		fault func(s *system)
@@ -70,6 +74,10 @@
 		{"entry killed", func(s *system) { s.replaceEntry(0, time.Second) }},
 		{"entry paused for 0.6 s", pause(600 * ms)},
 		{"entry paused for 2 s", pause(2 * time.Second)},
+		{"entry suspended for 0.6 s", suspend(600 * ms)},
+		{"entry suspended for 2 s", suspend(2 * time.Second)},
+		{"agent suspended for 0.6 s", func(s *system) { s.suspendAgent(0, 600*ms) }},
+		{"agent suspended for 2 s", func(s *system) { s.suspendAgent(0, 2*time.Second) }},
 		{"agent replaced", func(s *system) { s.replaceAgent(0, 0) }},
 		{"agent replaced later", func(s *system) { s.replaceAgent(0, 800*ms) }},
 		{"agent cut off from one entry", func(s *system) { s.cutOff(0, 2*time.Second, 0) }},
@@ -138,3 +146,21 @@
 		s.Check(s.evidence.Starts(), qt.HasLen, 8)
 	})
 }
+
+// Guards against an entry that does not notice that its machine was suspended,
+// because its steady clock stood still meanwhile, and so starts jobs that their
+// callers have sent to the other entry.
+func TestSuspendedEntrySettles(t *testing.T) {
+	withSystem(t, func(s *system) {
+		s.suspendEntry(0, 1450*ms)
+		time.Sleep(60 * ms) // the suspension has begun
+		for range 4 {
+			s.submit(0, job{tasks: 2, duration: 900 * ms}).disconnectCaller()
+		}
+		s.callers.Wait()
+		for _, j := range s.jobs {
+			s.Check(j.outcome, qt.Equals, entry.OutcomeDone, qt.Commentf(j.id))
+		}
+		s.Check(s.evidence.Starts(), qt.HasLen, 8)
+	})
+}
--- a/internal/leasedtest/system_test.go
+++ b/internal/leasedtest/system_test.go
@@ -213,7 +213,7 @@
 	conf.CallerAddress, conf.PeerAddress, conf.AdminAddress, conf.Store.URL = p.host+":8000", p.host+":7000", p.host+":9000", storeURL
 	conf.Limits.MaxDurableJobs = 10_000
 	s.Assert(conf.Validate(), qt.IsNil)
-	e, err := entry.New(entry.Options{Settings: conf, Store: s.newStoreClient(p), Dial: p.dial, Metrics: pausingScope{tally.NoopScope, p},
+	e, err := entry.New(entry.Options{Settings: conf, Clock: p.newClock(), Store: s.newStoreClient(p), Dial: p.dial, Metrics: pausingScope{tally.NoopScope, p},
 		Callers: s.listen(p, ":8000"), Peers: s.listen(p, ":7000"), Admin: s.listen(p, ":9000")})
 	s.Assert(err, qt.IsNil)
 	p.startRun(e.Run)
@@ -228,7 +228,7 @@
 	conf.ID, conf.DataCentre, conf.Worker, conf.Seeds, conf.Timing = fmt.Sprint("a", i), w.dataCentre, fmt.Sprint("w", i), s.seeds, platformTiming()
 	conf.PeerAddress, conf.AdminAddress, conf.Store.URL, conf.Connections, conf.Leased = p.host+":7100", p.host+":9100", storeURL, 0, &leased
 	s.Assert(conf.Validate(), qt.IsNil)
-	a, err := agent.New(agent.Options{Settings: conf, Store: s.newStoreClient(p), Dial: p.dial,
+	a, err := agent.New(agent.Options{Settings: conf, Clock: p.newClock(), Store: s.newStoreClient(p), Dial: p.dial,
 		Connect: func(n lease.Announcement) agent.Worker { return pausingWorker{w.Connect(n), p} },
 		Peers:   s.listen(p, ":7100"), Admin: s.listen(p, ":9100")})
 	s.Assert(err, qt.IsNil)
@@ -321,6 +321,20 @@
 	s.injectFor(d, func() { e.setPaused(true) }, func() { e.setPaused(false) })
 }
 
+// suspendEntry suspends the machine of an entry for the duration d and returns at
+// once.
+func (s *system) suspendEntry(i int, d time.Duration) {
+	e := s.entry(i)
+	s.injectFor(d, func() { e.setSuspended(true, false) }, func() { e.setSuspended(false, false) })
+}
+
+// suspendAgent suspends the machine of an agent for the duration d and returns at
+// once. Its worker goes on.
+func (s *system) suspendAgent(i int, d time.Duration) {
+	a := s.agent(i)
+	s.injectFor(d, func() { a.setSuspended(true, true) }, func() { a.setSuspended(false, true) })
+}
+
 // cutOff drops what the agent and the entries send to each other for the duration
 // d. It returns at once.
 func (s *system) cutOff(agent int, d time.Duration, entries ...int) {
