clock: count the time for which the machine was suspended

Callers: a job that was sent again to another entry, because its entry did not answer for 1.3 s, ran twice at the same time.

Cause: every bound against concurrent runs (design, section 13.3) was measured with Go's monotonic clock, which stands still while the machine is suspended. An entry that woke up saw no gap between two readings, did not settle, and started queued tasks before it noticed that their callers had gone; an agent took sessions and the gate's confirmation for fresh that had run out long ago.

Change: Clock.Now is the monotonic clock plus the suspensions.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -49,8 +49,8 @@
 	if c == nil {
 		return time.Now()
 	}
-	c.Suspended()
-	return c.steady()
+	suspended := c.Suspended() // read first, so that the result is not too late
+	return c.steady().Add(suspended)
 }
 
 // Since returns the time that has passed since a time that Now returned.
