entry: jobs keep their deadline when the machine was suspended

Callers: after a suspension the answer to a job came as much later than its deadline as the suspension had lasted.

Cause: the timer of a job runs on the steady clock, which stands still meanwhile.

Change: the tick that finds a suspension sets the timers of open jobs anew.

--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -245,7 +245,7 @@
 	d.updateConfinement()
 	d.reportAgentsHeard()
 	d.evictAnswers()
-	d.reportSuspension()
+	d.checkSuspension()
 	d.updateGauges()
 }
 
--- a/entry/leased_test.go
+++ b/entry/leased_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"chicorytray.example/chicorytray/config"
+	"chicorytray.example/chicorytray/internal/clock"
 	"chicorytray.example/chicorytray/settings"
 	"chicorytray.example/chicorytray/wire"
 )
@@ -324,3 +326,24 @@
 		h.Check(h.upstreams.maxConcurrent, qt.Equals, 1)
 	})
 }
+
+// Guards against a caller that waits past the deadline of its job because the timers
+// of its entry stood still while the machine was suspended.
+func TestDeadlinesIncludeSuspensions(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		var suspended atomic.Int64
+		offset := func() time.Duration { return time.Duration(suspended.Load()) }
+		e := h.leasedEntry(nil, func(o *Options) { o.Clock = clock.New(time.Now, offset) })
+		h.worker(1, runsFor(20000))
+		waitForDiscovery()
+		running := h.submit(e, "1f", 8) // occupies all cores until its deadline, after 10 s
+		time.Sleep(100 * time.Millisecond)
+		waiting := h.submit(e, "2f", 1)
+		time.Sleep(100 * time.Millisecond)
+		suspended.Store(int64(12 * time.Second))
+		begin := time.Now()
+		h.Check(waiting.wait().Outcome, qt.Equals, OutcomeNotRun)
+		h.Check(running.wait().Outcome, qt.Equals, OutcomeUnknown)
+		h.Check(time.Since(begin) <= 2*tickInterval, qt.IsTrue, qt.Commentf("%v", time.Since(begin)))
+	})
+}
--- a/entry/pause.go
+++ b/entry/pause.go
@@ -31,11 +31,19 @@
 	d.now, d.lastClockUpdate = now, now
 }
 
-// reportSuspension logs a suspension of the machine since the last call.
-func (d *dispatcher) reportSuspension() {
-	if total := d.clock.Suspended(); total > d.suspended {
-		d.log.Warn().Dur("suspended_ms", total-d.suspended).Msg("machine was suspended")
-		d.suspended = total
+// checkSuspension logs a suspension of the machine since the last call and corrects
+// the timers of the jobs, which stood still meanwhile.
+func (d *dispatcher) checkSuspension() {
+	total := d.clock.Suspended()
+	if total <= d.suspended {
+		return
+	}
+	d.log.Warn().Dur("suspended_ms", total-d.suspended).Msg("machine was suspended")
+	d.suspended = total
+	for _, j := range d.jobs {
+		if !j.answered && j.failure == nil && j.timer != nil {
+			j.timer.Reset(max(0, j.giveUpAt().Sub(d.now)))
+		}
 	}
 }
 
