entry: give up leased jobs that arrived before a long suspension

Callers: a job that its caller sent to another entry ran at both, although the first entry settled after the suspension of its machine.

Cause: settling (100 ms) relies on the end of the caller's connection being noticed soon after a pause. That is so when only the process was paused, because the kernel has received it. A suspended machine has not: the caller's machine repeats the segment at intervals that double, so it may arrive as late after the suspension as that lasted, beyond the resend interval.

Change: after a suspension longer than the session lapse, with which agents have stopped the runs, the entry answers its leased jobs: 503 if nothing has run, else unknown. Durable jobs have their own rule of ownership. Callers stay connected for the next entry to answer at most the resend interval later.

--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -94,7 +94,8 @@
 	idle               chan struct{} // closed when openJobs reaches 0; nil if nobody waits for that
 	startedAt          time.Time
 	lastClockUpdate    time.Time                 // time of the last updateClock
-	suspended          time.Duration             // total of the suspensions that were logged
+	suspended          time.Duration             // total of the suspensions that were handled
+	suspendedAt        time.Time                 // beginning of the last suspension longer than Timing.Lapse
 	startsBlockedUntil time.Time                 // no task is started before; see updateClock
 	nextEvaluation     time.Time                 // of the agents by the detector
 	pendingStarts      []location                // assigned tasks, until flushStarts
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -44,6 +44,7 @@
 	reasonJobNotFound      wire.Reason = "job_not_found"
 	reasonNoConfiguration  wire.Reason = "no_configuration"
 	reasonStopping         wire.Reason = "entry_stopping"
+	reasonSuspended        wire.Reason = "entry_suspended"
 	reasonCanNeverRun      wire.Reason = "can_never_run"
 	reasonKeyReused        wire.Reason = "idempotency_key_reused"
 	reasonStoreUnavailable wire.Reason = "store_unavailable"
--- a/entry/leased.go
+++ b/entry/leased.go
@@ -157,6 +157,9 @@
 	if d.stopping {
 		return retryLater(refusalRetryAfter, reasonStopping, "the entry is stopping")
 	}
+	if s.arrived.Before(d.suspendedAt) {
+		return retryLater(refusalRetryAfter, reasonSuspended, "the machine of the entry was suspended") // see checkSuspension
+	}
 	j := d.newLeasedJob(s, identifier)
 	d.shares.RecordTasks(d.now, j.account, j.count)
 	if err := d.checkLeasedRunnable(j); err != nil {
--- a/entry/pause.go
+++ b/entry/pause.go
@@ -31,20 +31,36 @@
 	d.now, d.lastClockUpdate = now, now
 }
 
-// checkSuspension logs a suspension of the machine since the last call and corrects
-// the timers of the jobs, which stood still meanwhile.
+// checkSuspension handles a suspension of the machine since the last call. It corrects
+// the timers of the jobs, which stood still meanwhile. After a suspension of more than
+// Timing.Lapse it gives up the jobs of leased tasks that arrived before: agents have
+// stopped their runs, and callers may have sent them to another entry without this
+// entry being able to know. The end of a connection does not reach a suspended machine
+// and is repeated at growing intervals, so it may arrive as late after the suspension
+// as that lasted.
 func (d *dispatcher) checkSuspension() {
 	total := d.clock.Suspended()
-	if total <= d.suspended {
+	lasted := total - d.suspended
+	if lasted <= 0 {
 		return
 	}
-	d.log.Warn().Dur("suspended_ms", total-d.suspended).Msg("machine was suspended")
 	d.suspended = total
+	long := lasted > d.timing.Lapse.AsDuration()
+	if long {
+		d.suspendedAt = d.now.Add(-lasted)
+	}
+	givenUp := 0
 	for _, j := range d.jobs {
-		if !j.answered && j.failure == nil && j.timer != nil {
+		switch {
+		case j.answered || j.failure != nil:
+		case long && j.leased != nil && durableOf(j) == nil && j.arrived.Before(d.suspendedAt):
+			givenUp++
+			d.failJob(j, jobFailure{reason: reasonSuspended, detail: "the machine of the entry was suspended"})
+		case j.timer != nil:
 			j.timer.Reset(max(0, j.giveUpAt().Sub(d.now)))
 		}
 	}
+	d.log.Warn().Dur("suspended_ms", lasted).Int("jobs_given_up", givenUp).Msg("machine was suspended")
 }
 
 // mayStartNow updates the clock and reports whether tasks may be started now.
--- a/internal/leasedtest/single_test.go
+++ b/internal/leasedtest/single_test.go
@@ -164,3 +164,25 @@
 		s.Check(s.evidence.Starts(), qt.HasLen, 8)
 	})
 }
+
+// Guards against an entry that goes on with jobs after its machine was suspended,
+// although their callers have left: the end of a caller's connection arrives as late
+// after the suspension as that lasted.
+func TestSuspendedEntryGivesUpItsJobs(t *testing.T) {
+	withSystem(t, func(s *system) {
+		var jobs []*job
+		for i := range 8 { // more than the workers have room for
+			jobs = append(jobs, s.submit(0, job{tasks: 3, duration: time.Duration(200+50*i) * ms}))
+		}
+		time.Sleep(100 * ms)
+		s.suspendEntry(0, 1200*ms)
+		time.Sleep(60 * ms) // the suspension has begun
+		for _, j := range jobs {
+			j.disconnectCaller()
+		}
+		for _, j := range jobs {
+			<-j.ended
+			s.Check(j.outcome, qt.Equals, entry.OutcomeDone, qt.Commentf(j.id))
+		}
+	})
+}
