lease, platform: a list of runs states the birth of its process

A worker may start again under the identifier that it had. Orders name the identifier only, so the next process answers them as the former one did. Its lists state the time of its start, which was dropped: the agent could not tell whose list it had.

RenewReply.Born carries it, 0 if the worker does not say. It is not used yet.

--- a/lease/order.go
+++ b/lease/order.go
@@ -119,6 +119,7 @@
 type RenewReply struct {
 	Refusal Refusal
 	Clock   WorkerTime // 0 if the reply has no clock sample
+	Born    int64      // start of the process that made the list, Unix time in milliseconds; 0 if it did not say
 	Active  []ActiveRun
 	Ended   []RunEnd // not acknowledged yet, the oldest first, at most MaxEnds
 }
