leasestub, leasedtest: workers that start again, refuse connections, or announce late

The stand-in of the leased worker promised more than workers do. It compared the birth that an order was meant for, which no order states, dropped late orders with their life, kept one lease for each run, refused a run number below one that only runs, accepted leases of any length, and made births rise.

Its next life now answers and carries out what names its identifier, late orders included, with its own clock, tokens and numbers; lists state the birth; the lease covers all runs, is at most 1 s and is extended by a start that is refused for its number or for room; a list takes time to arrive. A next life may have another identifier or a lower birth. Announcements may be late, overtaken, lost or repeated.

--- a/internal/leasedtest/system_test.go
+++ b/internal/leasedtest/system_test.go
@@ -53,8 +53,16 @@
 	mu         sync.Mutex
 	up         bool      // booted; false from a crash until the next life
 	drainedAt  time.Time // when the agent first acknowledged that it drains; zero otherwise
+	// announceLate is the longest delay of announcements; they may overtake each
+	// other. Negative: they are lost.
+	announceLate time.Duration
+	announced    []lease.Announcement // the latest ones, of all lives
 }
 
+// maxKeptAnnouncements bounds the announcements of a worker that may be delivered
+// again.
+const maxKeptAnnouncements = 40
+
 // noStartPeriod is a time in which nothing may start at a worker, or at the workers
 // of a data centre, because of its state.
 type noStartPeriod struct {
@@ -255,19 +263,64 @@
 // announce sends one announcement of a worker that is up, and reports whether its
 // agent acknowledged it.
 func (s *system) announce(i int) bool {
-	w, a := s.workers[i], s.agent(i)
+	w := s.workers[i]
 	w.mu.Lock()
-	up := w.up && w.Up()
+	late := w.announceLate
+	if !w.up || !w.Up() {
+		w.mu.Unlock()
+		return false
+	}
+	n := w.Announcement()
+	w.announced = append(w.announced, n)
+	w.announced = w.announced[max(0, len(w.announced)-maxKeptAnnouncements):]
 	w.mu.Unlock()
+	switch {
+	case late < 0:
+		return false
+	case late > 0:
+		// The second of three announcements is the latest, so that it is overtaken.
+		s.announceAgain(i, n, time.Duration(2*n.Sequence%3)*late/2)
+		return false
+	}
+	return s.deliver(i, n)
+}
+
+// deliver gives an announcement to a worker's agent and reports whether the agent
+// acknowledged it.
+func (s *system) deliver(i int, n lease.Announcement) bool {
+	a := s.agent(i)
 	select {
 	case <-a.killed:
 		return false
 	default:
 	}
-	if up {
-		a.WorkerAnnounced(w.Announcement())
+	a.WorkerAnnounced(n)
+	return true
+}
+
+// announceAgain delivers an announcement after the given time.
+func (s *system) announceAgain(i int, n lease.Announcement, after time.Duration) {
+	s.injectFor(after, func() {}, func() { s.deliver(i, n) })
+}
+
+// announceEarlier delivers the announcement again that a worker sent the given number
+// of announcements ago, if it is known, after the given time.
+func (s *system) announceEarlier(i, ago int, after time.Duration) {
+	w := s.workers[i]
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if ago < len(w.announced) {
+		s.announceAgain(i, w.announced[len(w.announced)-1-ago], after)
 	}
-	return up
+}
+
+// setAnnounceLate delays the announcements of a worker, or loses them if the delay is
+// negative.
+func (s *system) setAnnounceLate(i int, late time.Duration) {
+	w := s.workers[i]
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.announceLate = late
 }
 
 // injectFor begins a fault and returns at once; the fault ends after the duration
@@ -346,6 +399,12 @@
 // restartWorker crashes a worker that is up. Its next life, with the same
 // identifier, begins after the given time.
 func (s *system) restartWorker(i int, after time.Duration) {
+	s.restartWorkerAs(i, after, leasestub.NextLife{})
+}
+
+// restartWorkerAs is restartWorker with a next life that may have another identifier
+// or a lower birth.
+func (s *system) restartWorkerAs(i int, after time.Duration, next leasestub.NextLife) {
 	w := s.workers[i]
 	w.mu.Lock()
 	if !w.up {
@@ -359,7 +418,7 @@
 	s.injectFor(after, func() {}, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		w.Boot()
+		w.BootAs(next)
 		w.up = true
 	})
 }
--- a/internal/leasestub/conn.go
+++ b/internal/leasestub/conn.go
@@ -13,9 +13,14 @@
 type Fault struct {
 	// Unanswered orders are executed, but the caller gets no answer.
 	Unanswered bool
-	// Late orders are executed after this time, and the caller gets no answer.
-	// 0 means at once.
+	// Late orders are executed after this time, by the life with the same
+	// identifier that is up then, and the caller gets no answer. 0 means at once.
 	Late time.Duration
+	// SameLife ends late orders with the life that was up when they were sent.
+	// Workers do not promise that.
+	SameLife bool
+	// AnswerLate is a further delay of answers.
+	AnswerLate time.Duration
 	// Lost orders are neither executed nor answered.
 	Lost bool
 }
@@ -23,7 +28,8 @@
 // Faults are the faults of a machine. The zero value means none.
 type Faults struct {
 	Start, Stop, Renew Fault
-	// Refuse makes every call fail with lease.ErrWorkerDown.
+	// Refuse makes every call that arrives fail with lease.ErrWorkerDown, although
+	// the process lives, as a proxy or a full queue of connections may.
 	Refuse bool
 	// FailAll makes every run that starts end as failed after its duration.
 	FailAll bool
@@ -57,16 +63,17 @@
 	return Faults{Start: lost, Stop: lost, Renew: lost}
 }
 
-// Conn is the connection of one agent to one life of a machine. It is safe for
-// concurrent use.
+// Conn is the connection of one agent to a machine. Its orders name the identifier of
+// a life, and no birth: a later life with the same identifier carries them out as
+// well. It is safe for concurrent use.
 type Conn struct {
 	machine *Machine
-	life    lease.Life
+	id      string
 }
 
-// Connect returns a connection for orders to the announced life. Orders to a life
-// that was replaced are refused with lease.RefusedOtherLife.
-func (m *Machine) Connect(n lease.Announcement) *Conn { return &Conn{m, n.Life} }
+// Connect returns a connection for orders to the announced identifier. A life with
+// another identifier refuses them with lease.RefusedOtherLife.
+func (m *Machine) Connect(n lease.Announcement) *Conn { return &Conn{m, n.Life.ID} }
 
 // Close does nothing; agents close the connections of real workers.
 func (c *Conn) Close() {}
@@ -74,13 +81,13 @@
 // errConnectionBroke is returned by a renewal that waits when the life ends.
 var errConnectionBroke = errors.New("leasestub: connection broke because the worker's life ended")
 
-// call executes an order under the machine's lock, with the fault that is in
-// force for its kind. It returns when the answer arrives, or when ctx ends if the
-// fault suppresses the answer.
-func (c *Conn) call(ctx context.Context, kind string, fault func(Faults) Fault, do func(l *life) error) error {
+// call executes an order under the machine's lock, with the fault that is in force
+// for its kind, which it returns. If the fault suppresses the answer, it returns when
+// ctx ends.
+func (c *Conn) call(ctx context.Context, kind string, fault func(Faults) Fault, do func(l *life)) (Fault, error) {
 	m := c.machine
 	if !wait.For(ctx, m.options.Delay, nil) {
-		return ctx.Err()
+		return Fault{}, ctx.Err()
 	}
 	m.mu.Lock()
 	f := fault(m.faults)
@@ -88,88 +95,91 @@
 	m.orders[kind]++
 	if m.life == nil || m.faults.Refuse {
 		m.mu.Unlock()
-		return lease.ErrWorkerDown
+		return f, lease.ErrWorkerDown
 	}
 	l := m.life
-	var err error
 	switch {
 	case f.Lost:
 	case f.Late > 0:
 		time.AfterFunc(f.Late, func() {
 			m.mu.Lock()
 			defer m.mu.Unlock()
-			if !l.terminated {
-				_ = do(l)
+			if m.life != nil && (m.life == l || !f.SameLife) {
+				do(m.life)
 			}
 		})
 	default:
-		err = do(l)
+		do(l)
 	}
 	m.mu.Unlock()
-	if f != (Fault{}) {
+	if f.Lost || f.Late > 0 || f.Unanswered {
 		<-ctx.Done()
-		return ctx.Err()
+		return f, ctx.Err()
 	}
-	if !wait.For(ctx, m.options.Delay, nil) {
+	return f, nil
+}
+
+// deliver waits until an answer has arrived, which the worker sends now.
+func (c *Conn) deliver(ctx context.Context, f Fault) error {
+	if !wait.For(ctx, c.machine.options.Delay+f.AnswerLate, nil) {
 		return ctx.Err()
 	}
-	return err
+	return nil
 }
 
-// Start orders the start of a run. The returned error means that there was no
-// answer; refusals are in the answer.
-func (c *Conn) Start(ctx context.Context, o lease.StartOrder) (lease.Answer, error) {
+// order executes a start or stop order and returns its answer.
+func (c *Conn) order(ctx context.Context, kind string, fault func(Faults) Fault, do func(l *life) lease.Refusal) (lease.Answer, error) {
 	var a lease.Answer
-	err := c.call(ctx, "start", func(f Faults) Fault { return f.Start }, func(l *life) error {
-		a = lease.Answer{Refusal: lease.RefusedOtherLife, Clock: l.clock()}
-		if l.id == c.life {
-			a.Refusal = l.start(o)
-		}
-		return nil
-	})
+	f, err := c.call(ctx, kind, fault, func(l *life) { a = lease.Answer{Refusal: c.refusal(l, do), Clock: l.clock()} })
+	if err == nil {
+		err = c.deliver(ctx, f)
+	}
 	if err != nil {
 		return lease.Answer{}, err
 	}
 	return a, nil
 }
 
+// refusal executes an order if the life has the identifier that the order names. It
+// returns the reason of a refusal, or "".
+func (c *Conn) refusal(l *life, do func(l *life) lease.Refusal) lease.Refusal {
+	if l.id.ID != c.id {
+		return lease.RefusedOtherLife
+	}
+	return do(l)
+}
+
+// Start orders the start of a run. The returned error means that there was no
+// answer; refusals are in the answer.
+func (c *Conn) Start(ctx context.Context, o lease.StartOrder) (lease.Answer, error) {
+	return c.order(ctx, "start", func(f Faults) Fault { return f.Start }, func(l *life) lease.Refusal { return l.start(o) })
+}
+
 // Stop orders the stop of a run. The returned error means that there was no
 // answer; refusals are in the answer.
 func (c *Conn) Stop(ctx context.Context, o lease.StopOrder) (lease.Answer, error) {
-	var a lease.Answer
-	err := c.call(ctx, "stop", func(f Faults) Fault { return f.Stop }, func(l *life) error {
-		a = lease.Answer{Refusal: lease.RefusedOtherLife, Clock: l.clock()}
-		if l.id == c.life {
-			a.Refusal = l.stop(o)
-		}
-		return nil
-	})
-	if err != nil {
-		return lease.Answer{}, err
-	}
-	return a, nil
+	return c.order(ctx, "stop", func(f Faults) Fault { return f.Stop }, func(l *life) lease.Refusal { return l.stop(o) })
 }
 
 // Renew extends the lease. It waits up to o.Wait for the end of a run and then
 // returns the list of active and ended runs. The returned error means that there
 // was no answer.
 func (c *Conn) Renew(ctx context.Context, o lease.RenewOrder) (lease.RenewReply, error) {
-	var refusal lease.Refusal
+	var reply lease.RenewReply
 	var at *life
-	err := c.call(ctx, "renew", func(f Faults) Fault { return f.Renew }, func(l *life) error {
-		refusal, at = lease.RefusedOtherLife, l
-		if l.id == c.life {
-			refusal = l.renew(o)
-		}
-		return nil
+	f, err := c.call(ctx, "renew", func(f Faults) Fault { return f.Renew }, func(l *life) {
+		at, reply = l, lease.RenewReply{Refusal: c.refusal(l, func(l *life) lease.Refusal { return l.renew(o) }), Clock: l.clock()}
 	})
-	switch {
-	case err != nil:
+	if err == nil && reply.Refusal == "" {
+		reply, err = c.waitAndList(ctx, at, o.Wait)
+	}
+	if err == nil {
+		err = c.deliver(ctx, f)
+	}
+	if err != nil {
 		return lease.RenewReply{}, err
-	case refusal != "":
-		return lease.RenewReply{Refusal: refusal}, nil
 	}
-	return c.waitAndList(ctx, at, o.Wait)
+	return reply, nil
 }
 
 // waitAndList waits up to limit for the end of a run, and for the end of a pause,
--- a/internal/leasestub/life.go
+++ b/internal/leasestub/life.go
@@ -19,12 +19,13 @@
 	booted         time.Time
 	token          uint64                // highest fencing token received
 	sequence       uint64                // of the newest end
-	highestRun     map[lease.Task]uint64 // highest run number started or stopped
+	highestRun     map[lease.Task]uint64 // highest run number stopped or ended
 	runs           map[lease.Run]*run
 	unacked        []lease.RunEnd       // ends that are not acknowledged yet, oldest first
 	unackedRecords map[uint64]endRecord // of unacked, by sequence
-	leaseEnd       lease.WorkerTime     // latest end of the lease that was ordered
-	lastLapse      lease.WorkerTime     // latest moment at which the lease was found to have ended
+	leaseEnd       lease.WorkerTime     // end of the lease of all runs
+	leaseTimer     *time.Timer
+	lastLapse      lease.WorkerTime // latest moment at which the lease was found to have ended
 	terminated     bool
 	runEnded       chan struct{} // closed and replaced when a run ends
 }
@@ -37,8 +38,6 @@
 	doneBefore time.Duration // work done until speedSince, out of duration
 	speedSince time.Time     // when speed came into force
 	speed      float64       // work done per unit of time; 1 is normal
-	leaseEnd   lease.WorkerTime
-	leaseTimer *time.Timer
 	workTimer  *time.Timer
 	stopping   bool
 }
@@ -104,7 +103,8 @@
 	return sum
 }
 
-// start executes a start order. It returns the reason of a refusal, or "".
+// start executes a start order. It returns the reason of a refusal, or "". A start of
+// a run that is there already does nothing.
 func (l *life) start(o lease.StartOrder) lease.Refusal {
 	if refusal := l.checkToken(o.Token); refusal != "" {
 		return refusal
@@ -113,7 +113,10 @@
 	switch {
 	case json.Unmarshal([]byte(o.Spec), &spec) != nil:
 		return lease.RefusedInvalid
+	case l.runs[o.Run] != nil:
+		return ""
 	case o.Run.Number <= l.highestRun[o.Run.Task]:
+		l.extendLease(o.ValidUntil)
 		return lease.RefusedRunTooOld
 	case l.clock() > o.ValidUntil:
 		return lease.RefusedOrderExpired
@@ -121,14 +124,14 @@
 	m := l.machine
 	used := l.usedCapacity().Plus(spec.Needs)
 	if m.options.Enforce && !used.Fits(m.options.Capacity) {
+		l.extendLease(o.ValidUntil)
 		return lease.RefusedNoRoom
 	}
 	if m.faults.Unhealthy {
 		return lease.RefusedUnhealthy
 	}
-	l.highestRun[o.Run.Task] = o.Run.Number
 	l.extendLease(o.ValidUntil)
-	r := &run{needs: spec.Needs, duration: spec.duration(), speedSince: time.Now(), speed: 1, leaseEnd: o.ValidUntil}
+	r := &run{needs: spec.Needs, duration: spec.duration(), speedSince: time.Now(), speed: 1}
 	l.runs[o.Run] = r
 	r.record = m.evidence.recordStart(Start{Run: o.Run, Worker: m.options.ID, At: time.Now()}, used, m.countedCapacity())
 	how := lease.Done
@@ -140,7 +143,6 @@
 	if spec.Crash && o.Run.Task.Index == 0 {
 		time.AfterFunc(time.Duration(spec.CrashMS*float64(time.Millisecond)), func() { m.crashBy(l, o.Run) })
 	}
-	r.leaseTimer = time.AfterFunc(l.timeUntil(r.leaseEnd), func() { l.expireLease(o.Run) })
 	return ""
 }
 
@@ -166,19 +168,24 @@
 	r.workTimer = time.AfterFunc(l.machine.options.StopTime, func() { l.finish(id, how) })
 }
 
-// expireLease begins to stop a run whose lease has ended.
-func (l *life) expireLease(id lease.Run) {
+// checkLease begins to stop all runs if the lease has ended.
+func (l *life) checkLease() {
 	l.machine.mu.Lock()
 	defer l.machine.mu.Unlock()
-	r := l.runs[id]
-	if r == nil || l.terminated {
+	if l.terminated {
 		return
 	}
-	if left := l.timeUntil(r.leaseEnd); l.clock() <= r.leaseEnd {
-		r.leaseTimer.Reset(left) // the lease was renewed meanwhile
+	if l.clock() <= l.leaseEnd {
+		l.leaseTimer.Reset(l.timeUntil(l.leaseEnd)) // the lease was renewed meanwhile
 		return
 	}
-	l.beginStop(id, lease.LeaseExpired)
+	l.expireLease()
+}
+
+func (l *life) expireLease() {
+	for id := range l.runs {
+		l.beginStop(id, lease.LeaseExpired)
+	}
 }
 
 // finish ends a run, and puts its end into the list.
@@ -189,8 +196,8 @@
 	if r == nil || l.terminated {
 		return
 	}
-	r.leaseTimer.Stop()
 	delete(l.runs, id)
+	l.highestRun[id.Task] = max(l.highestRun[id.Task], id.Number)
 	l.machine.evidence.recordEnd(r.record, how)
 	l.sequence++
 	l.unacked = append(l.unacked, lease.RunEnd{Sequence: l.sequence, Run: id, Reason: how})
@@ -206,22 +213,24 @@
 	}
 	l.acknowledge(o.Acked)
 	l.extendLease(o.LeaseEnd)
-	for _, r := range l.runs {
-		if o.LeaseEnd > r.leaseEnd && l.clock() <= r.leaseEnd {
-			r.leaseEnd = o.LeaseEnd
-			r.leaseTimer.Reset(l.timeUntil(r.leaseEnd))
-		}
-	}
 	return ""
 }
 
-// extendLease extends the worker's lease. It first records the expiry if the lease
-// has ended before.
+// extendLease extends the lease of all runs to the given time, but at most by
+// Options.MaxLease from now. If the lease has ended before, it first records that and
+// begins to stop the runs.
 func (l *life) extendLease(until lease.WorkerTime) {
-	if now := l.clock(); now > l.leaseEnd {
+	now := l.clock()
+	if now > l.leaseEnd {
 		l.lastLapse = now
+		l.expireLease()
 	}
-	l.leaseEnd = max(l.leaseEnd, until)
+	l.leaseEnd = max(l.leaseEnd, min(until, now+l.machine.options.MaxLease))
+	if l.leaseTimer == nil {
+		l.leaseTimer = time.AfterFunc(l.timeUntil(l.leaseEnd), l.checkLease)
+		return
+	}
+	l.leaseTimer.Reset(l.timeUntil(l.leaseEnd))
 }
 
 // acknowledge removes the ends up to the sequence from the list. It records for
@@ -241,7 +250,7 @@
 // list returns the active runs, ordered by task and number, and the oldest ends, at
 // most lease.MaxEnds.
 func (l *life) list() lease.RenewReply {
-	out := lease.RenewReply{Clock: l.clock(), Ended: slices.Clone(l.unacked[:min(len(l.unacked), lease.MaxEnds)])}
+	out := lease.RenewReply{Born: l.id.Born, Clock: l.clock(), Ended: slices.Clone(l.unacked[:min(len(l.unacked), lease.MaxEnds)])}
 	for id, r := range l.runs {
 		out.Active = append(out.Active, lease.ActiveRun{Run: id, Percent: int(100 * r.progress() / max(r.duration, 1))})
 	}
@@ -256,9 +265,11 @@
 // terminate ends the life and all its runs.
 func (l *life) terminate() {
 	l.terminated = true
+	if l.leaseTimer != nil {
+		l.leaseTimer.Stop()
+	}
 	for _, r := range l.runs {
 		r.workTimer.Stop()
-		r.leaseTimer.Stop()
 		l.machine.evidence.recordEnd(r.record, "")
 	}
 	l.runs = nil
--- a/internal/leasestub/machine.go
+++ b/internal/leasestub/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"sync"
 	"time"
 
@@ -17,6 +18,9 @@
 	// bootClock is the worker's clock when a life begins. It is not 0, because
 	// 0 means in messages that there is no sample of the clock.
 	bootClock = 10 * time.Second
+	// defaultMaxLease is the longest lease that workers accept (docs/design.md,
+	// section 13.1).
+	defaultMaxLease = time.Second
 )
 
 // Options are the options of a Machine. ID, Pool, Address, Rack and Capacity are
@@ -35,6 +39,9 @@
 	Slow float64
 	// StopTime is how long a run takes to stop. 0 means 50 ms.
 	StopTime time.Duration
+	// MaxLease is the longest lease that the worker accepts; longer ones are
+	// shortened. 0 means 1 s.
+	MaxLease time.Duration
 	// Delay is the delay of each message, in each direction.
 	Delay time.Duration
 	// Reboot is the time from a crash that a task caused until the machine boots
@@ -81,8 +88,11 @@
 	evidence *Evidence
 
 	mu       sync.Mutex
-	life     *life // nil while the machine is down
-	born     int64
+	life     *life      // nil while the machine is down
+	lastLife lease.Life // of the present life, or of the last one while the machine is down
+	lives    int
+	births   map[int64]bool
+	wallBack time.Duration // by which the wall clock was set back in all
 	sequence uint64
 	draining bool
 	faults   Faults
@@ -98,10 +108,13 @@
 	if o.StopTime <= 0 {
 		o.StopTime = defaultStopTime
 	}
+	if o.MaxLease <= 0 {
+		o.MaxLease = defaultMaxLease
+	}
 	if o.Evidence == nil {
 		o.Evidence = NewEvidence()
 	}
-	m := &Machine{options: o, evidence: o.Evidence, orders: map[string]int{}, resumed: make(chan struct{})}
+	m := &Machine{options: o, evidence: o.Evidence, births: map[int64]bool{}, orders: map[string]int{}, resumed: make(chan struct{})}
 	m.Boot()
 	return m
 }
@@ -110,15 +123,38 @@
 // machines that share it.
 func (m *Machine) Evidence() *Evidence { return m.evidence }
 
-// Boot begins a new life if the machine is down.
-func (m *Machine) Boot() {
+// Boot begins a new life, with the identifier of the machine, if it is down.
+func (m *Machine) Boot() { m.BootAs(NextLife{}) }
+
+// NextLife says how a life differs from the first one.
+type NextLife struct {
+	// NewID gives the life an identifier that no other life had.
+	NewID bool
+	// WallBack sets the machine's wall clock back before the life begins, so that
+	// its birth may precede those of earlier lives.
+	WallBack time.Duration
+}
+
+// BootAs begins a new life if the machine is down. Its clock, tokens, run numbers and
+// ends start anew.
+func (m *Machine) BootAs(n NextLife) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.life != nil {
 		return
 	}
-	m.born, m.sequence, m.draining = max(m.born+1, time.Now().UnixMilli()), 0, false
-	m.life = &life{machine: m, id: lease.Life{ID: m.options.ID, Born: m.born}, booted: time.Now(),
+	m.wallBack += n.WallBack
+	born := time.Now().Add(-m.wallBack).UnixMilli()
+	for m.births[born] {
+		born++ // a process does not start twice within a millisecond
+	}
+	m.births[born] = true
+	id := m.options.ID
+	if m.lives++; n.NewID {
+		id = fmt.Sprintf("%s-%d", id, m.lives)
+	}
+	m.lastLife, m.sequence, m.draining = lease.Life{ID: id, Born: born}, 0, false
+	m.life = &life{machine: m, id: m.lastLife, booted: time.Now(),
 		highestRun: map[lease.Task]uint64{}, runs: map[lease.Run]*run{}, unackedRecords: map[uint64]endRecord{}, runEnded: make(chan struct{})}
 }
 
@@ -217,7 +253,7 @@
 	m.sequence++
 	o := m.options
 	return lease.Announcement{
-		Life: lease.Life{ID: o.ID, Born: m.born}, Sequence: m.sequence, Pool: o.Pool, Address: o.Address,
+		Life: m.lastLife, Sequence: m.sequence, Pool: o.Pool, Address: o.Address,
 		Rack: o.Rack, Capacity: o.Capacity, Draining: m.draining,
 	}
 }
--- a/internal/leasestub/stub_test.go
+++ b/internal/leasestub/stub_test.go
@@ -57,7 +57,7 @@
 // end at the wrong time.
 func TestSpeedOfRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := New(Options{ID: "a", Capacity: wire.Resources{MilliCPU: 1000}})
+		m := New(Options{ID: "a", Capacity: wire.Resources{MilliCPU: 1000}, MaxLease: 2 * bootClock})
 		c := m.Connect(m.Announcement())
 		run := c.begin(t.Context(), "j")
 		began := time.Now()
@@ -96,3 +96,74 @@
 		m.Crash()
 	})
 }
+
+// Guards against a stand-in that promises more than a worker: that the next life under
+// the same identifier refuses or drops orders to the former one, or that births rise.
+func TestNextLifeKnowsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		m := New(Options{ID: "a", Capacity: wire.Resources{MilliCPU: 1000}})
+		first := m.Announcement()
+		conn := m.Connect(first)
+		time.Sleep(5 * time.Second)
+		order := lease.RenewOrder{Token: 9, LeaseEnd: m.life.clock() + 300*time.Millisecond}
+		list, err := conn.Renew(t.Context(), order)
+		c.Assert(err, qt.IsNil)
+		c.Check(list.Born, qt.Equals, first.Life.Born)
+		m.SetFaults(Faults{Start: Fault{Late: time.Second}})
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		run := conn.begin(ctx, "late")
+		m.SetFaults(Faults{Start: Fault{Late: time.Second, SameLife: true}})
+		conn.begin(ctx, "late of the same life")
+		m.SetFaults(Faults{})
+
+		m.Crash()
+		m.BootAs(NextLife{WallBack: time.Minute})
+		next := m.Announcement()
+		c.Check(next.Life.ID, qt.Equals, first.Life.ID)
+		c.Check(next.Life.Born < first.Life.Born, qt.IsTrue)
+		time.Sleep(901 * time.Millisecond)
+		list, err = conn.Renew(t.Context(), lease.RenewOrder{Token: 1})
+		c.Assert(err, qt.IsNil)
+		c.Check(list.Born, qt.Equals, next.Life.Born)
+		c.Check(list.Clock, qt.Equals, bootClock+901*time.Millisecond)
+		c.Assert(list.Active, qt.HasLen, 1)
+		c.Check(list.Active[0].Run, qt.Equals, run)
+
+		m.Crash()
+		m.BootAs(NextLife{NewID: true})
+		c.Check(m.Announcement().Life.ID, qt.Not(qt.Equals), first.Life.ID)
+		list, err = conn.Renew(t.Context(), order)
+		c.Assert(err, qt.IsNil)
+		c.Check(list.Refusal, qt.Equals, lease.RefusedOtherLife)
+		m.Crash()
+	})
+}
+
+// Guards against a stand-in that is stricter than a worker within one life: with a
+// lease for each run, a refusal of a lower run number while a higher one only runs, or
+// a second start of a run that is there.
+func TestLeaseAndNumbersOfOneLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		m := New(Options{ID: "a", Capacity: wire.Resources{MilliCPU: 8000}})
+		conn := m.Connect(m.Announcement())
+		start := func(number uint64, validity time.Duration) lease.Refusal {
+			a, err := conn.Start(t.Context(), lease.StartOrder{Run: lease.Run{Task: lease.Task{Job: "j"}, Number: number},
+				Spec: Spec{MS: 5000}.Encode(), ValidUntil: m.life.clock() + validity})
+			c.Assert(err, qt.IsNil)
+			return a.Refusal
+		}
+		c.Check(start(2, 100*time.Millisecond), qt.Equals, lease.Refusal(""))
+		c.Check(start(2, 100*time.Millisecond), qt.Equals, lease.Refusal(""))
+		c.Check(start(1, time.Hour), qt.Equals, lease.Refusal("")) // extends the lease of both, to 1 s
+		c.Check(m.Evidence().Violations(), qt.HasLen, 1)
+		time.Sleep(defaultMaxLease)
+		c.Check(m.Evidence().Running(), qt.Equals, 2)
+		time.Sleep(defaultStopTime + time.Millisecond)
+		c.Check(m.Evidence().Running(), qt.Equals, 0)
+		c.Check(start(2, time.Second), qt.Equals, lease.RefusedRunTooOld)
+		m.Crash()
+	})
+}
