leasedtest, agent: draw restarts, refused connections and late announcements

The random schedules and the single faults had no worker that comes back under another identifier or with a lower birth, no refused connection of a process that lives, no late answer, and no announcement that is late, lost, overtaken or repeated. They have them now. A draining worker repeats its announcement until it is acknowledged, so that the rule on draining is checked also while announcements are late.

--- a/agent/leased_random_test.go
+++ b/agent/leased_random_test.go
@@ -25,6 +25,8 @@
 	free     []string // jobs that have no run
 	sent     map[string]*sentJob
 	orphaned []*sentJob // jobs whose agent was killed before it answered
+	// announced is an announcement that may be delivered again.
+	announced lease.Announcement
 }
 
 // sentJob is a job that was sent and not answered.
@@ -104,18 +106,41 @@
 	s.entries[0].open()
 }
 
+// announceLater announces the worker after a random time, at times together with an
+// earlier announcement that is late or doubled.
 func (s *schedule) announceLater(most time.Duration) {
 	time.Sleep(s.randomDuration(most))
-	s.agent.WorkerAnnounced(s.machine.Announcement())
+	for _, n := range []lease.Announcement{s.machine.Announcement(), s.announced} {
+		if s.IntN(4) > 0 {
+			s.agent.WorkerAnnounced(n)
+		}
+		s.announced = n
+	}
+}
+
+// restartMachine ends the worker's life. The next one may have another identifier or a
+// lower birth.
+func (s *schedule) restartMachine() {
+	next := leasestub.NextLife{NewID: s.IntN(4) == 0}
+	if s.IntN(3) == 0 {
+		next.WallBack = s.randomDuration(20*time.Second) - 5*time.Second
+	}
+	s.announced = s.machine.Announcement()
+	s.machine.Crash()
+	time.Sleep(s.randomDuration(300 * time.Millisecond))
+	s.machine.BootAs(next)
+	s.announceLater(300 * time.Millisecond)
 }
 
 // injectFaults makes the worker fail in random ways for up to 3 s.
 func (s *schedule) injectFaults() {
 	fault := func() leasestub.Fault {
-		return []leasestub.Fault{{}, {}, {}, {Lost: true}, {Unanswered: true}, {Late: s.randomDuration(600*time.Millisecond) + 1}}[s.IntN(6)]
+		return []leasestub.Fault{{}, {}, {}, {Lost: true}, {Unanswered: true}, {Late: s.randomDuration(600*time.Millisecond) + 1, SameLife: true}, {AnswerLate: s.randomDuration(120 * time.Millisecond)}}[s.IntN(7)]
 	}
 	f := leasestub.Faults{Start: fault(), Stop: fault(), Renew: fault(), FailAll: s.IntN(9) == 0}
 	switch s.IntN(8) {
+	case 2:
+		f = leasestub.Faults{Refuse: true}
 	case 0:
 		f = leasestub.Silent()
 	case 1:
@@ -140,10 +165,7 @@
 	case n < 56:
 		s.injectFaults()
 	case n < 57:
-		s.machine.Crash()
-		time.Sleep(s.randomDuration(300 * time.Millisecond))
-		s.machine.Boot()
-		s.announceLater(300 * time.Millisecond)
+		s.restartMachine()
 	case n < 58:
 		s.replaceAgent()
 	default: // the entry stops renewing its session and opens the next one
@@ -163,12 +185,15 @@
 			random := rand.New(rand.NewPCG(seed, 13))
 			o := leasestub.Options{Slow: lease.ClockDrift * random.Float64(), Delay: time.Duration(random.IntN(20)) * time.Millisecond}
 			withLeasedRig(t, leasedSetup{machine: o}, func(r *leasedRig, _ *entryStub) {
-				s := &schedule{leasedRig: r, Rand: random, sent: map[string]*sentJob{}}
+				s := &schedule{leasedRig: r, Rand: random, sent: map[string]*sentJob{}, announced: r.machine.Announcement()}
 				for i := range 12 {
 					s.free = append(s.free, fmt.Sprintf("j%d", i))
 				}
 				for range 250 {
 					s.step()
+					if s.IntN(4) == 0 {
+						s.announceLater(time.Millisecond) // workers announce themselves again and again
+					}
 					time.Sleep(s.randomDuration(120 * time.Millisecond))
 					s.collect()
 				}
--- a/internal/leasedtest/durable_test.go
+++ b/internal/leasedtest/durable_test.go
@@ -68,16 +68,16 @@
 
 // Guards against single faults that lose a durable job, run a finished task of it
 // again or cause a wrong answer about it.
-func TestDurableSingleFaults(t *testing.T) { checkDurableFaults(t, false) }
+func TestDurableSingleFaults(t *testing.T) { checkDurableFaults(t, false, durableFaults()) }
+
+// Guards against the same for faults of a worker's process.
+func TestDurableSingleFaultsOfLives(t *testing.T) { checkDurableFaults(t, false, lifeFaults()) }
 
 // Guards against single faults that make an entry's number of pending jobs too low.
-func TestPendingInDurableSingleFaults(t *testing.T) { checkDurableFaults(t, true) }
+func TestPendingInDurableSingleFaults(t *testing.T) { checkDurableFaults(t, true, durableFaults()) }
 
-func checkDurableFaults(t *testing.T, pending bool) {
-	for _, tc := range []struct {
-		name  string
-		fault func(s *system)
-	}{
+func durableFaults() []singleFault {
+	return []singleFault{
 		{"owner killed", func(s *system) { s.replaceEntry(0, time.Second) }},
 		{"owner killed and not replaced", func(s *system) { s.replaceEntry(0, 2*time.Minute) }},
 		{"owner cut off from the store", func(s *system) {
@@ -102,7 +102,12 @@
 		{"late effects", func(s *system) { s.store.HoldWrites(10, 2*time.Second) }},
 		{"late effects after the validity", func(s *system) { s.store.HoldWrites(10, 4*time.Second) }},
 		{"worker restarted", func(s *system) { s.restartWorker(0, 0) }},
-	} {
+	}
+}
+
+func checkDurableFaults(t *testing.T, pending bool, faults []singleFault) {
+	t.Helper()
+	for _, tc := range faults {
 		t.Run(tc.name, func(t *testing.T) {
 			runDurable(t, pending, func(s *system) {
 				s.loadDurable(10, 2)
--- a/internal/leasedtest/random_test.go
+++ b/internal/leasedtest/random_test.go
@@ -42,8 +42,17 @@
 	"starts late", "starts unanswered", "stops lost", "stops late", "renewals unanswered", "silent", "unhealthy",
 	"runs stand still", "runs slow", "restart worker", "drain", "out of service", "store down", "store cut", "store silent",
 	"drop calls", "drop replies", "drop heartbeats", "drop renewals", "freeze calls", "freeze renewals",
+	"refuse connections", "answers late", "restart worker", "restart as another", "restart with another birth",
+	"announcements late", "announcements lost", "announce again",
 }
 
+// nextLifeKinds are the kinds of events in schedules in which late orders are carried
+// out by the next life of a worker.
+var nextLifeKinds = append([]string{
+	"starts late in any life", "starts late in any life", "stops late in any life", "all late in any life", "restart worker", "restart worker",
+	"restart with another birth", "announcements late", "announcements lost",
+}, eventKinds...)
+
 func drawEvent(t *rapid.T, kinds []string) event {
 	in := func(name string, least, most int) int { return rapid.IntRange(least, most).Draw(t, name) }
 	return event{
@@ -67,7 +76,8 @@
 	link := func(rule func(a, b string), a, b string) {
 		s.injectFor(e.duration, func() { rule(a, b) }, func() { s.net.Heal(a, b) })
 	}
-	late := leasestub.Fault{Late: e.job.duration / 2}
+	late := leasestub.Fault{Late: e.job.duration / 2, SameLife: true}
+	lateInAnyLife := leasestub.Fault{Late: e.job.duration}
 	switch e.kind {
 	case "submit":
 		s.submit(e.entry, e.job)
@@ -133,6 +143,27 @@
 		faulty(leasestub.Faults{Slowdown: 2 + float64(e.job.tasks)})
 	case "restart worker":
 		s.restartWorker(e.agent, e.duration/3)
+	case "restart as another":
+		s.restartWorkerAs(e.agent, e.duration/3, leasestub.NextLife{NewID: true})
+	case "restart with another birth": // at most 9 s lower, or 3 s higher
+		s.restartWorkerAs(e.agent, e.duration/6, leasestub.NextLife{WallBack: 4*e.duration - 3*time.Second})
+	case "refuse connections":
+		faulty(leasestub.Faults{Refuse: true})
+	case "answers late":
+		f := leasestub.Fault{AnswerLate: e.job.duration / 10}
+		faulty(leasestub.Faults{Start: f, Stop: f, Renew: f})
+	case "starts late in any life":
+		faulty(leasestub.Faults{Start: lateInAnyLife})
+	case "stops late in any life":
+		faulty(leasestub.Faults{Start: lateInAnyLife, Stop: lateInAnyLife})
+	case "all late in any life":
+		faulty(leasestub.Faults{Start: lateInAnyLife, Stop: lateInAnyLife, Renew: lateInAnyLife})
+	case "announcements late":
+		s.injectFor(e.duration, func() { s.setAnnounceLate(e.agent, e.job.deadline) }, func() { s.setAnnounceLate(e.agent, 0) })
+	case "announcements lost":
+		s.injectFor(e.duration, func() { s.setAnnounceLate(e.agent, -1) }, func() { s.setAnnounceLate(e.agent, 0) })
+	case "announce again":
+		s.announceEarlier(e.agent, 4*e.job.tasks, e.duration)
 	case "drain":
 		s.drain(e.agent, 2*e.duration)
 	case "out of service":
@@ -160,11 +191,18 @@
 }
 
 // Guards against combinations of faults that break a rule of section 13.1 and that
-// no table of the other tests contains.
-func TestRandomSchedules(t *testing.T) {
+// no table of the other tests contains. Late orders end with the life of the worker to
+// which they were sent.
+func TestRandomSchedules(t *testing.T) { checkSchedules(t, eventKinds) }
+
+// Guards against the same where the next life of a worker carries out orders that were
+// sent to the former one.
+func TestRandomSchedulesWithOrdersToNextLives(t *testing.T) { checkSchedules(t, nextLifeKinds) }
+
+func checkSchedules(t *testing.T, kinds []string) {
 	fixSchedules(t, randomChecks)
 	rapid.Check(t, func(r *rapid.T) {
-		events := rapid.SliceOfN(rapid.Custom(func(r *rapid.T) event { return drawEvent(r, eventKinds) }), 5, 40).Draw(r, "events")
+		events := rapid.SliceOfN(rapid.Custom(func(r *rapid.T) event { return drawEvent(r, kinds) }), 5, 40).Draw(r, "events")
 		third := rapid.SampledFrom([]string{"north", "west"}).Draw(r, "third")
 		f := &failures{}
 		synctest.Test(t, func(*testing.T) {
--- a/internal/leasedtest/single_test.go
+++ b/internal/leasedtest/single_test.go
@@ -45,6 +45,12 @@
 	})
 }
 
+// singleFault is a fault of a system that loses no job.
+type singleFault struct {
+	name  string
+	fault func(s *system)
+}
+
 // Guards against single faults that break a rule of section 13.1 or prevent the
 // completion of jobs.
 func TestSingleFaults(t *testing.T) {
@@ -67,10 +73,7 @@
 	}
 	pause := pauseBy(func(s *system, d time.Duration) { s.pauseEntry(0, d) })
 	suspend := pauseBy(func(s *system, d time.Duration) { s.suspendEntry(0, d) })
-	for _, tc := range []struct {
-		name  string
-		fault func(s *system)
-	}{
+	checkSingleFaults(t, []singleFault{
 		{"entry killed", func(s *system) { s.replaceEntry(0, time.Second) }},
 		{"entry paused for 0.6 s", pause(600 * ms)},
 		{"entry paused for 2 s", pause(2 * time.Second)},
@@ -107,7 +110,47 @@
 				s.injectFor(2*time.Second, func() { s.net.Partition(entryHost(i), storeHost) }, func() { s.net.Heal(entryHost(i), storeHost) })
 			}
 		}},
-	} {
+	})
+}
+
+// lifeFaults are the faults of a worker whose process is hard to tell from another one.
+func lifeFaults() []singleFault {
+	restart := func(after time.Duration, next leasestub.NextLife) func(s *system) {
+		return func(s *system) { s.restartWorkerAs(0, after, next) }
+	}
+	faulty := func(f leasestub.Faults) func(s *system) {
+		return func(s *system) {
+			w := s.workers[0]
+			s.injectFor(time.Second, func() { w.SetFaults(f) }, func() { w.SetFaults(leasestub.Faults{}) })
+		}
+	}
+	announced := func(late time.Duration) func(s *system) {
+		return func(s *system) {
+			s.injectFor(3*time.Second, func() { s.setAnnounceLate(0, late) }, func() { s.setAnnounceLate(0, 0) })
+			time.Sleep(500 * ms)
+			s.restartWorkerAs(0, 300*ms, leasestub.NextLife{WallBack: 2 * time.Second})
+		}
+	}
+	answerLate := leasestub.Fault{AnswerLate: 60 * ms}
+	return []singleFault{
+		{"connections refused", faulty(leasestub.Faults{Refuse: true})},
+		{"answers late", faulty(leasestub.Faults{Start: answerLate, Stop: answerLate, Renew: answerLate})},
+		{"worker restarted as another", restart(0, leasestub.NextLife{NewID: true})},
+		{"worker restarted as another later", restart(time.Second, leasestub.NextLife{NewID: true})},
+		{"worker restarted after its clock was set back", restart(0, leasestub.NextLife{WallBack: time.Minute})},
+		{"worker restarted later after its clock was set back", restart(time.Second, leasestub.NextLife{WallBack: time.Minute})},
+		{"worker restarted while announcements are late", announced(time.Second)},
+		{"worker restarted while announcements are lost", announced(-1)},
+	}
+}
+
+// Guards against single faults of a worker's process that break a rule of section 13.1
+// or prevent the completion of jobs.
+func TestSingleFaultsOfLives(t *testing.T) { checkSingleFaults(t, lifeFaults()) }
+
+func checkSingleFaults(t *testing.T, faults []singleFault) {
+	t.Helper()
+	for _, tc := range faults {
 		t.Run(tc.name, func(t *testing.T) {
 			withSystem(t, func(s *system) {
 				load := func(n int) {
@@ -120,10 +163,7 @@
 				s.tracef("%s", tc.name)
 				tc.fault(s)
 				load(40)
-				s.callers.Wait()
-				for _, j := range s.jobs {
-					s.Check(j.outcome, qt.Equals, entry.OutcomeDone, qt.Commentf(j.id))
-				}
+				s.checkAllDone()
 			})
 		})
 	}
--- a/internal/leasedtest/system_test.go
+++ b/internal/leasedtest/system_test.go
@@ -443,7 +443,11 @@
 func (s *system) drain(i int, d time.Duration) {
 	w := s.workers[i]
 	w.Drain()
-	if s.announce(i) {
+	w.mu.Lock()
+	up := w.up && w.Up()
+	w.mu.Unlock()
+	// A worker sends this announcement until it is acknowledged.
+	if up && s.deliver(i, w.Announcement()) {
 		w.mu.Lock()
 		if w.drainedAt.IsZero() { // the time counts from the first acknowledgement
 			w.drainedAt = time.Now()
