faultnet, storestub, leasedtest: faults that the contracts permit and no stand-in had

Our stand-ins were kinder than the contracts: a killed process always reset its connections, data that a partition held up arrived the moment it ended, a caller's messages took no time and it always sent its job to the other entry next, the store failed for all machines at once, closed the connection of a lost answer, always answered reads, and its leases always ran on while it was down.

faultnet.PowerOff and HealSlowly, storestub.Refuse, LoseReads, SetSilentLosses, PauseLeases and ExpireLeasesUpTo, and callerLink and sameEntry of the test's callers are the switches. TestStandInRandomSchedules and TestStandInDurableRandomSchedules draw them together with all earlier faults.

--- a/internal/faultnet/conn.go
+++ b/internal/faultnet/conn.go
@@ -26,10 +26,11 @@
 	changed       *sync.Cond
 	chunks        []chunk
 	bufferedBytes int
-	writerClosed  bool // the reader gets io.EOF after the chunks
-	readerClosed  bool // writes fail
-	reset         bool // reads and writes fail
-	frozen        bool // no data passes any more
+	writerClosed  bool      // the reader gets io.EOF after the chunks
+	readerClosed  bool      // writes fail
+	reset         bool      // reads and writes fail
+	frozen        bool      // no data passes any more
+	heldUntil     time.Time // no data passes before
 }
 
 // conn is one end of a connection.
@@ -39,6 +40,7 @@
 	local, remote               addr
 	in, out                     *stream
 	closed                      bool
+	powerless                   bool // this end's host lost its power: its reads and writes fail
 	readDeadline, writeDeadline time.Time
 	readTimer, writeTimer       *time.Timer
 }
@@ -65,7 +67,7 @@
 
 // carries reports whether the reader of the stream gets data at present.
 func (n *Network) carries(s *stream) bool {
-	return !s.frozen && !n.drops(pair{s.from, s.to}, s.dialler)
+	return !s.frozen && !time.Now().Before(s.heldUntil) && !n.drops(pair{s.from, s.to}, s.dialler)
 }
 
 // Read waits for data, the end of the connection or the deadline.
@@ -78,7 +80,7 @@
 		switch {
 		case c.closed:
 			return 0, c.opError("read", net.ErrClosed)
-		case c.in.reset:
+		case c.in.reset || c.powerless:
 			return 0, c.opError("read", errReset)
 		case deadlinePassed(c.readDeadline, now):
 			return 0, c.opError("read", os.ErrDeadlineExceeded)
@@ -111,7 +113,7 @@
 		switch {
 		case c.closed:
 			return done, c.opError("write", net.ErrClosed)
-		case c.out.reset || c.out.readerClosed && n.carries(c.out):
+		case c.out.reset || c.powerless || c.out.readerClosed && n.carries(c.out):
 			return done, c.opError("write", errReset)
 		case deadlinePassed(c.writeDeadline, time.Now()):
 			return done, c.opError("write", os.ErrDeadlineExceeded)
--- a/internal/faultnet/faultnet_test.go
+++ b/internal/faultnet/faultnet_test.go
@@ -57,6 +57,7 @@
 		{name: "freeze dialled by the other", fault: func(n *Network) { n.FreezeDialled(b, b, a) }},
 		{name: "partition", fault: func(n *Network) { n.Partition(a, b) }, toServer: os.ErrDeadlineExceeded, toClient: os.ErrDeadlineExceeded, dial: context.DeadlineExceeded, afterHeal: true},
 		{name: "delay", fault: func(n *Network) { n.Delay(a, b, 300*time.Millisecond) }, arrivesNotUntil: 300 * time.Millisecond},
+		{name: "power off", fault: func(n *Network) { n.PowerOff(b) }, toServer: syscall.ECONNRESET, toClient: os.ErrDeadlineExceeded, dial: context.DeadlineExceeded},
 		{name: "reset", fault: func(n *Network) { n.Reset(b) }, toServer: syscall.ECONNRESET, toClient: syscall.ECONNRESET, dial: syscall.ECONNREFUSED},
 		{name: "healed", fault: func(n *Network) { n.Cut("x", "y"); n.Partition("y", "z"); n.Heal("x", "y") }},
 	} {
@@ -121,3 +122,31 @@
 		c.Check(rest, qt.HasLen, bufferBytes)
 	})
 }
+
+// Guards against data that arrives at once after a partition, which TCP does not
+// promise, and against new connections that wait as well.
+func TestOpenConnectionsReturnSlowly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := New()
+		l, err := n.Listen(serverAddress)
+		c.Assert(err, qt.IsNil)
+		client, server := openConnection(c, n, l)
+		n.Partition("10.0.0.1", "10.0.0.2")
+		_, err = client.Write([]byte("x"))
+		c.Assert(err, qt.IsNil)
+		n.HealSlowly("10.0.0.1", "10.0.0.2", 300*time.Millisecond)
+		begin := time.Now()
+		freshClient, freshServer := openConnection(c, n, l)
+		_, err = freshClient.Write([]byte("y"))
+		c.Assert(err, qt.IsNil)
+		got, err := receive(c, freshServer)
+		c.Check(err, qt.IsNil)
+		c.Check(got, qt.Equals, "y")
+		c.Check(time.Since(begin), qt.Equals, time.Duration(0))
+		got, err = receive(c, server)
+		c.Check(err, qt.IsNil)
+		c.Check(got, qt.Equals, "x")
+		c.Check(time.Since(begin), qt.Equals, 300*time.Millisecond)
+	})
+}
--- a/internal/faultnet/network.go
+++ b/internal/faultnet/network.go
@@ -30,6 +30,7 @@
 	dropped        map[pair]bool        // by direction
 	droppedDialled map[dialledPair]bool // directions dropped only on the connections that one host dialled
 	delays         map[pair]time.Duration
+	off            map[string]bool // hosts without power: dials to and from them wait
 	accepted       int
 	nextPort       int
 }
@@ -47,7 +48,7 @@
 func New() *Network {
 	n := &Network{
 		listeners: map[string]*listener{}, conns: map[*conn]struct{}{},
-		cut: map[pair]bool{}, dropped: map[pair]bool{}, droppedDialled: map[dialledPair]bool{}, delays: map[pair]time.Duration{},
+		cut: map[pair]bool{}, dropped: map[pair]bool{}, droppedDialled: map[dialledPair]bool{}, delays: map[pair]time.Duration{}, off: map[string]bool{},
 		nextPort: 40000,
 	}
 	n.changed = sync.NewCond(&n.mu)
@@ -86,7 +87,7 @@
 	if d := n.delays[pair{from, to}] + n.delays[pair{to, from}]; d > 0 {
 		n.wait(ctx, d)
 	}
-	for ctx.Err() == nil && (n.drops(pair{from, to}, from) || n.drops(pair{to, from}, from)) {
+	for ctx.Err() == nil && (n.off[from] || n.off[to] || n.drops(pair{from, to}, from) || n.drops(pair{to, from}, from)) {
 		n.changed.Wait()
 	}
 	if ctx.Err() != nil {
@@ -175,6 +176,22 @@
 	})
 }
 
+// HealSlowly is Heal, except that the connections that are open carry no data for
+// another d. TCP repeats what was lost at intervals that double, so data arrives as
+// late after the end of a fault as that lasted. New connections work.
+func (n *Network) HealSlowly(a, b string, d time.Duration) {
+	n.Heal(a, b)
+	n.updateRules(func() {
+		until := time.Now().Add(d)
+		for c := range n.conns {
+			if c.from == a && c.to == b {
+				c.in.heldUntil, c.out.heldUntil = until, until
+			}
+		}
+	})
+	time.AfterFunc(d, n.wakeAll)
+}
+
 // Freeze stops all data on the connections that are open between two hosts. They
 // show no error, and Heal does not end this. New connections work.
 func (n *Network) Freeze(a, b string) {
@@ -225,6 +242,32 @@
 	})
 }
 
+// PowerOff ends what a host does without a message to others: its listeners are
+// closed, the other ends of its connections stay silent for good, and dials to it
+// wait until PowerOn.
+func (n *Network) PowerOff(host string) {
+	n.updateRules(func() {
+		n.off[host] = true
+		for address, l := range n.listeners {
+			if hostOf(address) == host {
+				l.closeLocked()
+			}
+		}
+		for c := range n.conns {
+			if c.from == host || c.to == host {
+				c.in.frozen, c.out.frozen = true, true
+				c.powerless = c.from == host
+				c.in.changed.Broadcast()
+				c.out.changed.Broadcast()
+				delete(n.conns, c) // so that no later fault resets it
+			}
+		}
+	})
+}
+
+// PowerOn ends PowerOff. Connections of the time before stay silent.
+func (n *Network) PowerOn(host string) { n.updateRules(func() { delete(n.off, host) }) }
+
 // Accepted returns the number of connections opened so far.
 func (n *Network) Accepted() int {
 	n.mu.Lock()
--- a/internal/leasedtest/caller_test.go
+++ b/internal/leasedtest/caller_test.go
@@ -31,6 +31,10 @@
 	// submissions is the most submissions that the caller makes until an answer
 	// is final. 0 means maxSubmissions.
 	submissions int
+	// link is how the caller's messages reach the entries.
+	link callerLink
+	// sameEntry makes the caller send the job to the same entry again.
+	sameEntry bool
 
 	disconnect chan struct{} // a value makes the caller leave its current submission
 	ended      chan struct{} // closed when the caller makes no more submissions
@@ -87,7 +91,9 @@
 			return
 		}
 		time.Sleep(resendInterval)
-		target = 1 - target
+		if !j.sameEntry {
+			target = 1 - target
+		}
 	}
 }
 
@@ -100,21 +106,38 @@
 // submitOnce makes one submission and reports whether a complete answer arrived.
 func (s *system) submitOnce(j *job, target int) (entry.Answer, bool) {
 	spec := j.spec()
-	return callEntry(s, target, j.deadline, j.disconnect, func(ctx context.Context, e *entryProcess) entry.Answer {
+	return callEntryOver(s, j.link, target, j.deadline, j.disconnect, func(ctx context.Context, e *entryProcess) entry.Answer {
 		return e.Submit(ctx, entry.Submission{Job: j.id, Template: "step", Count: j.tasks, Needs: spec.Needs,
 			Spec: spec.Encode(), Deadline: j.deadline})
 	})
 }
 
-// callEntry makes a call at an entry and reports whether a complete answer arrived.
+// callerLink is how messages travel from a caller to an entry. The zero value means
+// without delay.
+type callerLink struct {
+	requestLate time.Duration // time that a request takes
+	endLate     time.Duration // time that the end of a connection takes after a disconnect
+	// endLost means that the entry never learns that a caller has stopped waiting at
+	// its timeout.
+	endLost bool
+}
+
+// callEntry is callEntryOver without delays.
+func callEntry[T any](s *system, target int, timeout time.Duration, disconnect <-chan struct{}, call func(context.Context, *entryProcess) T) (answer T, complete bool) {
+	return callEntryOver(s, callerLink{}, target, timeout, disconnect, call)
+}
+
+// callEntryOver makes a call at an entry and reports whether a complete answer arrived.
 // The caller disconnects when the timeout has passed, on a value from disconnect,
 // and when the entry's process is killed.
-func callEntry[T any](s *system, target int, timeout time.Duration, disconnect <-chan struct{}, call func(context.Context, *entryProcess) T) (answer T, complete bool) {
+func callEntryOver[T any](s *system, link callerLink, target int, timeout time.Duration, disconnect <-chan struct{}, call func(context.Context, *entryProcess) T) (answer T, complete bool) {
 	e := s.entry(target)
 	ctx, cancel := context.WithCancel(context.Background())
 	got := make(chan T, 1)
 	var arrived atomic.Bool
+	var timedOut bool
 	s.wg.Go(func() {
+		time.Sleep(link.requestLate)
 		if _, err := e.waitWhilePaused(); err == nil {
 			arrived.Store(true)
 			got <- call(ctx, e)
@@ -134,9 +157,20 @@
 	case <-e.killed:
 	case <-disconnect:
 	case <-timer.C:
+		timedOut = true
 	}
 	hasArrived := arrived.Load()
-	s.wg.Go(func() { e.noticeDisconnect(cancel, hasArrived) })
+	s.wg.Go(func() {
+		if timedOut && link.endLost {
+			select { // the entry ends the call by itself
+			case <-got:
+			case <-e.killed:
+			}
+		} else {
+			time.Sleep(link.endLate)
+		}
+		e.noticeDisconnect(cancel, hasArrived)
+	})
 	return answer, false
 }
 
--- a/internal/storestub/faults.go
+++ b/internal/storestub/faults.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"maps"
+	"math"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -20,7 +21,13 @@
 	writesToHold int // number of further writes that are carried out late
 	holdDuration time.Duration
 	silentWatch  bool
-	staleKeys    map[string]record // nil: reads see the current state
+	staleKeys    map[string]record               // nil: reads see the current state
+	pausedLeases map[store.LeaseID]time.Duration // time to live that is left; nil: leases run
+
+	// The following apply to calls over HTTP only.
+	refusedHosts map[string]int // status for all calls of a host
+	readsToLose  int            // number of further reads that get no answer
+	silentLosses bool           // a connection whose answer was lost stays open
 }
 
 // SetLatency sets the time that each call takes before it is carried out. A
@@ -100,11 +107,16 @@
 }
 
 // ExpireLeases ends all leases at once, as if their holders had been paused.
-func (s *Stub) ExpireLeases() {
+func (s *Stub) ExpireLeases() { s.ExpireLeasesUpTo(math.MaxInt64) }
+
+// ExpireLeasesUpTo is ExpireLeases for the leases with at most this time to live.
+func (s *Stub) ExpireLeasesUpTo(ttl time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id := range s.leases {
-		s.endLease(id)
+	for id, l := range s.leases {
+		if l.ttl <= ttl {
+			s.endLease(id)
+		}
 	}
 }
 
--- a/internal/storestub/handler.go
+++ b/internal/storestub/handler.go
@@ -19,7 +19,7 @@
 )
 
 // Handler serves the store's HTTP API. For a lost answer it closes the connection
-// without a response.
+// without a response, or leaves it open while SetSilentLosses is in effect.
 func (s *Stub) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+storeapi.PathKey, s.serveGet)
@@ -32,7 +32,7 @@
 	mux.HandleFunc("POST "+storeapi.PathLease, s.serveGrant)
 	mux.HandleFunc("PUT "+storeapi.PathLease, s.serveKeepAlive)
 	mux.HandleFunc("DELETE "+storeapi.PathLease, s.serveRevoke)
-	return mux
+	return s.injectHTTPFaults(mux)
 }
 
 func (s *Stub) serveGet(w http.ResponseWriter, r *http.Request) {
