entry: a job whose task waits at an agent is pending

Callers saw a number of pending durable jobs that was too low: 0 of 1 job whose only task started 94 ms later.

Cause: a job counted as started as soon as one of its tasks was sent (openRuns > 0), although the task can wait in the queue of its agent. The record said the same, so that such a job was no longer pending after a takeover either.

A job is now pending until a run of one of its tasks has ended, or until a load that the agent reported after it received the task says that its queue is empty. The record says that a task has started by the same rule. The state that callers ask for is as before.

--- a/entry/agents.go
+++ b/entry/agents.go
@@ -404,6 +404,8 @@
 		if key.Session > l.SeenSession || key.Session == l.SeenSession && key.Sequence > l.Seen {
 			unseen++
 			needs = needs.Plus(t.job.class.Needs)
+		} else if l.Queued == 0 {
+			d.recordLeftQueue(t.job, t.index)
 		}
 	}
 	d.table.ReportWithUnseen(a.ref.ID, l, unseen, needs)
--- a/entry/collect.go
+++ b/entry/collect.go
@@ -167,6 +167,7 @@
 	failed := v.result.Outcome == wire.OutcomeFailed
 	if j.leased != nil {
 		j.possiblyRan[index], j.leased.anyStarted = true, true
+		d.recordStarted(j)
 		if v.result.Outcome == wire.OutcomeInterrupted {
 			if v.result.Reason == wire.ReasonWorkerLost {
 				a.refusing = true // until its next heartbeat, which says whether it is leaving
--- a/entry/durable.go
+++ b/entry/durable.go
@@ -74,8 +74,11 @@
 	unackedEnds   []unackedEnd
 	// runAgents lists, for each task, the agents of its runs that are not known
 	// to have ended, in the order of their starts.
-	runAgents   map[int][]string
-	sentHere    map[int]bool           // tasks that this entry sent
+	runAgents map[int][]string
+	sentHere  map[int]bool // tasks that this entry sent
+	// leftQueue lists the tasks at agents that have left the queue there. It is
+	// empty once record.Started is set.
+	leftQueue   map[int]bool
 	endVersions map[wire.RunTag]uint64 // record version that contains each end received by this entry
 	// crashVersion is the newest record version that contains a crash. A task on
 	// probation starts only once it is stored: the next owner would otherwise start
--- a/entry/durable_peers.go
+++ b/entry/durable_peers.go
@@ -85,12 +85,12 @@
 	return n
 }
 
-// countPendingDurable counts this entry's durable jobs of which no task has
-// started.
+// countPendingDurable counts this entry's durable jobs of which no task is known to
+// have started.
 func (d *dispatcher) countPendingDurable() map[string]int {
 	var out map[string]int
 	for _, j := range d.durable.open {
-		if j.durableState() == durable.Queued {
+		if j.leased.durable.isPending() {
 			if out == nil {
 				out = map[string]int{}
 			}
--- a/entry/durable_peers_test.go
+++ b/entry/durable_peers_test.go
@@ -28,3 +28,35 @@
 		qt.Check(t, p.count("step"), qt.Equals, 0)
 	})
 }
+
+// Guards against a job that is no longer counted as pending, and is recorded as
+// started, while its only task waits in the queue of an agent.
+func TestPendingWhileATaskWaitsAtItsAgent(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		s := newRecordStore()
+		e, _ := h.durableEntry(1, s, nil)
+		a := h.adoptedWorker(1, runsFor(60_000))
+		setQueued := func(n int) {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.load.Queued = n
+			a.load.Sequence++
+		}
+		setQueued(1)
+		waitForDiscovery()
+		h.submitAccepted(e, stepSubmission("1f", 1))
+		time.Sleep(3 * time.Second)
+		a.mu.Lock()
+		h.Check(a.runs, qt.Equals, 1)
+		a.mu.Unlock()
+		h.Check(e.PendingDurableJobs("step"), qt.Equals, 1)
+		r, _ := s.get("1f")
+		h.Check(r.Started, qt.IsFalse)
+		setQueued(0)
+		time.Sleep(time.Second)
+		h.Check(e.PendingDurableJobs("step"), qt.Equals, 0)
+		time.Sleep(time.Second)
+		r, _ = s.get("1f")
+		h.Check(r.Started, qt.IsTrue)
+	})
+}
--- a/entry/durable_record.go
+++ b/entry/durable_record.go
@@ -33,11 +33,8 @@
 		if u.closed || u.endState != "" {
 			continue
 		}
-		// A task at an agent may have started, so the written record says started.
-		// The record in memory says so only once a task has certainly started.
 		r, version := u.record, u.version
-		r.Started = r.Started || j.startedOrStarting()
-		u.record.Started = r.Started && j.leased.anyStarted
+		r.Started = !u.isPending()
 		r.Done, r.Failed, r.Crashes = slices.Clip(r.Done), slices.Clip(r.Failed), slices.Clip(r.Crashes)
 		d.durable.manager.Update(r, within, func() {
 			d.durable.inbox.put(func(d *dispatcher) { d.handleRecordStored(j, version) })
@@ -86,11 +83,41 @@
 	}
 	u.sentHere[index] = true
 	u.runAgents[index] = append(u.runAgents[index], a.ref.ID)
-	if !u.record.Started {
+	delete(u.leftQueue, index)
+}
+
+// isPending reports whether no task of the job is known to have started. A task
+// that waits in the queue of an agent has not.
+func (u *durableJob) isPending() bool { return !u.record.Started && len(u.leftQueue) == 0 }
+
+// recordLeftQueue records that a task has left the queue of its agent, which starts
+// it now or refuses it. It does nothing if the job is not durable.
+func (d *dispatcher) recordLeftQueue(j *job, index int) {
+	u := durableOf(j)
+	if u == nil || u.record.Started || u.leftQueue[index] {
+		return
+	}
+	pending := u.isPending()
+	if u.leftQueue == nil {
+		u.leftQueue = map[int]bool{}
+	}
+	u.leftQueue[index] = true
+	if pending {
 		d.scheduleWrite(j, startWriteDelay)
 	}
 }
 
+// recordStarted records that a task of the job has certainly started. It does
+// nothing if the job is not durable.
+func (d *dispatcher) recordStarted(j *job) {
+	if u := durableOf(j); u != nil && !u.record.Started {
+		if u.isPending() {
+			d.scheduleWrite(j, startWriteDelay)
+		}
+		u.record.Started, u.leftQueue = true, nil
+	}
+}
+
 // recordDurableVerdict records the verdict on a run of a durable job's task. It
 // does nothing for other jobs and for unknown outcomes, after which the run may
 // go on.
@@ -103,6 +130,10 @@
 	if i := lastIndex(runs, a.ref.ID); i >= 0 {
 		u.runAgents[index] = slices.Delete(runs, i, i+1)
 	}
+	if u.leftQueue[index] && v.kind == verdictNotRun {
+		delete(u.leftQueue, index)
+		d.scheduleWrite(j, startWriteDelay) // the record may say started
+	}
 	failed := v.result.Outcome == wire.OutcomeFailed
 	if v.kind != verdictResult || u.givenUp || !failed && v.result.Outcome != wire.OutcomeDone {
 		return
--- a/entry/durable_recover.go
+++ b/entry/durable_recover.go
@@ -197,6 +197,7 @@
 	}
 	queued := j.inQueue() && j.states[end.Index] == taskWaiting
 	j.possiblyRan[end.Index], j.leased.anyStarted = true, true
+	d.recordStarted(j)
 	d.recordEnd(j, durable.TaskRun{Index: end.Index, Tag: end.Tag}, end.Failed)
 	if end.Done {
 		if queued {
