leasemodel: orders over connections that end with the worker's process

The model had breaches after a restart of a worker under its identifier and no rule that closes them. Config.LifeConnections lets agents order starts and extend leases only over a connection on which the present life has answered, so that no other process carries them out. That no other process carries out such a call is an assumption on the platform, so the rule is off by default.

--- a/internal/leasemodel/agent.go
+++ b/internal/leasemodel/agent.go
@@ -154,6 +154,9 @@
 	if m.enforces(CheckBeforeStart) && ag.sessions[ag.accepted.entry-1].renewalAge >= m.Lapse {
 		return
 	}
+	if m.LifeConnections && ag.life != s.workers[a].life {
+		return // the order fails with the connection to the earlier process
+	}
 	if s.executesOrders(a) {
 		m.step("agent %d starts the task for entry %d", func(s *state) {
 			m.executeStart(s, a, m.orderStart(s, a))
--- a/internal/leasemodel/life.go
+++ b/internal/leasemodel/life.go
@@ -25,6 +25,9 @@
 		return
 	}
 	m.fault(WorkerRestarts, "the process of worker %d ends", func(s *state) {
+		if m.LifeConnections {
+			s.dropStarts(a)
+		}
 		w := &s.workers[a]
 		*w = worker{life: w.life + 1, down: true, highestOrdered: w.highestOrdered}
 	}, a)
@@ -39,6 +42,15 @@
 	}
 }
 
+// dropStarts removes the delayed start orders to worker a.
+func (s *state) dropStarts(a int) {
+	for i := maxDelayed - 1; i >= 0; i-- {
+		if msg := &s.delayed[i]; msg.kind == startMessage && int(msg.agent) == a {
+			s.removeDelayed(i)
+		}
+	}
+}
+
 // lifeSteps emits what agent a learns about the life of its worker.
 func (m *machine) lifeSteps(a int) {
 	s := m.from
@@ -103,7 +115,7 @@
 	}
 	w.token = max(w.token, ag.fence)
 	other := ag.life != w.life
-	if m.extendsLease(s, a) {
+	if m.extendsLease(s, a) && (!other || !m.LifeConnections) {
 		w.leaseLeft, ag.leaseLeft = m.Lease, m.Lease+m.Stop
 		if other {
 			w.leaseLeft = m.LeaseMax
--- a/internal/leasemodel/model_test.go
+++ b/internal/leasemodel/model_test.go
@@ -1,6 +1,7 @@
 package leasemodel
 
 import (
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -117,7 +118,8 @@
 // Guards against a description of the rules that hides what they do not prevent:
 // concurrent runs through a worker that has restarted under its identifier. Each
 // case is a breach with all rules in force; docs/decisions/run-overlap.md explains
-// them. A rule or bound that closes one has to change its case here.
+// them. A rule or bound that closes one has to change its case here. Orders over
+// connections that end with the life close them.
 func TestKnownBreachesAfterWorkerRestart(t *testing.T) {
 	t.Parallel()
 	for _, n := range []struct {
@@ -136,6 +138,14 @@
 			r := Check(Config{Bounds: Scaled(), Faults: int8(len(n.faults)), FaultKinds: n.faults, VoidRevive: n.revive})
 			qt.Assert(t, r.Violation, qt.Equals, overlap.String(), qt.Commentf("%v", r))
 			t.Log(r)
+			if !slices.Contains(n.faults, StartDelayed) {
+				return // closed as well, but in a space too large for a test
+			}
+			c := Config{Bounds: Scaled(), Faults: int8(len(n.faults)), FaultKinds: n.faults, VoidRevive: n.revive, LifeConnections: true}
+			r = Check(c)
+			qt.Assert(t, r.Violation, qt.Equals, "", qt.Commentf("over connections of one life: %v", r))
+			qt.Assert(t, r.Complete, qt.IsTrue)
+			t.Log(r)
 		})
 	}
 }
--- a/internal/leasemodel/rules.go
+++ b/internal/leasemodel/rules.go
@@ -105,8 +105,12 @@
 	Faults     int8        // most faults in one path
 	FaultKinds []FaultKind // kinds of faults that may occur; nil means all
 	VoidRevive bool        // a later life may execute start orders that were void in the life to which they were sent
-	Disabled   uint        // bit set of the rules that are switched off; see Without
-	Limit      int         // number of states after which the search stops; 0 means no limit
+	// LifeConnections means that agents order starts and extend leases only over a
+	// connection on which the present life has answered, and that no other process
+	// executes what was sent over it.
+	LifeConnections bool
+	Disabled        uint // bit set of the rules that are switched off; see Without
+	Limit           int  // number of states after which the search stops; 0 means no limit
 }
 
 // Without returns a copy of the configuration with one more rule switched off.
