entry: count the deadline of a request read after a pause from the pause

A caller sent a job to an entry while that was paused or suspended, stopped waiting at its timeout and sent the job to another entry a resend interval later. The first entry read the request when it went on, counted the deadline from then and ran the job beside the other entry.

Cause: only the end of the caller's connection told the entry that the caller had left, and no contract says that it arrives at once or at all: the segment may be lost or held up, and a reset is not repeated. The deadline is to hold without it, but the entry does not know how long a request has waited to be read.

Change: a request for leased tasks that is read within 100 ms after a noticed pause counts as arrived when the pause began; if its deadline has passed it is refused with a time to retry. Requests of callers that are still there have up to the length of the pause less for their job.

The same class elsewhere: a caller that leaves before its timeout over a connection whose end arrives later than the reserve of 166 ms is not covered; see docs/decisions/stand-ins.md.

--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -96,6 +96,7 @@
 	lastClockUpdate    time.Time                 // time of the last updateClock
 	suspended          time.Duration             // total of the suspensions that were handled
 	suspendedAt        time.Time                 // beginning of the last suspension longer than Timing.Lapse
+	pausedAt           time.Time                 // beginning of the last pause that updateClock noticed
 	startsBlockedUntil time.Time                 // no task is started before; see updateClock
 	nextEvaluation     time.Time                 // of the agents by the detector
 	pendingStarts      []location                // assigned tasks, until flushStarts
--- a/entry/leased.go
+++ b/entry/leased.go
@@ -160,6 +160,9 @@
 	if s.arrived.Before(d.suspendedAt) {
 		return retryLater(refusalRetryAfter, reasonSuspended, "the machine of the entry was suspended") // see checkSuspension
 	}
+	if s.arrived = d.earliestArrival(s.arrived); !d.now.Before(s.arrived.Add(s.deadline)) {
+		return retryLater(refusalRetryAfter, reasonSuspended, "the entry was paused for longer than the deadline of the request, which may have waited meanwhile")
+	}
 	j := d.newLeasedJob(s, identifier)
 	d.shares.RecordTasks(d.now, j.account, j.count)
 	if err := d.checkLeasedRunnable(j); err != nil {
--- a/entry/pause.go
+++ b/entry/pause.go
@@ -24,13 +24,24 @@
 	case gap > d.timing.Heartbeat.AsDuration():
 		d.log.Warn().Dur("pause_ms", gap).Msg("process was paused")
 		d.confirmation.recordPause(now)
-		d.startsBlockedUntil = now.Add(resumeDelay)
+		d.pausedAt, d.startsBlockedUntil = d.lastClockUpdate, now.Add(resumeDelay)
 	case gap > resumePauseGap && d.lastClockUpdate.Before(d.startsBlockedUntil):
 		d.startsBlockedUntil = now.Add(resumeDelay)
 	}
 	d.now, d.lastClockUpdate = now, now
 }
 
+// earliestArrival returns the earliest time at which a request may have been sent that
+// the entry read at the given time. A request that it read during resumeDelay may have
+// waited since the beginning of the pause: its caller's wait ends earlier than a
+// deadline from the reading, and the end of the connection may not arrive.
+func (d *dispatcher) earliestArrival(read time.Time) time.Time {
+	if read.After(d.pausedAt) && read.Before(d.startsBlockedUntil) {
+		return d.pausedAt
+	}
+	return read
+}
+
 // checkSuspension handles a suspension of the machine since the last call. It corrects
 // the timers of the jobs, which stood still meanwhile. After a suspension of more than
 // Timing.Lapse it gives up the jobs of leased tasks that arrived before: agents have
--- a/internal/leasedtest/standins_random_test.go
+++ b/internal/leasedtest/standins_random_test.go
@@ -201,6 +201,33 @@
 	})
 }
 
+// Guards against an entry that counts the deadline of a request from the time at
+// which it reads it, after a pause, although the request was sent during the pause.
+// Its caller has stopped waiting and sends the job to the other entry, and the end
+// of its connection may arrive late or never.
+func TestRequestsSentDuringAPause(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		pause func(s *system, d time.Duration)
+	}{
+		{"paused", func(s *system, d time.Duration) { s.pauseEntry(0, d) }},
+		{"suspended", func(s *system, d time.Duration) { s.suspendEntry(0, d) }},
+	} {
+		for _, lasts := range []time.Duration{1200 * ms, 2200 * ms, 2800 * ms} {
+			t.Run(fmt.Sprint(tc.name, " for ", lasts), func(t *testing.T) {
+				withSystem(t, func(s *system) {
+					tc.pause(s, lasts)
+					time.Sleep(60 * ms) // the pause has begun
+					j := s.submit(0, job{tasks: 3, duration: 900 * ms, deadline: 1900 * ms, link: callerLink{endLost: true}})
+					<-j.ended
+					// Up to 4 submissions: none has to run in time, but none may overlap another.
+					s.Check(j.mayHaveRun, qt.IsTrue)
+				})
+			})
+		}
+	}
+}
+
 // Guards against the end of a durable job that callers no longer learn, because the
 // store's leases expired while it was down. Listed in KNOWN-RED.txt.
 func TestLeasesExpireInAnOutage(t *testing.T) {
