leasedtest: an order to a worker's former life extends the next one's lease

A renewal that is sent again after its connection broke may reach the worker's next life, whose clock starts anew: the lease that it asks for is then as long as the worker accepts. An agent that computes the end of the lease from the orders of the new life only takes it for expired while runs go on.

It checks the second of its jobs only, because a task of the first one may be suspected of two crashes.

--- a/internal/leasedtest/lives_test.go
+++ b/internal/leasedtest/lives_test.go
@@ -115,3 +115,23 @@
 		s.checkAllDone()
 	})
 }
+
+// Guards against a lease that is taken to have expired although an order that was
+// meant for the worker's former life, whose clock was ahead, has extended it for as
+// long as the worker accepts.
+func TestOrderToTheFormerLifeExtendsTheLease(t *testing.T) {
+	withSystem(t, func(s *system) {
+		s.submit(0, job{tasks: 3, milliCPU: 2000, duration: time.Second})
+		time.Sleep(100 * ms)
+		s.restartWorker(0, 0) // the renewal that breaks is sent again, to the next life
+		time.Sleep(20 * ms)
+		s.announce(0)
+		time.Sleep(150 * ms)
+		j := s.submit(0, job{tasks: 9, milliCPU: 2000, duration: 1500 * ms})
+		time.Sleep(20 * ms)
+		w := s.workers[0]
+		s.injectFor(2*time.Second, func() { w.SetFaults(leasestub.Faults{Refuse: true}) }, func() { w.SetFaults(leasestub.Faults{}) })
+		<-j.ended // the first job may fail: one of its tasks is suspected of two crashes
+		s.Check(j.outcome, qt.Equals, entry.OutcomeDone)
+	})
+}
