entry, durable: count pending jobs that no entry holds

Callers saw a number of pending durable jobs that was too low, for some seconds after an entry was killed or started, or after its ownership had ended.

Cause: the number was the sum of what live entries hold and of the last report of each process heard of. Counted by nobody until their takeover were the jobs - of a predecessor, at an entry that has just started, - that a killed entry accepted after its last heartbeat, - that an entry gave up when its ownership lease ended, - accepted by a record whose owner did not learn that it was stored (store answers lost).

A scan now reports the open records that it read to the entry. Pending ones whose owner is not heard of are counted by record, unless the entry holds them; a peer whose report is older than the scan counts with the larger of both numbers. An entry goes on counting the jobs that it gave up, and those accepted by an existing record, until a scan. recordTakeover is gone: it corrected a lost peer's number by guess, which the scan replaces. TestPendingOfAReplacedPeer now checks the same by scans, with its bound lostPeerRetention.

--- a/durable/manager.go
+++ b/durable/manager.go
@@ -74,6 +74,9 @@
 	// elsewhere, or that it has no readable record. The entry gives it up without
 	// a further write.
 	JobLost(identifier string)
+	// Scanned reports all open records that can be decoded, as read by a scan that
+	// began at the given time.
+	Scanned(began time.Time, open []StoredRecord)
 	// OwnershipLost reports that the epoch is not valid any more. The entry gives
 	// up all durable jobs.
 	OwnershipLost()
--- a/durable/rig_test.go
+++ b/durable/rig_test.go
@@ -179,6 +179,8 @@
 	n.takenAt[rec.Identifier] = at
 }
 
+func (n *node) Scanned(time.Time, []durable.StoredRecord) {}
+
 func (n *node) JobLost(identifier string) {
 	n.rig.mu.Lock()
 	defer n.rig.mu.Unlock()
--- a/durable/scan.go
+++ b/durable/scan.go
@@ -77,7 +77,9 @@
 		}
 	}
 	watching := s.updateWatch(began, owners)
-	remaining := s.takeOrphans(s.decode(open), owners)
+	records := s.decode(open)
+	m.withLock(func() { m.queueCallback(func() { m.options.Handler.Scanned(began, records) }) })
+	remaining := s.takeOrphans(records, owners)
 	interval := idleScanInterval
 	switch {
 	case remaining || watching:
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -122,7 +122,7 @@
 		leasedJobs: map[string]*job{}, pendingByTemplate: map[string]int{}, pools: map[string]*pool{},
 		classes: map[string]*class{}, pendingCancels: map[*agent][]wire.TaskKey{},
 	}
-	d.durable = newDurableJobs(e.recordManager, e.inbox, e.newJobID)
+	d.durable = newDurableJobs(e.recordManager, e.inbox, &e.peerPending, e.newJobID)
 	d.callsCtx, d.cancelCalls = context.WithCancel(context.Background())
 	d.table.SetSeed(uint64(e.self.Incarnation))
 	return d
--- a/entry/durable.go
+++ b/entry/durable.go
@@ -46,6 +46,7 @@
 type durableJobs struct {
 	manager  recordManager
 	inbox    *inbox
+	pending  *pendingByPeer
 	open     map[string]*job        // open jobs owned by this entry, by identifier
 	creating map[string]*creation   // submissions whose record is being written, by identifier
 	dirty    map[*job]time.Duration // jobs with unwritten changes, and the longest permitted delay of the write
@@ -57,9 +58,9 @@
 	hadJobs        bool          // whether this process ever had a durable job
 }
 
-func newDurableJobs(m recordManager, in *inbox, nextID func() string) durableJobs {
+func newDurableJobs(m recordManager, in *inbox, pending *pendingByPeer, nextID func() string) durableJobs {
 	return durableJobs{
-		manager: m, inbox: in, newJobID: nextID, open: map[string]*job{}, creating: map[string]*creation{}, dirty: map[*job]time.Duration{},
+		manager: m, inbox: in, pending: pending, newJobID: nextID, open: map[string]*job{}, creating: map[string]*creation{}, dirty: map[*job]time.Duration{},
 	}
 }
 
@@ -188,24 +189,26 @@
 // durableHandler passes ownership changes that the recordManager reports to the
 // dispatcher.
 type durableHandler struct {
-	inbox       *inbox
-	pending     *pendingByPeer
-	peerTimeout time.Duration // silence after which a peer counts as lost
+	inbox   *inbox
+	pending *pendingByPeer
 }
 
 // JobTakenOver adds a job that this entry has taken over from a lost owner.
 func (h durableHandler) JobTakenOver(r durable.Record, at time.Time) {
-	if !r.Started {
-		h.pending.recordTakeover(r.Template, h.peerTimeout)
-	}
 	h.inbox.put(func(d *dispatcher) { d.takeOver(r, at) })
 }
 
+// Scanned records which jobs are pending by their records.
+func (h durableHandler) Scanned(began time.Time, open []durable.StoredRecord) {
+	h.pending.recordScan(began, open)
+}
+
 // JobLost gives up a job that another entry owns now.
 func (h durableHandler) JobLost(identifier string) {
 	h.inbox.put(func(d *dispatcher) {
 		if j := d.durable.open[identifier]; j != nil {
 			d.giveUpDurable(j, "another entry owns the job")
+			h.pending.forget(identifier)
 		}
 	})
 }
--- a/entry/durable_peers.go
+++ b/entry/durable_peers.go
@@ -10,22 +10,36 @@
 	"chicorytray.example/chicorytray/wire"
 )
 
-// lostPeerRetention is how long the pending jobs that a peer last reported are
-// counted. By then other entries have taken over the jobs of a lost peer.
-const lostPeerRetention = 30 * time.Second
+const (
+	// lostPeerRetention is how long the pending jobs that a peer last reported are
+	// counted if no scan has read the records since. By then other entries have
+	// taken over the jobs of a lost peer.
+	lostPeerRetention = 30 * time.Second
+	// foundJobRetention is how long a job is counted that was accepted because its
+	// record exists, although its owner is a peer that reports its own jobs. By then
+	// the owner counts it, or its epoch has ended and a scan has found the record.
+	foundJobRetention = 2 * durable.LeaseTTL
+)
 
-// pendingByPeer holds the numbers of pending durable jobs that peers reported;
-// a job is pending while none of its tasks has started. It is safe for
-// concurrent use.
+// pendingByPeer holds what is known of the pending durable jobs of all entries; a
+// job is pending while none of its tasks has started. Peers report the numbers of
+// their own jobs. The jobs of a process that is not heard of, or that no longer
+// counts them, are counted by their records in the store, as the last scan read
+// them. It is safe for concurrent use.
 type pendingByPeer struct {
 	clock *clock.Clock
-	mu    sync.Mutex
-	peers map[entryProcess]reportedPending
+	self  entryProcess
+	// peerTimeout returns the age from which a peer's report counts only if no scan
+	// began later.
+	peerTimeout func() time.Duration
+
+	mu      sync.Mutex
+	peers   map[entryProcess]reportedPending
+	scanned time.Time                // when the last scan began; zero before the first
+	records map[string]pendingRecord // by job identifier
 }
 
-// entryProcess identifies one process of an entry. The jobs of a process that
-// ended are counted until they are taken over, even after the next process of
-// the entry has reported its own.
+// entryProcess identifies one process of an entry.
 type entryProcess struct {
 	id          string
 	incarnation wire.Incarnation
@@ -36,6 +50,20 @@
 	jobs map[string]int // by template
 }
 
+// pendingRecord is the record of a pending job that this entry may not own.
+type pendingRecord struct {
+	template string
+	owner    entryProcess
+	seen     time.Time
+	found    bool // the job was accepted because its record exists
+}
+
+// processOf returns the process of which the epoch is.
+func processOf(epoch durable.Epoch) entryProcess {
+	id, incarnation, _ := parseJobID(string(epoch)) // an epoch has the form of a job's identifier
+	return entryProcess{id, incarnation}
+}
+
 func (p *pendingByPeer) update(entry wire.EntryRef, jobs map[string]int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -45,55 +73,119 @@
 	p.peers[entryProcess{entry.ID, entry.Incarnation}] = reportedPending{p.clock.Now(), jobs}
 }
 
-// count returns the number of the peers' pending jobs of a template. It drops
-// reports older than lostPeerRetention.
-func (p *pendingByPeer) count(template string) (n int) {
+// recordScan records the open records that a scan read. It replaces what was known
+// of records when the scan began.
+func (p *pendingByPeer) recordScan(began time.Time, open []durable.StoredRecord) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	maps.DeleteFunc(p.peers, func(_ entryProcess, r reportedPending) bool { return p.clock.Since(r.at) > lostPeerRetention })
-	for _, r := range p.peers {
-		n += r.jobs[template]
+	p.scanned = began
+	maps.DeleteFunc(p.records, func(_ string, r pendingRecord) bool { return r.seen.Before(began) })
+	for _, r := range open {
+		if _, newer := p.records[r.Identifier]; !newer && !r.Started {
+			p.add(r.Identifier, pendingRecord{template: r.Template, owner: processOf(r.Owner), seen: began})
+		}
 	}
-	return n
 }
 
-// recordTakeover records that this entry took over a pending job. It subtracts
-// the job from a peer that has been silent for longer than peerTimeout and
-// probably owned it. Jobs that other entries take over are still counted for
-// the lost peer as well, until lostPeerRetention has passed.
-func (p *pendingByPeer) recordTakeover(template string, peerTimeout time.Duration) {
+// recordFound records a job that this entry accepted because its record exists.
+func (p *pendingByPeer) recordFound(r durable.Record) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !r.Started {
+		p.add(r.Identifier, pendingRecord{template: r.Template, owner: processOf(r.Owner), seen: p.clock.Now(), found: true})
+	}
+}
+
+// recordGivenUp records a pending job that this entry gave up and that no other
+// entry owns yet.
+func (p *pendingByPeer) recordGivenUp(identifier, template string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.add(identifier, pendingRecord{template: template, owner: p.self, seen: p.clock.Now()})
+}
+
+// forget drops a job that another entry owns or that has ended.
+func (p *pendingByPeer) forget(identifier string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for entry, r := range p.peers {
-		if p.clock.Since(r.at) > peerTimeout && r.jobs[template] > 0 {
-			r.jobs = maps.Clone(r.jobs)
-			r.jobs[template]--
-			p.peers[entry] = r
-			return
+	delete(p.records, identifier)
+}
+
+// add adds a record; the caller holds mu.
+func (p *pendingByPeer) add(identifier string, r pendingRecord) {
+	if p.records == nil {
+		p.records = map[string]pendingRecord{}
+	}
+	p.records[identifier] = r
+}
+
+// countUnowned returns the numbers, by template, of the pending jobs of which this
+// process is the recorded owner and which it does not hold.
+func (p *pendingByPeer) countUnowned(held func(identifier string) bool) map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string]int{}
+	for id, r := range p.records {
+		if r.owner == p.self && !held(id) {
+			out[r.template]++
 		}
 	}
+	return out
+}
+
+// count returns the number of the pending jobs of a template that neither this
+// entry holds nor countUnowned counts.
+func (p *pendingByPeer) count(template string, held func(identifier string) bool) (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.peers, func(_ entryProcess, r reportedPending) bool { return p.clock.Since(r.at) > lostPeerRetention })
+	byRecord := map[entryProcess]int{}
+	for id, r := range p.records {
+		switch {
+		case r.template != template || r.owner == p.self || held(id):
+		case r.found && p.clock.Since(r.seen) < foundJobRetention:
+			n++
+		default:
+			byRecord[r.owner]++
+		}
+	}
+	for process, r := range p.peers {
+		switch {
+		case !p.scanned.After(r.at):
+			byRecord[process] = r.jobs[template]
+		case p.clock.Since(r.at) <= p.peerTimeout():
+			// The peer may have taken jobs over since, or have started some.
+			byRecord[process] = max(byRecord[process], r.jobs[template])
+		}
+	}
+	for _, jobs := range byRecord {
+		n += jobs
+	}
+	return n
 }
 
 // PendingDurableJobs returns the number of durable jobs of the template at all
 // entries of which no task has started. Those of peers are as of their last
 // heartbeat.
-func (e *Entry) PendingDurableJobs(template string) int {
-	n := e.peerPending.count(template)
-	if e.started() {
-		e.dispatcher.postAndWait(func(d *dispatcher) { n += d.countPendingDurable()[template] })
+func (e *Entry) PendingDurableJobs(template string) (n int) {
+	if e.started() && e.dispatcher.postAndWait(func(d *dispatcher) {
+		n = d.countPendingDurable()[template] + e.peerPending.count(template, d.holdsDurable)
+	}) {
+		return n
 	}
-	return n
+	return e.peerPending.count(template, func(string) bool { return false })
 }
 
+// holdsDurable reports whether this entry owns the job.
+func (d *dispatcher) holdsDurable(identifier string) bool { return d.durable.open[identifier] != nil }
+
 // countPendingDurable counts this entry's durable jobs of which no task is known to
-// have started.
+// have started, with those that it owned and that are not known to have another
+// owner.
 func (d *dispatcher) countPendingDurable() map[string]int {
-	var out map[string]int
+	out := d.durable.pending.countUnowned(d.holdsDurable)
 	for _, j := range d.durable.open {
 		if j.leased.durable.isPending() {
-			if out == nil {
-				out = map[string]int{}
-			}
 			out[j.template.Name]++
 		}
 	}
@@ -130,7 +222,7 @@
 	return durable.Options{
 		Store: e.options.Store, Entry: e.self.ID, Incarnation: e.self.Incarnation.String(),
 		CallTimeout: e.settings.Timing.StoreTimeout.AsDuration(), Clock: e.clock, Entries: e.peers.registeredEntries,
-		Handler: durableHandler{e.inbox, &e.peerPending, e.settings.Timing.PeerHeartbeat.AsDuration() + e.settings.Timing.Suspect.AsDuration()}, Log: e.log, Metrics: e.metrics.scope,
+		Handler: durableHandler{e.inbox, &e.peerPending}, Log: e.log, Metrics: e.metrics.scope,
 	}
 }
 
--- a/entry/durable_peers_test.go
+++ b/entry/durable_peers_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"chicorytray.example/chicorytray/durable"
 	"chicorytray.example/chicorytray/wire"
 )
 
@@ -15,17 +16,32 @@
 // longer than lostPeerRetention.
 func TestPendingOfAReplacedPeer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var p pendingByPeer
+		p := pendingByPeer{peerTimeout: func() time.Duration { return 750 * time.Millisecond }}
+		none := func(string) bool { return false }
 		first := wire.EntryRef{ID: "e1", Incarnation: wire.NewIncarnation()}
 		next := wire.EntryRef{ID: "e1", Incarnation: wire.NewIncarnation()}
 		p.update(first, map[string]int{"step": 3})
 		time.Sleep(time.Second)
 		p.update(next, nil)
-		qt.Check(t, p.count("step"), qt.Equals, 3)
-		p.recordTakeover("step", 750*time.Millisecond)
-		qt.Check(t, p.count("step"), qt.Equals, 2)
+		qt.Check(t, p.count("step", none), qt.Equals, 3)
+		p.recordScan(time.Now(), []durable.StoredRecord{pendingStored(first, "1"), pendingStored(first, "2"), pendingStored(next, "3")})
+		qt.Check(t, p.count("step", none), qt.Equals, 2)
+		p.update(next, map[string]int{"step": 1})
+		qt.Check(t, p.count("step", none), qt.Equals, 3)
+		time.Sleep(time.Millisecond)
+		p.recordScan(time.Now(), []durable.StoredRecord{pendingStored(next, "1"), pendingStored(next, "2"), pendingStored(next, "3")}) // taken over
+		qt.Check(t, p.count("step", none), qt.Equals, 3)
+		p.update(next, nil)
+		qt.Check(t, p.count("step", none), qt.Equals, 0)
+		time.Sleep(time.Millisecond)
+		p.recordScan(time.Now(), nil)
+		qt.Check(t, p.count("step", none), qt.Equals, 0)
+		p.update(first, map[string]int{"step": 3})
+		time.Sleep(time.Second)
+		p.update(next, nil)
+		qt.Check(t, p.count("step", none), qt.Equals, 3)
 		time.Sleep(lostPeerRetention)
-		qt.Check(t, p.count("step"), qt.Equals, 0)
+		qt.Check(t, p.count("step", none), qt.Equals, 0)
 	})
 }
 
@@ -60,3 +76,51 @@
 		h.Check(r.Started, qt.IsTrue)
 	})
 }
+
+// pendingStored returns the record of a pending job that the process owns.
+func pendingStored(owner wire.EntryRef, identifier string) durable.StoredRecord {
+	epoch := durable.Epoch(owner.ID + "-" + owner.Incarnation.String() + "-1")
+	return durable.StoredRecord{Record: durable.Record{Identifier: identifier, Template: "step", Count: 1, Owner: epoch}}
+}
+
+// Guards against pending jobs that no entry counts: those of a process that this
+// entry never heard of, those that it gave up and nobody has taken over, and those
+// that it accepted by the record of an owner that does not hold them.
+func TestPendingJobsThatNobodyHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		self := wire.EntryRef{ID: "e1", Incarnation: wire.NewIncarnation()}
+		before := wire.EntryRef{ID: "e1", Incarnation: wire.NewIncarnation()}
+		peer := wire.EntryRef{ID: "e2", Incarnation: wire.NewIncarnation()}
+		p := pendingByPeer{self: entryProcess{self.ID, self.Incarnation}, peerTimeout: func() time.Duration { return 750 * time.Millisecond }}
+		held := map[string]bool{}
+		check := func(others, unowned int) {
+			t.Helper()
+			has := func(id string) bool { return held[id] }
+			qt.Check(t, p.count("step", has), qt.Equals, others)
+			qt.Check(t, p.countUnowned(has)["step"], qt.Equals, unowned)
+		}
+		started := pendingStored(before, "4")
+		started.Started = true
+		p.recordScan(time.Now(), []durable.StoredRecord{pendingStored(before, "1"), pendingStored(peer, "2"), pendingStored(self, "3"), started})
+		held["3"] = true
+		check(2, 0)
+		p.update(peer, map[string]int{"step": 5}) // counts its own job
+		check(6, 0)
+		held["1"] = true // taken over
+		check(5, 0)
+		scan := time.Now()
+		time.Sleep(time.Millisecond)
+		delete(held, "3") // the epoch ended
+		p.recordGivenUp("3", "step")
+		check(5, 1)
+		p.recordFound(pendingStored(peer, "5").Record)
+		check(6, 1)
+		p.recordScan(scan, nil) // began before
+		check(6, 1)
+		time.Sleep(foundJobRetention)
+		p.update(peer, map[string]int{"step": 5})
+		check(5, 1)
+		p.recordScan(time.Now(), nil)
+		check(5, 0)
+	})
+}
--- a/entry/durable_record.go
+++ b/entry/durable_record.go
@@ -237,6 +237,9 @@
 		return
 	}
 	d.log.Warn().Str("job", j.id).Str("identifier", j.leased.identifier).Str("detail", why).Msg("durable job given up")
+	if j.leased.durable.isPending() {
+		d.durable.pending.recordGivenUp(j.leased.identifier, j.template.Name)
+	}
 	d.dropDurable(j)
 	// The next owner continues the job, so it has neither failed nor been cancelled.
 	j.leased.exhausted, j.leased.cancelled = false, false
--- a/entry/durable_submit.go
+++ b/entry/durable_submit.go
@@ -223,6 +223,9 @@
 	}
 	c.err = creationError(err)
 	defer close(c.done)
+	if found.Open != nil {
+		d.durable.pending.recordFound(*found.Open)
+	}
 	if err != nil || found.Open != nil || found.End != nil {
 		return // refused, or an earlier submission stored the job
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -132,7 +132,8 @@
 		self: e.self, timing: t, clock: e.clock, seeds: e.settings.Seeds, log: e.log, dial: e.dial, confirmation: e.confirmation, config: e.config,
 		onHeartbeat: e.handlePeerHeartbeat, report: e.crashReport, onPeerLost: e.handlePeerLost, known: map[string]*peer{}, wake: make(chan struct{}, 1),
 	}
-	e.peerPending.clock = e.clock
+	e.peerPending.clock, e.peerPending.self = e.clock, entryProcess{e.self.ID, e.self.Incarnation}
+	e.peerPending.peerTimeout = func() time.Duration { return t.PeerHeartbeat.AsDuration() + t.PeerSuspect(e.peers.count()) }
 	var err error
 	e.registration, err = newRegistration(e.options.Store, t, e.self, e.log, e.metrics, e.peers.updateRegistrations)
 	if err != nil {
