--- a/internal/leasemodel/canonical.go
+++ b/internal/leasemodel/canonical.go
@@ -102,6 +102,9 @@
 	for _, v := range r.values[:r.n] {
 		set |= 1 << *v
 	}
+	if (set+2)&(set+1) == 0 {
+		return // the numbers are their ranks: the bits from 1 are set without a gap
+	}
 	for _, v := range r.values[:r.n] {
 		*v = int8(1 + bits.OnesCount64(set&(1<<*v-1)))
 	}
