entry: take the time again when a suspension is found

Callers: after a suspension within one batch of events the answer to a job came as much later than its deadline as the suspension had lasted.

Cause: the timers of the jobs were set anew from a time that had been read before the suspension, so they were set to the old deadline.

--- a/entry/pause.go
+++ b/entry/pause.go
@@ -55,6 +55,7 @@
 	if lasted <= 0 {
 		return
 	}
+	d.updateClock() // the suspension may have begun after d.now was read
 	d.suspended = total
 	long := lasted > d.timing.Lapse.AsDuration()
 	if long {
