leasemodel: an answer proves its life by its clock

Cause: the model counted only a list as proof that a life has begun a run, and ended the life when an answer came from another one. Most starts of a worker that crashes would then wait for its next life, although their answers can only be those of the life that crashed.

Change: an accepted start is proof unless the next life may have given the answer (rule ClockBound, renamed in its description); the run is then carried over. Nothing else is weaker.

--- a/internal/leasemodel/agent.go
+++ b/internal/leasemodel/agent.go
@@ -208,7 +208,9 @@
 		ag.run, ag.orderAge = running, 0
 		if later && m.enforces(ClockBound) {
 			m.endLife(s, a)
+			return
 		}
+		ag.listed = true
 	}
 }
 
--- a/internal/leasemodel/rules.go
+++ b/internal/leasemodel/rules.go
@@ -34,10 +34,10 @@
 	SettleBeforeRenew             // an entry renews no session while it settles
 	CountsSuspension              // a process counts the time for which it was paused although its steady clock stood still
 	BirthInLists                  // a list with another birth ends the life and is not applied
-	ClockBound                    // an answer whose clock is below the lower bound of the life's clock ends the life
-	CarryOver                     // at the end of a life, a run that no list of it has shown is carried over to the next life
+	ClockBound                    // an answer whose clock the next life may have reached does not prove that the life has begun the run
+	CarryOver                     // at the end of a life, a run that it is not proved to have begun is carried over to the next life
 	TokenPerLife                  // orders to the next life have a higher fencing token
-	ExpiryOfListed                // the end of the lease proves only the end of runs that a list of the life has shown
+	ExpiryOfListed                // the end of the lease proves only the end of runs that the life is proved to have begun
 	RefusalNoProof                // a refused connection does not end the life
 	AnnouncementHint              // an announcement of another life does not end the life
 	ruleCount
--- a/internal/leasemodel/state.go
+++ b/internal/leasemodel/state.go
@@ -64,7 +64,7 @@
 	life                int8 // life of the worker that it orders; 0 until a list of a life is accepted
 	refused             bool // a connection to the worker was refused, and no list has come since
 	leaseLeft           int8 // ticks until the lease of the run has certainly ended and the worker has stopped the run
-	listed              bool // a list of the life has shown the run
+	listed              bool // a list of the life, or an answer that only it can give, has shown the run
 	sessions            [entries]agentSession
 	accepted            owner // of the task that was accepted and is not ordered yet
 	owner               owner // of the run
