--- a/agent/leased.go
+++ b/agent/leased.go
@@ -24,10 +24,10 @@
 	settings settings.Leased
 	wake     chan struct{} // capacity 1; signals that a new life was announced
 
-	life             *life // nil while no life is known
-	lastAnnouncement lease.Announcement
-	hasAnnouncement  bool   // lastAnnouncement is set
-	highestToken     uint64 // highest fencing token that was used in any life
+	life          *life // nil while no life is known
+	announcements announcements
+	probing       bool   // probe is in progress
+	highestToken  uint64 // highest fencing token that was used in any life
 }
 
 func newLeasedExecutor(a *Agent) *leasedExecutor {
@@ -43,7 +43,7 @@
 
 // attempt is one start order for a task.
 type attempt struct {
-	life       *life
+	life       *life // Agent.mu guards it: a run that is carried over changes its life
 	order      lease.StartOrder
 	job        string                // the entry's identifier of the job
 	removed    chan lease.RemovedRun // capacity 1; gets the run when it is removed from the table
@@ -65,8 +65,8 @@
 		case removed.Outcome != lease.OutcomeRefused || ctx.Err() != nil:
 			r := l.resultOf(ctx, removed)
 			if t.Leased.Durable && (removed.Outcome == lease.OutcomeDone || removed.Outcome == lease.OutcomeFailed) {
-				l.agent.mu.Lock() // WorkerAnnounced may change announced
-				r.Tag = at.life.announced.Life.Tag(removed.Run)
+				l.agent.mu.Lock()
+				r.Tag = at.life.runs.Life().Tag(removed.Run)
 				l.agent.mu.Unlock()
 			}
 			return r
@@ -101,7 +101,7 @@
 	if ctx.Err() != nil {
 		return refuse(leasedReasonOf(ctx, wire.ReasonCancelled))
 	}
-	if len(a.leaving) > 0 || life == nil || !life.runs.Adopted() {
+	if len(a.leaving) > 0 || life == nil || !life.described() || !life.runs.Adopted() {
 		return refuse(wire.ReasonAgentLeaving)
 	}
 	if ok, reason := a.mayStart(now); !ok {
--- a/agent/leased_session_test.go
+++ b/agent/leased_session_test.go
@@ -117,7 +117,11 @@
 		r.Check(state.Runs[0], qt.Equals, RunState{Task: "lost/0/0", Number: 1, State: string(lease.Running), Began: true, Percent: 10, ElapsedMS: 1000})
 		r.machine.Crash()
 		r.expect(<-lost, wire.OutcomeInterrupted, wire.ReasonWorkerLost)
-		r.Check(r.agent.State().Leased.Life, qt.Equals, "")
+		// The worker may start again under its identifier.
+		state = r.agent.State().Leased
+		r.Check(state.Runs, qt.HasLen, 0)
+		r.Check(state.Adopted, qt.IsFalse)
+		r.Check(state.Born, qt.Equals, int64(0))
 	})
 }
 
--- /dev/null
+++ b/agent/lives_test.go
@@ -0,0 +1,73 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/internal/leasestub"
+	"chicorytray.example/chicorytray/lease"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// Guards against a life of the worker that is ended, or a run that is given up or
+// stopped, by an announcement or a refused connection that proves nothing.
+func TestNoProofThatTheLifeEnded(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		happen func(r *leasedRig)
+	}{
+		{"announcement of an earlier identifier", func(r *leasedRig) {
+			n := r.machine.Announcement()
+			n.Life = lease.Life{ID: "m0", Born: 1}
+			r.agent.WorkerAnnounced(n)
+		}},
+		{"announcement of a later birth", func(r *leasedRig) {
+			n := r.machine.Announcement()
+			n.Life.Born++
+			r.agent.WorkerAnnounced(n)
+		}},
+		{"announcement of another birth and address", func(r *leasedRig) {
+			n := r.machine.Announcement()
+			n.Life.Born++
+			n.Address = "10.0.2.1:8201"
+			r.agent.WorkerAnnounced(n)
+		}},
+		{"connections refused", func(r *leasedRig) {
+			r.machine.SetFaults(leasestub.Faults{Refuse: true})
+			time.Sleep(150 * time.Millisecond)
+			r.machine.SetFaults(leasestub.Faults{})
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			withLeasedRig(t, leasedSetup{}, func(r *leasedRig, e *entryStub) {
+				time.Sleep(5 * time.Second)
+				done := e.runLeased("j", 4, time.Second)
+				time.Sleep(100 * time.Millisecond)
+				tc.happen(r)
+				r.expect(<-done, wire.OutcomeDone, "")
+				r.Check(r.agent.State().Leaving, qt.HasLen, 0)
+				r.expect(<-e.runLeased("k", 4, 10*time.Millisecond), wire.OutcomeDone, "")
+				r.Check(r.started("j"), qt.Equals, 1)
+			})
+		})
+	}
+}
+
+// Guards against runs that wait for the end of the lease although the next life of
+// the worker, which has another identifier, has answered.
+func TestAnswerOfTheNextLifeEndsTheFormerOne(t *testing.T) {
+	withLeasedRig(t, leasedSetup{}, func(r *leasedRig, e *entryStub) {
+		lost := e.runLeased("j", 4, 10*time.Second)
+		time.Sleep(160 * time.Millisecond) // the lease has just been renewed
+		r.machine.Crash()
+		r.machine.BootAs(leasestub.NextLife{NewID: true})
+		crashed := time.Now()
+		r.agent.WorkerAnnounced(r.machine.Announcement())
+		r.expect(<-lost, wire.OutcomeInterrupted, wire.ReasonWorkerLost)
+		r.Check(time.Since(crashed) < 50*time.Millisecond, qt.IsTrue)
+		time.Sleep(50 * time.Millisecond)
+		r.expect(<-e.runLeased("k", 4, 10*time.Millisecond), wire.OutcomeDone, "")
+	})
+}
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -19,10 +19,11 @@
 )
 
 // sendStart sends the start order of an attempt once, unless its task was
-// cancelled before, and applies the answer.
+// cancelled before, and applies the answer. The run may meanwhile have been carried
+// over to the worker's next life.
 func (l *leasedExecutor) sendStart(at *attempt) {
-	life, o := at.life, at.order
-	if !l.startNeeded(at) {
+	life, o := l.startNeeded(at), at.order
+	if life == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(life.ctx, l.settings.OrderTimeout.AsDuration())
@@ -31,38 +32,62 @@
 	now := time.Now()
 	l.agent.mu.Lock()
 	defer l.agent.mu.Unlock()
+	holder := at.life
 	switch {
-	case life.ended:
 	case errors.Is(err, lease.ErrWorkerDown):
 		// The order reached no process, so its run has no part in the worker's end.
-		l.notifyRemoved(life, life.runs.StartUnsent(o.Run))
-		l.endLife(life, "connection_refused")
+		l.notifyRemoved(holder, holder.runs.StartUnsent(o.Run))
+		l.connectionRefused(life)
+		life.renewSoon(true)
 	case err != nil:
 		l.agent.metrics.ordersUnanswered.Inc(1)
-		life.runs.StartUnanswered(o.Run)
+		holder.runs.StartUnanswered(o.Run)
 		life.renewSoon(true)
 	default:
-		l.notifyRemoved(life, life.runs.StartAnswered(now, o, answer))
+		l.notifyRemoved(holder, holder.runs.StartAnswered(now, o, answer))
 		if answer.Refusal == lease.RefusedOtherLife {
-			l.endLife(life, "another_life_answered")
+			l.endAnsweredByAnother(life)
+		} else if life.runs.Doubted() {
+			life.renewSoon(true)
 		}
 	}
 }
 
-// startNeeded reports whether the start order still has to be sent. Otherwise it
-// removes the run from the table.
-func (l *leasedExecutor) startNeeded(at *attempt) bool {
+// startNeeded returns the life to which the start order still has to be sent. If
+// there is none, it removes the run from the table and returns nil.
+func (l *leasedExecutor) startNeeded(at *attempt) *life {
 	l.agent.mu.Lock()
 	defer l.agent.mu.Unlock()
 	life, run := at.life, at.order.Run
 	if life.ended {
-		return false
+		return nil
 	}
 	if !life.runs.StartPending(run) {
 		l.notifyRemoved(life, life.runs.StartUnsent(run))
-		return false
+		return nil
 	}
-	return true
+	return life
+}
+
+// connectionRefused handles a refused connection to the worker. That does not prove
+// that its process has ended, so the life ends with its lease. The caller holds mu.
+func (l *leasedExecutor) connectionRefused(life *life) {
+	if life.ended {
+		return
+	}
+	life.runs.ConnectionRefused()
+	l.checkExpiry(life, time.Now())
+	l.updateLeaving()
+}
+
+// checkExpiry removes the runs that have ended with the worker's lease, and ends
+// the life if connections were refused until then; the caller holds mu.
+func (l *leasedExecutor) checkExpiry(life *life, now time.Time) {
+	if life.runs.RefusedUntilExpiry(now) {
+		l.replaceLife(life, "connection_refused")
+		return
+	}
+	l.expireLease(life, now)
 }
 
 // workerOf returns the client for the life's present address.
@@ -98,12 +123,14 @@
 	switch {
 	case life.ended:
 	case errors.Is(err, lease.ErrWorkerDown):
-		l.endLife(life, "connection_refused")
+		l.connectionRefused(life)
+		life.renewSoon(true)
+		return false
 	case err != nil:
 		l.agent.metrics.ordersUnanswered.Inc(1)
 		return false
 	case answer.Refusal == lease.RefusedOtherLife:
-		l.endLife(life, "another_life_answered")
+		l.endAnsweredByAnother(life)
 	case !life.runs.StopAnswered(now, o, answer):
 		return false
 	case !life.runs.Began(o.Run):
@@ -199,14 +226,17 @@
 	case life.ended:
 		return false
 	case errors.Is(err, lease.ErrWorkerDown):
-		l.endLife(life, "connection_refused")
+		l.connectionRefused(life)
 		return false
 	case err != nil:
-		l.expireLease(life, now)
+		l.checkExpiry(life, now)
 		l.updateLeaving()
 		return life.waitCancelled
 	case reply.Refusal == lease.RefusedOtherLife:
-		l.endLife(life, "another_life_answered")
+		l.endAnsweredByAnother(life)
+		return false
+	case life.runs.OtherLife(reply):
+		l.replaceLife(life, "another_life_answered")
 		return false
 	}
 	l.applyRenewReply(life, now, n, reply)
@@ -228,7 +258,9 @@
 // applyRenewReply applies the reply to a renewal, which lists the active and the
 // ended runs; the caller holds mu.
 func (l *leasedExecutor) applyRenewReply(life *life, now time.Time, n lease.Renewal, reply lease.RenewReply) {
+	listed := life.runs.Listed()
 	removed, stop := life.runs.RenewalAnswered(now, n, reply)
+	l.describe(life, !listed && life.runs.Listed())
 	l.notifyRemoved(life, removed)
 	l.expireLease(life, now)
 	for _, run := range stop {
--- /dev/null
+++ b/agent/probe.go
@@ -0,0 +1,103 @@
+package agent
+
+import (
+	"context"
+	"slices"
+
+	"chicorytray.example/chicorytray/internal/wait"
+	"chicorytray.example/chicorytray/lease"
+)
+
+const (
+	// maxAnnouncements bounds the lives of which the newest announcement is kept.
+	maxAnnouncements = 8
+	// maxProbes bounds the calls to an announced life; the next announcement begins
+	// again.
+	maxProbes = 3
+)
+
+// announcements has the newest announcement of each of the lives that were
+// announced last, the latest at the end.
+type announcements []lease.Announcement
+
+// add keeps an announcement. It returns false if the same or a newer one of that
+// life is kept.
+func (s *announcements) add(n lease.Announcement) bool {
+	i := slices.IndexFunc(*s, func(k lease.Announcement) bool { return k.Life == n.Life })
+	if i >= 0 {
+		if n.Sequence <= (*s)[i].Sequence {
+			return false
+		}
+		*s = slices.Delete(*s, i, i+1)
+	}
+	if *s = append(*s, n); len(*s) > maxAnnouncements {
+		*s = slices.Delete(*s, 0, 1)
+	}
+	return true
+}
+
+// of returns the newest announcement of a life, and false if there is none.
+func (s announcements) of(l lease.Life) (lease.Announcement, bool) {
+	for i := len(s) - 1; i >= 0; i-- {
+		if sameLife(s[i].Life, l) {
+			return s[i], true
+		}
+	}
+	return lease.Announcement{}, false
+}
+
+// latestExcept returns the latest announcement of a life with another identifier,
+// nil if there is none.
+func (s announcements) latestExcept(id string) *lease.Announcement {
+	for i := len(s) - 1; i >= 0; i-- {
+		if n := s[i]; n.Life.ID != id {
+			return &n
+		}
+	}
+	return nil
+}
+
+// probe asks the process that an announcement names for its runs. If another
+// process than that of the present life answers, the present life has ended,
+// because a machine has one worker at a time and the present life had answered
+// before.
+func (l *leasedExecutor) probe(present *life, n lease.Announcement) {
+	w := l.agent.options.Connect(n)
+	defer w.Close()
+	for range maxProbes {
+		l.agent.mu.Lock()
+		o := lease.RenewOrder{Token: present.runs.Token()}
+		l.agent.mu.Unlock()
+		ctx, cancel := context.WithTimeout(present.ctx, l.settings.OrderTimeout.AsDuration())
+		reply, err := w.Renew(ctx, o)
+		cancel()
+		if err == nil {
+			l.probeAnswered(present, n, reply)
+			return
+		}
+		if !wait.For(present.ctx, l.settings.OrderTimeout.AsDuration(), nil) {
+			break
+		}
+	}
+	l.agent.mu.Lock()
+	defer l.agent.mu.Unlock()
+	l.probing = false
+}
+
+// probeAnswered applies the answer of a process that was announced while another
+// life was the present one. A refused token proves that a process with the
+// identifier answered, and says nothing of its birth.
+func (l *leasedExecutor) probeAnswered(present *life, n lease.Announcement, reply lease.RenewReply) {
+	l.agent.mu.Lock()
+	defer l.agent.mu.Unlock()
+	l.probing = false
+	known := present.runs.Life()
+	switch {
+	case l.life != present || reply.Refusal != "" && reply.Refusal != lease.RefusedTokenTooLow:
+	case known.ID != n.Life.ID:
+		l.endLife(present, "another_life_answered", &n)
+	case reply.Refusal == "" && present.runs.OtherLife(reply):
+		present.announced = n
+		l.replaceLife(present, "another_life_answered")
+	}
+}
--- a/agent/state.go
+++ b/agent/state.go
@@ -152,7 +152,7 @@
 	n := life.announced
 	latest, clock := life.runs.LeaseEnd(now)
 	s := &LeasedState{
-		Life: n.Life.ID, Born: n.Life.Born, Pool: n.Pool, Address: n.Address, Draining: n.Draining, Deregistered: life.deregistered,
+		Life: n.Life.ID, Born: life.runs.Life().Born, Pool: n.Pool, Address: n.Address, Draining: n.Draining, Deregistered: life.deregistered,
 		Adopted: life.runs.Adopted(), Silent: life.runs.Silent(now), Token: life.runs.Token(),
 		LeaseEndMS: latest.Milliseconds(), MinClockMS: clock.Milliseconds(), Runs: []RunState{},
 		Ends: life.endStates(now), MoreEnds: life.runs.MoreEnds(), AwaitsLeaseExpiry: life.runs.AwaitsLeaseExpiry(),
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -29,13 +29,13 @@
 // start of the worker's process to the end of that process. Agent.mu guards the
 // fields.
 type life struct {
-	announced    lease.Announcement
+	announced    lease.Announcement // of this life if described returns true, otherwise of another one
 	worker       Worker
 	runs         *lease.RunTable
 	attempts     map[lease.Run]*attempt // waiting for the removal of their runs from the table
 	ctx          context.Context        // parent context of all orders to this life
 	cancel       context.CancelFunc
-	ended        bool // the worker's process has ended
+	ended        bool // the worker's process has ended, or none of its runs goes on
 	deregistered bool // the worker has removed its registration
 	heldEnds     heldEnds
 
@@ -46,27 +46,52 @@
 	wake          chan struct{}      // capacity 1; ends a pause between renewals
 }
 
-// WorkerAnnounced applies an announcement of the worker beside the agent. The
-// announcement is in effect when it returns: after that of a draining worker no
-// leased task is ordered. Announcements of an older life, or of the same life
-// with a lower or equal sequence, are ignored.
+// described reports whether the announcement describes this life: the worker has
+// stated the birth of its process in a list, and the announcement has the same.
+// The caller holds mu.
+func (w *life) described() bool {
+	return w.runs.Listed() && sameLife(w.announced.Life, w.runs.Life())
+}
+
+// sameLife reports whether both may be the same life. A birth of 0 is unknown.
+func sameLife(x, y lease.Life) bool {
+	return x.ID == y.ID && (x.Born == y.Born || x.Born == 0 || y.Born == 0)
+}
+
+// WorkerAnnounced applies an announcement of the worker beside the agent. It is in
+// effect when WorkerAnnounced returns: after that of a draining worker no leased
+// task is ordered there. An announcement of another life than the present one
+// proves nothing, because it may have been under way for long; it makes the agent
+// ask the worker. Announcements of a life with a sequence that is not above that of
+// an earlier one are ignored.
 func (a *Agent) WorkerAnnounced(n lease.Announcement) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	l := a.leased
-	if l == nil || l.outdated(n) {
+	if l == nil || !l.announcements.add(n) {
 		return
 	}
-	l.lastAnnouncement, l.hasAnnouncement = n, true
-	if l.life == nil || l.life.announced.Life != n.Life {
-		l.replaceLife(n)
-	} else if l.life.announced.Address != n.Address {
-		l.life.worker.Close()
-		l.life.worker = a.options.Connect(n)
+	life := l.life
+	switch {
+	case life == nil:
+		l.begin(l.newLife(n))
+	case sameLife(life.runs.Life(), n.Life):
+		if life.announced.Address != n.Address {
+			life.worker.Close()
+			life.worker = a.options.Connect(n)
+		}
+		life.announced, life.deregistered = n, false
+		l.updateLeaving()
+	case life.announced.Life.ID == n.Life.ID && life.announced.Address == n.Address:
+		if n.Draining { // no task may be ordered there if this is the present life
+			life.runs.Doubt()
+			l.updateLeaving()
+		}
+		life.renewSoon(true)
+	case !l.probing:
+		l.probing = true
+		go l.probe(life, n)
 	}
-	l.life.announced, l.life.deregistered = n, false
-	a.setLeavingLocked(leaveDraining, n.Draining)
-	l.updateLeaving()
 }
 
 // WorkerLeft handles the removal of the worker's registration. That does not
@@ -85,57 +110,89 @@
 	l.updateLeaving()
 }
 
-// outdated reports whether the same or a newer announcement was applied before;
-// the caller holds mu.
-func (l *leasedExecutor) outdated(n lease.Announcement) bool {
-	if !l.hasAnnouncement || n.Life.Born > l.lastAnnouncement.Life.Born {
-		return false
-	}
-	return n.Life.Born < l.lastAnnouncement.Life.Born || n.Life == l.lastAnnouncement.Life && n.Sequence <= l.lastAnnouncement.Sequence
+// newLife returns a life of which nothing is known but an announcement; the caller
+// holds mu.
+func (l *leasedExecutor) newLife(n lease.Announcement) *life {
+	s := l.settings
+	l.highestToken++ // orders to earlier lives must not be carried out in this one
+	return l.lifeWith(n, lease.NewRunTable(lease.Options{
+		ID: n.Life.ID, Token: l.highestToken, Lease: s.Lease.AsDuration(), Validity: s.OrderValidity.AsDuration(), StopTime: s.StopTime.AsDuration(),
+		Renew: s.Renew.AsDuration(), StallAfter: s.StallAfter.AsDuration(),
+	}))
 }
 
-// replaceLife ends the present life, if any, and starts the life of the
-// announcement; the caller holds mu.
-func (l *leasedExecutor) replaceLife(n lease.Announcement) {
-	if l.life != nil {
-		l.endLife(l.life, "another_life_announced")
-	}
-	s := l.settings
-	l.highestToken++ // orders to the earlier life must not be carried out in this one
-	l.life = &life{
-		announced: n, worker: l.agent.options.Connect(n), attempts: map[lease.Run]*attempt{},
+// lifeWith returns a life with a table; the caller holds mu.
+func (l *leasedExecutor) lifeWith(n lease.Announcement, runs *lease.RunTable) *life {
+	life := &life{
+		announced: n, worker: l.agent.options.Connect(n), runs: runs, attempts: map[lease.Run]*attempt{},
 		wake: make(chan struct{}, 1), nextImmediate: true, heldEnds: newHeldEnds(),
-		runs: lease.NewRunTable(lease.Options{
-			Life: n.Life, Token: l.highestToken, Lease: s.Lease.AsDuration(), Validity: s.OrderValidity.AsDuration(), StopTime: s.StopTime.AsDuration(),
-			Renew: s.Renew.AsDuration(), StallAfter: s.StallAfter.AsDuration(),
-		}),
-	}
-	l.life.ctx, l.life.cancel = context.WithCancel(context.Background())
-	l.agent.log.Info().Str("worker", n.Life.ID).Int64("born", n.Life.Born).Str("pool", n.Pool).
-		Str("address", n.Address).Msg("worker_announced")
+	}
+	life.ctx, life.cancel = context.WithCancel(context.Background())
+	return life
+}
+
+// begin makes a life the present one; the caller holds mu.
+func (l *leasedExecutor) begin(life *life) {
+	l.life = life
+	n := life.announced
+	l.agent.log.Info().Str("worker", n.Life.ID).Int64("announced_born", n.Life.Born).Str("pool", n.Pool).
+		Str("address", n.Address).Msg("worker_life_began")
+	l.updateLeaving()
 	select {
 	case l.wake <- struct{}{}:
 	default:
 	}
 }
 
-// endLife removes all runs of a life that has ended and closes its connections;
-// the caller holds mu.
-func (l *leasedExecutor) endLife(life *life, cause string) {
+// endLife ends a life whose identifier the worker does not use any more, so that
+// no order to it can be carried out later, and begins the life that was announced
+// as next; nil means that the next announcement begins it. The caller holds mu.
+func (l *leasedExecutor) endLife(life *life, cause string, next *lease.Announcement) {
 	if life.ended {
 		return
 	}
-	life.ended = true
 	lost := life.runs.LifeEnded(!life.leaves())
+	l.retire(life, cause, lost)
+	if next != nil {
+		l.begin(l.newLife(*next))
+		return
+	}
+	l.life = nil
+	l.updateLeaving()
+}
+
+// endAnsweredByAnother ends a life when the worker answered that it has another
+// identifier. Announcements of that one may have come before. The caller holds mu.
+func (l *leasedExecutor) endAnsweredByAnother(life *life) {
+	l.endLife(life, "another_life_answered", l.announcements.latestExcept(life.announced.Life.ID))
+}
+
+// replaceLife ends a life after which the worker may start again, or has, under
+// the same identifier, and begins the next one. Runs whose start orders the next
+// life may carry out wait for its first list. The caller holds mu.
+func (l *leasedExecutor) replaceLife(life *life, cause string) {
+	if life.ended {
+		return
+	}
+	l.highestToken = max(l.highestToken, life.runs.Token()) + 1
+	runs, lost := life.runs.LifeReplaced(!life.leaves(), l.highestToken)
+	next := l.lifeWith(life.announced, runs)
+	l.retire(life, cause, lost)
+	for run, at := range life.attempts {
+		at.life, next.attempts[run] = next, at
+	}
+	l.begin(next)
+}
+
+// retire ends the orders to a life and reports the runs that were lost with it;
+// the caller holds mu.
+func (l *leasedExecutor) retire(life *life, cause string, lost []lease.RemovedRun) {
+	life.ended = true
 	l.recordLifeEnd(life, cause, lost)
 	l.notifyRemoved(life, lost)
 	life.cancel()
 	life.worker.Close()
 	l.highestToken = max(l.highestToken, life.runs.Token())
-	if l.life == life {
-		l.life = nil
-	}
-	l.updateLeaving()
 }
 
 // leaves reports whether the worker has announced the end of its life, which is
@@ -145,8 +202,10 @@
 // recordLifeEnd logs and counts the end of a life and the runs that were lost
 // with it; the caller holds mu.
 func (l *leasedExecutor) recordLifeEnd(life *life, cause string, lost []lease.RemovedRun) {
-	l.agent.log.Warn().Str("worker", life.announced.Life.ID).Int64("born", life.announced.Life.Born).
-		Str("cause", cause).Bool("planned", life.leaves()).Int("runs", len(lost)).Msg("worker_life_ended")
+	ended, carriedOver := life.runs.Life(), len(life.attempts)-len(lost)
+	l.agent.log.Warn().Str("worker", ended.ID).Int64("born", ended.Born).Str("cause", cause).Bool("planned", life.leaves()).
+		Int("runs", len(lost)).Int("carried_over", carriedOver).Msg("worker_life_ended")
+	l.agent.metrics.runsCarriedOver.Inc(int64(max(0, carriedOver)))
 	for _, r := range lost {
 		e := l.agent.log.Info().Str("caller_job", r.Run.Task.Job).Int("task", r.Run.Task.Index).Dur("survived_ms", r.Survived).
 			Bool("suspect", r.Crash != wire.CrashNone && r.Crash != wire.CrashBystander)
@@ -156,21 +215,35 @@
 		e.Msg("run_lost")
 	}
 	l.agent.metrics.runsLost.Inc(int64(len(lost)))
-	if !life.leaves() {
+	if life.runs.Listed() && !life.leaves() {
 		l.agent.metrics.workersCrashed.Inc(1)
 	}
 }
 
-// updateLeaving makes the agent leave unless its worker is registered, adopted
-// and not silent. A worker is adopted once its replies have shown that it runs
-// nothing but what is in the table; see lease.RunTable.Adopted. The caller holds
-// mu.
+// describe looks for an announcement of the life that has answered, unless the one
+// that is in force is of that life. firstList is set for the first answer. The
+// caller holds mu.
+func (l *leasedExecutor) describe(life *life, firstList bool) {
+	answered := life.runs.Life()
+	if n, ok := l.announcements.of(answered); ok && !life.described() {
+		life.announced, life.deregistered = n, false
+	}
+	if firstList {
+		l.agent.log.Info().Str("worker", answered.ID).Int64("born", answered.Born).Bool("described", life.described()).Msg("worker_answered")
+	}
+}
+
+// updateLeaving makes the agent leave unless its worker is registered, adopted,
+// not silent and not draining. A worker is adopted once its replies have shown that
+// it runs nothing but what is in the table, see lease.RunTable.Adopted, and an
+// announcement describes it. The caller holds mu.
 func (l *leasedExecutor) updateLeaving() {
 	life := l.life
-	ready := life != nil && !life.deregistered && life.runs.Adopted() && !life.runs.Silent(time.Now())
+	ready := life != nil && !life.deregistered && life.described() && life.runs.Adopted() && !life.runs.Silent(time.Now())
 	if ready {
 		l.applyDescription(life.announced)
 	}
+	l.agent.setLeavingLocked(leaveDraining, life != nil && life.announced.Draining)
 	l.agent.setLeavingLocked(leaveNotAdopted, !ready)
 }
 
--- a/lease/ends.go
+++ b/lease/ends.go
@@ -155,7 +155,7 @@
 		return
 	}
 	r.ends.held = append(r.ends.held, &HeldEnd{
-		RunEnd: end, Tag: r.options.Life.Tag(end.Run), ListedAt: now, Untracked: e == nil, leaseExpired: removed.leaseExpired,
+		RunEnd: end, Tag: r.Life().Tag(end.Run), ListedAt: now, Untracked: e == nil, leaseExpired: removed.leaseExpired,
 	})
 }
 
@@ -215,25 +215,31 @@
 	return slices.ContainsFunc(r.ends.held, func(h *HeldEnd) bool { return h.Discarded })
 }
 
-// ExpireLease removes and returns all runs if the worker's lease has certainly
-// expired: a lower bound of its clock has passed the latest lease end that this
-// process sent by more than Options.StopTime, in which the worker ends its runs.
-// It does nothing unless the worker is silent or a discarded end waits for the
-// expiry. Discarded ends are dropped if a lease that an earlier agent process
-// can have requested has expired, too; until then a worker that is not silent
-// keeps its runs. If runs were removed, the worker is no longer adopted.
+// ExpireLease removes and returns the runs that have ended with the worker's
+// lease, if that has certainly expired: a lower bound of its clock has passed the
+// latest lease end that was ordered by more than Options.StopTime, in which the
+// worker ends its runs. It does nothing unless the worker is silent or a discarded
+// end waits for the expiry. A run that this life is not proved to have begun stays
+// for maxOrderDelay, because a later life may still carry out its start order.
+// Discarded ends are dropped if a lease that an earlier agent process can have
+// requested has expired, too; until then a worker that is not silent keeps its
+// runs. If the lease has expired with runs in the table, the worker is no longer
+// adopted.
 func (r *RunTable) ExpireLease(now time.Time) []RemovedRun {
+	overdue := r.removeOverdue(now)
 	silent, awaitsExpiry := !r.Empty() && r.Silent(now), r.AwaitsLeaseExpiry()
 	reached := r.clock.min(now) - r.options.StopTime
 	if !silent && !awaitsExpiry || reached <= r.latest {
-		return nil
+		return overdue
 	}
 	if reached > r.ends.earlierLeaseEnd {
 		r.ends.leaseExpired()
 	}
 	if r.Empty() || !silent && r.AwaitsLeaseExpiry() {
-		return nil
+		return overdue
 	}
 	r.adopted = false
-	return r.removeAll(OutcomeLeaseExpired)
+	return append(overdue, r.removeWhere(OutcomeLeaseExpired, func(e *entry) bool {
+		return e.shown || now.Sub(e.orderedAt) > maxOrderDelay
+	})...)
 }
--- a/lease/ends_test.go
+++ b/lease/ends_test.go
@@ -10,8 +10,8 @@
 	"chicorytray.example/chicorytray/wire"
 )
 
-// tagOf returns the tag of a run in the life of these tests, the zero Life.
-func tagOf(r Run) wire.RunTag { return Life{}.Tag(r) }
+// tagOf returns the tag of a run in the life of these tests.
+func tagOf(r Run) wire.RunTag { return Life{ID: "w", Born: 1}.Tag(r) }
 
 // ackedNext returns the sequence that the next renewal acknowledges.
 func (t *rig) ackedNext() uint64 { return t.Renew(t.now, 0).Acked }
@@ -43,12 +43,14 @@
 		{"of another process, stopped", func(t *rig) { t.poll(nil, RunEnd{1, foreign, Stopped}) }, 0, false},
 		{"of no task", func(t *rig) { t.poll(nil, RunEnd{1, Run{}, Failed}) }, 0, false},
 		{"given up, not durable", func(t *rig) {
+			t.answerStart("")
 			t.Renew(t.now, 0)
 			t.expire(time.Second)
 			t.poll(nil, RunEnd{1, run1, Done})
 		}, 0, false},
 		{"given up, durable", func(t *rig) {
 			t.HoldEnd(run1)
+			t.answerStart("")
 			t.Renew(t.now, 0)
 			t.expire(time.Second)
 			t.poll(nil, RunEnd{1, run1, Done})
@@ -86,7 +88,13 @@
 	}{
 		// An earlier process may have extended the lease to 1 s after the first
 		// reply; the worker needs 50 ms to stop, on a clock that is 2 % slow.
-		{"of an earlier process", func(t *rig) { t.answerStart(RefusedRunTooOld); t.poll(nil, RunEnd{1, run1, Done}) }, 1071 * ms},
+		{"of an earlier process", func(t *rig) {
+			t.RunTable = NewRunTable(t.options)
+			t.poll(nil)
+			t.start, _ = t.Start(t.now, task1, "")
+			t.answerStart(RefusedRunTooOld)
+			t.poll(nil, RunEnd{1, run1, Done})
+		}, 1071 * ms},
 		{"idle for long", func(t *rig) { end(t); t.pass(3 * time.Second); t.poll(nil) }, 0},
 		{"extended for another run", func(t *rig) {
 			end(t)
@@ -103,6 +111,7 @@
 		}, 0},
 		{"of a run that was given up", func(t *rig) {
 			t.HoldEnd(run1)
+			t.answerStart("")
 			t.Renew(t.now, 0)
 			t.expire(2 * time.Second)
 			t.poll(nil, RunEnd{1, run1, Done})
@@ -189,7 +198,7 @@
 				workerEnds = workerEnds[1:]
 			}
 			shown := workerEnds[:min(len(workerEnds), rapid.IntRange(0, 5).Draw(t, "shown"))]
-			r.apply(n, RenewReply{Clock: startClock, Ended: shown})
+			r.apply(n, RenewReply{Born: 1, Clock: startClock, Ended: shown})
 			for _, e := range shown {
 				listed = max(listed, e.Sequence)
 			}
@@ -232,7 +241,7 @@
 				ackable[h.Sequence] = true
 			}
 			check()
-			r.apply(r.Renew(r.now, 0), RenewReply{Clock: startClock, Ended: workerEnds})
+			r.apply(r.Renew(r.now, 0), RenewReply{Born: 1, Clock: startClock, Ended: workerEnds})
 			listed = last
 		}
 		if len(r.removed) != started || r.HeldEndCount() != 0 {
--- /dev/null
+++ b/lease/life.go
@@ -0,0 +1,168 @@
+package lease
+
+import (
+	"time"
+
+	"chicorytray.example/chicorytray/wire"
+)
+
+// maxOrderDelay bounds how long after it was sent an unanswered start order is
+// taken to be still under way to a later life of the worker. The platform says
+// that such an order is carried out "seconds later" and gives no bound.
+const maxOrderDelay = 10 * time.Second
+
+// identity tells answers of one life of a worker from those of the next one, which
+// may have the same identifier. Lists state the birth of their process; answers to
+// starts and stops state only its clock, which starts anew in each life.
+type identity struct {
+	born        int64      // 0 until a list has stated it
+	listed      bool       // a list was applied
+	firstSample WorkerTime // clock in the first list
+	listSentAt  time.Time  // when the renewal was sent that the newest list answers
+	// doubted means that a start was accepted by an answer that may be that of the
+	// next life, or that a connection was refused. The list that answers a renewal
+	// after doubtedAt settles it.
+	doubted   bool
+	doubtedAt uint64
+}
+
+// applyList applies a list of this life.
+func (i *identity) applyList(n Renewal, reply RenewReply) {
+	if !i.listed {
+		i.listed, i.born, i.firstSample = true, reply.Born, reply.Clock
+	}
+	i.listSentAt = n.sentAt
+	i.doubted = i.doubted && n.number <= i.doubtedAt
+}
+
+// proves reports whether an answer with the given clock, which has arrived now,
+// can only be that of this life. The next life began after the newest list was
+// requested, and its clock began where that of this life did, so it cannot have
+// got that far. Clocks are stated in whole milliseconds.
+func (i *identity) proves(now time.Time, clock WorkerTime) bool {
+	return i.listed && i.firstSample > 0 && clock > i.firstSample+now.Sub(i.listSentAt)+time.Millisecond
+}
+
+// doubt records that the next life may answer, when the newest renewal had the
+// given number.
+func (i *identity) doubt(renewal uint64) { i.doubted, i.doubtedAt = true, renewal }
+
+// Life returns the identifier and the birth of the life; Born is 0 until a list
+// has stated it.
+func (r *RunTable) Life() Life { return Life{r.options.ID, r.identity.born} }
+
+// Doubted reports whether the next life of the worker may have answered. The caller
+// then sends a renewal at once, because the lease is not extended until a list
+// settles it.
+func (r *RunTable) Doubted() bool { return r.identity.doubted }
+
+// Listed reports whether the worker has listed its runs in this life.
+func (r *RunTable) Listed() bool { return r.identity.listed }
+
+// OtherLife reports whether the reply to a renewal is that of another life of the
+// worker. As it answers an order that was sent after this life had answered, this
+// life has ended. A worker that states no birth is told apart by its identifier
+// only.
+func (r *RunTable) OtherLife(reply RenewReply) bool {
+	if reply.Refusal != "" {
+		return reply.Refusal == RefusedOtherLife
+	}
+	return r.identity.born != 0 && reply.Born != 0 && reply.Born != r.identity.born
+}
+
+// ConnectionRefused records that a connection to the worker was refused. The
+// process may have ended, or something on the way refuses, so the worker is not
+// adopted until it lists its runs again.
+func (r *RunTable) ConnectionRefused() {
+	r.refused = true
+	r.Doubt()
+}
+
+// Doubt records that the next life of the worker may answer under the same
+// identifier. The worker is not adopted until it lists its runs again.
+func (r *RunTable) Doubt() {
+	r.adopted = false
+	r.identity.doubt(r.lastRenewal)
+}
+
+// RefusedUntilExpiry reports whether connections were refused since the newest
+// list until the lease has certainly expired, so that the life has ended or none
+// of its runs goes on.
+func (r *RunTable) RefusedUntilExpiry(now time.Time) bool {
+	return r.refused && r.identity.listed && (r.Empty() || r.clock.min(now)-r.options.StopTime > r.latest)
+}
+
+// LifeEnded removes and returns all runs because the worker's life has ended, by a
+// crash or as it was announced, and its identifier is not used again. Held ends
+// are dropped: the worker has lost its list of ends.
+func (r *RunTable) LifeEnded(crashed bool) []RemovedRun {
+	r.attributeCrash(crashed)
+	r.adopted, r.ends = false, endTable{}
+	return r.removeWhere(OutcomeLost, func(*entry) bool { return true })
+}
+
+// LifeReplaced removes and returns the runs that have ended because the worker's
+// life has, and returns the table of the next life, which may have the same
+// identifier. A run that this life is not proved to have begun is carried over to
+// that table: the next life has seen no fencing token and may carry out its start
+// order, until it has accepted the higher token of the next table.
+func (r *RunTable) LifeReplaced(crashed bool, token uint64) (*RunTable, []RemovedRun) {
+	r.attributeCrash(crashed)
+	removals := r.ends.removals
+	r.adopted, r.ends = false, endTable{removals: removals}
+	lost := r.removeWhere(OutcomeLost, func(e *entry) bool { return e.shown && !e.carriedOver })
+	o := r.options
+	o.Token = token
+	next := NewRunTable(o)
+	next.numbers, next.ends.removals = r.numbers, r.ends.removals
+	for t, e := range r.table {
+		next.table[t] = &entry{
+			run: e.run, state: Stopping, durable: e.durable, probation: e.probation, orderedAt: e.orderedAt,
+			carriedOver: true, survived: e.survived, crash: e.crash,
+		}
+	}
+	return next, lost
+}
+
+// attributeCrash records for each run its part in the end of this life, if that
+// was a crash. Runs that were carried over keep their part in the end of an
+// earlier life.
+func (r *RunTable) attributeCrash(crashed bool) {
+	suspected := r.suspects()
+	roles := map[*entry]wire.CrashRole{}
+	for _, e := range r.table {
+		switch {
+		case !crashed:
+		case suspected(e) && !e.began:
+			roles[e] = wire.CrashUnconfirmed
+		case suspected(e):
+			roles[e] = wire.CrashSuspect
+		default:
+			roles[e] = wire.CrashBystander
+		}
+	}
+	for _, e := range r.table {
+		if !e.carriedOver {
+			e.survived, e.crash = e.survivedUntil(r.answeredAt), roles[e]
+		}
+	}
+}
+
+// removeOverdue removes and returns the runs that were carried over and whose
+// start orders are older than maxOrderDelay. Without it a task would wait for the
+// next life of a worker that never returns.
+func (r *RunTable) removeOverdue(now time.Time) []RemovedRun {
+	return r.removeWhere(OutcomeLost, func(e *entry) bool { return e.carriedOver && !r.foreign[e.run] && now.Sub(e.orderedAt) > maxOrderDelay })
+}
+
+// removeWhere removes and returns the runs that meet the condition, with the given
+// outcome.
+func (r *RunTable) removeWhere(outcome Outcome, condition func(*entry) bool) []RemovedRun {
+	var removed []RemovedRun
+	for _, e := range r.table {
+		if condition(e) {
+			removed = append(removed, r.remove(e.run, outcome, "")...)
+		}
+	}
+	return removed
+}
--- /dev/null
+++ b/lease/life_test.go
@@ -0,0 +1,142 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytray.example/chicorytray/wire"
+)
+
+// Guards against a run that is reported as ended with a life of the worker although
+// the next life, which has the same identifier, may carry out its start order, and
+// against one that waits for the next life although it has ended.
+func TestRunsThatTheNextLifeMayHave(t *testing.T) {
+	next := func(t *rig) {
+		var lost []RemovedRun
+		t.RunTable, lost = t.LifeReplaced(true, t.Token()+1)
+		t.removed = append(t.removed, lost...)
+	}
+	listNext := func(t *rig, active []ActiveRun, ended ...RunEnd) {
+		t.apply(t.Renew(t.now, 0), RenewReply{Born: 2, Clock: time.Second, Active: active, Ended: ended})
+	}
+	later := func(t *rig) StartOrder {
+		o, err := t.Start(t.now, Task{Job: "later"}, "")
+		if err != nil {
+			panic(err)
+		}
+		return o
+	}
+	for _, tc := range []struct {
+		name string
+		do   func(t *rig)
+		want []Outcome
+	}{
+		{"accepted by this life", func(t *rig) { t.answerStart(""); next(t) }, []Outcome{OutcomeLost}},
+		{"listed by this life", func(t *rig) { t.StartUnanswered(run1); t.poll(shown); next(t) }, []Outcome{OutcomeLost}},
+		{"not answered", func(t *rig) { t.StartUnanswered(run1); next(t) }, nil},
+		{"answer under way", next, nil},
+		{"accepted with the clock of another life", func(t *rig) {
+			t.StartAnswered(t.now, t.start, Answer{Clock: 2 * time.Second})
+			next(t)
+		}, nil},
+		{"accepted without a clock", func(t *rig) { t.StartAnswered(t.now, t.start, Answer{}); next(t) }, nil},
+		{"absent in the next life", func(t *rig) { next(t); listNext(t, nil) }, []Outcome{OutcomeLost}},
+		{"absent from a list of the next life with a higher token", func(t *rig) {
+			next(t)
+			t.apply(t.Renew(t.now, 0), RenewReply{Refusal: RefusedTokenTooLow, Clock: time.Second})
+		}, nil},
+		{"refused by the next life", func(t *rig) {
+			next(t)
+			t.removed = t.StartAnswered(t.now, t.start, Answer{Refusal: RefusedTokenTooLow})
+		}, []Outcome{OutcomeRefused}},
+		{"accepted after the life ended", func(t *rig) { next(t); t.StartAnswered(t.now, t.start, Answer{}) }, nil},
+		{"active in the next life", func(t *rig) { next(t); listNext(t, shown) }, nil},
+		{"ended in the next life", func(t *rig) { next(t); listNext(t, shown); listNext(t, nil, RunEnd{1, run1, Stopped}) }, []Outcome{OutcomeStopped}},
+		{"the next life ended as well", func(t *rig) { next(t); next(t) }, nil},
+		{"the next life has another identifier", func(t *rig) { next(t); t.removed = t.LifeEnded(true) }, []Outcome{OutcomeLost}},
+		{"no next life in time", func(t *rig) { next(t); t.expire(maxOrderDelay) }, nil},
+		{"no next life", func(t *rig) { next(t); t.expire(maxOrderDelay + ms) }, []Outcome{OutcomeLost}},
+		{"the lease ended, accepted", func(t *rig) { t.answerStart(""); t.Renew(t.now, 0); t.expire(time.Second) }, []Outcome{OutcomeLeaseExpired}},
+		{"the lease ended, not answered", func(t *rig) { t.StartUnanswered(run1); t.Renew(t.now, 0); t.expire(time.Second) }, nil},
+		{"the lease ended long ago, not answered", func(t *rig) {
+			t.StartUnanswered(run1)
+			t.Renew(t.now, 0)
+			t.expire(maxOrderDelay + ms)
+		}, []Outcome{OutcomeLeaseExpired}},
+		{"an order of an earlier process may have extended the lease", func(t *rig) {
+			t.RunTable = NewRunTable(t.options)
+			t.poll(nil)
+			t.start = later(t)
+			t.poll([]ActiveRun{{Run: t.start.Run}})
+			t.Renew(t.now, 0)
+			t.expire(1071 * ms) // 1 s and 50 ms to stop, on a clock that is 2 % slow
+		}, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			table := ordered()
+			tc.do(table)
+			var got []Outcome
+			for _, r := range table.removed {
+				got = append(got, r.Outcome)
+			}
+			qt.Assert(t, got, qt.DeepEquals, tc.want)
+			qt.Check(t, table.Empty(), qt.Equals, len(tc.want) > 0)
+		})
+	}
+}
+
+// Guards against starts, extensions of the lease and acknowledgements of ends while
+// another life of the worker may answer.
+func TestDoubtAboutTheLife(t *testing.T) {
+	c, table := qt.New(t), ordered()
+	table.poll(nil, RunEnd{1, Run{Task{Job: "f"}, 1}, Stopped})
+	c.Check(table.Renew(table.now, 0).Acked, qt.Equals, uint64(1))
+	table.StartAnswered(table.now, table.start, Answer{Clock: time.Second})
+	n := table.Renew(table.now, 0)
+	c.Check(n.LeaseEnd, qt.Equals, WorkerTime(0))
+	c.Check(n.Acked, qt.Equals, uint64(0))
+	table.apply(n, RenewReply{Born: 1, Clock: table.clockNow(), Active: shown})
+	c.Check(table.Renew(table.now, 0).LeaseEnd > 0, qt.IsTrue)
+
+	table.ConnectionRefused()
+	c.Check(table.Adopted(), qt.IsFalse)
+	c.Check(table.Renew(table.now, 0).LeaseEnd, qt.Equals, WorkerTime(0))
+	c.Check(table.RefusedUntilExpiry(table.now.Add(560*ms)), qt.IsFalse)
+	c.Check(table.RefusedUntilExpiry(table.now.Add(562*ms)), qt.IsTrue)
+	table.poll(shown)
+	c.Check(table.Adopted(), qt.IsTrue)
+	c.Check(table.RefusedUntilExpiry(table.now.Add(562*ms)), qt.IsFalse)
+}
+
+// Guards against a list that is applied although another life of the worker made it,
+// and against a life that is ended by its own list.
+func TestListsOfAnotherLife(t *testing.T) {
+	table := adopted()
+	for _, tc := range []struct {
+		reply RenewReply
+		want  bool
+	}{
+		{RenewReply{Born: 1}, false},
+		{RenewReply{Born: 2}, true},
+		{RenewReply{Born: -1}, true}, // wall clocks are set back
+		{RenewReply{}, false},
+		{RenewReply{Refusal: RefusedOtherLife}, true},
+		{RenewReply{Refusal: RefusedTokenTooLow}, false},
+	} {
+		qt.Check(t, table.OtherLife(tc.reply), qt.Equals, tc.want, qt.Commentf("%+v", tc.reply))
+	}
+	qt.Check(t, NewRunTable(Options{}).OtherLife(RenewReply{Born: 2}), qt.IsFalse)
+}
+
+// Guards against a crash that is blamed anew on runs when the life after the crash
+// ends as well, or that is not blamed on a run because it was carried over.
+func TestCarriedRunsKeepTheirPartInACrash(t *testing.T) {
+	table := ordered()
+	next, lost := table.LifeReplaced(true, 8)
+	qt.Assert(t, lost, qt.HasLen, 0)
+	next, lost = next.LifeReplaced(false, 9)
+	qt.Assert(t, lost, qt.HasLen, 0)
+	qt.Assert(t, next.LifeEnded(false), qt.DeepEquals, []RemovedRun{{Run: run1, Outcome: OutcomeLost, Crash: wire.CrashUnconfirmed}})
+}
--- a/lease/order.go
+++ b/lease/order.go
@@ -124,14 +124,15 @@
 	Ended   []RunEnd // not acknowledged yet, the oldest first, at most MaxEnds
 }
 
-// ErrWorkerDown means that no process answers at the worker's address, so the
-// life to which an order was sent has ended. After any other error the order
-// may have been carried out or may be carried out later.
+// ErrWorkerDown means that a connection to the worker's address was refused, so
+// the order was not carried out and will not be. It does not prove that the
+// worker's process has ended. After any other error the order may have been
+// carried out or may be carried out later.
 var ErrWorkerDown = errors.New("lease: no process at the worker's address")
 
 // Life identifies one life of a worker: the time from a start of its process to
-// the end of that process. A restarted worker may keep its identifier, but its
-// Born is later.
+// the end of that process. A restarted worker may keep its identifier. Its Born
+// differs, but may be lower, because wall clocks are set back.
 type Life struct {
 	ID   string
 	Born int64 // start of the process, Unix time in milliseconds
--- a/lease/runs.go
+++ b/lease/runs.go
@@ -43,15 +43,15 @@
 	Outcome Outcome
 	Refusal Refusal // set with OutcomeRefused
 	// Survived is how long the worker is known to have gone on after the run
-	// began, if the run was lost with the worker's life; otherwise 0.
+	// began, if the run was lost with a life of the worker; otherwise 0.
 	Survived time.Duration
 	Crash    wire.CrashRole // set if the life ended by a crash
 }
 
 // Options are the parameters of a RunTable.
 type Options struct {
-	Life  Life   // of the worker
-	Token uint64 // first fencing token
+	ID    string // identifier of the life, which orders name
+	Token uint64 // first fencing token; above that of all orders to earlier lives
 	// Lease is the time by which a renewal extends the lease. It also determines
 	// when a worker that does not answer is silent, so that its lease is not
 	// extended any more.
@@ -70,8 +70,12 @@
 
 // RunTable is the table of the runs at one life of a worker. Replies to
 // renewals are numbered like the renewals that they answer, from 1.
+//
+// Only the birth in a list tells whether an answer is that of this life: orders
+// name the identifier, which the next life may have as well. See life.go.
 type RunTable struct {
 	options     Options
+	identity    identity
 	token       uint64
 	tokenStep   uint64 // added to the token when the worker refuses it next
 	clock       clockBound
@@ -83,6 +87,7 @@
 	table       map[Task]*entry
 	foreign     map[Run]bool // active runs that another agent process ordered
 	adopted     bool         // see Adopted
+	refused     bool         // a connection was refused since the newest list
 	stalled     []Run        // returned by the next TakeStalled
 	numbers     numbers
 
@@ -110,6 +115,15 @@
 	stopAnswered   bool
 	stopAnsweredAt uint64
 	progress       progress
+
+	orderedAt time.Time
+	// shown means that this life is proved to have begun the run.
+	shown bool
+	// carriedOver means that the start was ordered in an earlier life and may still
+	// be carried out in this one. survived and crash describe the end of that life.
+	carriedOver bool
+	survived    time.Duration
+	crash       wire.CrashRole
 }
 
 // NewRunTable returns the empty table of a life that is not adopted yet.
@@ -139,9 +153,10 @@
 
 // Adopted reports whether this agent process may order starts at the worker. A
 // worker is adopted once a reply has listed all its ends and no foreign run,
-// which is an active run that another agent process ordered. It is not adopted
-// while a discarded end waits for the lease to expire. After the expiry has
-// removed runs, it is adopted again by the next such reply.
+// which is an active run that another agent process, or this one in an earlier
+// life, ordered. It is not adopted while a discarded end waits for the lease to
+// expire. After the expiry has removed runs, or a connection was refused, it is
+// adopted again by the next such reply.
 func (r *RunTable) Adopted() bool { return r.adopted && !r.AwaitsLeaseExpiry() }
 
 // Empty reports whether the table has no run.
@@ -169,7 +184,7 @@
 	if r.table[t] != nil {
 		return StartOrder{}, ErrTaskRunning
 	}
-	e := &entry{run: Run{t, r.numbers.next(now, t)}, state: Ordered, validUntil: r.clock.min(now) + r.options.Validity}
+	e := &entry{run: Run{t, r.numbers.next(now, t)}, state: Ordered, orderedAt: now, validUntil: r.clock.min(now) + r.options.Validity}
 	r.table[t] = e
 	r.latest = max(r.latest, e.validUntil)
 	return StartOrder{Run: e.run, Spec: spec, Token: r.token, ValidUntil: e.validUntil}, nil
@@ -185,8 +200,14 @@
 
 // StartAnswered applies the answer to a start order and returns the run if it
 // was refused. After an answer with RefusedOtherLife the caller also calls
-// LifeEnded.
+// LifeEnded, unless the order was sent to an earlier life.
 func (r *RunTable) StartAnswered(now time.Time, o StartOrder, a Answer) []RemovedRun {
+	if e := r.find(o.Run); e != nil && e.carriedOver {
+		if a.Refusal != "" {
+			return r.remove(o.Run, OutcomeRefused, a.Refusal)
+		}
+		return nil // a list will show whether this life or the earlier one has begun the run
+	}
 	r.observe(now, a.Clock)
 	switch a.Refusal {
 	case RefusedTokenTooLow:
@@ -203,6 +224,11 @@
 	}
 	e.markBegun(now)
 	e.resolveStart(r.lastRenewal)
+	if r.identity.proves(now, a.Clock) {
+		e.shown = true
+	} else {
+		r.identity.doubt(r.lastRenewal)
+	}
 	return nil
 }
 
@@ -246,7 +272,7 @@
 
 // StopAnswered applies the answer to a stop order and reports whether the worker
 // carried it out. RefusedRunTooOld counts as such, because the run has been
-// stopped or has ended.
+// stopped or has ended. If another life carried it out, the next list tells.
 func (r *RunTable) StopAnswered(now time.Time, o StopOrder, a Answer) bool {
 	r.observe(now, a.Clock)
 	switch a.Refusal {
@@ -267,21 +293,26 @@
 type Renewal struct {
 	RenewOrder
 	number uint64
+	sentAt time.Time
 }
 
 // Renew returns the next renewal, which the worker answers after the given wait
 // at the latest. The renewal extends the lease if extendsLease allows it. It
 // lets the lease expire if the worker is silent or a discarded end waits for the
-// expiry.
+// expiry. While it is in doubt whether another life answers, the renewal neither
+// extends the lease nor acknowledges ends, because that life would do both.
 func (r *RunTable) Renew(now time.Time, wait time.Duration) Renewal {
 	r.lastRenewal++
 	r.expectReply(now, wait)
-	o := RenewOrder{Token: r.token, Acked: r.ends.ackSequence(), Wait: wait}
-	if r.extendsLease() && !r.Silent(now) && !r.AwaitsLeaseExpiry() {
-		o.LeaseEnd = r.clock.min(now) + r.options.Lease
-		r.latest = max(r.latest, o.LeaseEnd)
+	o := RenewOrder{Token: r.token, Wait: wait}
+	if !r.identity.doubted {
+		o.Acked = r.ends.ackSequence()
+		if r.extendsLease() && !r.Silent(now) && !r.AwaitsLeaseExpiry() {
+			o.LeaseEnd = r.clock.min(now) + r.options.Lease
+			r.latest = max(r.latest, o.LeaseEnd)
+		}
 	}
-	return Renewal{o, r.lastRenewal}
+	return Renewal{o, r.lastRenewal, now}
 }
 
 // extendsLease reports whether a renewal may extend the lease: a run has to go
@@ -311,8 +342,8 @@
 
 // RenewalAnswered applies the reply to a renewal. It returns the runs that were
 // removed from the table, and those for which the caller has to order a stop,
-// each only once. The caller handles a reply with RefusedOtherLife by LifeEnded
-// instead.
+// each only once. The caller handles a reply of another life, see OtherLife, by
+// LifeEnded or LifeReplaced instead.
 func (r *RunTable) RenewalAnswered(now time.Time, n Renewal, reply RenewReply) (removed []RemovedRun, toStop []Run) {
 	r.observe(now, reply.Clock)
 	r.silentAt = time.Time{}
@@ -327,9 +358,12 @@
 	r.ends.truncated = len(reply.Ended) >= MaxEnds
 	if r.ends.earlierLeaseEnd == 0 && reply.Clock > 0 {
 		// The worker has accepted the token, so it will not carry out orders of
-		// earlier processes any more.
+		// earlier processes, or to earlier lives, any more.
 		r.ends.earlierLeaseEnd = reply.Clock + maxLease
+		r.latest = max(r.latest, r.ends.earlierLeaseEnd)
 	}
+	r.identity.applyList(n, reply)
+	r.refused = false
 	removed = r.applyEnds(now, reply.Ended)
 	toStop = r.applyActive(now, previous, reply)
 	absent, unstarted := r.applyAbsent(n.number, reply)
@@ -369,14 +403,16 @@
 }
 
 // applyActive applies the active runs of a reply. It returns the foreign ones
-// that the reply before did not list, so that they are stopped.
+// that the reply before did not list, so that they are stopped. Runs that are
+// carried over count as foreign.
 func (r *RunTable) applyActive(now time.Time, previous uint64, reply RenewReply) []Run {
 	var newForeign []Run
 	foreign := map[Run]bool{}
 	for _, a := range reply.Active {
 		r.numbers.record(now, a.Run)
-		if e := r.find(a.Run); e != nil {
+		if e := r.find(a.Run); e != nil && !e.carriedOver {
 			e.markBegun(now)
+			e.shown = true
 			if e.progress.update(r.options, previous, r.lastReply, reply.Clock, a.Percent) && e.state == Running {
 				r.stalled = append(r.stalled, a.Run)
 			}
@@ -412,6 +448,9 @@
 		}
 		resolved := e.startResolved && number > e.startResolvedAt
 		switch {
+		case e.carriedOver:
+			// The worker has accepted a token above that of the order.
+			removed = append(removed, r.remove(e.run, OutcomeLost, "")...)
 		case resolved && e.stopAnswered && number > e.stopAnsweredAt:
 			removed = append(removed, r.remove(e.run, e.outcomeIfBegun(OutcomeStopped), "")...)
 		case resolved && reply.Clock > e.validUntil:
@@ -424,15 +463,6 @@
 	return removed, toStop
 }
 
-// removeAll removes and returns all runs, with the given outcome.
-func (r *RunTable) removeAll(outcome Outcome) []RemovedRun {
-	var removed []RemovedRun
-	for _, e := range r.table {
-		removed = append(removed, r.remove(e.run, outcome, "")...)
-	}
-	return removed
-}
-
 // Began reports whether the run is in the table and the worker has accepted its
 // start or listed it.
 func (r *RunTable) Began(run Run) bool {
@@ -456,11 +486,12 @@
 // end is listed later. A refused run never began: an end with its number is that
 // of a run of another agent process.
 func (r *RunTable) remove(run Run, outcome Outcome, refusal Refusal) []RemovedRun {
+	e := r.table[run.Task]
 	if outcome != OutcomeRefused {
-		r.ends.recordRemoval(run, removal{r.table[run.Task].durable, outcome == OutcomeLeaseExpired})
+		r.ends.recordRemoval(run, removal{e.durable, outcome == OutcomeLeaseExpired})
 	}
 	delete(r.table, run.Task)
-	return []RemovedRun{{Run: run, Outcome: outcome, Refusal: refusal}}
+	return []RemovedRun{{Run: run, Outcome: outcome, Refusal: refusal, Survived: e.survived, Crash: e.crash}}
 }
 
 // outcomeIfBegun returns the outcome of a run that is absent at the worker: the
--- a/lease/runs_test.go
+++ b/lease/runs_test.go
@@ -32,10 +32,13 @@
 	start   StartOrder // of run1
 }
 
-// adopted returns the empty table of an adopted worker.
+// adopted returns the empty table of a worker that was adopted 2 s ago, so that no
+// lease of an earlier process lasts.
 func adopted() *rig {
-	t := &rig{RunTable: NewRunTable(Options{Token: 7, Lease: leaseTime, Validity: validity, StopTime: stopTime}), now: startTime}
-	t.apply(t.Renew(t.now, 0), RenewReply{Clock: startClock})
+	t := &rig{RunTable: NewRunTable(Options{ID: "w", Token: 7, Lease: leaseTime, Validity: validity, StopTime: stopTime}), now: startTime.Add(-2 * time.Second)}
+	t.poll(nil)
+	t.pass(2 * time.Second)
+	t.poll(nil)
 	return t
 }
 
@@ -56,13 +59,16 @@
 
 // poll sends a renewal and applies its reply at once.
 func (t *rig) poll(active []ActiveRun, ended ...RunEnd) {
-	t.apply(t.Renew(t.now, 0), RenewReply{Clock: startClock + t.now.Sub(startTime), Active: active, Ended: ended})
+	t.apply(t.Renew(t.now, 0), RenewReply{Born: 1, Clock: t.clockNow(), Active: active, Ended: ended})
 }
 
+// clockNow returns the worker's clock.
+func (t *rig) clockNow() WorkerTime { return startClock + t.now.Sub(startTime) }
+
 func (t *rig) pass(d time.Duration) { t.now = t.now.Add(d) }
 
 func (t *rig) answerStart(r Refusal) {
-	t.removed = append(t.removed, t.StartAnswered(t.now, t.start, Answer{Refusal: r})...)
+	t.removed = append(t.removed, t.StartAnswered(t.now, t.start, Answer{Refusal: r, Clock: t.clockNow()})...)
 }
 
 func (t *rig) answerStop(r Refusal) {
@@ -77,7 +83,7 @@
 	n := t.Renew(t.now, 0)
 	happens()
 	t.pass(age)
-	t.apply(n, RenewReply{Clock: startClock + t.now.Sub(startTime)})
+	t.apply(n, RenewReply{Born: 1, Clock: t.clockNow()})
 }
 
 func (t *rig) expire(d time.Duration) {
