agent: forget the announcements of a life that another one has answered for

Cause: when a worker answers that it has another identifier, the agent began the life that was announced last under any other identifier. With two ended lives kept (a worker that crashed twice and came back under new identifiers) and the third not announced yet, it went from one ended life to the other and back without a pause: each begins with a renewal at once, over a new connection, and raises the fencing token by one.

Ruled out: a pause between lives alone, because it delays the right life too.

Change: the announcements of an ended life are dropped, so each is tried once.

--- a/agent/lives_test.go
+++ b/agent/lives_test.go
@@ -71,3 +71,24 @@
 		r.expect(<-e.runLeased("k", 4, 10*time.Millisecond), wire.OutcomeDone, "")
 	})
 }
+
+// Guards against an agent that asks lives of its worker in turns, without a pause,
+// while the life that answers them as another one has not announced itself.
+func TestLivesThatHaveEndedAreNotAskedAgain(t *testing.T) {
+	withLeasedRig(t, leasedSetup{machine: leasestub.Options{Delay: time.Millisecond}}, func(r *leasedRig, e *entryStub) {
+		for range 2 {
+			r.machine.Crash()
+			r.machine.BootAs(leasestub.NextLife{NewID: true})
+			r.agent.WorkerAnnounced(r.machine.Announcement())
+			time.Sleep(time.Second)
+		}
+		r.machine.Crash()
+		r.machine.BootAs(leasestub.NextLife{NewID: true})
+		before := r.machine.Orders("renew")
+		time.Sleep(time.Second)
+		r.Check(r.machine.Orders("renew")-before < 10, qt.IsTrue, qt.Commentf("%d renewals", r.machine.Orders("renew")-before))
+		r.agent.WorkerAnnounced(r.machine.Announcement())
+		time.Sleep(500 * time.Millisecond)
+		r.expect(<-e.runLeased("k", 4, 10*time.Millisecond), wire.OutcomeDone, "")
+	})
+}
--- a/agent/probe.go
+++ b/agent/probe.go
@@ -46,15 +46,18 @@
 	return lease.Announcement{}, false
 }
 
-// latestExcept returns the latest announcement of a life with another identifier,
-// nil if there is none.
-func (s announcements) latestExcept(id string) *lease.Announcement {
-	for i := len(s) - 1; i >= 0; i-- {
-		if n := s[i]; n.Life.ID != id {
-			return &n
-		}
+// forget drops the announcements of all lives with the identifier.
+func (s *announcements) forget(id string) {
+	*s = slices.DeleteFunc(*s, func(n lease.Announcement) bool { return n.Life.ID == id })
+}
+
+// latest returns the latest announcement, nil if there is none.
+func (s announcements) latest() *lease.Announcement {
+	if len(s) == 0 {
+		return nil
 	}
-	return nil
+	n := s[len(s)-1]
+	return &n
 }
 
 // probe asks the process that an announcement names for its runs. If another
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -146,13 +146,20 @@
 
 // endLife ends a life whose identifier the worker does not use any more, so that
 // no order to it can be carried out later, and begins the life that was announced
-// as next; nil means that the next announcement begins it. The caller holds mu.
+// as next; nil means the one that was announced last, if there is one, otherwise
+// the next announcement begins it. The announcements of the ended life are
+// forgotten: with two such lives kept, the agent would ask both in turns, without a
+// pause, until the life that answers has announced itself. The caller holds mu.
 func (l *leasedExecutor) endLife(life *life, cause string, next *lease.Announcement) {
 	if life.ended {
 		return
 	}
 	lost := life.runs.LifeEnded(!life.leaves())
 	l.retire(life, cause, lost)
+	l.announcements.forget(life.announced.Life.ID)
+	if next == nil {
+		next = l.announcements.latest()
+	}
 	if next != nil {
 		l.begin(l.newLife(*next))
 		return
@@ -164,7 +171,7 @@
 // endAnsweredByAnother ends a life when the worker answered that it has another
 // identifier. Announcements of that one may have come before. The caller holds mu.
 func (l *leasedExecutor) endAnsweredByAnother(life *life) {
-	l.endLife(life, "another_life_answered", l.announcements.latestExcept(life.announced.Life.ID))
+	l.endLife(life, "another_life_answered", nil)
 }
 
 // replaceLife ends a life after which the worker may start again, or has, under
