lease: an answer that may be the next life's clears no run of a crash

Cause: every answer counted as a sign that the worker had gone on. After a crash the next life, which has the same identifier, may answer a stop or a start before a list shows its birth. A run under which the worker had crashed at once then counted as survived for the time until that answer, and the crash was blamed on nobody: the task may crash one worker more.

Ruled out: counting lists only, because between two lists, up to 150 ms apart, the answers of this life are what clears runs that began earlier.

Change: answers to starts and stops count if their clock proves the life, lists always. Before the first list all count as before; nothing runs then.

--- a/lease/crash.go
+++ b/lease/crash.go
@@ -36,18 +36,24 @@
 	return onProbation
 }
 
-// observe records an answer of the worker with its clock.
+// observe records an answer of the worker with its clock. One that may be that of
+// the next life does not show that this one went on: it would clear the runs that
+// ended it.
 func (r *RunTable) observe(now time.Time, clock WorkerTime) {
+	shown := !r.identity.listed || r.identity.proves(now, clock)
 	r.clock.observe(now, clock)
-	r.answeredAt = now
+	if shown {
+		r.answeredAt = now
+	}
 }
 
 // survivedUntil returns the time from the answer that showed that the run began to the
-// worker's newest answer. It is 0 for a run that is not known to have begun: its
-// start order, or the answer to it, may have been lost with the worker.
+// worker's newest answer that is certainly of this life. It is 0 for a run that is
+// not known to have begun: its start order, or the answer to it, may have been lost
+// with the worker.
 func (e *entry) survivedUntil(answeredAt time.Time) time.Duration {
 	if !e.began {
 		return 0
 	}
-	return answeredAt.Sub(e.beganAt)
+	return max(0, answeredAt.Sub(e.beganAt))
 }
--- a/lease/crash_test.go
+++ b/lease/crash_test.go
@@ -79,3 +79,16 @@
 		})
 	}
 }
+
+// Guards against a run that is cleared of a crash because the next life, which has the
+// same identifier, has answered an order before it listed its runs.
+func TestAnswerOfTheNextLifeClearsNoRun(t *testing.T) {
+	table := ordered()
+	table.answerStart("")
+	table.pass(5 * ms) // the worker crashes
+	table.ConnectionRefused()
+	table.pass(200 * ms)
+	table.StopAnswered(table.now, StopOrder{}, Answer{Clock: 100 * ms})
+	_, lost := table.LifeReplaced(true, 8)
+	qt.Assert(t, lost, qt.DeepEquals, []RemovedRun{{Run: run1, Outcome: OutcomeLost, Crash: wire.CrashSuspect}})
+}
--- a/lease/runs.go
+++ b/lease/runs.go
@@ -363,6 +363,7 @@
 		r.latest = max(r.latest, r.ends.earlierLeaseEnd)
 	}
 	r.identity.applyList(n, reply)
+	r.answeredAt = now
 	r.refused = false
 	removed = r.applyEnds(now, reply.Ended)
 	toStop = r.applyActive(now, previous, reply)
