lease, agent: count suspensions when a clock proves the life of an answer

Cause: an answer counts as that of the present life if its clock has gone further than the next life's can have since the newest list was requested. That time is an upper bound, and was measured with the steady clock, which stands still while the agent's machine is suspended. A worker that starts again meanwhile and is not suspended has a clock that passes the bound; its first answer to a start was then taken as proof, and the run reported as lost with the former life while the next one ran it. A suspension longer than the time from the worker's start to its first list, about 0.3 s, was enough, not one longer than its last sample.

Ruled out: the clock that counts suspensions for all of the table, because the lower bound of the worker's clock has to count steady time only.

Change: the table is told how long the machine was suspended and adds that to this bound; 10 ms more, since shorter suspensions are not counted.

Measured: TestSuspensionHidesNoRestart, the case of the next life fails before and passes with the change; ./lease and ./agent pass.

--- a/agent/orders.go
+++ b/agent/orders.go
@@ -44,6 +44,7 @@
 		holder.runs.StartUnanswered(o.Run)
 		life.renewSoon(true)
 	default:
+		holder.runs.CountSuspension(l.agent.clock.Suspended())
 		l.notifyRemoved(holder, holder.runs.StartAnswered(now, o, answer))
 		if answer.Refusal == lease.RefusedOtherLife {
 			l.endAnsweredByAnother(life)
@@ -120,6 +121,7 @@
 	now := time.Now()
 	l.agent.mu.Lock()
 	defer l.agent.mu.Unlock()
+	life.runs.CountSuspension(l.agent.clock.Suspended())
 	switch {
 	case life.ended:
 	case errors.Is(err, lease.ErrWorkerDown):
@@ -208,6 +210,7 @@
 	// Sessions that expired during a pause of this process are handled first,
 	// because the renewal would otherwise extend the lease of their runs.
 	l.agent.expireSessions(l.agent.clock.Now())
+	life.runs.CountSuspension(l.agent.clock.Suspended())
 	n := life.runs.Renew(time.Now(), l.renewWait(life, retry))
 	life.nextImmediate, life.waitCancelled = false, false
 	if n.Wait > 0 {
--- a/lease/life.go
+++ b/lease/life.go
@@ -11,6 +11,10 @@
 // that such an order is carried out "seconds later" and gives no bound.
 const maxOrderDelay = 10 * time.Second
 
+// clockInaccuracy covers that clocks are stated in whole milliseconds, and that
+// suspensions of less than 10 ms are not counted.
+const clockInaccuracy = 11 * time.Millisecond
+
 // identity tells answers of one life of a worker from those of the next one, which
 // may have the same identifier. Lists state the birth of their process; answers to
 // starts and stops state only its clock, which starts anew in each life.
@@ -19,6 +23,9 @@
 	listed      bool       // a list was applied
 	firstSample WorkerTime // clock in the first list
 	listSentAt  time.Time  // when the renewal was sent that the newest list answers
+	// suspended is for how long the agent's machine was suspended so far, and
+	// listSuspended the same when that renewal was sent.
+	suspended, listSuspended time.Duration
 	// doubted means that a start was accepted by an answer that may be that of the
 	// next life, or that a connection was refused. The list that answers a renewal
 	// after doubtedAt settles it.
@@ -31,18 +38,24 @@
 	if !i.listed {
 		i.listed, i.born, i.firstSample = true, reply.Born, reply.Clock
 	}
-	i.listSentAt = n.sentAt
+	i.listSentAt, i.listSuspended = n.sentAt, n.suspended
 	i.doubted = i.doubted && n.number <= i.doubtedAt
 }
 
 // proves reports whether an answer with the given clock, which has arrived now,
 // can only be that of this life. The next life began after the newest list was
 // requested, and its clock began where that of this life did, so it cannot have
-// got that far. Clocks are stated in whole milliseconds.
+// got that far. The time for which the agent's machine was suspended counts, because
+// the worker may have started while the agent's steady clock stood still.
 func (i *identity) proves(now time.Time, clock WorkerTime) bool {
-	return i.listed && i.firstSample > 0 && clock > i.firstSample+now.Sub(i.listSentAt)+time.Millisecond
+	elapsed := now.Sub(i.listSentAt) + i.suspended - i.listSuspended
+	return i.listed && i.firstSample > 0 && clock > i.firstSample+elapsed+clockInaccuracy
 }
 
+// CountSuspension records for how long the agent's machine was suspended in all since
+// the process began. The caller calls it before Renew and before it applies an answer.
+func (r *RunTable) CountSuspension(total time.Duration) { r.identity.suspended = total }
+
 // doubt records that the next life may answer, when the newest renewal had the
 // given number.
 func (i *identity) doubt(renewal uint64) { i.doubted, i.doubtedAt = true, renewal }
--- a/lease/life_test.go
+++ b/lease/life_test.go
@@ -110,6 +110,29 @@
 	c.Check(table.RefusedUntilExpiry(table.now.Add(562*ms)), qt.IsFalse)
 }
 
+// Guards against a run that is taken to have begun in this life because the next life
+// has answered with a clock that went on while the agent's machine was suspended.
+func TestSuspensionHidesNoRestart(t *testing.T) {
+	const firstSample = startClock - 2*time.Second
+	for _, tc := range []struct {
+		name            string
+		suspended, past time.Duration // the answer's clock is that far past the first sample
+		proved          bool
+	}{
+		{"not suspended", 0, 2 * time.Second, true},
+		{"next life, which began with the suspension", 3 * time.Second, 3 * time.Second, false},
+		{"this life", 3 * time.Second, 5 * time.Second, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			table := ordered()
+			table.CountSuspension(tc.suspended)
+			table.StartAnswered(table.now, table.start, Answer{Clock: firstSample + tc.past})
+			_, lost := table.LifeReplaced(true, 8)
+			qt.Assert(t, len(lost) == 1, qt.Equals, tc.proved)
+		})
+	}
+}
+
 // Guards against a list that is applied although another life of the worker made it,
 // and against a life that is ended by its own list.
 func TestListsOfAnotherLife(t *testing.T) {
--- a/lease/runs.go
+++ b/lease/runs.go
@@ -292,8 +292,9 @@
 // Renewal is an order returned by Renew. Its number relates the reply to it.
 type Renewal struct {
 	RenewOrder
-	number uint64
-	sentAt time.Time
+	number    uint64
+	sentAt    time.Time
+	suspended time.Duration // see RunTable.CountSuspension
 }
 
 // Renew returns the next renewal, which the worker answers after the given wait
@@ -312,7 +313,7 @@
 			r.latest = max(r.latest, o.LeaseEnd)
 		}
 	}
-	return Renewal{o, r.lastRenewal, now}
+	return Renewal{o, r.lastRenewal, now, r.identity.suspended}
 }
 
 // extendsLease reports whether a renewal may extend the lease: a run has to go
