agent: ignore announcements without the birth that others of the worker state

Cause: a birth of 0 counts as any life, so that a heartbeat of another writer with the field missing was applied to the present life: it made the worker draining, or moved its address, until the worker's next announcement. The contract says that such a heartbeat names no worker to use.

Ruled out: rejecting them all, because a worker that never states a birth would stay unused.

Change: an announcement without a birth is ignored when one with its identifier and a birth is kept.

Measured: the case 'announcement without a birth' of TestNoProofThatTheLifeEnded, agent leaves as worker_draining before, finishes both tasks with the change.

--- a/agent/lives_test.go
+++ b/agent/lives_test.go
@@ -34,6 +34,11 @@
 			n.Address = "10.0.2.1:8201"
 			r.agent.WorkerAnnounced(n)
 		}},
+		{"announcement without a birth", func(r *leasedRig) {
+			n := r.machine.Announcement()
+			n.Life.Born, n.Draining = 0, true
+			r.agent.WorkerAnnounced(n)
+		}},
 		{"connections refused", func(r *leasedRig) {
 			r.machine.SetFaults(leasestub.Faults{Refuse: true})
 			time.Sleep(150 * time.Millisecond)
--- a/agent/probe.go
+++ b/agent/probe.go
@@ -21,8 +21,12 @@
 type announcements []lease.Announcement
 
 // add keeps an announcement. It returns false if the same or a newer one of that
-// life is kept.
+// life is kept, or if it lacks the birth that others with its identifier state: it
+// then comes from another writer and describes no life.
 func (s *announcements) add(n lease.Announcement) bool {
+	if n.Life.Born == 0 && slices.ContainsFunc(*s, func(k lease.Announcement) bool { return k.Life.ID == n.Life.ID && k.Life.Born != 0 }) {
+		return false
+	}
 	i := slices.IndexFunc(*s, func(k lease.Announcement) bool { return k.Life == n.Life })
 	if i >= 0 {
 		if n.Sequence <= (*s)[i].Sequence {
