agent: judge the end of a life by its own announcement

Cause: when the next life, under the same identifier at another address, answered a probe, its announcement replaced that of the former life before the agent asked whether that one's end was planned. A crash then counted as planned if the next life drained, and a planned end as a crash if it did not.

Change: replaceLife takes the announcement that the next life begins with.

--- a/agent/lives_test.go
+++ b/agent/lives_test.go
@@ -97,3 +97,24 @@
 		r.expect(<-e.runLeased("k", 4, 10*time.Millisecond), wire.OutcomeDone, "")
 	})
 }
+
+// Guards against the crash of a life that is taken for a planned end because the next
+// life, which has the same identifier at another address, drains already.
+func TestNextLifeThatDrainsHidesNoCrash(t *testing.T) {
+	withLeasedRig(t, leasedSetup{}, func(r *leasedRig, e *entryStub) {
+		lost := e.runLeased("j", 4, 10*time.Second)
+		time.Sleep(160 * time.Millisecond)
+		r.machine.SetFaults(leasestub.Faults{Refuse: true})
+		r.machine.Crash()
+		time.Sleep(20 * time.Millisecond) // the renewal in progress has broken
+		r.machine.Boot()
+		r.machine.Drain()
+		n := r.machine.Announcement()
+		n.Address = "10.0.2.1:8201"
+		r.agent.WorkerAnnounced(n)
+		r.machine.SetFaults(leasestub.Faults{})
+		a := <-lost
+		r.expect(a, wire.OutcomeInterrupted, wire.ReasonWorkerLost)
+		r.Check(a.Result.Crash, qt.Equals, wire.CrashBystander)
+	})
+}
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -85,7 +85,7 @@
 // the life if connections were refused until then; the caller holds mu.
 func (l *leasedExecutor) checkExpiry(life *life, now time.Time) {
 	if life.runs.RefusedUntilExpiry(now) {
-		l.replaceLife(life, "connection_refused")
+		l.replaceLife(life, "connection_refused", life.announced)
 		return
 	}
 	l.expireLease(life, now)
@@ -239,7 +239,7 @@
 		l.endAnsweredByAnother(life)
 		return false
 	case life.runs.OtherLife(reply):
-		l.replaceLife(life, "another_life_answered")
+		l.replaceLife(life, "another_life_answered", life.announced)
 		return false
 	}
 	l.applyRenewReply(life, now, n, reply)
--- a/agent/probe.go
+++ b/agent/probe.go
@@ -104,7 +104,6 @@
 	case known.ID != n.Life.ID:
 		l.endLife(present, "another_life_answered", &n)
 	case reply.Refusal == "" && present.runs.OtherLife(reply):
-		present.announced = n
-		l.replaceLife(present, "another_life_answered")
+		l.replaceLife(present, "another_life_answered", n)
 	}
 }
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -175,15 +175,15 @@
 }
 
 // replaceLife ends a life after which the worker may start again, or has, under
-// the same identifier, and begins the next one. Runs whose start orders the next
-// life may carry out wait for its first list. The caller holds mu.
-func (l *leasedExecutor) replaceLife(life *life, cause string) {
+// the same identifier, and begins the next one, of which n is known. Runs whose start
+// orders the next life may carry out wait for its first list. The caller holds mu.
+func (l *leasedExecutor) replaceLife(life *life, cause string, n lease.Announcement) {
 	if life.ended {
 		return
 	}
 	l.highestToken = max(l.highestToken, life.runs.Token()) + 1
 	runs, lost := life.runs.LifeReplaced(!life.leaves(), l.highestToken)
-	next := l.lifeWith(life.announced, runs)
+	next := l.lifeWith(n, runs)
 	l.retire(life, cause, lost)
 	for run, at := range life.attempts {
 		at.life, next.attempts[run] = next, at
