lease: a clock proves its life only within the bounds of that life's clock

Cause: an answer to a start counted as that of the present life if its clock had gone far enough. That holds if the clocks of all lives begin at one origin. The contract says that the clock of a life starts anew, and not where. With an origin that is higher than the former one by more than the time since the newest list, the first answers of the next life were taken as proof, and its runs reported as lost.

Ruled out: proof by lists only, because a worker's answers between two lists also clear runs of a crash and save a list for each start.

Change: the clock also has to be at least the lower bound at the order, and at most that of the newest list with the time since. Answers of the present life meet both; that of another origin does by chance only.

Two cases of TestRunsThatTheNextLifeMayHave fail before and pass with it.

--- a/lease/crash.go
+++ b/lease/crash.go
@@ -40,7 +40,7 @@
 // the next life does not show that this one went on: it would clear the runs that
 // ended it.
 func (r *RunTable) observe(now time.Time, clock WorkerTime) {
-	shown := !r.identity.listed || r.identity.proves(now, clock)
+	shown := !r.identity.listed || r.identity.proves(now, clock, 0)
 	r.clock.observe(now, clock)
 	if shown {
 		r.answeredAt = now
--- a/lease/life.go
+++ b/lease/life.go
@@ -22,6 +22,7 @@
 	born        int64      // 0 until a list has stated it
 	listed      bool       // a list was applied
 	firstSample WorkerTime // clock in the first list
+	listSample  WorkerTime // clock in the newest list
 	listSentAt  time.Time  // when the renewal was sent that the newest list answers
 	// suspended is for how long the agent's machine was suspended so far, and
 	// listSuspended the same when that renewal was sent.
@@ -38,7 +39,7 @@
 	if !i.listed {
 		i.listed, i.born, i.firstSample = true, reply.Born, reply.Clock
 	}
-	i.listSentAt, i.listSuspended = n.sentAt, n.suspended
+	i.listSample, i.listSentAt, i.listSuspended = reply.Clock, n.sentAt, n.suspended
 	i.doubted = i.doubted && n.number <= i.doubtedAt
 }
 
@@ -46,10 +47,13 @@
 // can only be that of this life. The next life began after the newest list was
 // requested, and its clock began where that of this life did, so it cannot have
 // got that far. The time for which the agent's machine was suspended counts, because
-// the worker may have started while the agent's steady clock stood still.
-func (i *identity) proves(now time.Time, clock WorkerTime) bool {
-	elapsed := now.Sub(i.listSentAt) + i.suspended - i.listSuspended
-	return i.listed && i.firstSample > 0 && clock > i.firstSample+elapsed+clockInaccuracy
+// the worker may have started while the agent's steady clock stood still. Should the
+// clock of the next life begin elsewhere, it is hardly within the bounds of this one:
+// least, and the newest list's clock with the time since.
+func (i *identity) proves(now time.Time, clock, least WorkerTime) bool {
+	elapsed := now.Sub(i.listSentAt) + i.suspended - i.listSuspended + clockInaccuracy
+	return i.listed && i.firstSample > 0 && clock > i.firstSample+elapsed &&
+		clock > least-clockInaccuracy && clock < i.listSample+elapsed
 }
 
 // CountSuspension records for how long the agent's machine was suspended in all since
--- a/lease/life_test.go
+++ b/lease/life_test.go
@@ -41,6 +41,14 @@
 			t.StartAnswered(t.now, t.start, Answer{Clock: 2 * time.Second})
 			next(t)
 		}, nil},
+		{"accepted with a clock that begins far ahead", func(t *rig) {
+			t.StartAnswered(t.now, t.start, Answer{Clock: t.clockNow() + time.Minute})
+			next(t)
+		}, nil},
+		{"accepted with a clock that begins within the life's past", func(t *rig) {
+			t.StartAnswered(t.now, t.start, Answer{Clock: t.clockNow() - 100*ms})
+			next(t)
+		}, nil},
 		{"accepted without a clock", func(t *rig) { t.StartAnswered(t.now, t.start, Answer{}); next(t) }, nil},
 		{"absent in the next life", func(t *rig) { next(t); listNext(t, nil) }, []Outcome{OutcomeLost}},
 		{"absent from a list of the next life with a higher token", func(t *rig) {
--- a/lease/runs.go
+++ b/lease/runs.go
@@ -224,7 +224,8 @@
 	}
 	e.markBegun(now)
 	e.resolveStart(r.lastRenewal)
-	if r.identity.proves(now, a.Clock) {
+	// The worker answered later than its clock was validUntil less the validity.
+	if r.identity.proves(now, a.Clock, e.validUntil-r.options.Validity) {
 		e.shown = true
 	} else {
 		r.identity.doubt(r.lastRenewal)
