--- a/platform/daemon_test.go
+++ b/internal/process/server_test.go
@@ -1,4 +1,4 @@
-package platform
+package process
 
 import (
 	"context"
@@ -23,7 +23,7 @@
 func (daemonStub) ControlBytes() uint64       { return 0 }
 
 // Guards against a daemon that goes on serving without the server through which
-// the platform reaches it, when that server fails.
+// others reach it, when that server fails.
 func TestDaemonEndsWithItsServer(t *testing.T) {
 	c := qt.New(t)
 	stub := daemonStub{make(chan struct{})}
