config: unique names of routes and the generation of a successor move out of platform/

Which name a document accepts, and that a document with the content of the one in force keeps its generation, are decisions of the product; platform/ repeated the pattern of names.

--- a/config/parse.go
+++ b/config/parse.go
@@ -105,6 +105,21 @@
 	return data, nil
 }
 
+// EncodeAfter encodes the document as the successor of the one in force, which has
+// the given generation (0 if there is none). A document with the same content keeps
+// the generation in force, so that processes that read it at different times agree;
+// any other gets the generation next.
+func (d *Document) EncodeAfter(generation uint64, inForce []byte, next uint64) ([]byte, error) {
+	successor := *d
+	successor.Generation = generation
+	encoded, err := successor.Encode()
+	if err != nil || generation > 0 && bytes.Equal(encoded, inForce) {
+		return encoded, err
+	}
+	successor.Generation = next
+	return successor.Encode()
+}
+
 // EncodeIndent returns the document as indented JSON, for people to read and edit.
 func (d *Document) EncodeIndent() ([]byte, error) { return d.marshal("  ") }
 
--- a/config/validate.go
+++ b/config/validate.go
@@ -82,8 +82,12 @@
 	seen[name] = true
 }
 
+func acceptedName(name string) bool {
+	return len(name) <= maxNameBytes && namePattern.MatchString(name)
+}
+
 func (v *validator) label(field, name string) {
-	v.check(len(name) <= maxNameBytes && namePattern.MatchString(name), field,
+	v.check(acceptedName(name), field,
 		"%q is not accepted; give 1 to %d of the characters a-z, 0-9 and, inside, -", truncate(name), maxNameBytes)
 }
 
