--- a/config/validate_leased.go
+++ b/config/validate_leased.go
@@ -30,16 +30,17 @@
 		}
 		return
 	}
-	v.check(validPool(t.Pool), path+".pool", "%q is not accepted; give 1 to %d printable characters without spaces", truncate(t.Pool), maxNameBytes)
+	v.check(ValidPool(t.Pool), path+".pool", "%q is not accepted; give 1 to %d printable characters without spaces", truncate(t.Pool), maxNameBytes)
 	v.check(1 <= t.MaxAttempts && t.MaxAttempts <= MaxAttemptsLimit, path+".max_attempts",
 		"%d is not accepted; give 1 to %d", t.MaxAttempts, MaxAttemptsLimit)
 	v.check(t.SlackFactor > 0, path+".slack_factor", "%v is not accepted; give a number above 0", t.SlackFactor)
 	v.check(t.TargetMS >= 0, path+".target_ms", "%d is not accepted; give 0 or more", t.TargetMS)
 }
 
-// validPool reports whether the name can be shown in a log line and compared byte
-// by byte: it has only printable ASCII characters and no spaces.
-func validPool(name string) bool {
+// ValidPool reports whether a pool may have the name: it can be shown in a log line
+// and compared byte by byte, because it has only printable ASCII characters and no
+// spaces.
+func ValidPool(name string) bool {
 	return 0 < len(name) && len(name) <= maxNameBytes &&
 		!strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r >= 0x7f })
 }
