entry: needs of a submission have the limit that templates have

The needs of one task in a submission had no upper limit, and those of all queued tasks are added up and rounded. 2^63-1 thousandths of a core became a class with - in the measure of queued work. The job was refused as one that can never run while its entry knew agents; without one it was queued.

Needs above 2^31-1 are refused as invalid, as config does for templates.

TestLeasedSubmissionsOverHTTP: three more submissions, refused with 422 before and 400 now.

--- a/entry/leased.go
+++ b/entry/leased.go
@@ -111,6 +111,10 @@
 		return invalid("needs are negative")
 	case needs.MilliCPU <= 0:
 		return invalid("needs.milli_cpu is missing or not positive")
+	case needs.Accelerators > math.MaxInt32 || max(needs.MemoryMB, needs.MilliCPU) > math.MaxInt32:
+		// The sums over the tasks of all jobs would overflow. Templates have the
+		// same limit.
+		return invalid("needs exceed %d", math.MaxInt32)
 	}
 	if r.Durable {
 		return checkDurableIdentifier(r)
