ctl: a drain that no entry confirmed is not done

awaitLeaving ended successfully when no entry could be reached after the agent was told to leave, or when the operator interrupted the command: no entry was read, so none listed the agent.

A drain needs the answer of at least one entry. Otherwise LeavingError has the entries of the last survey with an answer, and the cause.

--- a/ctl/confirm.go
+++ b/ctl/confirm.go
@@ -125,26 +125,37 @@
 	return o.awaitLeaving(ctx, p)
 }
 
-// awaitLeaving repeats the survey until no entry that can be reached lists the
-// agent as one that is not leaving.
+// awaitLeaving repeats the survey until entries can be reached and none of these
+// lists the agent as one that is not leaving.
 func (o *Operator) awaitLeaving(ctx context.Context, agent Process) error {
 	waitCtx, cancel := context.WithTimeout(ctx, o.options.Wait)
 	defer cancel()
+	var lagging []Process // in the last survey that reached an entry
 	for {
 		survey, err := o.Survey(ctx)
-		var lagging []Process
-		for _, s := range survey.Entries {
-			for _, a := range s.Agents {
-				if a.ID == agent.ID && !a.Leaving {
-					lagging = append(lagging, s.updateProcess(Process{Kind: kindEntry, Admin: s.Entry.Admin}))
-				}
+		switch {
+		case err != nil:
+		case len(survey.Entries) == 0:
+			err = processError("no entry can be reached")
+		default:
+			if lagging = survey.notLeaving(agent.ID); len(lagging) == 0 {
+				return nil
 			}
 		}
-		if err == nil && len(lagging) == 0 {
-			return nil
-		}
 		if !o.waitPollInterval(waitCtx) {
-			return &LeavingError{agent.ID, lagging}
+			return &LeavingError{agent.ID, lagging, err}
+		}
+	}
+}
+
+// notLeaving returns the entries that list the agent as one that is not leaving.
+func (s Survey) notLeaving(agent string) (entries []Process) {
+	for _, e := range s.Entries {
+		for _, a := range e.Agents {
+			if a.ID == agent && !a.Leaving {
+				entries = append(entries, e.updateProcess(Process{Kind: kindEntry, Admin: e.Entry.Admin}))
+			}
 		}
 	}
+	return entries
 }
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -454,6 +455,32 @@
 	})
 }
 
+// Guards against a drain that counts as done because no entry could be asked, and
+// against one that fails without naming the entries it last heard from or the cause.
+func TestDrainWithoutAnswers(t *testing.T) {
+	for _, laterLost := range []bool{false, true} {
+		deploy(t, func(d *deployment) {
+			surveys := 0
+			d.net["127.0.0.1:9"] = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				if !laterLost {
+					clear(d.net)
+				}
+			})
+			d.net[d.a.admin] = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if surveys++; surveys > 3 { // of which one looks for the agent
+					http.Error(w, "lost", http.StatusServiceUnavailable)
+					return
+				}
+				d.a.ServeHTTP(w, r)
+			})
+			d.net[d.b.admin] = http.NotFoundHandler()
+			out := d.run(ExitUnconfirmed, "drain", "agent-1")
+			d.Check(out, qt.Contains, "no entry can be reached")
+			d.Check(strings.Contains(out, `["entry-a"]`), qt.Equals, laterLost, qt.Commentf("%s", out))
+		})
+	}
+}
+
 // Guards against a merge patch or an assignment that changes a field other than
 // the one it names.
 func TestEdits(t *testing.T) {
--- a/ctl/errors.go
+++ b/ctl/errors.go
@@ -98,10 +98,12 @@
 }
 
 // LeavingError lists the entries that did not report Agent as leaving within the
-// wait, although the agent was told to leave.
+// wait, although the agent was told to leave. Cause is set if no entry answered the
+// last survey; Entries are then those of the last one that an entry answered.
 type LeavingError struct {
 	Agent   string
 	Entries []Process
+	Cause   error
 }
 
 // Error implements error.
@@ -110,7 +112,11 @@
 	for i, p := range e.Entries {
 		names[i] = p.ID
 	}
-	return fmt.Sprintf("ctl: agent %s was told to leave; entries that do not report it as leaving: %q", e.Agent, names)
+	text := fmt.Sprintf("ctl: agent %s was told to leave; entries that do not report it as leaving: %q", e.Agent, names)
+	if e.Cause != nil {
+		text += fmt.Sprintf("; last survey: %v", e.Cause)
+	}
+	return text
 }
 
 // ExitCode returns the exit code for the error of a command; nil is ExitOK.
