ctl: an unknown outcome says what the last read of the store showed

When the time to settle a write without an answer ended after a read that worked, the error ended in "last error: <nil>": the store still held the old document, or a lower generation. It now ends in "last read:" with the generation and the revision, or with the error of the read.

TestLostAnswerIsSettledByReadingBack: two new cases and a check of the text; both new cases failed before and pass.

--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -292,6 +292,10 @@
 		{"answer lost", func(_ *deployment, s *storestub.Stub) store.Store { s.LoseAnswers(1); return s }, ExitOK, true},
 		{"several answers lost", func(_ *deployment, s *storestub.Stub) store.Store { s.LoseAnswers(3); return s }, ExitOK, true},
 		{"write held up", func(_ *deployment, s *storestub.Stub) store.Store { s.HoldWrites(2, 3*time.Second); return s }, ExitOK, true},
+		{"no write arrives", func(_ *deployment, s *storestub.Stub) store.Store { s.HoldWrites(1000, time.Hour); return s }, ExitUnknown, false},
+		{"old document is read", func(_ *deployment, s *storestub.Stub) store.Store {
+			return &replacingStore{Store: s, stub: s, generation: 1}
+		}, ExitUnknown, false},
 		{"write never arrives", func(_ *deployment, s *storestub.Stub) store.Store { s.HoldWrites(1, time.Hour); return s }, ExitOK, true},
 		{"another write instead", func(_ *deployment, s *storestub.Stub) store.Store {
 			return &replacingStore{Store: s, stub: s, generation: 2}
@@ -314,6 +318,7 @@
 				s := test.inject(d, d.stub)
 				r, err := New(Options{Store: s, Transport: d.net}).Edit(context.Background(), Assignments([]string{"templates[proof].urgency=5"}))
 				d.Check(ExitCode(err), qt.Equals, test.want, qt.Commentf("%v", err))
+				d.Check(err != nil && strings.Contains(err.Error(), "<nil>"), qt.IsFalse, qt.Commentf("%v", err))
 				d.Check(r.Document != nil && d.stored().WriteID == r.Document.WriteID, qt.Equals, test.ours)
 			})
 		})
--- a/ctl/document.go
+++ b/ctl/document.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"github.com/ansel1/merry/v2"
 
@@ -237,10 +238,12 @@
 // repeated: while the key is unchanged, the earlier write may still take effect,
 // and only another write based on the same revision rules that out.
 func (o *Operator) readBack(ctx context.Context, base StoredDocument, next *config.Document) (bool, error) {
-	var lastErr error
 	for {
 		stored, err := o.Load(ctx)
-		if err == nil {
+		lastRead := fmt.Sprintf("generation %d at revision %d", stored.generation(), stored.Revision)
+		if err != nil {
+			lastRead = err.Error()
+		} else {
 			switch generation := stored.generation(); {
 			case generation > 0 && stored.Document.WriteID == next.WriteID:
 				return true, nil
@@ -256,9 +259,8 @@
 			}
 			// A lower generation comes from a stale read or a restored store; read again.
 		}
-		lastErr = err
 		if !o.waitPollInterval(ctx) {
-			return false, unknownOutcome("generation %d (write %s); last error: %v", next.Generation, next.WriteID, lastErr)
+			return false, unknownOutcome("generation %d (write %s); last read: %s", next.Generation, next.WriteID, lastRead)
 		}
 	}
 }
