capacity: an error of a stand-in that sends tasks reaches the report

runSenders wrote it to the err of its loop, which hides the result: the measurement of an agent counted as valid although tasks were no longer sent.

sumDone adds up what the senders did and returns their error.

--- a/internal/dev/capacity/senders.go
+++ b/internal/dev/capacity/senders.go
@@ -18,10 +18,8 @@
 // together send it tasks at a fixed rate, until ctx ends. It returns the number
 // of tasks done.
 func runSenders(ctx context.Context, s Spec) (done int, err error) {
-	var (
-		wg sync.WaitGroup
-		mu sync.Mutex
-	)
+	var senders []func(context.Context) (int, error)
+	var wg sync.WaitGroup
 	defer wg.Wait()
 	for i, address := range s.Entries {
 		l, err := net.Listen("tcp", address)
@@ -31,17 +29,30 @@
 		e := &entryStandin{ref: entryRef(i, address)}
 		wg.Go(func() { _ = e.server().Serve(ctx, l) })
 		if s.TasksPerSecond > 0 {
-			wg.Go(func() {
-				n, sendErr := e.sendTasks(ctx, s.Agent, s.TasksPerSecond/float64(len(s.Entries)))
-				mu.Lock()
-				defer mu.Unlock()
-				done += n
-				if sendErr != nil && ctx.Err() == nil {
-					err = sendErr
-				}
+			senders = append(senders, func(ctx context.Context) (int, error) {
+				return e.sendTasks(ctx, s.Agent, s.TasksPerSecond/float64(len(s.Entries)))
 			})
 		}
 	}
+	return sumDone(ctx, senders)
+}
+
+// sumDone runs the senders at the same time. It returns the number of tasks that
+// they did together, and one of the errors that occurred before ctx ended.
+func sumDone(ctx context.Context, senders []func(context.Context) (int, error)) (done int, err error) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for _, send := range senders {
+		wg.Go(func() {
+			n, sendErr := send(ctx)
+			mu.Lock()
+			defer mu.Unlock()
+			done += n
+			if sendErr != nil && ctx.Err() == nil {
+				err = sendErr
+			}
+		})
+	}
 	wg.Wait()
 	return done, err
 }
