load: an event that failed has no effect in the report

Only the count of late starts looked at the error of an event. An event that failed, such as a data centre that could not be taken out of service because the store was down, took its slots off the timeline and got windows before and after it, and a line in the plot. FailedEvents lists it as before.

A return that failed still ends the search for late starts, because the store may have accepted it.

TestFailedEventsHaveNoEffect failed before in slots, windows and plot, and passes.

--- a/internal/dev/load/load_test.go
+++ b/internal/dev/load/load_test.go
@@ -139,6 +139,21 @@
 	c.Check(math.Abs(w.OfPossible-0.5) < 1e-6, qt.IsTrue, qt.Commentf("%+v", w))
 }
 
+// Guards against an event that failed and counts as if it had taken effect: slots that
+// are in service would count as lost, and the work around it as its result.
+func TestFailedEventsHaveNoEffect(t *testing.T) {
+	c := qt.New(t)
+	out := takenOut("ne-br-for", 4500*time.Millisecond)
+	kill := appliedEvent{Event: Event{Action: ActionKillWorker, Target: "w01", At: time.Second}, effectiveAt: time.Second}
+	out.err, kill.err = errors.New("store out"), errors.New("no such worker")
+	o, without := newObservation(c, kill, out, returned("ne-br-for", 8*time.Second)), newObservation(c, returned("ne-br-for", 8*time.Second))
+	c.Check(o.timeline().slots, qt.DeepEquals, without.timeline().slots)
+	r := o.report()
+	c.Check(r.Windows, qt.DeepEquals, without.report().Windows)
+	c.Check(r.FailedEvents, qt.HasLen, 2)
+	c.Check(r.events, qt.HasLen, 1)
+}
+
 // Guards against late starts that are not reported, and against reports of
 // starts within the limit or after the return of the data centre.
 func TestLateStarts(t *testing.T) {
--- a/internal/dev/load/report.go
+++ b/internal/dev/load/report.go
@@ -98,7 +98,7 @@
 		Load: p.Load, DurationS: p.Duration.Seconds(), Seed: p.Seed, Burst: p.Burst,
 		Jobs: len(o.results), Starts: len(o.starts),
 		DuplicateStarts: append([]string{}, o.duplicateStarts...), FalseNotRun: []string{}, WrongAnswers: []string{},
-		StoreCallsPerS: float64(o.storeCalls) / p.Duration.Seconds(), LateStarts: o.lateStarts(), events: o.events,
+		StoreCallsPerS: float64(o.storeCalls) / p.Duration.Seconds(), LateStarts: o.lateStarts(), events: o.effective(),
 	}
 	for _, e := range p.Events {
 		r.Events = append(r.Events, e.String())
@@ -217,7 +217,8 @@
 
 // lateStarts counts the starts in a data centre that happened more than
 // lateStartLimit after the store accepted that it is out of service, and before
-// its return was requested.
+// its return was requested. A return that failed counts as requested, because the
+// store may have accepted it.
 func (o *observation) lateStarts() int {
 	late := 0
 	for i, out := range o.events {
--- a/internal/dev/load/run.go
+++ b/internal/dev/load/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,7 +31,7 @@
 const eventTimeout = 5 * time.Second
 
 // appliedEvent is an event with the times, since the start of the run, at which
-// it was requested and at which it had taken effect.
+// it was requested and at which it had taken effect, or had failed if err is set.
 type appliedEvent struct {
 	Event
 	requestedAt, effectiveAt time.Duration
@@ -49,6 +50,11 @@
 	messages        map[string]dev.Traffic
 }
 
+// effective returns the events that did not fail.
+func (o *observation) effective() []appliedEvent {
+	return slices.DeleteFunc(slices.Clone(o.events), func(e appliedEvent) bool { return e.err != nil })
+}
+
 // Run submits the planned jobs to the system, applies the events and returns the
 // report when every job has its answer.
 func Run(ctx context.Context, s System, o Options) (*Report, error) {
--- a/internal/dev/load/timeline.go
+++ b/internal/dev/load/timeline.go
@@ -55,7 +55,7 @@
 	out := map[string][]bool{}
 	for _, w := range o.options.Layout.WorkerList() {
 		alive := slices.Repeat([]bool{true}, n)
-		for _, e := range o.events {
+		for _, e := range o.effective() {
 			on := false
 			switch {
 			case e.Action == ActionKillWorker && e.Target == w.ID:
@@ -77,7 +77,7 @@
 // killedBefore reports whether an event killed the worker before the given time
 // since the start of the run.
 func (o *observation) killedBefore(worker string, at time.Duration) bool {
-	return slices.ContainsFunc(o.events, func(e appliedEvent) bool {
+	return slices.ContainsFunc(o.effective(), func(e appliedEvent) bool {
 		return e.Action == ActionKillWorker && e.Target == worker && e.effectiveAt < at
 	})
 }
@@ -176,11 +176,12 @@
 func (o *observation) windows(t *timeline) []Window {
 	end := o.options.Duration
 	out := []Window{t.window("whole run", 0, end)}
-	for i, e := range o.events {
+	events := o.effective()
+	for i, e := range events {
 		name := strings.SplitN(e.String(), "@", 2)[0]
 		next := end
-		if i+1 < len(o.events) {
-			next = min(next, o.events[i+1].effectiveAt)
+		if i+1 < len(events) {
+			next = min(next, events[i+1].effectiveAt)
 		}
 		for _, w := range []struct {
 			name     string
