chicorytray-dev: capacity refuses extra arguments

`chicorytray-dev capacity quick` (without the hyphen) ran the whole measurement of six minutes; the other verbs refuse arguments that they do not know.

TestWrongCommandLines with "capacity extra" was still running after 20 s before, when it was ended; it passes now.

--- a/cmd/chicorytray-dev/capacity.go
+++ b/cmd/chicorytray-dev/capacity.go
@@ -48,14 +48,9 @@
 }
 
 // Execute implements subcommands.Command.
-func (c *capacityCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.interval < time.Second {
-		fmt.Fprintln(os.Stderr, "chicorytray-dev: -interval must be at least 1s")
-		return subcommands.ExitUsageError
-	}
-	if c.role != "" && c.role != capacity.RoleEntry && c.role != capacity.RoleAgent {
-		fmt.Fprintf(os.Stderr, "chicorytray-dev: -role %q is not one of entry, agent\n", c.role)
-		return subcommands.ExitUsageError
+func (c *capacityCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := c.validate(); err != nil || f.NArg() > 0 {
+		return reportUsageError(f, err)
 	}
 	r, err := capacity.Run(ctx, capacity.Options{
 		Interval: c.interval, ChildVerb: capacityChildVerb, Progress: os.Stderr, Quick: c.quick, Role: c.role,
@@ -68,12 +63,21 @@
 		}
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "chicorytray-dev:", err)
-		return subcommands.ExitFailure
+		return reportFailure(err)
 	}
 	return subcommands.ExitSuccess
 }
 
+func (c *capacityCommand) validate() error {
+	switch {
+	case c.interval < time.Second:
+		return fmt.Errorf("interval %s; accepted: at least 1s", c.interval)
+	case c.role != "" && c.role != capacity.RoleEntry && c.role != capacity.RoleAgent:
+		return fmt.Errorf("role %q; accepted: entry, agent", c.role)
+	}
+	return nil
+}
+
 // capacityChildCommand runs the stand-ins around the measured daemon in a child
 // process, so that their processor time is not counted.
 type capacityChildCommand struct{}
@@ -95,8 +99,7 @@
 // Execute implements subcommands.Command.
 func (*capacityChildCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if err := capacity.RunChild(ctx, os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "chicorytray-dev:", err)
-		return subcommands.ExitFailure
+		return reportFailure(err)
 	}
 	return subcommands.ExitSuccess
 }
