process: run and check refuse extra arguments

`chicorytray-entry run other.json` started with the default settings file, because arguments beside the flags were ignored. They are an invalid command line now, exit code 2.

TestSettingsAndExitCodes: the new check failed before (exit code 0) and passes.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -86,6 +86,15 @@
 	f.StringVar(file, "settings", defaultFile, "settings `FILE` (JSON)")
 }
 
+// load loads the settings file. It refuses arguments beside the flags: whoever names
+// the file without -settings would otherwise start with the default file.
+func (p Program) load(f *flag.FlagSet, file string) (LoadedSettings, error) {
+	if f.NArg() > 0 {
+		return LoadedSettings{}, fmt.Errorf("unexpected argument %q; give the settings file with -settings", f.Arg(0))
+	}
+	return p.Load(file)
+}
+
 // checkCommand checks a settings file without starting the daemon.
 type checkCommand struct {
 	program Program
@@ -100,8 +109,8 @@
 
 func (c *checkCommand) SetFlags(f *flag.FlagSet) { c.program.settingsFlag(f, &c.file) }
 
-func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	if _, err := c.program.Load(c.file); err != nil {
+func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if _, err := c.program.load(f, c.file); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitBadSettings
 	}
--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -63,5 +63,10 @@
 			}
 		})
 	}
+	f := flag.NewFlagSet("check", flag.ContinueOnError)
+	qt.Assert(t, f.Parse([]string{"extra"}), qt.IsNil)
+	file := filepath.Join(t.TempDir(), "settings.json")
+	qt.Assert(t, os.WriteFile(file, []byte(validEntry), 0o600), qt.IsNil)
+	qt.Check(t, (&checkCommand{program: entry, file: file}).Execute(context.Background(), f), qt.Equals, subcommands.ExitUsageError)
 	qt.Check(t, versionCommand{}.Execute(context.Background(), nil), qt.Equals, subcommands.ExitSuccess)
 }
--- a/internal/process/run.go
+++ b/internal/process/run.go
@@ -36,8 +36,8 @@
 
 func (c *runCommand) SetFlags(f *flag.FlagSet) { c.program.settingsFlag(f, &c.file) }
 
-func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	loaded, err := c.program.Load(c.file)
+func (c *runCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	loaded, err := c.program.load(f, c.file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitBadSettings
