agent: upstream_unsent counts HTTP requests only

Each leased task that was not run, for instance because its worker refused the order, also counted as a request that could not be sent to the upstream, so the metric pointed to a connection that does not exist.

TestUnsentRequestsAreThoseToHTTPUpstreams failed before (1 for a refused order) and passes.

--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -7,7 +7,8 @@
 )
 
 // metrics are the agent's counters, gauges and timers. The names of those that
-// the failure table in docs/design.md lists must match it.
+// the failure table in docs/design.md lists must match it. upstreamUnsent counts HTTP
+// requests only.
 type metrics struct {
 	started, finished, notRun, unknown                       tally.Counter
 	sessionsExpired, sessionsFenced                          tally.Counter
--- a/agent/report.go
+++ b/agent/report.go
@@ -94,7 +94,9 @@
 	a.metrics.taskTime.Record(r.Took)
 	switch r.Outcome {
 	case wire.OutcomeNotRun:
-		a.metrics.upstreamUnsent.Inc(1)
+		if a.leased == nil {
+			a.metrics.upstreamUnsent.Inc(1)
+		}
 		a.metrics.notRun.Inc(1)
 		return
 	case wire.OutcomeUnknown:
