--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -291,6 +292,10 @@
 		{"answer lost", func(_ *deployment, s *storestub.Stub) store.Store { s.LoseAnswers(1); return s }, ExitOK, true},
 		{"several answers lost", func(_ *deployment, s *storestub.Stub) store.Store { s.LoseAnswers(3); return s }, ExitOK, true},
 		{"write held up", func(_ *deployment, s *storestub.Stub) store.Store { s.HoldWrites(2, 3*time.Second); return s }, ExitOK, true},
+		{"no write arrives", func(_ *deployment, s *storestub.Stub) store.Store { s.HoldWrites(1000, time.Hour); return s }, ExitUnknown, false},
+		{"old document is read", func(_ *deployment, s *storestub.Stub) store.Store {
+			return &replacingStore{Store: s, stub: s, generation: 1}
+		}, ExitUnknown, false},
 		{"write never arrives", func(_ *deployment, s *storestub.Stub) store.Store { s.HoldWrites(1, time.Hour); return s }, ExitOK, true},
 		{"another write instead", func(_ *deployment, s *storestub.Stub) store.Store {
 			return &replacingStore{Store: s, stub: s, generation: 2}
@@ -313,6 +318,7 @@
 				s := test.inject(d, d.stub)
 				r, err := New(Options{Store: s, Transport: d.net}).Edit(context.Background(), Assignments([]string{"templates[proof].urgency=5"}))
 				d.Check(ExitCode(err), qt.Equals, test.want, qt.Commentf("%v", err))
+				d.Check(err != nil && strings.Contains(err.Error(), "<nil>"), qt.IsFalse, qt.Commentf("%v", err))
 				d.Check(r.Document != nil && d.stored().WriteID == r.Document.WriteID, qt.Equals, test.ours)
 			})
 		})
@@ -454,6 +460,32 @@
 	})
 }
 
+// Guards against a drain that counts as done because no entry could be asked, and
+// against one that fails without naming the entries it last heard from or the cause.
+func TestDrainWithoutAnswers(t *testing.T) {
+	for _, laterLost := range []bool{false, true} {
+		deploy(t, func(d *deployment) {
+			surveys := 0
+			d.net["127.0.0.1:9"] = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				if !laterLost {
+					clear(d.net)
+				}
+			})
+			d.net[d.a.admin] = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if surveys++; surveys > 3 { // of which one looks for the agent
+					http.Error(w, "lost", http.StatusServiceUnavailable)
+					return
+				}
+				d.a.ServeHTTP(w, r)
+			})
+			d.net[d.b.admin] = http.NotFoundHandler()
+			out := d.run(ExitUnconfirmed, "drain", "agent-1")
+			d.Check(out, qt.Contains, "no entry can be reached")
+			d.Check(strings.Contains(out, `["entry-a"]`), qt.Equals, laterLost, qt.Commentf("%s", out))
+		})
+	}
+}
+
 // Guards against a merge patch or an assignment that changes a field other than
 // the one it names.
 func TestEdits(t *testing.T) {
