lease, agent: wait for an answer as long as the worker usually takes

Cause: an order was given up after 100 ms although the worker answers within a millisecond. A lost renewal hid all ends for that long, and a void run held its capacity for 208 ms on average (start, list, stop, list, each lost in turn), so that the pool was full of void runs. Ruled out: suspicion of the workers, leases that lapse (16 to 28 of 16,000 runs), entries that mark agents as full.

While an order was unanswered within 2 s, renewals wait at the worker for twice the timeout at most. No start, stop or proof is skipped.

--- a/agent/orders.go
+++ b/agent/orders.go
@@ -13,6 +13,9 @@
 	// idleRenewWait is how long a renewal waits at the worker while nothing
 	// runs, so that an idle worker costs half a renewal a second.
 	idleRenewWait = 2 * time.Second
+	// minStopPause is the first pause between two stop orders for one run; it
+	// doubles up to the order timeout of the settings.
+	minStopPause = 5 * time.Millisecond
 	// maxSilentRetryDelay bounds the pause between renewals that fail while the
 	// table is empty.
 	maxSilentRetryDelay = time.Second
@@ -26,12 +29,15 @@
 	if life == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(life.ctx, l.settings.OrderTimeout.AsDuration())
+	worker, timeout := l.workerOf(life)
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(life.ctx, timeout)
 	defer cancel()
-	answer, err := l.workerOf(life).Start(ctx, o)
+	answer, err := worker.Start(ctx, o)
 	now := time.Now()
 	l.agent.mu.Lock()
 	defer l.agent.mu.Unlock()
+	life.recordAnswer(now, sent, timeout, err)
 	holder := at.life
 	switch {
 	case errors.Is(err, lease.ErrWorkerDown):
@@ -91,18 +97,30 @@
 	l.expireLease(life, now)
 }
 
-// workerOf returns the client for the life's present address.
-func (l *leasedExecutor) workerOf(life *life) Worker {
+// workerOf returns the client for the life's present address, and how long to wait
+// for the answer to an order.
+func (l *leasedExecutor) workerOf(life *life) (Worker, time.Duration) {
 	l.agent.mu.Lock()
 	defer l.agent.mu.Unlock()
-	return life.worker
+	return life.worker, life.orderTimeout.Value()
+}
+
+// recordAnswer records the answer to an order, or that it was given up after the
+// timeout; the caller holds mu.
+func (w *life) recordAnswer(now, sent time.Time, timeout time.Duration, err error) {
+	switch {
+	case err == nil:
+		w.orderTimeout.Answered(now.Sub(sent))
+	case now.Sub(sent) >= timeout:
+		w.orderTimeout.Unanswered(now, sent)
+	}
 }
 
 // stopRun sends stop orders for a run, with backoff, until one is answered or the
 // run no longer has to be stopped.
 func (l *leasedExecutor) stopRun(life *life, run lease.Run) {
 	maxPause := l.settings.OrderTimeout.AsDuration()
-	for pause := maxPause / 4; ; pause = min(2*pause, maxPause) {
+	for pause := minStopPause; ; pause = min(2*pause, maxPause) {
 		l.agent.mu.Lock()
 		o, needed := life.runs.PendingStop(run)
 		needed = needed && !life.ended
@@ -115,12 +133,15 @@
 
 // sendStop sends one stop order and reports whether no other is needed.
 func (l *leasedExecutor) sendStop(life *life, o lease.StopOrder) bool {
-	ctx, cancel := context.WithTimeout(life.ctx, l.settings.OrderTimeout.AsDuration())
+	worker, timeout := l.workerOf(life)
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(life.ctx, timeout)
 	defer cancel()
-	answer, err := l.workerOf(life).Stop(ctx, o)
+	answer, err := worker.Stop(ctx, o)
 	now := time.Now()
 	l.agent.mu.Lock()
 	defer l.agent.mu.Unlock()
+	life.recordAnswer(now, sent, timeout, err)
 	life.runs.CountSuspension(l.agent.clock.Suspended())
 	switch {
 	case life.ended:
@@ -194,7 +215,7 @@
 func (l *leasedExecutor) retryDelay(life *life, failures int) time.Duration {
 	l.agent.mu.Lock()
 	defer l.agent.mu.Unlock()
-	pause := l.settings.OrderTimeout.AsDuration() / 4
+	pause := life.orderTimeout.Value() / 4
 	if life.runs.Empty() {
 		return min(maxSilentRetryDelay, pause<<min(failures, 10))
 	}
@@ -216,15 +237,19 @@
 	if n.Wait > 0 {
 		life.cancelWait = cancel
 	}
-	worker := life.worker
+	worker, timeout := life.worker, life.orderTimeout.Value()
 	l.agent.mu.Unlock()
-	ctx, end := context.WithTimeout(ctx, n.Wait+l.settings.OrderTimeout.AsDuration())
+	sent := time.Now().Add(n.Wait) // the worker may have answered before
+	ctx, end := context.WithTimeout(ctx, n.Wait+timeout)
 	defer end()
 	reply, err := worker.Renew(ctx, n.RenewOrder)
 	now := time.Now()
 	l.agent.mu.Lock()
 	defer l.agent.mu.Unlock()
 	life.cancelWait = nil
+	if n.Wait == 0 || err != nil || now.After(sent) {
+		life.recordAnswer(now, sent, timeout, err)
+	}
 	switch {
 	case life.ended:
 		return false
@@ -254,6 +279,10 @@
 		return 0
 	case life.idle():
 		return idleRenewWait
+	case life.orderTimeout.RecentlyUnanswered(time.Now()):
+		// While nothing is answered the agent sees no ends, so a lost renewal
+		// must be found soon.
+		return min(l.settings.Renew.AsDuration(), 2*life.orderTimeout.Value())
 	}
 	return l.settings.Renew.AsDuration()
 }
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -38,6 +38,7 @@
 	ended        bool // the worker's process has ended, or none of its runs goes on
 	deregistered bool // the worker has removed its registration
 	heldEnds     heldEnds
+	orderTimeout lease.OrderTimeout
 
 	// State of the renewal in progress.
 	cancelWait    context.CancelFunc // cancels a renewal that waits at the worker; nil if none does
@@ -126,6 +127,7 @@
 	life := &life{
 		announced: n, worker: l.agent.options.Connect(n), runs: runs, attempts: map[lease.Run]*attempt{},
 		wake: make(chan struct{}, 1), nextImmediate: true, heldEnds: newHeldEnds(),
+		orderTimeout: lease.NewOrderTimeout(l.settings.OrderTimeout.AsDuration()),
 	}
 	life.ctx, life.cancel = context.WithCancel(context.Background())
 	return life
