lease, agent: a connection that breaks and one that is refused end a life

Cause: since a refused connection alone proves nothing, the runs of a crashed worker were given back only when its lease had ended, about 430 ms later.

Change: the life is over when the worker's side closed a connection on which an order waited and the next connection was refused.

--- a/agent/lives_test.go
+++ b/agent/lives_test.go
@@ -60,6 +60,21 @@
 	}
 }
 
+// Guards against runs that wait for the end of the lease although the connection of
+// the renewal broke and the next one was refused, which only the end of the worker's
+// process brings about.
+func TestBrokenAndRefusedConnectionsEndTheLife(t *testing.T) {
+	withLeasedRig(t, leasedSetup{}, func(r *leasedRig, e *entryStub) {
+		time.Sleep(5 * time.Second)
+		lost := e.runLeased("j", 4, 10*time.Second)
+		time.Sleep(160 * time.Millisecond)
+		r.machine.Crash()
+		crashed := time.Now()
+		r.expect(<-lost, wire.OutcomeInterrupted, wire.ReasonWorkerLost)
+		r.Check(time.Since(crashed) < 10*time.Millisecond, qt.IsTrue)
+	})
+}
+
 // Guards against runs that wait for the end of the lease although the next life of
 // the worker, which has another identifier, has answered.
 func TestAnswerOfTheNextLifeEndsTheFormerOne(t *testing.T) {
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -76,8 +76,8 @@
 	return life
 }
 
-// connectionRefused handles a refused connection to the worker. That does not prove
-// that its process has ended, so the life ends with its lease. The caller holds mu.
+// connectionRefused handles a refused connection to the worker. That alone does not
+// prove that its process has ended; see lease.RunTable.Over. The caller holds mu.
 func (l *leasedExecutor) connectionRefused(life *life) {
 	if life.ended {
 		return
@@ -87,10 +87,11 @@
 	l.updateLeaving()
 }
 
-// checkExpiry removes the runs that have ended with the worker's lease, and ends
-// the life if connections were refused until then; the caller holds mu.
+// checkExpiry ends the life if refused connections prove that it is over, and
+// otherwise removes the runs that have ended with the worker's lease; the caller
+// holds mu.
 func (l *leasedExecutor) checkExpiry(life *life, now time.Time) {
-	if life.runs.RefusedUntilExpiry(now) {
+	if life.runs.Over(now) {
 		l.replaceLife(life, "connection_refused", life.announced)
 		return
 	}
@@ -105,10 +106,12 @@
 	return life.worker, life.orderTimeout.Value()
 }
 
-// recordAnswer records the answer to an order, or that it was given up after the
-// timeout; the caller holds mu.
+// recordAnswer records the answer to an order, that it was given up after the
+// timeout, or that its connection broke; the caller holds mu.
 func (w *life) recordAnswer(now, sent time.Time, timeout time.Duration, err error) {
 	switch {
+	case errors.Is(err, lease.ErrConnectionBroken):
+		w.runs.ConnectionBroke()
 	case err == nil:
 		w.orderTimeout.Answered(now.Sub(sent))
 	case now.Sub(sent) >= timeout:
--- a/internal/leasemodel/life.go
+++ b/internal/leasemodel/life.go
@@ -60,6 +60,7 @@
 	}
 	if w.down && !ag.refused {
 		m.step("worker %d, which has no process, refuses a connection of its agent", func(s *state) { m.refuseConnection(s, a) }, a)
+		m.step("a connection to worker %d breaks with its process, and the next one is refused", func(s *state) { m.endLife(s, a) }, a)
 	}
 	if ag.life != w.life && s.answersLists(a) && m.enforces(BirthInLists) && !ag.adopting {
 		m.step("agent %d learns from a list that its worker has restarted", func(s *state) { m.renewLease(s, a) }, a)
--- a/internal/leasestub/conn.go
+++ b/internal/leasestub/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"chicorytray.example/chicorytray/internal/wait"
@@ -78,9 +77,6 @@
 // Close does nothing; agents close the connections of real workers.
 func (c *Conn) Close() {}
 
-// errConnectionBroke is returned by a renewal that waits when the life ends.
-var errConnectionBroke = errors.New("leasestub: connection broke because the worker's life ended")
-
 // call executes an order under the machine's lock, with the fault that is in force
 // for its kind, which it returns. If the fault suppresses the answer, it returns when
 // ctx ends.
@@ -183,7 +179,7 @@
 }
 
 // waitAndList waits up to limit for the end of a run, and for the end of a pause,
-// and returns the list. It returns errConnectionBroke if the life ended.
+// and returns the list. It returns lease.ErrConnectionBroken if the life ended.
 func (c *Conn) waitAndList(ctx context.Context, l *life, limit time.Duration) (lease.RenewReply, error) {
 	m := c.machine
 	m.mu.Lock()
@@ -207,7 +203,7 @@
 	}
 	defer m.mu.Unlock()
 	if l.terminated {
-		return lease.RenewReply{}, errConnectionBroke
+		return lease.RenewReply{}, lease.ErrConnectionBroken
 	}
 	return l.list(), nil
 }
--- a/lease/life.go
+++ b/lease/life.go
@@ -102,11 +102,16 @@
 	r.identity.doubt(r.lastRenewal)
 }
 
-// RefusedUntilExpiry reports whether connections were refused since the newest
-// list until the lease has certainly expired, so that the life has ended or none
-// of its runs goes on.
-func (r *RunTable) RefusedUntilExpiry(now time.Time) bool {
-	return r.refused && r.identity.listed && (r.Empty() || r.clock.min(now)-r.options.StopTime > r.latest)
+// ConnectionBroke records that the worker's side closed the connection of an order
+// before its answer.
+func (r *RunTable) ConnectionBroke() { r.broke = true }
+
+// Over reports whether the life has ended, or none of its runs goes on: since the
+// newest list, connections were refused until the lease has certainly expired, or
+// one broke and another was refused. Only the end of a process closes its
+// connections and its port; connections that are reset can be opened again.
+func (r *RunTable) Over(now time.Time) bool {
+	return r.refused && r.identity.listed && (r.broke || r.Empty() || r.clock.min(now)-r.options.StopTime > r.latest)
 }
 
 // LifeEnded removes and returns all runs because the worker's life has ended, by a
--- a/lease/life_test.go
+++ b/lease/life_test.go
@@ -111,11 +111,14 @@
 	table.ConnectionRefused()
 	c.Check(table.Adopted(), qt.IsFalse)
 	c.Check(table.Renew(table.now, 0).LeaseEnd, qt.Equals, WorkerTime(0))
-	c.Check(table.RefusedUntilExpiry(table.now.Add(560*ms)), qt.IsFalse)
-	c.Check(table.RefusedUntilExpiry(table.now.Add(562*ms)), qt.IsTrue)
+	c.Check(table.Over(table.now.Add(560*ms)), qt.IsFalse)
+	c.Check(table.Over(table.now.Add(562*ms)), qt.IsTrue)
+	table.ConnectionBroke()
+	c.Check(table.Over(table.now), qt.IsTrue)
 	table.poll(shown)
 	c.Check(table.Adopted(), qt.IsTrue)
-	c.Check(table.RefusedUntilExpiry(table.now.Add(562*ms)), qt.IsFalse)
+	table.ConnectionBroke()
+	c.Check(table.Over(table.now.Add(562*ms)), qt.IsFalse)
 }
 
 // Guards against a run that is taken to have begun in this life because the next life
--- a/lease/order.go
+++ b/lease/order.go
@@ -130,6 +130,10 @@
 // carried out or may be carried out later.
 var ErrWorkerDown = errors.New("lease: no process at the worker's address")
 
+// ErrConnectionBroken means that the connection of an order was closed from the
+// worker's side before the answer. The order may have been carried out.
+var ErrConnectionBroken = errors.New("lease: the connection to the worker broke")
+
 // Life identifies one life of a worker: the time from a start of its process to
 // the end of that process. A restarted worker may keep its identifier. Its Born
 // differs, but may be lower, because wall clocks are set back.
--- a/lease/runs.go
+++ b/lease/runs.go
@@ -88,6 +88,7 @@
 	foreign     map[Run]bool // active runs that another agent process ordered
 	adopted     bool         // see Adopted
 	refused     bool         // a connection was refused since the newest list
+	broke       bool         // the worker's side closed a connection since the newest list
 	stalled     []Run        // returned by the next TakeStalled
 	numbers     numbers
 
@@ -366,7 +367,7 @@
 	}
 	r.identity.applyList(n, reply)
 	r.answeredAt = now
-	r.refused = false
+	r.refused, r.broke = false, false
 	removed = r.applyEnds(now, reply.Ended)
 	toStop = r.applyActive(now, previous, reply)
 	absent, unstarted := r.applyAbsent(n.number, reply)
