lease: a refused connection ends no life without runs

Cause: a life without runs was replaced as soon as one connection was refused. If its process went on, the table lost its held ends, which the worker listed again: as ends of unknown runs they were reported to all entries, and the acknowledgement of the entry that had stored the result no longer found them. Ends of best-effort jobs that were listed and not yet acknowledged were held as well, so that an entry looked them up in the store; in an outage of the store they wait 10 s, after which the lease of all runs has to expire.

Ruled out: matching ends that are listed again with those of the former table, because a table without runs has nothing to give up and need not be replaced.

Change: connections that are refused end only a life with runs. Another birth in a list, or another identifier, ends any.

--- a/agent/ends_test.go
+++ b/agent/ends_test.go
@@ -82,6 +82,25 @@
 	})
 }
 
+// Guards against an end that is taken from the entry that stores its result, and is
+// asked about at all entries, because an idle worker has refused a connection once.
+func TestHeldEndOutlastsARefusedConnection(t *testing.T) {
+	withDurableRig(t, 1, func(r *leasedRig, e *entryStub) {
+		key, done := e.runDurable(0, false)
+		<-done
+		r.machine.SetFaults(leasestub.Faults{Refuse: true})
+		time.Sleep(60 * time.Millisecond)
+		r.machine.SetFaults(leasestub.Faults{})
+		time.Sleep(time.Second)
+		r.Check(e.lastHeartbeat().Adopted, qt.IsTrue)
+		r.Check(e.lastHeartbeat().Unclaimed, qt.HasLen, 0)
+		e.update(func(e *entryStub) { e.acked = []wire.TaskKey{key} })
+		time.Sleep(400 * time.Millisecond)
+		r.Check(r.acknowledged(), qt.Equals, 1)
+		r.Check(r.ends(), qt.HasLen, 0)
+	})
+}
+
 // Guards against holding the ends of stopped runs or of tasks that are not
 // durable: no entry acknowledges them.
 func TestOtherEndsAreNotHeld(t *testing.T) {
--- a/lease/life.go
+++ b/lease/life.go
@@ -104,9 +104,10 @@
 
 // RefusedUntilExpiry reports whether connections were refused since the newest
 // list until the lease has certainly expired, so that the life has ended or none
-// of its runs goes on.
+// of its runs goes on. Without runs there is nothing to give up: the life stays, and
+// keeps its held ends, until a list shows another birth.
 func (r *RunTable) RefusedUntilExpiry(now time.Time) bool {
-	return r.refused && r.identity.listed && (r.Empty() || r.clock.min(now)-r.options.StopTime > r.latest)
+	return r.refused && r.identity.listed && !r.Empty() && r.clock.min(now)-r.options.StopTime > r.latest
 }
 
 // LifeEnded removes and returns all runs because the worker's life has ended, by a
