leasedtest: an identifier that comes back carries out a late start

Cause: a life that ends because another identifier has answered gives up its runs without carrying over those that it is not proved to have begun: orders name the identifier, so that the life with the other one refuses them. A worker that starts under its former identifier again carries them out.

Ruled out: carrying these runs over, because the life with the other identifier can never refuse the orders. Each unanswered start would wait 10 s at each crash on workers that come back under another identifier.

The contract says that a worker may start again under the identifier that it had, and not whether that may be one before the last; a question to the users.

--- a/internal/leasedtest/lives_test.go
+++ b/internal/leasedtest/lives_test.go
@@ -116,6 +116,27 @@
 	})
 }
 
+// Guards against a start order to a life whose identifier another life has answered
+// for, and which is carried out when the worker starts under that identifier again.
+func TestIdentifierThatComesBackCarriesOutALateStart(t *testing.T) {
+	withSystem(t, func(s *system) {
+		const late = 400 * ms
+		w := s.workers[0]
+		w.SetFaults(leasestub.Faults{Start: leasestub.Fault{Late: late}})
+		s.submit(0, job{tasks: 6, duration: time.Second})
+		for w.Orders("start") == 0 {
+			time.Sleep(ms / 10)
+		}
+		arrived := time.Now()
+		time.Sleep(20 * ms)
+		w.SetFaults(leasestub.Faults{})
+		s.restartWorkerAs(0, 0, leasestub.NextLife{NewID: true})
+		time.Sleep(100 * ms) // another identifier has answered, and the tasks started elsewhere
+		s.restartWorker(0, time.Until(arrived.Add(late-ms/2)))
+		s.checkAllDone()
+	})
+}
+
 // Guards against a lease that is taken to have expired although an order that was
 // meant for the worker's former life, whose clock was ahead, has extended it for as
 // long as the worker accepts.
