--- a/lease/life.go
+++ b/lease/life.go
@@ -107,11 +107,14 @@
 func (r *RunTable) ConnectionBroke() { r.broke = true }
 
 // Over reports whether the life has ended, or none of its runs goes on: since the
-// newest list, connections were refused until the lease has certainly expired, or
-// one broke and another was refused. Only the end of a process closes its
-// connections and its port; connections that are reset can be opened again.
+// newest list, one connection broke and another was refused, or connections were
+// refused until the lease of the runs has certainly expired. Only the end of a
+// process closes its connections and its port; connections that are reset can be
+// opened again. Without runs there is nothing to give up after refusals alone: the
+// life stays, and keeps its held ends, until a list shows another birth.
 func (r *RunTable) Over(now time.Time) bool {
-	return r.refused && r.identity.listed && (r.broke || r.Empty() || r.clock.min(now)-r.options.StopTime > r.latest)
+	expired := !r.Empty() && r.clock.min(now)-r.options.StopTime > r.latest
+	return r.refused && r.identity.listed && (r.broke || expired)
 }
 
 // LifeEnded removes and returns all runs because the worker's life has ended, by a
