entry: keep the interval of reads whose calls get no answer

After an outage of the store in which calls got no answer, a change was in force at an entry that stayed cut off later than 3 s after the end of the outage.

Cause: the wait after a failed read began when the read ended. A read without an answer ends at its timeout of 1 s, and a random wait of up to 1 s followed, so reads were up to 2 s apart. The first entry that read the change did so up to 2 s after the end of the outage, and the other one heard of it with a heartbeat up to 1 s later.

Ruled out: a shorter timeout, which would take a slow store for an outage.

Change: the wait counts from the sending of the read. An entry still makes at most one read a second in such an outage.

--- a/entry/config.go
+++ b/entry/config.go
@@ -116,13 +116,15 @@
 // run reads the configuration at the interval Timing.ConfigRead until ctx ends.
 func (c *configuration) run(ctx context.Context) {
 	failures := 0
+	interval := c.timing.ConfigRead.AsDuration()
 	for ctx.Err() == nil {
-		next := c.timing.ConfigRead.AsDuration()
+		next, sent := interval, c.clock.Now()
 		if err := c.readStore(ctx); err != nil {
-			// The wait never exceeds the interval, so that a change after an
-			// outage takes effect in time.
+			// The interval counts from the sending of the read. Reads that end at
+			// the timeout would otherwise be twice as far apart as others, and a
+			// change would take effect late after an outage.
 			failures++
-			next = fullJitter(c.timing.ConfigRead.AsDuration(), failures)
+			next = fullJitter(max(interval-c.clock.Since(sent), backoffBase), failures)
 		} else {
 			failures = 0
 		}
--- a/entry/config_test.go
+++ b/entry/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"chicorytray.example/chicorytray/config"
 	"chicorytray.example/chicorytray/gate"
+	"chicorytray.example/chicorytray/internal/storestub"
 	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/store"
 	"chicorytray.example/chicorytray/wire"
@@ -285,3 +287,62 @@
 		h.Check(ok, qt.IsFalse)
 	})
 }
+
+// hangingStore is a store whose reads get no answer while hangs is set. It records
+// when verifications were sent, of which each read makes one.
+type hangingStore struct {
+	*storestub.Stub
+	mu       sync.Mutex
+	hangs    bool
+	verified []time.Time
+}
+
+// waitForAnswer waits until ctx ends if the store hangs.
+func (s *hangingStore) waitForAnswer(ctx context.Context) error {
+	s.mu.Lock()
+	hangs := s.hangs
+	s.mu.Unlock()
+	if !hangs {
+		return nil
+	}
+	<-ctx.Done()
+	return store.ErrUnavailable
+}
+
+func (s *hangingStore) Get(ctx context.Context, key string) (store.KV, error) {
+	if err := s.waitForAnswer(ctx); err != nil {
+		return store.KV{}, err
+	}
+	return s.Stub.Get(ctx, key)
+}
+
+func (s *hangingStore) Verify(ctx context.Context, key string, revision uint64) error {
+	s.mu.Lock()
+	s.verified = append(s.verified, time.Now())
+	s.mu.Unlock()
+	if err := s.waitForAnswer(ctx); err != nil {
+		return err
+	}
+	return s.Stub.Verify(ctx, key, revision)
+}
+
+// Guards against a change that takes effect late after an outage, because reads
+// that get no answer are further apart than others.
+func TestReadsWithoutAnswersKeepTheirInterval(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		s := &hangingStore{Stub: h.store}
+		e := h.entry(1, "anping", func(o *Options) { o.Store = s })
+		waitForDiscovery()
+		s.mu.Lock()
+		s.hangs, s.verified = true, nil
+		s.mu.Unlock()
+		time.Sleep(time.Minute)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		h.Assert(len(s.verified) > 1, qt.IsTrue)
+		for i, sent := range s.verified[1:] {
+			apart := sent.Sub(s.verified[i])
+			h.Check(apart <= e.settings.Timing.ConfigRead.AsDuration()+backoffBase, qt.IsTrue, qt.Commentf("reads %s apart", apart))
+		}
+	})
+}
