entry: fetch a configuration from a peer beside a read without an answer

An entry whose calls to the store get no answer put a change in force up to 1 s after it had heard of it from a peer.

Cause: a fetch from a peer waits until the entry's own read of the document has ended, so that two copies of a large document do not share the link. A read without an answer ends at its timeout. Three traces of a failed system test show 0.55 to 0.98 s between the heartbeat that named the new generation and the fetch.

Ruled out: ending the read, whose failure is what tells an outage from a partition.

Change: while the store is not reachable, a fetch does not wait for a read in progress. Two copies share the link only if the store answers again just then.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -361,12 +361,11 @@
 		close(p.fetch)
 		p.fetch = nil
 	}()
-	select {
-	case p.config.transfer <- struct{}{}:
-	case <-p.ctx.Done():
+	endTransfer, ok := p.beginTransfer()
+	if !ok {
 		return
 	}
-	defer func() { <-p.config.transfer }()
+	defer endTransfer()
 	if p.config.generation() >= generation {
 		return
 	}
@@ -382,6 +381,28 @@
 	}
 }
 
+// beginTransfer waits until no other copy of the document is received, and returns
+// a function that ends the transfer; ok is false if the peers were stopped. It does
+// not wait for a read of a store that is not reachable: that read probably gets no
+// answer, and the change would be late by the timeout of the read.
+func (p *peers) beginTransfer() (end func(), ok bool) {
+	end = func() { <-p.config.transfer }
+	select {
+	case p.config.transfer <- struct{}{}:
+		return end, true
+	default:
+	}
+	if !p.confirmation.storeReachable() {
+		return func() {}, true
+	}
+	select {
+	case p.config.transfer <- struct{}{}:
+		return end, true
+	case <-p.ctx.Done():
+		return nil, false
+	}
+}
+
 // handleReply records the reply to a heartbeat that was sent at that time. If
 // another process than the expected one replied, it only learns that process.
 func (p *peers) handleReply(e *peer, sent time.Time, reply wire.PeerHeartbeat) {
--- a/entry/peers_test.go
+++ b/entry/peers_test.go
@@ -129,6 +129,17 @@
 	})
 }
 
+// Guards against a newer configuration at a peer that is fetched only after an own
+// read of the store, which gets no answer, has ended.
+func TestFetchDoesNotWaitForAReadWithoutAnswer(t *testing.T) {
+	withPeers(t, 10*time.Millisecond, false, func(r *peerRig) {
+		r.peers.config.transfer <- struct{}{} // as a read does
+		time.Sleep(100 * time.Millisecond)    // less than the timeout of a read, 1 s
+		r.Check(r.peers.config.generation(), qt.Equals, uint64(7))
+		<-r.peers.config.transfer
+	})
+}
+
 // Guards against a configuration that every entry fetches both from the store and
 // from a peer, and against an entry that never asks its peers although its own
 // reads do not bring the newer configuration.
