entry: watch again soon after an older configuration was written back

A change that operators made within a second after a restore of the store was seen only by the next read. TestRandomSchedules, -rapid.seed 1005 -rapid.checks 8000, fails after 7,077 schedules: tasks start in a data centre 3.4 s after it was taken out, because the next restore lost that change 0.6 s after its acceptance.

Cause: a watch that returned an older or invalid document waited for the interval of reads, 1 s, before it began again. In the trace the document of generation 1 returns at 2.805 s, is written back before 3.000 s, and a change to generation 3 is accepted at 3.177 s and lost at 3.809 s. Both entries read at 3.000 and 4.000 s, and no watch waits in between.

Ruled out: no wait at all, since a store that answers watches with older states at once would be called without pause.

Change: such a document counts as a failure of the watch, so that the first wait is random and below 200 ms, and doubles up to the interval.

--- a/entry/config.go
+++ b/entry/config.go
@@ -288,14 +288,12 @@
 		kv, err := c.store.Watch(callCtx, config.Key, after)
 		ended := callCtx.Err() != nil
 		cancel()
-		if err == nil {
+		switch {
+		case err == nil && c.handleStoredValue(ctx, kv, false, known):
 			failures = 0
-			if !c.handleStoredValue(ctx, kv, false, known) {
-				wait.For(ctx, c.timing.ConfigRead.AsDuration(), nil)
-			}
-			continue
-		}
-		if !ended {
+		case err == nil || !ended:
+			// A document that is older than the one in force, or invalid, counts
+			// as a failure: the change that corrects it usually follows soon.
 			failures++
 			wait.For(ctx, fullJitter(c.timing.ConfigRead.AsDuration(), failures), nil)
 		}
--- a/entry/config_test.go
+++ b/entry/config_test.go
@@ -288,6 +288,28 @@
 	})
 }
 
+// Guards against a change that is seen late because it follows the restore of the
+// store to an older document, and is lost in the next restore. Found by
+// TestRandomSchedules of internal/systemtest, seed 1005.
+func TestChangeAfterAWriteBackIsSeenAtOnce(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e := h.entry(1, "anping", nil)
+		waitForDiscovery() // reads are made at full seconds
+		time.Sleep(100 * time.Millisecond)
+		h.storeConfig(5, nil)
+		time.Sleep(100 * time.Millisecond)
+		h.storeConfig(1, nil)
+		time.Sleep(writeBackJitter + 2*backoffBase)
+		h.Assert(h.storedGeneration(), qt.Equals, uint64(5))
+		h.storeConfig(6, nil)
+		time.Sleep(time.Millisecond)
+		h.storeConfig(1, nil)
+		time.Sleep(writeBackJitter + 2*backoffBase)
+		h.Check(e.config.generation(), qt.Equals, uint64(6))
+		h.Check(h.storedGeneration(), qt.Equals, uint64(6))
+	})
+}
+
 // hangingStore is a store whose reads get no answer while hangs is set. It records
 // when verifications were sent, of which each read makes one.
 type hangingStore struct {
