--- a/internal/systemtest/outage_gap_test.go
+++ b/internal/systemtest/outage_gap_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	qt "github.com/frankban/quicktest"
 )
 
 // Guards against a late start in a data centre out of service while the store
@@ -55,3 +57,77 @@
 		s.setStoreDown(false)
 	})
 }
+
+// Guards against a change that no process read before an outage of the store, and
+// that is not in force 3 s after the store is back.
+// TestOutageBeforeAnyReadOfAChange counts the same bound from the acceptance of the
+// change; docs/guarantees.md says why that cannot hold.
+func TestUnreadChangeIsInForceAfterAnOutage(t *testing.T) {
+	setAccess := func(s *system, a storeAccess) {
+		for _, p := range s.processes() {
+			p.store.setAccess(a)
+		}
+	}
+	down := func(s *system) { s.setStoreDown(true) }
+	up := func(s *system) { s.setStoreDown(false) }
+	silent := func(s *system) { setAccess(s, storeSilent) }
+	for _, tc := range []struct {
+		name   string
+		begin  func(s *system) // begins the outage
+		during func(s *system) // may be nil; called 3 s after begin
+		end    func(s *system) // ends the outage for at least one entry
+		cutOff bool            // entry 0 stays cut off, so that it may have no agent that starts tasks
+	}{
+		{name: "calls fail", begin: down, end: up},
+		{name: "calls hang", begin: silent, end: func(s *system) { setAccess(s, storeReachable) }},
+		{name: "entry replaced", begin: down, during: func(s *system) { s.restartEntry(0) }, end: up},
+		{name: "agents replaced", begin: down, during: func(s *system) { s.restartAgent(0); s.restartAgent(1) }, end: up},
+		{name: "entry of the data centre stays cut off from the store", begin: down, end: func(s *system) {
+			s.entries[0].store.setAccess(storeRefuses)
+			up(s)
+		}},
+		{name: "calls of that entry go on hanging", begin: silent, end: func(s *system) {
+			setAccess(s, storeReachable)
+			s.entries[0].store.setAccess(storeSilent)
+		}},
+		{name: "store slow afterwards", begin: down, end: func(s *system) {
+			s.store.SetLatency(500 * time.Millisecond)
+			up(s)
+		}},
+		{name: "data centre cut off before the end", begin: down, during: func(s *system) { isolate(s, recife) }, end: up, cutOff: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			withSystem(t, layout{}, func(s *system) {
+				s.setDelay(messageDelay)
+				old := s.publishChange()
+				time.Sleep(2 * time.Second)
+				s.startLoad(16*time.Second, job{tasks: 3, deadline: 8 * time.Second})
+				s.store.SetSilentWatch(true)
+				time.Sleep(1500 * time.Millisecond) // half of a read interval after the last read
+
+				changed := s.publishChange()
+				s.setInService(recife, false)
+				out := time.Now()
+				tc.begin(s)
+				time.Sleep(3 * time.Second)
+				if tc.during != nil {
+					tc.during(s)
+				}
+				time.Sleep(3 * time.Second)
+				for i := range s.entries {
+					s.Check(s.probeGeneration(i) <= old, qt.IsTrue, qt.Commentf("entry %d has read the change, so the bound counts from its acceptance", i))
+				}
+				s.Check(s.startsSince(recife, out) > 0, qt.IsTrue, qt.Commentf("nothing started in Recife during the outage"))
+				tc.end(s)
+				s.changes[len(s.changes)-1].at = time.Now()
+				time.Sleep(enforcedWithin)
+				for i := range s.entries {
+					if g := s.probeGeneration(i); g != 0 || !tc.cutOff || i != 0 {
+						s.Check(g, qt.Equals, changed, qt.Commentf("entry %d", i))
+					}
+				}
+			})
+		})
+	}
+}
