systemtest: a store that refuses all entries and serves operators

Tasks start in a data centre until 9.9 s after it was taken out, the end of the load, while the store refuses the calls of all entries or leaves them unanswered, and serves operators and agents. The contract of the store permits that: it may reject some machines and serve the others and the operator.

Cause: the store-outage rule. No entry reads the store, more than half of the data centres are heard, and agents report only reads of entries, so all entries see an outage. Found while looking for cases beside TestOutageBeforeAnyReadOfAChange that a process could know of.

It is listed in KNOWN-RED.txt.

--- a/internal/systemtest/outage_gap_test.go
+++ b/internal/systemtest/outage_gap_test.go
@@ -58,6 +58,27 @@
 	})
 }
 
+// Guards against a late start while the store refuses the calls of all entries, or
+// leaves them unanswered, and serves operators and agents. The entries take that for
+// an outage. Listed in KNOWN-RED.txt.
+func TestStoreServesNoEntry(t *testing.T) {
+	for _, way := range []storeAccess{storeRefuses, storeSilent} {
+		withSystem(t, layout{}, func(s *system) {
+			s.startLoad(16*time.Second, job{tasks: 3, deadline: 8 * time.Second})
+			time.Sleep(2 * time.Second)
+			for _, e := range s.entries {
+				e.store.setAccess(way)
+			}
+			time.Sleep(4 * time.Second)
+			s.setInService(recife, false)
+			time.Sleep(12 * time.Second)
+			for _, e := range s.entries {
+				e.store.setAccess(storeReachable)
+			}
+		})
+	}
+}
+
 // Guards against a change that no process read before an outage of the store, and
 // that is not in force 3 s after the store is back.
 // TestOutageBeforeAnyReadOfAChange counts the same bound from the acceptance of the
