entry: let the store answer while an end record is written

Callers: a job answered as completed or failed at one entry was answered as in_progress by its owner afterwards.

Ruled out: an owner that has lost the job to another one (its memory does not answer after its validity), a takeover, and stale reads (the lookup is linearizable). Every other write leaves the owner's memory ahead of the store or equal to it; only the end record can be ahead of the memory.

Change: from the beginning of the write of the end record until its answer, the owner's memory does not answer a question for the state (after the wait that the question permits); the entry that was asked reads the store. If the open record is still there, the state is not before the one that the owner has in memory, because the record may not say yet that a task has started. Without an answer of the store the answer is 503.

--- a/entry/durable_query.go
+++ b/entry/durable_query.go
@@ -52,14 +52,18 @@
 	case e.durableDisabled():
 		return wire.DurableReply{}, ErrJobNotFound
 	}
-	if reply := e.queryOwnDurable(ctx, req); reply.Known {
+	reply := e.queryOwnDurable(ctx, req)
+	if reply.Known {
 		return reply, replyError(reply)
 	}
-	alreadyAsked := ""
+	alreadyAsked, least := "", durable.State(reply.State)
 	if preferred, other := e.preferredEntry(req.Identifier); other {
 		alreadyAsked = preferred.ID
-		if reply, _, err := e.callDurable(ctx, preferred, req); err == nil && reply.Known {
-			return reply, replyError(reply)
+		if reply, _, err := e.callDurable(ctx, preferred, req); err == nil {
+			if reply.Known {
+				return reply, replyError(reply)
+			}
+			least = laterState(least, durable.State(reply.State))
 		}
 	}
 	lookupCtx, cancel := context.WithTimeout(ctx, 2*e.settings.Timing.StoreTimeout.AsDuration()) // two reads
@@ -70,7 +74,7 @@
 		e.log.Info().Str("identifier", req.Identifier).Err(err).Msg("lookup of a durable job in the store failed")
 		return wire.DurableReply{}, ErrUnavailable
 	case found.Open != nil && (req.Account == "" || found.Open.Account == req.Account):
-		return e.queryRecordOwner(ctx, req, found.Open, alreadyAsked)
+		return e.queryRecordOwner(ctx, req, found.Open, alreadyAsked, least)
 	case found.Open == nil && found.End != nil && (req.Account == "" || found.End.Account == req.Account):
 		return wire.DurableReply{Known: true, State: string(found.End.State)}, nil
 	}
@@ -87,13 +91,18 @@
 }
 
 // queryRecordOwner asks the owner that an open record names, unless that is the
-// entry alreadyAsked. If the owner does not answer, the record tells the state,
-// but the job cannot be cancelled.
-func (e *Entry) queryRecordOwner(ctx context.Context, req wire.DurableRequest, r *durable.Record, alreadyAsked string) (wire.DurableReply, error) {
+// entry alreadyAsked. If the owner does not know, the record tells the state,
+// which is not before least, but the job cannot be cancelled.
+func (e *Entry) queryRecordOwner(
+	ctx context.Context, req wire.DurableRequest, r *durable.Record, alreadyAsked string, least durable.State,
+) (wire.DurableReply, error) {
 	owner, incarnation, ok := parseJobID(string(r.Owner)) // an epoch has the form of a job's identifier
 	if ref, known := e.peers.findEntry(owner); ok && known && owner != alreadyAsked && ref.Incarnation == incarnation {
-		if reply, _, err := e.callDurable(ctx, ref, req); err == nil && reply.Known {
-			return reply, replyError(reply)
+		if reply, _, err := e.callDurable(ctx, ref, req); err == nil {
+			if reply.Known {
+				return reply, replyError(reply)
+			}
+			least = laterState(least, durable.State(reply.State))
 		}
 	}
 	if req.Verb == wire.DurableCancel {
@@ -103,7 +112,16 @@
 	if r.Started {
 		state = durable.InProgress
 	}
-	return wire.DurableReply{Known: true, State: string(state)}, nil
+	return wire.DurableReply{Known: true, State: string(laterState(state, least))}, nil
+}
+
+// laterState returns the later of two states of a job that has not ended. An empty
+// state means that nothing is known.
+func laterState(a, b durable.State) durable.State {
+	if a == durable.InProgress || b == "" {
+		return a
+	}
+	return b
 }
 
 // callDurable calls Entry.Durable at another entry. sent is false if it is
@@ -173,7 +191,8 @@
 }
 
 // queryOwnDurable answers from memory. Known is not set in the reply if this
-// entry does not own the job or cannot trust its memory.
+// entry does not own the job, cannot trust its memory, or is asked for a state that
+// only the store knows; see ownDurableState.
 func (e *Entry) queryOwnDurable(ctx context.Context, req wire.DurableRequest) (reply wire.DurableReply) {
 	var j *job
 	e.dispatcher.postAndWait(func(d *dispatcher) {
@@ -182,12 +201,12 @@
 		if u == nil || u.givenUp || req.Account != "" && own.account != req.Account || !d.memoryAuthoritative() {
 			return
 		}
-		reply = wire.DurableReply{Known: true, State: string(own.durableState())}
+		reply = ownDurableState(own)
 		switch {
 		case req.Verb == wire.DurableCancel:
 			j = own
 			d.cancelLeased(j)
-			reply.Outcome = string(OutcomeUnknown)
+			reply.Known, reply.Outcome = true, string(OutcomeUnknown)
 		case req.Verb == wire.DurableState && req.Wait > 0 && !own.answered:
 			j = own
 		}
@@ -200,19 +219,33 @@
 		ctx, cancel = context.WithTimeout(ctx, req.Wait)
 		defer cancel()
 	}
+	ended := true
 	select {
 	case <-j.done:
 	case <-ctx.Done():
-		return reply
+		ended = false
 	}
-	e.dispatcher.postAndWait(func(*dispatcher) {
-		if u := j.leased.durable; !u.givenUp {
-			reply.State, reply.Outcome = string(u.endState), string(OutcomeAccepted)
+	e.dispatcher.postAndWait(func(d *dispatcher) {
+		u := j.leased.durable
+		switch {
+		case ended && !u.givenUp:
+			reply = wire.DurableReply{Known: true, State: string(u.endState), Outcome: string(OutcomeAccepted)}
+		case req.Verb == wire.DurableState && !u.givenUp && d.memoryAuthoritative():
+			reply = ownDurableState(j)
 		}
 	})
 	return reply
 }
 
+// ownDurableState returns the reply to a question for the state of a job that this
+// entry owns. From the beginning of the write of the end record until its answer,
+// other entries may have read the final state from the store and told it. Known is
+// not set then, and State is the state that the job has at least.
+func ownDurableState(j *job) wire.DurableReply {
+	u := j.leased.durable
+	return wire.DurableReply{Known: u.endState == "" || u.closed, State: string(j.durableState())}
+}
+
 // durableProblem converts an error about a durable job into the problem that the
 // caller gets.
 func durableProblem(err error, identifier string) *problem {
--- a/entry/durable_recover_test.go
+++ b/entry/durable_recover_test.go
@@ -254,6 +254,12 @@
 }
 
 func (h *harness) twoDurableEntriesWith(change func(*Options)) (es [2]*Entry, managers [2]*fakeManager, s *recordStore) {
+	return h.twoDurableEntriesRunning(runsFor(30_000), change)
+}
+
+// twoDurableEntriesRunning is twoDurableEntriesWith for an agent with the given
+// script.
+func (h *harness) twoDurableEntriesRunning(runs script, change func(*Options)) (es [2]*Entry, managers [2]*fakeManager, s *recordStore) {
 	s = newRecordStore()
 	for i := range es {
 		es[i], managers[i] = h.durableEntryWith(i+1, s, change)
@@ -261,7 +267,7 @@
 	a := newFakeAgent(h.net, h.upstreams, 1, "anping", "10.0.1.1:7000", "10.0.1.2:7000")
 	a.heartbeatInterval, a.adopted = 150*time.Millisecond, true
 	a.ref.Pool, a.ref.Slots, a.ref.Capacity = "bench", 32, wire.Resources{MemoryMB: 128000, MilliCPU: 32000}
-	a.setScript(sameScript(runsFor(30_000)))
+	a.setScript(sameScript(runs))
 	a.start()
 	h.cleanups = append(h.cleanups, a.wait)
 	time.Sleep(12 * time.Second) // longer than listInterval, so both know all registrations
--- a/entry/fakemanager_test.go
+++ b/entry/fakemanager_test.go
@@ -39,6 +39,7 @@
 	wake        *sync.Cond
 	invalid     bool
 	blocked     bool
+	endsUnknown bool  // end records are stored, but their answers wait until this is cleared
 	createErr   error // returned by all creations unless nil
 	lookupFails bool
 	writes      map[string]int      // by job identifier
@@ -72,7 +73,7 @@
 
 func (m *fakeManager) Run(ctx context.Context) {
 	<-ctx.Done()
-	m.withLock(func() { m.blocked = false })
+	m.withLock(func() { m.blocked, m.endsUnknown = false, false })
 }
 
 func (m *fakeManager) Valid(time.Time) bool {
@@ -162,7 +163,12 @@
 		delete(m.store.open, e.Identifier)
 		m.store.ended[e.Identifier] = e
 		m.store.mu.Unlock()
-		m.withLock(func() { m.writes[e.Identifier]++ })
+		m.mu.Lock()
+		m.writes[e.Identifier]++
+		for m.endsUnknown {
+			m.wake.Wait()
+		}
+		m.mu.Unlock()
 		done()
 	})
 }
--- a/wire/durable.go
+++ b/wire/durable.go
@@ -62,9 +62,12 @@
 // DurableReply answers a DurableRequest.
 type DurableReply struct {
 	// Known is false when the entry has no such job in memory and did not
-	// create one. The other fields have no meaning then.
+	// create one, or when only the store knows the job's state. Of the other
+	// fields only State has a meaning then.
 	Known bool
-	State string // of the job: a durable.State
+	// State of the job: a durable.State. Without Known it is a state that the job
+	// has at least, or empty.
+	State string
 	// Outcome, Reason, Detail and RetryAfterMS answer a submission or a
 	// cancellation, with the meaning that they have in entry.Answer.
 	Outcome      string
