--- a/entry/durable_uncertain.go
+++ b/entry/durable_uncertain.go
@@ -16,7 +16,7 @@
 	// store holds takes effect seconds later, and only while the key of its epoch
 	// exists.
 	uncertainRetention = time.Minute
-	// maxUncertainCreations bounds their number; each uses about 100 bytes.
+	// maxUncertainCreations bounds their number; each uses about 140 bytes.
 	maxUncertainCreations = 10_000
 )
 
