lease: no start at a life whose clock is not the known one's

Cause: an accepted start that is not proved to be of the present life kept the lease from being extended, and nothing else. While renewals are unanswered no list tells, and the agent went on starting tasks at the next life, which may have less capacity ("a new lifetime may be of a different kind, even at the same address").

Ruled out: no starts after any answer that proves nothing, because the first ones of a life or after idle time are such, and their tasks would be sent back.

Change: an answer whose clock is below what the clock of this life was when the order was made comes from the next life; the worker is then not adopted until a list.

Measured: TestNoStartAtALifeThatIsNotKnown fails before and passes with the change.

--- a/agent/orders.go
+++ b/agent/orders.go
@@ -50,6 +50,7 @@
 			l.endAnsweredByAnother(life)
 		} else if life.runs.Doubted() {
 			life.renewSoon(true)
+			l.updateLeaving()
 		}
 	}
 }
--- a/lease/life_test.go
+++ b/lease/life_test.go
@@ -141,6 +141,22 @@
 	}
 }
 
+// Guards against starts at a life that has answered with a clock which this one has
+// passed: it may have less capacity.
+func TestNoStartAtALifeThatIsNotKnown(t *testing.T) {
+	for _, refusal := range []Refusal{"", RefusedNoRoom} {
+		table := ordered()
+		table.StartAnswered(table.now, table.start, Answer{Refusal: refusal, Clock: 9 * time.Second})
+		qt.Check(t, table.Adopted(), qt.IsFalse)
+		qt.Check(t, table.Doubted(), qt.IsTrue)
+		table.poll(nil)
+		qt.Check(t, table.Adopted(), qt.IsTrue)
+	}
+	table := ordered()
+	table.answerStart("")
+	qt.Check(t, table.Adopted(), qt.IsTrue)
+}
+
 // Guards against a list that is applied although another life of the worker made it,
 // and against a life that is ended by its own list.
 func TestListsOfAnotherLife(t *testing.T) {
--- a/lease/runs.go
+++ b/lease/runs.go
@@ -209,6 +209,12 @@
 		return nil // a list will show whether this life or the earlier one has begun the run
 	}
 	r.observe(now, a.Clock)
+	// The worker answered when its clock was at least this, so an answer with less
+	// comes from the next life, of which not even the capacity is known.
+	least := o.ValidUntil - r.options.Validity
+	if a.Clock > 0 && a.Clock < least-clockInaccuracy {
+		r.Doubt()
+	}
 	switch a.Refusal {
 	case RefusedTokenTooLow:
 		r.raiseToken(o.Token)
@@ -224,8 +230,7 @@
 	}
 	e.markBegun(now)
 	e.resolveStart(r.lastRenewal)
-	// The worker answered later than its clock was validUntil less the validity.
-	if r.identity.proves(now, a.Clock, e.validUntil-r.options.Validity) {
+	if r.identity.proves(now, a.Clock, least) {
 		e.shown = true
 	} else {
 		r.identity.doubt(r.lastRenewal)
