lease: a list to a renewal before the doubt does not end it

Cause: a refused connection, a draining announcement of another life, or an answer with a clock of another life makes the worker not adopted until it lists its runs again. A reply to a renewal that was sent before made it adopted at once, although that list may be older than the doubt.

Ruled out: taking back the adoption at each list while in doubt, because the first starts of a life are doubted without any sign of another one.

Change: such a list keeps an adopted worker adopted, and does not adopt it anew.

Measured: the case added to TestNoStartAtALifeThatIsNotKnown fails before and passes with the change; ./lease and ./agent pass.

--- a/lease/life_test.go
+++ b/lease/life_test.go
@@ -155,6 +155,10 @@
 	table := ordered()
 	table.answerStart("")
 	qt.Check(t, table.Adopted(), qt.IsTrue)
+	table.meanwhile(table.ConnectionRefused, ms)
+	qt.Check(t, table.Adopted(), qt.IsFalse) // the list may be older than the refusal
+	table.poll(shown)
+	qt.Check(t, table.Adopted(), qt.IsTrue)
 }
 
 // Guards against a list that is applied although another life of the worker made it,
--- a/lease/runs.go
+++ b/lease/runs.go
@@ -432,8 +432,9 @@
 		}
 	}
 	// A truncated reply does not make the worker adopted: ends that it omits may
-	// be those of runs that other agent processes ordered.
-	r.foreign, r.adopted = foreign, len(foreign) == 0 && (r.adopted || !r.ends.truncated)
+	// be those of runs that other agent processes ordered. Nor does one to a renewal
+	// that was sent before the doubt.
+	r.foreign, r.adopted = foreign, len(foreign) == 0 && (r.adopted || !r.ends.truncated && !r.identity.doubted)
 	return newForeign
 }
 
