--- a/lease/runs.go
+++ b/lease/runs.go
@@ -210,6 +210,12 @@
 		return nil // a list will show whether this life or the earlier one has begun the run
 	}
 	r.observe(now, a.Clock)
+	// The worker answered when its clock was at least this, so an answer with less
+	// comes from the next life, of which not even the capacity is known.
+	least := o.ValidUntil - r.options.Validity
+	if a.Clock > 0 && a.Clock < least-clockInaccuracy {
+		r.Doubt()
+	}
 	switch a.Refusal {
 	case RefusedTokenTooLow:
 		r.raiseToken(o.Token)
@@ -225,8 +231,7 @@
 	}
 	e.markBegun(now)
 	e.resolveStart(r.lastRenewal)
-	// The worker answered later than its clock was validUntil less the validity.
-	if r.identity.proves(now, a.Clock, e.validUntil-r.options.Validity) {
+	if r.identity.proves(now, a.Clock, least) {
 		e.shown = true
 	} else {
 		r.identity.doubt(r.lastRenewal)
@@ -428,8 +433,9 @@
 		}
 	}
 	// A truncated reply does not make the worker adopted: ends that it omits may
-	// be those of runs that other agent processes ordered.
-	r.foreign, r.adopted = foreign, len(foreign) == 0 && (r.adopted || !r.ends.truncated)
+	// be those of runs that other agent processes ordered. Nor does one to a renewal
+	// that was sent before the doubt.
+	r.foreign, r.adopted = foreign, len(foreign) == 0 && (r.adopted || !r.ends.truncated && !r.identity.doubted)
 	return newForeign
 }
 
