--- a/agent/orders.go
+++ b/agent/orders.go
@@ -283,7 +283,7 @@
 		return 0
 	case life.idle():
 		return idleRenewWait
-	case life.orderTimeout.RecentlyUnanswered(time.Now()):
+	case life.orderTimeout.Lossy():
 		// While nothing is answered the agent sees no ends, so a lost renewal
 		// must be found soon.
 		return min(l.settings.Renew.AsDuration(), 2*life.orderTimeout.Value())
