entry: no refusal of a job that an earlier write may still store

Callers: a job ran although its caller was told last that it never will. The caller got an unknown outcome first, sent the job again as it should, and got "not run" (503) in an outage of the store, after which the write held up in the first attempt took effect and the job was taken over and run.

Cause: each submission was judged by its own write only. After the end of its validity the entry forgot that it had a creation with an unknown outcome; during the outage the next submission was certainly not stored, which was answered as if the job was not. Refusals because of the limit of jobs, of a stop or of missing agents have the same fault.

Ruled out: a wrong answer to the write itself (the store did not carry out the second one); answering every refusal that the store causes as unknown, which would have all callers repeat their jobs every 1.3 s throughout an outage.

Change: an entry remembers for 60 s the submissions of which it, or the entry to which it passed them on, does not know whether they are or will be stored, and answers a refusal of such a job as unknown. Entries that do not know or reach all others prefer different entries for a job (in the first seconds after a start each prefers itself), so before any other refusal the first of the other known entries is asked; that is one call for each refusal, whatever the number of entries.

Not solved: the refusal stays if the entry that sent the held write has ended, cannot be reached, or is not the one that is asked.

--- a/entry/durable.go
+++ b/entry/durable.go
@@ -47,9 +47,12 @@
 	manager  recordManager
 	inbox    *inbox
 	pending  *pendingByPeer
-	open     map[string]*job        // open jobs owned by this entry, by identifier
-	creating map[string]*creation   // submissions whose record is being written, by identifier
-	dirty    map[*job]time.Duration // jobs with unwritten changes, and the longest permitted delay of the write
+	open     map[string]*job      // open jobs owned by this entry, by identifier
+	creating map[string]*creation // submissions whose record is being written, by identifier
+	// uncertain has the submissions whose record may still be written although this
+	// entry does not wait for it any more.
+	uncertain uncertainCreations
+	dirty     map[*job]time.Duration // jobs with unwritten changes, and the longest permitted delay of the write
 	// handOverDone is closed when a planned stop has given up every job. It is
 	// nil until the stop begins.
 	handOverDone   chan struct{}
--- a/entry/durable_query.go
+++ b/entry/durable_query.go
@@ -176,7 +176,7 @@
 		}
 	}
 	if p := (*problem)(nil); errors.As(err, &p) && isLocalRefusal(p.Reason) {
-		return wire.DurableReply{} // the forwarding entry may be able to accept it
+		return unknownReply(p) // the forwarding entry may be able to accept it
 	}
 	a := durableAnswer(err)
 	return wire.DurableReply{
@@ -199,6 +199,9 @@
 		own := d.leasedJobs[req.Identifier]
 		u := durableOf(own)
 		if u == nil || u.givenUp || req.Account != "" && own.account != req.Account || !d.memoryAuthoritative() {
+			if d.mayBeStored(req.Identifier) {
+				reply.Outcome = string(OutcomeUnknown)
+			}
 			return
 		}
 		reply = ownDurableState(own)
--- a/entry/durable_submit.go
+++ b/entry/durable_submit.go
@@ -65,20 +65,20 @@
 	if known, err := e.checkOwnDurable(s); known {
 		return err
 	}
-	forwardedUnanswered := false
+	alreadyAsked := ""
 	if preferred, other := e.preferredEntry(s.request.Job); other {
+		alreadyAsked = preferred.ID
 		reply, sent, err := e.callDurable(ctx, preferred, submitRequest(s))
+		if sent && err != nil || Outcome(reply.Outcome) == OutcomeUnknown {
+			// The preferred entry may have stored the job, so a refusal of this entry,
+			// now or later, does not mean that the job will never run.
+			e.dispatcher.postAndWait(func(d *dispatcher) { d.durable.uncertain.add(s.request.Job, d.now) })
+		}
 		if err == nil && reply.Known {
 			return submitError(reply)
 		}
-		forwardedUnanswered = sent && err != nil
-	}
-	err := e.createDurable(ctx, s)
-	if p := (*problem)(nil); forwardedUnanswered && errors.As(err, &p) && p.retryAfter > 0 {
-		// This entry's refusal does not mean that the job will never run.
-		return unknownOutcome(p.Reason, "the preferred entry did not answer and may have stored the job; this entry did not accept it: %s", p.Detail)
 	}
-	return err
+	return e.confirmRefusal(ctx, s.request.Job, alreadyAsked, e.createDurable(ctx, s))
 }
 
 func submitRequest(s *submission) wire.DurableRequest {
@@ -163,11 +163,11 @@
 		return nil, d.checkSameWorkload(j.leased.workload, s)
 	}
 	if err := d.checkDurableLimits(s, identifier); err != nil {
-		return nil, err
+		return nil, d.refusalOf(identifier, err)
 	}
 	j := d.newDurableJob(s, identifier)
 	if err := d.checkLeasedRunnable(j); err != nil {
-		return nil, err
+		return nil, d.refusalOf(identifier, err)
 	}
 	d.shares.RecordTasks(d.now, j.account, j.count)
 	j.leased.durable.record = durable.Record{
@@ -221,7 +221,13 @@
 	if d.durable.creating[identifier] == c {
 		delete(d.durable.creating, identifier)
 	}
-	c.err = creationError(err)
+	switch {
+	case err == nil:
+		d.durable.uncertain.remove(identifier)
+	case errors.Is(err, durable.ErrOutcomeUnknown):
+		d.durable.uncertain.add(identifier, d.now)
+	}
+	c.err = d.refusalOf(identifier, creationError(err))
 	defer close(c.done)
 	if found.Open != nil {
 		d.durable.pending.recordFound(*found.Open)
--- a/wire/durable.go
+++ b/wire/durable.go
@@ -63,7 +63,7 @@
 type DurableReply struct {
 	// Known is false when the entry has no such job in memory and did not
 	// create one, or when only the store knows the job's state. Of the other
-	// fields only State has a meaning then.
+	// fields only State, and Outcome if it is unknown, have a meaning then.
 	Known bool
 	// State of the job: a durable.State. Without Known it is a state that the job
 	// has at least, or empty.
