entry: count pending jobs that only peers know of

Callers: an entry that started while it was cut off from the store told them fewer pending jobs than there were (14 where at least 29 had been pending for 2 s).

Cause: it cannot read the records, and peers report only their own jobs. The jobs of its former process, and of others that had ended, were known to its peer, by their last reports or by the records, and nobody told it.

Ruled out: sending this with every heartbeat, which after a power loss would repeat the jobs of all former processes to all entries; not being ready until the records were read, which takes an entry out of service because of the store.

Change: an entry whose last scan is older than 3 s, or that has made none, says so in its heartbeats (WantsPending). The reply then has what the peer knows of the processes that do not report to the entry (PendingElsewhere), and the entry counts the largest of these numbers for each process, never beside a report of that process itself. While a process is lost, scans are a second apart, so only an entry that cannot read the store counts so, and without lost processes the field is empty. It has at most one number for each template and lost process.

--- a/entry/durable_peers.go
+++ b/entry/durable_peers.go
@@ -19,13 +19,18 @@
 	// record exists, although its owner is a peer that reports its own jobs. By then
 	// the owner counts it, or its epoch has ended and a scan has found the record.
 	foundJobRetention = 2 * durable.LeaseTTL
+	// maxScanAge is the age of the last scan from which peers' knowledge of lost
+	// processes counts. While a process is lost, scans follow each other after a second
+	// unless the store does not answer.
+	maxScanAge = durable.LeaseTTL
 )
 
 // pendingByPeer holds what is known of the pending durable jobs of all entries; a
 // job is pending while none of its tasks has started. Peers report the numbers of
 // their own jobs. The jobs of a process that is not heard of, or that no longer
 // counts them, are counted by their records in the store, as the last scan read
-// them. It is safe for concurrent use.
+// them. An entry whose last scan is old, because it is cut off from the store, counts
+// them by what its peers know of them. It is safe for concurrent use.
 type pendingByPeer struct {
 	clock *clock.Clock
 	self  entryProcess
@@ -46,8 +51,9 @@
 }
 
 type reportedPending struct {
-	at   time.Time
-	jobs map[string]int // by template
+	at     time.Time
+	jobs   map[string]int // by template
+	others []wire.ProcessPending
 }
 
 // pendingRecord is the record of a pending job that this entry may not own.
@@ -64,13 +70,13 @@
 	return entryProcess{id, incarnation}
 }
 
-func (p *pendingByPeer) update(entry wire.EntryRef, jobs map[string]int) {
+func (p *pendingByPeer) update(entry wire.EntryRef, jobs map[string]int, others []wire.ProcessPending) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.peers == nil {
 		p.peers = map[entryProcess]reportedPending{}
 	}
-	p.peers[entryProcess{entry.ID, entry.Incarnation}] = reportedPending{p.clock.Now(), jobs}
+	p.peers[entryProcess{entry.ID, entry.Incarnation}] = reportedPending{p.clock.Now(), jobs, others}
 }
 
 // recordScan records the open records that a scan read. It replaces what was known
@@ -138,30 +144,102 @@
 func (p *pendingByPeer) count(template string, held func(identifier string) bool) (n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for _, r := range p.records {
+		if r.template == template && p.countsAsFound(r) {
+			n++
+		}
+	}
+	byProcess := p.byProcess(held)
+	p.addReported(byProcess)
+	for _, jobs := range byProcess {
+		n += jobs[template]
+	}
+	return n
+}
+
+// countsAsFound reports whether a record is counted because this entry accepted its
+// job lately; the caller holds mu.
+func (p *pendingByPeer) countsAsFound(r pendingRecord) bool {
+	return r.found && r.owner != p.self && p.clock.Since(r.seen) < foundJobRetention
+}
+
+// byProcess returns the numbers, by template, of the pending jobs of other processes
+// that this entry does not hold, by their records and by their own reports; the
+// caller holds mu.
+func (p *pendingByPeer) byProcess(held func(identifier string) bool) map[entryProcess]map[string]int {
 	maps.DeleteFunc(p.peers, func(_ entryProcess, r reportedPending) bool { return p.clock.Since(r.at) > lostPeerRetention })
-	byRecord := map[entryProcess]int{}
+	out := map[entryProcess]map[string]int{}
 	for id, r := range p.records {
-		switch {
-		case r.template != template || r.owner == p.self || held(id):
-		case r.found && p.clock.Since(r.seen) < foundJobRetention:
-			n++
-		default:
-			byRecord[r.owner]++
+		if r.owner == p.self || held(id) || p.countsAsFound(r) {
+			continue
 		}
+		if out[r.owner] == nil {
+			out[r.owner] = map[string]int{}
+		}
+		out[r.owner][r.template]++
 	}
 	for process, r := range p.peers {
 		switch {
 		case !p.scanned.After(r.at):
-			byRecord[process] = r.jobs[template]
+			out[process] = maps.Clone(r.jobs)
 		case p.clock.Since(r.at) <= p.peerTimeout():
 			// The peer may have taken jobs over since, or have started some.
-			byRecord[process] = max(byRecord[process], r.jobs[template])
+			out[process] = larger(out[process], r.jobs)
+		}
+	}
+	return out
+}
+
+// addReported adds to byProcess what peers report of processes that do not report to
+// this entry, if this entry has not read the records since; the caller holds mu.
+func (p *pendingByPeer) addReported(byProcess map[entryProcess]map[string]int) {
+	for _, r := range p.peers {
+		if r.at.Sub(p.scanned) <= maxScanAge {
+			continue
+		}
+		for _, other := range r.others {
+			process := entryProcess{other.Entry, other.Incarnation}
+			if _, reports := p.peers[process]; !reports && process != p.self {
+				byProcess[process] = larger(byProcess[process], other.Pending)
+			}
 		}
 	}
-	for _, jobs := range byRecord {
-		n += jobs
+}
+
+// lacksScan reports whether this entry has not read the records for so long that it
+// counts what peers report of other processes.
+func (p *pendingByPeer) lacksScan() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scanned.IsZero() || p.clock.Since(p.scanned) > maxScanAge
+}
+
+// larger returns the larger number for each template.
+func larger(a, b map[string]int) map[string]int {
+	out := maps.Clone(a)
+	if out == nil {
+		out = map[string]int{}
 	}
-	return n
+	for template, n := range b {
+		out[template] = max(out[template], n)
+	}
+	return out
+}
+
+// reportFor returns what this entry knows of the pending jobs of the processes that do
+// not report theirs to the given entry process or are not heard of any more.
+func (p *pendingByPeer) reportFor(to entryProcess, held func(identifier string) bool) (out []wire.ProcessPending) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for process, jobs := range p.byProcess(held) {
+		r, reports := p.peers[process]
+		heard := reports && p.clock.Since(r.at) <= p.peerTimeout()
+		if process == to || heard && process.id != to.id || len(jobs) == 0 {
+			continue
+		}
+		out = append(out, wire.ProcessPending{Entry: process.id, Incarnation: process.incarnation, Pending: jobs})
+	}
+	return out
 }
 
 // PendingDurableJobs returns the number of durable jobs of the template at all
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -44,6 +44,9 @@
 	onHeartbeat func(heartbeat wire.PeerHeartbeat, interval time.Duration)
 	// report returns what this entry tells its peers about tasks that crash workers.
 	report func() containment.Report
+	// wantsPending reports whether peers have to tell this entry what they know of the
+	// pending jobs of other processes.
+	wantsPending func() bool
 	// onPeerLost is called with the identifier of a peer that became unreachable
 	// or whose process was replaced. It must not block.
 	onPeerLost func(entry string)
@@ -306,7 +309,7 @@
 	sent := p.clock.Now()
 	// The peer takes nothing else from a request; see rpcPeerHeartbeat.
 	r := p.report()
-	heartbeat := wire.PeerHeartbeat{Entry: p.self, CrashingTasks: r.Convictions, Confined: r.Confined}
+	heartbeat := wire.PeerHeartbeat{Entry: p.self, CrashingTasks: r.Convictions, Confined: r.Confined, WantsPending: p.wantsPending()}
 	var reply wire.PeerHeartbeat
 	if err := e.conn.Call(ctx, "Entry.PeerHeartbeat", &heartbeat, &reply); err != nil {
 		return err
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -42,7 +42,7 @@
 }
 
 // rpcPeerHeartbeat serves Entry.PeerHeartbeat. Of the request it uses only the
-// sender's reference and its report of tasks that crash workers. An entry takes the
+// sender's reference, its report of tasks that crash workers, and WantsPending. An entry takes the
 // rest from the replies to its own heartbeats, because it can bound the age of a
 // reply; see confirmation.
 func (e *Entry) rpcPeerHeartbeat(_ context.Context, req *wire.PeerHeartbeat, reply *wire.PeerHeartbeat) error {
@@ -51,13 +51,13 @@
 		sender := *req
 		e.dispatcher.post(func(d *dispatcher) { d.recordCrashReport(sender) })
 	}
-	*reply = e.newPeerHeartbeat()
+	*reply = e.newPeerHeartbeat(*req)
 	return nil
 }
 
-// newPeerHeartbeat returns the heartbeat with which this entry replies to those
-// of its peers.
-func (e *Entry) newPeerHeartbeat() wire.PeerHeartbeat {
+// newPeerHeartbeat returns the heartbeat with which this entry replies to that of a
+// peer.
+func (e *Entry) newPeerHeartbeat(req wire.PeerHeartbeat) wire.PeerHeartbeat {
 	now := e.clock.Now()
 	age, _ := e.confirmation.age(now)
 	b := wire.PeerHeartbeat{
@@ -69,6 +69,9 @@
 	e.dispatcher.postAndWait(func(d *dispatcher) {
 		b.Stopping = d.stopping
 		b.Pending = d.countPendingDurable()
+		if req.WantsPending {
+			b.PendingElsewhere = e.peerPending.reportFor(entryProcess{req.Entry.ID, req.Entry.Incarnation}, d.holdsDurable)
+		}
 		for account, tasks := range d.shares.Demand(d.now) {
 			b.Demand = append(b.Demand, wire.AccountDemand{Account: account, Tasks: tasks})
 		}
@@ -79,7 +82,7 @@
 // handlePeerHeartbeat records the demand, the pending durable jobs and the tasks that
 // crash workers that a peer reported.
 func (e *Entry) handlePeerHeartbeat(b wire.PeerHeartbeat, interval time.Duration) {
-	e.peerPending.update(b.Entry, b.Pending)
+	e.peerPending.update(b.Entry, b.Pending, b.PendingElsewhere)
 	e.dispatcher.post(func(d *dispatcher) {
 		d.shares.SetInterval(interval)
 		d.recordCrashReport(b)
--- a/wire/entry.go
+++ b/wire/entry.go
@@ -18,6 +18,12 @@
 	// Pending is the number of the sender's durable jobs of which no task has
 	// started, by template.
 	Pending map[string]int
+	// WantsPending in a request asks for PendingElsewhere in the reply, because the
+	// sender has not read the records of durable jobs for a while.
+	WantsPending bool
+	// PendingElsewhere has the pending durable jobs of processes that do not report
+	// theirs to the sender or to the receiver, as far as the sender knows them.
+	PendingElsewhere []ProcessPending
 	// CrashingTasks is the number of tasks that the sender gave up within
 	// containment.Memory because workers crashed under them, by template.
 	CrashingTasks map[string]int
@@ -26,6 +32,14 @@
 	Confined []string
 }
 
+// ProcessPending is the number of the pending durable jobs of one process of an entry,
+// by template.
+type ProcessPending struct {
+	Entry       string // its identifier
+	Incarnation Incarnation
+	Pending     map[string]int
+}
+
 // AccountDemand is the rate at which callers of a client account submit tasks
 // to an entry.
 type AccountDemand struct {
