entry: no crash by an end reported before the first start

Operators: an entry process ended with "assignment to entry in nil map".

Cause: an agent reported an unclaimed end of a job that the entry had taken over and whose recovery was complete, but of which it had sent no task yet, for example because there was no room. The lists of runs by task are made at the first start, and the entry cleared the list of the task without that. Each process that takes the job over next can meet the same report.

Ruled out: the other lists by task of a durable job are made before each write (runAgents, sentHere, leftQueue, endVersions, crashes; read one by one).

Change: the list of the task is deleted, which does nothing if there is none.

--- a/entry/durable_recover_test.go
+++ b/entry/durable_recover_test.go
@@ -105,6 +105,31 @@
 	}
 }
 
+// Guards against an entry process that ends when an agent reports an end of a job that
+// was taken over, has recovered, and has no task that this entry has sent yet.
+func TestEndReportedBeforeTheFirstStartAfterATakeover(t *testing.T) {
+	for _, failed := range []bool{false, true} {
+		t.Run(fmt.Sprint("failed ", failed), func(t *testing.T) {
+			inBubble(t, func(h *harness) {
+				e, m := h.durableEntry(1, newRecordStore(), nil)
+				a := h.adoptedWorker(1, runsFor(8000))
+				waitForDiscovery()
+				h.submitAccepted(e, stepSubmission("2f", 8)) // takes all the room
+				m.takeOverRecord(durable.Record{Identifier: "1f", Count: 2, Started: true})
+				time.Sleep(4 * time.Second) // longer than Timing.Reconcile and an agent's report
+				a.reportEnds(wire.EndedRun{Job: "1f", Index: 1, Tag: 77, Done: !failed, Failed: failed})
+				time.Sleep(20 * time.Second)
+				h.Check(h.durableState(e, "1f"), qt.Equals, durable.Completed)
+				h.Check(h.upstreams.totalStarts(), qt.Equals, map[bool]int{false: 8 + 1, true: 8 + 2}[failed])
+				_, settled, voided := a.endCounts()
+				h.Check(settled, qt.Equals, 1)
+				h.Check(voided, qt.Equals, 0)
+				h.checkNoStateLeft(e)
+			})
+		})
+	}
+}
+
 // Guards against the loss of a job that is taken over by an entry whose
 // configuration does not contain its template yet.
 func TestTakeoverWithoutTemplate(t *testing.T) {
--- a/entry/durable_unclaimed.go
+++ b/entry/durable_unclaimed.go
@@ -123,7 +123,7 @@
 		// Probably the end of the current run, whose result will arrive through
 		// the session.
 	case last && state == taskWaiting:
-		u.runAgents[end.Index] = nil
+		delete(u.runAgents, end.Index) // the map is nil before the first start here
 		d.applyReportedEnd(j, end)
 		d.afterTaskResolved(j)
 	case last && state == taskSent && d.resolveHeldTask(j, end):
