--- a/agent/probe.go
+++ b/agent/announcements.go
@@ -11,9 +11,9 @@
 const (
 	// maxAnnouncements bounds the lives of which the newest announcement is kept.
 	maxAnnouncements = 8
-	// maxProbes bounds the calls to an announced life; the next announcement begins
+	// maxVerifications bounds the calls to an announced life; the next announcement begins
 	// again.
-	maxProbes = 3
+	maxVerifications = 3
 )
 
 // announcements has the newest announcement of each of the lives that were
@@ -64,14 +64,14 @@
 	return &n
 }
 
-// probe asks the process that an announcement names for its runs. If another
+// verifyAnnounced asks the process that an announcement names for its runs. If another
 // process than that of the present life answers, the present life has ended,
 // because a machine has one worker at a time and the present life had answered
 // before.
-func (l *leasedExecutor) probe(present *life, n lease.Announcement) {
+func (l *leasedExecutor) verifyAnnounced(present *life, n lease.Announcement) {
 	w := l.agent.options.Connect(n)
 	defer w.Close()
-	for range maxProbes {
+	for range maxVerifications {
 		l.agent.mu.Lock()
 		o := lease.RenewOrder{Token: present.runs.Token()}
 		l.agent.mu.Unlock()
@@ -79,7 +79,7 @@
 		reply, err := w.Renew(ctx, o)
 		cancel()
 		if err == nil {
-			l.probeAnswered(present, n, reply)
+			l.announcedAnswered(present, n, reply)
 			return
 		}
 		if !wait.For(present.ctx, l.settings.OrderTimeout.AsDuration(), nil) {
@@ -88,16 +88,16 @@
 	}
 	l.agent.mu.Lock()
 	defer l.agent.mu.Unlock()
-	l.probing = false
+	l.verifying = false
 }
 
-// probeAnswered applies the answer of a process that was announced while another
+// announcedAnswered applies the answer of a process that was announced while another
 // life was the present one. A refused token proves that a process with the
 // identifier answered, and says nothing of its birth.
-func (l *leasedExecutor) probeAnswered(present *life, n lease.Announcement, reply lease.RenewReply) {
+func (l *leasedExecutor) announcedAnswered(present *life, n lease.Announcement, reply lease.RenewReply) {
 	l.agent.mu.Lock()
 	defer l.agent.mu.Unlock()
-	l.probing = false
+	l.verifying = false
 	known := present.runs.Life()
 	switch {
 	case l.life != present || reply.Refusal != "" && reply.Refusal != lease.RefusedTokenTooLow:
--- a/agent/leased.go
+++ b/agent/leased.go
@@ -26,7 +26,7 @@
 
 	life          *life // nil while no life is known
 	announcements announcements
-	probing       bool   // probe is in progress
+	verifying     bool   // verifyAnnounced is in progress
 	highestToken  uint64 // highest fencing token that was used in any life
 }
 
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -89,9 +89,9 @@
 			l.updateLeaving()
 		}
 		life.renewSoon(true)
-	case !l.probing:
-		l.probing = true
-		go l.probe(life, n)
+	case !l.verifying:
+		l.verifying = true
+		go l.verifyAnnounced(life, n)
 	}
 }
 
