entry, agent, lease: tell the causes of concurrent runs apart in logs

An entry now logs and counts callers that leave while tasks are at agents, at most 30 lines a minute, and records how long events wait for the dispatcher. An agent logs and counts a run that a list shows and its table lacks, with the outcome with which it removed that run, if it did.

--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -15,7 +15,7 @@
 	upstreamErrors, upstreamTimeouts, upstreamUnsent         tally.Counter
 	refusedOutOfService, gateClosed, refusedBusy, duplicates tally.Counter
 	interrupted, ordersUnanswered, runsStalled               tally.Counter
-	workersCrashed, runsLost, runsCarriedOver                tally.Counter
+	workersCrashed, runsLost, runsCarriedOver, runsUnknown   tally.Counter
 	offers, offersUsed, entriesSuspect, recordsEvicted       tally.Counter
 	running, queued, confirmationAge, generation             tally.Gauge
 	endsHeld, endsUnclaimed, suspended                       tally.Gauge
@@ -37,8 +37,8 @@
 		interrupted: s.Counter("tasks_interrupted"), ordersUnanswered: s.Counter("orders_unanswered"),
 		runsStalled:    s.Counter("runs_stalled"),
 		workersCrashed: s.Counter("workers_crashed"), runsLost: s.Counter("runs_lost"),
-		runsCarriedOver: s.Counter("runs_carried_over"),
-		offers:          s.Counter("offers"), offersUsed: s.Counter("offers_used"),
+		runsCarriedOver: s.Counter("runs_carried_over"), runsUnknown: s.Counter("runs_unknown"),
+		offers: s.Counter("offers"), offersUsed: s.Counter("offers_used"),
 		entriesSuspect: s.Counter("entries_suspect"), recordsEvicted: s.Counter("records_evicted"),
 		running: s.Gauge("tasks_running"), queued: s.Gauge("tasks_queued"),
 		confirmationAge: s.Gauge("confirmation_age_seconds"), generation: s.Gauge("config_generation"),
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -300,8 +300,22 @@
 	l.notifyRemoved(life, removed)
 	l.expireLease(life, now)
 	for _, run := range stop {
+		l.recordUnknownRun(life, run)
 		go l.stopRun(life, run)
 	}
 	l.reportStalled(life)
 	l.updateLeaving()
 }
+
+// recordUnknownRun logs and counts a listed run that is not in the table. Either
+// another agent process ordered it, or this one removed it on a proof that was wrong;
+// removed_as then is the outcome with which it was removed. The caller holds mu.
+func (l *leasedExecutor) recordUnknownRun(life *life, run lease.Run) {
+	if known, ok := life.runs.RunOf(run.Task); ok && known == run {
+		return
+	}
+	removedAs, _ := life.runs.RemovedAs(run)
+	l.agent.metrics.runsUnknown.Inc(1)
+	l.agent.log.Warn().Str("worker", life.runs.Life().ID).Str("caller_job", run.Task.Job).Int("task", run.Task.Index).
+		Uint64("run", run.Number).Str("removed_as", string(removedAs)).Msg("unknown_run_stopped")
+}
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -31,6 +31,9 @@
 	eventBuffer = 1024
 	// eventBatch bounds the events that are handled before tasks are placed.
 	eventBatch = 256
+	// maxRareLogLines limits the lines a minute of dispatcher.rareLog. A reset of all
+	// connections ends those of some hundred callers at once.
+	maxRareLogLines = 30
 	// tickInterval is the interval of the checks that depend on time, such as
 	// those for silent agents and expired reconciliation deadlines.
 	tickInterval = 50 * time.Millisecond
@@ -48,6 +51,7 @@
 	clock          *clock.Clock
 	limits         settings.Limits
 	log            zerolog.Logger
+	rareLog        zerolog.Logger // for lines that a fault may cause for many jobs at once
 	metrics        metrics
 	dial           agentDialer
 	callsCtx       context.Context // of the calls to agents; ends with the dispatcher
@@ -122,6 +126,7 @@
 		leasedJobs: map[string]*job{}, pendingByTemplate: map[string]int{}, pools: map[string]*pool{},
 		classes: map[string]*class{}, pendingCancels: map[*agent][]wire.TaskKey{},
 	}
+	d.rareLog = d.log.Sample(&zerolog.BurstSampler{Burst: maxRareLogLines, Period: time.Minute})
 	d.durable = newDurableJobs(e.recordManager, e.inbox, &e.peerPending, e.newJobID)
 	d.callsCtx, d.cancelCalls = context.WithCancel(context.Background())
 	d.table.SetSeed(uint64(e.self.Incarnation))
@@ -249,6 +254,26 @@
 	d.evictAnswers()
 	d.checkSuspension()
 	d.updateGauges()
+	d.measureEventDelay()
+}
+
+// measureEventDelay posts an event that records how long it waited. A delay of more
+// than a heartbeat interval is logged: the ends of callers' connections wait as long,
+// and the argument against concurrent runs allows them less than that (docs/design.md,
+// section 13.3).
+func (d *dispatcher) measureEventDelay() {
+	posted := d.clock.Now()
+	select {
+	case d.events <- func(d *dispatcher) {
+		delay := d.clock.Since(posted)
+		d.metrics.eventDelay.Record(delay)
+		if delay > d.timing.Heartbeat.AsDuration() {
+			d.rareLog.Warn().Dur("delay_ms", delay).Int("events", len(d.events)).Msg("events wait for the dispatcher")
+		}
+	}:
+	default:
+		d.rareLog.Warn().Int("events", len(d.events)).Msg("queue of events is full")
+	}
 }
 
 // closeAll ends all jobs and connections before the process exits.
--- a/entry/leased.go
+++ b/entry/leased.go
@@ -230,6 +230,11 @@
 // callerLeft handles a caller that no longer waits for the answer. It cancels the
 // job if no other caller waits.
 func (d *dispatcher) callerLeft(j *job) {
+	if j.leased.openRuns > 0 {
+		d.metrics.callersLeft.Inc(1)
+		d.rareLog.Warn().Str("caller_job", j.leased.identifier).Str("job", j.id).Int("open_runs", j.leased.openRuns).
+			Dur("after_ms", d.clock.Since(j.arrived)).Msg("caller left while tasks are at agents")
+	}
 	if j.leased.waitingCallers--; j.leased.waitingCallers == 0 {
 		d.cancelJob(j, "the caller disconnected")
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -39,6 +39,8 @@
 	templatesConfined     tally.Gauge
 	suspended             tally.Gauge   // in seconds, since the start
 	crashingTasks         tally.Counter // given up because workers crashed under them
+	callersLeft           tally.Counter // callers that left while runs of their job were open
+	eventDelay            tally.Timer   // time that an event waits for the dispatcher
 }
 
 func newMetrics(s tally.Scope) metrics {
@@ -73,6 +75,8 @@
 		tasksInterrupted:      s.Counter("tasks_interrupted"),
 		templatesConfined:     s.Gauge("templates_confined"),
 		crashingTasks:         s.Counter("tasks_given_up_for_crashes"),
+		callersLeft:           s.Counter("callers_left"),
+		eventDelay:            s.Timer("event_delay"),
 		crashedRuns: map[wire.CrashRole]tally.Counter{
 			wire.CrashBystander: crashCounter(s, "bystander"), wire.CrashSuspect: crashCounter(s, "suspect"),
 			wire.CrashUnconfirmed: crashCounter(s, "unconfirmed"),
--- a/lease/ends.go
+++ b/lease/ends.go
@@ -75,7 +75,21 @@
 
 // removal describes a run that was removed from the table before its end was
 // listed.
-type removal struct{ durable, leaseExpired bool }
+type removal struct {
+	durable bool
+	outcome Outcome
+}
+
+// RemovedAs returns the outcome with which the run was removed from the table, and
+// false if it was not or is not remembered. Refused runs are not remembered.
+func (r *RunTable) RemovedAs(run Run) (Outcome, bool) {
+	for _, generation := range r.ends.removals {
+		if removed, ok := generation[run]; ok {
+			return removed.outcome, true
+		}
+	}
+	return "", false
+}
 
 // ackSequence returns the sequence up to which no end is held.
 func (t *endTable) ackSequence() uint64 {
@@ -155,7 +169,7 @@
 		return
 	}
 	r.ends.held = append(r.ends.held, &HeldEnd{
-		RunEnd: end, Tag: r.Life().Tag(end.Run), ListedAt: now, Untracked: e == nil, leaseExpired: removed.leaseExpired,
+		RunEnd: end, Tag: r.Life().Tag(end.Run), ListedAt: now, Untracked: e == nil, leaseExpired: removed.outcome == OutcomeLeaseExpired,
 	})
 }
 
--- a/lease/runs.go
+++ b/lease/runs.go
@@ -373,7 +373,7 @@
 func (r *RunTable) remove(run Run, outcome Outcome, refusal Refusal) []RemovedRun {
 	e := r.table[run.Task]
 	if outcome != OutcomeRefused {
-		r.ends.recordRemoval(run, removal{e.durable, outcome == OutcomeLeaseExpired})
+		r.ends.recordRemoval(run, removal{e.durable, outcome})
 	}
 	delete(r.table, run.Task)
 	return []RemovedRun{{Run: run, Outcome: outcome, Refusal: refusal, Survived: e.survived, Crash: e.crash}}
--- a/lease/runs_test.go
+++ b/lease/runs_test.go
@@ -243,3 +243,18 @@
 	table.LifeEnded(false)
 	c.Check(table.Adopted(), qt.IsFalse)
 }
+
+// Guards against an agent that cannot say why it does not know a run which its worker
+// lists: whether it gave the run up itself, and as what.
+func TestRemovedAs(t *testing.T) {
+	c := qt.New(t)
+	r := ordered()
+	_, removed := r.RemovedAs(run1)
+	c.Check(removed, qt.IsFalse)
+	r.StartUnanswered(run1)
+	r.pass(validity + 1)
+	r.poll(nil)
+	as, removed := r.RemovedAs(run1)
+	c.Check(removed, qt.IsTrue)
+	c.Check(as, qt.Equals, OutcomeNeverStarted)
+}
