--- a/internal/faultnet/conn.go
+++ b/internal/faultnet/conn.go
@@ -174,6 +174,17 @@
 	return nil
 }
 
+// PeerEnded reports whether the other end has closed or reset the connection and this
+// has arrived, also while data can still be read. The kernel's answer to poll is the
+// same.
+func (c *conn) PeerEnded() bool {
+	n := c.net
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	last := len(c.in.chunks) - 1
+	return c.in.reset || c.in.writerClosed && n.carries(c.in) && (last < 0 || !c.in.chunks[last].readableAt.After(time.Now()))
+}
+
 // LocalAddr returns this end's address.
 func (c *conn) LocalAddr() net.Addr { return c.local }
 
--- /dev/null
+++ b/internal/leasedtest/gone_caller_test.go
@@ -0,0 +1,63 @@
+package leasedtest
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	callerHost  = "10.0.4.1"
+	callerToken = "t" // of the account of initialDocument
+)
+
+// openSubmission opens a connection to an entry and sends a job over it.
+func (s *system) openSubmission(target int, j *job) net.Conn {
+	spec := j.spec()
+	body, err := json.Marshal(map[string]any{
+		"template": "step", "job": j.id, "count": j.tasks, "spec": spec.Encode(), "deadline_ms": j.deadline.Milliseconds(),
+		"needs": map[string]int64{"milli_cpu": j.milliCPU, "memory_mb": 64},
+	})
+	s.Assert(err, qt.IsNil)
+	address := entryHost(target) + ":8000"
+	c, err := s.net.Dialer(callerHost)(context.Background(), address)
+	s.Assert(err, qt.IsNil)
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/jobs", bytes.NewReader(body))
+	s.Assert(err, qt.IsNil)
+	r.Header.Set("Authorization", "Bearer "+callerToken)
+	s.Assert(r.Write(c), qt.IsNil)
+	return c
+}
+
+// Guards against an entry that starts the tasks of a caller whose connection had ended
+// before its submission was read, and that has sent the job to another entry at once:
+// two runs of each task. An entry with little processor time reads a submission late,
+// and handles the end of its connection later still.
+func TestSubmissionOfACallerThatHasLeft(t *testing.T) {
+	for _, noticed := range []time.Duration{0, 5 * ms, 30 * ms, 400 * ms} {
+		t.Run(fmt.Sprint("end noticed after ", noticed), func(t *testing.T) {
+			withSystem(t, func(s *system) {
+				j := &job{tasks: 3, milliCPU: 4000, duration: 200 * ms, deadline: 3 * time.Second, mayHaveRun: true}
+				s.register(j)
+				s.net.Delay(callerHost, entryHost(0), 15*ms)
+				s.entry(0).setEndsNoticedLate(noticed)
+				s.Assert(s.openSubmission(0, j).Close(), qt.IsNil)
+				c := s.openSubmission(1, j)
+				answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+				s.Assert(err, qt.IsNil)
+				s.Check(answer.StatusCode, qt.Equals, http.StatusOK)
+				s.Check(c.Close(), qt.IsNil)
+				s.checkAllTasksDone(j)
+				s.Check(len(s.evidence.Starts()), qt.Equals, j.tasks)
+			})
+		})
+	}
+}
--- a/internal/leasedtest/process_test.go
+++ b/internal/leasedtest/process_test.go
@@ -35,6 +35,8 @@
 	suspending    bool
 	suspended     time.Duration
 	lastSuspended time.Duration // length of the last pause if it was a suspension, otherwise 0
+	// endsNoticedLate is how late reads of the process return the end of a connection.
+	endsNoticedLate time.Duration
 }
 
 func newProcess(host string, n *faultnet.Network) *process {
@@ -262,8 +264,28 @@
 	process *process
 }
 
+// setEndsNoticedLate delays the errors of reads, as in a process whose goroutines wait
+// for the processor.
+func (p *process) setEndsNoticedLate(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.endsNoticedLate = d
+}
+
+// PeerEnded passes on what the connection says; see faultnet.
+func (c *pausingConn) PeerEnded() bool {
+	p, ok := c.Conn.(interface{ PeerEnded() bool })
+	return ok && p.PeerEnded()
+}
+
 func (c *pausingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if err != nil {
+		c.process.mu.Lock()
+		late := c.process.endsNoticedLate
+		c.process.mu.Unlock()
+		time.Sleep(late)
+	}
 	if _, dead := c.process.waitWhilePaused(); dead != nil {
 		return 0, dead
 	}
