entry: no task starts for a caller whose connection has ended

Callers saw two runs of one task at once, started by entries that both had the job. A caller whose connection is reset while it is being opened sends its job again at once to another entry. The first entry reads the submission all the same, since the data precedes the reset, and starts tasks until a goroutine of net/http gets the processor and reports the end of the connection. The argument against concurrent runs took it that this happens at once and that a caller waits for the resend interval.

The kernel has the end together with the submission.

--- a/entry/durable_submit.go
+++ b/entry/durable_submit.go
@@ -303,7 +303,6 @@
 		oldRunsEndedAt: latestOf(d.now, at.Add(d.timing.Reconcile.AsDuration()), d.startedAt.Add(d.timing.Lapse.AsDuration())),
 	}
 	j.leased.anyStarted = r.Started
-	j.leased.waitingCallers = 0
 	for _, run := range r.Done {
 		j.setFinalState(run.Index, taskDone)
 	}
--- a/entry/leased.go
+++ b/entry/leased.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -24,9 +25,9 @@
 
 // leasedJob is the state that a job of leased tasks has in addition to job.
 type leasedJob struct {
-	identifier     string // chosen by the caller
-	workload       workload
-	waitingCallers int // submissions that wait for the answer
+	identifier string // chosen by the caller
+	workload   workload
+	callers    []*caller // that wait for the answer; none of a durable job
 
 	objective time.Duration // response-time objective, counted from the arrival
 	// startDeadline is when the job is given up if none of its tasks has started.
@@ -149,13 +150,17 @@
 	if identifier == "" {
 		identifier = id
 	}
+	if s.caller.left() {
+		d.metrics.callersGone.Inc(1)
+		return errCallerLeft()
+	}
 	earlier := d.leasedJobs[identifier]
 	if earlier != nil && (!earlier.answered || earlier.leased.answerReusable) {
 		if earlier.leased.workload != s.workload {
 			return notRun(http.StatusUnprocessableEntity, reasonJobReused, "the job's identifier is in use for other work; this submission was not run")
 		}
 		s.job = earlier
-		earlier.leased.waitingCallers++
+		earlier.leased.callers = append(earlier.leased.callers, s.caller)
 		return nil
 	}
 	if d.stopping {
@@ -199,11 +204,14 @@
 func (d *dispatcher) newLeasedJob(s *submission, identifier string) *job {
 	j := d.newJob(s)
 	j.leased = &leasedJob{
-		identifier: identifier, workload: s.workload, waitingCallers: 1,
+		identifier: identifier, workload: s.workload,
 		failedRuns: make([]uint8, j.count), interruptions: make([]uint8, j.count),
 		restarts: make([]uint8, j.count),
 		confined: d.confined.members[j.template.Name] != nil,
 	}
+	if s.caller != nil {
+		j.leased.callers = []*caller{s.caller}
+	}
 	j.results = nil // leased tasks return no results
 	if s.expected > 0 {
 		j.expected = d.durations.Blended(j.template.Name, s.expected)
@@ -227,17 +235,9 @@
 	return nil
 }
 
-// callerLeft handles a caller that no longer waits for the answer. It cancels the
-// job if no other caller waits.
-func (d *dispatcher) callerLeft(j *job) {
-	if j.leased.openRuns > 0 {
-		d.metrics.callersLeft.Inc(1)
-		d.rareLog.Warn().Str("caller_job", j.leased.identifier).Str("job", j.id).Int("open_runs", j.leased.openRuns).
-			Dur("after_ms", d.clock.Since(j.arrived)).Msg("caller left while tasks are at agents")
-	}
-	if j.leased.waitingCallers--; j.leased.waitingCallers == 0 {
-		d.cancelJob(j, "the caller disconnected")
-	}
+// removeCaller removes a caller that no longer waits.
+func (l *leasedJob) removeCaller(c *caller) {
+	l.callers = slices.DeleteFunc(l.callers, func(k *caller) bool { return k == c })
 }
 
 // cancelLeased cancels a job on request, unless it has ended or its end record is
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -40,6 +40,8 @@
 	suspended             tally.Gauge   // in seconds, since the start
 	crashingTasks         tally.Counter // given up because workers crashed under them
 	callersLeft           tally.Counter // callers that left while runs of their job were open
+	callersGone           tally.Counter // submissions refused because their callers had left
+	startsWithheld        tally.Counter // jobs cancelled before a start because their callers had left
 	eventDelay            tally.Timer   // time that an event waits for the dispatcher
 }
 
@@ -76,6 +78,8 @@
 		templatesConfined:     s.Gauge("templates_confined"),
 		crashingTasks:         s.Counter("tasks_given_up_for_crashes"),
 		callersLeft:           s.Counter("callers_left"),
+		callersGone:           s.Counter("callers_gone"),
+		startsWithheld:        s.Counter("starts_withheld"),
 		eventDelay:            s.Timer("event_delay"),
 		crashedRuns: map[wire.CrashRole]tally.Counter{
 			wire.CrashBystander: crashCounter(s, "bystander"), wire.CrashSuspect: crashCounter(s, "suspect"),
--- a/entry/receive.go
+++ b/entry/receive.go
@@ -78,6 +78,7 @@
 	// none.
 	expected time.Duration
 	workload workload // set for a leased job
+	caller   *caller  // set for a leased job that is not durable
 	job      *job
 	claim    *keyClaim // set when the submission owns its key
 	answer   *answer
--- a/entry/start.go
+++ b/entry/start.go
@@ -40,11 +40,11 @@
 	if len(d.pendingStarts) == 0 {
 		return
 	}
-	startsAllowed := d.mayStartNow()
+	startsAllowed, abandoned := d.mayStartNow(), d.abandonedJobs()
 	for _, l := range d.pendingStarts {
 		a, j, index := l.agent, l.task.job, l.task.index
-		if !startsAllowed || a.conn == nil || l.task.key.Session != a.session.id.Number || !d.mayStartJob(j) {
-			// The session or the job ended after the task was placed.
+		if !startsAllowed || abandoned[j] || a.conn == nil || l.task.key.Session != a.session.id.Number || !d.mayStartJob(j) {
+			// The session or the job ended after the task was placed, or its callers left.
 			if v, ok := a.session.resolveNotSent(l.task.key); ok {
 				d.applyVerdicts(a, []verdict{v})
 			}
@@ -61,6 +61,7 @@
 	}
 	clear(d.pendingStarts)
 	d.pendingStarts = d.pendingStarts[:0]
+	d.cancelAbandoned(abandoned)
 }
 
 // awaitResult calls Agent.Await for a task that the agent reported as running.
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -97,10 +97,10 @@
 // for the job.
 func (e *Entry) runLeased(ctx context.Context, s *submission) error {
 	if ctx.Err() != nil {
-		return notRun(http.StatusServiceUnavailable, wire.ReasonCancelled, "the caller disconnected")
+		return errCallerLeft()
 	}
 	id := e.newJobID()
-	s.workload = workloadOf(s)
+	s.workload, s.caller = workloadOf(s), callerOf(ctx)
 	err := error(nil)
 	if !e.dispatcher.postAndWait(func(d *dispatcher) { err = d.submitLeased(s, id) }) {
 		return retryLater(time.Second, reasonStopping, "the entry is stopping")
@@ -113,7 +113,7 @@
 		return nil
 	case <-ctx.Done():
 	}
-	e.dispatcher.postAndWait(func(d *dispatcher) { d.callerLeft(s.job) })
+	e.dispatcher.postAndWait(func(d *dispatcher) { d.callerLeft(s.job, s.caller) })
 	select {
 	case <-s.job.done:
 		return nil
--- a/internal/leasedtest/gone_caller_test.go
+++ b/internal/leasedtest/gone_caller_test.go
@@ -54,6 +54,7 @@
 				answer, err := http.ReadResponse(bufio.NewReader(c), nil)
 				s.Assert(err, qt.IsNil)
 				s.Check(answer.StatusCode, qt.Equals, http.StatusOK)
+				s.Check(answer.Body.Close(), qt.IsNil)
 				s.Check(c.Close(), qt.IsNil)
 				s.checkAllTasksDone(j)
 				s.Check(len(s.evidence.Starts()), qt.Equals, j.tasks)
@@ -61,3 +62,33 @@
 		})
 	}
 }
+
+// Guards against a job that starts tasks after its caller has left, because the entry
+// has not handled the end of the connection yet, and against one that is cancelled
+// although another caller waits for it.
+func TestCallerLeavesWhileTheJobWaits(t *testing.T) {
+	for _, joined := range []bool{false, true} {
+		t.Run(fmt.Sprint("another caller waits: ", joined), func(t *testing.T) {
+			withSystem(t, func(s *system) {
+				full := s.submit(0, job{tasks: 12, duration: 300 * ms}) // uses all workers
+				time.Sleep(100 * ms)
+				j := &job{tasks: 3, milliCPU: 4000, duration: 100 * ms, deadline: 3 * time.Second, mayHaveRun: true}
+				s.register(j)
+				s.entry(0).setEndsNoticedLate(time.Second)
+				first := s.openSubmission(0, j)
+				time.Sleep(20 * ms)
+				starts := 0
+				if joined {
+					second := s.openSubmission(0, j)
+					defer func() { _ = second.Close() }()
+					starts = j.tasks
+				}
+				time.Sleep(20 * ms)
+				s.Assert(first.Close(), qt.IsNil)
+				<-full.ended
+				time.Sleep(500 * ms)
+				s.Check(len(s.evidence.Starts())-full.tasks, qt.Equals, starts)
+			})
+		})
+	}
+}
--- a/internal/leasemodel/entry.go
+++ b/internal/leasemodel/entry.go
@@ -31,7 +31,7 @@
 // handleDisconnect ends the caller's job and cancels its task, by the rule
 // CancelOnLeave.
 func (m *machine) handleDisconnect(e *entry) {
-	e.disconnectAge = 0
+	e.disconnectAge, e.endArrived = 0, false
 	if !m.enforces(CancelOnLeave) {
 		return
 	}
@@ -144,7 +144,7 @@
 	en := &s.entries[e]
 	first := a > 0 && s.workers[0].highestOrdered == 0 && s.workers[1].highestOrdered == 0
 	if en.task != queued || !en.sessions[a].open || s.callsDown[e][a] || !s.agents[a].up || first ||
-		m.enforces(Settling) && en.settleLeft > 0 {
+		m.enforces(Settling) && en.settleLeft > 0 || m.enforces(CheckCaller) && en.endArrived {
 		return
 	}
 	if reachable(s, e, a) {
@@ -230,7 +230,7 @@
 			s.caller.entry = int8(e + 1)
 			en := &s.entries[e]
 			if en.job { // joins the job that the entry still has
-				en.disconnectAge = 0
+				en.disconnectAge, en.endArrived = 0, false
 				return
 			}
 			en.job, en.task = true, queued
--- a/internal/leasemodel/faults.go
+++ b/internal/leasemodel/faults.go
@@ -18,6 +18,12 @@
 			s.entries[e].disconnectAge = 1
 		}, e)
 	}
+	if int(m.from.caller.entry) == e+1 && en.task == queued && en.sequence == 0 {
+		m.fault(UnreadEnds, "the caller's connection ends before entry %d reads the submission", func(s *state) {
+			s.caller.entry = 0 // without the resend interval: the caller takes the submission as not delivered
+			s.entries[e].disconnectAge, s.entries[e].endArrived = 1, true
+		}, e)
+	}
 	if !en.paused {
 		m.fault(EntryPauses, "entry %d is paused", func(s *state) {
 			s.entries[e].paused, s.entries[e].pausedFor, s.entries[e].resumed = true, 0, false
--- a/internal/leasemodel/rules.go
+++ b/internal/leasemodel/rules.go
@@ -40,6 +40,7 @@
 	ExpiryOfListed                // the end of the lease proves only the end of runs that the life is proved to have begun
 	RefusalNoProof                // a refused connection does not end the life
 	AnnouncementHint              // an announcement of another life does not end the life
+	CheckCaller                   // an entry sends no task whose caller's connection has ended, also before it handles the end
 	ruleCount
 )
 
@@ -48,6 +49,7 @@
 	"FencingTokens", "EndProved", "Adoption", "CancelOnLeave", "Settling", "ResendInterval", "CancelBeforeRenew",
 	"StopBeforeExtend", "CheckBeforeExtend", "CheckBeforeStart", "OpenKeepsLapse", "CancelBeforeRun", "SettleBeforeRenew",
 	"CountsSuspension", "BirthInLists", "ClockBound", "CarryOver", "TokenPerLife", "ExpiryOfListed", "RefusalNoProof", "AnnouncementHint",
+	"CheckCaller",
 }
 
 func (r Rule) String() string {
@@ -156,4 +158,5 @@
 	RefusedByLink  // a connection is refused although the worker's process runs
 	StaleAnnounced // an announcement of another life arrives although the worker's process runs
 	TaskRestarted  // an entry cancels a stalled or slow run to start the task elsewhere
+	UnreadEnds     // the caller's connection ends before the entry has read the submission; the caller resends at once
 )
--- a/internal/leasemodel/state.go
+++ b/internal/leasemodel/state.go
@@ -22,6 +22,7 @@
 	up, paused, resumed   bool // resumed: its pause ended in this tick
 	incarnation           int8
 	disconnectAge         int8 // 1 + ticks since the caller's connection ended; 0 if none ended or it was handled
+	endArrived            bool // the connection ended before the submission was read, so its end has arrived with it
 	pausedFor, settleLeft int8 // ticks since the pause began; ticks left in which nothing is started
 	job                   bool // the entry has the caller's job
 	sequence              int8 // of the last task message; each message has a higher one
