lease, agent: no start extends the lease while a stop is unanswered

Seen: two runs of one task at once, without bound, at a worker that answers starts but not stops. The run of a job whose session had lapsed went on for 2.5 s, that of a job whose caller had left for 2.6 s, until a stream of starts of other tasks ended; the task was started elsewhere meanwhile, after reconcile or by the caller's next attempt.

Cause: a worker has one lease for all runs, and a start extends it to the end of the order's validity. Rule 2 of docs/decisions/run-overlap.md (no lease is extended while a stop is unanswered) was kept for renewals only.

Change: RunTable.Permit records how far a renewal could extend the lease when sessions were last checked and no stop was unanswered. A start whose order is valid for longer is held while a stop is unanswered: the task goes back to its entry, and the agent leaves until the stop is answered or the lease has ended.

Model first: starts of other tasks, also while starts and stops of the task are unanswered. A first form of the rule, no start once a stop has been unanswered for 150 ms, was refuted by three faults (entry dies, starts and stops unanswered, agent is paused) and dropped.

--- a/agent/leased.go
+++ b/agent/leased.go
@@ -109,7 +109,11 @@
 	}
 	empty := life.runs.Empty()
 	o, err := life.runs.Start(time.Now(), leaseTask(t), t.Leased.Spec)
-	if err != nil {
+	switch {
+	case errors.Is(err, lease.ErrStopUnanswered):
+		l.updateLeaving()
+		return refuse(wire.ReasonAgentLeaving)
+	case err != nil:
 		// The job was sent again, to another entry, before the old run ended.
 		return refuse(wire.ReasonAgentBusy)
 	}
@@ -138,6 +142,8 @@
 	case <-ctx.Done():
 	}
 	l.agent.mu.Lock()
+	l.agent.expireSessions(l.agent.clock.Now())
+	at.life.runs.Permit(time.Now())
 	l.orderStop(at.life, at.order.Run)
 	l.agent.mu.Unlock()
 	select {
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -155,13 +155,17 @@
 		return false
 	case err != nil:
 		l.agent.metrics.ordersUnanswered.Inc(1)
+		l.updateLeaving()
 		return false
 	case answer.Refusal == lease.RefusedOtherLife:
 		l.endAnsweredByAnother(life)
 	case !life.runs.StopAnswered(now, o, answer):
 		return false
-	case !life.runs.Began(o.Run):
-		life.renewSoon(true) // the reply to a renewal has to prove that the start was not and will not be carried out
+	default:
+		l.updateLeaving()
+		if !life.runs.Began(o.Run) {
+			life.renewSoon(true) // the reply to a renewal has to prove that the start was not and will not be carried out
+		}
 	}
 	return true
 }
--- a/agent/state.go
+++ b/agent/state.go
@@ -49,6 +49,7 @@
 	Deregistered bool       `json:"left"` // the worker has removed its registration
 	Adopted      bool       `json:"adopted"`
 	Silent       bool       `json:"silent"`
+	StopPending  bool       `json:"stop_pending"` // starts are held because a stop is unanswered
 	Token        uint64     `json:"token"`
 	LeaseEndMS   int64      `json:"lease_end_ms"`  // latest lease end that was ever sent to the worker
 	MinClockMS   int64      `json:"clock_past_ms"` // lower bound of the worker's present clock
@@ -153,7 +154,7 @@
 	latest, clock := life.runs.LeaseEnd(now)
 	s := &LeasedState{
 		Life: n.Life.ID, Born: life.runs.Life().Born, Pool: n.Pool, Address: n.Address, Draining: n.Draining, Deregistered: life.deregistered,
-		Adopted: life.runs.Adopted(), Silent: life.runs.Silent(now), Token: life.runs.Token(),
+		Adopted: life.runs.Adopted(), Silent: life.runs.Silent(now), StopPending: life.runs.HoldsStarts(now), Token: life.runs.Token(),
 		LeaseEndMS: latest.Milliseconds(), MinClockMS: clock.Milliseconds(), Runs: []RunState{},
 		Ends: life.endStates(now), MoreEnds: life.runs.MoreEnds(), AwaitsLeaseExpiry: life.runs.AwaitsLeaseExpiry(),
 	}
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -243,12 +243,14 @@
 }
 
 // updateLeaving makes the agent leave unless its worker is registered, adopted,
-// not silent and not draining. A worker is adopted once its replies have shown that
+// neither silent nor draining, and not held by an unanswered stop, see
+// lease.RunTable.HoldsStarts. A worker is adopted once its replies have shown that
 // it runs nothing but what is in the table, see lease.RunTable.Adopted, and an
 // announcement describes it. The caller holds mu.
 func (l *leasedExecutor) updateLeaving() {
 	life := l.life
-	ready := life != nil && !life.deregistered && life.described() && life.runs.Adopted() && !life.runs.Silent(time.Now())
+	now := time.Now()
+	ready := life != nil && !life.deregistered && life.described() && life.runs.Adopted() && !life.runs.Silent(now) && !life.runs.HoldsStarts(now)
 	if ready {
 		l.applyDescription(life.announced)
 	}
--- a/internal/leasemodel/agent.go
+++ b/internal/leasemodel/agent.go
@@ -19,6 +19,7 @@
 		m.renewDormant(a, e)
 	}
 	m.startSteps(a)
+	m.otherStartStep(a)
 	m.lifeSteps(a)
 	if ag.run == stopping && s.executesOrders(a) {
 		m.step("agent %d stops its run", func(s *state) { m.stopAtWorker(s, a) }, a)
@@ -167,6 +168,33 @@
 	}, a, int(ag.accepted.entry)-1)
 }
 
+// otherStartStep emits the start of another task, which extends the lease of the run
+// as long as the start order is valid. Before the run is to be stopped, renewals
+// extend the lease further.
+func (m *machine) otherStartStep(a int) {
+	s := m.from
+	ag, w := &s.agents[a], &s.workers[a]
+	switch {
+	case ag.run != stopping || ag.adopting || ag.refused || w.down || w.run == 0 || w.stopLeft > 0 || ag.life == w.life && w.leaseLeft >= m.Validity:
+		return
+	case m.enforces(StopBeforeStart) && ag.leaseLeft < m.Validity+m.Stop:
+		return
+	case m.enforces(CheckBeforeStart) && m.hasLapsedSession(ag), m.LifeConnections && ag.life != w.life:
+		return
+	}
+	m.step("agent %d starts another task, which extends the lease of its run", func(s *state) {
+		w, ag := &s.workers[a], &s.agents[a]
+		ag.leaseLeft = max(ag.leaseLeft, m.Validity+m.Stop)
+		if w.leaseLeft = m.Validity; ag.life == w.life {
+			return
+		}
+		w.token, w.leaseLeft = max(w.token, ag.fence), m.LeaseMax
+		if m.enforces(ClockBound) {
+			m.endLife(s, a)
+		}
+	}, a)
+}
+
 // orderStart gives the accepted task the next run number and returns its start
 // order.
 func (m *machine) orderStart(s *state, a int) message {
--- a/internal/leasemodel/canonical.go
+++ b/internal/leasemodel/canonical.go
@@ -32,8 +32,9 @@
 		m.rankSequences(s, e)
 	}
 	for a := range s.agents {
-		if ag := &s.agents[a]; s.faultsLeft == 0 && ag.life == s.workers[a].life && !ag.refused && s.answersLists(a) {
-			// No fault is left that could end the life or let the lease end unrenewed.
+		if ag := &s.agents[a]; s.faultsLeft == 0 && ag.life == s.workers[a].life && !ag.refused && s.answersLists(a) && !s.ordersDown[a] {
+			// No fault is left that could end the life or let the lease end unrenewed, and
+			// no start of another task can extend it beyond a stop.
 			ag.leaseLeft, ag.listed = 0, false
 		}
 		m.rankRuns(s, a)
--- a/internal/leasemodel/model_test.go
+++ b/internal/leasemodel/model_test.go
@@ -57,6 +57,7 @@
 		{ExpiryOfListed, overlap, []FaultKind{StartDelayed, WorkerRestarts}},
 		{RefusalNoProof, overlap, []FaultKind{RefusedByLink}},
 		{AnnouncementHint, overlap, []FaultKind{StaleAnnounced}},
+		{StopBeforeStart, overlap, []FaultKind{EntryDies, OrdersDown}},
 	}
 	qt.Assert(t, needed, qt.HasLen, len(Rules()))
 	for _, n := range needed {
--- a/internal/leasemodel/rules.go
+++ b/internal/leasemodel/rules.go
@@ -40,6 +40,7 @@
 	ExpiryOfListed                // the end of the lease proves only the end of runs that the life is proved to have begun
 	RefusalNoProof                // a refused connection does not end the life
 	AnnouncementHint              // an announcement of another life does not end the life
+	StopBeforeStart               // while a stop is unanswered, an agent starts no other task if that extends the lease
 	ruleCount
 )
 
@@ -48,6 +49,7 @@
 	"FencingTokens", "EndProved", "Adoption", "CancelOnLeave", "Settling", "ResendInterval", "CancelBeforeRenew",
 	"StopBeforeExtend", "CheckBeforeExtend", "CheckBeforeStart", "OpenKeepsLapse", "CancelBeforeRun", "SettleBeforeRenew",
 	"CountsSuspension", "BirthInLists", "ClockBound", "CarryOver", "TokenPerLife", "ExpiryOfListed", "RefusalNoProof", "AnnouncementHint",
+	"StopBeforeStart",
 }
 
 func (r Rule) String() string {
@@ -140,7 +142,7 @@
 // not count as a fault.
 const (
 	LinkDown     FaultKind = iota // an entry's calls to an agent, the heartbeats between them, or both fail
-	OrdersDown                    // a worker neither executes nor answers starts and stops
+	OrdersDown                    // a worker neither executes nor answers starts and stops of the task; it may execute starts of other tasks
 	RenewalsDown                  // a worker neither executes nor answers renewals
 	EntryDies
 	AgentDies
--- a/lease/runs.go
+++ b/lease/runs.go
@@ -11,6 +11,10 @@
 // other run of it may be ordered.
 var ErrTaskRunning = errors.New("lease: a run of the task has not ended")
 
+// ErrStopUnanswered means that a start would extend the lease of a run that has to
+// end; see RunTable.HoldsStarts.
+var ErrStopUnanswered = errors.New("lease: a start would extend the lease of a run whose stop is unanswered")
+
 // State of a run in the table.
 type State string
 
@@ -74,16 +78,19 @@
 // Only the birth in a list tells whether an answer is that of this life: orders
 // name the identifier, which the next life may have as well. See life.go.
 type RunTable struct {
-	options     Options
-	identity    identity
-	token       uint64
-	tokenStep   uint64 // added to the token when the worker refuses it next
-	clock       clockBound
-	answeredAt  time.Time  // when the newest answer of the worker arrived
-	silentAt    time.Time  // when the worker becomes silent unless it answers; zero without an unanswered renewal
-	latest      WorkerTime // the latest lease end in any order that was sent
-	lastRenewal uint64     // number of the newest renewal
-	lastReply   uint64     // number of the newest reply that was applied
+	options    Options
+	identity   identity
+	token      uint64
+	tokenStep  uint64 // added to the token when the worker refuses it next
+	clock      clockBound
+	answeredAt time.Time  // when the newest answer of the worker arrived
+	silentAt   time.Time  // when the worker becomes silent unless it answers; zero without an unanswered renewal
+	latest     WorkerTime // the latest lease end in any order that was sent
+	// permitted is the lease end that a renewal could have set at the time of the last
+	// Permit without an unanswered stop.
+	permitted   WorkerTime
+	lastRenewal uint64 // number of the newest renewal
+	lastReply   uint64 // number of the newest reply that was applied
 	table       map[Task]*entry
 	foreign     map[Run]bool // active runs that another agent process ordered
 	adopted     bool         // see Adopted
@@ -179,12 +186,17 @@
 }
 
 // Start adds the next run of the task to the table and returns its start order.
-// It returns ErrTaskRunning while an earlier run of the task is in the table.
-// The caller must have checked Adopted.
+// It returns ErrTaskRunning while an earlier run of the task is in the table, and
+// ErrStopUnanswered if HoldsStarts. The caller must have checked Adopted, and has
+// looked for expired sessions.
 func (r *RunTable) Start(now time.Time, t Task, spec string) (StartOrder, error) {
 	if r.table[t] != nil {
 		return StartOrder{}, ErrTaskRunning
 	}
+	if r.HoldsStarts(now) {
+		return StartOrder{}, ErrStopUnanswered
+	}
+	r.Permit(now)
 	e := &entry{run: Run{t, r.numbers.next(now, t)}, state: Ordered, orderedAt: now, validUntil: r.clock.min(now) + r.options.Validity}
 	r.table[t] = e
 	r.latest = max(r.latest, e.validUntil)
@@ -308,9 +320,11 @@
 // at the latest. The renewal extends the lease if extendsLease allows it. It
 // lets the lease expire if the worker is silent or a discarded end waits for the
 // expiry. While it is in doubt whether another life answers, the renewal neither
-// extends the lease nor acknowledges ends, because that life would do both.
+// extends the lease nor acknowledges ends, because that life would do both. The
+// caller has looked for expired sessions.
 func (r *RunTable) Renew(now time.Time, wait time.Duration) Renewal {
 	r.lastRenewal++
+	r.Permit(now)
 	r.expectReply(now, wait)
 	o := RenewOrder{Token: r.token, Wait: wait}
 	if !r.identity.doubted {
@@ -328,16 +342,41 @@
 // lease a worker that answers renewals but not stops would continue a run that
 // has to end.
 func (r *RunTable) extendsLease() bool {
-	extends := false
 	for _, e := range r.table {
-		switch {
-		case e.state != Stopping:
-			extends = true
-		case !e.stopAnswered:
-			return false
+		if e.state != Stopping {
+			return !r.stopUnanswered()
+		}
+	}
+	return false
+}
+
+// stopUnanswered reports whether a stop was requested and not answered yet.
+func (r *RunTable) stopUnanswered() bool {
+	for _, e := range r.table {
+		if e.state == Stopping && !e.stopAnswered {
+			return true
 		}
 	}
-	return extends
+	return false
+}
+
+// Permit records that the lease may be extended now, unless a stop is unanswered.
+// Renew and Start do the same. The caller has looked for expired sessions, and calls
+// it before it requests a stop for another reason.
+func (r *RunTable) Permit(now time.Time) {
+	if !r.stopUnanswered() {
+		r.permitted = max(r.permitted, r.clock.min(now)+r.options.Lease)
+	}
+}
+
+// HoldsStarts reports whether a start would extend the lease, which covers all runs,
+// although a stop is unanswered: its order would be valid for longer than a renewal
+// could have extended the lease at the last Permit before the stop was requested. A
+// worker that answers starts but not stops would otherwise continue a run that has
+// to end. A stop that is answered within Options.Lease less Options.Validity after
+// that Permit holds no start.
+func (r *RunTable) HoldsStarts(now time.Time) bool {
+	return r.clock.min(now)+r.options.Validity > r.permitted && r.stopUnanswered()
 }
 
 // RunOf returns the run of the task in the table, and false if there is none.
--- a/lease/runs_test.go
+++ b/lease/runs_test.go
@@ -243,3 +243,27 @@
 	table.LifeEnded(false)
 	c.Check(table.Adopted(), qt.IsFalse)
 }
+
+// Guards against a start that extends the lease of a run whose stop is unanswered, and
+// against one that is held although a renewal before the stop extended as far.
+func TestUnansweredStopHoldsStarts(t *testing.T) {
+	c, table := qt.New(t), ordered()
+	table.answerStart("")
+	table.pass(time.Second)
+	table.poll([]ActiveRun{{Run: run1}}) // shows the worker's clock
+	table.poll([]ActiveRun{{Run: run1}})
+	end, _ := table.LeaseEnd(table.now)
+	table.Stop(run1)
+	table.pass(leaseTime - validity)
+	o, err := table.Start(table.now, Task{Job: "k"}, "")
+	c.Check(err, qt.IsNil)
+	c.Check(o.ValidUntil <= end, qt.IsTrue)
+	table.pass(5 * ms) // the clock may run 2 % slow
+	_, err = table.Start(table.now, Task{Job: "l"}, "")
+	c.Check(err, qt.Equals, ErrStopUnanswered)
+	table.Permit(table.now) // permits nothing while the stop is unanswered
+	c.Check(table.HoldsStarts(table.now), qt.IsTrue)
+	table.answerStop("")
+	_, err = table.Start(table.now, Task{Job: "l"}, "")
+	c.Check(err, qt.IsNil)
+}
