--- a/internal/leasemodel/model_test.go
+++ b/internal/leasemodel/model_test.go
@@ -58,6 +58,7 @@
 		{RefusalNoProof, overlap, []FaultKind{RefusedByLink}},
 		{AnnouncementHint, overlap, []FaultKind{StaleAnnounced}},
 		{CheckCaller, overlap, []FaultKind{UnreadEnds}},
+		{StopBeforeStart, overlap, []FaultKind{EntryDies, OrdersDown}},
 	}
 	qt.Assert(t, needed, qt.HasLen, len(Rules()))
 	for _, n := range needed {
--- a/internal/leasemodel/rules.go
+++ b/internal/leasemodel/rules.go
@@ -41,6 +41,7 @@
 	RefusalNoProof                // a refused connection does not end the life
 	AnnouncementHint              // an announcement of another life does not end the life
 	CheckCaller                   // an entry sends no task whose caller's connection has ended, also before it handles the end
+	StopBeforeStart               // while a stop is unanswered, an agent starts no other task if that extends the lease
 	ruleCount
 )
 
@@ -50,6 +51,7 @@
 	"StopBeforeExtend", "CheckBeforeExtend", "CheckBeforeStart", "OpenKeepsLapse", "CancelBeforeRun", "SettleBeforeRenew",
 	"CountsSuspension", "BirthInLists", "ClockBound", "CarryOver", "TokenPerLife", "ExpiryOfListed", "RefusalNoProof", "AnnouncementHint",
 	"CheckCaller",
+	"StopBeforeStart",
 }
 
 func (r Rule) String() string {
@@ -142,7 +144,7 @@
 // not count as a fault.
 const (
 	LinkDown     FaultKind = iota // an entry's calls to an agent, the heartbeats between them, or both fail
-	OrdersDown                    // a worker neither executes nor answers starts and stops
+	OrdersDown                    // a worker neither executes nor answers starts and stops of the task; it may execute starts of other tasks
 	RenewalsDown                  // a worker neither executes nor answers renewals
 	EntryDies
 	AgentDies
