rpcconn: refuse messages that are nested too deep to decode

What callers saw: one message of a few megabytes ended an entry or an agent, and with it everything that the process held. Any process that reaches the address for other processes can send it.

Cause: both decoders call themselves for each level of a value that they skip, such as an element after the last field. 5 million levels overflow the stack of 1 GB, and Go ends the process; recover does not catch that. Messages have up to 16 MiB, and the deployment uses msgpack.

Change: for msgpack the nesting of a frame is checked before it is decoded (at most 64; the messages of package wire have less than 10). For gob a frame is refused if its value has a type that contains itself, which is what allows levels without bound.

Before: TestDeeplyNestedMessage ended with "fatal error: stack overflow" for maps, the body of maps, the element after the last field (msgpack) and gob. Arrays and keys were refused already by the decoder's own limit of 1,024. After: the connection ends, as for other malformed messages. The fuzz seeds have the frames with 1,000 levels.

--- a/rpcconn/codec.go
+++ b/rpcconn/codec.go
@@ -60,7 +60,7 @@
 	if c == CodecMsgpack {
 		return &msgpackDecoder{dec: codec.NewDecoderBytes(nil, msgpackHandle())}
 	}
-	d := &gobDecoder{}
+	d := &gobDecoder{types: newGobTypes()}
 	d.dec = gob.NewDecoder(&d.in)
 	return d
 }
@@ -75,22 +75,44 @@
 }
 
 type gobDecoder struct {
-	in  bytes.Reader
-	dec *gob.Decoder
+	in      bytes.Reader
+	dec     *gob.Decoder
+	types   *gobTypes
+	refused error // of types for the frame
 }
 
-func (d *gobDecoder) reset(frame []byte) { d.in.Reset(frame) }
-func (d *gobDecoder) decode(v any) error { return recovered(func() error { return d.dec.Decode(v) }) }
-func (d *gobDecoder) unread() int        { return d.in.Len() }
+func (d *gobDecoder) reset(frame []byte) {
+	d.refused = d.types.check(frame)
+	d.in.Reset(frame)
+}
+
+func (d *gobDecoder) decode(v any) error {
+	if d.refused != nil {
+		return d.refused
+	}
+	return recovered(func() error { return d.dec.Decode(v) })
+}
+
+func (d *gobDecoder) unread() int { return d.in.Len() }
 
 // skip decodes the value nevertheless, because it may define types that later
 // messages use.
 func (d *gobDecoder) skip() error { return d.decode(nil) }
 
-type msgpackDecoder struct{ dec *codec.Decoder }
+type msgpackDecoder struct {
+	dec     *codec.Decoder
+	nesting error // of checkNesting for the frame
+}
+
+func (d *msgpackDecoder) reset(frame []byte) {
+	d.nesting = checkNesting(frame)
+	d.dec.ResetBytes(frame)
+}
 
-func (d *msgpackDecoder) reset(frame []byte) { d.dec.ResetBytes(frame) }
 func (d *msgpackDecoder) decode(v any) error {
+	if d.nesting != nil {
+		return d.nesting
+	}
 	return recovered(func() error { return d.dec.Decode(v) })
 }
 func (d *msgpackDecoder) unread() int { return -1 }
--- a/rpcconn/fuzz_test.go
+++ b/rpcconn/fuzz_test.go
@@ -63,6 +63,13 @@
 		f.Add(codec, []byte{0, 0, 0, 0})
 		f.Add(codec, []byte{0, 0, 0, 1, 1})
 	}
+	for name, body := range nestedFrames(1000) {
+		codec := byte(1)
+		if name == "gob" {
+			codec = 0
+		}
+		f.Add(codec, frameOf(body))
+	}
 }
 
 // Guards against input of a dialling peer that crashes the server, makes it hang,
