store, wire: an unusable registration costs only its own key

What callers saw: an entry whose key another writer had overwritten with bytes that are no registration stayed out of the list until it was restarted, and "another process uses this entry's identifier" was logged. A registration with a port above 65535, a name instead of an IP address, or a name of any size was listed, dialled and passed on to all agents in heartbeats. A value of 1 MB under the prefix made each list end at the timeout of a call on a slow link, so that entries did not see each other and agents found none.

Cause: the list checked the identifier and the incarnation only; a value that differs from the own one counted as that of a newer process, whatever it was; and the list as a whole had the timeout of one call.

Change: wire.EntryRef.Validate checks names and addresses with the same rule as the settings (wire.Dialable, wire.ValidName). Keys that fail it are left out, counted in registrations_unusable, and logged when their number or the first one changes. The registrar replaces a value that is no registration; a valid one of another process is still left alone. A list ends when no part has arrived for the timeout of a call, as the read of the configuration does.

TestEntriesLeavesOutForeignValues checks the first key in addition; the fixture of ctl registers entries with an address now, as all entries do.

--- a/agent/entries.go
+++ b/agent/entries.go
@@ -109,16 +109,19 @@
 // learnEntries adds the entries that are registered in the store, and the seeds
 // from the settings.
 func (e *entries) learnEntries(ctx context.Context) {
-	callCtx, cancel := context.WithTimeout(ctx, e.agent.timing.StoreTimeout.AsDuration())
+	// A large value that another writer left takes longer than the timeout of a call.
+	callCtx, cancel := store.WithStallTimeout(ctx, e.agent.timing.StoreTimeout.AsDuration())
 	defer cancel()
-	refs, invalid, err := store.Entries(callCtx, e.agent.options.Store)
+	refs, unusable, err := store.Entries(callCtx, e.agent.options.Store)
 	switch {
 	case ctx.Err() != nil:
 		return
 	case err != nil:
 		e.log.Warn().Err(err).Msg("entries_not_listed")
 	default:
-		e.log.Info().Int("entries", len(refs)).Int("invalid", invalid).Msg("entries_listed")
+		e.agent.metrics.registrationsUnusable.Update(float64(unusable.Count))
+		e.log.Info().Int("entries", len(refs)).Int("unusable", unusable.Count).Str("first_unusable", unusable.Key).AnErr("reason", unusable.Reason).
+			Msg("entries_listed")
 	}
 	e.mu.Lock()
 	e.storeRead = e.storeRead || err == nil
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -19,6 +19,7 @@
 	offers, offersUsed, entriesSuspect, recordsEvicted       tally.Counter
 	running, queued, confirmationAge, generation             tally.Gauge
 	endsHeld, endsUnclaimed, suspended                       tally.Gauge
+	registrationsUnusable                                    tally.Gauge // keys of the last list that register no entry
 	taskTime                                                 tally.Timer
 }
 
@@ -43,8 +44,8 @@
 		running: s.Gauge("tasks_running"), queued: s.Gauge("tasks_queued"),
 		confirmationAge: s.Gauge("confirmation_age_seconds"), generation: s.Gauge("config_generation"),
 		endsHeld: s.Gauge("ends_held"), endsUnclaimed: s.Gauge("ends_unclaimed"),
-		suspended: s.Gauge("suspended_seconds"),
-		taskTime:  s.Timer("task_time"),
+		suspended: s.Gauge("suspended_seconds"), registrationsUnusable: s.Gauge("registrations_unusable"),
+		taskTime: s.Timer("task_time"),
 	}
 }
 
--- a/config/validate_leased.go
+++ b/config/validate_leased.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"regexp"
 	"strings"
+
+	"chicorytray.example/chicorytray/wire"
 )
 
 // Bounds of the values of leased templates and routes.
@@ -41,8 +43,7 @@
 // and compared byte by byte, because it has only printable ASCII characters and no
 // spaces.
 func ValidPool(name string) bool {
-	return 0 < len(name) && len(name) <= maxNameBytes &&
-		!strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r >= 0x7f })
+	return wire.ValidName(name)
 }
 
 func (v *validator) routes(routes []Route, templates []Template) {
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -104,7 +104,7 @@
 		}
 		d.net = network{d.a.admin: d.a, d.b.admin: d.b, agent.Admin: http.HandlerFunc(d.serveAgent)}
 		for _, e := range []*fakeEntry{d.a, d.b} {
-			value, err := store.EncodeEntry(wire.EntryRef{ID: e.id, Incarnation: 1, Admin: e.admin})
+			value, err := store.EncodeEntry(wire.EntryRef{ID: e.id, Incarnation: 1, Address: "127.0.0.1:7000", Admin: e.admin})
 			d.Assert(err, qt.IsNil)
 			d.stub.Put(store.EntriesPrefix+e.id, value)
 		}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -33,6 +33,7 @@
 	configDivergences     tally.Counter
 	configInvalid         tally.Counter
 	registrationsExpired  tally.Counter
+	registrationsUnusable tally.Gauge // keys of the last list that register no entry
 	tasksInterrupted      tally.Counter
 	runsRestarted         map[straggler.Reason]tally.Counter
 	crashedRuns           map[wire.CrashRole]tally.Counter
@@ -70,6 +71,7 @@
 		configDivergences:     s.Counter("config_divergences"),
 		configInvalid:         s.Counter("config_invalid"),
 		registrationsExpired:  s.Counter("registrations_expired"),
+		registrationsUnusable: s.Gauge("registrations_unusable"),
 		tasksInterrupted:      s.Counter("tasks_interrupted"),
 		templatesConfined:     s.Gauge("templates_confined"),
 		crashingTasks:         s.Counter("tasks_given_up_for_crashes"),
--- a/entry/registration.go
+++ b/entry/registration.go
@@ -27,6 +27,7 @@
 	timing    settings.Timing
 	log       zerolog.Logger
 	onListed  func([]wire.EntryRef)
+	metrics   metrics
 	wakeList  chan struct{} // wakes runListing
 	stop      chan struct{} // closed by remove
 	done      chan struct{} // closed when run has ended
@@ -34,7 +35,7 @@
 
 func newRegistration(kv store.Store, t settings.Timing, self wire.EntryRef, log zerolog.Logger, m metrics, listed func([]wire.EntryRef)) (*registration, error) {
 	r := &registration{
-		store: kv, timing: t, log: log, onListed: listed, wakeList: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
+		store: kv, timing: t, log: log, metrics: m, onListed: listed, wakeList: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
 	}
 	var err error
 	r.registrar, err = store.NewEntryRegistrar(self, store.RegistrarOptions{
@@ -84,18 +85,22 @@
 // wakeList is signalled.
 func (r *registration) runListing(ctx context.Context) {
 	failures := 0
+	var reported store.Unusable
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, r.timing.StoreTimeout.AsDuration())
-		refs, invalid, err := store.Entries(callCtx, r.store)
+		// A large value that another writer left takes longer than the timeout of a call.
+		callCtx, cancel := store.WithStallTimeout(ctx, r.timing.StoreTimeout.AsDuration())
+		refs, unusable, err := store.Entries(callCtx, r.store)
 		cancel()
 		if err != nil {
 			failures++
 			wait.For(ctx, fullJitter(r.timing.LeaseTTL.AsDuration(), failures), nil)
 			continue
 		}
-		if invalid > 0 {
-			r.log.Warn().Int("count", invalid).Msg("invalid entry registrations ignored")
+		r.metrics.registrationsUnusable.Update(float64(unusable.Count))
+		if unusable.Count > 0 && (unusable.Count != reported.Count || unusable.Key != reported.Key) {
+			r.log.Warn().Int("count", unusable.Count).Str("first", unusable.Key).Err(unusable.Reason).Msg("keys that register no entry ignored")
 		}
+		reported = unusable
 		failures = 0
 		r.onListed(refs)
 		wait.For(ctx, listInterval, r.wakeList)
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -7,6 +7,8 @@
 	"regexp"
 	"strings"
 	"time"
+
+	"chicorytray.example/chicorytray/wire"
 )
 
 // maxGate is the bound of guarantee 3 of the design: no task starts in a data
@@ -164,8 +166,7 @@
 // advertisedAddress checks an address that other processes dial, so that it must
 // not be a wildcard address.
 func (ps *problems) advertisedAddress(field, value string) {
-	a, err := netip.ParseAddrPort(value)
-	if err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
+	if !wire.Dialable(value) {
 		ps.add(field, value, acceptedAddress+"; not 0.0.0.0 or ::, because other processes dial it")
 	}
 }
--- a/store/registrar.go
+++ b/store/registrar.go
@@ -3,10 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"math/rand/v2"
-	"strconv"
 	"sync"
 	"time"
 
@@ -16,10 +14,6 @@
 	"chicorytray.example/chicorytray/wire"
 )
 
-// EntriesPrefix is the prefix of the keys under which entries are registered. The
-// rest of a key is the entry's identifier.
-const EntriesPrefix = "entries/"
-
 // Intervals of a Registrar.
 const (
 	// renewalsPerTTL is the number of renewals during the TTL of a lease. After
@@ -60,6 +54,10 @@
 	// removed, with ErrLeaseExpired, ErrNotFound or ErrReplaced when it was
 	// lost, and with another error each time that it cannot be made or renewed.
 	OnChange func(err error)
+	// IsRegistration reports whether a value under the key is a registration. Any
+	// other value comes from another writer and is replaced. nil means that every
+	// value is one.
+	IsRegistration func(KV) bool
 }
 
 // Registrar keeps one key registered under a lease.
@@ -94,73 +92,24 @@
 	if o.OnChange == nil {
 		o.OnChange = func(error) {}
 	}
+	if o.IsRegistration == nil {
+		o.IsRegistration = func(KV) bool { return true }
+	}
 	return &Registrar{options: o}
 }
 
 // NewEntryRegistrar returns a Registrar for an entry. It sets the options Key and
-// Value from ref.
+// Value from ref, and IsRegistration.
 func NewEntryRegistrar(ref wire.EntryRef, o RegistrarOptions) (*Registrar, error) {
 	value, err := EncodeEntry(ref)
 	if err != nil {
 		return nil, err
 	}
 	o.Key, o.Value = EntriesPrefix+ref.ID, value
+	o.IsRegistration = func(kv KV) bool { _, err := decodeEntry(kv); return err == nil }
 	return NewRegistrar(o), nil
 }
 
-// entryValue is the JSON form of a registration. The incarnation is a string of
-// hexadecimal digits, because JSON tools round integers above 2^53.
-type entryValue struct {
-	ID          string `json:"id"`
-	Incarnation string `json:"incarnation"`
-	Address     string `json:"address"`
-	Admin       string `json:"admin"`
-	DataCentre  string `json:"data_centre"`
-}
-
-// EncodeEntry returns the value of an entry's registration.
-func EncodeEntry(ref wire.EntryRef) ([]byte, error) {
-	value, err := json.Marshal(entryValue{ref.ID, ref.Incarnation.String(), ref.Address, ref.Admin, ref.DataCentre})
-	if err != nil {
-		return nil, merry.Prepend(err, "store: encode registration")
-	}
-	return value, nil
-}
-
-// decodeEntry returns the entry that a key registers; false if the key or the
-// value is not that of an entry.
-func decodeEntry(kv KV) (wire.EntryRef, bool) {
-	var v entryValue
-	if json.Unmarshal(kv.Value, &v) != nil || v.ID == "" || EntriesPrefix+v.ID != kv.Key {
-		return wire.EntryRef{}, false
-	}
-	incarnation, err := strconv.ParseUint(v.Incarnation, 16, 64)
-	if err != nil || incarnation == 0 {
-		return wire.EntryRef{}, false
-	}
-	return wire.EntryRef{
-		ID: v.ID, Incarnation: wire.Incarnation(incarnation), Address: v.Address, Admin: v.Admin, DataCentre: v.DataCentre,
-	}, true
-}
-
-// Entries returns the entries that are registered, ordered by identifier, and the
-// number of keys under EntriesPrefix that are not valid registrations.
-func Entries(ctx context.Context, s Store) (refs []wire.EntryRef, invalid int, err error) {
-	list, err := s.List(ctx, EntriesPrefix)
-	if err != nil {
-		return nil, 0, err
-	}
-	for _, kv := range list {
-		ref, ok := decodeEntry(kv)
-		if !ok {
-			invalid++
-			continue
-		}
-		refs = append(refs, ref)
-	}
-	return refs, invalid, nil
-}
-
 // Registered reports whether the key was registered at the last renewal whose
 // outcome is known.
 func (r *Registrar) Registered() bool {
@@ -276,6 +225,8 @@
 		return err
 	case !r.everRegistered && kv.Revision == r.expectedRevision:
 		return ErrNotFound // the value of an earlier process: the first write had no effect
+	case !r.options.IsRegistration(kv):
+		return ErrNotFound
 	}
 	return ErrReplaced
 }
@@ -299,7 +250,7 @@
 	if err != nil && !errors.Is(err, ErrNotFound) {
 		return err
 	}
-	if err == nil && r.everRegistered && !bytes.Equal(kv.Value, r.options.Value) {
+	if err == nil && r.everRegistered && !bytes.Equal(kv.Value, r.options.Value) && r.options.IsRegistration(kv) {
 		return ErrReplaced
 	}
 	r.expectedRevision = kv.Revision
--- a/store/registrar_test.go
+++ b/store/registrar_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -62,9 +63,9 @@
 // registeredIncarnation returns the incarnation of the registered entry; 0 if
 // none is registered.
 func registeredIncarnation(c *qt.C, s store.Store) wire.Incarnation {
-	refs, invalid, err := store.Entries(context.Background(), s)
+	refs, unusable, err := store.Entries(context.Background(), s)
 	c.Assert(err, qt.IsNil)
-	c.Check(invalid, qt.Equals, 0)
+	c.Check(unusable.Count, qt.Equals, 0)
 	if len(refs) == 0 {
 		return 0
 	}
@@ -207,11 +208,75 @@
 	s.Put(store.EntriesPrefix+"a", value)
 	s.Put(store.EntriesPrefix+"c", []byte("x"))
 	s.Put(store.EntriesPrefix+"d", []byte(`{"id":"d","incarnation":"0"}`))
-	refs, invalid, err := store.Entries(context.Background(), s)
+	refs, unusable, err := store.Entries(context.Background(), s)
 	c.Assert(err, qt.IsNil)
 	c.Check(refs, qt.DeepEquals, []wire.EntryRef{ref})
-	c.Check(invalid, qt.Equals, 3)
+	c.Check(unusable.Count, qt.Equals, 3)
+	c.Check(unusable.Key, qt.Equals, store.EntriesPrefix+"a")
 	s.SetDown(true)
 	_, _, err = store.Entries(context.Background(), s)
 	c.Check(errors.Is(err, store.ErrUnavailable), qt.IsTrue)
 }
+
+// foreignValues returns values that another writer may leave under the key of the
+// entry x, and none of which names an entry that can be dialled.
+func foreignValues() map[string]string {
+	const good = `{"id":"x","incarnation":"7","address":"10.0.0.9:7000","admin":"10.0.0.9:9000","data_centre":"anping"}`
+	values := map[string]string{
+		"empty": "", "not UTF-8": "\xff\xfe", "number": "7", "null": "null", "array": "[1]", "cut off": good[:40], "two values": good + good,
+		"nested": strings.Repeat("[", 1<<20), "nested in a field": `{"id":"x","more":` + strings.Repeat(`{"a":`, 200_000), "largest": strings.Repeat(" ", store.MaxValueBytes),
+	}
+	for field, bad := range map[string][]string{
+		`"x"`: {`"y"`, `""`, `7`, `null`},
+		`"7"`: {`7`, `"0"`, `"-7"`, `"7.5"`, `"1x3"`, `"10000000000000000"`, `""`, `null`, `99999999999999999999999999`},
+		`"10.0.0.9:7000"`: {`""`, `"10.0.0.9"`, `"10.0.0.9:0"`, `"10.0.0.9:65536"`, `"10.0.0.9:-1"`, `"10.0.0.9:99999999999999999999"`, `"host:7000"`,
+			`":7000"`, `"0.0.0.0:7000"`, `"[::]:7000"`, `"224.0.0.1:7000"`, `"255.255.255.255:7000"`, `"::1:7000"`, `"[::1%` + strings.Repeat("z", 1000) + `]:7000"`, `"10.0.0.9:7000 "`,
+			`"10.0.0.9:07000x"`, `7000`, `null`, `["10.0.0.9:7000"]`},
+		`"10.0.0.9:9000"`: {`"10.0.0.9:65536"`, `"host:9000"`, `{}`},
+		`"anping"`:        {`"` + strings.Repeat("z", 1000) + `"`, `"a b"`, `"a\nb"`, `1`},
+	} {
+		for _, b := range bad {
+			values[field+" replaced by "+b] = strings.Replace(good, field, b, 1)
+		}
+	}
+	return values
+}
+
+// Guards against a value of another writer that ends the list of entries, makes other
+// processes dial what cannot be dialled, or is passed on in heartbeats, and against an
+// entry that stays unregistered after such a value has replaced its own.
+func TestForeignValueUnderAnEntrysKey(t *testing.T) {
+	const key = store.EntriesPrefix + "x"
+	for name, value := range foreignValues() {
+		inVirtualTime(t, func(c *qt.C, s *storestub.Stub) {
+			comment := qt.Commentf("%s", name)
+			ref := wire.EntryRef{ID: "x", Incarnation: 7, Address: "10.0.0.9:7000", Admin: "10.0.0.9:9000", DataCentre: "anping"}
+			r, err := store.NewEntryRegistrar(ref, store.RegistrarOptions{Store: s, TTL: ttl})
+			c.Assert(err, qt.IsNil)
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() { defer close(done); r.Run(ctx) }()
+			defer func() { cancel(); <-done }()
+			synctest.Wait()
+			other, err := store.EncodeEntry(wire.EntryRef{ID: "other", Incarnation: 1, Address: "10.0.0.8:7000", DataCentre: "anping"})
+			c.Assert(err, qt.IsNil)
+			s.Put(store.EntriesPrefix+"other", other)
+
+			s.Put(key, []byte(value))
+			refs, unusable, err := store.Entries(context.Background(), s)
+			c.Assert(err, qt.IsNil, comment)
+			c.Assert(refs, qt.HasLen, 1, comment)
+			c.Check(refs[0].ID, qt.Equals, "other", comment)
+			c.Check(unusable.Count, qt.Equals, 1, comment)
+			c.Check(unusable.Key, qt.Equals, key, comment)
+			c.Check(len(unusable.Reason.Error()) < 500, qt.IsTrue, qt.Commentf("%s: reason of %d bytes", name, len(unusable.Reason.Error())))
+
+			time.Sleep(ttl)
+			refs, unusable, err = store.Entries(context.Background(), s)
+			c.Assert(err, qt.IsNil, comment)
+			c.Check(unusable.Count, qt.Equals, 0, comment)
+			c.Check(refs, qt.HasLen, 2, comment)
+			c.Check(r.Registered(), qt.IsTrue, comment)
+		})
+	}
+}
--- a/wire/identity.go
+++ b/wire/identity.go
@@ -3,7 +3,10 @@
 import (
 	"crypto/rand"
 	"encoding/binary"
+	"errors"
 	"fmt"
+	"net/netip"
+	"strings"
 )
 
 // Incarnation distinguishes the successive processes that run under one
@@ -34,6 +37,49 @@
 	DataCentre  string
 }
 
+const (
+	// maxNameBytes is the largest size of a name, in bytes, as in the settings.
+	maxNameBytes = 63
+	// maxAddressBytes has room for an IPv6 address with a zone.
+	maxAddressBytes = 100
+)
+
+// ValidName reports whether a name that another process states can be logged, sent
+// on and compared byte by byte: 1 to 63 printable ASCII characters without spaces.
+func ValidName(name string) bool {
+	return 0 < len(name) && len(name) <= maxNameBytes &&
+		!strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r >= 0x7f })
+}
+
+// Dialable reports whether other processes can dial an address: an IP address of one
+// host with a port from 1 to 65535.
+func Dialable(address string) bool {
+	a, err := netip.ParseAddrPort(address)
+	ip := a.Addr()
+	return err == nil && len(address) <= maxAddressBytes && a.Port() > 0 && !ip.IsUnspecified() && !ip.IsMulticast() && ip.Unmap() != broadcast
+}
+
+// broadcast is the address of all hosts on a link.
+var broadcast = netip.AddrFrom4([4]byte{255, 255, 255, 255})
+
+// Validate returns an error unless other processes can dial the entry and pass the
+// reference on. The error quotes at most some 100 bytes.
+func (r EntryRef) Validate() error {
+	switch {
+	case !ValidName(r.ID):
+		return errors.New("the identifier is not a name")
+	case r.Incarnation == 0:
+		return errors.New("the incarnation is missing")
+	case !Dialable(r.Address):
+		return fmt.Errorf("%.100q is not the address of one host with a port", r.Address)
+	case r.Admin != "" && !Dialable(r.Admin):
+		return fmt.Errorf("%.100q is not the address of one host with a port", r.Admin)
+	case r.DataCentre != "" && !ValidName(r.DataCentre):
+		return errors.New("the data centre is not a name")
+	}
+	return nil
+}
+
 // AgentRef identifies one agent process and describes the upstream beside it.
 type AgentRef struct {
 	ID          string
