lease, agent: check announcements in one place and bound what they cause

What callers saw: after an announcement of another writer with the highest sequence, under the worker's identifier and birth, its capacity, pool and draining stayed in force until the worker started again. An announcement with the address 0.0.0.0, a multicast address, or a machine name of 1 MB was used; the name went into each heartbeat of the agent that described it. A rejected announcement wrote a log line as long as its largest value (1 MB in, 1 MB of log), each time.

Cause: sequences were only compared; the checks of addresses and names in platform/ differed from those of registrations and of the settings; the errors of encoding/json quote the value.

Sequences that are more than 2^20 apart come from different writers, and the announcement that arrives last applies, so that the worker's own is in force again with its next heartbeat. The agent counts rejections (announcements_rejected) and writes at most 10 lines a minute.

Before: TestAnnouncementsOfAnotherWriter failed for both highest sequences; the other cases (another identifier, address or birth) passed, and stay as evidence.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -27,6 +27,7 @@
 	settings  settings.Agent
 	timing    settings.Timing
 	log       zerolog.Logger
+	rejected  zerolog.Logger // for announcements that are rejected
 	metrics   metrics
 	counters  *rpcconn.Counters
 	server    *rpcconn.Server
@@ -113,6 +114,7 @@
 			Slots: s.Slots, QueueLimit: s.QueueLimit, Capacity: s.Capacity,
 		},
 	}
+	a.rejected = a.log.Sample(&zerolog.BurstSampler{Burst: maxRejectionLines, Period: time.Minute})
 	if a.clock == nil {
 		a.clock = clock.System()
 	}
--- a/agent/announcements.go
+++ b/agent/announcements.go
@@ -20,8 +20,8 @@
 // announced last, the latest at the end.
 type announcements []lease.Announcement
 
-// add keeps an announcement. It returns false if the same or a newer one of that
-// life is kept, or if it lacks the birth that others with its identifier state: it
+// add keeps an announcement. It returns false if it is outdated by the one of that
+// life that is kept, or if it lacks the birth that others with its identifier state: it
 // then comes from another writer and describes no life.
 func (s *announcements) add(n lease.Announcement) bool {
 	if n.Life.Born == 0 && slices.ContainsFunc(*s, func(k lease.Announcement) bool { return k.Life.ID == n.Life.ID && k.Life.Born != 0 }) {
@@ -29,7 +29,7 @@
 	}
 	i := slices.IndexFunc(*s, func(k lease.Announcement) bool { return k.Life == n.Life })
 	if i >= 0 {
-		if n.Sequence <= (*s)[i].Sequence {
+		if n.Outdated(&(*s)[i]) {
 			return false
 		}
 		*s = slices.Delete(*s, i, i+1)
--- a/agent/lives_test.go
+++ b/agent/lives_test.go
@@ -1,6 +1,10 @@
 package agent
 
 import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -133,3 +137,51 @@
 		r.Check(a.Result.Crash, qt.Equals, wire.CrashBystander)
 	})
 }
+
+// Guards against a worker that is not used, is given tasks beyond its room, or keeps a
+// pool that it has not, because another writer announced itself under its identifier
+// or its address, or with a sequence at the limit of its type.
+func TestAnnouncementsOfAnotherWriter(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		foreign func(n *lease.Announcement)
+	}{
+		{"highest sequence", func(n *lease.Announcement) { n.Sequence = 1<<64 - 1 }},
+		{"sequence at the limit of signed numbers", func(n *lease.Announcement) { n.Sequence = 1<<63 - 1 }},
+		{"another identifier", func(n *lease.Announcement) { n.Life.ID = "m9" }},
+		{"another identifier and address", func(n *lease.Announcement) { n.Life.ID, n.Address = "m9", "10.0.2.9:1" }},
+		{"latest birth", func(n *lease.Announcement) { n.Life.Born = 1 << 42 }},
+		{"address of nobody", func(n *lease.Announcement) { n.Address = "10.0.2.9:1" }},
+	} {
+		for _, first := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, first %v", tc.name, first), func(t *testing.T) {
+				withLeasedRig(t, leasedSetup{unannounced: first}, func(r *leasedRig, e *entryStub) {
+					n := r.machine.Announcement()
+					n.Capacity, n.Pool, n.Rack, n.Draining = cores(1), "foreign", "r0", true
+					tc.foreign(&n)
+					r.agent.WorkerAnnounced(n)
+					time.Sleep(500 * time.Millisecond)
+					r.agent.WorkerAnnounced(r.machine.Announcement())
+					time.Sleep(2 * time.Second)
+					r.Check(e.lastHeartbeat().Load.Free, qt.Equals, cores(8))
+					r.expect(<-e.runLeased("j", 8, 10*time.Millisecond), wire.OutcomeDone, "")
+					r.Check(r.agent.State().Leaving, qt.HasLen, 0)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a log line for each of many announcements that are rejected, and
+// against rejections that no metric shows.
+func TestRejectedAnnouncementsAreCounted(t *testing.T) {
+	withLeasedRig(t, leasedSetup{}, func(r *leasedRig, _ *entryStub) {
+		var log bytes.Buffer
+		r.agent.rejected = r.agent.rejected.Output(&log)
+		for range 1000 {
+			r.agent.AnnouncementRejected("m9", errors.New("reason"))
+		}
+		r.Check(r.counter("announcements_rejected"), qt.Equals, int64(1000))
+		r.Check(strings.Count(log.String(), "announcement_rejected"), qt.Equals, maxRejectionLines)
+	})
+}
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -15,6 +15,7 @@
 	upstreamErrors, upstreamTimeouts, upstreamUnsent         tally.Counter
 	refusedOutOfService, gateClosed, refusedBusy, duplicates tally.Counter
 	interrupted, ordersUnanswered, runsStalled               tally.Counter
+	announcementsRejected                                    tally.Counter
 	workersCrashed, runsLost, runsCarriedOver                tally.Counter
 	offers, offersUsed, entriesSuspect, recordsEvicted       tally.Counter
 	running, queued, confirmationAge, generation             tally.Gauge
@@ -36,7 +37,7 @@
 		refusedOutOfService: s.Counter("refused_out_of_service"), gateClosed: s.Counter("gate_closed"),
 		refusedBusy: s.Counter("refused_busy"), duplicates: s.Counter("duplicate_messages"),
 		interrupted: s.Counter("tasks_interrupted"), ordersUnanswered: s.Counter("orders_unanswered"),
-		runsStalled:    s.Counter("runs_stalled"),
+		runsStalled: s.Counter("runs_stalled"), announcementsRejected: s.Counter("announcements_rejected"),
 		workersCrashed: s.Counter("workers_crashed"), runsLost: s.Counter("runs_lost"),
 		runsCarriedOver: s.Counter("runs_carried_over"),
 		offers:          s.Counter("offers"), offersUsed: s.Counter("offers_used"),
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -8,8 +8,13 @@
 	"chicorytray.example/chicorytray/wire"
 )
 
-// milliPerCore is how many units of wire.Resources.MilliCPU make one core.
-const milliPerCore = 1000
+const (
+	// milliPerCore is how many units of wire.Resources.MilliCPU make one core.
+	milliPerCore = 1000
+	// maxRejectionLines limits the log lines a minute about announcements that are
+	// rejected.
+	maxRejectionLines = 10
+)
 
 // Worker is a client for one life of the worker beside the agent, which runs
 // leased tasks. Its methods must be safe for concurrent use. An error other than
@@ -95,6 +100,13 @@
 	}
 }
 
+// AnnouncementRejected counts and logs an announcement under the identifier that names
+// no worker to use. It writes at most maxRejectionLines lines a minute.
+func (a *Agent) AnnouncementRejected(id string, err error) {
+	a.metrics.announcementsRejected.Inc(1)
+	a.rejected.Warn().Str("worker", id).Err(err).Msg("announcement_rejected")
+}
+
 // WorkerLeft handles the removal of the worker's registration. That does not
 // prove that the worker's process has ended, so its runs stay in the table until
 // their end is proved.
--- a/lease/order.go
+++ b/lease/order.go
@@ -15,8 +15,6 @@
 import (
 	"errors"
 	"time"
-
-	"chicorytray.example/chicorytray/wire"
 )
 
 // WorkerTime is a reading of a worker's monotonic clock, as the time since an
@@ -133,22 +131,3 @@
 // ErrConnectionBroken means that the connection of an order was closed from the
 // worker's side before the answer. The order may have been carried out.
 var ErrConnectionBroken = errors.New("lease: the connection to the worker broke")
-
-// Life identifies one life of a worker: the time from a start of its process to
-// the end of that process. A restarted worker may keep its identifier. Its Born
-// differs, but may be lower, because wall clocks are set back.
-type Life struct {
-	ID   string
-	Born int64 // start of the process, Unix time in milliseconds
-}
-
-// Announcement is the description of itself that a worker sends to its agent.
-type Announcement struct {
-	Life     Life
-	Sequence uint64 // rises with each announcement of a life
-	Pool     string
-	Address  string // IP:port of the worker
-	Rack     string
-	Capacity wire.Resources
-	Draining bool
-}
--- a/observe/log.go
+++ b/observe/log.go
@@ -22,6 +22,10 @@
 	return zerolog.New(zerolog.SyncWriter(&keyValueWriter{out: w})).Level(l).With().Timestamp().Logger()
 }
 
+// maxValueBytes is the largest size of a value in a line. An error may quote what
+// another process sent, of any size.
+const maxValueBytes = 8 << 10
+
 // keyValueWriter converts zerolog's JSON events to key=value lines. zerolog's
 // ConsoleWriter is not used because it does not quote empty values and values
 // with an equals sign, and because it sorts the fields.
@@ -50,7 +54,7 @@
 		name, _ := key.(string)
 		line.WriteString(quoteIfNeeded(name))
 		line.WriteByte('=')
-		line.WriteString(quoteIfNeeded(unquoteJSON(value)))
+		line.WriteString(quoteIfNeeded(shorten(unquoteJSON(value))))
 	}
 	line.WriteByte('\n')
 	if _, err := k.out.Write(line.Bytes()); err != nil {
@@ -68,6 +72,14 @@
 	return string(value)
 }
 
+// shorten returns a value of at most maxValueBytes, and says when it was cut.
+func shorten(s string) string {
+	if len(s) <= maxValueBytes {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxValueBytes], "") + "... (" + strconv.Itoa(len(s)) + " bytes)"
+}
+
 func quoteIfNeeded(s string) string {
 	if s == "" || strings.ContainsFunc(s, mustQuote) {
 		return strconv.Quote(s)
--- a/observe/observe_test.go
+++ b/observe/observe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"net/http/httptest"
@@ -38,6 +39,19 @@
 	c.Check(out.Len() > 0, qt.IsTrue)
 }
 
+// Guards against a log line that grows with what another process sent.
+func TestLongValuesAreCut(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	l := NewLogger(&out, "info")
+	var n int
+	l.Info().Err(json.Unmarshal(bytes.Repeat([]byte("9"), 4<<20), &n)).Str("worker", strings.Repeat("\u20ac", 1<<20)).Msg("rejected")
+	c.Check(out.Len() < 5*maxValueBytes, qt.IsTrue, qt.Commentf("%d bytes", out.Len()))
+	c.Check(strings.Contains(out.String(), `error="json: cannot unmarshal number 999`), qt.IsTrue)
+	c.Check(strings.Contains(out.String(), "(3145728 bytes)"), qt.IsTrue)
+	c.Check(strings.HasSuffix(out.String(), " message=rejected\n"), qt.IsTrue)
+}
+
 func get(h http.Handler, path string) (int, string) {
 	w := httptest.NewRecorder()
 	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
