agent: try other entries while none of the selected ones answers

What callers saw: with more registrations in the store than an agent selects (max_entries, 16), of which another writer left most, an agent whose selection had only addresses at which nothing listens never reached an entry, and its worker got no tasks. The same holds when all 16 selected of more entries have ended.

Cause: the selection by rendezvous hashing does not depend on whether an entry answers, and the list was read again without another result.

Change: after 5 s without an answer of a selected entry, as many others are tried for 5 s each, in the order of their addresses, and those that answer are kept until a selected one does. 1,000 registrations take 5 minutes. In normal operation nothing changes.

Before: TestRegistrationsOfAnotherWriterFillTheSubset saw 0 heartbeats in 5 minutes with 100 such registrations (agents a7, a8 and a9; a1 happened to select the entry). After: heartbeats go on without a gap.

--- a/agent/entries.go
+++ b/agent/entries.go
@@ -29,6 +29,9 @@
 	// 1,000 agents make about 380 reads a second.
 	discoverBackoffBase = 200 * time.Millisecond
 	discoverBackoffMax  = 5 * time.Second
+	// tryOthersInterval is the time without an answer of any selected entry after
+	// which others are tried as well, and for how long each of them is.
+	tryOthersInterval = 5 * time.Second
 )
 
 // entries holds the known entries and the links to a subset of them. Lock order:
@@ -42,7 +45,10 @@
 	peers     *membership.Peers
 	links     map[string]*link // by address
 	storeRead bool             // the store was read successfully once
-	changed   chan struct{}    // capacity 1; the set of known entries changed
+	// selectedAliveAt is when one of the selected entries was last alive, or when the
+	// first ones were selected.
+	selectedAliveAt time.Time
+	changed         chan struct{} // capacity 1; the set of known entries changed
 }
 
 // knownEntry is an entry, or a seed address from the settings if ref.ID is
@@ -240,7 +246,8 @@
 }
 
 // linkTargets returns the addresses that need a link: the agent's subset of the
-// entries and, while none of these is alive, the seeds. The caller holds mu.
+// entries and, while none of these is alive, the seeds and some of the other entries.
+// The caller holds mu.
 func (e *entries) linkTargets(now time.Time) map[string]bool {
 	var refs []wire.EntryRef
 	var seeds []string
@@ -258,14 +265,39 @@
 		wanted[ref.Address] = true
 		alive = alive || !e.peers.Suspect(ref.Address, now)
 	}
+	if alive || e.selectedAliveAt.IsZero() && len(refs) > 0 {
+		e.selectedAliveAt = now
+	}
 	if !alive {
 		for _, address := range seeds {
 			wanted[address] = true
 		}
+		e.addOthers(wanted, refs, now)
 	}
 	return wanted
 }
 
+// addOthers adds the entries outside the agent's subset that are alive, and
+// MaxEntries others in turns. Registrations that another writer left, or those of
+// many entries that have ended, may fill the subset. The caller holds mu.
+func (e *entries) addOthers(wanted map[string]bool, refs []wire.EntryRef, now time.Time) {
+	turn := int(now.Sub(e.selectedAliveAt)/tryOthersInterval) - 1
+	if turn < 0 {
+		return
+	}
+	others := slices.DeleteFunc(refs, func(ref wire.EntryRef) bool { return wanted[ref.Address] })
+	slices.SortFunc(others, func(a, b wire.EntryRef) int { return strings.Compare(a.Address, b.Address) })
+	limit := min(e.agent.settings.MaxEntries, len(others))
+	for i := range limit {
+		wanted[others[(turn*limit+i)%len(others)].Address] = true
+	}
+	for _, ref := range others {
+		if !e.peers.Suspect(ref.Address, now) {
+			wanted[ref.Address] = true
+		}
+	}
+}
+
 // requestHeartbeats makes all links send a heartbeat soon.
 func (e *entries) requestHeartbeats() {
 	e.mu.Lock()
