--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -15,10 +15,12 @@
 	upstreamErrors, upstreamTimeouts, upstreamUnsent         tally.Counter
 	refusedOutOfService, gateClosed, refusedBusy, duplicates tally.Counter
 	interrupted, ordersUnanswered, runsStalled               tally.Counter
+	announcementsRejected                                    tally.Counter
 	workersCrashed, runsLost, runsCarriedOver, runsUnknown   tally.Counter
 	offers, offersUsed, entriesSuspect, recordsEvicted       tally.Counter
 	running, queued, confirmationAge, generation             tally.Gauge
 	endsHeld, endsUnclaimed, suspended                       tally.Gauge
+	registrationsUnusable                                    tally.Gauge // keys of the last list that register no entry
 	taskTime                                                 tally.Timer
 }
 
@@ -35,7 +37,7 @@
 		refusedOutOfService: s.Counter("refused_out_of_service"), gateClosed: s.Counter("gate_closed"),
 		refusedBusy: s.Counter("refused_busy"), duplicates: s.Counter("duplicate_messages"),
 		interrupted: s.Counter("tasks_interrupted"), ordersUnanswered: s.Counter("orders_unanswered"),
-		runsStalled:    s.Counter("runs_stalled"),
+		runsStalled: s.Counter("runs_stalled"), announcementsRejected: s.Counter("announcements_rejected"),
 		workersCrashed: s.Counter("workers_crashed"), runsLost: s.Counter("runs_lost"),
 		runsCarriedOver: s.Counter("runs_carried_over"), runsUnknown: s.Counter("runs_unknown"),
 		offers: s.Counter("offers"), offersUsed: s.Counter("offers_used"),
@@ -43,8 +45,8 @@
 		running: s.Gauge("tasks_running"), queued: s.Gauge("tasks_queued"),
 		confirmationAge: s.Gauge("confirmation_age_seconds"), generation: s.Gauge("config_generation"),
 		endsHeld: s.Gauge("ends_held"), endsUnclaimed: s.Gauge("ends_unclaimed"),
-		suspended: s.Gauge("suspended_seconds"),
-		taskTime:  s.Timer("task_time"),
+		suspended: s.Gauge("suspended_seconds"), registrationsUnusable: s.Gauge("registrations_unusable"),
+		taskTime: s.Timer("task_time"),
 	}
 }
 
