entry, leasedtest: two tests of callers that leave without a start being withheld

A context that ends while its submission waits for the dispatcher does not keep tasks from starting, since the entry asks the connection only; an embedding program and a stream of HTTP/2 have nothing else. A task that waits at its agent for the renewal of a dormant session starts after the end of its caller's connection has reached the entry, because the renewal does not ask the connection.

--- a/entry/leased_test.go
+++ b/entry/leased_test.go
@@ -347,3 +347,21 @@
 		h.Check(time.Since(begin) <= 2*tickInterval, qt.IsTrue, qt.Commentf("%v", time.Since(begin)))
 	})
 }
+
+// Guards against an entry that starts the tasks of a caller whose context has ended while
+// the submission waited for the dispatcher. The context is all that the entry knows of a
+// program that embeds it, and of a stream of HTTP/2 that its caller resets.
+func TestContextEndsWhileTheSubmissionWaits(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e := h.leasedEntry(nil)
+		h.worker(1, runsFor(200))
+		waitForDiscovery()
+		e.dispatcher.post(func(*dispatcher) { time.Sleep(100 * time.Millisecond) }) // no pause: shorter than a heartbeat
+		gone := h.submit(e, "1f", 3)
+		time.Sleep(50 * time.Millisecond)
+		gone.cancel()
+		gone.wait()
+		time.Sleep(time.Second)
+		h.Check(h.upstreams.totalStarts(), qt.Equals, 0)
+	})
+}
--- a/internal/leasedtest/gone_caller_test.go
+++ b/internal/leasedtest/gone_caller_test.go
@@ -92,3 +92,29 @@
 		})
 	}
 }
+
+// Guards against two runs of a task whose caller leaves and sends it elsewhere at once,
+// while the task waits at its agent for the renewal of a dormant session. The end has
+// reached the entry before the heartbeat that asks for the renewal.
+func TestCallerLeavesWhileTheTaskWaitsForARenewal(t *testing.T) {
+	withSystem(t, func(s *system) {
+		for i := range s.agents {
+			s.net.Delay(entryHost(0), agentHost(i), 20*ms)
+		}
+		time.Sleep(2 * time.Second)
+		j := &job{tasks: 3, milliCPU: 4000, duration: 200 * ms, deadline: 3 * time.Second, mayHaveRun: true}
+		s.register(j)
+		s.entry(0).setEndsNoticedLate(400 * ms)
+		first := s.openSubmission(0, j)
+		time.Sleep(10 * ms)
+		s.Assert(first.Close(), qt.IsNil)
+		c := s.openSubmission(1, j)
+		answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+		s.Assert(err, qt.IsNil)
+		s.Check(answer.StatusCode, qt.Equals, http.StatusOK)
+		s.Check(answer.Body.Close(), qt.IsNil)
+		s.Check(c.Close(), qt.IsNil)
+		s.checkAllTasksDone(j)
+		s.Check(len(s.evidence.Starts()), qt.Equals, j.tasks)
+	})
+}
