entry: ask callers before a session is renewed, and contexts as well as connections

A task waits at its agent for the renewal of a dormant session, the caller's connection ends meanwhile, and the entry renews the session without asking. And an entry asked the connection only, which programs that embed it and streams of HTTP/2 do not have.

The callers of the tasks at an agent are asked before its session is renewed, and a session for which a cancellation waits to be sent is not renewed. A caller has left when the context of its request or its connection has ended. A connection that cannot be asked is logged once.

--- a/entry/agents.go
+++ b/entry/agents.go
@@ -162,7 +162,8 @@
 		// A lost reply leaves the records at the agent until the next
 		// session is opened, which lists them again.
 		r.Acked = a.session.takeAcks()
-		if a.unansweredCancels == 0 && d.mayStartNow() {
+		d.cancelAbandonedAt(a)
+		if a.unansweredCancels == 0 && len(d.pendingCancels[a]) == 0 && d.mayStartNow() {
 			r.Renews = a.session.id.Number
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -78,6 +78,7 @@
 	stopping      atomic.Bool   // a planned stop has begun
 	stopRequested chan struct{} // closed by Stop
 	stopOnce      sync.Once
+	unknownConn   sync.Once     // logs that connections cannot be asked for their end
 	stopped       chan struct{} // closed when Run has ended
 }
 
--- a/entry/http.go
+++ b/entry/http.go
@@ -107,7 +107,7 @@
 		MaxHeaderBytes:    e.settings.Limits.MaxHeaderBytes,
 		TLSConfig:         e.callerTLS,
 		ErrorLog:          e.httpErrorLog(),
-		ConnContext:       withCallerConn,
+		ConnContext:       e.withCallerConn,
 	}
 }
 
--- a/entry/leased.go
+++ b/entry/leased.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"math"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -235,11 +234,6 @@
 	return nil
 }
 
-// removeCaller removes a caller that no longer waits.
-func (l *leasedJob) removeCaller(c *caller) {
-	l.callers = slices.DeleteFunc(l.callers, func(k *caller) bool { return k == c })
-}
-
 // cancelLeased cancels a job on request, unless it has ended or its end record is
 // being written.
 func (d *dispatcher) cancelLeased(j *job) {
@@ -364,6 +358,7 @@
 		l.answer.Reason, l.answer.Detail, l.answer.RetryAfter = c.reason, c.detail, j.answer.retryAfter
 	}
 	failed := j.failure != nil && j.failure.reason != wire.ReasonCancelled && l.answer.Outcome == OutcomeFailed
+	l.callers = nil
 	l.answerReusable = j.failure == nil || l.cancelled || failed
 	if !l.answerReusable {
 		d.rememberCrashes(j)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -40,9 +40,8 @@
 	templatesConfined     tally.Gauge
 	suspended             tally.Gauge   // in seconds, since the start
 	crashingTasks         tally.Counter // given up because workers crashed under them
-	callersLeft           tally.Counter // callers that left while runs of their job were open
+	callersLeft           tally.Counter // jobs cancelled because their callers left
 	callersGone           tally.Counter // submissions refused because their callers had left
-	startsWithheld        tally.Counter // jobs cancelled before a start because their callers had left
 	eventDelay            tally.Timer   // time that an event waits for the dispatcher
 }
 
@@ -81,7 +80,6 @@
 		crashingTasks:         s.Counter("tasks_given_up_for_crashes"),
 		callersLeft:           s.Counter("callers_left"),
 		callersGone:           s.Counter("callers_gone"),
-		startsWithheld:        s.Counter("starts_withheld"),
 		eventDelay:            s.Timer("event_delay"),
 		crashedRuns: map[wire.CrashRole]tally.Counter{
 			wire.CrashBystander: crashCounter(s, "bystander"), wire.CrashSuspect: crashCounter(s, "suspect"),
--- a/internal/leasedtest/gone_caller_test.go
+++ b/internal/leasedtest/gone_caller_test.go
@@ -93,6 +93,22 @@
 	}
 }
 
+// waitUntilDormant waits until the entry's sessions with all agents have been renewed so
+// long ago that a task waits there for a heartbeat, and no heartbeat is due soon.
+func (s *system) waitUntilDormant(target int) {
+	for range 100_000 {
+		dormant := true
+		for _, a := range s.entry(target).State().Agents {
+			dormant = dormant && a.HeardMS > 350 && a.HeardMS < 600 // tasks wait after 300 ms, heartbeats come after 750 ms
+		}
+		if dormant {
+			return
+		}
+		time.Sleep(5 * ms)
+	}
+	s.Fatal("the sessions are never dormant at the same time")
+}
+
 // Guards against two runs of a task whose caller leaves and sends it elsewhere at once,
 // while the task waits at its agent for the renewal of a dormant session. The end has
 // reached the entry before the heartbeat that asks for the renewal.
@@ -101,7 +117,7 @@
 		for i := range s.agents {
 			s.net.Delay(entryHost(0), agentHost(i), 20*ms)
 		}
-		time.Sleep(2 * time.Second)
+		s.waitUntilDormant(0)
 		j := &job{tasks: 3, milliCPU: 4000, duration: 200 * ms, deadline: 3 * time.Second, mayHaveRun: true}
 		s.register(j)
 		s.entry(0).setEndsNoticedLate(400 * ms)
--- a/internal/peerend/peerend.go
+++ b/internal/peerend/peerend.go
@@ -38,6 +38,9 @@
 	return Checker{}
 }
 
+// Known reports whether the connection can be asked.
+func (c Checker) Known() bool { return c.raw != nil || c.peer != nil }
+
 // Ended reports whether the other end has closed or reset the connection, or this end
 // has closed it. It does not block and reads nothing.
 func (c Checker) Ended() bool {
--- a/internal/peerend/peerend_test.go
+++ b/internal/peerend/peerend_test.go
@@ -63,5 +63,6 @@
 	pipe, other := net.Pipe()
 	c.Assert(other.Close(), qt.IsNil)
 	c.Check(Of(pipe).Ended(), qt.IsFalse)
+	c.Check(Of(pipe).Known(), qt.IsFalse)
 	c.Check(Checker{}.Ended(), qt.IsFalse)
 }
