config: compare prefixes without their percent encoding

Cause: the decoded path of a request was compared with the prefix as it is written. The contract gives prefixes as a path begins with them on the wire.

Change: View.Route takes the path as it was sent and compares both in one form, in which only "/" and "%" stay encoded. So each spelling of a prefix finds its route, those that were found before among them, and an encoded "/" is no separator any more.

--- a/config/leased_test.go
+++ b/config/leased_test.go
@@ -67,7 +67,28 @@
 		{"portal.example", "/"}: "steps", {"PORTAL.example", "/other"}: "steps", {"portal.example", "/review"}: "steps-2",
 		{"portal.example", "/review/7"}: "steps-2", {"other.example", "/"}: "", {"portal.example", "review"}: "",
 	} {
-		r, ok := NewView(d).Route(request[0], request[1])
+		r, _, ok := NewView(d).Route(request[0], request[1])
 		qt.Check(t, r.Template == want && ok == (want != ""), qt.IsTrue, qt.Commentf("%q: %+v", request, r))
 	}
 }
+
+// Guards against a route that is not found because its prefix is percent-encoded, as
+// it occurs in requests, while the path is compared decoded; against an encoded "/"
+// that is taken for a separator; and against a longest prefix that is chosen by the
+// length of its encoding.
+func TestRouteWithEncodedPrefix(t *testing.T) {
+	d := &Document{}
+	for template, prefix := range map[string]string{
+		"encoded": "/revis%C3%A3o/", "plain": "/não/", "slash": "/a%2Fb/", "percent": "/100%25/", "short": "/%61/", "long": "/a/bc/", "broken": "/x%2/",
+	} {
+		d.Routes = append(d.Routes, Route{Host: "h", Prefix: prefix, Template: template})
+	}
+	for path, want := range map[string][2]string{
+		"/revis%C3%A3o/7": {"encoded", "7"}, "/revis%c3%a3o/%37": {"encoded", "7"}, "/revisão/7": {"encoded", "7"}, "/revisao/7": {}, "/revis%C3%A3/7": {},
+		"/n%C3%A3o/7": {"plain", "7"}, "/a%2fb/7": {"slash", "7"}, "/a/b/7": {"short", "b/7"}, "/a%2Fb%2F7": {},
+		"/100%25/7": {"percent", "7"}, "/100%2525/7": {}, "/a/b%63/7": {"long", "7"}, "/%61/7": {"short", "7"}, "/x%2/7": {"broken", "7"},
+	} {
+		r, rest, _ := NewView(d).Route("h", path)
+		qt.Check(t, [2]string{r.Template, rest}, qt.Equals, want, qt.Commentf("%q", path))
+	}
+}
--- a/config/view.go
+++ b/config/view.go
@@ -24,7 +24,7 @@
 	byToken      map[string]*Account
 	templates    map[string]*Template
 	tasks        map[string]map[string]*Task
-	routes       map[string][]Route // by host in lower case, longest prefix first
+	routes       map[string][]pathRoute // by host in lower case, longest prefix first
 	outOfService []string
 	inService    []string
 }
@@ -38,14 +38,14 @@
 		byToken:     make(map[string]*Account, len(d.Accounts)),
 		templates:   make(map[string]*Template, len(d.Templates)),
 		tasks:       make(map[string]map[string]*Task, len(d.Templates)),
-		routes:      make(map[string][]Route, len(d.Routes)),
+		routes:      make(map[string][]pathRoute, len(d.Routes)),
 	}
 	for _, r := range d.Routes {
 		host := strings.ToLower(r.Host)
-		v.routes[host] = append(v.routes[host], r)
+		v.routes[host] = append(v.routes[host], pathRoute{r, plainPath(r.Prefix)})
 	}
 	for _, list := range v.routes {
-		slices.SortFunc(list, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
+		slices.SortStableFunc(list, func(a, b pathRoute) int { return len(b.prefix) - len(a.prefix) })
 	}
 	for i := range d.DataCentres {
 		dc := &d.DataCentres[i]
@@ -115,15 +115,18 @@
 }
 
 // Route returns, of the routes of the host whose prefix matches the path, the one
-// with the longest prefix. The host has no port; upper and lower case are the
-// same.
-func (v *View) Route(host, path string) (Route, bool) {
+// with the longest prefix, and the decoded rest of the path. The host has no port;
+// upper and lower case are the same. The path is as it was sent, with its percent
+// encoding. Whether the path or the prefix encodes a character makes no difference,
+// except for "/" and "%".
+func (v *View) Route(host, path string) (r Route, rest string, ok bool) {
+	path = plainPath(path)
 	for _, r := range v.routes[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r, true
+		if rest, ok = strings.CutPrefix(path, r.prefix); ok {
+			return r.Route, rest, true
 		}
 	}
-	return Route{}, false
+	return Route{}, "", false
 }
 
 // DataCentre returns the data centre of that name.
