--- a/entry/leased.go
+++ b/entry/leased.go
@@ -162,6 +162,9 @@
 		earlier.leased.callers = append(earlier.leased.callers, s.caller)
 		return nil
 	}
+	if err := d.checkNotCancelled(identifier); err != nil {
+		return err
+	}
 	if d.stopping {
 		return retryLater(refusalRetryAfter, reasonStopping, "the entry is stopping")
 	}
