leasedtest: call CancelJob with a context

Cause: two parts met in the merge; the test of one called the signature of the other's code before. Its checks are the same. go vet ./... passes.

--- a/internal/leasedtest/unanswered_stops_test.go
+++ b/internal/leasedtest/unanswered_stops_test.go
@@ -1,6 +1,7 @@
 package leasedtest
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -80,7 +81,7 @@
 				for i := range tc.starts {
 					if i%tc.stops == 0 {
 						cancelled := s.submit(0, job{duration: time.Second, milliCPU: 1000})
-						s.injectFor(tc.stopAfter, func() {}, func() { s.entry(0).CancelJob(cancelled.id) })
+						s.injectFor(tc.stopAfter, func() {}, func() { _, _ = s.entry(0).CancelJob(context.Background(), cancelled.id) })
 					}
 					j := s.submit(0, job{duration: tc.duration, milliCPU: 1000})
 					submitted[j.id] = time.Now()
