config, platform: accept the documents of all desired states that the store holds

Callers saw 404 on added routes and tasks that started in evacuated zones for good, after a desired state of 999,957 bytes; after a restart of all processes nothing was served.

Cause: the configuration document is larger than the desired state that it is built from, and its limit was that of a value of the store, 1 MiB. The error of the encoding became that of the read, so that all entries saw an outage of the store.

Documents between processes may have 8 MiB; the smallest limits.max_message_bytes of an entry holds one. Documents that are written as a value keep the limit of 1 MiB (EncodeValue). The error names both. If a document is still too large, the last valid routes stay in force with the evacuations that were read, as with an invalid desired state. EncodeAfter validates, so that the platform's code keeps its size.

--- a/config/parse.go
+++ b/config/parse.go
@@ -9,9 +9,17 @@
 	"chicorytray.example/chicorytray/internal/strictjson"
 )
 
-// MaxDocumentBytes is the size of the largest document, in bytes. The platform's
-// key-value service holds no larger values.
-const MaxDocumentBytes = 1 << 20
+const (
+	// MaxValueBytes is the size of the largest document that the platform's
+	// key-value service holds as one value, in bytes.
+	MaxValueBytes = 1 << 20
+	// MaxDocumentBytes is the size of the largest document that processes
+	// exchange, in bytes. A document that was translated from another format is
+	// larger than the value that it stands for: 1 MiB of the shortest routes makes
+	// 4.3 MB with 11 data centres in one region (platform,
+	// TestLargestDesiredStates).
+	MaxDocumentBytes = 8 << 20
+)
 
 // Error lists every problem of a document.
 type Error struct{ Problems []strictjson.Problem }
@@ -91,6 +99,16 @@
 	return nil
 }
 
+// EncodeValue encodes the document for the key-value service. The error is that of
+// Encode, or an *Error if the result is larger than MaxValueBytes.
+func (d *Document) EncodeValue() ([]byte, error) {
+	data, err := d.Encode()
+	if err == nil && len(data) > MaxValueBytes {
+		return nil, documentTooLarge(len(data))
+	}
+	return data, err
+}
+
 // Encode returns the document as JSON on one line. If d is valid, Parse of the
 // result returns an equal document. The error is an *Error if the result is
 // larger than MaxDocumentBytes.
@@ -108,8 +126,12 @@
 // EncodeAfter encodes the document as the successor of the one in force, which has
 // the given generation (0 if there is none). A document with the same content keeps
 // the generation in force, so that processes that read it at different times agree;
-// any other gets the generation next.
+// any other gets the generation next. The error is an *Error if the document is
+// invalid or too large.
 func (d *Document) EncodeAfter(generation uint64, inForce []byte, next uint64) ([]byte, error) {
+	if err := d.Validate(); err != nil {
+		return nil, err
+	}
 	successor := *d
 	successor.Generation = generation
 	encoded, err := successor.Encode()
@@ -153,7 +175,8 @@
 
 func documentTooLarge(n int) error {
 	return &Error{[]strictjson.Problem{{
-		Fault: fmt.Sprintf("%d bytes; at most %d are accepted", n, MaxDocumentBytes),
+		Fault: fmt.Sprintf("%d bytes; at most %d are accepted between processes and %d as a value of the key-value service",
+			n, MaxDocumentBytes, MaxValueBytes),
 	}}}
 }
 
--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -164,6 +164,9 @@
 		return nil, usageError(err.Error())
 	}
 	d, err := config.Parse(data)
+	if err == nil {
+		_, err = d.EncodeValue()
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
--- a/ctl/document.go
+++ b/ctl/document.go
@@ -205,7 +205,7 @@
 // does not answer, it finds out whether the write took effect and repeats it if
 // necessary.
 func (o *Operator) compareAndSwap(ctx context.Context, base StoredDocument, next *config.Document) error {
-	data, err := next.Encode()
+	data, err := next.EncodeValue()
 	if err != nil {
 		return err
 	}
--- a/ctl/patch.go
+++ b/ctl/patch.go
@@ -181,7 +181,11 @@
 	if data, err = json.Marshal(tree); err != nil {
 		return nil, err
 	}
-	return config.Parse(data)
+	next, err := config.Parse(data)
+	if err == nil {
+		_, err = next.EncodeValue()
+	}
+	return next, err
 }
 
 // decodeTree decodes one JSON value. Numbers become json.Number, so that they
--- a/internal/dev/operate.go
+++ b/internal/dev/operate.go
@@ -57,7 +57,7 @@
 	if !found {
 		return fmt.Errorf("data centre %q is not in the configuration", dataCentre)
 	}
-	data, err := next.Encode()
+	data, err := next.EncodeValue()
 	if err != nil {
 		return err
 	}
--- a/settings/types.go
+++ b/settings/types.go
@@ -283,8 +283,8 @@
 	// it. More than 0 and at most 24h. Default 60s.
 	MaxDeadline Duration `json:"max_deadline"`
 	// MaxMessageBytes is the largest message between processes, in bytes. At
-	// least 1 MiB, and at least MaxHeaderBytes plus the larger of MaxBodyBytes
-	// and MaxResultBytes. Default 16 MiB.
+	// least MaxHeaderBytes plus the largest of MaxBodyBytes, MaxResultBytes and
+	// config.MaxDocumentBytes (8 MiB). Default 16 MiB.
 	MaxMessageBytes int64 `json:"max_message_bytes"`
 	// AnswerRetention is the time for which the answer to a job without an
 	// idempotency key can be read again. Answers to leased jobs are kept for 10 s
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -7,6 +7,8 @@
 	"regexp"
 	"strings"
 	"time"
+
+	"chicorytray.example/chicorytray/config"
 )
 
 // maxGate is the bound of guarantee 3 of the design: no task starts in a data
@@ -229,10 +231,11 @@
 	ps.positive("limits.max_deadline", l.MaxDeadline)
 	ps.positive("limits.answer_retention", l.AnswerRetention)
 	ps.longerThan("limits.claim_retention", l.ClaimRetention, l.MaxDeadline.AsDuration(), "limits.max_deadline")
-	// One message carries the request of a task, or its result, with headers.
-	largest := max(l.MaxBodyBytes, l.MaxResultBytes)
-	if l.MaxMessageBytes < mib || l.MaxMessageBytes-int64(l.MaxHeaderBytes) < largest {
+	// One message carries the request of a task, or its result, with headers, or a
+	// configuration document.
+	largest := max(l.MaxBodyBytes, l.MaxResultBytes, config.MaxDocumentBytes)
+	if l.MaxMessageBytes-int64(l.MaxHeaderBytes) < largest {
 		ps.add("limits.max_message_bytes", fmt.Sprint(l.MaxMessageBytes),
-			fmt.Sprintf("%d or more, and not less than the largest body or result plus max_header_bytes", mib))
+			fmt.Sprintf("not less than the largest body, result or configuration document (%d) plus max_header_bytes", config.MaxDocumentBytes))
 	}
 }
