store, platform: give up an answer to a watch that stalls, and tell failed reads apart

Callers saw starts in an evacuated zone until 17 s after the evacuation, and 404 on an added route for 20 s, after the channels to the store went silent in the middle of a change.

Cause: a call was given up when nothing had arrived for its whole first wait. A watch waits 20 s, so that one whose answer had begun and then stopped kept reads from the copy for 20.6 s. All failures looked alike, so that all entries took this for an outage.

WithStallTimeout bounds the time until an answer begins and the time without progress afterwards separately; the platform's store and httpstore give an answer up after the timeout of a call (0.6 s as deployed). FailureOf tells a read without an answer, a refused one, one that was not received in full and one with an unusable answer apart; all match ErrUnavailable as before.

Same class: a reply above 8 MiB, with several changes of a large desired state, was cut and made every later read fail; the keys are now listed again. Follower.Poll reports that a reply begins by ReportProgress, instead of a function that each layer passed on.

Before: TestSilenceWithinTheReplyToAWatch read after 20.1 s, TestManyLargeChangesBetweenReads failed the read, 8 of 10 cases of TestFailuresOfReads were "unreachable".

--- a/entry/config.go
+++ b/entry/config.go
@@ -199,7 +199,7 @@
 		return store.KV{}, ctx.Err()
 	}
 	defer func() { <-c.transfer }()
-	ctx, cancel := store.WithStallTimeout(ctx, c.timing.StoreTimeout.AsDuration())
+	ctx, cancel := store.WithStallTimeout(ctx, c.timing.StoreTimeout.AsDuration(), c.timing.StoreTimeout.AsDuration())
 	defer cancel()
 	return c.store.Get(ctx, config.Key)
 }
--- a/internal/jsonhttp/jsonhttp.go
+++ b/internal/jsonhttp/jsonhttp.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -31,10 +32,10 @@
 }
 
 // Exchange sends one request, with body as JSON unless it is nil, and reads the
-// response up to maxReplyBytes. The progress of the response is reported to
-// store.WithStallTimeout. onHeader is called before the body is read, unless it is
-// nil.
-func Exchange(ctx context.Context, client *http.Client, method, url string, header http.Header, body any, onHeader func()) (status int, data []byte, err error) {
+// response, whose progress is reported to store.WithStallTimeout. If the header of
+// the response arrived but not the whole body, the error matches store.ErrStalled; if
+// the body exceeds maxReplyBytes, store.ErrUnusable.
+func Exchange(ctx context.Context, client *http.Client, method, url string, header http.Header, body any) (status int, data []byte, err error) {
 	var content io.Reader
 	if body != nil {
 		encoded, err := json.Marshal(body)
@@ -58,9 +59,13 @@
 		return 0, nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if onHeader != nil {
-		onHeader()
+	store.ReportProgress(ctx)
+	data, err = io.ReadAll(io.LimitReader(store.ProgressReader(ctx, resp.Body), maxReplyBytes+1))
+	switch {
+	case err != nil:
+		err = fmt.Errorf("%w: %w", store.ErrStalled, err)
+	case len(data) > maxReplyBytes:
+		err = fmt.Errorf("%w: more than %d bytes; the values of a reply are in base64 and have at most %d bytes each", store.ErrUnusable, maxReplyBytes, store.MaxValueBytes)
 	}
-	data, err = io.ReadAll(io.LimitReader(store.ProgressReader(ctx, resp.Body), maxReplyBytes))
 	return resp.StatusCode, data, err
 }
--- a/store/follower.go
+++ b/store/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 )
 
 // ErrHistoryDiscarded means that the store no longer has the changes after the
@@ -22,10 +23,10 @@
 }
 
 // Poll returns the changes of the keys after a revision, and the revision up to
-// which these are all. With wait set the store waits for the first one. received is
-// called when the reply begins to arrive, unless it is nil. The error is
-// ErrHistoryDiscarded if the keys have to be listed again.
-type Poll func(ctx context.Context, after uint64, wait bool, received func()) (events []Event, at uint64, err error)
+// which these are all. With wait set the store waits for the first one. It calls
+// ReportProgress when parts of the reply arrive. The error is ErrHistoryDiscarded or
+// ErrUnusable if the keys have to be listed again.
+type Poll func(ctx context.Context, after uint64, wait bool) (events []Event, at uint64, err error)
 
 // NewFollower returns a Follower with an empty Mirror. scan lists all keys and
 // returns the revision as of which the first page was read.
@@ -45,11 +46,14 @@
 
 func (f *Follower) unlock() { <-f.busy }
 
+// errBusy means that another call was receiving events until the context ended.
+var errBusy = fmt.Errorf("%w: %w by another call", ErrUnavailable, ErrStalled)
+
 // Read makes the copy current and calls use, which may read it. The error is that
-// of the store, or ErrUnavailable if ctx ends first.
+// of the store, or matches ErrStalled if ctx ends while another call receives events.
 func (f *Follower) Read(ctx context.Context, use func()) error {
 	if !f.lock(ctx) {
-		return ErrUnavailable
+		return errBusy
 	}
 	defer f.unlock()
 	err := f.refresh(ctx)
@@ -59,10 +63,17 @@
 	return err
 }
 
+// listAgain reports whether the keys have to be listed after the error of a poll.
+// Many changes of large values can exceed the limit on a reply although the values
+// themselves do not.
+func listAgain(err error) bool {
+	return errors.Is(err, ErrHistoryDiscarded) || errors.Is(err, ErrUnusable)
+}
+
 func (f *Follower) refresh(ctx context.Context) error {
 	if f.At() > 0 {
-		events, at, err := f.poll(ctx, f.At(), false, nil)
-		if !errors.Is(err, ErrHistoryDiscarded) {
+		events, at, err := f.poll(ctx, f.At(), false)
+		if !listAgain(err) {
 			f.Apply(events, at)
 			return err
 		}
@@ -79,7 +90,7 @@
 func (f *Follower) Await(ctx context.Context, after uint64, use func()) error {
 	for {
 		if !f.lock(ctx) {
-			return ErrUnavailable
+			return errBusy
 		}
 		at := f.At()
 		if at > 0 && f.ChangedAt() > after {
@@ -92,14 +103,15 @@
 			return f.Read(ctx, use)
 		}
 		locked := false
-		events, at, err := f.poll(ctx, at, true, func() { locked = f.lock(ctx) })
+		received := func() { locked = locked || f.lock(ctx) }
+		events, at, err := f.poll(NotifyProgress(ctx, received), at, true)
 		if err == nil && locked {
 			f.Apply(events, at)
 		}
 		if locked {
 			f.unlock()
 		}
-		if errors.Is(err, ErrHistoryDiscarded) {
+		if listAgain(err) {
 			return f.Read(ctx, use)
 		}
 		if err != nil {
--- a/store/httpstore/call.go
+++ b/store/httpstore/call.go
@@ -27,10 +27,10 @@
 var errNotSent = errors.New("httpstore: the request was not sent")
 
 // read makes a call that changes nothing. It returns ErrUnavailable or an error
-// that the service reported. The call ends when no part of the answer has arrived
-// for the timeout.
+// that the service reported. The call ends when the answer has not begun to arrive
+// within the timeout, or makes no progress for the timeout of a call.
 func (c *Client) read(ctx context.Context, timeout time.Duration, path string, query url.Values, answer any) error {
-	ctx, cancel := store.WithStallTimeout(ctx, timeout)
+	ctx, cancel := store.WithStallTimeout(ctx, timeout, c.callTimeout)
 	defer cancel()
 	err := c.do(ctx, http.MethodGet, path, query, nil, answer)
 	if err == nil || isServiceFailure(err) {
@@ -105,6 +105,7 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
+	store.ReportProgress(ctx)
 	return decodeAnswer(ctx, response, answer)
 }
 
@@ -133,10 +134,10 @@
 func decodeAnswer(ctx context.Context, response *http.Response, answer any) error {
 	data, err := io.ReadAll(io.LimitReader(store.ProgressReader(ctx, response.Body), maxAnswerBytes+1))
 	if err != nil {
-		return fmt.Errorf("httpstore: answer cut off: %w", err)
+		return fmt.Errorf("httpstore: %w: %w", store.ErrStalled, err)
 	}
 	if len(data) > maxAnswerBytes {
-		return fmt.Errorf("httpstore: answer exceeds %d bytes", maxAnswerBytes)
+		return fmt.Errorf("httpstore: %w: more than %d bytes", store.ErrUnusable, maxAnswerBytes)
 	}
 	if response.StatusCode == http.StatusOK {
 		return decodeSuccess(data, answer)
@@ -145,11 +146,14 @@
 	if json.Unmarshal(data, &body) == nil {
 		for _, f := range storeapi.Failures {
 			if f.Code == body.Code && f.Status == response.StatusCode {
+				if errors.Is(f.Err, store.ErrUnavailable) {
+					return withCause(f.Err, store.ErrRefused)
+				}
 				return f.Err
 			}
 		}
 	}
-	return fmt.Errorf("httpstore: unexpected status %s", response.Status)
+	return fmt.Errorf("httpstore: %w: unexpected status %s", store.ErrRefused, response.Status)
 }
 
 // decodeSuccess decodes the body of a successful answer. It accepts no unknown
@@ -159,16 +163,16 @@
 	d := json.NewDecoder(bytes.NewReader(data))
 	d.DisallowUnknownFields()
 	if err := d.Decode(answer); err != nil {
-		return fmt.Errorf("httpstore: answer: %w", err)
+		return fmt.Errorf("httpstore: %w: %w", store.ErrUnusable, err)
 	}
 	switch a := answer.(type) {
 	case *storeapi.KV:
 		if a.Revision == 0 {
-			return errors.New("httpstore: answer without a revision")
+			return fmt.Errorf("httpstore: %w: no revision", store.ErrUnusable)
 		}
 	case *storeapi.Lease:
 		if a.Lease == 0 {
-			return errors.New("httpstore: answer without a lease")
+			return fmt.Errorf("httpstore: %w: no lease", store.ErrUnusable)
 		}
 	}
 	return nil
