store: an answer whose revision is out of range confirms nothing

It is now an unusable answer: a read lists the keys again, a watch fails and its caller waits.

Before: TestRevisionOutOfRange did not end within 15 s, and the case without a revision of TestFailuresOfReads returned no error. After: both pass.

--- a/store/follower.go
+++ b/store/follower.go
@@ -49,6 +49,10 @@
 // errBusy means that another call was receiving events until the context ended.
 var errBusy = fmt.Errorf("%w: %w by another call", ErrUnavailable, ErrStalled)
 
+// errRevision means that an answer has a revision that is lower than an earlier one, or
+// none. It must not confirm the copy.
+var errRevision = fmt.Errorf("%w: %w: revision out of range", ErrUnavailable, ErrUnusable)
+
 // Read makes the copy current and calls use, which may read it. The error is that
 // of the store, or matches ErrStalled if ctx ends while another call receives events.
 func (f *Follower) Read(ctx context.Context, use func()) error {
@@ -73,12 +77,18 @@
 func (f *Follower) refresh(ctx context.Context) error {
 	if f.At() > 0 {
 		events, at, err := f.poll(ctx, f.At(), false)
+		if err == nil && at < f.At() {
+			err = errRevision
+		}
 		if !listAgain(err) {
 			f.Apply(events, at)
 			return err
 		}
 	}
 	items, at, err := f.scan(ctx)
+	if err == nil && at == 0 {
+		err = errRevision
+	}
 	if err == nil {
 		f.Reset(items, at)
 	}
@@ -103,6 +113,7 @@
 			return f.Read(ctx, use)
 		}
 		locked := false
+		known := at
 		received := func() { locked = locked || f.lock(ctx) }
 		events, at, err := f.poll(NotifyProgress(ctx, received), at, true)
 		if err == nil && locked {
@@ -111,6 +122,9 @@
 		if locked {
 			f.unlock()
 		}
+		if err == nil && at < known {
+			return errRevision // the caller waits before the next watch
+		}
 		if listAgain(err) {
 			return f.Read(ctx, use)
 		}
