entry, agent, gate: agents read the store for entries that cannot

Cause: every failed read counted as a store that does not answer, and when all entries said so, the store-outage rule kept the gates open. Agents, which could read the store, were not asked.

An answer that stalls or cannot be used no longer counts towards an outage: the store answers, so it may accept changes. An entry whose read got no answer or was refused asks three agents to read the configuration (Agent.ReadConfig). Their replies confirm as of the time of the request, and show that the store answers somebody, which the entry reports to its peers. Only a store that answers nobody is an outage. Cost: at most three reads for each such entry and read interval, none otherwise. The smallest max_message_bytes of an agent holds a configuration document.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"chicorytray.example/chicorytray/config"
 	"chicorytray.example/chicorytray/gate"
 	"chicorytray.example/chicorytray/internal/clock"
 	"chicorytray.example/chicorytray/internal/wait"
@@ -44,6 +45,9 @@
 	stopOnce  sync.Once
 	taskCtx   context.Context // parent context of all task executions; set by Run
 
+	contentMu sync.Mutex
+	content   config.HashedContent // of the document last read for an entry
+
 	// mu guards the fields below. It is held from the check that permits a
 	// start until the start is recorded, and never during I/O.
 	mu              sync.Mutex
--- a/agent/receive.go
+++ b/agent/receive.go
@@ -40,6 +40,7 @@
 	rpcconn.Handle(s, "Agent.Cancel", a.rpcCancel)
 	rpcconn.Handle(s, "Agent.Announce", a.rpcAnnounce)
 	rpcconn.Handle(s, "Agent.Introduce", a.rpcIntroduce)
+	rpcconn.Handle(s, "Agent.ReadConfig", a.rpcReadConfig)
 	return s
 }
 
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"chicorytray.example/chicorytray/config"
@@ -387,12 +388,23 @@
 // which is input of the store-outage rule; see gate.EffectiveAge.
 func (d *dispatcher) reportAgentsHeard() {
 	heard := map[string]time.Time{}
+	var first, others []string // addresses, by the first and by other agents of each data centre
 	for _, a := range d.agents {
+		_, known := heard[a.ref.DataCentre]
 		if a.lastHeard.After(heard[a.ref.DataCentre]) {
 			heard[a.ref.DataCentre] = a.lastHeard
 		}
+		switch {
+		case a.suspect:
+		case known:
+			others = append(others, a.ref.Address)
+		default:
+			first = append(first, a.ref.Address)
+		}
 	}
-	d.confirmation.recordAgentsHeard(heard)
+	// The order of a map differs each time, so that the agents take turns.
+	relays := slices.Concat(first, others)
+	d.confirmation.recordAgentsHeard(heard, relays[:min(maxRelays, len(relays))])
 }
 
 // updateLoad records a load that the agent reported. Tasks that had not reached
--- a/entry/config.go
+++ b/entry/config.go
@@ -39,6 +39,7 @@
 	metrics      metrics
 	confirmation *confirmation
 	onChange     func(*config.View) // called in ascending order of generations
+	relay        *relay
 
 	current atomic.Pointer[config.View]
 	// transfer holds a value during a read of the document from the store or a
@@ -47,6 +48,7 @@
 
 	mu       sync.Mutex
 	raw      []byte // document of current
+	content  config.HashedContent
 	revision uint64 // of config.Key, as last read from the store
 }
 
@@ -124,7 +126,10 @@
 			// the timeout would otherwise be twice as far apart as others, and a
 			// change would take effect late after an outage.
 			failures++
-			next = fullJitter(max(interval-c.clock.Since(sent), backoffBase), failures)
+			next = max(interval-c.clock.Since(sent), backoffBase)
+			if !c.confirmation.storeAnswers() {
+				next = fullJitter(next, failures)
+			}
 		} else {
 			failures = 0
 		}
@@ -136,10 +141,33 @@
 // configuration in force was the newest when the read was sent. A change of the
 // revision and a stale answer look alike, so a conflict is followed by a second
 // read at once, which tells them apart.
+//
+// If the store does not answer or refuses the call, agents read it: that shows changes,
+// and that the store answers somebody. While reads fail the agents are asked at once.
 func (c *configuration) readStore(ctx context.Context) error {
-	err := c.readOnce(ctx)
+	sent := c.clock.Now()
+	relayCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var relayed <-chan relayResult
+	if c.confirmation.storeFailed() {
+		relayed = c.relay.start(relayCtx)
+	}
+	outcome, err := c.readOnce(ctx)
 	if errors.Is(err, store.ErrConflict) {
-		err = c.readOnce(ctx)
+		outcome, err = c.readOnce(ctx)
+	}
+	failure := store.FailureOf(outcome)
+	switch {
+	case failure == store.FailureNone:
+		c.confirmation.recordStoreAnswer()
+	case ctx.Err() != nil: // does not count as a failure of the store
+	case failure == store.FailureUnreachable, failure == store.FailureRefused:
+		if relayed == nil {
+			relayed = c.relay.start(relayCtx)
+		}
+		c.confirmation.recordStoreFailure(sent, outcome, (<-relayed).answers)
+	default: // the store answered, though not with what can be used
+		c.confirmation.recordStoreFailure(sent, outcome, true)
 	}
 	if errors.Is(err, store.ErrConflict) {
 		c.metrics.staleReads.Inc(1)
@@ -153,8 +181,8 @@
 // it verifies at the same time that the key still has the revision seen last. It
 // returns store.ErrConflict if the read returned the configuration in force but
 // the key has another revision than the one seen last, so that the read may be
-// stale.
-func (c *configuration) readOnce(ctx context.Context) error {
+// stale. outcome is the error that tells whether the store answered.
+func (c *configuration) readOnce(ctx context.Context) (outcome, err error) {
 	sent, known := c.clock.Now(), c.generation()
 	c.mu.Lock()
 	seen := c.revision
@@ -162,7 +190,7 @@
 	verified := make(chan error, 1)
 	linearizable := c.store.Linearizable()
 	if !linearizable {
-		go func() { verified <- c.verifyRevision(ctx, sent, seen) }()
+		go func() { verified <- c.verifyRevision(ctx, seen) }()
 	}
 	kv, err := c.getDocument(ctx)
 	missing := errors.Is(err, store.ErrNotFound)
@@ -170,7 +198,6 @@
 		err = nil
 	}
 	if linearizable {
-		c.recordStoreOutcome(ctx, sent, err)
 		verified <- err
 	}
 	confirms := err == nil && c.handleStoredValue(ctx, kv, missing, known) && c.view() != nil
@@ -178,16 +205,16 @@
 	conflict := errors.Is(verifyErr, store.ErrConflict)
 	switch {
 	case err != nil:
-		return err
+		return verifyErr, err
 	case verifyErr != nil && !conflict:
-		return verifyErr
+		return verifyErr, verifyErr
 	case !confirms:
-		return nil // the read does not confirm the configuration in force
+		return verifyErr, nil // the read does not confirm the configuration in force
 	case conflict, !linearizable && kv.Revision != seen:
-		return store.ErrConflict
+		return verifyErr, store.ErrConflict
 	}
 	c.confirmation.recordConfirmingRead(sent)
-	return nil
+	return verifyErr, nil
 }
 
 // getDocument reads config.Key. The read may take longer than the timeout of a
@@ -207,23 +234,10 @@
 // verifyRevision checks that config.Key has the revision. Where reads are not
 // linearizable, only its answer shows that the store is reachable, because old
 // states can be read during an outage.
-func (c *configuration) verifyRevision(ctx context.Context, sent time.Time, revision uint64) error {
+func (c *configuration) verifyRevision(ctx context.Context, revision uint64) error {
 	callCtx, cancel := context.WithTimeout(ctx, c.timing.StoreTimeout.AsDuration())
 	defer cancel()
-	err := c.store.Verify(callCtx, config.Key, revision)
-	c.recordStoreOutcome(ctx, sent, err)
-	return err
-}
-
-// recordStoreOutcome records whether the store answered a call that was sent at
-// that time. A conflict is an answer; a call that ctx ended is not counted.
-func (c *configuration) recordStoreOutcome(ctx context.Context, sent time.Time, err error) {
-	switch {
-	case err == nil, errors.Is(err, store.ErrConflict):
-		c.confirmation.recordStoreAnswer()
-	case ctx.Err() == nil:
-		c.confirmation.recordStoreFailure(sent, err)
-	}
+	return c.store.Verify(callCtx, config.Key, revision)
 }
 
 // handleStoredValue handles a value read from the store and reports whether it
--- a/entry/confirm.go
+++ b/entry/confirm.go
@@ -10,6 +10,7 @@
 
 	"chicorytray.example/chicorytray/gate"
 	"chicorytray.example/chicorytray/settings"
+	"chicorytray.example/chicorytray/store"
 )
 
 // confirmation determines the confirmation age: how long ago the configuration
@@ -28,8 +29,10 @@
 	lastRead        time.Time             // when the newest read that confirmed the configuration was sent
 	lastFailure     time.Time             // when the newest failed call of the store was sent
 	reachable       bool                  // the last call of the store was answered
+	answers         bool                  // the last call was not, but the store answers somebody; see gate.Observation
 	peers           map[string]peerReport // by entry identifier
 	agentsLastHeard map[string]time.Time  // when agents were last heard, by data centre
+	relays          []string              // addresses of agents that can read the store for this entry
 	// newestAgentRead is the time of the newest read of the store that agents
 	// reported.
 	newestAgentRead time.Time
@@ -66,7 +69,7 @@
 	if !c.reachable {
 		c.log.Info().Msg("store is reachable")
 	}
-	c.reachable = true
+	c.reachable, c.answers = true, false
 }
 
 // recordConfirmingRead records that the store confirmed the configuration in
@@ -79,14 +82,15 @@
 	}
 }
 
-// recordStoreFailure records the failure of a call that was sent at that time.
-func (c *confirmation) recordStoreFailure(sent time.Time, err error) {
+// recordStoreFailure records the failure of a call that was sent at that time. answers
+// is whether the store answered nevertheless, here or to an agent.
+func (c *confirmation) recordStoreFailure(sent time.Time, err error, answers bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.reachable || c.lastFailure.IsZero() {
-		c.log.Warn().Err(err).Msg("store is not reachable")
+		c.log.Warn().Err(err).Str("failure", string(store.FailureOf(err))).Bool("answers", answers).Msg("store is not reachable")
 	}
-	c.reachable, c.lastFailure = false, sent
+	c.reachable, c.answers, c.lastFailure = false, answers, sent
 }
 
 // storeReachable reports whether the store answered the last call.
@@ -96,6 +100,20 @@
 	return c.reachable
 }
 
+// storeFailed reports whether the last call of the store failed.
+func (c *confirmation) storeFailed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.reachable && !c.lastFailure.IsZero()
+}
+
+// storeAnswers reports whether the store answers this entry or an agent that it asked.
+func (c *confirmation) storeAnswers() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reachable || c.answers
+}
+
 // recordPeerReply records a peer's reply to a heartbeat.
 func (c *confirmation) recordPeerReply(id string, report peerReport) {
 	c.mu.Lock()
@@ -110,14 +128,22 @@
 	delete(c.peers, id)
 }
 
-// recordAgentsHeard records when agents were last heard, by data centre.
-func (c *confirmation) recordAgentsHeard(heard map[string]time.Time) {
+// relayAgents returns the agents that were last recorded as relays.
+func (c *confirmation) relayAgents() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.relays
+}
+
+// recordAgentsHeard records when agents were last heard, by data centre, and the
+// addresses of agents that can read the store for this entry.
+func (c *confirmation) recordAgentsHeard(heard map[string]time.Time, relays []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for dataCentre := range heard {
 		c.knownDataCentres[dataCentre] = true
 	}
-	c.agentsLastHeard = heard
+	c.agentsLastHeard, c.relays = heard, relays
 }
 
 // recordAgentRead records a read of the store that an agent learnt of from some
@@ -182,7 +208,7 @@
 // lock.
 func (c *confirmation) observation(now time.Time) gate.Observation {
 	o := gate.Observation{
-		StoreReachable: c.reachable, OwnAge: c.ownAge(now), OwnDataCentre: c.dataCentre,
+		StoreReachable: c.reachable, StoreAnswers: c.answers, OwnAge: c.ownAge(now), OwnDataCentre: c.dataCentre,
 		MemberDataCentres: slices.Sorted(maps.Keys(c.knownDataCentres)), SinceHeard: c.dataCentreAges(now),
 	}
 	if !c.lastFailure.IsZero() {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -128,6 +128,7 @@
 		store: e.options.Store, timing: t, clock: e.clock, log: e.log, metrics: e.metrics, confirmation: e.confirmation, onChange: e.onConfigChange,
 		transfer: make(chan struct{}, 1),
 	}
+	e.config.relay = &relay{config: e.config, dial: e.dial, agents: e.confirmation.relayAgents}
 	e.peers = &peers{
 		self: e.self, timing: t, clock: e.clock, seeds: e.settings.Seeds, log: e.log, dial: e.dial, confirmation: e.confirmation, config: e.config,
 		onHeartbeat: e.handlePeerHeartbeat, report: e.crashReport, wantsPending: e.peerPending.lacksScan, onPeerLost: e.handlePeerLost, known: map[string]*peer{}, wake: make(chan struct{}, 1),
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -62,7 +62,7 @@
 	age, _ := e.confirmation.age(now)
 	b := wire.PeerHeartbeat{
 		Entry: e.self, Generation: e.config.generation(), ConfirmAge: age,
-		StoreReachable: e.confirmation.storeReachable(), DataCentres: e.confirmation.recentDataCentres(now),
+		StoreReachable: e.confirmation.storeAnswers(), DataCentres: e.confirmation.recentDataCentres(now),
 	}
 	r := e.crashReport()
 	b.CrashingTasks, b.Confined = r.Convictions, r.Confined
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -94,6 +94,8 @@
 			Peers: []PeerObservation{{Age: 9}}}, 9, BasisOutage},
 		{"a peer's evidence of an outage is fresher", Observation{OwnAge: old, OwnDataCentre: "a", MemberDataCentres: three, SinceHeard: heard{"b": 9},
 			Peers: []PeerObservation{{Age: 8}}}, 8, BasisPeer},
+		{"the store answers without a usable read", Observation{StoreAnswers: true, OwnAge: old, OwnDataCentre: "a", MemberDataCentres: three, SinceHeard: heard{"b": 1},
+			Peers: []PeerObservation{{Age: 9}}}, 9, BasisPeer},
 		{"outage with one data centre", Observation{OwnAge: old, OwnDataCentre: "a"}, 0, BasisOutage},
 		{"cut off alone", Observation{OwnAge: old, OwnDataCentre: "a", MemberDataCentres: three}, old, BasisOwn},
 		{"exactly half", Observation{OwnAge: old, OwnDataCentre: "a", MemberDataCentres: []string{"a", "b", "c", "d"}, SinceHeard: heard{"b": 0}}, old, BasisOwn},
--- a/gate/outage.go
+++ b/gate/outage.go
@@ -31,6 +31,11 @@
 type Observation struct {
 	// StoreReachable is whether the entry's last read of the store succeeded.
 	StoreReachable bool
+	// StoreAnswers is whether the store answers this entry, or an agent that the
+	// entry asked, although the entry's last read did not succeed: the answer
+	// stalled or could not be used, or the store serves others only. Such a store may
+	// accept changes.
+	StoreAnswers bool
 	// OwnAge is the age of the entry's last successful read, or NoAge.
 	OwnAge time.Duration
 	Peers  []PeerObservation
@@ -62,8 +67,9 @@
 // store-outage rule, or NoAge if there is no confirmation.
 //
 // An entry that cannot read the store uses the most recent confirmation that it
-// receives. The store is considered unavailable if no process that the entry has
-// contact with read the store after the entry's own read failed, and if the entry
+// receives. The store is considered unavailable if it answers nobody that the entry
+// knows of: not the entry nor an agent that it asked, no process that the entry
+// has contact with read the store after the entry's own read failed, and if the entry
 // has contact with more than half of the data centres that have members. Without
 // the store no change of the configuration is accepted, so the age is then only
 // that of this evidence: the time since the entry last had contact with a
@@ -71,7 +77,7 @@
 // grows until the gates close.
 func EffectiveAge(o Observation) (age time.Duration, basis Basis) {
 	age, basis = freshestConfirmation(o)
-	if o.StoreReachable && o.OwnAge >= 0 || o.readByOthers() {
+	if o.StoreReachable && o.OwnAge >= 0 || o.StoreAnswers || o.readByOthers() {
 		return age, basis
 	}
 	// Without a confirmation the process has no configuration to continue with.
--- a/internal/systemtest/outage_gap_test.go
+++ b/internal/systemtest/outage_gap_test.go
@@ -59,8 +59,7 @@
 }
 
 // Guards against a late start while the store refuses the calls of all entries, or
-// leaves them unanswered, and serves operators and agents. The entries take that for
-// an outage. Listed in KNOWN-RED.txt.
+// leaves them unanswered, and serves operators and agents, which read for the entries.
 func TestStoreServesNoEntry(t *testing.T) {
 	for _, way := range []storeAccess{storeRefuses, storeSilent} {
 		withSystem(t, layout{}, func(s *system) {
@@ -152,3 +151,47 @@
 		})
 	}
 }
+
+// Guards against work that stops while the store serves no entry and only some of the
+// agents, and against reads by agents that grow with the number of agents or go on
+// when the store serves the entries again.
+func TestAgentsReadForEntries(t *testing.T) {
+	for _, way := range []storeAccess{storeRefuses, storeSilent} {
+		withSystem(t, layout{}, func(s *system) {
+			reads := func() (sum int) {
+				for _, a := range s.agents {
+					a.store.mu.Lock()
+					sum += a.store.reads
+					a.store.mu.Unlock()
+				}
+				return sum
+			}
+			s.Check(reads(), qt.Equals, 0)
+			began := time.Now()
+			s.agents[0].store.setAccess(way)
+			for _, e := range s.entries {
+				e.store.setAccess(way)
+			}
+			for range 10 {
+				time.Sleep(2 * time.Second)
+				s.expectOutcome(s.submit(0, job{tasks: 4}), "done")
+			}
+			s.setInService(recife, false)
+			time.Sleep(enforcedWithin)
+			for range 5 {
+				time.Sleep(2 * time.Second)
+				s.expectOutcome(s.submit(0, job{tasks: 4}), "done")
+			}
+			s.Check(reads() > 30, qt.IsTrue)
+			seconds := int(time.Since(began)/time.Second) + 1
+			s.Check(reads() <= 3*len(s.entries)*seconds, qt.IsTrue, qt.Commentf("%d reads by agents in %d s", reads(), seconds))
+			for _, p := range s.processes() {
+				p.store.setAccess(storeReachable)
+			}
+			time.Sleep(3 * time.Second)
+			before := reads()
+			time.Sleep(5 * time.Second)
+			s.Check(reads(), qt.Equals, before)
+		})
+	}
+}
--- a/internal/systemtest/process_test.go
+++ b/internal/systemtest/process_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"chicorytray.example/chicorytray/config"
 	"chicorytray.example/chicorytray/internal/faultnet"
 	"chicorytray.example/chicorytray/store"
 )
@@ -167,6 +168,7 @@
 	pauser *pauser
 	mu     sync.Mutex
 	access storeAccess
+	reads  int // calls of Get for the configuration
 }
 
 func (s *processStore) setAccess(r storeAccess) {
@@ -219,6 +221,11 @@
 }
 
 func (s *processStore) Get(ctx context.Context, key string) (store.KV, error) {
+	if key == config.Key {
+		s.mu.Lock()
+		s.reads++
+		s.mu.Unlock()
+	}
 	return storeCall(ctx, s, func() (store.KV, error) { return s.inner.Get(ctx, key) })
 }
 
--- a/settings/types.go
+++ b/settings/types.go
@@ -351,7 +351,7 @@
 	// that finished first are removed. At least 1. Default 10000.
 	MaxRecords int `json:"max_records"`
 	// MaxMessageBytes is the largest message between processes, in bytes. At
-	// least 1 MiB. Default 16 MiB.
+	// least 1 MiB more than config.MaxDocumentBytes (8 MiB). Default 16 MiB.
 	MaxMessageBytes int64 `json:"max_message_bytes"`
 	// Leased is given for a worker that runs leased tasks; {} takes all
 	// defaults. Rack, Upstream, HealthPath, Slots, Connections and Capacity must
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -68,7 +68,7 @@
 		[]string{a.PeerAddress, a.AdminAddress, a.Upstream})
 	ps.atLeast("max_entries", int64(a.MaxEntries), 1)
 	ps.atLeast("max_records", int64(a.MaxRecords), 1)
-	ps.atLeast("max_message_bytes", a.MaxMessageBytes, mib)
+	ps.atLeast("max_message_bytes", a.MaxMessageBytes, config.MaxDocumentBytes+mib)
 	ps.seeds(a.Seeds)
 	ps.store(a.Store)
 	ps.timing(a.Timing)
--- a/wire/entry.go
+++ b/wire/entry.go
@@ -8,7 +8,9 @@
 	Generation uint64
 	// ConfirmAge is the age of the sender's freshest confirmation of the
 	// configuration; negative when there is none.
-	ConfirmAge     time.Duration
+	ConfirmAge time.Duration
+	// StoreReachable is whether the store answers the sender or an agent that it
+	// asked.
 	StoreReachable bool
 	// DataCentres lists the data centres from which the sender received a
 	// message within the suspect time.
@@ -58,6 +60,21 @@
 	Entries    []EntryRef // known to the sender
 }
 
+// ReadConfigRequest asks an agent to read the configuration from the store for an
+// entry that cannot.
+type ReadConfigRequest struct {
+	Content []byte // config.ContentHash of the document in force at the entry
+}
+
+// ReadConfigReply has the result of the read.
+type ReadConfigReply struct {
+	Read bool // the store answered with a configuration, or that it has none
+	// Answers is whether the store answered at all; see gate.Observation.
+	Answers  bool
+	Same     bool   // the content is that of the request; Document is empty
+	Document []byte // empty if the store has none
+}
+
 // PushConfigRequest sends an entry a document that the store has accepted.
 type PushConfigRequest struct{ Document []byte }
 
