--- a/agent/entries.go
+++ b/agent/entries.go
@@ -116,7 +116,8 @@
 // from the settings.
 func (e *entries) learnEntries(ctx context.Context) {
 	// A large value that another writer left takes longer than the timeout of a call.
-	callCtx, cancel := store.WithStallTimeout(ctx, e.agent.timing.StoreTimeout.AsDuration())
+	timeout := e.agent.timing.StoreTimeout.AsDuration()
+	callCtx, cancel := store.WithStallTimeout(ctx, timeout, timeout)
 	defer cancel()
 	refs, unusable, err := store.Entries(callCtx, e.agent.options.Store)
 	switch {
--- a/entry/registration.go
+++ b/entry/registration.go
@@ -88,7 +88,8 @@
 	var reported store.Unusable
 	for ctx.Err() == nil {
 		// A large value that another writer left takes longer than the timeout of a call.
-		callCtx, cancel := store.WithStallTimeout(ctx, r.timing.StoreTimeout.AsDuration())
+		timeout := r.timing.StoreTimeout.AsDuration()
+		callCtx, cancel := store.WithStallTimeout(ctx, timeout, timeout)
 		refs, unusable, err := store.Entries(callCtx, r.store)
 		cancel()
 		if err != nil {
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"chicorytray.example/chicorytray/config"
 	"chicorytray.example/chicorytray/wire"
 )
 
@@ -68,7 +69,7 @@
 		[]string{a.PeerAddress, a.AdminAddress, a.Upstream})
 	ps.atLeast("max_entries", int64(a.MaxEntries), 1)
 	ps.atLeast("max_records", int64(a.MaxRecords), 1)
-	ps.atLeast("max_message_bytes", a.MaxMessageBytes, mib)
+	ps.atLeast("max_message_bytes", a.MaxMessageBytes, config.MaxDocumentBytes+mib)
 	ps.seeds(a.Seeds)
 	ps.store(a.Store)
 	ps.timing(a.Timing)
@@ -230,10 +231,11 @@
 	ps.positive("limits.max_deadline", l.MaxDeadline)
 	ps.positive("limits.answer_retention", l.AnswerRetention)
 	ps.longerThan("limits.claim_retention", l.ClaimRetention, l.MaxDeadline.AsDuration(), "limits.max_deadline")
-	// One message carries the request of a task, or its result, with headers.
-	largest := max(l.MaxBodyBytes, l.MaxResultBytes)
-	if l.MaxMessageBytes < mib || l.MaxMessageBytes-int64(l.MaxHeaderBytes) < largest {
+	// One message carries the request of a task, or its result, with headers, or a
+	// configuration document.
+	largest := max(l.MaxBodyBytes, l.MaxResultBytes, config.MaxDocumentBytes)
+	if l.MaxMessageBytes-int64(l.MaxHeaderBytes) < largest {
 		ps.add("limits.max_message_bytes", fmt.Sprint(l.MaxMessageBytes),
-			fmt.Sprintf("%d or more, and not less than the largest body or result plus max_header_bytes", mib))
+			fmt.Sprintf("not less than the largest body, result or configuration document (%d) plus max_header_bytes", config.MaxDocumentBytes))
 	}
 }
