leasestub: count a changed capacity from the acknowledgement of its announcement

The check was wrong, not the agent: the contract binds the agent from the announcement on. The new capacity now counts from 100 ms after the agent has acknowledged an announcement that shows it. That is the same bound where announcements arrive at once (the 100 ms are for orders that were sent before), and a change that is not announced before the next one does not raise what the agent may use.

New test of the stub: TestCapacityCountsFromTheAcknowledgement.

--- a/internal/leasedtest/system_test.go
+++ b/internal/leasedtest/system_test.go
@@ -295,6 +295,7 @@
 	default:
 	}
 	a.WorkerAnnounced(n)
+	s.workers[i].Acknowledge(n)
 	return true
 }
 
--- a/internal/leasestub/machine.go
+++ b/internal/leasestub/machine.go
@@ -99,8 +99,10 @@
 	resumed  chan struct{}  // closed and replaced when faults without a pause are set
 	orders   map[string]int // number received, by kind
 
-	capacityBefore  wire.Resources // before capacityChanged
-	capacityChanged time.Time
+	capacityBefore   wire.Resources // before the newest change, as far as the agent had been told
+	capacitySequence uint64         // announcements of this life after this one show the newest capacity
+	capacityTold     bool           // the agent acknowledged such an announcement
+	capacityToldAt   time.Time
 }
 
 // New returns a machine that has booted.
@@ -114,7 +116,8 @@
 	if o.Evidence == nil {
 		o.Evidence = NewEvidence()
 	}
-	m := &Machine{options: o, evidence: o.Evidence, births: map[int64]bool{}, orders: map[string]int{}, resumed: make(chan struct{})}
+	m := &Machine{options: o, evidence: o.Evidence, births: map[int64]bool{}, orders: map[string]int{}, resumed: make(chan struct{}),
+		capacityTold: true}
 	m.Boot()
 	return m
 }
@@ -153,7 +156,7 @@
 	if m.lives++; n.NewID {
 		id = fmt.Sprintf("%s-%d", id, m.lives)
 	}
-	m.lastLife, m.sequence, m.draining = lease.Life{ID: id, Born: born}, 0, false
+	m.lastLife, m.sequence, m.draining, m.capacitySequence = lease.Life{ID: id, Born: born}, 0, false, 0
 	m.life = &life{machine: m, id: m.lastLife, booted: time.Now(),
 		highestRun: map[lease.Task]uint64{}, runs: map[lease.Run]*run{}, unackedRecords: map[uint64]endRecord{}, runEnded: make(chan struct{})}
 }
@@ -197,21 +200,35 @@
 }
 
 // shrinkGrace is how long starts are still counted against the capacity before a
-// change: orders that were sent before the announcement may arrive after it.
+// change after the agent acknowledged the announcement of the change: orders that
+// were sent before may arrive after it.
 const shrinkGrace = 100 * time.Millisecond
 
 // SetCapacity changes the capacity while the machine runs. The announcements show
-// it; what runs goes on.
+// it; what runs goes on. Starts are counted against the capacity before until the
+// agent acknowledged an announcement of the change, see Acknowledge.
 func (m *Machine) SetCapacity(c wire.Resources) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.capacityBefore, m.capacityChanged = m.options.Capacity, time.Now()
+	if m.capacityTold {
+		m.capacityBefore = m.options.Capacity
+	}
+	m.capacitySequence, m.capacityTold = m.sequence, false
 	m.options.Capacity = c
 }
 
+// Acknowledge records that the agent acknowledged an announcement.
+func (m *Machine) Acknowledge(n lease.Announcement) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.capacityTold && n.Life == m.lastLife && n.Sequence > m.capacitySequence {
+		m.capacityTold, m.capacityToldAt = true, time.Now()
+	}
+}
+
 // countedCapacity returns the capacity against which a start is counted now.
 func (m *Machine) countedCapacity() wire.Resources {
-	if time.Since(m.capacityChanged) < shrinkGrace && m.options.Capacity.Fits(m.capacityBefore) {
+	if (!m.capacityTold || time.Since(m.capacityToldAt) < shrinkGrace) && m.options.Capacity.Fits(m.capacityBefore) {
 		return m.capacityBefore
 	}
 	return m.options.Capacity
--- a/internal/leasestub/stub_test.go
+++ b/internal/leasestub/stub_test.go
@@ -167,3 +167,28 @@
 		m.Crash()
 	})
 }
+
+// Guards against starts that are counted against a smaller capacity before the agent
+// can know of it, and against ones that are not counted once it does.
+func TestCapacityCountsFromTheAcknowledgement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		small, large := wire.Resources{MilliCPU: 1000}, wire.Resources{MilliCPU: 4000}
+		m := New(Options{ID: "w", Capacity: large})
+		before := m.Announcement()
+		m.SetCapacity(small)
+		announced := m.Announcement()
+		time.Sleep(time.Second)
+		m.Acknowledge(before)
+		c.Check(m.countedCapacity(), qt.Equals, large)
+		m.Acknowledge(announced)
+		time.Sleep(shrinkGrace - time.Millisecond)
+		c.Check(m.countedCapacity(), qt.Equals, large)
+		time.Sleep(time.Millisecond)
+		c.Check(m.countedCapacity(), qt.Equals, small)
+		m.SetCapacity(large)
+		c.Check(m.countedCapacity(), qt.Equals, large)
+		m.SetCapacity(small) // the agent was never told of more
+		c.Check(m.countedCapacity(), qt.Equals, small)
+	})
+}
