entry: registrations at which nothing listens cost a bounded number of calls

What callers saw: with 1,000 registrations of another writer that have the form of an entry and at whose addresses nothing listens, an entry sent its 5 peers 15 heartbeats in 2 minutes, opened 1,371,280 connections in that time, and listed all 1,000 to each agent every 10 s.

Cause: the interval of the heartbeats grows with the number of known peers, whether or not they answer; a peer that fails is tried again within one interval, so that the rate grows with their number; the list for agents has all that are not stopping.

Change: only peers that have replied count for the interval and the silence. Those that never did share a budget of the same size as the others, 25 heartbeats a second and two connections for each. A heartbeat from such a peer makes the next one to it due at once, so that a new entry is not found late. Nothing changes for peers that have replied once.

--- a/entry/durable_peers.go
+++ b/entry/durable_peers.go
@@ -289,7 +289,7 @@
 	out := map[string]bool{p.self.ID: true}
 	for id, e := range p.known {
 		if e.registered {
-			out[id] = !e.stopping && e.failures == 0 && p.clock.Since(e.lastReplySent) < p.timing.PeerHeartbeat.AsDuration()+p.timing.PeerSuspect(len(p.known))
+			out[id] = !e.stopping && e.failures == 0 && p.clock.Since(e.lastReplySent) < p.timing.PeerHeartbeat.AsDuration()+p.timing.PeerSuspect(p.replied)
 		}
 	}
 	return out
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -53,6 +52,9 @@
 
 	mu    sync.Mutex
 	known map[string]*peer // by entry identifier
+	// replied is the number of known peers that have replied. Registrations that another
+	// writer left would otherwise lengthen the interval of the heartbeats.
+	replied int
 	// active is the list that activeEntries returns; nil when it has to be built
 	// again. It is never changed, because heartbeat replies refer to it.
 	active []wire.EntryRef
@@ -168,13 +170,16 @@
 	}()
 	known := p.known[ref.ID]
 	if known != nil && known.ref.Incarnation == ref.Incarnation {
+		if direct && known.lastReplySent.IsZero() {
+			known.requestHeartbeat()
+		}
 		return
 	}
 	if known != nil {
-		if !direct && p.clock.Since(known.lastReplySent) < p.timing.PeerSuspect(len(p.known)) {
+		if !direct && p.clock.Since(known.lastReplySent) < p.timing.PeerSuspect(p.replied) {
 			return
 		}
-		known.stop()
+		p.stop(known)
 		replaced = true
 	}
 	p.known[ref.ID] = &peer{ref: ref, learntAt: p.clock.Now(), due: make(chan struct{}, 1)}
@@ -186,10 +191,14 @@
 	}
 }
 
-func (e *peer) stop() {
+// stop ends the heartbeats to a peer that is removed; the caller holds mu.
+func (p *peers) stop(e *peer) {
 	if e.cancel != nil {
 		e.cancel()
 	}
+	if !e.lastReplySent.IsZero() {
+		p.replied--
+	}
 }
 
 // updateRegistrations records which entries are registered in the store and adds
@@ -235,7 +244,7 @@
 		if e.registered || !p.confirmation.storeReachable() || now.Sub(last) < forgetPeerAfter {
 			continue
 		}
-		e.stop()
+		p.stop(e)
 		delete(p.known, id)
 		p.active = nil
 		p.confirmation.forgetPeer(id)
@@ -262,16 +271,21 @@
 		} else {
 			e.failures = 0
 		}
-		failures := e.failures
+		failures, silent, replied := e.failures, e.lastReplySent.IsZero(), p.replied
+		all := len(p.known)
 		p.mu.Unlock()
 		if failures == 1 {
 			p.log.Warn().Str("entry", e.ref.ID).Err(err).Msg("peer entry unreachable")
 			p.onPeerLost(e.ref.ID)
 		}
-		pause := p.timing.PeerInterval(p.count())
+		pause := p.timing.PeerInterval(replied)
 		if failures > 0 {
 			pause = fullJitter(p.timing.PeerHeartbeat.AsDuration(), failures)
 		}
+		if silent {
+			interval := p.timing.PeerInterval(all - replied) // there may be thousands
+			pause = max(pause, interval/2+rand.N(interval))
+		}
 		wait.For(ctx, pause, e.due)
 	}
 }
@@ -281,10 +295,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.known {
-		select {
-		case e.due <- struct{}{}:
-		default:
-		}
+		e.requestHeartbeat()
+	}
+}
+
+// requestHeartbeat makes a heartbeat due at once.
+func (e *peer) requestHeartbeat() {
+	select {
+	case e.due <- struct{}{}:
+	default:
 	}
 }
 
@@ -414,51 +433,18 @@
 		return
 	}
 	p.mu.Lock()
-	if e.stopping != reply.Stopping {
+	if e.stopping != reply.Stopping || e.lastReplySent.IsZero() {
 		p.active = nil
 	}
+	if e.lastReplySent.IsZero() && p.known[e.ref.ID] == e {
+		p.replied++
+	}
 	e.lastReplySent, e.stopping = sent, reply.Stopping
-	known := len(p.known)
+	replied := p.replied
 	p.mu.Unlock()
 	p.confirmation.recordPeerReply(e.ref.ID, peerReport{
 		sentAt: sent, age: reply.ConfirmAge, storeReachable: reply.StoreReachable, dataCentre: reply.Entry.DataCentre,
-		suspectAfter: p.timing.PeerSuspect(known),
+		suspectAfter: p.timing.PeerSuspect(replied),
 	})
-	p.onHeartbeat(reply, p.timing.PeerInterval(known))
-}
-
-// count returns the number of known peers.
-func (p *peers) count() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.known)
-}
-
-// findEntry returns the reference of the peer with the identifier, if it is
-// known.
-func (p *peers) findEntry(id string) (wire.EntryRef, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if e := p.known[id]; e != nil {
-		return e.ref, true
-	}
-	return wire.EntryRef{}, false
-}
-
-// activeEntries returns this entry and the peers that are not stopping, sorted by
-// identifier. It returns the same slice until the entries change.
-func (p *peers) activeEntries() []wire.EntryRef {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.active != nil {
-		return p.active
-	}
-	p.active = []wire.EntryRef{p.self}
-	for _, e := range p.known {
-		if !e.stopping {
-			p.active = append(p.active, e.ref)
-		}
-	}
-	slices.SortFunc(p.active, func(a, b wire.EntryRef) int { return strings.Compare(a.ID, b.ID) })
-	return p.active
+	p.onHeartbeat(reply, p.timing.PeerInterval(replied))
 }
--- a/entry/peers_test.go
+++ b/entry/peers_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -28,8 +31,10 @@
 
 	mu                 sync.Mutex
 	heartbeats         int
-	fetches, fetchesAt int // fetches in all and in progress
-	mostFetches        int // most fetches in progress at a time
+	fetches, fetchesAt int                      // fetches in all and in progress
+	mostFetches        int                      // most fetches in progress at a time
+	refused            int                      // connections to addresses at which nothing listens
+	refs               map[string]wire.EntryRef // the entries that listen, by address
 }
 
 // peerConn is a connection to one peer.
@@ -87,6 +92,7 @@
 			confirmation.recordStoreAnswer()
 		}
 		refs := map[string]wire.EntryRef{}
+		r.refs = refs
 		r.peers = &peers{
 			self: wire.EntryRef{ID: "e0"}, timing: timing, log: log, confirmation: confirmation,
 			config: &configuration{log: log, metrics: newMetrics(tally.NoopScope), confirmation: confirmation, timing: timing,
@@ -94,7 +100,15 @@
 			onHeartbeat: func(wire.PeerHeartbeat, time.Duration) {}, onPeerLost: func(string) {},
 			report: func() containment.Report { return containment.Report{} }, wantsPending: func() bool { return false },
 			known: map[string]*peer{}, wake: make(chan struct{}, 1),
-			dial: func(_ context.Context, address string) (agentConn, error) { return peerConn{r, refs[address]}, nil },
+			dial: func(_ context.Context, address string) (agentConn, error) {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				if _, ok := refs[address]; !ok {
+					r.refused++
+					return nil, errors.New("connection refused")
+				}
+				return peerConn{r, refs[address]}, nil
+			},
 		}
 		for i := range 5 {
 			ref := wire.EntryRef{ID: fmt.Sprintf("e%d", i+1), Incarnation: 1, Address: fmt.Sprint(i)}
@@ -156,3 +170,39 @@
 		r.Check(r.peers.config.generation(), qt.Equals, uint64(7))
 	})
 }
+
+// Guards against registrations of another writer, at whose addresses nothing listens,
+// that slow the heartbeats to the entries down, are dialled at a rate that grows with
+// their number, or are all passed on to agents; and against a new entry among them
+// that is found late.
+func TestManySilentRegistrations(t *testing.T) {
+	withPeers(t, time.Millisecond, true, func(r *peerRig) {
+		time.Sleep(10 * time.Second)
+		var foreign []wire.EntryRef
+		for i := range 1000 {
+			foreign = append(foreign, wire.EntryRef{ID: fmt.Sprint("foreign", i), Incarnation: 1, Address: fmt.Sprint("f", i)})
+		}
+		r.peers.updateRegistrations(slices.Concat(foreign, slices.Collect(maps.Values(r.refs))))
+		time.Sleep(2 * time.Minute) // each is tried twice when it is found, and again soon while few are known
+		r.mu.Lock()
+		refused, heartbeats := r.refused, r.heartbeats
+		r.mu.Unlock()
+		time.Sleep(2 * time.Minute)
+		r.mu.Lock()
+		refused, heartbeats = r.refused-refused, r.heartbeats-heartbeats
+		r.mu.Unlock()
+		r.Check(heartbeats >= 5*300, qt.IsTrue, qt.Commentf("%d heartbeats to 5 peers in 2 minutes", heartbeats))
+		r.Check(refused <= 2*25*120*12/10, qt.IsTrue, qt.Commentf("%d connections in 2 minutes", refused))
+		r.Check(r.peers.activeEntries(), qt.HasLen, 1+5+maxSilentListed)
+		r.Check(r.peers.timing.PeerInterval(r.peers.count()), qt.Equals, 350*time.Millisecond)
+
+		late := foreign[999]
+		r.mu.Lock()
+		r.refs[late.Address] = late
+		r.mu.Unlock()
+		r.peers.learnEntry(late, true) // its heartbeat
+		time.Sleep(time.Second)
+		r.Check(r.peers.count(), qt.Equals, 6)
+		r.Check(slices.Contains(r.peers.activeEntries(), late), qt.IsTrue)
+	})
+}
