--- a/durable/encoding.go
+++ b/durable/encoding.go
@@ -244,6 +244,9 @@
 	if r.Identifier == "" || r.Count < 1 || r.Count > maxCount || r.Expected < 0 {
 		return fmt.Errorf("%w: identifier %q, %d tasks, expected duration %v", errInvalid, r.Identifier, r.Count, r.Expected)
 	}
+	if r.Needs.Accelerators < 0 || r.Needs.MemoryMB < 0 || r.Needs.MilliCPU < 0 {
+		return fmt.Errorf("%w: negative needs %+v", errInvalid, r.Needs)
+	}
 	done := map[int]bool{}
 	for _, run := range r.Done {
 		if run.Index < 0 || run.Index >= r.Count || done[run.Index] {
--- a/durable/encoding_test.go
+++ b/durable/encoding_test.go
@@ -67,6 +67,13 @@
 		{`}`, `}}`},
 		{`}`, ``},
 		{`"count":3`, `"count":0`},
+		{`"count":3`, `"count":1e999`},
+		{`"count":3`, `"count":99999999999999999999`},
+		{`"count":3`, `"count":` + strings.Repeat("[", 500_000)},
+		{`"count":3`, `"count":3,"more":` + strings.Repeat("[", 9_000) + strings.Repeat("]", 9_000)},
+		{`"accelerators":0`, `"accelerators":-1`},
+		{`"memory_mb":64`, `"memory_mb":-64`},
+		{`"accepted_ms":`, `"accepted_ms":1e30,"x":`},
 		{`"serial":"0"`, `"serial":"00"`},
 		{`"serial":"0"`, `"serial":"0","done":["3:1"]`},
 		{`"serial":"0"`, `"serial":"0","done":["1:1","1:2"]`},
@@ -147,7 +154,8 @@
 	r.Done = []TaskRun{{1, 2}}
 	value, _ := r.Encode()
 	end, _ := e.Encode()
-	for _, seed := range [][]byte{value, end, nil, []byte("{}"), []byte(`{"v":1}`), []byte("null")} {
+	for _, seed := range [][]byte{value, end, nil, []byte("{}"), []byte(`{"v":1}`), []byte("null"),
+		bytes.Repeat([]byte("["), 20_000), []byte(`{"done":` + strings.Repeat("[", 20_000)), []byte(`{"count":1e999,"serial":"ffffffffffffffffffff"}`)} {
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, value []byte) {
--- a/durable/manager.go
+++ b/durable/manager.go
@@ -105,7 +105,7 @@
 
 	wakeWriter, wakeLease, wakeScan, wakeCallbacks chan struct{}
 
-	commits, conflicts, takeovers tally.Counter
+	commits, conflicts, takeovers, unreadable tally.Counter
 }
 
 // NewManager returns a Manager, which works while Run is called.
@@ -127,7 +127,7 @@
 		options: o, ownership: NewOwnership(o.CallTimeout), watchedEntries: map[string]time.Time{},
 		wakeWriter: signal(), wakeLease: signal(), wakeScan: signal(), wakeCallbacks: signal(),
 		commits: o.Metrics.Counter("durable_commits"), conflicts: o.Metrics.Counter("durable_conflicts"),
-		takeovers: o.Metrics.Counter("durable_takeovers"),
+		takeovers: o.Metrics.Counter("durable_takeovers"), unreadable: o.Metrics.Counter("durable_unreadable"),
 	}
 	m.batch = NewBatch(Events{
 		TakenOver: m.jobTakenOver, Lost: m.jobLost, Unwritable: m.recordUnwritable, EpochMissing: m.invalidate, QueueCallback: m.queueCallback,
--- a/durable/rig_test.go
+++ b/durable/rig_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"chicorytray.example/chicorytray/durable"
 	"chicorytray.example/chicorytray/internal/storestub"
@@ -22,6 +23,8 @@
 type rig struct {
 	*qt.C
 	stub      *storestub.Stub
+	log       zerolog.Logger // of the entries that start later, like metrics
+	metrics   tally.Scope
 	mu        sync.Mutex
 	reachable map[string]bool
 	nodes     []*node
@@ -97,7 +100,7 @@
 func run(t *testing.T, n int, f func(*rig)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		r := &rig{C: qt.New(t), stub: storestub.New(), reachable: map[string]bool{}}
+		r := &rig{C: qt.New(t), stub: storestub.New(), log: zerolog.Nop(), reachable: map[string]bool{}}
 		defer func() {
 			for _, n := range r.nodes {
 				n.stop()
@@ -128,7 +131,7 @@
 	r.mu.Unlock()
 	n.manager = durable.NewManager(durable.Options{
 		Store: n.store, Entry: name, Incarnation: incarnation, CallTimeout: 300 * time.Millisecond,
-		Entries: r.entries, Handler: n, Log: zerolog.Nop(),
+		Entries: r.entries, Handler: n, Log: r.log, Metrics: r.metrics,
 		Jitter: func(d time.Duration) time.Duration { return d / 2 },
 	})
 	go n.manager.Run(ctx)
--- a/durable/scan.go
+++ b/durable/scan.go
@@ -90,20 +90,31 @@
 	return interval - m.options.Jitter(time.Duration(scanJitter*float64(interval))), nil
 }
 
+// maxUnreadableLines is the largest number of log lines of one scan about records
+// that are unreadable.
+const maxUnreadableLines = 10
+
 // decode returns the records that can be decoded. The others stay unchanged in
-// the store and are logged once for each revision.
+// the store. They are counted once for each revision, and the first ones are logged.
 func (s *scanner) decode(list []store.KV) (open []StoredRecord) {
-	logged := map[string]uint64{}
+	logged, fresh := map[string]uint64{}, 0
 	for _, kv := range list {
 		r, err := DecodeRecord(kv.Key, kv.Value)
 		if err == nil {
 			open = append(open, StoredRecord{r, kv.Revision})
 			continue
 		}
-		if logged[kv.Key] = kv.Revision; s.loggedRevisions[kv.Key] != kv.Revision {
+		if logged[kv.Key] = kv.Revision; s.loggedRevisions[kv.Key] == kv.Revision {
+			continue
+		}
+		if fresh++; fresh <= maxUnreadableLines {
 			s.manager.options.Log.Error().Str("key", kv.Key).Err(err).Msg("durable record is unreadable")
 		}
 	}
+	if fresh > maxUnreadableLines {
+		s.manager.options.Log.Error().Int("count", fresh).Msg("durable records are unreadable")
+	}
+	s.manager.unreadable.Inc(int64(fresh))
 	s.loggedRevisions = logged
 	return open
 }
