rpcconn: a length of 128 bytes in a gob frame is refused

FuzzServer found it at once; the panic was outside the part that turns panics into errors, so that it would have ended the process. Both checks are in that part now.

Before: the input, kept under testdata, panicked in gobUint. After: it passes, as do the other tests of the package.

--- a/rpcconn/codec.go
+++ b/rpcconn/codec.go
@@ -82,7 +82,7 @@
 }
 
 func (d *gobDecoder) reset(frame []byte) {
-	d.refused = d.types.check(frame)
+	d.refused = recovered(func() error { return d.types.check(frame) })
 	d.in.Reset(frame)
 }
 
@@ -105,7 +105,7 @@
 }
 
 func (d *msgpackDecoder) reset(frame []byte) {
-	d.nesting = checkNesting(frame)
+	d.nesting = recovered(func() error { return checkNesting(frame) })
 	d.dec.ResetBytes(frame)
 }
 
--- a/rpcconn/gobtypes.go
+++ b/rpcconn/gobtypes.go
@@ -148,7 +148,7 @@
 	if b[0] <= 0x7f {
 		return uint64(b[0]), 1
 	}
-	size = 1 + int(-int8(b[0]))
+	size = 1 + 0x100 - int(b[0])
 	if size > 9 || size > len(b) {
 		return 0, 0
 	}
