--- a/internal/leasedtest/gone_caller_test.go
+++ b/internal/leasedtest/gone_caller_test.go
@@ -37,6 +37,19 @@
 	return c
 }
 
+// checkRunsOnceAt sends the job to an entry and checks that its tasks are done, and that
+// they started nowhere else.
+func (s *system) checkRunsOnceAt(target int, j *job) {
+	c := s.openSubmission(target, j)
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	s.Assert(err, qt.IsNil)
+	s.Check(answer.StatusCode, qt.Equals, http.StatusOK)
+	s.Check(answer.Body.Close(), qt.IsNil)
+	s.Check(c.Close(), qt.IsNil)
+	s.checkAllTasksDone(j)
+	s.Check(len(s.evidence.Starts()), qt.Equals, j.tasks)
+}
+
 // Guards against an entry that starts the tasks of a caller whose connection had ended
 // before its submission was read, and that has sent the job to another entry at once:
 // two runs of each task. An entry with little processor time reads a submission late,
@@ -50,14 +63,7 @@
 				s.net.Delay(callerHost, entryHost(0), 15*ms)
 				s.entry(0).setEndsNoticedLate(noticed)
 				s.Assert(s.openSubmission(0, j).Close(), qt.IsNil)
-				c := s.openSubmission(1, j)
-				answer, err := http.ReadResponse(bufio.NewReader(c), nil)
-				s.Assert(err, qt.IsNil)
-				s.Check(answer.StatusCode, qt.Equals, http.StatusOK)
-				s.Check(answer.Body.Close(), qt.IsNil)
-				s.Check(c.Close(), qt.IsNil)
-				s.checkAllTasksDone(j)
-				s.Check(len(s.evidence.Starts()), qt.Equals, j.tasks)
+				s.checkRunsOnceAt(1, j)
 			})
 		})
 	}
@@ -124,13 +130,6 @@
 		first := s.openSubmission(0, j)
 		time.Sleep(10 * ms)
 		s.Assert(first.Close(), qt.IsNil)
-		c := s.openSubmission(1, j)
-		answer, err := http.ReadResponse(bufio.NewReader(c), nil)
-		s.Assert(err, qt.IsNil)
-		s.Check(answer.StatusCode, qt.Equals, http.StatusOK)
-		s.Check(answer.Body.Close(), qt.IsNil)
-		s.Check(c.Close(), qt.IsNil)
-		s.checkAllTasksDone(j)
-		s.Check(len(s.evidence.Starts()), qt.Equals, j.tasks)
+		s.checkRunsOnceAt(1, j)
 	})
 }
