entry: list the entries when the store answers again

Cause: after failed reads of the registrations an entry waits for up to lease_ttl (10 s), whether or not the store answers meanwhile. Until then it knows no other entry, so that it cannot tell them of a cancellation, nor of its demand. Ruled out: the relaying of cancellations, which delivers at once when the entries are known.

Change: when the read of the configuration finds the store answering after a failure, the registrations are read at once. Reads of the configuration are spread over up to config_read (1 s), so these reads are too; it is one call for each entry and outage.

Before: TestEndOfAnOutageEndsTheWaitForOtherEntries fails in 20 of 20 runs.

--- a/entry/config_test.go
+++ b/entry/config_test.go
@@ -261,6 +261,26 @@
 	})
 }
 
+// Guards against an entry that knows no other one for seconds after an outage of the
+// store in which it started, because it lists the entries only when its backoff ends.
+func TestEndOfAnOutageEndsTheWaitForOtherEntries(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		h.entry(1, "anping", nil)
+		waitForDiscovery()
+		h.store.SetDown(true)
+		var started []*Entry
+		for i := 2; i <= 5; i++ {
+			started = append(started, h.entry(i, "anping", nil))
+		}
+		time.Sleep(5 * time.Second)
+		h.store.SetDown(false)
+		time.Sleep(started[0].settings.Timing.ConfigRead.AsDuration() + backoffBase)
+		for _, e := range started {
+			h.Check(e.peers.count() > 0, qt.IsTrue, qt.Commentf("%s", e.self.ID))
+		}
+	})
+}
+
 // Guards against a planned stop that loses an accepted job, accepts jobs after
 // the stop notice, or does not remove the registration.
 func TestPlannedStop(t *testing.T) {
--- a/entry/confirm.go
+++ b/entry/confirm.go
@@ -24,6 +24,9 @@
 	timing     settings.Timing
 	dataCentre string
 	log        zerolog.Logger
+	// onStoreBack is called when the store answers again after a failure. It must not
+	// block.
+	onStoreBack func()
 
 	mu              sync.Mutex
 	lastRead        time.Time             // when the newest read that confirmed the configuration was sent
@@ -57,7 +60,7 @@
 
 func newConfirmation(t settings.Timing, dataCentre string, log zerolog.Logger) *confirmation {
 	return &confirmation{
-		timing: t, dataCentre: dataCentre, log: log, basis: gate.BasisNone,
+		timing: t, dataCentre: dataCentre, log: log, basis: gate.BasisNone, onStoreBack: func() {},
 		peers: map[string]peerReport{}, knownDataCentres: map[string]bool{dataCentre: true},
 	}
 }
@@ -69,6 +72,9 @@
 	if !c.reachable {
 		c.log.Info().Msg("store is reachable")
 	}
+	if !c.reachable && !c.lastFailure.IsZero() {
+		c.onStoreBack()
+	}
 	c.reachable, c.answers = true, false
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -141,6 +141,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrOptions, err)
 	}
+	e.confirmation.onStoreBack = e.registration.listSoon
 	e.pendingClaims.byJob = map[string]*pendingClaim{}
 	e.claims = newClaimer(e.options.Store, e.settings)
 	e.inbox = newInbox(func(ev event) bool { return e.dispatcher.post(ev) })
--- a/entry/registration.go
+++ b/entry/registration.go
@@ -47,10 +47,7 @@
 				// Of two entries that start together, the one that registers
 				// last finds the other in the list; the other discovers it
 				// by its heartbeat.
-				select {
-				case r.wakeList <- struct{}{}:
-				default:
-				}
+				r.listSoon()
 			case errors.Is(err, store.ErrLeaseExpired), errors.Is(err, store.ErrNotFound):
 				m.registrationsExpired.Inc(1)
 				log.Warn().Err(err).Msg("registration lost; registering again")
@@ -81,6 +78,16 @@
 	wg.Wait()
 }
 
+// listSoon makes runListing read the registrations at once. After an outage of the
+// store its backoff may last up to Timing.LeaseTTL, and until then an entry that
+// started meanwhile knows no other entry.
+func (r *registration) listSoon() {
+	select {
+	case r.wakeList <- struct{}{}:
+	default:
+	}
+}
+
 // runListing reads the registrations of all entries every listInterval, and when
 // wakeList is signalled.
 func (r *registration) runListing(ctx context.Context) {
@@ -94,7 +101,7 @@
 		cancel()
 		if err != nil {
 			failures++
-			wait.For(ctx, fullJitter(r.timing.LeaseTTL.AsDuration(), failures), nil)
+			wait.For(ctx, fullJitter(r.timing.LeaseTTL.AsDuration(), failures), r.wakeList)
 			continue
 		}
 		r.metrics.registrationsUnusable.Update(float64(unusable.Count))
