entry: keep a test's link clear of the call timeout

Cause, traced: the test delays one link by 50 ms each way, so that opening a connection and making a call on it take three round trips, 300 ms, which is exactly the call timeout of the test. Whether such a call ended in time was a matter of the order of two events of one moment; calls of heartbeats on new connections timed out in the same way.

Change: 40 ms each way, with the kill still halfway through the request. The checks and their bounds are the same; the entry dies at the same step of the call.

--- a/entry/cancel_test.go
+++ b/entry/cancel_test.go
@@ -122,8 +122,9 @@
 func TestCancellationWithUnknownEntries(t *testing.T) {
 	inBubble(t, func(h *harness) {
 		entries, kill := h.leasedEntries()
-		h.net.Delay("10.0.1.1", "10.0.1.3", 50*time.Millisecond)
-		h.wg.Go(func() { time.Sleep(25 * time.Millisecond); kill(0) })
+		// The three round trips of a call on a new connection stay below the call timeout.
+		h.net.Delay("10.0.1.1", "10.0.1.3", 40*time.Millisecond)
+		h.wg.Go(func() { time.Sleep(20 * time.Millisecond); kill(0) })
 		h.checkCancel(entries[2], "1f", nil)
 		h.entryLike(entries[2], 1)
 		time.Sleep(time.Second)
