entry: answer open jobs before the grace time of a planned stop ends

A caller whose job outlasted a planned stop of its entry got no answer: after 6 s the process was killed with the job open. On the platform a job accepted at the end of the notice (2.2 s) may have a deadline of 4.2 s, so that the stop takes 6.4 s.

Cause: the stop waited for the deadlines of the jobs, whatever they were, and knew nothing of the time at which the process is killed.

Change: the setting timing.stop_grace, given by the platform's bounds. 0.5 s before its end the open jobs are answered truthfully: as not run, with Retry-After, if nothing of them has started, else as unknown, and their runs are stopped. Without the setting nothing changes. Jobs are not refused earlier, because a waiting job may still be served.

--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -277,16 +277,25 @@
 	}
 }
 
-// closeAll ends all jobs and connections before the process exits.
-func (d *dispatcher) closeAll() {
-	d.now = d.clock.Now()
+// failOpenJobs answers all open jobs because the entry stops. Other entries take the
+// durable ones over.
+func (d *dispatcher) failOpenJobs(detail string) {
 	for _, j := range d.jobs {
-		if durableOf(j) != nil {
+		switch {
+		case durableOf(j) != nil:
 			d.giveUpDurable(j, "the entry stopped")
-		} else if !j.answered {
-			d.failJob(j, jobFailure{reason: reasonStopping, detail: "the entry stopped before the job was done"})
+		case j.failure != nil:
+			d.finishJob(j)
+		case !j.answered:
+			d.failJob(j, jobFailure{reason: reasonStopping, detail: detail})
 		}
 	}
+}
+
+// closeAll ends all jobs and connections before the process exits.
+func (d *dispatcher) closeAll() {
+	d.now = d.clock.Now()
+	d.failOpenJobs("the entry stopped before the job was done")
 	for _, c := range d.durable.creating {
 		c.err = creationError(durable.ErrOutcomeUnknown)
 		close(c.done)
--- a/entry/leased_test.go
+++ b/entry/leased_test.go
@@ -173,6 +173,31 @@
 	})
 }
 
+// Guards against jobs that outlast the grace time of a planned stop and get no answer
+// because the process is killed.
+func TestPlannedStopAnswersBeforeItsGraceTimeEnds(t *testing.T) {
+	inBubble(t, func(h *harness) {
+		e := h.leasedEntry(nil, func(o *Options) { o.Settings.Timing.StopNotice, o.Settings.Timing.StopGrace = 1000*ms, 3000*ms })
+		h.worker(1, runsFor(6000))
+		waitForDiscovery()
+		running := h.submit(e, "running", 8) // takes all cores
+		waiting := h.submit(e, "waiting", 8)
+		began := time.Now()
+		stopped := make(chan error, 1)
+		go func() { stopped <- e.Stop(context.Background()) }()
+		h.Check(running.wait(), qt.Equals, Answer{Outcome: OutcomeUnknown, Reason: reasonStopping, Detail: "the entry had to stop before the job was done"})
+		h.Check(waiting.wait(), qt.Equals, Answer{
+			Outcome: OutcomeNotRun, Reason: reasonStopping, Detail: "the entry had to stop before the job was done", RetryAfter: time.Second,
+		})
+		h.Check(<-stopped, qt.IsNil)
+		h.Check(time.Since(began) <= 3*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+		time.Sleep(time.Second)
+		alive, _ := h.upstreams.runningAndStarts("")
+		h.Check(alive, qt.Equals, 0)
+		h.Check(h.upstreams.totalStarts(), qt.Equals, 8)
+	})
+}
+
 // Guards against runs that go on after the last caller has disconnected,
 // against a job that is submitted again and starts while runs of the earlier
 // job have not ended, and against renewing a session that is in doubt.
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -10,6 +10,7 @@
 
 	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/rpcconn"
+	"chicorytray.example/chicorytray/settings"
 )
 
 // serveAll serves the addresses for callers, peers and administration until a
@@ -79,6 +80,7 @@
 
 // drain carries out the planned stop.
 func (e *Entry) drain(ctx context.Context, callers *http.Server, rpc *rpcconn.Server) error {
+	limit := e.stopLimit()
 	e.log.Info().Dur("notice_ms", e.settings.Timing.StopNotice.AsDuration()).Msg("planned stop started")
 	wait.For(ctx, e.settings.Timing.StopNotice.AsDuration(), nil)
 	var idle <-chan struct{}
@@ -91,6 +93,8 @@
 	e.handOver(ctx)
 	select {
 	case <-idle:
+	case <-limit:
+		e.dispatcher.postAndWait(func(d *dispatcher) { d.failOpenJobs("the entry had to stop before the job was done") })
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -108,6 +112,20 @@
 	return ctx.Err()
 }
 
+// stopLimit returns a channel that is closed when a planned stop that begins now has
+// to answer the jobs that are still open: a caller whose job outlasts the stop would
+// otherwise get no answer when the process is killed. It is nil without
+// Timing.StopGrace.
+func (e *Entry) stopLimit() <-chan struct{} {
+	grace := e.settings.Timing.StopGrace.AsDuration()
+	if grace == 0 {
+		return nil
+	}
+	limit := make(chan struct{})
+	time.AfterFunc(grace-settings.StopMargin, func() { close(limit) })
+	return limit
+}
+
 // answerDrainTimeout limits how long a stopping entry waits for callers that
 // read their answers slowly.
 const answerDrainTimeout = 30 * time.Second
--- a/settings/timing.go
+++ b/settings/timing.go
@@ -48,6 +48,9 @@
 	if t.StopNotice < 0 || t.StopNotice > maxInterval {
 		ps.add("timing.stop_notice", t.StopNotice.AsDuration().String(), "0s to 24h")
 	}
+	if t.StopGrace < 0 || t.StopGrace > maxInterval {
+		ps.add("timing.stop_grace", t.StopGrace.AsDuration().String(), "0s to 24h")
+	}
 	if len(*ps) == before {
 		ps.timingRelations(t)
 	}
@@ -69,6 +72,9 @@
 	// A connection that no longer carries data must be replaced before the agent
 	// ends the session.
 	ps.longerThan("timing.lapse", t.Lapse, t.PingAfter.AsDuration()+t.PingTimeout.AsDuration(), "ping_after + ping_timeout")
+	if t.StopGrace > 0 {
+		ps.longerThan("timing.stop_grace", t.StopGrace, t.StopNotice.AsDuration()+StopMargin, "stop_notice + "+StopMargin.String())
+	}
 	// The lease is renewed at a third of its TTL, and must survive a renewal that
 	// times out.
 	ps.longerThan("timing.lease_ttl", t.LeaseTTL, 3*t.StoreTimeout.AsDuration(), "three store_timeout")
--- a/settings/types.go
+++ b/settings/types.go
@@ -106,8 +106,16 @@
 	// StopNotice is the time for which a stopping entry goes on accepting jobs,
 	// until the load balancer sends it no more. 0s to 24h. Default 5s.
 	StopNotice Duration `json:"stop_notice"`
+	// StopGrace is the time after the beginning of a planned stop at which the
+	// process is killed if it has not ended. An entry answers its open jobs
+	// StopMargin before that. 0 means that it waits for their deadlines; otherwise
+	// more than StopNotice + StopMargin, at most 24h. Default 0s.
+	StopGrace Duration `json:"stop_grace"`
 }
 
+// StopMargin is the time that is left of StopGrace to deliver the last answers.
+const StopMargin = 500 * time.Millisecond
+
 // IdleInterval is the interval that IdleHeartbeat sets.
 func (t Timing) IdleInterval() time.Duration {
 	return max(t.Heartbeat, t.IdleHeartbeat).AsDuration()
