entry, leasedtest, peerend: tests of callers behind a next request and of TLS

A caller that has sent its next request on the same connection hid its end from the entry: net/http reads one byte of that request and then waits no longer for the end of the connection. Its job went on to the deadline while the caller sent it elsewhere. The check of the connections before a session is renewed closes this; no test showed it.

peerend.Of is tested below TLS too.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -36,8 +36,8 @@
 }
 
 // callerOf returns the caller of a request whose context is ctx. A program that embeds
-// the entry has no connection, and neither has a stream of HTTP/2 one of its own; of
-// these only the end of ctx is known.
+// the entry has no connection: only the end of ctx is known. The streams of HTTP/2 share
+// one; the end of a single stream is known from its ctx only.
 func callerOf(ctx context.Context) *caller {
 	connection, _ := ctx.Value(callerKey{}).(peerend.Checker)
 	return &caller{ctx.Done(), connection}
--- a/internal/leasedtest/gone_caller_test.go
+++ b/internal/leasedtest/gone_caller_test.go
@@ -37,9 +37,8 @@
 	return c
 }
 
-// checkRunsOnceAt sends the job to an entry and checks that its tasks are done, and that
-// they started nowhere else.
-func (s *system) checkRunsOnceAt(target int, j *job) {
+// checkDoneAt sends the job to an entry and checks that its tasks are done.
+func (s *system) checkDoneAt(target int, j *job) {
 	c := s.openSubmission(target, j)
 	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
 	s.Assert(err, qt.IsNil)
@@ -47,6 +46,11 @@
 	s.Check(answer.Body.Close(), qt.IsNil)
 	s.Check(c.Close(), qt.IsNil)
 	s.checkAllTasksDone(j)
+}
+
+// checkRunsOnceAt is checkDoneAt, and checks that the tasks started nowhere else.
+func (s *system) checkRunsOnceAt(target int, j *job) {
+	s.checkDoneAt(target, j)
 	s.Check(len(s.evidence.Starts()), qt.Equals, j.tasks)
 }
 
@@ -133,3 +137,21 @@
 		s.checkRunsOnceAt(1, j)
 	})
 }
+
+// Guards against runs that go on after their caller has left, because its next request
+// follows on the connection and net/http reads no further than the first byte of that.
+func TestCallerLeavesBehindItsNextRequest(t *testing.T) {
+	withSystem(t, func(s *system) {
+		j := &job{tasks: 3, milliCPU: 4000, duration: 2500 * ms, deadline: 3 * time.Second, mayHaveRun: true}
+		s.register(j)
+		c := s.openSubmission(0, j)
+		_, err := c.Write([]byte("GET /v1/jobs/next HTTP/1.1\r\nHost: e\r\n\r\n"))
+		s.Assert(err, qt.IsNil)
+		time.Sleep(200 * ms)
+		s.Assert(s.evidence.Running(), qt.Equals, 3)
+		s.Assert(c.Close(), qt.IsNil)
+		time.Sleep(resendInterval)
+		s.Check(s.evidence.Running(), qt.Equals, 0)
+		s.checkDoneAt(1, j)
+	})
+}
--- a/internal/peerend/peerend_test.go
+++ b/internal/peerend/peerend_test.go
@@ -1,6 +1,7 @@
 package peerend
 
 import (
+	"crypto/tls"
 	"net"
 	"testing"
 
@@ -42,12 +43,13 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			near, far := pair(c)
-			ch := Of(near)
+			ch, belowTLS := Of(near), Of(tls.Server(near, nil))
 			_, err := far.Write([]byte("request"))
 			c.Assert(err, qt.IsNil)
-			c.Check(ch.Ended(), qt.IsFalse)
+			c.Check(ch.Ended() || belowTLS.Ended(), qt.IsFalse)
 			c.Assert(end(far), qt.IsNil)
 			untilEnded(ch)
+			c.Check(belowTLS.Ended(), qt.IsTrue)
 		})
 	}
 }
