leasedtest, KNOWN-RED: connections of a living worker that are reset and refused

An agent counts a connection that broke and one that was refused since the newest list as the end of the worker's process, reports its runs as interrupted at once, and their tasks start elsewhere.

Not changed, because the only other proof is the end of the lease, which costs each real crash up to 560 ms.

--- a/internal/leasedtest/lives_test.go
+++ b/internal/leasedtest/lives_test.go
@@ -62,6 +62,18 @@
 	})
 }
 
+// Guards against an agent that takes connections which are reset and then refused for
+// the end of the worker's process, whose runs go on until their lease ends.
+func TestResetAndRefusedConnectionsOfALivingWorker(t *testing.T) {
+	withSystem(t, func(s *system) {
+		s.submit(0, job{tasks: 6, duration: time.Second})
+		time.Sleep(200 * ms)
+		w := s.workers[0]
+		s.injectFor(time.Second, func() { w.SetFaults(leasestub.Faults{Refuse: true, Reset: true}) }, func() { w.SetFaults(leasestub.Faults{}) })
+		s.checkAllDone()
+	})
+}
+
 // Guards against a running life that is ended by the late announcement of an earlier
 // one, whose birth is higher because the wall clock jumped back between the two.
 func TestLateAnnouncementOfAnEarlierLife(t *testing.T) {
--- a/internal/leasestub/conn.go
+++ b/internal/leasestub/conn.go
@@ -30,6 +30,9 @@
 	// Refuse makes every call that arrives fail with lease.ErrWorkerDown, although
 	// the process lives, as a proxy or a full queue of connections may.
 	Refuse bool
+	// Reset makes renewals that wait fail with lease.ErrConnectionBroken, although the
+	// process lives, as a disruption between agent and worker may.
+	Reset bool
 	// FailAll makes every run that starts end as failed after its duration.
 	FailAll bool
 	// Unhealthy makes the machine refuse every start with
@@ -202,7 +205,7 @@
 		}
 	}
 	defer m.mu.Unlock()
-	if l.terminated {
+	if l.terminated || m.faults.Reset {
 		return lease.RenewReply{}, lease.ErrConnectionBroken
 	}
 	return l.list(), nil
