stand-ins: short pages, jitter, late reads, callers that resend at once

The stand-ins promise more than the contracts in five places, so that a fault of these classes passes every test: pages of a list are read at one moment, data of different connections to one host never changes its order, an upstream reads a request when it arrives, callers of best-effort jobs wait for the resend interval after each connection that ends, and callers of durable jobs always wait and change the entry.

Each gets a switch, which the random schedules of stand-ins draw. The checks also fail on a start after the last submission of a job was refused; so far they accepted it if an earlier submission had no answer.

--- a/internal/faultnet/conn.go
+++ b/internal/faultnet/conn.go
@@ -121,7 +121,7 @@
 			return done, nil
 		case c.out.bufferedBytes < bufferBytes:
 			part := p[done:min(len(p), done+bufferBytes-c.out.bufferedBytes)]
-			c.out.enqueue(part, n.delays[pair{c.out.from, c.out.to}])
+			c.out.enqueue(part, n.delay(pair{c.out.from, c.out.to}))
 			done += len(part)
 			continue
 		}
--- a/internal/faultnet/faultnet_test.go
+++ b/internal/faultnet/faultnet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -150,3 +151,46 @@
 		c.Check(time.Since(begin), qt.Equals, 300*time.Millisecond)
 	})
 }
+
+// Guards against jitter that keeps the order between connections, or loses it within one.
+func TestJitterReordersConnectionsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := New()
+		l, err := n.Listen(serverAddress)
+		c.Assert(err, qt.IsNil)
+		n.Jitter("10.0.0.1", "10.0.0.2", 100*time.Millisecond)
+		overtaken := 0
+		for range 20 {
+			first, firstServer := openConnection(c, n, l)
+			second, secondServer := openConnection(c, n, l)
+			begin := time.Now()
+			arrival := make(chan time.Duration, 1)
+			go func() {
+				got, err := receive(c, firstServer)
+				c.Check(got+fmt.Sprint(err), qt.Equals, "a<nil>")
+				arrival <- time.Since(begin)
+				got, err = receive(c, firstServer)
+				c.Check(got+fmt.Sprint(err), qt.Equals, "b<nil>")
+			}()
+			for i, conn := range []net.Conn{first, first, second} {
+				_, err := conn.Write([]byte{"abc"[i]})
+				c.Assert(err, qt.IsNil)
+			}
+			_, err := receive(c, secondServer)
+			c.Check(err, qt.IsNil)
+			if time.Since(begin) < <-arrival {
+				overtaken++
+			}
+			time.Sleep(time.Second)
+		}
+		c.Check(overtaken > 0 && overtaken < 20, qt.IsTrue, qt.Commentf("%d of 20", overtaken))
+		n.Jitter("10.0.0.1", "10.0.0.2", 0)
+		client, server := openConnection(c, n, l)
+		begin := time.Now()
+		_, _ = client.Write([]byte("x"))
+		_, err = receive(c, server)
+		c.Check(err, qt.IsNil)
+		c.Check(time.Since(begin), qt.Equals, time.Duration(0))
+	})
+}
--- a/internal/faultnet/network.go
+++ b/internal/faultnet/network.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"syscall"
@@ -30,7 +31,9 @@
 	dropped        map[pair]bool        // by direction
 	droppedDialled map[dialledPair]bool // directions dropped only on the connections that one host dialled
 	delays         map[pair]time.Duration
-	off            map[string]bool // hosts without power: dials to and from them wait
+	jitters        map[pair]time.Duration // longest additional delays
+	random         *rand.Rand             // draws the additional delays
+	off            map[string]bool        // hosts without power: dials to and from them wait
 	accepted       int
 	nextPort       int
 }
@@ -49,7 +52,7 @@
 	n := &Network{
 		listeners: map[string]*listener{}, conns: map[*conn]struct{}{},
 		cut: map[pair]bool{}, dropped: map[pair]bool{}, droppedDialled: map[dialledPair]bool{}, delays: map[pair]time.Duration{}, off: map[string]bool{},
-		nextPort: 40000,
+		jitters: map[pair]time.Duration{}, random: rand.New(rand.NewPCG(1, 2)), nextPort: 40000,
 	}
 	n.changed = sync.NewCond(&n.mu)
 	return n
@@ -229,6 +232,22 @@
 	n.updateRules(func() { n.delays[pair{a, b}], n.delays[pair{b, a}] = d, d })
 }
 
+// Jitter adds to the delay of each write between two hosts a random time of up to most;
+// 0 ends that. Data of one connection stays in order. What is sent on different
+// connections overtakes each other.
+func (n *Network) Jitter(a, b string, most time.Duration) {
+	n.updateRules(func() { n.jitters[pair{a, b}], n.jitters[pair{b, a}] = most, most })
+}
+
+// delay returns the delay of a write in a direction; the caller holds the lock.
+func (n *Network) delay(p pair) time.Duration {
+	d := n.delays[p]
+	if most := n.jitters[p]; most > 0 {
+		d += time.Duration(n.random.Int64N(int64(most)))
+	}
+	return d
+}
+
 // Reset breaks the open connections of a host and closes its listeners, as the
 // end of its processes does.
 func (n *Network) Reset(host string) {
--- a/internal/leasedtest/caller_test.go
+++ b/internal/leasedtest/caller_test.go
@@ -35,11 +35,18 @@
 	link callerLink
 	// sameEntry makes the caller send the job to the same entry again.
 	sameEntry bool
+	// hasty is the number of connections of the caller that end when the submission has
+	// been sent, before it was read. It sends the job again at once.
+	hasty int
+	// atOnce makes the caller of a durable job send it again at once after each of its
+	// first submissions without an answer.
+	atOnce bool
 
 	disconnect chan struct{} // a value makes the caller leave its current submission
 	ended      chan struct{} // closed when the caller makes no more submissions
 	submitted  int           // number of submissions made
 	mayHaveRun bool          // at least one submission was not refused as not run
+	refusedAt  time.Time     // when the last submission was refused as not run; zero otherwise
 	outcome    entry.Outcome
 }
 
@@ -77,6 +84,7 @@
 // submitUntilFinal submits a job to the entries in turn until it has a final
 // answer, as section 13.1 prescribes.
 func (s *system) submitUntilFinal(j *job, target int) {
+	target = s.submitHastily(j, target)
 	for range cmp.Or(j.submissions, maxSubmissions) {
 		s.tracef("%s: %d tasks of %v to e%d", j.id, j.tasks, j.duration, target)
 		j.submitted++
@@ -85,8 +93,11 @@
 		j.mayHaveRun = j.mayHaveRun || !complete || a.Outcome != entry.OutcomeNotRun
 		if complete && a.Outcome != entry.OutcomeUnknown {
 			j.outcome = a.Outcome
-			if a.Outcome == entry.OutcomeDone {
+			switch a.Outcome {
+			case entry.OutcomeDone:
 				s.checkAllTasksDone(j)
+			case entry.OutcomeNotRun:
+				j.refusedAt = time.Now()
 			}
 			return
 		}
@@ -224,6 +235,11 @@
 		if ran && !j.mayHaveRun {
 			s.Errorf("%s started although every submission was refused", j.id)
 		}
+		for _, r := range starts {
+			if r.Run.Task.Job == j.id && !j.refusedAt.IsZero() && r.At.After(j.refusedAt) {
+				s.Errorf("%v started %v after the last submission was refused", r.Run, r.At.Sub(j.refusedAt))
+			}
+		}
 	}
 	for _, p := range s.noStartPeriods {
 		for _, r := range starts {
--- a/internal/leasedtest/durable_caller_test.go
+++ b/internal/leasedtest/durable_caller_test.go
@@ -68,10 +68,10 @@
 // refused.
 func (s *system) submitUntilAccepted(j *durableJob, target int) {
 	spec := j.spec()
-	for range 20 {
+	for n := range 20 {
 		s.tracef("%s: durable, %d tasks of %v to e%d, fails %v", j.id, j.tasks, j.duration, target, j.fails)
 		j.submitted++
-		a, complete := callEntry(s, target, callTimeout, j.disconnect, func(ctx context.Context, e *entryProcess) entry.Answer {
+		a, complete := callEntryOver(s, j.link, target, callTimeout, j.disconnect, func(ctx context.Context, e *entryProcess) entry.Answer {
 			return e.SubmitDurable(ctx, entry.Submission{Job: j.id, Template: "step", Count: j.tasks, Needs: spec.Needs, Spec: spec.Encode()})
 		})
 		s.tracef("%s: complete answer %v: %+v", j.id, complete, a)
@@ -88,10 +88,15 @@
 			if accepted, _, _, _ := j.snapshot(); !accepted.IsZero() && a.RetryAfter == 0 {
 				s.Errorf("%s was accepted, and then refused without a time to retry: %+v", j.id, a)
 			}
+			j.refusedAt = time.Now()
 			return
 		}
-		time.Sleep(resendInterval)
-		target = 1 - target
+		if !j.atOnce || n >= 3 {
+			time.Sleep(resendInterval)
+		}
+		if !j.sameEntry {
+			target = 1 - target
+		}
 	}
 }
 
--- a/internal/leasedtest/gone_caller_test.go
+++ b/internal/leasedtest/gone_caller_test.go
@@ -21,6 +21,33 @@
 
 // openSubmission opens a connection to an entry and sends a job over it.
 func (s *system) openSubmission(target int, j *job) net.Conn {
+	c, err := s.tryOpenSubmission(context.Background(), target, j)
+	s.Assert(err, qt.IsNil)
+	return c
+}
+
+// submitHastily makes the submissions of the job whose connection ends at once, to the
+// entries in turn unless sameEntry is set, and returns the entry for the next one.
+func (s *system) submitHastily(j *job, target int) int {
+	for range j.hasty {
+		ctx, cancel := context.WithTimeout(context.Background(), 100*ms) // an entry without power does not answer
+		c, err := s.tryOpenSubmission(ctx, target, j)
+		cancel()
+		s.tracef("%s: sent to e%d, and the connection ends at once: %v", j.id, target, err)
+		if err == nil {
+			_ = c.Close()
+		}
+		j.submitted++
+		j.mayHaveRun = true
+		if !j.sameEntry {
+			target = 1 - target
+		}
+	}
+	return target
+}
+
+// tryOpenSubmission is openSubmission to an entry that may not answer.
+func (s *system) tryOpenSubmission(ctx context.Context, target int, j *job) (net.Conn, error) {
 	spec := j.spec()
 	body, err := json.Marshal(map[string]any{
 		"template": "step", "job": j.id, "count": j.tasks, "spec": spec.Encode(), "deadline_ms": j.deadline.Milliseconds(),
@@ -28,13 +55,14 @@
 	})
 	s.Assert(err, qt.IsNil)
 	address := entryHost(target) + ":8000"
-	c, err := s.net.Dialer(callerHost)(context.Background(), address)
-	s.Assert(err, qt.IsNil)
+	c, err := s.net.Dialer(callerHost)(ctx, address)
+	if err != nil {
+		return nil, err
+	}
 	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/jobs", bytes.NewReader(body))
 	s.Assert(err, qt.IsNil)
 	r.Header.Set("Authorization", "Bearer "+callerToken)
-	s.Assert(r.Write(c), qt.IsNil)
-	return c
+	return c, r.Write(c)
 }
 
 // checkDoneAt sends the job to an entry and checks that its tasks are done.
--- a/internal/leasedtest/standins_random_test.go
+++ b/internal/leasedtest/standins_random_test.go
@@ -36,6 +36,7 @@
 	"slow return", "slow return", "power off entry", "power off agent", "power off agent",
 	"store refuses entry", "store refuses agent", "store slow", "store answers silent", "store reads silent", "store down, leases expire",
 	"store down, leases pause", "store watch silent", "foreign registration",
+	"store pages short", "jitter", "jitter", "jitter to the store", "ends noticed late",
 }
 
 // callerKinds are the calls of eventKinds.
@@ -54,6 +55,8 @@
 	e := drawEvent(t, kinds)
 	e.job.link = drawLink(t)
 	e.job.sameEntry = rapid.IntRange(0, 3).Draw(t, "same entry") == 0
+	e.job.hasty = max(0, rapid.IntRange(-4, 2).Draw(t, "hasty"))
+	e.job.atOnce = rapid.Bool().Draw(t, "resent at once")
 	return e
 }
 
@@ -86,6 +89,13 @@
 		s.powerOffEntry(e.entry, e.duration)
 	case "power off agent":
 		s.powerOffAgent(e.agent, e.duration)
+	case "jitter":
+		s.injectFor(e.duration, func() { s.net.Jitter(from, to, e.job.duration/3) }, func() { s.net.Jitter(from, to, 0) })
+	case "jitter to the store":
+		s.injectFor(e.duration, func() { s.net.Jitter(from, storeHost, e.job.duration/3) }, func() { s.net.Jitter(from, storeHost, 0) })
+	case "ends noticed late":
+		p := s.entry(e.entry)
+		s.injectFor(e.duration, func() { p.setEndsNoticedLate(e.job.duration / 4) }, func() { p.setEndsNoticedLate(0) })
 	case "foreign registration":
 		s.putForeignRegistration(e.job.tasks)
 	default:
@@ -111,6 +121,8 @@
 		refuse(entryHost(e.entry), http.StatusServiceUnavailable)
 	case "store refuses agent":
 		refuse(agentHost(e.agent), http.StatusTooManyRequests)
+	case "store pages short":
+		s.injectFor(2*e.duration, func() { s.store.SetPageKeys(e.job.tasks); s.store.SetLatency(30 * ms) }, func() { s.store.SetPageKeys(0); s.store.SetLatency(0) })
 	case "store slow":
 		s.injectFor(e.duration, func() { s.store.SetLatency(300 * ms) }, func() { s.store.SetLatency(0) })
 	case "store answers silent":
--- a/internal/storestub/faults.go
+++ b/internal/storestub/faults.go
@@ -28,6 +28,7 @@
 	refusedHosts map[string]int // status for all calls of a host
 	readsToLose  int            // number of further reads that get no answer
 	silentLosses bool           // a connection whose answer was lost stays open
+	pageKeys     int            // largest number of keys in a page of a list; 0: maxPageKeys
 }
 
 // SetLatency sets the time that each call takes before it is carried out. A
--- a/internal/storestub/http_faults.go
+++ b/internal/storestub/http_faults.go
@@ -29,6 +29,10 @@
 // further is returned on it, so only a timeout of the caller's own shows the loss.
 func (s *Stub) SetSilentLosses(silent bool) { s.setFaults(func(f *faults) { f.silentLosses = silent }) }
 
+// SetPageKeys limits the pages of lists over HTTP to n keys; 0 ends that. Each page is
+// read at its own time, so that changes come between the pages of one list.
+func (s *Stub) SetPageKeys(n int) { s.setFaults(func(f *faults) { f.pageKeys = n }) }
+
 // PauseLeases stops the time of all leases until it is called with false, as the
 // service may while it is down.
 func (s *Stub) PauseLeases(pause bool) {
--- a/internal/storestub/multikey.go
+++ b/internal/storestub/multikey.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -50,7 +51,7 @@
 		if !strings.HasPrefix(key, prefix) || after != "" && key <= after {
 			continue
 		}
-		if paged && (len(list) == maxPageKeys || size >= maxPageBytes) {
+		if paged && (len(list) == cmp.Or(s.faults.pageKeys, maxPageKeys) || size >= maxPageBytes) {
 			return list, true
 		}
 		list = append(list, keys[key].kv(key))
--- a/internal/storestub/stub_test.go
+++ b/internal/storestub/stub_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"chicorytray.example/chicorytray/internal/faultnet"
 	"chicorytray.example/chicorytray/internal/storestub"
+	"chicorytray.example/chicorytray/store/httpstore"
 	"chicorytray.example/chicorytray/store/storetest"
 )
 
@@ -48,3 +52,34 @@
 		c.Check(s.TotalCalls(), qt.Equals, 4)
 	})
 }
+
+// Guards against short pages that are read at the same time, or miss a key that does not
+// change.
+func TestChangesBetweenPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := faultnet.New()
+		l, err := n.Listen("10.0.0.2:7500")
+		c.Assert(err, qt.IsNil)
+		s := storestub.New()
+		web := &http.Server{Handler: s.Handler()}
+		go func() { _ = web.Serve(l) }()
+		client, err := httpstore.New(httpstore.Options{URL: "http://10.0.0.2:7500", CallTimeout: time.Second, Dial: n.Dialer("10.0.0.1")})
+		c.Assert(err, qt.IsNil)
+		for _, key := range []string{"a", "b", "c"} {
+			s.Put(key, []byte("1"))
+		}
+		s.SetPageKeys(1)
+		s.SetLatency(100 * time.Millisecond)
+		time.AfterFunc(150*time.Millisecond, func() { s.Put("a", []byte("2")); s.Put("c", []byte("2")) })
+		list, err := client.List(context.Background(), "")
+		c.Assert(err, qt.IsNil)
+		got := ""
+		for _, kv := range list {
+			got += kv.Key + string(kv.Value)
+		}
+		c.Check(got, qt.Equals, "a1b1c2")
+		client.Close()
+		c.Check(web.Close(), qt.IsNil)
+	})
+}
--- a/internal/systemtest/random_test.go
+++ b/internal/systemtest/random_test.go
@@ -92,7 +92,7 @@
 	case "submit":
 		j := job{template: e.template, tasks: e.tasks, serviceTime: e.serviceTime, deadline: 12 * time.Second}
 		if e.key != "" { // all jobs with the same key have the same body
-			j = job{idempotencyKey: e.key, keyPrefix: e.key, tasks: 5, serviceTime: serviceTime, deadline: 12 * time.Second}
+			j = keyedJob(e.key)
 		}
 		s.submit(e.entry, j)
 	case "kill entry":
--- a/internal/systemtest/standins_random_test.go
+++ b/internal/systemtest/standins_random_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -14,7 +15,13 @@
 // docs/decisions/stand-ins.md.
 var standInKinds = []string{
 	"all silent", "all silent", "slow return", "slow return", "power off entry", "power off agent",
-	"store leases pause", "upstream persists", "upstream silent",
+	"store leases pause", "upstream persists", "upstream silent", "upstream reads late", "upstream reads late", "jitter", "jitter", "jitter to upstream",
+	"sent to both", "sent to both", "sent and left",
+}
+
+// keyedJob is a job that every event which repeats it sends with the same body.
+func keyedJob(key string) job {
+	return job{idempotencyKey: key, keyPrefix: key, tasks: 5, serviceTime: serviceTime, deadline: 12 * time.Second}
 }
 
 // applyStandInEvent executes one event of standInKinds.
@@ -44,6 +51,20 @@
 		during(func() { s.setStoreDown(true); s.store.PauseLeases(true) }, func() { s.store.PauseLeases(false); s.setStoreDown(false) })
 	case "upstream persists":
 		during(func() { agent.upstream.SetFaults(upstreamstub.Faults{Persist: true}) }, func() { agent.upstream.SetFaults(upstreamstub.Faults{}) })
+	case "upstream reads late":
+		during(func() { agent.upstream.SetFaults(upstreamstub.Faults{ReadLateMS: e.duration.Milliseconds() / 3}) }, func() { agent.upstream.SetFaults(upstreamstub.Faults{}) })
+	case "jitter":
+		during(func() { s.net.Jitter(entry.host, agent.host, e.serviceTime) }, func() { s.net.Jitter(entry.host, agent.host, 0) })
+	case "jitter to upstream":
+		during(func() { s.net.Jitter(agent.host, upstreamHost(e.agent), e.serviceTime) }, func() { s.net.Jitter(agent.host, upstreamHost(e.agent), 0) })
+	case "sent to both":
+		s.submit(e.entry, keyedJob("k3"))
+		s.submit(1-e.entry, keyedJob("k3"))
+	case "sent and left":
+		left := s.submit(e.entry, keyedJob("k4"))
+		time.Sleep(time.Duration(e.tasks-1) * 100 * time.Microsecond)
+		left.cancel()
+		s.submit(1-e.entry, keyedJob("k4"))
 	case "upstream silent":
 		s.net.Freeze(agent.host, upstreamHost(e.agent))
 	default:
--- a/internal/upstreamstub/stub.go
+++ b/internal/upstreamstub/stub.go
@@ -88,6 +88,9 @@
 	Leave bool    `json:"leave,omitempty"` // answer 503 on HealthPath
 	// Persist makes tasks go on when their connection has ended.
 	Persist bool `json:"persist,omitempty"`
+	// ReadLateMS is how many milliseconds after its arrival a request is read. The task
+	// then starts, also when its connection has ended meanwhile.
+	ReadLateMS int64 `json:"read_late_ms,omitempty"`
 }
 
 // Stub is the HTTP handler of a stand-in.
@@ -188,9 +191,11 @@
 	_ = json.NewEncoder(w).Encode(s.Faults())
 }
 
-// serveTask serves one task. It records the start as soon as the request has
-// arrived, because from then on the effects of the task cannot be undone.
+// serveTask serves one task. It records the start as soon as the request was read,
+// because from then on the effects of the task cannot be undone.
 func (s *Stub) serveTask(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	wait.For(context.WithoutCancel(r.Context()), time.Duration(s.Faults().ReadLateMS)*time.Millisecond, nil)
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBytes))
 	if err != nil {
 		return // the request was incomplete
@@ -200,7 +205,7 @@
 	service := s.serviceTime(r, req)
 	start := s.record.add(Start{
 		Task: r.Header.Get("Chicorytray-Task"), Attempt: r.Header.Get("Chicorytray-Attempt"), Key: req.Key,
-		Upstream: s.options.Name, DataCentre: s.options.DataCentre, At: time.Now(), Service: service,
+		Upstream: s.options.Name, DataCentre: s.options.DataCentre, At: arrived, Service: service,
 	})
 	s.addInSystem(1)
 	defer s.addInSystem(-1)
--- a/internal/upstreamstub/stub_test.go
+++ b/internal/upstreamstub/stub_test.go
@@ -1,6 +1,7 @@
 package upstreamstub
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -135,3 +136,21 @@
 		c.Check(s.Record().Starts()[1].Ended.IsZero(), qt.IsTrue)
 	})
 }
+
+// Guards against a request that was sent and does not start because its sender has left.
+func TestLateReadStartsTheTask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := New(Options{Slots: 1})
+		s.SetFaults(Faults{ReadLateMS: 2000})
+		ctx, cancel := context.WithCancel(context.Background())
+		r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "/work", http.NoBody)
+		r.Header.Set("Chicorytray-Task", "j/0")
+		go s.ServeHTTP(discardWriter{}, r)
+		cancel()
+		time.Sleep(1999 * time.Millisecond)
+		c.Check(s.Record().Starts(), qt.HasLen, 0)
+		time.Sleep(time.Second)
+		c.Check(s.Record().Count(), qt.DeepEquals, map[string]int{"j/0": 1})
+	})
+}
