agent: test that a late reply to a heartbeat does not open the gate

The age of a confirmation counts from the sending of the heartbeat, so that a reply that was under way for long opens the gate for less time. With the age counted from the arrival of the reply, all tests of the agent passed: the tests with a pause make the age directly, and those with late replies have ages far from the limit of 2 s.

A reply with an age of 1.85 s after a round trip of 300 ms must not open the gate, and one with an age of 1 s must. The first case fails with the age counted from the arrival (a task starts), and both pass with the age counted from the sending.

--- a/agent/fault_test.go
+++ b/agent/fault_test.go
@@ -53,20 +53,25 @@
 }
 
 // Guards against starts that rely on the replies of an entry without a
-// confirmation, or with an old one.
+// confirmation, or with one that is old, also only because the reply was under way.
 func TestGateFollowsTheEntriesConfirmations(t *testing.T) {
+	const delay = 150 * time.Millisecond // one way
 	for _, tc := range []struct {
-		name string
-		age  time.Duration
-		want wire.Outcome
+		name  string
+		age   time.Duration
+		delay time.Duration
+		want  wire.Outcome
 	}{
-		{"none", gate.NoAge, wire.OutcomeNotRun},
-		{"too old", 3 * time.Second, wire.OutcomeNotRun},
-		{"fresh enough", time.Second, wire.OutcomeDone},
+		{"none", gate.NoAge, 0, wire.OutcomeNotRun},
+		{"too old", 3 * time.Second, 0, wire.OutcomeNotRun},
+		{"fresh enough", time.Second, 0, wire.OutcomeDone},
+		{"fresh enough on arrival", time.Second, delay, wire.OutcomeDone},
+		{"too old on arrival", 2*time.Second - delay, delay, wire.OutcomeNotRun},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			withRig(t, setup{}, func(r *rig) {
 				e := r.entries[0]
+				r.net.Delay(agentHost, e.host, tc.delay)
 				e.update(func(e *entryStub) { e.confirmAge = tc.age })
 				e.open()
 				time.Sleep(3 * time.Second)
