agent: test that no task starts once draining is acknowledged

The announcement of a draining worker has to be in effect when WorkerAnnounced returns, because the worker takes that as the acknowledgement. With the effect 1 ms later, TestDrainingWorker and all other tests but one passed; that one, TestEndOfADrainingWorkerIsNoCrash, notices the late effect by chance, as a crash.

TestDrainingWorker now sends a task at the moment of the acknowledgement. It fails with the late effect and passes without.

--- a/agent/leased_test.go
+++ b/agent/leased_test.go
@@ -108,9 +108,10 @@
 	})
 }
 
-// Guards against starts after the worker has announced that it drains, against an
-// earlier announcement that arrives late and undoes that, and against running
-// tasks that draining or a planned stop aborts.
+// Guards against starts after the worker has announced that it drains, from the
+// moment at which that is acknowledged; against an earlier announcement that arrives
+// late and undoes that; and against running tasks that draining or a planned stop
+// aborts.
 func TestDrainingWorker(t *testing.T) {
 	withLeasedRig(t, leasedSetup{}, func(r *leasedRig, e *entryStub) {
 		running := e.runLeased("running", 5, 2*time.Second)
@@ -118,6 +119,7 @@
 		early := r.machine.Announcement()
 		r.machine.Drain()
 		r.agent.WorkerAnnounced(r.machine.Announcement())
+		r.expect(<-e.runLeased("at once", 1, time.Second), wire.OutcomeNotRun, wire.ReasonAgentLeaving)
 		r.expect(<-queued, wire.OutcomeNotRun, wire.ReasonAgentLeaving)
 		r.agent.WorkerAnnounced(early)
 		r.expect(<-e.runLeased("refused", 1, time.Second), wire.OutcomeNotRun, wire.ReasonAgentLeaving)
