entry, agent: count a crash before the worker's next life has answered

Callers saw a job with a task that crashes its workers at once passed on from entry to entry: it crashed eight and nine workers, and was never answered as failed.

Cause: a run whose start was not answered may be carried out by the worker's next life, so it waits for the first list of that life, for as long as the worker needs to start (3 s in the tests). The agent reported the crash only with the end of the run. Within a deadline of 3.6 s the entry heard of one crash; then the caller sent the job to the other entry, which knew of none.

Change: heartbeats list the suspects of the last 3 s to all entries, and one is sent at once to the entry of a run that waits. The crash counts with the list; the task stays at the agent, starts nowhere else, and is over only when the next life has answered. A run counts once, by the list or by its result. An order that is still under way is not listed, because it may turn out as not sent. Another entry counts what it hears for the next submission of the job, if the task had two crashes.

The field is the last one of the heartbeat, so that processes without it understand the message, and send one, with both codecs (TestFieldsAddedWithinAVersion has it now).

--- /dev/null
+++ b/agent/crash.go
@@ -0,0 +1,70 @@
+package agent
+
+import (
+	"time"
+
+	"chicorytray.example/chicorytray/lease"
+	"chicorytray.example/chicorytray/ledger"
+	"chicorytray.example/chicorytray/wire"
+)
+
+// crashReportTime is how long heartbeats list a suspect of a crash. It covers several
+// heartbeats at the long interval, in case some are lost.
+const crashReportTime = 3 * time.Second
+
+// suspect is a run that is suspected of a crash, as it is reported to entries.
+type suspect struct {
+	wire.CrashReport
+	owner   ledger.Owner // that sent the task
+	durable bool
+	at      time.Time // when the worker's life ended
+}
+
+// reportCarriedOver reports the suspects among the runs that were carried over to the
+// life, at once to the entries of their tasks, which get no result before the next life
+// has answered. The caller holds mu.
+func (l *leasedExecutor) reportCarriedOver(life *life) {
+	for _, s := range life.runs.TakeSuspects() {
+		if t := l.addSuspect(life, s); t != nil {
+			l.agent.entries.requestHeartbeat(t.owner)
+		}
+	}
+}
+
+// addSuspect makes heartbeats list a run, and returns its task; nil if that has ended.
+// The caller holds mu.
+func (l *leasedExecutor) addSuspect(life *life, s lease.Suspect) *task {
+	at := life.attempts[s.Run]
+	if at == nil {
+		return nil
+	}
+	for id, t := range l.agent.tasks {
+		if t.cancel == nil || t.task.Job != at.job || leaseTask(t.task) != s.Run.Task {
+			continue
+		}
+		l.suspects = append(l.suspects, suspect{
+			CrashReport: wire.CrashReport{
+				Entry: id.owner.Incarnation, Key: id.key, Account: t.task.Account, Job: s.Run.Task.Job, Index: s.Run.Task.Index, Role: s.Crash,
+			},
+			owner: id.owner, durable: t.task.Leased.Durable, at: l.agent.clock.Now(),
+		})
+		return t
+	}
+	return nil
+}
+
+// crashReports returns the suspects that a heartbeat to the entry lists; nil if there
+// are none. Durable jobs are reported to their owner only, which stores the crashes. The
+// caller holds mu.
+func (l *leasedExecutor) crashReports(now time.Time, to ledger.Owner) []wire.CrashReport {
+	for len(l.suspects) > 0 && now.Sub(l.suspects[0].at) > crashReportTime {
+		l.suspects = l.suspects[1:]
+	}
+	var out []wire.CrashReport
+	for _, s := range l.suspects {
+		if !s.durable || s.owner == to {
+			out = append(out, s.CrashReport)
+		}
+	}
+	return out
+}
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -272,6 +272,7 @@
 	}
 	if a.leased != nil {
 		r.Behind = a.leased.stragglers(to)
+		r.Suspects = a.leased.crashReports(now, to)
 		a.leased.addUnclaimedEnds(time.Now(), &r)
 	}
 	return r
--- a/agent/leased.go
+++ b/agent/leased.go
@@ -26,8 +26,9 @@
 
 	life          *life // nil while no life is known
 	announcements announcements
-	verifying     bool   // verifyAnnounced is in progress
-	highestToken  uint64 // highest fencing token that was used in any life
+	verifying     bool      // verifyAnnounced is in progress
+	highestToken  uint64    // highest fencing token that was used in any life
+	suspects      []suspect // of the crashes within crashReportTime, oldest first
 }
 
 func newLeasedExecutor(a *Agent) *leasedExecutor {
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -52,10 +52,12 @@
 	case err != nil:
 		l.agent.metrics.ordersUnanswered.Inc(1)
 		holder.runs.StartUnanswered(o.Run)
+		l.reportCarriedOver(holder)
 		life.renewSoon(true)
 	default:
 		holder.runs.CountSuspension(l.agent.clock.Suspended())
 		l.notifyRemoved(holder, holder.runs.StartAnswered(now, o, answer))
+		l.reportCarriedOver(holder)
 		if answer.Refusal == lease.RefusedOtherLife {
 			l.endAnsweredByAnother(life)
 		} else if life.runs.Doubted() {
--- a/agent/probation_test.go
+++ b/agent/probation_test.go
@@ -77,3 +77,24 @@
 		r.Check(result.Crash, qt.Equals, wire.CrashNone)
 	})
 }
+
+// Guards against a crash that entries learn of only when the worker's next life answers,
+// because the start was not answered, and against a run that counts as over before.
+func TestCrashBeforeTheAnswerIsReportedAtOnce(t *testing.T) {
+	withLeasedRig(t, leasedSetup{entries: 2, machine: leasestub.Options{Delay: time.Millisecond}}, func(r *leasedRig, e *entryStub) {
+		r.machine.SetFaults(leasestub.Faults{Start: leasestub.Fault{AnswerLate: 10 * time.Millisecond}})
+		in := e.leasedRequest("j", cores(1), leasestub.Spec{MS: 300, Crash: true, CrashMS: 3})
+		lost := e.send(in)
+		want := []wire.CrashReport{{Entry: e.ref.Incarnation, Key: wire.TaskKey{Session: 1, Sequence: in.Sequence}, Job: "j", Role: wire.CrashUnconfirmed}}
+		time.Sleep(50 * time.Millisecond)
+		r.Check(e.lastHeartbeat().Suspects, qt.DeepEquals, want)
+		time.Sleep(time.Second)
+		r.Check(r.entries[1].lastHeartbeat().Suspects, qt.DeepEquals, want)
+		r.Check(lost, qt.HasLen, 0)
+		r.machine.Boot()
+		r.agent.WorkerAnnounced(r.machine.Announcement())
+		a := <-lost
+		r.expect(a, wire.OutcomeInterrupted, wire.ReasonWorkerLost)
+		r.Check(a.Result.Crash, qt.Equals, wire.CrashUnconfirmed)
+	})
+}
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -206,6 +206,7 @@
 	for run, at := range life.attempts {
 		at.life, next.attempts[run] = next, at
 	}
+	l.reportCarriedOver(next)
 	l.begin(next)
 }
 
@@ -214,6 +215,11 @@
 func (l *leasedExecutor) retire(life *life, cause string, lost []lease.RemovedRun) {
 	life.ended = true
 	l.recordLifeEnd(life, cause, lost)
+	for _, r := range lost {
+		if r.Crash == wire.CrashSuspect || r.Crash == wire.CrashUnconfirmed {
+			l.addSuspect(life, lease.Suspect{Run: r.Run, Crash: r.Crash})
+		}
+	}
 	l.notifyRemoved(life, lost)
 	life.cancel()
 	life.worker.Close()
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -143,6 +143,7 @@
 		d.openSession(a)
 	}
 	d.handleStragglers(a, req.Behind)
+	d.handleCrashReports(a, req.Suspects)
 	reply := d.heartbeatReply(a)
 	d.answerUnclaimed(a, req.Unclaimed, &reply)
 	if req.KnownEntry == d.self.Incarnation {
--- a/entry/collect.go
+++ b/entry/collect.go
@@ -168,6 +168,9 @@
 	if j.leased != nil {
 		j.possiblyRan[index], j.leased.anyStarted = true, true
 		d.recordStarted(j)
+		if v.task.crashRecorded {
+			v.result.Crash = wire.CrashNone
+		}
 		if v.result.Outcome == wire.OutcomeInterrupted {
 			if v.result.Reason == wire.ReasonWorkerLost {
 				a.refusing = true // until its next heartbeat, which says whether it is leaving
--- a/entry/confine_test.go
+++ b/entry/confine_test.go
@@ -221,3 +221,29 @@
 		h.Check(runs <= 5, qt.IsTrue, qt.Commentf("%d upstreams broke; three may, and two more starts may follow", runs))
 	})
 }
+
+// Guards against a crash that counts twice, by repeated reports or by the result of the
+// run as well, and against crashes at another entry that do not count for the next
+// submission here.
+func TestReportedCrashesCountOnce(t *testing.T) {
+	for elsewhere, starts := range []int{4, 4, 2, 1} {
+		t.Run(fmt.Sprint("elsewhere ", elsewhere), func(t *testing.T) {
+			inBubble(t, func(h *harness) {
+				e := h.leasedEntry(nil)
+				for i := range 5 {
+					a := h.worker(i+1, script{duration: 1200 * time.Millisecond, result: &wire.Result{
+						Outcome: wire.OutcomeInterrupted, Reason: wire.ReasonWorkerLost, Crash: wire.CrashUnconfirmed}})
+					a.mu.Lock()
+					a.reportsCrashes = true
+					if i < elsewhere {
+						a.suspects = []wire.CrashReport{{Entry: 1, Account: "portal", Job: "bad", Role: wire.CrashUnconfirmed}}
+					}
+					a.mu.Unlock()
+				}
+				waitForDiscovery()
+				h.Check(h.submit(e, "bad", 1).wait().Outcome, qt.Equals, OutcomeFailed)
+				h.Check(h.upstreams.totalStarts(), qt.Equals, starts)
+			})
+		})
+	}
+}
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -20,6 +20,10 @@
 	// maxProbationSearches limits the searches without a result in one call of
 	// placeProbation.
 	maxProbationSearches = 4
+	// minCrashesElsewhere is how many crashes at other entries a task needs to count
+	// here. One crash suspects all that had just started; a job of which each task is on
+	// probation, and needs a worker alone, does not meet its deadline.
+	minCrashesElsewhere = 2
 )
 
 // recordCrash records that a worker or an upstream crashed under a run of the task,
@@ -27,12 +31,8 @@
 // once, so that the next owner of the job knows of the crash. For a confined template
 // a suspicion counts like a conviction; see containment.Confinement.Convict.
 func (d *dispatcher) recordCrash(j *job, index int, agent string, role wire.CrashRole) containment.Verdict {
-	if j.crashes == nil {
-		j.crashes = map[int]containment.History{}
-	}
+	verdict := j.countCrash(index, role)
 	h := j.crashes[index]
-	verdict := h.Record(role)
-	j.crashes[index] = h
 	d.metrics.countCrash(role)
 	if role == wire.CrashSuspect || role == wire.CrashUnconfirmed {
 		d.log.Warn().Str("job", j.id).Str("template", j.template.Name).Int("task", index).Str("agent", agent).
@@ -49,6 +49,17 @@
 	return verdict
 }
 
+// countCrash adds a crash to the history of a task and returns the verdict on it.
+func (j *job) countCrash(index int, role wire.CrashRole) containment.Verdict {
+	if j.crashes == nil {
+		j.crashes = map[int]containment.History{}
+	}
+	h := j.crashes[index]
+	verdict := h.Record(role)
+	j.crashes[index] = h
+	return verdict
+}
+
 // crashRecords returns the crashes under the job's tasks as they are stored, sorted
 // by index.
 func (j *job) crashRecords() []durable.TaskCrashes {
@@ -65,6 +76,9 @@
 func (d *dispatcher) giveUpCrashingTask(j *job, index int) {
 	d.metrics.crashingTasks.Inc(1)
 	d.convict(j.template.Name)
+	if l := j.locations[index]; l.agent != nil { // the crash was reported before its run is over
+		d.queueCancel(l.agent, l.task)
+	}
 	j.setFinalState(index, taskFailed)
 	j.leased.exhausted = true
 	d.failJob(j, jobFailure{reason: wire.ReasonCrashedWorkers, detail: "task " + strconv.Itoa(index) + " is suspected of the crashes of " +
@@ -145,7 +159,7 @@
 }
 
 // rememberedCrashes are the crashes under the tasks of a job that ended without a
-// final answer.
+// final answer. The workload has only the account if just other entries had the job.
 type rememberedCrashes struct {
 	workload workload
 	crashes  map[int]containment.History
@@ -159,16 +173,24 @@
 	if len(j.crashes) == 0 || j.leased.durable != nil {
 		return
 	}
+	d.remember(j.leased.identifier, rememberedCrashes{j.leased.workload, maps.Clone(j.crashes), d.now})
+}
+
+func (d *dispatcher) remember(identifier string, m rememberedCrashes) {
 	if d.crashMemory == nil {
 		d.crashMemory = map[string]rememberedCrashes{}
 	}
-	d.crashMemory[j.leased.identifier] = rememberedCrashes{j.leased.workload, maps.Clone(j.crashes), d.now}
+	d.crashMemory[identifier] = m
 }
 
 // recallCrashes gives a new job the crashes of an earlier submission of it.
 func (d *dispatcher) recallCrashes(j *job) {
 	m, ok := d.crashMemory[j.leased.identifier]
-	if ok && m.workload == j.leased.workload && j.leased.durable == nil {
+	elsewhere := m.workload == workload{account: j.account}
+	if ok && (elsewhere || m.workload == j.leased.workload) && j.leased.durable == nil {
+		if elsewhere {
+			maps.DeleteFunc(m.crashes, func(_ int, h containment.History) bool { return h.Crashes < minCrashesElsewhere })
+		}
 		delete(d.crashMemory, j.leased.identifier)
 		j.crashes = m.crashes
 	}
@@ -178,4 +200,5 @@
 // have been.
 func (d *dispatcher) forgetCrashes() {
 	maps.DeleteFunc(d.crashMemory, func(_ string, m rememberedCrashes) bool { return d.now.Sub(m.at) >= leasedAnswerRetention })
+	maps.DeleteFunc(d.crashesElsewhere, func(_ reportedRun, at time.Time) bool { return d.now.Sub(at) >= leasedAnswerRetention })
 }
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -92,6 +92,7 @@
 	held               []heldTask
 	confined           confinedTemplates
 	crashMemory        map[string]rememberedCrashes // by the caller's identifier of the job
+	crashesElsewhere   map[reportedRun]time.Time    // when crashes under runs of other entries were reported
 	cancelled          cancelledJobs
 	probation          []queue.TaskRef // waiting tasks that may start only on probation, oldest first
 	durable            durableJobs
--- a/entry/fakeagent_test.go
+++ b/entry/fakeagent_test.go
@@ -123,6 +123,8 @@
 	config         wire.AgentConfig
 	leaving        bool
 	reportsStalled bool                 // heartbeats report all runs as stalled
+	reportsCrashes bool                 // heartbeats report a crash under each run
+	suspects       []wire.CrashReport   // which heartbeats report besides
 	newestRead     time.Time            // newest read of the store that an entry reported
 	renewed        map[string]time.Time // when the last heartbeat that renewed the session was sent, by entry process
 	lastSeen       map[string]uint64    // highest sequence in the newest session, by entry process
@@ -143,6 +145,7 @@
 	job         string           // the caller's identifier of a leased job; otherwise empty
 	incarnation wire.Incarnation // of the agent when the run started
 	process     string
+	owner       wire.Incarnation
 	done        bool
 	result      wire.Result
 	ended       chan struct{}
@@ -287,11 +290,14 @@
 	defer cancel()
 	a.mu.Lock()
 	req := wire.HeartbeatRequest{Agent: a.ref, Load: a.loadFor(*entry), Leaving: a.leaving, Healthy: true, Generation: a.config.Generation, ReadAge: -1,
-		Adopted: a.adopted, MoreUnclaimed: a.moreUnclaimed, Unclaimed: slices.Clone(a.unclaimed)}
+		Adopted: a.adopted, MoreUnclaimed: a.moreUnclaimed, Unclaimed: slices.Clone(a.unclaimed), Suspects: slices.Clone(a.suspects)}
 	if !a.newestRead.IsZero() {
 		req.ReadAge = time.Since(a.newestRead)
 	}
 	for _, r := range a.records {
+		if a.reportsCrashes {
+			req.Suspects = append(req.Suspects, wire.CrashReport{Entry: r.owner, Key: r.key, Account: "portal", Job: r.job, Role: wire.CrashUnconfirmed})
+		}
 		if a.reportsStalled && !r.done && r.process == *entry {
 			req.Behind = append(req.Behind, wire.Straggler{Key: r.key, Elapsed: 300 * time.Millisecond, Stalled: true})
 		}
@@ -401,7 +407,7 @@
 		return nil
 	}
 	taskCtx, cancel := context.WithCancel(context.Background())
-	r := &runRecord{key: key, incarnation: a.ref.Incarnation, process: p, ended: make(chan struct{}), cancel: cancel}
+	r := &runRecord{key: key, incarnation: a.ref.Incarnation, process: p, owner: req.Session.Incarnation, ended: make(chan struct{}), cancel: cancel}
 	if req.Task.Leased != nil {
 		r.job = req.Task.Leased.Job
 	}
--- a/entry/session.go
+++ b/entry/session.go
@@ -24,6 +24,9 @@
 	index  int
 	key    wire.TaskKey
 	sentAt time.Time
+	// crashRecorded means that the agent reported the crash of the run's worker before
+	// the result, in which the crash does not count again.
+	crashRecorded bool
 }
 
 type verdictKind int
--- a/internal/leasedtest/crash_test.go
+++ b/internal/leasedtest/crash_test.go
@@ -18,19 +18,25 @@
 var crashDelays = []time.Duration{0, 20 * ms, 250 * ms}
 
 // Guards against a task that crashes one worker after the other (rule of section
-// 13.9), and against a job that is answered otherwise than as failed for it.
+// 13.9), also where no start of it is answered, and against a job that is answered
+// otherwise than as failed for it.
 func TestCrashingTaskIsGivenUp(t *testing.T) {
 	for _, after := range crashDelays {
-		t.Run(fmt.Sprint(after), func(t *testing.T) {
-			withSystem(t, func(s *system) {
-				crashing := s.submit(0, job{tasks: 2, duration: 400 * ms, crashes: true, crashAfter: after, deadline: 10 * time.Second})
-				<-crashing.ended
-				s.Check(crashing.outcome, qt.Equals, entry.OutcomeFailed)
-				// Three, and one more start: starts that were not answered prove less.
-				s.Check(s.crashes(crashing.id) <= 4, qt.IsTrue, qt.Commentf("%d workers crashed", s.crashes(crashing.id)))
-				time.Sleep(2 * rebootAfter)
+		for _, answerLate := range []time.Duration{0, 5 * ms} {
+			t.Run(fmt.Sprintf("%v/answers late by %v", after, answerLate), func(t *testing.T) {
+				withSystem(t, func(s *system) {
+					for _, w := range s.workers {
+						w.SetFaults(leasestub.Faults{Start: leasestub.Fault{AnswerLate: answerLate}})
+					}
+					crashing := s.submit(0, job{tasks: 2, duration: 400 * ms, crashes: true, crashAfter: after, deadline: 10 * time.Second})
+					<-crashing.ended
+					s.Check(crashing.outcome, qt.Equals, entry.OutcomeFailed)
+					// Three, and one more start: starts that were not answered prove less.
+					s.Check(s.crashes(crashing.id) <= 4, qt.IsTrue, qt.Commentf("%d workers crashed", s.crashes(crashing.id)))
+					time.Sleep(2 * rebootAfter)
+				})
 			})
-		})
+		}
 	}
 }
 
--- a/lease/crash.go
+++ b/lease/crash.go
@@ -1,6 +1,10 @@
 package lease
 
-import "time"
+import (
+	"time"
+
+	"chicorytray.example/chicorytray/wire"
+)
 
 // SuspicionWindow is how long a worker has to go on after a run began until the run
 // is no longer suspected of a crash. A task that a worker cannot take crashes it
@@ -36,6 +40,27 @@
 	return onProbation
 }
 
+// Suspect is a run that is suspected of the crash of an earlier life.
+type Suspect struct {
+	Run   Run
+	Crash wire.CrashRole
+}
+
+// TakeSuspects returns the suspects among the runs that are carried over, each once. A
+// run whose start order is still under way is left out, because the order may not have
+// reached the worker.
+func (r *RunTable) TakeSuspects() []Suspect {
+	var out []Suspect
+	for _, e := range r.table {
+		suspected := e.crash == wire.CrashSuspect || e.crash == wire.CrashUnconfirmed
+		if e.carriedOver && e.startResolved && !e.crashTaken && suspected {
+			e.crashTaken = true
+			out = append(out, Suspect{e.run, e.crash})
+		}
+	}
+	return out
+}
+
 // observe records an answer of the worker with its clock. One that may be that of
 // the next life does not show that this one went on: it would clear the runs that
 // ended it.
--- a/lease/life.go
+++ b/lease/life.go
@@ -149,7 +149,7 @@
 	for t, e := range r.table {
 		next.table[t] = &entry{
 			run: e.run, state: Stopping, durable: e.durable, probation: e.probation, orderedAt: e.orderedAt,
-			carriedOver: true, survived: e.survived, crash: e.crash,
+			carriedOver: true, survived: e.survived, crash: e.crash, startResolved: e.startResolved, crashTaken: e.crashTaken,
 		}
 	}
 	return next, lost
--- a/lease/runs.go
+++ b/lease/runs.go
@@ -132,6 +132,7 @@
 	carriedOver bool
 	survived    time.Duration
 	crash       wire.CrashRole
+	crashTaken  bool // TakeSuspects returned the run
 }
 
 // NewRunTable returns the empty table of a life that is not adopted yet.
@@ -219,6 +220,7 @@
 		if a.Refusal != "" {
 			return r.remove(o.Run, OutcomeRefused, a.Refusal)
 		}
+		e.startResolved = true
 		return nil // a list will show whether this life or the earlier one has begun the run
 	}
 	r.observe(now, a.Clock)
--- a/rpcconn/compatible_test.go
+++ b/rpcconn/compatible_test.go
@@ -12,7 +12,7 @@
 
 // earlierHeartbeat, earlierTask and earlierRun are messages as an earlier release
 // of this protocol version defines them, without the fields that were added at
-// the end for the progress of runs.
+// the end for the progress of runs and for crashes.
 type earlierHeartbeat struct {
 	Agent      wire.AgentRef
 	KnownEntry wire.Incarnation
@@ -48,7 +48,8 @@
 // other's heartbeats and tasks during a rolling update.
 func TestFieldsAddedWithinAVersion(t *testing.T) {
 	heartbeat := wire.HeartbeatRequest{KnownEntry: 3, Generation: 7, ReadAge: time.Second,
-		Behind: []wire.Straggler{{Key: wire.TaskKey{Session: 1, Sequence: 2}, Percent: 40, Stalled: true}}}
+		Behind:   []wire.Straggler{{Key: wire.TaskKey{Session: 1, Sequence: 2}, Percent: 40, Stalled: true}},
+		Suspects: []wire.CrashReport{{Entry: 4, Key: wire.TaskKey{Session: 1, Sequence: 2}, Job: "k", Role: wire.CrashSuspect}}}
 	task := wire.RunRequest{Sequence: 5, Task: wire.Task{Job: "j", Leased: &wire.LeasedTask{Job: "k"}, Expected: time.Second},
 		Backlog: wire.Backlog{Tasks: 4}, Acked: []wire.TaskKey{{Session: 1, Sequence: 1}}}
 	for _, codec := range []Codec{CodecGob, CodecMsgpack} {
@@ -67,7 +68,7 @@
 			var newHeartbeat wire.HeartbeatRequest
 			recode(oldHeartbeat, &newHeartbeat)
 			heartbeat := heartbeat
-			heartbeat.Behind = nil
+			heartbeat.Behind, heartbeat.Suspects = nil, nil
 			c.Check(newHeartbeat, qt.DeepEquals, heartbeat)
 			var oldTask earlierRun
 			recode(task, &oldTask)
--- a/wire/agent.go
+++ b/wire/agent.go
@@ -135,6 +135,20 @@
 	// MoreUnclaimed means that there may be unclaimed ends beyond those in
 	// Unclaimed.
 	MoreUnclaimed bool
+	// Suspects lists the runs that are suspected of a crash of the worker within the
+	// last seconds. Those of durable jobs are reported to their owner only.
+	Suspects []CrashReport
+}
+
+// CrashReport is a run that is suspected of a crash of its worker. The run may not be
+// over: a start order without an answer may still be carried out.
+type CrashReport struct {
+	Entry   Incarnation // process that sent the task
+	Key     TaskKey     // of the task, at that process
+	Account string
+	Job     string // identifier that the caller chose
+	Index   int    // of the task in the job
+	Role    CrashRole
 }
 
 // Straggler is a run of a leased task that makes no progress, or that makes it
