leasedtest: bound the end of durable jobs by the work that is left

The schedule accepts 168 s of work for three workers that run one such task each, so that no dispatcher can meet that bound.

Ruled out: idle workers.

Change: the bound is the larger of 45 s and the work that is left plus 22.5 s. The work counts each task once that has no end, over all cores, so it is a lower bound. Where it takes up to 22.5 s, the bound is what it was; where it takes longer, the time beyond the work is half of what 45 s allow for a schedule without work.

--- a/internal/leasedtest/durable_caller_test.go
+++ b/internal/leasedtest/durable_caller_test.go
@@ -27,7 +27,8 @@
 	// 14.1).
 	maxPendingAge = 2 * time.Second
 	// durableEndsWithin bounds the time from the end of the load to the end of
-	// all accepted jobs.
+	// all accepted jobs. Where the work that is left takes more than half of it, that
+	// work and the other half do.
 	durableEndsWithin = 45 * time.Second
 )
 
@@ -288,11 +289,33 @@
 	}
 }
 
-// finishDurable waits until all accepted jobs have ended, at most
-// durableEndsWithin, and checks the rules of section 14.1.
+// workLeft returns how long all workers together need at least for the tasks of
+// accepted jobs that have neither ended nor been cancelled.
+func (s *system) workLeft() (left time.Duration) {
+	done := map[lease.Task]bool{}
+	for _, r := range s.evidence.Starts() {
+		done[r.Run.Task] = done[r.Run.Task] || r.How == lease.Done
+	}
+	for _, j := range s.durableJobs() {
+		accepted, _, cancels, final := j.snapshot()
+		if accepted.IsZero() || cancels || final != "" {
+			continue
+		}
+		atOnce := int64(len(s.workers)) * (workerMilliCPU / j.milliCPU)
+		for i := range j.tasks {
+			if !done[lease.Task{Job: j.id, Index: i}] {
+				left += j.duration / time.Duration(atOnce)
+			}
+		}
+	}
+	return left
+}
+
+// finishDurable waits until all accepted jobs have ended, at most as
+// durableEndsWithin says, and checks the rules of section 14.1.
 func (s *system) finishDurable() {
 	s.callers.Wait()
-	limit := time.Now().Add(durableEndsWithin)
+	limit := time.Now().Add(max(durableEndsWithin, s.workLeft()+durableEndsWithin/2))
 	open := s.durableJobs()
 	for round := 0; len(open) > 0 && time.Now().Before(limit); round++ {
 		var left []*durableJob
--- a/internal/leasedtest/system_test.go
+++ b/internal/leasedtest/system_test.go
@@ -34,6 +34,8 @@
 	maxSubmissions   = 4
 	// rebootAfter is how long a worker is down after a task crashed it.
 	rebootAfter = 3 * time.Second
+	// workerMilliCPU is the capacity of each worker, in 1/1000 cores.
+	workerMilliCPU = 16000
 )
 
 type entryProcess struct {
@@ -122,7 +124,7 @@
 	for i, centre := range s.dataCentres {
 		s.workers = append(s.workers, &worker{dataCentre: centre, up: true, Machine: leasestub.New(leasestub.Options{
 			ID: fmt.Sprint("w", i), Pool: "bench", Address: fmt.Sprintf("10.0.2.%d:8200", i), Evidence: s.evidence, Delay: ms,
-			Reboot: rebootAfter, OnCrash: func() { s.endDraining(i) }, Slow: lease.ClockDrift * float64(i) / 2, Capacity: wire.Resources{MilliCPU: 16000, MemoryMB: 16000},
+			Reboot: rebootAfter, OnCrash: func() { s.endDraining(i) }, Slow: lease.ClockDrift * float64(i) / 2, Capacity: wire.Resources{MilliCPU: workerMilliCPU, MemoryMB: 16000},
 		})})
 	}
 	for i := range 2 {
