leasedtest: end the late reads of a process with the process

A read of a killed process sleeps for the time by which it notices ends late, and the kill waits for it. The wait now ends when the process is killed. The product is not concerned.

--- a/internal/leasedtest/process_test.go
+++ b/internal/leasedtest/process_test.go
@@ -284,7 +284,10 @@
 		c.process.mu.Lock()
 		late := c.process.endsNoticedLate
 		c.process.mu.Unlock()
-		time.Sleep(late)
+		select {
+		case <-time.After(late):
+		case <-c.process.killed: // its goroutines end at once
+		}
 	}
 	if _, dead := c.process.waitWhilePaused(); dead != nil {
 		return 0, dead
