faultnet: let ends of connections travel, and reset on close with unread data

The simulated network tells the other end of a connection at once that it was closed, whatever the delay of the link, and always delivers what was written before. On the machines of the contract the end travels like data, and closing a connection with unread bytes resets it.

An answer of net/http would be lost that way (TestHTTPServer fails with "connection reset by peer" for a request whose header is too large). On TCP its server ends its own direction first and closes 500 ms later, so that the connections of the network get CloseWrite, and the test waits for the close.

--- a/entry/api_test.go
+++ b/entry/api_test.go
@@ -124,6 +124,7 @@
 		h.Check(length, qt.Equals, int64(len(body)))
 		status, _, _ = do(strings.Repeat("x", 80<<10))
 		h.Check(status, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+		time.Sleep(time.Second) // the server closes its connection 500 ms after this answer
 	})
 }
 
--- a/internal/faultnet/conn.go
+++ b/internal/faultnet/conn.go
@@ -26,7 +26,9 @@
 	changed       *sync.Cond
 	chunks        []chunk
 	bufferedBytes int
-	writerClosed  bool      // the reader gets io.EOF after the chunks
+	writerClosed  bool      // the reader gets io.EOF after the chunks, from endsAt on
+	endsAt        time.Time // arrival of the end
+	resetAt       time.Time // arrival of a reset, which takes the chunks that were not read; zero: none
 	readerClosed  bool      // writes fail
 	reset         bool      // reads and writes fail
 	frozen        bool      // no data passes any more
@@ -80,19 +82,26 @@
 		switch {
 		case c.closed:
 			return 0, c.opError("read", net.ErrClosed)
-		case c.in.reset || c.powerless:
+		case c.in.reset || c.powerless || n.carries(c.in) && c.in.resetArrived(now):
 			return 0, c.opError("read", errReset)
 		case deadlinePassed(c.readDeadline, now):
 			return 0, c.opError("read", os.ErrDeadlineExceeded)
 		case n.carries(c.in) && len(c.in.chunks) > 0 && !c.in.chunks[0].readableAt.After(now):
 			return c.in.read(p), nil
-		case n.carries(c.in) && len(c.in.chunks) == 0 && c.in.writerClosed:
+		case n.carries(c.in) && len(c.in.chunks) == 0 && c.in.endArrived(now):
 			return 0, io.EOF
 		}
 		c.in.changed.Wait()
 	}
 }
 
+// endArrived reports whether the writer has closed the connection and this has arrived.
+func (s *stream) endArrived(now time.Time) bool { return s.writerClosed && !s.endsAt.After(now) }
+
+func (s *stream) resetArrived(now time.Time) bool {
+	return !s.resetAt.IsZero() && !s.resetAt.After(now)
+}
+
 func (s *stream) read(p []byte) int {
 	got := copy(p, s.chunks[0].data)
 	if s.chunks[0].data = s.chunks[0].data[got:]; len(s.chunks[0].data) == 0 {
@@ -111,7 +120,7 @@
 	done := 0
 	for {
 		switch {
-		case c.closed:
+		case c.closed || c.out.writerClosed:
 			return done, c.opError("write", net.ErrClosed)
 		case c.out.reset || c.powerless || c.out.readerClosed && n.carries(c.out):
 			return done, c.opError("write", errReset)
@@ -129,11 +138,18 @@
 	}
 }
 
-func (s *stream) enqueue(p []byte, delay time.Duration) {
+// arrival returns when something arrives that is sent now: not before what was sent
+// earlier, also when the delay was reduced.
+func (s *stream) arrival(delay time.Duration) time.Time {
 	at := time.Now().Add(delay)
 	if k := len(s.chunks); k > 0 && s.chunks[k-1].readableAt.After(at) {
-		at = s.chunks[k-1].readableAt // keeps the order of the data when the delay was reduced
+		at = s.chunks[k-1].readableAt
 	}
+	return at
+}
+
+func (s *stream) enqueue(p []byte, delay time.Duration) {
+	at := s.arrival(delay)
 	s.chunks = append(s.chunks, chunk{at, append([]byte(nil), p...)})
 	s.bufferedBytes += len(p)
 	s.wakeNowAndAt(at)
@@ -154,15 +170,41 @@
 	s.changed.Broadcast()
 }
 
+// CloseWrite ends the direction of this end: the peer reads the data that was written
+// before, and then io.EOF. The other direction goes on. Servers of net/http call it, so
+// that a Close with unread data does not take back their answer.
+func (c *conn) CloseWrite() error {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	if c.closed {
+		return c.opError("close", net.ErrClosed)
+	}
+	c.endWrites()
+	return nil
+}
+
+// endWrites makes the peer notice the end of this end's data; the caller holds the lock.
+func (c *conn) endWrites() {
+	if c.out.writerClosed {
+		return
+	}
+	c.out.writerClosed, c.out.endsAt = true, c.out.arrival(c.net.delay(pair{c.from, c.to}))
+	c.out.wakeNowAndAt(c.out.endsAt)
+}
+
 // Close ends both directions. The peer reads the data that was written before,
-// and then io.EOF.
+// and then io.EOF. If data was not read here, the connection is reset instead, as on TCP.
 func (c *conn) Close() error {
 	c.net.mu.Lock()
 	defer c.net.mu.Unlock()
 	if c.closed {
 		return c.opError("close", net.ErrClosed)
 	}
-	c.closed, c.out.writerClosed, c.in.readerClosed = true, true, true
+	c.closed, c.in.readerClosed = true, true
+	c.endWrites()
+	if len(c.in.chunks) > 0 && c.net.carries(c.in) {
+		c.out.resetAt = c.out.arrival(c.net.delay(pair{c.from, c.to}))
+	}
 	delete(c.net.conns, c)
 	for _, t := range []*time.Timer{c.readTimer, c.writeTimer} {
 		if t != nil {
@@ -170,7 +212,7 @@
 		}
 	}
 	c.in.changed.Broadcast()
-	c.out.changed.Broadcast()
+	c.out.wakeNowAndAt(c.out.resetAt)
 	return nil
 }
 
@@ -181,8 +223,7 @@
 	n := c.net
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	last := len(c.in.chunks) - 1
-	return c.in.reset || c.in.writerClosed && n.carries(c.in) && (last < 0 || !c.in.chunks[last].readableAt.After(time.Now()))
+	return c.in.reset || n.carries(c.in) && c.in.endArrived(time.Now())
 }
 
 // LocalAddr returns this end's address.
--- a/internal/faultnet/faultnet_test.go
+++ b/internal/faultnet/faultnet_test.go
@@ -194,3 +194,45 @@
 		c.Check(time.Since(begin), qt.Equals, time.Duration(0))
 	})
 }
+
+// Guards against a connection whose end overtakes its delay, and against one that is
+// closed with unread data without a reset.
+func TestEndOfAConnection(t *testing.T) {
+	const delay = 100 * time.Millisecond
+	for _, tc := range []struct {
+		name         string
+		unread, half bool
+		want         error
+	}{
+		{name: "closed", want: io.EOF},
+		{name: "closed with unread data", unread: true, want: syscall.ECONNRESET},
+		{name: "half closed with unread data", unread: true, half: true, want: io.EOF},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				n := New()
+				l, err := n.Listen(serverAddress)
+				c.Assert(err, qt.IsNil)
+				n.Delay("10.0.0.1", "10.0.0.2", delay)
+				client, server := openConnection(c, n, l)
+				if tc.unread {
+					_, _ = server.Write([]byte("x"))
+					time.Sleep(delay)
+				}
+				if tc.half {
+					c.Assert(client.(interface{ CloseWrite() error }).CloseWrite(), qt.IsNil)
+				} else {
+					c.Assert(client.Close(), qt.IsNil)
+				}
+				ended := server.(interface{ PeerEnded() bool }).PeerEnded
+				c.Check(ended(), qt.IsFalse)
+				begin := time.Now()
+				_, err = receive(c, server)
+				c.Check(err, qt.ErrorIs, tc.want)
+				c.Check(time.Since(begin), qt.Equals, delay)
+				c.Check(ended(), qt.IsTrue)
+			})
+		})
+	}
+}
--- a/internal/leasedtest/process_test.go
+++ b/internal/leasedtest/process_test.go
@@ -272,6 +272,11 @@
 	p.endsNoticedLate = d
 }
 
+// CloseWrite passes on the end of the process's data; see faultnet.
+func (c *pausingConn) CloseWrite() error {
+	return c.Conn.(interface{ CloseWrite() error }).CloseWrite()
+}
+
 // PeerEnded passes on what the connection says; see faultnet.
 func (c *pausingConn) PeerEnded() bool {
 	p, ok := c.Conn.(interface{ PeerEnded() bool })
--- a/internal/systemtest/process_test.go
+++ b/internal/systemtest/process_test.go
@@ -135,6 +135,9 @@
 	readsOnly bool
 }
 
+// CloseWrite passes on the end of the process's data; see faultnet.
+func (c *pausedConn) CloseWrite() error { return c.Conn.(interface{ CloseWrite() error }).CloseWrite() }
+
 func (c *pausedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if held := c.pauser.waitWhilePaused(); held != nil {
