claims: count what foreign claims take in JSON

The size of a shard counted the fields of its claims without their escapes. Claims of an entry need none, those of another writer may: a shard of them could be taken for smaller than it is, up to a sixth, and then outgrow the store's limit with the next claim, whose write fails with another error than ErrShardFull. Found by reading while the fuzz target was written.

Fields with characters that need escapes now count six bytes for each byte.

--- a/claims/shard.go
+++ b/claims/shard.go
@@ -176,7 +176,16 @@
 }
 
 func (r record) size(id string) int {
-	return recordOverhead + len(id) + len(r.Fingerprint) + len(r.Job)
+	return recordOverhead + maxEncodedLen(id) + maxEncodedLen(r.Fingerprint) + maxEncodedLen(r.Job)
+}
+
+// maxEncodedLen returns an upper bound of the length of s in JSON. Only another writer
+// stores claims that need escaping, which takes at most 6 bytes for each.
+func maxEncodedLen(s string) int {
+	if strings.ContainsFunc(s, needsEscape) {
+		return 6 * len(s)
+	}
+	return len(s)
 }
 
 // Len returns the number of claims.
