--- a/entry/relay.go
+++ b/entry/relay.go
@@ -66,6 +66,7 @@
 			sent := c.clock.Now()
 			reply, err := r.ask(callCtx, address, hash)
 			if err != nil {
+				c.log.Debug().Str("address", address).Err(err).Msg("agent did not read the store for this entry")
 				return
 			}
 			confirmed := reply.Read && c.handleRelayed(sent, raw, reply)
