--- a/internal/peerend/peerend.go
+++ b/internal/peerend/peerend.go
@@ -22,7 +22,7 @@
 type peer interface{ PeerEnded() bool }
 
 // Of returns a Checker of the connection, or of the one below TLS. It knows nothing of a
-// connection that is neither a socket nor has a method PeerEnded() bool.
+// connection that is neither a socket on Linux nor has a method PeerEnded() bool.
 func Of(c net.Conn) Checker {
 	if t, ok := c.(interface{ NetConn() net.Conn }); ok {
 		c = t.NetConn()
@@ -31,7 +31,7 @@
 	case peer:
 		return Checker{peer: c}
 	case syscall.Conn:
-		if raw, err := c.SyscallConn(); err == nil {
+		if raw, err := c.SyscallConn(); err == nil && canPoll {
 			return Checker{raw: raw}
 		}
 	}
--- a/internal/peerend/poll_linux.go
+++ b/internal/peerend/poll_linux.go
@@ -2,6 +2,8 @@
 
 import "golang.org/x/sys/unix"
 
+const canPoll = true
+
 // pollEnded reports whether the kernel has received the end of the connection.
 func pollEnded(fd uintptr) bool {
 	const end = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
--- a/internal/peerend/poll_other.go
+++ b/internal/peerend/poll_other.go
@@ -2,5 +2,7 @@
 
 package peerend
 
-// pollEnded returns false: ends are seen without a read on Linux only.
+// canPoll is false: ends are seen without a read on Linux only.
+const canPoll = false
+
 func pollEnded(uintptr) bool { return false }
