agent: give up an unanswered renewal soon after a short run should have ended

Callers of the shortest jobs (60 ms, objective 156 ms) got the answer after 194 ms when the worker left one renewal unanswered.

Cause: the worker answers a renewal at the end of a run, so its wait of 150 ms matters only when it has nothing to say. The agent gave a renewal up after that wait and the order timeout, 190 ms, and saw no end meanwhile.

Change: while a run is expected to take less than the wait, the renewal waits until the run has taken 160 % of its learned duration, and 40 ms at least. A renewal is only sent earlier than before, so the lease is extended no later and all rules on it stay.

A renewal has the same fields, of which WaitMs is smaller.

Not covered: a renewal that is under way when a short run starts beside others, which still waits for 150 ms.

--- a/agent/orders.go
+++ b/agent/orders.go
@@ -13,6 +13,12 @@
 	// idleRenewWait is how long a renewal waits at the worker while nothing
 	// runs, so that an idle worker costs half a renewal a second.
 	idleRenewWait = 2 * time.Second
+	// lateEndPercent is the share of its expected duration within which a run should
+	// end. The objective of the users' shortest jobs leaves 160 % and 60 ms, in which an
+	// unanswered renewal has to be noticed as well.
+	lateEndPercent = 160
+	// minRenewWait bounds the rate of renewals that are answered without an end.
+	minRenewWait = 40 * time.Millisecond
 	// minStopPause is the first pause between two stop orders for one run; it
 	// doubles up to the order timeout of the settings.
 	minStopPause = 5 * time.Millisecond
@@ -304,7 +310,25 @@
 		// must be found soon.
 		return min(l.settings.Renew.AsDuration(), 2*life.orderTimeout.Value())
 	}
-	return l.settings.Renew.AsDuration()
+	return l.waitForEnd(l.settings.Renew.AsDuration())
+}
+
+// waitForEnd returns limit, or less if a short run should have ended before. The worker
+// answers a renewal at the end of a run, so one that it has not answered then is
+// probably lost, and the agent sees no end before the next one. A run that takes longer
+// costs at most one renewal more. The caller holds mu.
+func (l *leasedExecutor) waitForEnd(limit time.Duration) time.Duration {
+	now, wait := l.agent.clock.Now(), limit
+	for _, t := range l.agent.tasks {
+		expected := t.task.Expected * lateEndPercent / 100
+		if t.startedAt.IsZero() || expected <= 0 || expected > limit {
+			continue
+		}
+		if left := t.startedAt.Add(expected).Sub(now); left > 0 {
+			wait = min(wait, max(left, minRenewWait))
+		}
+	}
+	return wait
 }
 
 // applyRenewReply applies the reply to a renewal, which lists the active and the
