e2e: stop processes at drawn moments under load

Processes were stopped by SIGSTOP at one moment only, with a job that had just begun. In virtual time a pause holds what a process receives and sends, but not its goroutines, so that no test stopped a process between a check and what follows.

TestProcessesStoppedAtDrawnMoments stops an entry, an agent or one of each when a drawn number of tasks has reached the stand-ins, until a drawn number has started elsewhere (1 to 1,500), while eight callers submit jobs, a third of them to both entries with one idempotency key. A start at a stand-in is the clock of the test; its verdict depends on no time: no task starts twice, answers are complete, "not run" is true, and at the end both entries use all agents. Starts that are late after a data centre was taken out are not judged, because a process may be stopped between the check and the start.

--- a/internal/e2e/system_test.go
+++ b/internal/e2e/system_test.go
@@ -316,6 +316,11 @@
 // submit submits a job whose tasks take ms milliseconds each, and waits for the
 // answer. The keys of the tasks are name.0, name.1 and so on.
 func (s *system) submit(entry int, name string, tasks int, ms float64) answer {
+	return s.submitWithKey(entry, "", name, tasks, ms)
+}
+
+// submitWithKey is submit with an Idempotency-Key unless key is empty.
+func (s *system) submitWithKey(entry int, key, name string, tasks int, ms float64) answer {
 	type task struct {
 		Name string `json:"name"`
 		Body string `json:"body"`
@@ -337,6 +342,9 @@
 		return answer{err: err}
 	}
 	req.Header.Set("Authorization", "Bearer "+dev.Token(s.layout.Names.OfficeAccount))
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
 	return sendRequest(req)
 }
 
--- a/internal/upstreamstub/record.go
+++ b/internal/upstreamstub/record.go
@@ -24,8 +24,9 @@
 // Record holds the starts at one or more upstreams. It is safe for concurrent
 // use.
 type Record struct {
-	mu     sync.Mutex
-	starts []*Start
+	mu      sync.Mutex
+	starts  []*Start
+	waiting map[int][]chan struct{} // by number of starts; see ReachedAfter
 }
 
 // NewRecord returns an empty record.
@@ -35,9 +36,26 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.starts = append(r.starts, &s)
+	for _, reached := range r.waiting[len(r.starts)] {
+		close(reached)
+	}
+	delete(r.waiting, len(r.starts))
 	return &s
 }
 
+// ReachedAfter returns a channel that is closed when n more starts have arrived. n
+// is at least 1.
+func (r *Record) ReachedAfter(n int) <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.waiting == nil {
+		r.waiting = map[int][]chan struct{}{}
+	}
+	reached, at := make(chan struct{}), len(r.starts)+n
+	r.waiting[at] = append(r.waiting[at], reached)
+	return reached
+}
+
 func (r *Record) update(s *Start, change func(*Start)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
