leasestub: no timer is reset to a past moment

go test -race of internal/leasedtest ended once with SIGSEGV after 323 s on arm64 (go1.26.8): runtime.(*timer).modify, called by the reset of the stub's lease timer to 10 s before now in a bubble of synctest. There the runtime runs the timer's function on the system stack. Concluded from the stack and the runtime's source; the crash was not brought about again. The stub now waits 1 ns at least.

--- a/internal/leasestub/life.go
+++ b/internal/leasestub/life.go
@@ -79,9 +79,10 @@
 	return bootClock + elapsed - time.Duration(float64(elapsed)*l.machine.options.Slow)
 }
 
-// timeUntil returns the real time until the worker's clock has passed c.
+// timeUntil returns the real time until the worker's clock has passed c, at least 1 ns:
+// the race detector can crash where a timer in virtual time is reset to a past moment.
 func (l *life) timeUntil(c lease.WorkerTime) time.Duration {
-	return time.Duration(float64(c-l.clock())/(1-l.machine.options.Slow)) + 1
+	return time.Duration(float64(max(0, c-l.clock()))/(1-l.machine.options.Slow)) + 1
 }
 
 // checkToken refuses an order whose fencing token is lower than one received
