entry: test that New returns no entry with an error

The remaining such error, a registration that cannot be encoded, cannot be brought about by options; TestOptionsAreChecked looks at all others and passes.

--- a/entry/tls_test.go
+++ b/entry/tls_test.go
@@ -68,7 +68,7 @@
 }
 
 // Guards against New accepting options without a store, an identity or readable
-// TLS files.
+// TLS files, and against an entry that is returned with the error.
 func TestOptionsAreChecked(t *testing.T) {
 	c := qt.New(t)
 	valid := func() Options { return Options{Settings: entrySettings(1, "anping"), Store: storestub.New()} }
@@ -84,7 +84,8 @@
 	} {
 		o := valid()
 		change(&o)
-		_, err := New(o)
+		e, err := New(o)
 		c.Check(err, qt.ErrorIs, ErrOptions, qt.Commentf("%s", name))
+		c.Check(e, qt.IsNil, qt.Commentf("%s", name))
 	}
 }
