--- a/rpcconn/bodies_test.go
+++ b/rpcconn/bodies_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -52,7 +53,7 @@
 		o := fuzzOptions(codec)
 		o.MaxMessageBytes = 1 << 20
 		m := messages[int(kind)%len(messages)]
-		frame := append(encodeFrames(o, nil)[lengthBytes+1:], body...)
+		frame := slices.Concat(encodeFrames(o, nil)[lengthBytes+1:], body)
 		in := newFrameConn(nil, nil, o)
 		in.reader.Reset(bytes.NewReader(frameOf(frame)))
 		if _, _, err := in.read(); err != nil {
