agent: let the test of a replaced agent wait for the runs that it assumes

Suspected: the agent is killed before the worker has started the third task, or replaced while that task runs, so that the next process stops it. Shown in a trial: with a third start that the stand-in carries out 1 ms late, two starts are counted before the kill, one run is active when the next process starts, and the test fails with 2 ends.

Ruled out: an end that falls on the instant in which the next process lists the runs (100 ms after the kill, as long as the runs take); with the end held up in real time, 5 runs passed.

Change: the test waits, for a second at most, until the worker has started all three tasks, and after the 100 ms until none runs. All checks stay.

Measured: the trial with the late start passed in 5 of 5 runs with the change; the test passed 200 of 200 with -race.

--- a/agent/ends_test.go
+++ b/agent/ends_test.go
@@ -166,6 +166,14 @@
 	}
 }
 
+// waitUntil waits until the condition holds, and fails the test after a second.
+func (r *leasedRig) waitUntil(condition func() bool) {
+	r.Helper()
+	for began := time.Now(); !condition(); time.Sleep(time.Millisecond) {
+		r.Assert(time.Since(began) < time.Second, qt.IsTrue)
+	}
+}
+
 // replaceAgent waits for the end of the agent process, after kill, and starts a
 // new one that adopts the worker.
 func (r *leasedRig) replaceAgent() {
@@ -187,9 +195,11 @@
 		_, second := e.runDurable(1, true)
 		time.Sleep(50 * time.Millisecond)
 		_, third := e.runDurable(2, false)
+		r.waitUntil(func() bool { return len(r.machine.Evidence().Starts()) == 3 })
 		r.machine.SetFaults(leasestub.Faults{Stop: leasestub.Fault{Lost: true}}) // a process that crashes sends no stop orders
 		r.kill()
-		time.Sleep(100 * time.Millisecond) // the runs end meanwhile
+		time.Sleep(100 * time.Millisecond)
+		r.waitUntil(func() bool { return r.machine.Evidence().Running() == 0 }) // the next process would stop them
 		r.machine.SetFaults(leasestub.Faults{})
 		<-second
 		<-third
