agent: let start orders that are under way end by themselves when a worker crashes

Cause: the end of a life cut off the start orders that were under way. Such an order counts as unanswered: its run is carried over to the next life, for 10 s at most, and its task as an unconfirmed suspect of the crash. The connection would have been refused a moment later, which proves that the order was not carried out.

A refused one leaves the table of the next life as never sent. Its task goes back to the entry and has no part in the crash.

--- a/agent/lives_test.go
+++ b/agent/lives_test.go
@@ -205,3 +205,21 @@
 		})
 	}
 }
+
+// Guards against a start order that arrives after its worker has crashed, which counts
+// as a crash under its task and waits for the next life, although its connection is
+// refused.
+func TestStartThatArrivesAfterACrashIsNoCrash(t *testing.T) {
+	withLeasedRig(t, leasedSetup{machine: leasestub.Options{Delay: 5 * time.Millisecond}}, func(r *leasedRig, e *entryStub) {
+		running := e.runLeased("j", 4, 10*time.Second)
+		time.Sleep(400 * time.Millisecond)
+		r.machine.Crash()
+		time.Sleep(2 * time.Millisecond) // the next renewal is under way
+		sent := time.Now()
+		late := <-e.runLeased("k", 4, 10*time.Millisecond)
+		r.expect(late, wire.OutcomeNotRun, wire.ReasonWorkerRefused)
+		r.Check(late.Result.Crash, qt.Equals, wire.CrashNone)
+		r.Check(time.Since(sent) < 20*time.Millisecond, qt.IsTrue)
+		r.expect(<-running, wire.OutcomeInterrupted, wire.ReasonWorkerLost)
+	})
+}
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -41,7 +41,9 @@
 	}
 	worker, timeout := l.workerOf(life)
 	sent := time.Now()
-	ctx, cancel := context.WithTimeout(life.ctx, timeout)
+	// The end of the life does not end the order: a refused connection still proves
+	// that it was not carried out.
+	ctx, cancel := context.WithTimeout(at.processCtx, timeout)
 	defer cancel()
 	answer, err := worker.Start(ctx, o)
 	now := time.Now()
