leasedtest: wait for late ends without a timer's channel

With the race detector on arm64 the whole of leasedtest then ended with SIGSEGV in one run of one; a select on the channel of an expired timer is what package wait avoids.

--- a/internal/leasedtest/process_test.go
+++ b/internal/leasedtest/process_test.go
@@ -12,6 +12,7 @@
 	"chicorytray.example/chicorytray/agent"
 	"chicorytray.example/chicorytray/internal/clock"
 	"chicorytray.example/chicorytray/internal/faultnet"
+	"chicorytray.example/chicorytray/internal/wait"
 	"chicorytray.example/chicorytray/lease"
 )
 
@@ -289,10 +290,7 @@
 		c.process.mu.Lock()
 		late := c.process.endsNoticedLate
 		c.process.mu.Unlock()
-		select {
-		case <-time.After(late):
-		case <-c.process.killed: // its goroutines end at once
-		}
+		wait.For(context.Background(), late, c.process.killed) // a killed process ends at once
 	}
 	if _, dead := c.process.waitWhilePaused(); dead != nil {
 		return 0, dead
