entry: check the task of a reported crash

A heartbeat that reports crashes under a task which the open job does not have ended the entry: the index was used as received. A crash under an HTTP request, which no worker runs, could have done the same where it gives the request up.

Change: reports of such tasks are ignored, and the crashes that are remembered for the next submission of a job are cut to its tasks.

Before: TestCrashReportsOfTasksThatDoNotExist panics with the index -1 (the run ended there). After: it passes with -1, 1 and 2^40. For the HTTP request there is no test.

--- a/entry/confine_test.go
+++ b/entry/confine_test.go
@@ -222,6 +222,30 @@
 	})
 }
 
+// Guards against an entry that ends because a heartbeat reports crashes under a task
+// which the open job does not have.
+func TestCrashReportsOfTasksThatDoNotExist(t *testing.T) {
+	for _, index := range []int{-1, 1, 1 << 40} {
+		inBubble(t, func(h *harness) {
+			e := h.leasedEntry(nil)
+			report := func(agent *fakeAgent, sequence uint64) {
+				agent.mu.Lock()
+				defer agent.mu.Unlock()
+				agent.suspects = append(agent.suspects, wire.CrashReport{
+					Entry: 1, Key: wire.TaskKey{Sequence: sequence}, Account: "portal", Job: "1f", Index: index, Role: wire.CrashUnconfirmed,
+				})
+			}
+			a := h.worker(1, runsFor(3000))
+			report(a, 1)
+			report(a, 2)
+			waitForDiscovery()
+			s := h.submit(e, "1f", 1)
+			report(a, 3)
+			h.Check(s.wait().Outcome, qt.Equals, OutcomeDone)
+		})
+	}
+}
+
 // Guards against a crash that counts twice, by repeated reports or by the result of the
 // run as well, and against crashes at another entry that do not count for the next
 // submission here.
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -189,7 +189,9 @@
 	elsewhere := m.workload == workload{account: j.account}
 	if ok && (elsewhere || m.workload == j.leased.workload) && j.leased.durable == nil {
 		if elsewhere {
-			maps.DeleteFunc(m.crashes, func(_ int, h containment.History) bool { return h.Crashes < minCrashesElsewhere })
+			maps.DeleteFunc(m.crashes, func(index int, h containment.History) bool {
+				return h.Crashes < minCrashesElsewhere || index < 0 || index >= j.count
+			})
 		}
 		delete(d.crashMemory, j.leased.identifier)
 		j.crashes = m.crashes
--- a/entry/crash_report.go
+++ b/entry/crash_report.go
@@ -26,8 +26,8 @@
 			continue
 		}
 		t := a.session.tasks[r.Key]
-		if t == nil || t.crashRecorded {
-			continue // its result counted, or an earlier heartbeat
+		if t == nil || t.crashRecorded || t.job.leased == nil {
+			continue // its result counted, or an earlier heartbeat; or no worker runs it
 		}
 		t.crashRecorded = true
 		switch j := t.job; {
@@ -59,6 +59,9 @@
 func (d *dispatcher) addRememberedCrash(r wire.CrashReport) {
 	j := d.leasedJobs[r.Job]
 	if j != nil && !j.answered && j.account == r.Account {
+		if r.Index < 0 || r.Index >= j.count {
+			return // another submission under the identifier had more tasks
+		}
 		if j.crashes[r.Index].Crashes+1 < minCrashesElsewhere || j.failure != nil || durableOf(j) != nil || j.states[r.Index] > taskSent {
 			return
 		}
