agent: log and count the exceptional ends of runs, with their proof

Each removal of a run from the table now carries its proof (lease.Proof). Other proofs than a listed end or a refused start are counted by proof (runs_removed) and logged with the job as the caller knows it, task, run, worker, birth, entry and the time since the order (run_removed). A run that has to end because its session lapsed, its entry cancelled it or its deadline passed is logged as run_stop_ordered. worker_life_ended states since when connections were refused, the lease end and the bound of the worker's clock.

At most 60 lines a second; run_lines_dropped counts the others. Ordinary runs write nothing and cost one lookup in a map.

The tests that compare removed runs as a whole state the proof as well.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -29,6 +29,7 @@
 	timing    settings.Timing
 	log       zerolog.Logger
 	rejected  zerolog.Logger // for announcements that are rejected
+	runLog    zerolog.Logger // for runs that ended otherwise than ordinary ones
 	metrics   metrics
 	counters  *rpcconn.Counters
 	server    *rpcconn.Server
@@ -119,6 +120,7 @@
 		},
 	}
 	a.rejected = a.log.Sample(&zerolog.BurstSampler{Burst: maxRejectionLines, Period: time.Minute})
+	a.runLog = a.newRunLog()
 	if a.clock == nil {
 		a.clock = clock.System()
 	}
--- a/agent/crash.go
+++ b/agent/crash.go
@@ -38,19 +38,17 @@
 	if at == nil {
 		return nil
 	}
-	for id, t := range l.agent.tasks {
-		if t.cancel == nil || t.task.Job != at.job || leaseTask(t.task) != s.Run.Task {
-			continue
-		}
-		l.suspects = append(l.suspects, suspect{
-			CrashReport: wire.CrashReport{
-				Entry: id.owner.Incarnation, Key: id.key, Account: t.task.Account, Job: s.Run.Task.Job, Index: s.Run.Task.Index, Role: s.Crash,
-			},
-			owner: id.owner, durable: t.task.Leased.Durable, at: l.agent.clock.Now(),
-		})
-		return t
+	t := l.taskOf(at, s.Run)
+	if t == nil {
+		return nil
 	}
-	return nil
+	l.suspects = append(l.suspects, suspect{
+		CrashReport: wire.CrashReport{
+			Entry: t.owner.Incarnation, Key: t.key, Account: t.task.Account, Job: s.Run.Task.Job, Index: s.Run.Task.Index, Role: s.Crash,
+		},
+		owner: t.owner, durable: t.task.Leased.Durable, at: l.agent.clock.Now(),
+	})
+	return t
 }
 
 // crashReports returns the suspects that a heartbeat to the entry lists; nil if there
--- a/agent/leased.go
+++ b/agent/leased.go
@@ -46,7 +46,8 @@
 type attempt struct {
 	life       *life // Agent.mu guards it: a run that is carried over changes its life
 	order      lease.StartOrder
-	job        string                // the entry's identifier of the job
+	job        string // the entry's identifier of the job
+	orderedAt  time.Time
 	removed    chan lease.RemovedRun // capacity 1; gets the run when it is removed from the table
 	processCtx context.Context       // ends with the agent's process
 }
@@ -121,7 +122,7 @@
 	if empty {
 		life.renewSoon(false) // a renewal in progress was sent without extending the lease
 	}
-	at := &attempt{life: life, order: o, job: t.Job, removed: make(chan lease.RemovedRun, 1), processCtx: a.taskCtx}
+	at := &attempt{life: life, order: o, job: t.Job, orderedAt: time.Now(), removed: make(chan lease.RemovedRun, 1), processCtx: a.taskCtx}
 	life.attempts[o.Run] = at
 	if t.Leased.Durable {
 		life.runs.HoldEnd(o.Run)
@@ -145,6 +146,7 @@
 	l.agent.mu.Lock()
 	l.agent.expireSessions(l.agent.clock.Now())
 	at.life.runs.Permit(time.Now())
+	l.recordStop(ctx, at)
 	l.orderStop(at.life, at.order.Run)
 	l.agent.mu.Unlock()
 	select {
@@ -183,7 +185,9 @@
 // caller holds mu.
 func (l *leasedExecutor) notifyRemoved(life *life, removed []lease.RemovedRun) {
 	for _, r := range removed {
-		if at := life.attempts[r.Run]; at != nil {
+		at := life.attempts[r.Run]
+		l.recordRemoval(life, at, r)
+		if at != nil {
 			at.removed <- r
 			delete(life.attempts, r.Run)
 		}
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/uber-go/tally/v4"
 
+	"chicorytray.example/chicorytray/lease"
 	"chicorytray.example/chicorytray/wire"
 )
 
@@ -17,6 +18,8 @@
 	interrupted, ordersUnanswered, runsStalled               tally.Counter
 	announcementsRejected                                    tally.Counter
 	workersCrashed, runsLost, runsCarriedOver, runsUnknown   tally.Counter
+	runsStopOrdered, runLinesDropped                         tally.Counter
+	runsRemoved                                              map[lease.Proof]tally.Counter
 	offers, offersUsed, entriesSuspect, recordsEvicted       tally.Counter
 	running, queued, confirmationAge, generation             tally.Gauge
 	endsHeld, endsUnclaimed, suspended                       tally.Gauge
@@ -40,6 +43,7 @@
 		runsStalled: s.Counter("runs_stalled"), announcementsRejected: s.Counter("announcements_rejected"),
 		workersCrashed: s.Counter("workers_crashed"), runsLost: s.Counter("runs_lost"),
 		runsCarriedOver: s.Counter("runs_carried_over"), runsUnknown: s.Counter("runs_unknown"),
+		runsStopOrdered: s.Counter("runs_stop_ordered"), runLinesDropped: s.Counter("run_lines_dropped"), runsRemoved: removalCounters(s),
 		offers: s.Counter("offers"), offersUsed: s.Counter("offers_used"),
 		entriesSuspect: s.Counter("entries_suspect"), recordsEvicted: s.Counter("records_evicted"),
 		running: s.Gauge("tasks_running"), queued: s.Gauge("tasks_queued"),
@@ -50,6 +54,16 @@
 	}
 }
 
+// removalCounters returns a counter for each proof of the end of runs that are no
+// ordinary ones.
+func removalCounters(s tally.Scope) map[lease.Proof]tally.Counter {
+	out := map[lease.Proof]tally.Counter{}
+	for _, p := range lease.ExceptionalProofs() {
+		out[p] = s.Tagged(map[string]string{"proof": string(p)}).Counter("runs_removed")
+	}
+	return out
+}
+
 // countRefusal counts a task that was not run, for the given reason.
 func (m metrics) countRefusal(r wire.Reason) {
 	m.notRun.Inc(1)
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -234,8 +234,14 @@
 // with it; the caller holds mu.
 func (l *leasedExecutor) recordLifeEnd(life *life, cause string, lost []lease.RemovedRun) {
 	ended, carriedOver := life.runs.Life(), len(life.attempts)-len(lost)
-	l.agent.log.Warn().Str("worker", ended.ID).Int64("born", ended.Born).Str("cause", cause).Bool("planned", life.leaves()).
-		Int("runs", len(lost)).Int("carried_over", carriedOver).Msg("worker_life_ended")
+	now := time.Now()
+	latest, clock := life.runs.LeaseEnd(now)
+	e := l.agent.log.Warn().Str("worker", ended.ID).Int64("born", ended.Born).Str("cause", cause).Bool("planned", life.leaves()).
+		Int("runs", len(lost)).Int("carried_over", carriedOver).Int64("lease_end_ms", latest.Milliseconds()).Int64("clock_past_ms", clock.Milliseconds())
+	if !life.refusedSince.IsZero() {
+		e = e.Dur("refused_for_ms", now.Sub(life.refusedSince))
+	}
+	e.Msg("worker_life_ended")
 	l.agent.metrics.runsCarriedOver.Inc(int64(max(0, carriedOver)))
 	for _, r := range lost {
 		e := l.agent.log.Info().Str("caller_job", r.Run.Task.Job).Int("task", r.Run.Task.Index).Dur("survived_ms", r.Survived).
--- a/lease/crash_test.go
+++ b/lease/crash_test.go
@@ -90,5 +90,5 @@
 	table.pass(200 * ms)
 	table.StopAnswered(table.now, StopOrder{}, Answer{Clock: 100 * ms})
 	_, lost := table.LifeReplaced(true, 8)
-	qt.Assert(t, lost, qt.DeepEquals, []RemovedRun{{Run: run1, Outcome: OutcomeLost, Crash: wire.CrashSuspect}})
+	qt.Assert(t, lost, qt.DeepEquals, []RemovedRun{{Run: run1, Outcome: OutcomeLost, Proof: ProofLifeOver, Crash: wire.CrashSuspect}})
 }
--- a/lease/ends.go
+++ b/lease/ends.go
@@ -253,7 +253,7 @@
 		return overdue
 	}
 	r.adopted = false
-	return append(overdue, r.removeWhere(OutcomeLeaseExpired, func(e *entry) bool {
+	return append(overdue, r.removeWhere(OutcomeLeaseExpired, ProofLeaseExpired, func(e *entry) bool {
 		return e.shown || now.Sub(e.orderedAt) > releaseAfter
 	})...)
 }
--- a/lease/ends_test.go
+++ b/lease/ends_test.go
@@ -150,7 +150,7 @@
 	c.Check(table.removed, qt.HasLen, 0)
 	c.Check(table.Adopted(), qt.IsTrue, qt.Commentf("earlier replies were not truncated"))
 	table.poll(nil, RunEnd{MaxEnds + 1, run1, Done})
-	c.Check(table.removed, qt.DeepEquals, []RemovedRun{{Run: run1, Outcome: OutcomeDone}})
+	c.Check(table.removed, qt.DeepEquals, []RemovedRun{{Run: run1, Outcome: OutcomeDone, Proof: ProofListed}})
 
 	fresh := NewRunTable(Options{Lease: leaseTime})
 	l := RenewReply{Clock: startClock, Ended: ended}
--- a/lease/life.go
+++ b/lease/life.go
@@ -129,7 +129,7 @@
 func (r *RunTable) LifeEnded(crashed bool) []RemovedRun {
 	r.attributeCrash(crashed)
 	r.adopted, r.ends = false, endTable{}
-	return r.removeWhere(OutcomeLost, func(*entry) bool { return true })
+	return r.removeWhere(OutcomeLost, ProofOtherIdentifier, func(*entry) bool { return true })
 }
 
 // LifeReplaced removes and returns the runs that have ended because the worker's
@@ -141,7 +141,7 @@
 	r.attributeCrash(crashed)
 	removals := r.ends.removals
 	r.adopted, r.ends = false, endTable{removals: removals}
-	lost := r.removeWhere(OutcomeLost, func(e *entry) bool { return e.shown && !e.carriedOver })
+	lost := r.removeWhere(OutcomeLost, ProofLifeOver, func(e *entry) bool { return e.shown && !e.carriedOver })
 	o := r.options
 	o.Token = token
 	next := NewRunTable(o)
@@ -183,16 +183,16 @@
 // start orders are older than releaseAfter. Without it a task would wait for the
 // next life of a worker that never returns.
 func (r *RunTable) removeOverdue(now time.Time) []RemovedRun {
-	return r.removeWhere(OutcomeLost, func(e *entry) bool { return e.carriedOver && !r.foreign[e.run] && now.Sub(e.orderedAt) > releaseAfter })
+	return r.removeWhere(OutcomeLost, ProofOverdue, func(e *entry) bool { return e.carriedOver && !r.foreign[e.run] && now.Sub(e.orderedAt) > releaseAfter })
 }
 
 // removeWhere removes and returns the runs that meet the condition, with the given
-// outcome.
-func (r *RunTable) removeWhere(outcome Outcome, condition func(*entry) bool) []RemovedRun {
+// outcome and proof.
+func (r *RunTable) removeWhere(outcome Outcome, proof Proof, condition func(*entry) bool) []RemovedRun {
 	var removed []RemovedRun
 	for _, e := range r.table {
 		if condition(e) {
-			removed = append(removed, r.remove(e.run, outcome, "")...)
+			removed = append(removed, r.remove(e.run, outcome, proof)...)
 		}
 	}
 	return removed
--- a/lease/life_test.go
+++ b/lease/life_test.go
@@ -192,5 +192,5 @@
 	qt.Assert(t, lost, qt.HasLen, 0)
 	next, lost = next.LifeReplaced(false, 9)
 	qt.Assert(t, lost, qt.HasLen, 0)
-	qt.Assert(t, next.LifeEnded(false), qt.DeepEquals, []RemovedRun{{Run: run1, Outcome: OutcomeLost, Crash: wire.CrashUnconfirmed}})
+	qt.Assert(t, next.LifeEnded(false), qt.DeepEquals, []RemovedRun{{Run: run1, Outcome: OutcomeLost, Proof: ProofOtherIdentifier, Crash: wire.CrashUnconfirmed}})
 }
--- a/lease/reply.go
+++ b/lease/reply.go
@@ -43,7 +43,7 @@
 		r.holdListed(now, end, e)
 		if e != nil {
 			delete(r.table, end.Run.Task)
-			removed = append(removed, RemovedRun{Run: end.Run, Outcome: outcomeOf(end.Reason)})
+			removed = append(removed, RemovedRun{Run: end.Run, Outcome: outcomeOf(end.Reason), Proof: ProofListed})
 		}
 	}
 	return removed
@@ -114,11 +114,11 @@
 		switch {
 		case e.carriedOver:
 			// The worker has accepted a token above that of the order.
-			removed = append(removed, r.remove(e.run, OutcomeLost, "")...)
+			removed = append(removed, r.remove(e.run, OutcomeLost, ProofAbsentInNextLife)...)
 		case resolved && e.stopAnswered && number > e.stopAnsweredAt:
-			removed = append(removed, r.remove(e.run, e.outcomeIfBegun(OutcomeStopped), "")...)
+			removed = append(removed, r.remove(e.run, e.outcomeIfBegun(OutcomeStopped), ProofAbsentAfterStop)...)
 		case resolved && reply.Clock > e.validUntil:
-			removed = append(removed, r.remove(e.run, e.outcomeIfBegun(OutcomeLost), "")...)
+			removed = append(removed, r.remove(e.run, e.outcomeIfBegun(OutcomeLost), ProofAbsentAfterValid)...)
 		case resolved && e.state == Ordered:
 			e.state = Stopping
 			toStop = append(toStop, e.run)
--- a/lease/runs.go
+++ b/lease/runs.go
@@ -45,6 +45,7 @@
 type RemovedRun struct {
 	Run     Run
 	Outcome Outcome
+	Proof   Proof
 	Refusal Refusal // set with OutcomeRefused
 	// Survived is how long the worker is known to have gone on after the run
 	// began, if the run was lost with a life of the worker; otherwise 0.
@@ -209,7 +210,7 @@
 	if r.find(run) == nil {
 		return nil
 	}
-	return r.remove(run, OutcomeNeverStarted, "")
+	return r.remove(run, OutcomeNeverStarted, ProofUnsent)
 }
 
 // StartAnswered applies the answer to a start order and returns the run if it
@@ -218,7 +219,7 @@
 func (r *RunTable) StartAnswered(now time.Time, o StartOrder, a Answer) []RemovedRun {
 	if e := r.find(o.Run); e != nil && e.carriedOver {
 		if a.Refusal != "" {
-			return r.remove(o.Run, OutcomeRefused, a.Refusal)
+			return r.removeRefused(o.Run, a.Refusal)
 		}
 		e.startResolved = true
 		return nil // a list will show whether this life or the earlier one has begun the run
@@ -241,7 +242,7 @@
 		return nil
 	}
 	if a.Refusal != "" {
-		return r.remove(o.Run, OutcomeRefused, a.Refusal)
+		return r.removeRefused(o.Run, a.Refusal)
 	}
 	e.markBegun(now)
 	e.resolveStart(r.lastRenewal)
@@ -411,13 +412,20 @@
 // remove removes a run from the table. It remembers the run for the case that its
 // end is listed later. A refused run never began: an end with its number is that
 // of a run of another agent process.
-func (r *RunTable) remove(run Run, outcome Outcome, refusal Refusal) []RemovedRun {
+func (r *RunTable) remove(run Run, outcome Outcome, proof Proof) []RemovedRun {
 	e := r.table[run.Task]
 	if outcome != OutcomeRefused {
 		r.ends.recordRemoval(run, removal{e.durable, outcome})
 	}
 	delete(r.table, run.Task)
-	return []RemovedRun{{Run: run, Outcome: outcome, Refusal: refusal, Survived: e.survived, Crash: e.crash}}
+	return []RemovedRun{{Run: run, Outcome: outcome, Proof: proof, Survived: e.survived, Crash: e.crash}}
+}
+
+// removeRefused removes a run whose start order the worker refused.
+func (r *RunTable) removeRefused(run Run, refusal Refusal) []RemovedRun {
+	removed := r.remove(run, OutcomeRefused, ProofRefused)
+	removed[0].Refusal = refusal
+	return removed
 }
 
 // outcomeIfBegun returns the outcome of a run that is absent at the worker: the
--- a/lease/runs_test.go
+++ b/lease/runs_test.go
@@ -99,55 +99,56 @@
 // are not needed or are missing.
 func TestRunsLeaveOnlyOnProof(t *testing.T) {
 	for _, tc := range []struct {
-		name string
-		do   func(t *rig)
-		want Outcome // empty: it stays; "stop": it stays and is to be stopped
+		name  string
+		do    func(t *rig)
+		want  Outcome // empty: it stays; "stop": it stays and is to be stopped
+		proof Proof
 	}{
-		{"done", func(t *rig) { t.answerStart(""); t.poll(nil, RunEnd{1, run1, Done}) }, OutcomeDone},
-		{"done before the answer to the start", func(t *rig) { t.poll(nil, RunEnd{1, run1, Done}) }, OutcomeDone},
-		{"failed", func(t *rig) { t.answerStart(""); t.poll(nil, RunEnd{1, run1, Failed}) }, OutcomeFailed},
-		{"stopped", func(t *rig) { t.answerStart(""); t.poll(nil, RunEnd{1, run1, Stopped}) }, OutcomeStopped},
-		{"lapsed", func(t *rig) { t.answerStart(""); t.poll(nil, RunEnd{1, run1, LeaseExpired}) }, OutcomeLeaseExpired},
-		{"an end of another kind", func(t *rig) { t.answerStart(""); t.poll(nil, RunEnd{1, run1, "evicted"}) }, OutcomeLost},
-		{"the end of an earlier run", func(t *rig) { t.answerStart(""); t.poll(nil, RunEnd{1, Run{task1, 0}, Done}) }, ""},
+		{"done", func(t *rig) { t.answerStart(""); t.poll(nil, RunEnd{1, run1, Done}) }, OutcomeDone, ProofListed},
+		{"done before the answer to the start", func(t *rig) { t.poll(nil, RunEnd{1, run1, Done}) }, OutcomeDone, ProofListed},
+		{"failed", func(t *rig) { t.answerStart(""); t.poll(nil, RunEnd{1, run1, Failed}) }, OutcomeFailed, ProofListed},
+		{"stopped", func(t *rig) { t.answerStart(""); t.poll(nil, RunEnd{1, run1, Stopped}) }, OutcomeStopped, ProofListed},
+		{"lapsed", func(t *rig) { t.answerStart(""); t.poll(nil, RunEnd{1, run1, LeaseExpired}) }, OutcomeLeaseExpired, ProofListed},
+		{"an end of another kind", func(t *rig) { t.answerStart(""); t.poll(nil, RunEnd{1, run1, "evicted"}) }, OutcomeLost, ProofListed},
+		{"the end of an earlier run", func(t *rig) { t.answerStart(""); t.poll(nil, RunEnd{1, Run{task1, 0}, Done}) }, "", ""},
 
-		{"refused", func(t *rig) { t.answerStart(RefusedNoRoom) }, OutcomeRefused},
-		{"never sent", func(t *rig) { t.removed = t.StartUnsent(run1) }, OutcomeNeverStarted},
-		{"accepted", func(t *rig) { t.answerStart("") }, ""},
+		{"refused", func(t *rig) { t.answerStart(RefusedNoRoom) }, OutcomeRefused, ProofRefused},
+		{"never sent", func(t *rig) { t.removed = t.StartUnsent(run1) }, OutcomeNeverStarted, ProofUnsent},
+		{"accepted", func(t *rig) { t.answerStart("") }, "", ""},
 
-		{"absent after its validity", func(t *rig) { t.StartUnanswered(run1); t.pass(validity + 1); t.poll(nil) }, OutcomeNeverStarted},
-		{"unanswered", func(t *rig) { t.StartUnanswered(run1); t.pass(validity + 1) }, ""},
-		{"absent at the end of its validity", func(t *rig) { t.StartUnanswered(run1); t.pass(validity); t.poll(nil) }, "stop"},
-		{"absent twice", func(t *rig) { t.StartUnanswered(run1); t.poll(nil); t.poll(nil) }, "stop"},
-		{"absent while the start is out, in time", func(t *rig) { t.poll(nil) }, ""},
-		{"listed, then absent", func(t *rig) { t.StartUnanswered(run1); t.poll(shown); t.poll(nil) }, ""},
-		{"absent after its validity, then listed", func(t *rig) { t.StartUnanswered(run1); t.pass(validity + 1); t.poll(shown) }, ""},
-		{"absent from a list without a clock", func(t *rig) { t.StartUnanswered(run1); t.pass(validity + 1); t.apply(t.Renew(t.now, 0), RenewReply{}) }, "stop"},
-		{"absent while the start is out", func(t *rig) { t.pass(validity + 1); t.poll(nil) }, ""},
-		{"list requested before the start was given up", func(t *rig) { t.meanwhile(func() { t.StartUnanswered(run1) }, validity+1) }, ""},
-		{"list requested before the start was answered", func(t *rig) { t.meanwhile(func() { t.answerStart("") }, validity+1) }, ""},
-		{"accepted, then absent after its validity", func(t *rig) { t.answerStart(""); t.pass(validity + 1); t.poll(nil) }, OutcomeLost},
-		{"listed, then absent after its validity", func(t *rig) { t.StartUnanswered(run1); t.poll(shown); t.pass(validity + 1); t.poll(nil) }, OutcomeLost},
+		{"absent after its validity", func(t *rig) { t.StartUnanswered(run1); t.pass(validity + 1); t.poll(nil) }, OutcomeNeverStarted, ProofAbsentAfterValid},
+		{"unanswered", func(t *rig) { t.StartUnanswered(run1); t.pass(validity + 1) }, "", ""},
+		{"absent at the end of its validity", func(t *rig) { t.StartUnanswered(run1); t.pass(validity); t.poll(nil) }, "stop", ""},
+		{"absent twice", func(t *rig) { t.StartUnanswered(run1); t.poll(nil); t.poll(nil) }, "stop", ""},
+		{"absent while the start is out, in time", func(t *rig) { t.poll(nil) }, "", ""},
+		{"listed, then absent", func(t *rig) { t.StartUnanswered(run1); t.poll(shown); t.poll(nil) }, "", ""},
+		{"absent after its validity, then listed", func(t *rig) { t.StartUnanswered(run1); t.pass(validity + 1); t.poll(shown) }, "", ""},
+		{"absent from a list without a clock", func(t *rig) { t.StartUnanswered(run1); t.pass(validity + 1); t.apply(t.Renew(t.now, 0), RenewReply{}) }, "stop", ""},
+		{"absent while the start is out", func(t *rig) { t.pass(validity + 1); t.poll(nil) }, "", ""},
+		{"list requested before the start was given up", func(t *rig) { t.meanwhile(func() { t.StartUnanswered(run1) }, validity+1) }, "", ""},
+		{"list requested before the start was answered", func(t *rig) { t.meanwhile(func() { t.answerStart("") }, validity+1) }, "", ""},
+		{"accepted, then absent after its validity", func(t *rig) { t.answerStart(""); t.pass(validity + 1); t.poll(nil) }, OutcomeLost, ProofAbsentAfterValid},
+		{"listed, then absent after its validity", func(t *rig) { t.StartUnanswered(run1); t.poll(shown); t.pass(validity + 1); t.poll(nil) }, OutcomeLost, ProofAbsentAfterValid},
 
-		{"stop answered, then absent", func(t *rig) { t.StartUnanswered(run1); t.answerStop(""); t.poll(nil) }, OutcomeNeverStarted},
-		{"accepted, stop answered, then absent", func(t *rig) { t.answerStart(""); t.answerStop(""); t.poll(nil) }, OutcomeStopped},
-		{"stop refused as too old, then absent", func(t *rig) { t.StartUnanswered(run1); t.answerStop(RefusedRunTooOld); t.poll(nil) }, OutcomeNeverStarted},
-		{"accepted when it was to be stopped", func(t *rig) { t.Stop(run1); t.answerStart("") }, "stop"},
-		{"stop answered", func(t *rig) { t.answerStart(""); t.answerStop("") }, ""},
-		{"stop answered, still listed", func(t *rig) { t.answerStart(""); t.answerStop(""); t.poll(shown) }, ""},
-		{"stop refused, then absent", func(t *rig) { t.StartUnanswered(run1); t.answerStop(RefusedTokenTooLow); t.poll(nil) }, "stop"},
-		{"stop refused as unhealthy, then absent", func(t *rig) { t.StartUnanswered(run1); t.answerStop(RefusedUnhealthy); t.poll(nil) }, "stop"},
-		{"stop not answered, then absent", func(t *rig) { t.StartUnanswered(run1); t.Stop(run1); t.poll(nil) }, "stop"},
-		{"stop answered while the start is out, then absent", func(t *rig) { t.answerStop(""); t.poll(nil) }, ""},
-		{"list requested before the stop was answered", func(t *rig) { t.StartUnanswered(run1); t.meanwhile(func() { t.answerStop("") }, 0) }, ""},
+		{"stop answered, then absent", func(t *rig) { t.StartUnanswered(run1); t.answerStop(""); t.poll(nil) }, OutcomeNeverStarted, ProofAbsentAfterStop},
+		{"accepted, stop answered, then absent", func(t *rig) { t.answerStart(""); t.answerStop(""); t.poll(nil) }, OutcomeStopped, ProofAbsentAfterStop},
+		{"stop refused as too old, then absent", func(t *rig) { t.StartUnanswered(run1); t.answerStop(RefusedRunTooOld); t.poll(nil) }, OutcomeNeverStarted, ProofAbsentAfterStop},
+		{"accepted when it was to be stopped", func(t *rig) { t.Stop(run1); t.answerStart("") }, "stop", ""},
+		{"stop answered", func(t *rig) { t.answerStart(""); t.answerStop("") }, "", ""},
+		{"stop answered, still listed", func(t *rig) { t.answerStart(""); t.answerStop(""); t.poll(shown) }, "", ""},
+		{"stop refused, then absent", func(t *rig) { t.StartUnanswered(run1); t.answerStop(RefusedTokenTooLow); t.poll(nil) }, "stop", ""},
+		{"stop refused as unhealthy, then absent", func(t *rig) { t.StartUnanswered(run1); t.answerStop(RefusedUnhealthy); t.poll(nil) }, "stop", ""},
+		{"stop not answered, then absent", func(t *rig) { t.StartUnanswered(run1); t.Stop(run1); t.poll(nil) }, "stop", ""},
+		{"stop answered while the start is out, then absent", func(t *rig) { t.answerStop(""); t.poll(nil) }, "", ""},
+		{"list requested before the stop was answered", func(t *rig) { t.StartUnanswered(run1); t.meanwhile(func() { t.answerStop("") }, 0) }, "", ""},
 
-		{"the life ended", func(t *rig) { t.removed = t.LifeEnded(false) }, OutcomeLost},
+		{"the life ended", func(t *rig) { t.removed = t.LifeEnded(false) }, OutcomeLost, ProofOtherIdentifier},
 
 		// The start order extends the lease to 300 ms, the renewal to 500 ms. The
 		// worker has 50 ms more to stop its runs, on a clock that is 2 % slow.
-		{"the lease may last", func(t *rig) { t.answerStart(""); t.Renew(t.now, 0); t.expire(561 * ms) }, ""},
-		{"the lease has ended", func(t *rig) { t.answerStart(""); t.Renew(t.now, 0); t.expire(562 * ms) }, OutcomeLeaseExpired},
-		{"a later renewal counts", func(t *rig) { t.Renew(t.now, 0); t.pass(250 * ms); t.Renew(t.now, 0); t.expire(500 * ms) }, ""},
+		{"the lease may last", func(t *rig) { t.answerStart(""); t.Renew(t.now, 0); t.expire(561 * ms) }, "", ""},
+		{"the lease has ended", func(t *rig) { t.answerStart(""); t.Renew(t.now, 0); t.expire(562 * ms) }, OutcomeLeaseExpired, ProofLeaseExpired},
+		{"a later renewal counts", func(t *rig) { t.Renew(t.now, 0); t.pass(250 * ms); t.Renew(t.now, 0); t.expire(500 * ms) }, "", ""},
 		{"the lease of the order counts", func(t *rig) {
 			t.pass(400 * ms)
 			t.poll(nil)
@@ -156,8 +157,8 @@
 			t.start, _ = t.Start(t.now, Task{Job: "later"}, "")
 			t.StartUnsent(run1)
 			t.expire(262 * ms) // past the end of the renewal
-		}, ""},
-		{"the worker answers", func(t *rig) { t.answerStart(""); t.pass(2 * time.Second); t.poll(shown); t.expire(562 * ms) }, ""},
+		}, "", ""},
+		{"the worker answers", func(t *rig) { t.answerStart(""); t.pass(2 * time.Second); t.poll(shown); t.expire(562 * ms) }, "", ""},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			c, table := qt.New(t), ordered()
@@ -172,7 +173,7 @@
 			}
 			c.Assert(table.removed, qt.HasLen, 1)
 			table.removed[0].Refusal = ""
-			c.Check(table.removed[0], qt.Equals, RemovedRun{Run: run1, Outcome: tc.want})
+			c.Check(table.removed[0], qt.Equals, RemovedRun{Run: run1, Outcome: tc.want, Proof: tc.proof})
 			c.Check(table.Empty(), qt.IsTrue)
 		})
 	}
