leasemodel: broken and refused connections of a worker that lives

The model took a connection that breaks and one that is refused for the end of the worker's process, as the agent does. A disruption of the link may do both while the process runs (fault BrokenByLink). Without the new rule BreakNoProof two runs overlap with this one fault (TestEachRuleIsNeeded).

With the rule such connections count as a refused one. The orders that follow have a higher token, in case they reach the next life, which the new life's token ensured before.

--- a/internal/leasemodel/life.go
+++ b/internal/leasemodel/life.go
@@ -36,6 +36,7 @@
 	}
 	if !ag.refused {
 		m.fault(RefusedByLink, "the link to worker %d refuses a connection of its agent", func(s *state) { m.refuseConnection(s, a) }, a)
+		m.fault(BrokenByLink, "the link to worker %d breaks a connection and refuses the next one", func(s *state) { m.breakConnection(s, a) }, a)
 	}
 	if !m.enforces(AnnouncementHint) {
 		m.fault(StaleAnnounced, "an announcement of another life of worker %d arrives", func(s *state) { m.endLife(s, a) }, a)
@@ -67,7 +68,7 @@
 	}
 	if w.down && !ag.refused {
 		m.step("worker %d, which has no process, refuses a connection of its agent", func(s *state) { m.refuseConnection(s, a) }, a)
-		m.step("a connection to worker %d breaks with its process, and the next one is refused", func(s *state) { m.endLife(s, a) }, a)
+		m.step("a connection to worker %d breaks with its process, and the next one is refused", func(s *state) { m.breakConnection(s, a) }, a)
 	}
 	if ag.life != w.life && s.answersLists(a) && m.enforces(BirthInLists) && !ag.adopting {
 		m.step("agent %d learns from a list that its worker has restarted", func(s *state) { m.renewLease(s, a) }, a)
@@ -97,6 +98,18 @@
 	m.endLife(s, a)
 }
 
+// breakConnection handles a connection that breaks before one that is refused. The
+// process has probably ended, so later orders have a higher token, in case they reach
+// the next life.
+func (m *machine) breakConnection(s *state, a int) {
+	if !m.enforces(BreakNoProof) {
+		m.endLife(s, a)
+		return
+	}
+	s.agents[a].fence++
+	m.refuseConnection(s, a)
+}
+
 // endLife ends the life of worker a at its agent. A run that a list has shown has
 // ended with it. Any other may still be started by the next life.
 func (m *machine) endLife(s *state, a int) {
--- a/internal/leasemodel/model_test.go
+++ b/internal/leasemodel/model_test.go
@@ -56,6 +56,7 @@
 		{TokenPerLife, overlap, []FaultKind{StartDelayed, WorkerRestarts}},
 		{ExpiryOfListed, overlap, []FaultKind{StartDelayed, WorkerRestarts}},
 		{RefusalNoProof, overlap, []FaultKind{RefusedByLink}},
+		{BreakNoProof, overlap, []FaultKind{BrokenByLink}},
 		{AnnouncementHint, overlap, []FaultKind{StaleAnnounced}},
 		{CheckCaller, overlap, []FaultKind{UnreadEnds}},
 		{StopBeforeStart, overlap, []FaultKind{EntryDies, OrdersDown}},
--- a/internal/leasemodel/rules.go
+++ b/internal/leasemodel/rules.go
@@ -39,6 +39,7 @@
 	TokenPerLife                  // orders to the next life have a higher fencing token
 	ExpiryOfListed                // the end of the lease proves only the end of runs that the life is proved to have begun
 	RefusalNoProof                // a refused connection does not end the life
+	BreakNoProof                  // nor does a connection that breaks before one that is refused
 	AnnouncementHint              // an announcement of another life does not end the life
 	CheckCaller                   // an entry sends no task whose caller's connection has ended, also before it handles the end
 	StopBeforeStart               // while a stop is unanswered, an agent starts no other task if that extends the lease
@@ -50,7 +51,7 @@
 	"LapseFromSending", "NoRenewalInDoubt", "ReconcileTime", "WorkerLease", "OrderValidity", "RunNumbers",
 	"FencingTokens", "EndProved", "Adoption", "CancelOnLeave", "Settling", "ResendInterval", "CancelBeforeRenew",
 	"StopBeforeExtend", "CheckBeforeExtend", "CheckBeforeStart", "OpenKeepsLapse", "CancelBeforeRun", "SettleBeforeRenew",
-	"CountsSuspension", "BirthInLists", "ClockBound", "CarryOver", "TokenPerLife", "ExpiryOfListed", "RefusalNoProof", "AnnouncementHint",
+	"CountsSuspension", "BirthInLists", "ClockBound", "CarryOver", "TokenPerLife", "ExpiryOfListed", "RefusalNoProof", "BreakNoProof", "AnnouncementHint",
 	"CheckCaller",
 	"StopBeforeStart", "CancelUntracked",
 }
@@ -163,6 +164,7 @@
 	StartDelayed   // a worker executes a start order late
 	WorkerRestarts // a worker's process ends and may start again under its identifier
 	RefusedByLink  // a connection is refused although the worker's process runs
+	BrokenByLink   // a connection breaks and the next one is refused although the worker's process runs
 	StaleAnnounced // an announcement of another life arrives although the worker's process runs
 	TaskRestarted  // an entry cancels a stalled or slow run to start the task elsewhere
 	UnreadEnds     // the caller's connection ends before the entry has read the submission; the caller resends at once
