lease, agent: broken and refused connections end no life of a worker

An agent took one connection that broke and one that was refused for the end of the worker's process, reported its runs as lost, and their tasks started elsewhere while the process ran on until its lease ended. The contract's list of disruptions has cuts that reset or refuse, and resets of connections that are just being opened, so both may happen while the process lives. The class: evidence about a connection taken for evidence about a process.

A life now ends only when another one answers (list with another birth, other identifier), or when connections were refused until the lease has certainly expired. A connection that broke and one that was refused mean that the life is probably over (RunTable.ProbablyOver): the agent leaves, and reports the suspects of the probable crash at once, as before, so that tasks that crash workers are contained; the orders that follow have a higher token, so that the next life refuses late ones, and do not extend the lease, which keeps the wait short. A refused start order counts as not carried out, as before.

The price: a run at a worker that crashed and stays down waits up to 510 ms for the lease and up to 20 ms for the next look; a few ms before.

The stand-in resets open connections at once and also those of starts and stops (Faults.Reset); single faults, the stand-in schedules and the agent's schedules draw it.

--- a/agent/crash.go
+++ b/agent/crash.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"time"
 
 	"chicorytray.example/chicorytray/lease"
@@ -20,10 +21,10 @@
 	at      time.Time // when the worker's life ended
 }
 
-// reportCarriedOver reports the suspects among the runs that were carried over to the
-// life, at once to the entries of their tasks, which get no result before the next life
-// has answered. The caller holds mu.
-func (l *leasedExecutor) reportCarriedOver(life *life) {
+// reportSuspects reports the suspects of a crash among the runs that are not known to
+// be over, at once to the entries of their tasks, which get no result before the next
+// life has answered or the lease has expired. The caller holds mu.
+func (l *leasedExecutor) reportSuspects(life *life) {
 	for _, s := range life.runs.TakeSuspects() {
 		if t := l.addSuspect(life, s); t != nil {
 			l.agent.entries.requestHeartbeat(t.owner)
@@ -42,6 +43,9 @@
 	if t == nil {
 		return nil
 	}
+	if slices.ContainsFunc(l.suspects, func(known suspect) bool { return known.Entry == t.owner.Incarnation && known.Key == t.key }) {
+		return t // reported before its run was over
+	}
 	l.suspects = append(l.suspects, suspect{
 		CrashReport: wire.CrashReport{
 			Entry: t.owner.Incarnation, Key: t.key, Account: t.task.Account, Job: s.Run.Task.Job, Index: s.Run.Task.Index, Role: s.Crash,
--- a/agent/leased_random_test.go
+++ b/agent/leased_random_test.go
@@ -141,6 +141,8 @@
 	switch s.IntN(8) {
 	case 2:
 		f = leasestub.Faults{Refuse: true}
+	case 3:
+		f = leasestub.Faults{Refuse: true, Reset: true}
 	case 0:
 		f = leasestub.Silent()
 	case 1:
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -60,12 +60,12 @@
 	case err != nil:
 		l.agent.metrics.ordersUnanswered.Inc(1)
 		holder.runs.StartUnanswered(o.Run)
-		l.reportCarriedOver(holder)
+		l.reportSuspects(holder)
 		life.renewSoon(true)
 	default:
 		holder.runs.CountSuspension(l.agent.clock.Suspended())
 		l.notifyRemoved(holder, holder.runs.StartAnswered(now, o, answer))
-		l.reportCarriedOver(holder)
+		l.reportSuspects(holder)
 		if answer.Refusal == lease.RefusedOtherLife {
 			l.endAnsweredByAnother(life)
 		} else if life.runs.Doubted() {
@@ -105,14 +105,18 @@
 	l.updateLeaving()
 }
 
-// checkExpiry ends the life if refused connections prove that it is over, and
-// otherwise removes the runs that have ended with the worker's lease; the caller
-// holds mu.
+// checkExpiry ends the life if connections were refused until the worker's lease has
+// certainly expired, and otherwise removes the runs that have ended with it. A crash
+// that is only probable is reported at once: if it was one, its suspects must crash no
+// other worker meanwhile. The caller holds mu.
 func (l *leasedExecutor) checkExpiry(life *life, now time.Time) {
 	if life.runs.Over(now) {
 		l.replaceLife(life, "connection_refused", life.announced)
 		return
 	}
+	if life.runs.ProbablyOver(!life.leaves()) {
+		l.reportSuspects(life)
+	}
 	l.expireLease(life, now)
 }
 
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -206,7 +206,7 @@
 	for run, at := range life.attempts {
 		at.life, next.attempts[run] = next, at
 	}
-	l.reportCarriedOver(next)
+	l.reportSuspects(next)
 	l.begin(next)
 }
 
--- a/internal/leasedtest/single_test.go
+++ b/internal/leasedtest/single_test.go
@@ -134,6 +134,8 @@
 	answerLate := leasestub.Fault{AnswerLate: 60 * ms}
 	return []singleFault{
 		{"connections refused", faulty(leasestub.Faults{Refuse: true})},
+		{"connections reset", faulty(leasestub.Faults{Reset: true})},
+		{"connections reset and refused", faulty(leasestub.Faults{Refuse: true, Reset: true})},
 		{"answers late", faulty(leasestub.Faults{Start: answerLate, Stop: answerLate, Renew: answerLate})},
 		{"worker restarted as another", restart(0, leasestub.NextLife{NewID: true})},
 		{"worker restarted as another later", restart(time.Second, leasestub.NextLife{NewID: true})},
--- a/internal/leasedtest/standins_random_test.go
+++ b/internal/leasedtest/standins_random_test.go
@@ -12,6 +12,7 @@
 
 	"chicorytray.example/chicorytray/durable"
 	"chicorytray.example/chicorytray/entry"
+	"chicorytray.example/chicorytray/internal/leasestub"
 	"chicorytray.example/chicorytray/store"
 )
 
@@ -37,6 +38,7 @@
 	"store refuses entry", "store refuses agent", "store slow", "store answers silent", "store reads silent", "store down, leases expire",
 	"store down, leases pause", "store watch silent", "foreign registration",
 	"store pages short", "jitter", "jitter", "jitter to the store", "ends noticed late",
+	"worker's connections reset", "worker's connections reset and refused", "worker's connections reset and refused", "worker's connections flap",
 }
 
 // callerKinds are the calls of eventKinds.
@@ -96,6 +98,17 @@
 	case "ends noticed late":
 		p := s.entry(e.entry)
 		s.injectFor(e.duration, func() { p.setEndsNoticedLate(e.job.duration / 4) }, func() { p.setEndsNoticedLate(0) })
+	case "worker's connections reset":
+		s.setWorkerFaults(e.agent, e.duration, leasestub.Faults{Reset: true})
+	case "worker's connections reset and refused":
+		s.setWorkerFaults(e.agent, e.duration, leasestub.Faults{Reset: true, Refuse: true})
+	case "worker's connections flap":
+		s.faults.Go(func() {
+			for range 10 {
+				s.setWorkerFaults(e.agent, e.job.duration/50, leasestub.Faults{Reset: true, Refuse: true})
+				time.Sleep(e.duration / 10)
+			}
+		})
 	case "foreign registration":
 		s.putForeignRegistration(e.job.tasks)
 	default:
@@ -142,6 +155,11 @@
 	return true
 }
 
+// setWorkerFaults makes a worker fail for the given time.
+func (s *system) setWorkerFaults(i int, d time.Duration, f leasestub.Faults) {
+	s.injectFor(d, func() { s.workers[i].SetFaults(f) }, func() { s.workers[i].SetFaults(leasestub.Faults{}) })
+}
+
 // putForeignRegistration writes an unusable registration of an entry.
 func (s *system) putForeignRegistration(n int) {
 	values := []string{
--- a/internal/leasestub/conn.go
+++ b/internal/leasestub/conn.go
@@ -30,8 +30,9 @@
 	// Refuse makes every call that arrives fail with lease.ErrWorkerDown, although
 	// the process lives, as a proxy or a full queue of connections may.
 	Refuse bool
-	// Reset makes renewals that wait fail with lease.ErrConnectionBroken, although the
-	// process lives, as a disruption between agent and worker may.
+	// Reset resets the open connections and those that follow: orders are executed
+	// and fail with lease.ErrConnectionBroken, although the process lives, as a
+	// disruption between agent and worker may. With Refuse, only calls that wait.
 	Reset bool
 	// FailAll makes every run that starts end as failed after its duration.
 	FailAll bool
@@ -123,6 +124,11 @@
 	if !wait.For(ctx, c.machine.options.Delay+f.AnswerLate, nil) {
 		return ctx.Err()
 	}
+	c.machine.mu.Lock()
+	defer c.machine.mu.Unlock()
+	if c.machine.faults.Reset {
+		return lease.ErrConnectionBroken
+	}
 	return nil
 }
 
@@ -182,11 +188,12 @@
 }
 
 // waitAndList waits up to limit for the end of a run, and for the end of a pause,
-// and returns the list. It returns lease.ErrConnectionBroken if the life ended.
+// and returns the list. It returns lease.ErrConnectionBroken if the life ended or the
+// connection was reset.
 func (c *Conn) waitAndList(ctx context.Context, l *life, limit time.Duration) (lease.RenewReply, error) {
 	m := c.machine
 	m.mu.Lock()
-	changed, ready := l.runEnded, len(l.unacked) > 0 || l.terminated
+	changed, ready, resets := l.runEnded, len(l.unacked) > 0 || l.terminated, m.resets
 	m.mu.Unlock()
 	if !ready && !wait.For(ctx, limit, changed) {
 		return lease.RenewReply{}, ctx.Err()
@@ -205,7 +212,7 @@
 		}
 	}
 	defer m.mu.Unlock()
-	if l.terminated || m.faults.Reset {
+	if l.terminated || m.resets != resets {
 		return lease.RenewReply{}, lease.ErrConnectionBroken
 	}
 	return l.list(), nil
--- a/internal/leasestub/life.go
+++ b/internal/leasestub/life.go
@@ -203,8 +203,7 @@
 	l.sequence++
 	l.unacked = append(l.unacked, lease.RunEnd{Sequence: l.sequence, Run: id, Reason: how})
 	l.unackedRecords[l.sequence] = endRecord{r.record, l.clock()}
-	close(l.runEnded)
-	l.runEnded = make(chan struct{})
+	l.wakeRenewals()
 }
 
 // renew executes a renewal, except for the wait and the list.
@@ -263,6 +262,12 @@
 	return out
 }
 
+// wakeRenewals ends the wait of renewals.
+func (l *life) wakeRenewals() {
+	close(l.runEnded)
+	l.runEnded = make(chan struct{})
+}
+
 // terminate ends the life and all its runs.
 func (l *life) terminate() {
 	l.terminated = true
@@ -274,6 +279,5 @@
 		l.machine.evidence.recordEnd(r.record, "")
 	}
 	l.runs = nil
-	close(l.runEnded)
-	l.runEnded = make(chan struct{})
+	l.wakeRenewals()
 }
--- a/internal/leasestub/machine.go
+++ b/internal/leasestub/machine.go
@@ -97,6 +97,7 @@
 	draining bool
 	faults   Faults
 	resumed  chan struct{}  // closed and replaced when faults without a pause are set
+	resets   int            // how often faults with Reset were set
 	orders   map[string]int // number received, by kind
 
 	capacityBefore   wire.Resources // before the newest change, as far as the agent had been told
@@ -255,6 +256,10 @@
 	m.faults = f
 	if m.life != nil {
 		m.life.setSpeed(f.speed())
+		if f.Reset {
+			m.resets++
+			m.life.wakeRenewals()
+		}
 	}
 	if !f.Paused {
 		close(m.resumed)
--- a/internal/leasestub/stub_test.go
+++ b/internal/leasestub/stub_test.go
@@ -192,3 +192,23 @@
 		c.Check(m.countedCapacity(), qt.Equals, small)
 	})
 }
+
+// Guards against a stand-in whose connections are reset later than the disruption
+// begins, or that does not carry out an order whose connection is reset.
+func TestResetConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		m := New(Options{ID: "a", Capacity: wire.Resources{MilliCPU: 1000}})
+		conn := m.Connect(m.Announcement())
+		began := time.Now()
+		time.AfterFunc(time.Second, func() { m.SetFaults(Faults{Reset: true}); m.SetFaults(Faults{}) })
+		_, err := conn.Renew(t.Context(), lease.RenewOrder{Wait: 5 * time.Second})
+		c.Check(err, qt.Equals, lease.ErrConnectionBroken)
+		c.Check(time.Since(began) < time.Second+10*time.Millisecond, qt.IsTrue)
+		m.SetFaults(Faults{Reset: true})
+		_, err = conn.Start(t.Context(), lease.StartOrder{Run: lease.Run{Task: lease.Task{Job: "j"}, Number: 1}, Spec: Spec{}.Encode(), ValidUntil: 2 * bootClock})
+		c.Check(err, qt.Equals, lease.ErrConnectionBroken)
+		c.Check(m.Evidence().Running(), qt.Equals, 1)
+		m.Crash()
+	})
+}
--- a/lease/crash.go
+++ b/lease/crash.go
@@ -40,20 +40,20 @@
 	return onProbation
 }
 
-// Suspect is a run that is suspected of the crash of an earlier life.
+// Suspect is a run that is suspected of the crash of a life.
 type Suspect struct {
 	Run   Run
 	Crash wire.CrashRole
 }
 
-// TakeSuspects returns the suspects among the runs that are carried over, each once. A
-// run whose start order is still under way is left out, because the order may not have
-// reached the worker.
+// TakeSuspects returns the suspects of a crash among the runs that are carried over, or
+// among all if the life is probably over, each once. A run whose start order is still
+// under way is left out, because the order may not have reached the worker.
 func (r *RunTable) TakeSuspects() []Suspect {
 	var out []Suspect
 	for _, e := range r.table {
 		suspected := e.crash == wire.CrashSuspect || e.crash == wire.CrashUnconfirmed
-		if e.carriedOver && e.startResolved && !e.crashTaken && suspected {
+		if (e.carriedOver || r.probablyOver) && e.startResolved && !e.crashTaken && suspected {
 			e.crashTaken = true
 			out = append(out, Suspect{e.run, e.crash})
 		}
--- a/lease/life.go
+++ b/lease/life.go
@@ -109,18 +109,48 @@
 }
 
 // ConnectionBroke records that the worker's side closed the connection of an order
-// before its answer.
-func (r *RunTable) ConnectionBroke() { r.broke = true }
-
-// Over reports whether the life has ended, or none of its runs goes on: since the
-// newest list, one connection broke and another was refused, or connections were
-// refused until the lease of the runs has certainly expired. Only the end of a
-// process closes its connections and its port; connections that are reset can be
-// opened again. Without runs there is nothing to give up after refusals alone: the
-// life stays, and keeps its held ends, until a list shows another birth.
+// before its answer. The next life may get the renewals that follow, so they do not
+// extend the lease until a list has come.
+func (r *RunTable) ConnectionBroke() {
+	r.broke = true
+	r.identity.doubt(r.lastRenewal)
+}
+
+// ProbablyOver reports, once, that since the newest list a connection broke and
+// another was refused. The end of the worker's process does both, but so may
+// something on the way, so nothing follows for the runs. The caller says whether it
+// would be a crash; TakeSuspects then returns its suspects. Later orders have a higher
+// token, so that the next life refuses those that were sent before.
+func (r *RunTable) ProbablyOver(crashed bool) bool {
+	if r.probablyOver || !r.refused || !r.broke || !r.identity.listed {
+		return false
+	}
+	r.token++
+	r.attributeCrash(crashed)
+	r.probablyOver = true
+	return true
+}
+
+// goesOn records that the life has answered with a list.
+func (r *RunTable) goesOn() {
+	r.refused, r.broke = false, false
+	if !r.probablyOver {
+		return
+	}
+	r.probablyOver = false
+	for _, e := range r.table {
+		if !e.carriedOver {
+			e.survived, e.crash, e.crashTaken = 0, wire.CrashNone, false
+		}
+	}
+}
+
+// Over reports whether none of the life's runs goes on: connections were refused
+// until the lease of the runs has certainly expired. That a connection broke before is
+// no proof. Without runs there is nothing to give up: the life stays, and keeps its
+// held ends, until a list shows another birth.
 func (r *RunTable) Over(now time.Time) bool {
-	expired := !r.Empty() && r.clock.min(now)-r.options.StopTime > r.latest
-	return r.refused && r.identity.listed && (r.broke || expired)
+	return r.refused && r.identity.listed && !r.Empty() && r.clock.min(now)-r.options.StopTime > r.latest
 }
 
 // LifeEnded removes and returns all runs because the worker's life has ended, by a
@@ -157,8 +187,11 @@
 
 // attributeCrash records for each run its part in the end of this life, if that
 // was a crash. Runs that were carried over keep their part in the end of an
-// earlier life.
+// earlier life, and all keep what was reported when the life was probably over.
 func (r *RunTable) attributeCrash(crashed bool) {
+	if r.probablyOver {
+		return
+	}
 	suspected := r.suspects()
 	roles := map[*entry]wire.CrashRole{}
 	for _, e := range r.table {
--- a/lease/reply.go
+++ b/lease/reply.go
@@ -26,7 +26,7 @@
 	}
 	r.identity.applyList(n, reply)
 	r.answeredAt = now
-	r.refused, r.broke = false, false
+	r.goesOn()
 	removed = r.applyEnds(now, reply.Ended)
 	toStop = r.applyActive(now, previous, reply)
 	absent, unstarted := r.applyAbsent(n.number, reply)
--- a/lease/runs.go
+++ b/lease/runs.go
@@ -97,8 +97,10 @@
 	adopted     bool         // see Adopted
 	refused     bool         // a connection was refused since the newest list
 	broke       bool         // the worker's side closed a connection since the newest list
-	stalled     []Run        // returned by the next TakeStalled
-	numbers     numbers
+	// probablyOver means that both happened and that ProbablyOver has returned true.
+	probablyOver bool
+	stalled      []Run // returned by the next TakeStalled
+	numbers      numbers
 
 	ends endTable
 }
