--- a/agent/crash.go
+++ b/agent/crash.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"time"
 
 	"chicorytray.example/chicorytray/lease"
@@ -20,10 +21,10 @@
 	at      time.Time // when the worker's life ended
 }
 
-// reportCarriedOver reports the suspects among the runs that were carried over to the
-// life, at once to the entries of their tasks, which get no result before the next life
-// has answered. The caller holds mu.
-func (l *leasedExecutor) reportCarriedOver(life *life) {
+// reportSuspects reports the suspects of a crash among the runs that are not known to
+// be over, at once to the entries of their tasks, which get no result before the next
+// life has answered or the lease has expired. The caller holds mu.
+func (l *leasedExecutor) reportSuspects(life *life) {
 	for _, s := range life.runs.TakeSuspects() {
 		if t := l.addSuspect(life, s); t != nil {
 			l.agent.entries.requestHeartbeat(t.owner)
@@ -38,19 +39,20 @@
 	if at == nil {
 		return nil
 	}
-	for id, t := range l.agent.tasks {
-		if t.cancel == nil || t.task.Job != at.job || leaseTask(t.task) != s.Run.Task {
-			continue
-		}
-		l.suspects = append(l.suspects, suspect{
-			CrashReport: wire.CrashReport{
-				Entry: id.owner.Incarnation, Key: id.key, Account: t.task.Account, Job: s.Run.Task.Job, Index: s.Run.Task.Index, Role: s.Crash,
-			},
-			owner: id.owner, durable: t.task.Leased.Durable, at: l.agent.clock.Now(),
-		})
-		return t
+	t := l.taskOf(at, s.Run)
+	if t == nil {
+		return nil
+	}
+	if slices.ContainsFunc(l.suspects, func(known suspect) bool { return known.Entry == t.owner.Incarnation && known.Key == t.key }) {
+		return t // reported before its run was over
 	}
-	return nil
+	l.suspects = append(l.suspects, suspect{
+		CrashReport: wire.CrashReport{
+			Entry: t.owner.Incarnation, Key: t.key, Account: t.task.Account, Job: s.Run.Task.Job, Index: s.Run.Task.Index, Role: s.Crash,
+		},
+		owner: t.owner, durable: t.task.Leased.Durable, at: l.agent.clock.Now(),
+	})
+	return t
 }
 
 // crashReports returns the suspects that a heartbeat to the entry lists; nil if there
