leasemodel: connections of one life and orders that end with their process apart

Config.LifeConnections was two things at once: a rule that an agent can keep (starts and extensions of the lease use connections to the life that it knows only) and an assumption on the platform (no later process carries out what an earlier one has received). What each of them closes could not be told.

They are two fields now, LifeConnections and OrdersEnd.

--- a/internal/leasemodel/life.go
+++ b/internal/leasemodel/life.go
@@ -25,7 +25,7 @@
 		return
 	}
 	m.fault(WorkerRestarts, "the process of worker %d ends", func(s *state) {
-		if m.LifeConnections {
+		if m.OrdersEnd {
 			s.dropStarts(a)
 		}
 		w := &s.workers[a]
--- a/internal/leasemodel/model_test.go
+++ b/internal/leasemodel/model_test.go
@@ -1,7 +1,6 @@
 package leasemodel
 
 import (
-	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -121,40 +120,46 @@
 // Guards against a description of the rules that hides what they do not prevent:
 // concurrent runs through a worker that has restarted under its identifier. Each
 // case is a breach with all rules in force; docs/decisions/run-overlap.md explains
-// them. A rule or bound that closes one has to change its case here. Orders over
-// connections that end with the life close them. A first look at the next life that
-// comes before late orders closes those in which the agent lives.
+// them. A rule or bound that closes one has to change its case here. A first look at
+// the next life that comes before late orders closes those in which the agent lives.
+// Connections of one life and orders that end with their process close all of them
+// together; the fields say what each of the two closes alone.
 func TestKnownBreachesAfterWorkerRestart(t *testing.T) {
 	t.Parallel()
 	for _, n := range []struct {
-		name         string
-		revive       bool
-		closedByLook bool
-		faults       []FaultKind
+		name                string
+		revive              bool
+		closedByLook        bool
+		closedByOrdersEnd   bool
+		closedByConnections bool
+		faults              []FaultKind
 	}{
-		{"void order executed by the next life", true, true, []FaultKind{StartDelayed, WorkerRestarts}},
-		{"stopped order executed by the next life", true, true, []FaultKind{StartDelayed, WorkerRestarts, TaskRestarted}},
-		{"order executed after the resend interval", false, true, []FaultKind{StartDelayed, WorkerRestarts, CallerLeaves}},
-		{"order executed after the reconcile time", false, false, []FaultKind{StartDelayed, WorkerRestarts, AgentDies}},
-		{"order to an unknown life, agent dies", false, false, []FaultKind{WorkerRestarts, EntryDies, AgentDies}},
-		{"order to an unknown life, stop unanswered", false, false, []FaultKind{WorkerRestarts, EntryDies, OrdersDown}},
+		{"void order executed by the next life", true, true, true, false, []FaultKind{StartDelayed, WorkerRestarts}},
+		{"stopped order executed by the next life", true, true, true, false, []FaultKind{StartDelayed, WorkerRestarts, TaskRestarted}},
+		{"order executed after the resend interval", false, true, false, false, []FaultKind{StartDelayed, WorkerRestarts, CallerLeaves}},
+		{"order executed after the reconcile time", false, false, false, false, []FaultKind{StartDelayed, WorkerRestarts, AgentDies}},
+		{"order to an unknown life, agent dies", false, false, false, true, []FaultKind{WorkerRestarts, EntryDies, AgentDies}},
+		{"order to an unknown life, stop unanswered", false, false, false, true, []FaultKind{WorkerRestarts, EntryDies, OrdersDown}},
 	} {
 		t.Run(n.name, func(t *testing.T) {
-			r := Check(Config{Bounds: Scaled(), Faults: int8(len(n.faults)), FaultKinds: n.faults, VoidRevive: n.revive})
-			qt.Assert(t, r.Violation, qt.Equals, overlap.String(), qt.Commentf("%v", r))
-			t.Log(r)
-			r = Check(Config{Bounds: Scaled(), Faults: int8(len(n.faults)), FaultKinds: n.faults, VoidRevive: n.revive, LookFirst: true})
-			qt.Assert(t, r.Violation == "", qt.Equals, n.closedByLook, qt.Commentf("with a look before late orders: %v", r))
-			qt.Assert(t, r.Complete, qt.Equals, n.closedByLook)
-			t.Log(r)
-			if !slices.Contains(n.faults, StartDelayed) {
-				return // closed as well, but in a space too large for a test
+			t.Parallel()
+			check := func(closed bool, change func(*Config), name string) {
+				c := Config{Bounds: Scaled(), Faults: int8(len(n.faults)), FaultKinds: n.faults, VoidRevive: n.revive}
+				change(&c)
+				r := Check(c)
+				qt.Assert(t, r.Violation == "", qt.Equals, closed, qt.Commentf("%s: %v", name, r))
+				qt.Assert(t, r.Violation == overlap.String(), qt.Equals, !closed)
+				qt.Assert(t, r.Complete, qt.Equals, closed)
+				t.Log(name, r)
 			}
-			c := Config{Bounds: Scaled(), Faults: int8(len(n.faults)), FaultKinds: n.faults, VoidRevive: n.revive, LifeConnections: true}
-			r = Check(c)
-			qt.Assert(t, r.Violation, qt.Equals, "", qt.Commentf("over connections of one life: %v", r))
-			qt.Assert(t, r.Complete, qt.IsTrue)
-			t.Log(r)
+			check(false, func(*Config) {}, "all rules")
+			check(n.closedByLook, func(c *Config) { c.LookFirst = true }, "a look before late orders")
+			check(n.closedByOrdersEnd, func(c *Config) { c.OrdersEnd = true }, "orders end with their process")
+			check(n.closedByConnections, func(c *Config) { c.LifeConnections = true }, "connections of one life")
+			if n.closedByConnections {
+				return // the same space: these faults delay no order
+			}
+			check(true, func(c *Config) { c.LifeConnections, c.OrdersEnd = true, true }, "both")
 		})
 	}
 }
--- a/internal/leasemodel/rules.go
+++ b/internal/leasemodel/rules.go
@@ -110,10 +110,12 @@
 	Faults     int8        // most faults in one path
 	FaultKinds []FaultKind // kinds of faults that may occur; nil means all
 	VoidRevive bool        // a later life may execute start orders that were void in the life to which they were sent
-	// LifeConnections means that agents order starts and extend leases only over a
-	// connection on which the present life has answered, and that no other process
-	// executes what was sent over it.
+	// LifeConnections means that agents order starts and extend leases only over
+	// connections to the life that they know.
 	LifeConnections bool
+	// OrdersEnd means that orders to a life end with its process: no later life
+	// executes what an earlier one has received.
+	OrdersEnd bool
 	// LookFirst means that a late start order does not arrive at a later life before
 	// the first order of the agent with a higher token, while the agent works and the
 	// worker answers.
