agent: starts and renewals use connections to the known life only

What callers saw: nothing yet. With a worker that starts again under its identifier while its renewals go unanswered, a start order reached the next life, of which the agent did not know. That life knows no lease end of the agent, so the run went on for the longest lease (1,000 ms instead of 450 ms), and with an entry and an agent lost as well, longer than reconcile and the resend interval (model: "order to an unknown life", two rows).

Cause: an order names the identifier, and the connection that it was sent over was opened to whatever process had the address.

A start without such a connection counts as never sent, so its task needs no wait for the order's validity.

Why this works: a connection stays with the process that accepted it, so what is sent over it reaches that process or none.

--- a/agent/lives_test.go
+++ b/agent/lives_test.go
@@ -223,3 +223,19 @@
 		r.expect(<-running, wire.OutcomeInterrupted, wire.ReasonWorkerLost)
 	})
 }
+
+// Guards against a start order that reaches the worker's next life while the agent
+// still takes it for the former one: that life knows no lease end of the agent, so the
+// run would go on for the longest lease.
+func TestStartReachesNoUnknownLife(t *testing.T) {
+	withLeasedRig(t, leasedSetup{}, func(r *leasedRig, e *entryStub) {
+		time.Sleep(2 * time.Second)
+		r.machine.SetFaults(leasestub.Faults{Renew: leasestub.Fault{Lost: true}})
+		r.machine.Restart()
+		time.Sleep(20 * time.Millisecond)
+		r.expect(<-e.runLeased("j", 4, time.Second), wire.OutcomeNotRun, wire.ReasonWorkerRefused)
+		r.machine.SetFaults(leasestub.Faults{})
+		time.Sleep(time.Second)
+		r.Check(r.started("j"), qt.Equals, 0)
+	})
+}
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -57,6 +57,9 @@
 		l.notifyRemoved(holder, holder.runs.StartUnsent(o.Run))
 		l.connectionRefused(life)
 		life.renewSoon(true)
+	case errors.Is(err, lease.ErrNotSent):
+		l.notifyRemoved(holder, holder.runs.StartUnsent(o.Run))
+		life.renewSoon(true) // another life may have answered
 	case err != nil:
 		l.agent.metrics.ordersUnanswered.Inc(1)
 		holder.runs.StartUnanswered(o.Run)
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -18,8 +18,10 @@
 
 // Worker is a client for one life of the worker beside the agent, which runs
 // leased tasks. Its methods must be safe for concurrent use. An error other than
-// lease.ErrWorkerDown means that the order may have been carried out or may be
-// carried out later. A call must return when its ctx ends; later calls then use
+// lease.ErrWorkerDown and lease.ErrNotSent means that the order may have been carried
+// out or may be carried out later. A start or an extension of the lease whose order
+// states a birth must reach no process of another birth; Renew then returns the list
+// of that process. A call must return when its ctx ends; later calls then use
 // another connection.
 type Worker interface {
 	Start(ctx context.Context, o lease.StartOrder) (lease.Answer, error)
--- a/internal/leasedtest/system_test.go
+++ b/internal/leasedtest/system_test.go
@@ -87,6 +87,7 @@
 	faults      sync.WaitGroup // ends of faults that are still to come
 	wg          sync.WaitGroup // goroutines that end with the system
 	closing     chan struct{}
+	ordersEnd   bool // late orders end with the process that received them
 
 	mu             sync.Mutex
 	entries        []*entryProcess
--- a/internal/leasestub/conn.go
+++ b/internal/leasestub/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"chicorytray.example/chicorytray/internal/wait"
@@ -15,8 +16,8 @@
 	// Late orders are executed after this time, by the life with the same
 	// identifier that is up then, and the caller gets no answer. 0 means at once.
 	Late time.Duration
-	// SameLife ends late orders with the life that was up when they were sent.
-	// Workers do not promise that.
+	// SameLife ends late orders with the life that was up when they were sent, whose
+	// process has their connection. Workers do not promise that in so many words.
 	SameLife bool
 	// AnswerLate is a further delay of answers.
 	AnswerLate time.Duration
@@ -65,9 +66,11 @@
 	return Faults{Start: lost, Stop: lost, Renew: lost}
 }
 
-// Conn is the connection of one agent to a machine. Its orders name the identifier of
-// a life, and no birth: a later life with the same identifier carries them out as
-// well. It is safe for concurrent use.
+// Conn stands for the connections of one agent to a machine. Its orders name the
+// identifier of a life. One that states a birth is sent over a connection to the life
+// with that birth, or not at all; any other reaches whatever life with the identifier
+// is up. Without Fault.SameLife, late ones are executed by a later life nevertheless. It
+// is safe for concurrent use.
 type Conn struct {
 	machine *Machine
 	id      string
@@ -82,8 +85,9 @@
 
 // call executes an order under the machine's lock, with the fault that is in force
 // for its kind, which it returns. If the fault suppresses the answer, it returns when
-// ctx ends.
-func (c *Conn) call(ctx context.Context, kind string, fault func(Faults) Fault, do func(l *life)) (Fault, error) {
+// ctx ends. If another life is up than that with the given birth, it returns
+// lease.ErrNotSent; a birth of 0 is that of any life.
+func (c *Conn) call(ctx context.Context, kind string, born int64, fault func(Faults) Fault, do func(l *life)) (Fault, error) {
 	m := c.machine
 	if !wait.For(ctx, m.options.Delay, nil) {
 		return Fault{}, ctx.Err()
@@ -97,6 +101,10 @@
 		return f, lease.ErrWorkerDown
 	}
 	l := m.life
+	if born != 0 && born != l.id.Born && !f.Lost {
+		m.mu.Unlock()
+		return f, lease.ErrNotSent
+	}
 	switch {
 	case f.Lost:
 	case f.Late > 0:
@@ -127,9 +135,9 @@
 }
 
 // order executes a start or stop order and returns its answer.
-func (c *Conn) order(ctx context.Context, kind string, fault func(Faults) Fault, do func(l *life) lease.Refusal) (lease.Answer, error) {
+func (c *Conn) order(ctx context.Context, kind string, born int64, fault func(Faults) Fault, do func(l *life) lease.Refusal) (lease.Answer, error) {
 	var a lease.Answer
-	f, err := c.call(ctx, kind, fault, func(l *life) { a = lease.Answer{Refusal: c.refusal(l, do), Clock: l.clock()} })
+	f, err := c.call(ctx, kind, born, fault, func(l *life) { a = lease.Answer{Refusal: c.refusal(l, do), Clock: l.clock()} })
 	if err == nil {
 		err = c.deliver(ctx, f)
 	}
@@ -151,24 +159,28 @@
 // Start orders the start of a run. The returned error means that there was no
 // answer; refusals are in the answer.
 func (c *Conn) Start(ctx context.Context, o lease.StartOrder) (lease.Answer, error) {
-	return c.order(ctx, "start", func(f Faults) Fault { return f.Start }, func(l *life) lease.Refusal { return l.start(o) })
+	return c.order(ctx, "start", o.Born, func(f Faults) Fault { return f.Start }, func(l *life) lease.Refusal { return l.start(o) })
 }
 
 // Stop orders the stop of a run. The returned error means that there was no
 // answer; refusals are in the answer.
 func (c *Conn) Stop(ctx context.Context, o lease.StopOrder) (lease.Answer, error) {
-	return c.order(ctx, "stop", func(f Faults) Fault { return f.Stop }, func(l *life) lease.Refusal { return l.stop(o) })
+	return c.order(ctx, "stop", 0, func(f Faults) Fault { return f.Stop }, func(l *life) lease.Refusal { return l.stop(o) })
 }
 
 // Renew extends the lease. It waits up to o.Wait for the end of a run and then
 // returns the list of active and ended runs. The returned error means that there
-// was no answer.
+// was no answer. If another life is up than that with the birth in o, the list is that
+// of this life, which extends no lease.
 func (c *Conn) Renew(ctx context.Context, o lease.RenewOrder) (lease.RenewReply, error) {
 	var reply lease.RenewReply
 	var at *life
-	f, err := c.call(ctx, "renew", func(f Faults) Fault { return f.Renew }, func(l *life) {
+	f, err := c.call(ctx, "renew", o.Born, func(f Faults) Fault { return f.Renew }, func(l *life) {
 		at, reply = l, lease.RenewReply{Refusal: c.refusal(l, func(l *life) lease.Refusal { return l.renew(o) }), Clock: l.clock()}
 	})
+	if errors.Is(err, lease.ErrNotSent) {
+		return c.Renew(ctx, lease.RenewOrder{Token: o.Token})
+	}
 	if err == nil && reply.Refusal == "" {
 		reply, err = c.waitAndList(ctx, at, o.Wait)
 	}
--- a/lease/order.go
+++ b/lease/order.go
@@ -44,6 +44,10 @@
 	Run   Run
 	Spec  string
 	Token uint64 // fencing token
+	// Born is the birth of the life for which the order is meant, as its lists state
+	// it; 0 means that it is not known. The order must reach no process of another
+	// birth.
+	Born int64
 	// ValidUntil is the time after which the worker must not carry out the
 	// order. Carrying it out extends the lease to at least this time.
 	ValidUntil WorkerTime
@@ -58,6 +62,7 @@
 // RenewOrder extends the lease of all runs and requests a RenewReply.
 type RenewOrder struct {
 	Token uint64
+	Born  int64 // as in StartOrder; another life may answer, and must extend no lease
 	// LeaseEnd is the new end of the lease; 0 leaves it as it is. A lease is
 	// never shortened.
 	LeaseEnd WorkerTime
@@ -122,6 +127,10 @@
 	Ended   []RunEnd // not acknowledged yet, the oldest first, at most MaxEnds
 }
 
+// ErrNotSent means that no byte of an order was sent, so it was not carried out and
+// will not be.
+var ErrNotSent = errors.New("lease: the order was not sent")
+
 // ErrWorkerDown means that a connection to the worker's address was refused, so
 // the order was not carried out and will not be. It does not prove that the
 // worker's process has ended. After any other error the order may have been
--- a/lease/runs.go
+++ b/lease/runs.go
@@ -201,7 +201,7 @@
 	e := &entry{run: Run{t, r.numbers.next(now, t)}, state: Ordered, orderedAt: now, validUntil: r.clock.min(now) + r.options.Validity}
 	r.table[t] = e
 	r.latest = max(r.latest, e.validUntil)
-	return StartOrder{Run: e.run, Spec: spec, Token: r.token, ValidUntil: e.validUntil}, nil
+	return StartOrder{Run: e.run, Spec: spec, Token: r.token, Born: r.identity.born, ValidUntil: e.validUntil}, nil
 }
 
 // StartUnsent removes a run whose start order was not sent and will not be.
@@ -328,7 +328,7 @@
 	r.lastRenewal++
 	r.Permit(now)
 	r.expectReply(now, wait)
-	o := RenewOrder{Token: r.token, Wait: wait}
+	o := RenewOrder{Token: r.token, Born: r.identity.born, Wait: wait}
 	if !r.identity.doubted {
 		o.Acked = r.ends.ackSequence()
 		if r.extendsLease() && !r.Silent(now) && !r.AwaitsLeaseExpiry() {
