entry: log exceptional decisions about leased jobs

What users see: a report of two runs of one task (TWICE) names a job, and the logs at level warn say nothing about it, so that neither two entries with the job nor a run that was counted as ended too early can be told apart.

Cause: only "callers left" names jobs, within 30 lines a minute for all rare lines.

Now an entry writes a line when a task is sent again without a listed end of its run (with the proof: reconcile passed, agent replaced, absent from the next session's list, start record lost, reported interrupted; agent and session), when callers left (with the agents), when a submission's caller had left, when a submission joins a job, and when one arrives for a job that the entry had in the last 10 s. At most 40 lines a second; those left out are counted and logged. The same counts are metrics. No decision changes.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -112,10 +112,7 @@
 	if j.answered || j.failure != nil {
 		return
 	}
-	l := j.leased
-	d.metrics.callersLeft.Inc(1)
-	d.rareLog.Warn().Str("caller_job", l.identifier).Str("job", j.id).Int("open_runs", l.openRuns).
-		Dur("after_ms", d.clock.Since(j.arrived)).Msg("callers left")
+	d.logCallersLeft(j)
 	d.cancelJob(j, "the caller disconnected")
 }
 
--- a/entry/collect.go
+++ b/entry/collect.go
@@ -112,6 +112,7 @@
 		a.refusing = true
 		d.updateUsable(a)
 	}
+	d.logSentAgain(j, index, a.ref.ID, v.task.key.Session, v.proof, string(v.result.Reason))
 	d.requeue(j, index)
 }
 
@@ -176,6 +177,7 @@
 				a.refusing = true // until its next heartbeat, which says whether it is leaving
 				d.updateUsable(a)
 			}
+			d.logSentAgain(j, index, a.ref.ID, v.task.key.Session, proofReported, string(v.result.Reason))
 			d.handleLeasedInterruption(j, a.ref.ID, index, v.result)
 			return
 		}
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -52,6 +52,8 @@
 	limits         settings.Limits
 	log            zerolog.Logger
 	rareLog        zerolog.Logger // for lines that a fault may cause for many jobs at once
+	jobLog         jobLog
+	leftLog        jobLog // of callers that left
 	metrics        metrics
 	dial           agentDialer
 	callsCtx       context.Context // of the calls to agents; ends with the dispatcher
@@ -94,6 +96,7 @@
 	crashMemory        map[string]rememberedCrashes // by the caller's identifier of the job
 	crashesElsewhere   map[reportedRun]time.Time    // when crashes under runs of other entries were reported
 	cancelled          cancelledJobs
+	formerJobs         formerJobs
 	probation          []queue.TaskRef // waiting tasks that may start only on probation, oldest first
 	durable            durableJobs
 	openJobs           int           // number of accepted jobs that are not answered
@@ -128,6 +131,8 @@
 		leasedJobs: map[string]*job{}, pendingByTemplate: map[string]int{}, pools: map[string]*pool{},
 		classes: map[string]*class{}, pendingCancels: map[*agent][]wire.TaskKey{},
 	}
+	d.jobLog = jobLog{log: d.log, dropped: d.metrics.jobLogDropped}
+	d.leftLog = d.jobLog
 	d.rareLog = d.log.Sample(&zerolog.BurstSampler{Burst: maxRareLogLines, Period: time.Minute})
 	d.durable = newDurableJobs(e.recordManager, e.inbox, &e.peerPending, e.newJobID)
 	d.callsCtx, d.cancelCalls = context.WithCancel(context.Background())
--- a/entry/hold.go
+++ b/entry/hold.go
@@ -15,6 +15,8 @@
 	agent     string // identifier of the run's agent
 	releaseAt time.Time
 	reason    wire.Reason // why the outcome is unknown
+	session   uint64
+	proof     endProof
 	heldSince time.Time
 	// version is the version of a durable job's record that must be stored before
 	// the task starts again although its agent did not report; 0 if there is none.
@@ -28,7 +30,7 @@
 	if until.IsZero() {
 		until = d.now.Add(d.timing.Reconcile.AsDuration())
 	}
-	h := heldTask{job: v.task.job, index: v.task.index, agent: a.ref.ID, releaseAt: until, reason: v.result.Reason, heldSince: d.now}
+	h := heldTask{job: v.task.job, index: v.task.index, agent: a.ref.ID, releaseAt: until, reason: v.result.Reason, session: v.task.key.Session, proof: v.proof, heldSince: d.now}
 	if !d.mayReleaseHeldTask(&h) {
 		d.held = append(d.held, h)
 		return
@@ -42,6 +44,7 @@
 	j := h.job
 	d.addRunning(j, -1)
 	j.possiblyRan[h.index], j.leased.anyStarted = true, true
+	d.logSentAgain(j, h.index, h.agent, h.session, h.proof, string(h.reason))
 	d.handleLeasedInterruption(j, h.agent, h.index, wire.Result{Reason: h.reason})
 	d.afterTaskResolved(j)
 }
--- a/entry/leased.go
+++ b/entry/leased.go
@@ -150,7 +150,7 @@
 		identifier = id
 	}
 	if s.caller.left() {
-		d.metrics.callersGone.Inc(1)
+		d.logGone(identifier)
 		return errCallerLeft()
 	}
 	earlier := d.leasedJobs[identifier]
@@ -160,6 +160,7 @@
 		}
 		s.job = earlier
 		earlier.leased.callers = append(earlier.leased.callers, s.caller)
+		d.logJoined(earlier)
 		return nil
 	}
 	if err := d.checkNotCancelled(identifier); err != nil {
@@ -183,6 +184,7 @@
 		return err
 	}
 	d.addLeased(s, j, id)
+	d.logRepeated(j, earlier)
 	return nil
 }
 
@@ -331,6 +333,7 @@
 	l := j.leased
 	if j.answered && (!l.answerReusable || l.answerEvicted) && jobWithOpenRuns(j) == nil && d.leasedJobs[l.identifier] == j {
 		delete(d.leasedJobs, l.identifier)
+		d.formerJobs.add(formerOf(j, d.now))
 	}
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -42,6 +42,9 @@
 	crashingTasks         tally.Counter // given up because workers crashed under them
 	callersLeft           tally.Counter // jobs cancelled because their callers left
 	callersGone           tally.Counter // submissions refused because their callers had left
+	submissionsJoined     tally.Counter // that joined a job
+	submissionsRepeated   tally.Counter // of jobs that were here shortly before
+	jobLogDropped         tally.Counter // lines about jobs that were not written
 	eventDelay            tally.Timer   // time that an event waits for the dispatcher
 }
 
@@ -80,6 +83,9 @@
 		crashingTasks:         s.Counter("tasks_given_up_for_crashes"),
 		callersLeft:           s.Counter("callers_left"),
 		callersGone:           s.Counter("callers_gone"),
+		submissionsJoined:     s.Counter("submissions_joined"),
+		submissionsRepeated:   s.Counter("submissions_repeated"),
+		jobLogDropped:         s.Counter("job_log_dropped"),
 		eventDelay:            s.Timer("event_delay"),
 		crashedRuns: map[wire.CrashRole]tally.Counter{
 			wire.CrashBystander: crashCounter(s, "bystander"), wire.CrashSuspect: crashCounter(s, "suspect"),
@@ -99,6 +105,11 @@
 	return s.Tagged(map[string]string{"role": role}).Counter("runs_lost_in_crashes")
 }
 
+// countSentAgain counts a task that returns to the queue without a listed end.
+func (m metrics) countSentAgain(p endProof) {
+	m.scope.Tagged(map[string]string{"proof": string(p)}).Counter("tasks_sent_again").Inc(1)
+}
+
 // countCrash counts a run that was lost in the crash of its worker.
 func (m metrics) countCrash(r wire.CrashRole) {
 	if c := m.crashedRuns[r]; c != nil {
--- a/entry/session.go
+++ b/entry/session.go
@@ -48,6 +48,8 @@
 	// sent in a session in which a message may have been lost. It is zero for
 	// others.
 	reconcileBy time.Time
+	// proof is set if the agent gave no result.
+	proof endProof
 }
 
 // session is the state of the numbered sessions between this entry and one
@@ -99,7 +101,7 @@
 	}
 	s.state = sessionOpen
 	if reply.Agent.Incarnation != s.agent {
-		lost := s.resolveAllUnknown(wire.ReasonAgentLost)
+		lost := s.resolveAllUnknown(proofReplaced)
 		s.agent = reply.Agent.Incarnation
 		return lost
 	}
@@ -138,9 +140,9 @@
 		switch {
 		case listed[key]:
 		case reply.Truncated:
-			out = append(out, s.resolveTask(t, verdictUnknown, unknownResult(wire.ReasonStartRecordLost)))
+			out = append(out, s.resolveTask(t, verdictUnknown, unknownResult(wire.ReasonStartRecordLost)).withProof(proofRecordLost))
 		default:
-			out = append(out, s.resolveTask(t, verdictNotRun, notRunResult(wire.ReasonSessionFenced)))
+			out = append(out, s.resolveTask(t, verdictNotRun, notRunResult(wire.ReasonSessionFenced)).withProof(proofAbsent))
 		}
 	}
 	return out
@@ -243,7 +245,7 @@
 	s.state = sessionClosed
 	s.agent = agent
 	s.pendingAcks = nil
-	return s.resolveAllUnknown(wire.ReasonAgentLost)
+	return s.resolveAllUnknown(proofReplaced)
 }
 
 // expireInDoubt resolves the tasks in doubt as unknown once the reconciliation
@@ -252,13 +254,13 @@
 	if s.reconcileBy.IsZero() || now.Before(s.reconcileBy) {
 		return nil
 	}
-	return s.resolveAllUnknown(wire.ReasonAgentLost)
+	return s.resolveAllUnknown(proofReconcile)
 }
 
-func (s *session) resolveAllUnknown(reason wire.Reason) []verdict {
+func (s *session) resolveAllUnknown(proof endProof) []verdict {
 	out := make([]verdict, 0, len(s.tasks))
 	for _, t := range s.tasks {
-		v := s.resolveTask(t, verdictUnknown, unknownResult(reason))
+		v := s.resolveTask(t, verdictUnknown, unknownResult(wire.ReasonAgentLost)).withProof(proof)
 		v.reconcileBy = s.reconcileBy
 		out = append(out, v)
 	}
@@ -277,6 +279,11 @@
 	return verdict{kind: kind, task: t, result: r}
 }
 
+func (v verdict) withProof(p endProof) verdict {
+	v.proof = p
+	return v
+}
+
 // isTaggedEnd reports whether the result is the end of a run of a durable job's
 // task. It tells this by the tag in the result, for tasks that the session no
 // longer tracks. Such an end is not acknowledged here, because it may not be
