--- a/entry/peers.go
+++ b/entry/peers.go
@@ -75,7 +75,8 @@
 	lastReplySent time.Time // when the last heartbeat that got a reply was sent; zero if none did
 	registered    bool
 	stopping      bool
-	failures      int // failed exchanges since the last successful one
+	failures      int       // failed exchanges since the last successful one
+	failedAt      time.Time // when the first of these failed
 	conn          agentConn
 	cancel        context.CancelFunc // ends its heartbeats
 	due           chan struct{}      // capacity 1; makes the next heartbeat due at once
@@ -282,7 +283,9 @@
 		}
 		p.mu.Lock()
 		if err != nil {
-			e.failures++
+			if e.failures++; e.failures == 1 {
+				e.failedAt = p.clock.Now()
+			}
 		} else {
 			e.failures = 0
 		}
