internal/leasedtest: a job for an entry that has just started

The new process knows no peer that answers, so it claims the job nowhere, and the former one was the home.

--- a/internal/leasedtest/hasty_caller_test.go
+++ b/internal/leasedtest/hasty_caller_test.go
@@ -63,6 +63,23 @@
 	}
 }
 
+// Guards against two runs of a task whose caller leaves and sends the job at once to an
+// entry that has just started: it knows no peer yet, and its former process was the home.
+// Listed in KNOWN-RED.txt.
+func TestHastyCallerToAnEntryThatHasJustStarted(t *testing.T) {
+	withSystem(t, func(s *system) {
+		j := &job{tasks: 2, milliCPU: 4000, duration: 500 * ms, deadline: 3 * time.Second, mayHaveRun: true}
+		s.register(j)
+		s.entry(1).setEndsNoticedLate(400 * ms)
+		c := s.openSubmission(1, j)
+		time.Sleep(40 * ms)
+		s.replaceEntry(0, 3*ms)
+		time.Sleep(15 * ms)
+		s.Assert(c.Close(), qt.IsNil)
+		s.checkDoneAt(0, j)
+	})
+}
+
 // Guards against faults beside callers that leave a running job and send it to the other
 // entry at once.
 func TestRandomSchedulesWithHastyCallers(t *testing.T) {
