--- a/entry/leased.go
+++ b/entry/leased.go
@@ -52,6 +52,7 @@
 	successors  []*job      // jobs whose predecessor is this job
 	durable     *durableJob // nil if the job is not durable
 
+	takenOver      bool // released to another entry
 	cancelled      bool // cancelled on request, so a repetition must not run
 	answerReusable bool // a repetition gets the same answer
 	answerEvicted  bool // the answer was dropped from the retained answers
@@ -150,7 +151,7 @@
 		identifier = id
 	}
 	if s.caller.left() {
-		d.metrics.callersGone.Inc(1)
+		d.logGone(identifier)
 		return errCallerLeft()
 	}
 	earlier := d.leasedJobs[identifier]
@@ -160,6 +161,7 @@
 		}
 		s.job = earlier
 		earlier.leased.callers = append(earlier.leased.callers, s.caller)
+		d.logJoined(earlier)
 		return nil
 	}
 	if err := d.checkNotCancelled(identifier); err != nil {
@@ -183,6 +185,7 @@
 		return err
 	}
 	d.addLeased(s, j, id)
+	d.logRepeated(j, earlier)
 	return nil
 }
 
@@ -331,6 +334,7 @@
 	l := j.leased
 	if j.answered && (!l.answerReusable || l.answerEvicted) && jobWithOpenRuns(j) == nil && d.leasedJobs[l.identifier] == j {
 		delete(d.leasedJobs, l.identifier)
+		d.formerJobs.add(formerOf(j, d.now))
 	}
 }
 
@@ -374,6 +378,8 @@
 // wait for open runs, so a task at an agent counts as started.
 func (j *job) leasedOutcome() Outcome {
 	switch {
+	case j.leased.takenOver:
+		return OutcomeUnknown // the caller may wait here again
 	case j.leased.exhausted, j.failure.reason == wire.ReasonCancelled:
 		return OutcomeFailed
 	case j.mayHaveStarted():
