agent: the answer of another machine's worker ends no life

An agent that is told of a worker with another identifier asks the process at the announced address, and took its answer for the end of its own worker's process.

An answer under another identifier now ends the life at once only if it comes from the life's own address, where one process listens at a time. From another address it does so once the life has no runs of its own: its lease has expired, or they have ended. A worker that starts again at another address is asked anew with its next announcement (TestNextLifeAtAnotherAddress).

In the stand-in each agent reached its own worker at any address; now it reaches the worker whose address is announced. Open: an agent without runs adopts a worker at another address that an announcement names.

--- a/agent/announcements.go
+++ b/agent/announcements.go
@@ -64,10 +64,8 @@
 	return &n
 }
 
-// verifyAnnounced asks the process that an announcement names for its runs. If another
-// process than that of the present life answers, the present life has ended,
-// because a machine has one worker at a time and the present life had answered
-// before.
+// verifyAnnounced asks the process that an announcement names for its runs, which may
+// prove that the present life has ended; see announcedAnswered.
 func (l *leasedExecutor) verifyAnnounced(present *life, n lease.Announcement) {
 	w := l.agent.options.Connect(n)
 	defer w.Close()
@@ -93,7 +91,10 @@
 
 // announcedAnswered applies the answer of a process that was announced while another
 // life was the present one. A refused token proves that a process with the
-// identifier answered, and says nothing of its birth.
+// identifier answered, and says nothing of its birth. A process with another identifier
+// at the address of the present life has taken its place; one at another address may
+// be that of another machine, whose announcement went astray, so the present life goes
+// on while it has runs.
 func (l *leasedExecutor) announcedAnswered(present *life, n lease.Announcement, reply lease.RenewReply) {
 	l.agent.mu.Lock()
 	defer l.agent.mu.Unlock()
@@ -101,6 +102,8 @@
 	known := present.runs.Life()
 	switch {
 	case l.life != present || reply.Refusal != "" && reply.Refusal != lease.RefusedTokenTooLow:
+	case known.ID != n.Life.ID && n.Address != present.announced.Address && present.runs.HasOwnRuns():
+		l.announcements.forget(n.Life.ID) // verified anew when it is announced again
 	case known.ID != n.Life.ID:
 		l.endLife(present, "another_life_answered", &n)
 	case reply.Refusal == "" && present.runs.OtherLife(reply):
--- a/agent/lives_test.go
+++ b/agent/lives_test.go
@@ -122,6 +122,25 @@
 	})
 }
 
+// Guards against a worker that starts again under another identifier at another address
+// and stays unused, or whose former runs are over before the lease.
+func TestNextLifeAtAnotherAddress(t *testing.T) {
+	withLeasedRig(t, leasedSetup{}, func(r *leasedRig, e *entryStub) {
+		lost := e.runLeased("j", 4, 10*time.Second)
+		time.Sleep(160 * time.Millisecond)
+		r.machine.Crash()
+		r.machine.BootAs(leasestub.NextLife{NewID: true})
+		for range 4 {
+			n := r.machine.Announcement()
+			n.Address = "10.0.2.1:8201"
+			r.agent.WorkerAnnounced(n)
+			time.Sleep(250 * time.Millisecond)
+		}
+		r.expect(<-lost, wire.OutcomeInterrupted, wire.ReasonWorkerLost)
+		r.expect(<-e.runLeased("k", 4, 10*time.Millisecond), wire.OutcomeDone, "")
+	})
+}
+
 // Guards against an agent that asks lives of its worker in turns, without a pause,
 // while the life that answers them as another one has not announced itself.
 func TestLivesThatHaveEndedAreNotAskedAgain(t *testing.T) {
--- a/internal/leasedtest/lives_test.go
+++ b/internal/leasedtest/lives_test.go
@@ -74,6 +74,20 @@
 	})
 }
 
+// Guards against an agent that takes the answer of another machine's worker, whose
+// announcement went astray, for the end of its own worker's process.
+func TestAnnouncementOfAnotherMachinesWorker(t *testing.T) {
+	withSystem(t, func(s *system) {
+		s.submit(0, job{tasks: 6, duration: time.Second})
+		time.Sleep(200 * ms)
+		s.agent(0).WorkerAnnounced(s.workers[1].Announcement())
+		s.checkAllDone()
+		for task, n := range s.evidence.Count() {
+			s.Check(n, qt.Equals, 1, qt.Commentf("%v", task))
+		}
+	})
+}
+
 // Guards against a running life that is ended by the late announcement of an earlier
 // one, whose birth is higher because the wall clock jumped back between the two.
 func TestLateAnnouncementOfAnEarlierLife(t *testing.T) {
--- a/internal/leasedtest/system_test.go
+++ b/internal/leasedtest/system_test.go
@@ -123,7 +123,7 @@
 	s.wg.Go(func() { <-s.closing; _ = web.Close() })
 	for i, centre := range s.dataCentres {
 		s.workers = append(s.workers, &worker{dataCentre: centre, up: true, Machine: leasestub.New(leasestub.Options{
-			ID: fmt.Sprint("w", i), Pool: "bench", Address: fmt.Sprintf("10.0.2.%d:8200", i), Evidence: s.evidence, Delay: ms,
+			ID: fmt.Sprint("w", i), Pool: "bench", Address: workerAddress(i), Evidence: s.evidence, Delay: ms,
 			Reboot: rebootAfter, OnCrash: func() { s.endDraining(i) }, Slow: lease.ClockDrift * float64(i) / 2, Capacity: wire.Resources{MilliCPU: workerMilliCPU, MemoryMB: 16000},
 		})})
 	}
@@ -240,13 +240,25 @@
 	conf.PeerAddress, conf.AdminAddress, conf.Store.URL, conf.Connections, conf.Leased = p.host+":7100", p.host+":9100", storeURL, 0, &leased
 	s.Assert(conf.Validate(), qt.IsNil)
 	a, err := agent.New(agent.Options{Settings: conf, Clock: p.newClock(), Store: s.newStoreClient(p), Dial: p.dial,
-		Connect: func(n lease.Announcement) agent.Worker { return pausingWorker{w.Connect(n), p} },
+		Connect: func(n lease.Announcement) agent.Worker { return pausingWorker{s.workerAt(n.Address, w).Connect(n), p} },
 		Peers:   s.listen(p, ":7100"), Admin: s.listen(p, ":9100")})
 	s.Assert(err, qt.IsNil)
 	p.startRun(a.Run)
 	return &agentProcess{p, a}
 }
 
+// workerAt returns the worker with the address, or another one if none has it.
+func (s *system) workerAt(address string, other *worker) *worker {
+	for i, w := range s.workers {
+		if address == workerAddress(i) {
+			return w
+		}
+	}
+	return other
+}
+
+func workerAddress(i int) string { return fmt.Sprintf("10.0.2.%d:8200", i) }
+
 func (s *system) entry(i int) *entryProcess { s.mu.Lock(); defer s.mu.Unlock(); return s.entries[i] }
 func (s *system) agent(i int) *agentProcess { s.mu.Lock(); defer s.mu.Unlock(); return s.agents[i] }
 
--- a/lease/life.go
+++ b/lease/life.go
@@ -153,6 +153,17 @@
 	return r.refused && r.identity.listed && !r.Empty() && r.clock.min(now)-r.options.StopTime > r.latest
 }
 
+// HasOwnRuns reports whether a run in the table was ordered in this life, so that only
+// its end or that of the lease proves that the run is over.
+func (r *RunTable) HasOwnRuns() bool {
+	for _, e := range r.table {
+		if !e.carriedOver {
+			return true
+		}
+	}
+	return false
+}
+
 // LifeEnded removes and returns all runs because the worker's life has ended, by a
 // crash or as it was announced, and its identifier is not used again. Held ends
 // are dropped: the worker has lost its list of ends.
