agent: run_removed names what ended the life of the worker

The proof life_over stands for an answer of another life and for connections that were refused until the lease had expired; life_ended_by tells them apart.

--- a/agent/runlog.go
+++ b/agent/runlog.go
@@ -44,7 +44,11 @@
 		return
 	}
 	counter.Inc(1)
-	l.runLine(life, at, r.Run).Str("proof", string(r.Proof)).Str("outcome", string(r.Outcome)).Msg("run_removed")
+	e := l.runLine(life, at, r.Run).Str("proof", string(r.Proof)).Str("outcome", string(r.Outcome))
+	if life.endCause != "" {
+		e = e.Str("life_ended_by", life.endCause)
+	}
+	e.Msg("run_removed")
 }
 
 // recordStop logs and counts that a run has to end because its session lapsed, its
--- a/agent/runlog_test.go
+++ b/agent/runlog_test.go
@@ -31,7 +31,9 @@
 		{"worker restarted", func(r *leasedRig, _ *entryStub) {
 			r.machine.Crash()
 			r.machine.Boot()
-		}, []string{`"proof":"life_over"`, `"outcome":"lost"`, "run_removed"}},
+		}, []string{`"proof":"life_over"`, `"outcome":"lost"`, `"life_ended_by":"another_life_answered"`, "run_removed"}},
+		{"worker crashed", func(r *leasedRig, _ *entryStub) { r.machine.Crash() },
+			[]string{`"proof":"life_over"`, `"outcome":"lost"`, `"life_ended_by":"connection_refused"`, "run_removed"}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			withLeasedRig(t, leasedSetup{}, func(r *leasedRig, e *entryStub) {
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -40,8 +40,9 @@
 	attempts     map[lease.Run]*attempt // waiting for the removal of their runs from the table
 	ctx          context.Context        // parent context of all orders to this life
 	cancel       context.CancelFunc
-	ended        bool // the worker's process has ended, or none of its runs goes on
-	deregistered bool // the worker has removed its registration
+	ended        bool   // the worker's process has ended, or none of its runs goes on
+	endCause     string // what showed that; empty before
+	deregistered bool   // the worker has removed its registration
 	heldEnds     heldEnds
 	orderTimeout lease.OrderTimeout
 	refusedSince time.Time // when the first connection since the newest list was refused; zero otherwise
@@ -213,7 +214,7 @@
 // retire ends the orders to a life and reports the runs that were lost with it;
 // the caller holds mu.
 func (l *leasedExecutor) retire(life *life, cause string, lost []lease.RemovedRun) {
-	life.ended = true
+	life.ended, life.endCause = true, cause
 	l.recordLifeEnd(life, cause, lost)
 	for _, r := range lost {
 		if r.Crash == wire.CrashSuspect || r.Crash == wire.CrashUnconfirmed {
