entry, leasemodel: take claims of jobs out again

Claims of jobs, model let a second entry learn that another one has a job.

TestCallerLeavesASilentConnection returns to KNOWN-RED.txt. The logs of exceptional decisions stay.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"sync/atomic"
 
 	"chicorytray.example/chicorytray/internal/peerend"
 	"chicorytray.example/chicorytray/wire"
@@ -20,16 +19,6 @@
 type caller struct {
 	done       <-chan struct{} // of the request's context
 	connection peerend.Checker
-	// mayRepeat means that the caller may have sent the job to another entry before.
-	// Callers whose connection broke, or who gave up waiting, open another one, so it is
-	// false for submissions that follow others on a connection.
-	mayRepeat bool
-}
-
-// callerConn is the connection of requests, in their contexts.
-type callerConn struct {
-	checker     peerend.Checker
-	submissions atomic.Int64 // of leased jobs
 }
 
 // callerKey is the key of the connection of a request in its context.
@@ -43,18 +32,15 @@
 			e.log.Warn().Str("type", fmt.Sprintf("%T", c)).Msg("ends of callers' connections are noticed late, because these connections cannot be asked")
 		})
 	}
-	return context.WithValue(ctx, callerKey{}, &callerConn{checker: checker})
+	return context.WithValue(ctx, callerKey{}, checker)
 }
 
 // callerOf returns the caller of a request whose context is ctx. A program that embeds
 // the entry has no connection: only the end of ctx is known. The streams of HTTP/2 share
 // one; the end of a single stream is known from its ctx only.
 func callerOf(ctx context.Context) *caller {
-	c := &caller{done: ctx.Done(), mayRepeat: true}
-	if conn, ok := ctx.Value(callerKey{}).(*callerConn); ok {
-		c.connection, c.mayRepeat = conn.checker, conn.submissions.Add(1) == 1
-	}
-	return c
+	connection, _ := ctx.Value(callerKey{}).(peerend.Checker)
+	return &caller{ctx.Done(), connection}
 }
 
 // left reports whether the caller no longer waits. It does not block.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -70,7 +70,6 @@
 	recordManager recordManager
 	inbox         *inbox
 	peerPending   pendingByPeer
-	holders       jobHolders
 	claims        claimer
 	pendingClaims pendingClaims
 	lastJobNumber atomic.Uint64 // number in the last job identifier
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -15,8 +15,6 @@
 	ErrStopped = errors.New("entry: stopped")
 	// ErrOptions means that the options are invalid, or that Run was called twice.
 	ErrOptions = errors.New("entry: invalid options")
-	// ErrMalformedClaim means that a peer claims a job with unusable values.
-	ErrMalformedClaim = errors.New("entry: malformed claim of a job")
 )
 
 // Outcome is the outcome of a submission as callers receive it.
@@ -54,7 +52,6 @@
 	reasonAnswerTooLarge   wire.Reason = "answer_too_large"
 	reasonJobReused        wire.Reason = "job_identifier_reused"
 	reasonOwnerUnreachable wire.Reason = "owning_entry_unreachable"
-	reasonTakenOver        wire.Reason = "submitted_elsewhere"
 )
 
 // problem is the response body for a failure (RFC 9457, application/problem+json).
--- a/entry/joblog.go
+++ b/entry/joblog.go
@@ -6,8 +6,6 @@
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
-
-	"chicorytray.example/chicorytray/wire"
 )
 
 const (
@@ -112,15 +110,6 @@
 		Dur("former_age_ms", d.now.Sub(f.arrived)).Int("former_open_runs", f.openRuns).Msg("job was here before")
 }
 
-// logTakenOver logs that another process has no run of the job that it had before.
-func (e *Entry) logTakenOver(key jobKey, from wire.JobHolder, waited time.Duration, proof string) {
-	e.metrics.jobsTakenOver.Inc(1)
-	e.dispatcher.post(func(d *dispatcher) {
-		d.jobLog.line(d.now).Str("caller_job", key.identifier).Str("from", from.Entry).Dur("waited_ms", waited).
-			Str("proof", proof).Msg("job is taken over")
-	})
-}
-
 // formerJob is a job whose answer a repetition does not get.
 type formerJob struct {
 	identifier, job, outcome, reason string
--- a/entry/leased.go
+++ b/entry/leased.go
@@ -52,7 +52,6 @@
 	successors  []*job      // jobs whose predecessor is this job
 	durable     *durableJob // nil if the job is not durable
 
-	takenOver      bool // released to another entry
 	cancelled      bool // cancelled on request, so a repetition must not run
 	answerReusable bool // a repetition gets the same answer
 	answerEvicted  bool // the answer was dropped from the retained answers
@@ -378,8 +377,6 @@
 // wait for open runs, so a task at an agent counts as started.
 func (j *job) leasedOutcome() Outcome {
 	switch {
-	case j.leased.takenOver:
-		return OutcomeUnknown // the caller may wait here again
 	case j.leased.exhausted, j.failure.reason == wire.ReasonCancelled:
 		return OutcomeFailed
 	case j.mayHaveStarted():
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -44,8 +44,6 @@
 	callersGone           tally.Counter // submissions refused because their callers had left
 	submissionsJoined     tally.Counter // that joined a job
 	submissionsRepeated   tally.Counter // of jobs that were here shortly before
-	jobsReleased          tally.Counter // to other entries
-	jobsTakenOver         tally.Counter // from other entries
 	jobLogDropped         tally.Counter // lines about jobs that were not written
 	eventDelay            tally.Timer   // time that an event waits for the dispatcher
 }
@@ -87,8 +85,6 @@
 		callersGone:           s.Counter("callers_gone"),
 		submissionsJoined:     s.Counter("submissions_joined"),
 		submissionsRepeated:   s.Counter("submissions_repeated"),
-		jobsReleased:          s.Counter("jobs_released"),
-		jobsTakenOver:         s.Counter("jobs_taken_over"),
 		jobLogDropped:         s.Counter("job_log_dropped"),
 		eventDelay:            s.Timer("event_delay"),
 		crashedRuns: map[wire.CrashRole]tally.Counter{
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -75,8 +75,7 @@
 	lastReplySent time.Time // when the last heartbeat that got a reply was sent; zero if none did
 	registered    bool
 	stopping      bool
-	failures      int       // failed exchanges since the last successful one
-	failedAt      time.Time // when the first of these failed
+	failures      int // failed exchanges since the last successful one
 	conn          agentConn
 	cancel        context.CancelFunc // ends its heartbeats
 	due           chan struct{}      // capacity 1; makes the next heartbeat due at once
@@ -283,9 +282,7 @@
 		}
 		p.mu.Lock()
 		if err != nil {
-			if e.failures++; e.failures == 1 {
-				e.failedAt = p.clock.Now()
-			}
+			e.failures++
 		} else {
 			e.failures = 0
 		}
--- a/entry/receive.go
+++ b/entry/receive.go
@@ -79,7 +79,6 @@
 	expected time.Duration
 	workload workload // set for a leased job
 	caller   *caller  // set for a leased job that is not durable
-	claimed  bool     // this entry is the holder of the leased job; see takeOver
 	job      *job
 	claim    *keyClaim // set when the submission owns its key
 	answer   *answer
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -25,8 +25,6 @@
 	rpcconn.Handle(s, "Entry.CancelJob", e.rpcCancelJob)
 	rpcconn.Handle(s, "Entry.CancelLeased", e.rpcCancelLeased)
 	rpcconn.Handle(s, "Entry.Durable", e.rpcDurable)
-	rpcconn.Handle(s, "Entry.ClaimJob", e.rpcClaimJob)
-	rpcconn.Handle(s, "Entry.ReleaseJob", e.rpcReleaseJob)
 	return s
 }
 
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -101,25 +101,17 @@
 	}
 	id := e.newJobID()
 	s.workload, s.caller = workloadOf(s), callerOf(ctx)
-	key := jobKey{s.account.Name, s.request.Job}
-	if err := e.postLeased(ctx, s, key, id); err != nil {
+	err := error(nil)
+	if !e.dispatcher.postAndWait(func(d *dispatcher) { err = d.submitLeased(s, id) }) {
+		return retryLater(time.Second, reasonStopping, "the entry is stopping")
+	}
+	if err != nil {
 		return err
 	}
-	var late <-chan time.Time
-	if key.identifier != "" && !s.claimed {
-		t := time.NewTimer(claimLateAfter)
-		defer t.Stop()
-		late = t.C
-	}
-	for waiting := true; waiting; {
-		select {
-		case <-s.job.done:
-			return nil
-		case <-late:
-			e.claimLate(s, key)
-		case <-ctx.Done():
-			waiting = false
-		}
+	select {
+	case <-s.job.done:
+		return nil
+	case <-ctx.Done():
 	}
 	e.dispatcher.postAndWait(func(d *dispatcher) { d.callerLeft(s.job, s.caller) })
 	select {
@@ -130,31 +122,6 @@
 	}
 }
 
-// postLeased passes the submission to the dispatcher once no other entry has a run of
-// the job. An identifier that the entry makes itself is known nowhere else.
-func (e *Entry) postLeased(ctx context.Context, s *submission, key jobKey, id string) error {
-	overtaken := func() bool { return false }
-	if key.identifier != "" {
-		ctx, a := e.holders.begin(ctx, key)
-		defer e.holders.end(a)
-		if err := e.takeOver(ctx, s, a); err != nil {
-			return err
-		}
-		overtaken = a.overtaken.Load
-	}
-	err := error(nil)
-	if !e.dispatcher.postAndWait(func(d *dispatcher) {
-		if overtaken() {
-			err = errTakenOver()
-			return
-		}
-		err = d.submitLeased(s, id)
-	}) {
-		return retryLater(time.Second, reasonStopping, "the entry is stopping")
-	}
-	return err
-}
-
 // serveLeased passes a submission of POST /v1/jobs for leased tasks through the
 // remaining filters. Admission, expansion and queueing are one event of the
 // dispatcher, so that two submissions under one identifier cannot both create a
--- a/internal/leasedtest/standins_random_test.go
+++ b/internal/leasedtest/standins_random_test.go
@@ -261,7 +261,7 @@
 
 // Guards against an entry that goes on with a job whose caller has left before its
 // timeout, over a connection that has gone silent, and has sent the job to the other
-// entry.
+// entry. Listed in KNOWN-RED.txt.
 func TestCallerLeavesASilentConnection(t *testing.T) {
 	withSystem(t, func(s *system) {
 		j := s.submit(0, job{tasks: 3, duration: 2 * time.Second, link: callerLink{endLate: 10 * time.Second}})
