lifeconn: leave silent connections after two unanswered renewals

Now the open and idle connections are dropped after two renewals without an answer, and no spares are opened until one is answered. A single unanswered renewal may be a lost order and costs nothing more. Two smaller findings: a worker that closes each connection after its response, as one that shuts down, got no order after its first list, and an order after Close opened spares that nobody closed.

--- a/internal/lifeconn/lifeconn.go
+++ b/internal/lifeconn/lifeconn.go
@@ -39,13 +39,19 @@
 	connections int
 	dialTimeout time.Duration
 
-	mu     sync.Mutex
-	born   int64  // of the life that client's connections are bound to; 0 means any
-	token  uint64 // highest fencing token of an order
-	client *http.Client
-	spares spares
+	mu         sync.Mutex
+	born       int64  // of the life that client's connections are bound to; 0 means any
+	token      uint64 // highest fencing token of an order
+	unanswered int    // renewals since the newest answer to one
+	client     *http.Client
+	spares     spares
 }
 
+// maxUnanswered is the number of renewals without an answer after which the open
+// connections count as silent. Each spare would otherwise cost one renewal its timeout,
+// which together outlasts the lease. A single one may be an order that was lost.
+const maxUnanswered = 2
+
 // New returns a client that opens at most the given number of connections. Opening
 // one and listing the runs over it may take up to dialTimeout each.
 func New(orders Orders, connections int, dialTimeout time.Duration) *Worker {
@@ -82,20 +88,42 @@
 	reply, err := w.orders.Renew(ctx, w.clientFor(o.Born, o.Token), o)
 	var other *otherProcessError
 	if errors.As(err, &other) {
-		return other.reply, nil
-	}
-	if err == nil && reply.Refusal == "" {
+		reply, err = other.reply, nil
+	} else if err == nil && reply.Refusal == "" {
 		w.spares.prove(reply.Born, sent)
 	}
+	w.recordRenewal(err)
 	return reply, err
 }
 
+// recordRenewal drops the connections that are open and idle after maxUnanswered
+// renewals without an answer: they may have gone silent while new ones work.
+func (w *Worker) recordRenewal(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err == nil {
+		w.unanswered = 0
+		return
+	}
+	if w.unanswered++; w.unanswered >= maxUnanswered {
+		w.client.CloseIdleConnections()
+		w.spares.drop()
+	}
+}
+
+// answers reports whether the newest renewal was answered.
+func (w *Worker) answers() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.unanswered == 0
+}
+
 // Close closes the connections that are idle.
 func (w *Worker) Close() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.client.CloseIdleConnections()
-	w.spares.bind(0)
+	w.spares.close()
 }
 
 // clientFor returns the client whose connections are bound to the life with the given
@@ -119,44 +147,58 @@
 	if dial := t.DialContext; born != 0 {
 		t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 			open := func(ctx context.Context) (net.Conn, error) { return dial(ctx, network, address) }
-			defer w.spares.refill(born, open)
+			if w.answers() { // else spares would be opened and dropped over and over
+				defer w.spares.refill(born, open)
+			}
 			if conn := w.spares.take(born); conn != nil {
 				return conn, nil
 			}
-			conn, err := open(ctx)
-			if err != nil {
-				return nil, err
-			}
-			if err := w.verify(ctx, conn, born); err != nil {
-				_ = conn.Close()
-				return nil, err
-			}
-			return conn, nil
+			return w.openVerified(ctx, born, open)
 		}
 	}
 	return &http.Client{Transport: t}
 }
 
+// openVerified opens a connection that the life with the given birth is proved to have
+// accepted. A worker that closes each connection after its response leaves no such
+// connection, so the next one is used, right after the life has listed its runs.
+func (w *Worker) openVerified(ctx context.Context, born int64, open func(context.Context) (net.Conn, error)) (net.Conn, error) {
+	conn, err := open(ctx)
+	if err != nil {
+		return nil, err
+	}
+	kept, err := w.verify(ctx, conn, born)
+	if err == nil && kept {
+		return conn, nil
+	}
+	_ = conn.Close()
+	if err != nil {
+		return nil, err
+	}
+	return open(ctx)
+}
+
 // verify lists the runs over a new connection and returns an error unless the list is
 // that of the life with the given birth. It extends no lease and acknowledges no end.
-func (w *Worker) verify(ctx context.Context, conn net.Conn, born int64) error {
+// It reports whether the worker keeps the connection.
+func (w *Worker) verify(ctx context.Context, conn net.Conn, born int64) (kept bool, err error) {
 	w.mu.Lock()
 	token := w.token
 	w.mu.Unlock()
 	if err := conn.SetDeadline(time.Now().Add(w.dialTimeout)); err != nil {
-		return err
+		return false, err
 	}
 	x := &exchange{conn: conn, reader: bufio.NewReader(conn)}
 	reply, err := w.orders.Renew(ctx, &http.Client{Transport: x}, lease.RenewOrder{Token: token})
 	switch {
 	case err != nil:
-		return err
+		return false, err
 	case reply.Refusal != "" || reply.Born != born:
-		return &otherProcessError{reply}
-	case x.closes || x.reader.Buffered() > 0:
-		return errors.New("lifeconn: the worker does not keep the connection")
+		return false, &otherProcessError{reply}
+	case x.reader.Buffered() > 0:
+		return false, errors.New("lifeconn: bytes follow the response of the worker")
 	}
-	return conn.SetDeadline(time.Time{})
+	return !x.closes, conn.SetDeadline(time.Time{})
 }
 
 // otherProcessError means that a new connection is not one to the expected life, or
--- a/internal/lifeconn/spares.go
+++ b/internal/lifeconn/spares.go
@@ -21,6 +21,7 @@
 	born    int64
 	conns   []spare
 	opening bool // a goroutine opens connections
+	closed  bool // close was called
 }
 
 type spare struct {
@@ -34,10 +35,33 @@
 func (s *spares) bind(born int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closeAll()
+	if s.born = born; s.closed {
+		s.born = 0
+	}
+}
+
+// close closes all connections for good.
+func (s *spares) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closeAll()
+	s.born, s.closed = 0, true
+}
+
+// drop closes all connections.
+func (s *spares) drop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closeAll()
+}
+
+// closeAll closes all connections; the caller holds mu.
+func (s *spares) closeAll() {
 	for _, c := range s.conns {
 		_ = c.Close()
 	}
-	s.born, s.conns = born, nil
+	s.conns = nil
 }
 
 // prove records that a life has listed its runs in answer to a renewal that was sent at
--- a/internal/lifeconn/spares_test.go
+++ b/internal/lifeconn/spares_test.go
@@ -69,3 +69,16 @@
 	c.Check(s.take(5), qt.IsNil)
 	_, _ = near[1].Close(), far[1].Close()
 }
+
+// Guards against connections that an order opens after Close, which nobody closes.
+func TestClosedSparesStayClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var s spares
+		s.bind(5)
+		s.close()
+		s.bind(5)
+		s.refill(5, func(context.Context) (net.Conn, error) { panic("opened a connection") })
+		synctest.Wait()
+		qt.Check(t, s.conns, qt.HasLen, 0)
+	})
+}
--- a/lease/life_test.go
+++ b/lease/life_test.go
@@ -226,3 +226,26 @@
 	qt.Assert(t, lost, qt.HasLen, 0)
 	qt.Assert(t, next.LifeEnded(false), qt.DeepEquals, []RemovedRun{{Run: run1, Outcome: OutcomeLost, Proof: ProofOtherIdentifier, Crash: wire.CrashUnconfirmed}})
 }
+
+// Guards against a crash that is reported only when the lease has expired because the
+// life went on after an earlier report that named the same run.
+func TestSecondProbableEndIsReported(t *testing.T) {
+	c, table := qt.New(t), ordered()
+	table.answerStart("")
+	for range 2 {
+		table.ConnectionBroke()
+		table.ConnectionRefused()
+		c.Check(table.ProbablyOver(true), qt.IsTrue)
+		c.Check(table.TakeSuspects(), qt.DeepEquals, []Suspect{{run1, wire.CrashSuspect}})
+		table.poll(shown)
+		c.Check(table.TakeSuspects(), qt.HasLen, 0)
+	}
+}
+
+// Guards against renewals that do not say for which life they are meant: they would
+// extend the lease of a life that the agent does not know.
+func TestRenewalsStateTheBirth(t *testing.T) {
+	c, table := qt.New(t), ordered()
+	c.Check(table.Life().Born, qt.Equals, int64(1))
+	c.Check(table.Renew(table.now, 0).Born, qt.Equals, int64(1))
+}
