--- a/internal/lifeconn/lifeconn.go
+++ b/internal/lifeconn/lifeconn.go
@@ -6,7 +6,9 @@
 // process has listed its runs over the connection, or lists of the life that were made
 // before and after the connection was opened show that it lived then, and while it
 // lives no other process accepts connections at its address. A connection stays with
-// its process, so an order to an ended life fails and reaches no later one.
+// its process, so an order to an ended life fails and reaches no later one. Only a
+// worker that closes each connection after its response gets orders over one without
+// this proof, which is opened right after a list.
 package lifeconn
 
 import (
