config, entry: tasks get all attempts that their route allows

What callers saw: with MaxAttempts 120 a job was answered as failed after 100 failed runs of a task, which the route does not say.

Cause: config accepted MaxAttempts from 1 to 100. The limit could not simply be raised: entries counted failed runs in a uint8, which wraps at 256, and a task with more attempts would have been started without end.

Change: MaxAttemptsLimit is the largest int32, and the counter an int32 (three bytes a task more; 512 bytes are charged for each waiting task).

--- a/config/validate_leased.go
+++ b/config/validate_leased.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"regexp"
 	"strings"
 
@@ -10,8 +11,9 @@
 
 // Bounds of the values of leased templates and routes.
 const (
-	// MaxAttemptsLimit is the largest value of Template.MaxAttempts.
-	MaxAttemptsLimit = 100
+	// MaxAttemptsLimit is the largest value of Template.MaxAttempts. Only the type of the
+	// counters of failed runs bounds it.
+	MaxAttemptsLimit = math.MaxInt32
 	// maxHostBytes is the longest host name (RFC 1035, 2.3.4).
 	maxHostBytes = 253
 )
--- a/entry/leased.go
+++ b/entry/leased.go
@@ -40,7 +40,7 @@
 	acceptedByObjective bool
 	exhausted           bool // a task has used up the attempts that the template allows
 
-	failedRuns    []uint8 // number of failed runs, by task
+	failedRuns    []int32 // number of failed runs, by task; at most config.MaxAttemptsLimit
 	interruptions []uint8 // number of interrupted runs, by task
 	restarts      []uint8 // number of runs stopped as stalled or slow, by task
 	confined      bool    // the template was confined when the job arrived; see loadOf
@@ -226,7 +226,7 @@
 	j := d.newJob(s)
 	j.leased = &leasedJob{
 		identifier: identifier, workload: s.workload,
-		failedRuns: make([]uint8, j.count), interruptions: make([]uint8, j.count),
+		failedRuns: make([]int32, j.count), interruptions: make([]uint8, j.count),
 		restarts: make([]uint8, j.count),
 		confined: d.confined.members[j.template.Name] != nil,
 	}
