config, platform: regions of a template instead of a list of data centres

What callers saw: nothing so far. A desired state of less than 1 MiB could make a document above MaxDocumentBytes.

Cause: the translation wrote the names of all zones of the allowed regions into each template, so the document grew with routes times zones. 12,294 of the shortest routes and 11 zones with names of 62 bytes exceed 8 MiB.

Change: Template.Regions. The view resolves it to data centres and shares the list between templates; entries see the same templates as before. An unknown region, one that is listed twice, and lists that together allow no data centre are problems.

Tests: the new row "long names of zones" of TestLargestDesiredStates fails before (store: key not found); TestRegionsOfTemplates is new. Two tests of platform read the data centres of a template from the document and read them from the view now, as entries do. TestTooLargeDesiredStateKeepsTheLastOne needs 80,000 zones instead of 20 to reach the limit; what it checks is unchanged.

Before and after: the document of 1 MiB of the shortest routes with 11 zones in one region has 4.3 MB before and 2.6 MB after; without regions it has 4.9 MB, the largest form found.

--- a/config/document.go
+++ b/config/document.go
@@ -108,6 +108,11 @@
 	// DataCentres lists the names of the data centres in which tasks may run.
 	// Empty, the default, means any.
 	DataCentres []string `json:"data_centres,omitempty"`
+	// Regions lists the names of the regions in whose data centres tasks may run; of
+	// those that DataCentres allows, if both are given. Empty, the default, means any.
+	// The size of a document with many templates then does not grow with the number
+	// of data centres.
+	Regions []string `json:"regions,omitempty"`
 	// Idempotent is true if a task may be sent again after an unknown outcome.
 	// The default is false.
 	Idempotent bool `json:"idempotent,omitempty"`
--- a/config/parse.go
+++ b/config/parse.go
@@ -16,8 +16,7 @@
 	// MaxDocumentBytes is the size of the largest document that processes
 	// exchange, in bytes. A document that was translated from another format is
 	// larger than the value that it stands for: 1 MiB of the shortest routes makes
-	// 4.3 MB with 11 data centres in one region (platform,
-	// TestLargestDesiredStates).
+	// 4.9 MB (platform, TestLargestDesiredStates).
 	MaxDocumentBytes = 8 << 20
 )
 
--- a/config/validate.go
+++ b/config/validate.go
@@ -59,10 +59,12 @@
 	dataCentres := v.dataCentres(d.DataCentres)
 	accounts := v.accounts(d.Accounts)
 	names := map[string]bool{}
+	regions := regionsOf(d)
 	for i := range d.Templates {
 		path := fmt.Sprintf("templates[%d]", i)
 		v.uniqueName(path+".name", d.Templates[i].Name, names)
-		v.template(path, &d.Templates[i], d.Limits.TaskLimitPerJob(), accounts, dataCentres)
+		v.template(path, &d.Templates[i], d.Limits.TaskLimitPerJob(), accounts)
+		v.places(path, d, &d.Templates[i], dataCentres, regions)
 	}
 	v.routes(d.Routes, d.Templates)
 	return v.problems
@@ -140,16 +142,9 @@
 	return known
 }
 
-func (v *validator) template(path string, t *Template, maxTasks int, accounts, dataCentres map[string]bool) {
+func (v *validator) template(path string, t *Template, maxTasks int, accounts map[string]bool) {
 	v.check(accounts[t.Account], path+".account", "%q is not an account; give one of %s", truncate(t.Account), joinNames(accounts))
 	v.inRange(path+".urgency", int64(t.Urgency), MaxUrgency)
-	seen := map[string]bool{}
-	for i, name := range t.DataCentres {
-		field := fmt.Sprintf("%s.data_centres[%d]", path, i)
-		v.check(dataCentres[name], field, "%q is not a data centre; give one of %s", truncate(name), joinNames(dataCentres))
-		v.check(!seen[name], field, "%q is listed more than once", truncate(name))
-		seen[name] = true
-	}
 	v.inRange(path+".needs.accelerators", int64(t.Needs.Accelerators), math.MaxInt32)
 	v.inRange(path+".needs.memory_mb", t.Needs.MemoryMB, math.MaxInt32)
 	v.inRange(path+".needs.milli_cpu", t.Needs.MilliCPU, math.MaxInt32)
--- a/config/view.go
+++ b/config/view.go
@@ -65,8 +65,9 @@
 			v.byToken[hash] = a
 		}
 	}
+	resolve := regionResolver(d)
 	for i := range d.Templates {
-		t := &d.Templates[i]
+		t := resolve(&d.Templates[i])
 		v.templates[t.Name] = t
 		tasks := make(map[string]*Task, len(t.Tasks))
 		for j := range t.Tasks {
@@ -101,8 +102,9 @@
 	return a, ok
 }
 
-// Template returns the template of that name. Names are unique over all
-// accounts; the caller checks the template's account.
+// Template returns the template of that name, with its regions resolved to
+// DataCentres. Names are unique over all accounts; the caller checks the template's
+// account.
 func (v *View) Template(name string) (*Template, bool) {
 	t, ok := v.templates[name]
 	return t, ok
