config, platform: a route that cannot be used is closed, not unknown

Cause: left out such a route, so that nothing of it was known any more.

Change: Route.Closed. LeaveOutRoutes closes a route whose template cannot be used, unless another one has its host and prefix, and submissions to it get 503 at once. A route whose host or prefix cannot be used is left out as before: it names no requests.

--- a/config/document.go
+++ b/config/document.go
@@ -39,8 +39,11 @@
 	Host string `json:"host"`
 	// Prefix is the start of the path. It begins with a slash and has no query.
 	Prefix string `json:"prefix"`
-	// Template is the name of a template of KindLeased.
-	Template string `json:"template"`
+	// Template is the name of a template of KindLeased; empty for a closed route.
+	Template string `json:"template,omitempty"`
+	// Closed is true if the requests cannot be served: they are refused and not run,
+	// and no route with a shorter prefix is used. The default is false.
+	Closed bool `json:"closed,omitempty"`
 }
 
 // DataCentre is one zone in which upstreams run.
--- a/config/leased_test.go
+++ b/config/leased_test.go
@@ -48,6 +48,9 @@
 		{"relative prefix", `"/review"`, `"review"`, []string{`routes[1].prefix: "review" is not accepted`}},
 		{"query", `"/review"`, `"/review?a"`, []string{`routes[1].prefix`}},
 		{"twice", `"/review"`, `"/"`, []string{"routes[1]: host and prefix are listed more than once"}},
+		{"closed", `"template": "steps-2"`, `"closed": true`, nil},
+		{"closed with a template", `"template": "steps-2"`, `"template": "steps-2", "closed": true`, []string{"routes[1].template: not accepted for a closed route"}},
+		{"neither closed nor a template", `, "template": "steps-2"`, ``, []string{`routes[1].template: "" is not a template`}},
 		{"unknown template", `"template": "steps-2"`, `"template": "steps-3"`, []string{`routes[1].template: "steps-3" is not a template`}},
 		{"template of another kind", `"template": "steps-2"`, `"template": "proof"`, []string{`routes[1].template: "proof" is of kind "job"`}},
 	} {
--- a/config/leave_out_test.go
+++ b/config/leave_out_test.go
@@ -13,7 +13,8 @@
 
 // Guards against one route that cannot be used and keeps all others from being put in
 // force (review case 10), against one that is removed without a report, and against a
-// report whose size grows without a bound.
+// report whose size grows without a bound. A route whose template cannot be used must not
+// be refused as if it did not exist, or take the place of one that can be used.
 func TestRoutesThatCannotBeUsedAreLeftOut(t *testing.T) {
 	c := qt.New(t)
 	d := &config.Document{
@@ -35,17 +36,24 @@
 	add("a.example", "/"+strings.Repeat("p", 9_000), "s", 3)
 	add("a.example", "/d/", "s", 120)
 	add("a.example", "/e/", "s", 0)
+	add("a.example", "/e/", "also no pool", 3)
+	add("a.example", "/f", "no pool", 3)
 	problems := d.LeaveOutRoutes()
 	c.Check(d.Validate(), qt.IsNil)
-	var kept, reported []string
+	var kept, closed, reported []string
 	for _, r := range d.Routes {
+		if r.Closed {
+			closed = append(closed, r.Prefix)
+			continue
+		}
 		kept = append(kept, r.Template)
 	}
 	for _, p := range problems {
 		reported = append(reported, p.Field)
 	}
 	c.Check(kept, qt.DeepEquals, []string{"r1", "r3", "r7"})
-	c.Check(reported, qt.DeepEquals, []string{"templates[0].pool", "templates[8].max_attempts",
+	c.Check(closed, qt.DeepEquals, []string{"/e/", "/f"})
+	c.Check(reported, qt.DeepEquals, []string{"templates[0].pool", "templates[8].max_attempts", "templates[9].pool", "templates[10].pool",
 		"routes[2].host", "routes[4].prefix", "routes[5]", "routes[6].prefix"})
 	c.Check(d.LeaveOutRoutes(), qt.HasLen, 0)
 
--- a/config/validate_leased.go
+++ b/config/validate_leased.go
@@ -61,7 +61,8 @@
 		v.check(validPrefix(r.Prefix), path+".prefix",
 			"%q is not accepted; give a path of at most %d bytes that begins with /, without query", truncate(r.Prefix), maxPathBytes)
 		kind, known := kinds[r.Template]
-		v.check(known, path+".template", "%q is not a template", truncate(r.Template))
+		v.check(!r.Closed || r.Template == "", path+".template", "not accepted for a closed route; leave the field out")
+		v.check(known || r.Closed, path+".template", "%q is not a template", truncate(r.Template))
 		v.check(!known || kind == KindLeased, path+".template", "%q is of kind %q; give a template of kind %q", truncate(r.Template), truncate(string(kind)), KindLeased)
 		key := Route{Host: strings.ToLower(r.Host), Prefix: r.Prefix}
 		v.check(!seen[key], path, "host and prefix are listed more than once")
