--- a/entry/submit.go
+++ b/entry/submit.go
@@ -188,7 +188,7 @@
 func (e *Entry) RoutesLeftOut(problems []strictjson.Problem) {
 	e.metrics.routesLeftOut.Update(float64(len(problems)))
 	if len(problems) > 0 {
-		e.log.Error().Int("problems", len(problems)).Err(&config.Error{Problems: problems}).Msg("routes that cannot be used are left out")
+		e.log.Error().Int("problems", len(problems)).Err(&config.Error{Problems: problems}).Msg("routes that cannot be used are closed or left out")
 	}
 }
 
