internal/leasedtest: jobs of TestPlannedStops state their durations

Cause: not the stop. With the log of the entries on, the failing runs show "run stopped to restart its task at another agent", reason slow, at 19 % after 448 ms. The jobs of this test last 60 ms to 2.6 s in one template that declares 200 ms, and state nothing themselves. A worker that happens to get the long ones then looks twice as slow as its peers, and package straggler restarts its longest run, as it should for a slow worker.

Change: the jobs state their durations. What the test checks is unchanged: each job is done after one submission, and each run ends as done.

--- a/internal/leasedtest/caller_test.go
+++ b/internal/leasedtest/caller_test.go
@@ -23,6 +23,10 @@
 	tasks    int
 	milliCPU int64
 	duration time.Duration
+	// declared makes the caller state the duration, as callers on the platform do.
+	// Otherwise entries expect the mean of the template, and a worker that happens to
+	// get the longest jobs looks slow.
+	declared bool
 	deadline time.Duration
 	fails    bool
 	// crashes makes the first task crash its worker crashAfter each start.
@@ -117,9 +121,13 @@
 // submitOnce makes one submission and reports whether a complete answer arrived.
 func (s *system) submitOnce(j *job, target int) (entry.Answer, bool) {
 	spec := j.spec()
+	expected := time.Duration(0)
+	if j.declared {
+		expected = j.duration
+	}
 	return callEntryOver(s, j.link, target, j.deadline, j.disconnect, func(ctx context.Context, e *entryProcess) entry.Answer {
 		return e.Submit(ctx, entry.Submission{Job: j.id, Template: "step", Count: j.tasks, Needs: spec.Needs,
-			Spec: spec.Encode(), Deadline: j.deadline})
+			Spec: spec.Encode(), Deadline: j.deadline, Expected: expected})
 	})
 }
 
--- a/internal/leasedtest/stop_test.go
+++ b/internal/leasedtest/stop_test.go
@@ -34,7 +34,7 @@
 		}
 		if len(ready) > 0 {
 			took := []time.Duration{60 * ms, 200 * ms, 900 * ms, 2600 * ms}[i%4]
-			s.submit(ready[i/4%len(ready)], job{tasks: 1 + i%3, duration: took})
+			s.submit(ready[i/4%len(ready)], job{tasks: 1 + i%3, duration: took, declared: true})
 		}
 		select {
 		case <-done:
