forward, deploy: an entry short of processor time passes on its jobs

Its rules prevented one: a peer needed more than 0.5 room at the workers, which no peer has while they are busy, and at most every second job was forwarded. The entry noticed the shortage only above an average delay of 20 ms for each event, when jobs of 150 ms were late already.

Change: while an entry is short, each job goes to a peer that is not; the one with the most room first, but without a condition on room. Short is an average delay above 3 ms until below 1 ms, and a single delay counts as at most 50 ms instead of 200, so that one late event still makes no entry short.

--- a/entry/forward_processor.go
+++ b/entry/forward_processor.go
@@ -60,11 +60,12 @@
 	if !d.forwards.settings.HasReason(settings.ForwardNoProcessor) || d.noticeEnded() || !d.mayForward(s, s.request.Job) {
 		return false
 	}
-	return d.processor.decision.Arrive(func() bool {
-		here := *s
-		here.stays = true
-		return d.startForward(s, forward.ReasonNoProcessor, nil, &here, id)
-	})
+	if !d.processor.decision.Short() {
+		return false
+	}
+	here := *s
+	here.stays = true
+	return d.startForward(s, forward.ReasonNoProcessor, nil, &here, id)
 }
 
 // runHere admits a job that was forwarded for lack of processor time and that certainly is
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -62,7 +62,7 @@
 	}
 	for i := range peers {
 		p := &peers[i]
-		if !p.accepts(now, j, l) || !p.hasRoom(j.Reason, room) {
+		if !p.accepts(now, j, l) || !p.canServe(j.Reason, room) {
 			continue
 		}
 		if best == nil || better(p, best, room) {
@@ -85,10 +85,13 @@
 		p.Open < l.PerPeer && (p.RefusedAt.IsZero() || now.Sub(p.RefusedAt) >= RefusedPause)
 }
 
-func (p *Peer) hasRoom(r Reason, room map[string]float64) bool {
+// canServe reports whether the peer has what the sender lacks.
+func (p *Peer) canServe(r Reason, room map[string]float64) bool {
 	switch {
 	case r == ReasonNoProcessor:
-		return !p.Short && room[p.ID] > MinProcessorRoom
+		// The workers are the same for all entries, so their room says nothing about
+		// the processor time of a peer.
+		return !p.Short
 	case room == nil || r == ReasonStopping:
 		return true
 	}
--- a/forward/processor.go
+++ b/forward/processor.go
@@ -7,25 +7,21 @@
 	delayWindow = time.Second
 	// maxDelay is what a single delay counts at most, so that one late event among the
 	// 20 of a second does not make an entry short.
-	maxDelay = 200 * time.Millisecond
+	maxDelay = 50 * time.Millisecond
 	// shortAbove and enoughBelow are the average delays from which on an entry counts as
-	// short of processor time, and no longer does. They differ so that the forwards,
-	// which lower the delay, do not switch themselves off and on.
-	shortAbove  = 20 * time.Millisecond
-	enoughBelow = 10 * time.Millisecond
-	// MinProcessorRoom is the room that a peer has to exceed to get jobs of an entry that
-	// is short of processor time. A peer that refuses jobs has at most this room
-	// (balance.RefusingRoom).
-	MinProcessorRoom = 0.5
+	// short of processor time, and no longer does. A job waits for about five
+	// events in turn, so 3 ms each are a tenth of an objective of 150 ms. They differ so that the forwards, which
+	// lower the delay, do not switch themselves off and on.
+	shortAbove  = 3 * time.Millisecond
+	enoughBelow = time.Millisecond
 )
 
 // Processor decides whether an entry is short of processor time, by how long its events
-// wait to be handled, and which of its jobs may be forwarded for that reason.
+// wait to be handled.
 type Processor struct {
-	delays  []eventDelay // of the last delayWindow, oldest first
-	sum     time.Duration
-	short   bool
-	waiting bool // the last job was not forwarded, so the next one may be
+	delays []eventDelay // of the last delayWindow, oldest first
+	sum    time.Duration
+	short  bool
 }
 
 type eventDelay struct {
@@ -50,7 +46,7 @@
 	case average > shortAbove:
 		p.short = true
 	case average < enoughBelow:
-		p.short, p.waiting = false, false
+		p.short = false
 	}
 	return p.short != was
 }
@@ -65,16 +61,3 @@
 
 // Short reports whether the entry is short of processor time.
 func (p *Processor) Short() bool { return p.short }
-
-// Arrive decides about a job that arrives: forward is called if the job may be forwarded
-// because the entry is short of processor time, and reports whether that was done. At most
-// every second job is, because forwarding takes processor time as well. Turns that were
-// not used are not made up for.
-func (p *Processor) Arrive(forward func() bool) (forwarded bool) {
-	if !p.short {
-		return false
-	}
-	forwarded = p.waiting && forward()
-	p.waiting = !forwarded
-	return forwarded
-}
