agent, entry: take back a crash when the worker answers

What callers saw: a job answered as failed (crashed_workers) although no worker had crashed.

Cause: an agent reports a probable crash at once, so that other entries do not start its suspects meanwhile. It learns later whether the process lives, from the birth in the next list, and told nobody.

Change: a suspect has the birth of the life that may have crashed.

Not changed: a second report before the first one is taken back gives the task up, and crashes counted for bystanders stay.

Two rows of lease tests state the birth in the new field.

--- a/agent/lives_test.go
+++ b/agent/lives_test.go
@@ -105,6 +105,42 @@
 	}
 }
 
+// Guards against a crash that stays reported although the worker's process has answered
+// since, also after its lease has ended; and against one that is taken back because the next
+// process has answered.
+func TestCrashIsTakenBackIfTheWorkerAnswers(t *testing.T) {
+	for name, tc := range map[string]struct {
+		refused time.Duration // 0: the worker crashes and starts again
+		want    wire.CrashRole
+	}{
+		"connections refused for a while":          {30 * time.Millisecond, wire.CrashNone},
+		"connections refused until the lease ends": {800 * time.Millisecond, wire.CrashNone},
+		"crash": {0, wire.CrashSuspect},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withLeasedRig(t, leasedSetup{}, func(r *leasedRig, e *entryStub) {
+				time.Sleep(5 * time.Second)
+				e.runLeased("j", 4, 10*time.Second)
+				time.Sleep(10 * time.Millisecond)
+				if tc.refused > 0 {
+					r.machine.SetFaults(leasestub.Faults{Reset: true, Refuse: true})
+					time.Sleep(tc.refused)
+					r.machine.SetFaults(leasestub.Faults{})
+				} else {
+					r.machine.Crash()
+					time.Sleep(100 * time.Millisecond)
+					r.machine.Boot()
+					r.agent.WorkerAnnounced(r.machine.Announcement())
+				}
+				time.Sleep(time.Second)
+				suspects := e.lastHeartbeat().Suspects
+				r.Assert(suspects, qt.HasLen, 1)
+				r.Check(suspects[0].Role, qt.Equals, tc.want)
+			})
+		})
+	}
+}
+
 // Guards against runs that wait for the end of the lease although the next life of
 // the worker, which has another identifier, has answered.
 func TestAnswerOfTheNextLifeEndsTheFormerOne(t *testing.T) {
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -18,7 +18,7 @@
 	interrupted, ordersUnanswered, runsStalled               tally.Counter
 	announcementsRejected                                    tally.Counter
 	workersCrashed, runsLost, runsCarriedOver, runsUnknown   tally.Counter
-	runsStopOrdered, runLinesDropped                         tally.Counter
+	runsStopOrdered, runLinesDropped, crashesRefuted         tally.Counter
 	runsRemoved                                              map[lease.Proof]tally.Counter
 	offers, offersUsed, entriesSuspect, recordsEvicted       tally.Counter
 	running, queued, confirmationAge, generation             tally.Gauge
@@ -43,7 +43,8 @@
 		runsStalled: s.Counter("runs_stalled"), announcementsRejected: s.Counter("announcements_rejected"),
 		workersCrashed: s.Counter("workers_crashed"), runsLost: s.Counter("runs_lost"),
 		runsCarriedOver: s.Counter("runs_carried_over"), runsUnknown: s.Counter("runs_unknown"),
-		runsStopOrdered: s.Counter("runs_stop_ordered"), runLinesDropped: s.Counter("run_lines_dropped"), runsRemoved: removalCounters(s),
+		runsStopOrdered: s.Counter("runs_stop_ordered"), runLinesDropped: s.Counter("run_lines_dropped"),
+		crashesRefuted: s.Counter("crashes_refuted"), runsRemoved: removalCounters(s),
 		offers: s.Counter("offers"), offersUsed: s.Counter("offers_used"),
 		entriesSuspect: s.Counter("entries_suspect"), recordsEvicted: s.Counter("records_evicted"),
 		running: s.Gauge("tasks_running"), queued: s.Gauge("tasks_queued"),
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -350,6 +350,9 @@
 	listed := life.runs.Listed()
 	life.refusedSince = time.Time{}
 	removed, stop := life.runs.RenewalAnswered(now, n, reply)
+	if reply.Refusal == "" {
+		l.refuteCrashes(lease.Life{ID: life.runs.Life().ID, Born: reply.Born}, n.SentAt())
+	}
 	l.describe(life, !listed && life.runs.Listed())
 	l.notifyRemoved(life, removed)
 	l.expireLease(life, now)
--- a/agent/worker.go
+++ b/agent/worker.go
@@ -220,7 +220,7 @@
 	l.recordLifeEnd(life, cause, lost)
 	for _, r := range lost {
 		if r.Crash == wire.CrashSuspect || r.Crash == wire.CrashUnconfirmed {
-			l.addSuspect(life, lease.Suspect{Run: r.Run, Crash: r.Crash})
+			l.addSuspect(life, lease.Suspect{Run: r.Run, Crash: r.Crash, Born: life.runs.Life().Born})
 		}
 	}
 	l.notifyRemoved(life, lost)
--- a/containment/containment.go
+++ b/containment/containment.go
@@ -71,6 +71,20 @@
 	return h.Verdict()
 }
 
+// Retract takes back a crash that was recorded with the role and did not happen.
+func (h *History) Retract(role wire.CrashRole) {
+	if role == wire.CrashNone || h.Crashes == 0 {
+		return
+	}
+	h.Crashes--
+	switch {
+	case role == wire.CrashSuspect && h.Suspicions > 0:
+		h.Suspicions--
+	case role == wire.CrashUnconfirmed && h.Unconfirmed > 0:
+		h.Unconfirmed--
+	}
+}
+
 // Verdict returns the verdict on the task.
 func (h History) Verdict() Verdict {
 	suspected := h.Suspicions+h.Unconfirmed > 0
--- a/containment/containment_test.go
+++ b/containment/containment_test.go
@@ -36,6 +36,25 @@
 	}
 }
 
+// Guards against a crash that still counts after it was taken back, and against one that
+// takes away the count of another.
+func TestRetract(t *testing.T) {
+	roles := []wire.CrashRole{wire.CrashBystander, wire.CrashSuspect, wire.CrashUnconfirmed, wire.CrashNone}
+	for _, kept := range roles {
+		for _, retracted := range roles {
+			var h, want containment.History
+			h.Record(kept)
+			want.Record(kept)
+			h.Record(retracted)
+			h.Retract(retracted)
+			qt.Check(t, h, qt.Equals, want, qt.Commentf("%v, and %v taken back", kept, retracted))
+		}
+	}
+	var none containment.History
+	none.Retract(wire.CrashSuspect)
+	qt.Check(t, none, qt.Equals, containment.History{})
+}
+
 // Guards against a sequence of crashes after which a task has three starts after the
 // third crash, also if one crash was forgotten.
 func TestNoTaskSurvivesItsCrashes(t *testing.T) {
--- a/entry/collect.go
+++ b/entry/collect.go
@@ -178,6 +178,9 @@
 				d.updateUsable(a)
 			}
 			d.logSentAgain(j, index, a.ref.ID, v.task.key.Session, proofReported, string(v.result.Reason))
+			if v.result.Crash != wire.CrashNone {
+				d.keepCountedCrash(a, v.task.key, j, index, v.result.Crash)
+			}
 			d.handleLeasedInterruption(j, a.ref.ID, index, v.result)
 			return
 		}
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -206,5 +206,5 @@
 // have been.
 func (d *dispatcher) forgetCrashes() {
 	maps.DeleteFunc(d.crashMemory, func(_ string, m rememberedCrashes) bool { return d.now.Sub(m.at) >= leasedAnswerRetention })
-	maps.DeleteFunc(d.crashesElsewhere, func(_ reportedRun, at time.Time) bool { return d.now.Sub(at) >= leasedAnswerRetention })
+	maps.DeleteFunc(d.countedCrashes, func(_ reportedRun, c countedCrash) bool { return d.now.Sub(c.at) >= leasedAnswerRetention })
 }
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -101,7 +101,7 @@
 	held               []heldTask
 	confined           confinedTemplates
 	crashMemory        map[string]rememberedCrashes // by the caller's identifier of the job
-	crashesElsewhere   map[reportedRun]time.Time    // when crashes under runs of other entries were reported
+	countedCrashes     map[reportedRun]countedCrash // reported in the last seconds
 	cancelled          cancelledJobs
 	formerJobs         formerJobs
 	probation          []queue.TaskRef // waiting tasks that may start only on probation, oldest first
--- a/entry/fakeagent_test.go
+++ b/entry/fakeagent_test.go
@@ -124,6 +124,7 @@
 	leaving        bool
 	reportsStalled bool                 // heartbeats report all runs as stalled
 	reportsCrashes bool                 // heartbeats report a crash under each run
+	refutesCrashes bool                 // heartbeats take back the crashes under runs that are over
 	suspects       []wire.CrashReport   // which heartbeats report besides
 	confirmedAt    time.Time            // when an entry last confirmed the configuration
 	newestRead     time.Time            // newest read of the store that an entry reported
@@ -299,6 +300,9 @@
 		req.ConfirmedAgo = max(1, time.Since(a.confirmedAt))
 	}
 	for _, r := range a.records {
+		if a.refutesCrashes && r.done {
+			req.Suspects = append(req.Suspects, wire.CrashReport{Entry: r.owner, Key: r.key, Account: "portal", Job: r.job, Role: wire.CrashNone})
+		}
 		if a.reportsCrashes {
 			req.Suspects = append(req.Suspects, wire.CrashReport{Entry: r.owner, Key: r.key, Account: "portal", Job: r.job, Role: wire.CrashUnconfirmed})
 		}
--- a/lease/crash.go
+++ b/lease/crash.go
@@ -40,10 +40,12 @@
 	return onProbation
 }
 
-// Suspect is a run that is suspected of the crash of a life.
+// Suspect is a run that is suspected of the crash of a life. Born is the birth of that
+// life; 0 if unknown. A later list with the same birth shows that it did not crash.
 type Suspect struct {
 	Run   Run
 	Crash wire.CrashRole
+	Born  int64
 }
 
 // TakeSuspects returns the suspects of a crash among the runs that are carried over, or
@@ -55,7 +57,7 @@
 		suspected := e.crash == wire.CrashSuspect || e.crash == wire.CrashUnconfirmed
 		if (e.carriedOver || r.probablyOver) && e.startResolved && !e.crashTaken && suspected {
 			e.crashTaken = true
-			out = append(out, Suspect{e.run, e.crash})
+			out = append(out, Suspect{e.run, e.crash, e.crashBorn})
 		}
 	}
 	return out
--- a/lease/life.go
+++ b/lease/life.go
@@ -131,18 +131,18 @@
 	return true
 }
 
-// goesOn records that the life has answered with a list.
+// goesOn records that the life has answered with a list. It did not crash, and neither
+// did an earlier life in this table that has the same birth: that one was taken for over
+// because connections were refused until its lease had expired.
 func (r *RunTable) goesOn() {
 	r.refused, r.broke = false, false
-	if !r.probablyOver {
-		return
-	}
-	r.probablyOver = false
 	for _, e := range r.table {
-		if !e.carriedOver {
-			e.survived, e.crash, e.crashTaken = 0, wire.CrashNone, false
+		same := e.crashBorn != 0 && e.crashBorn == r.identity.born
+		if e.carriedOver && same || !e.carriedOver && r.probablyOver {
+			e.survived, e.crash, e.crashTaken, e.crashBorn = 0, wire.CrashNone, false, 0
 		}
 	}
+	r.probablyOver = false
 }
 
 // Over reports whether none of the life's runs goes on: connections were refused
@@ -190,7 +190,7 @@
 	for t, e := range r.table {
 		next.table[t] = &entry{
 			run: e.run, state: Stopping, durable: e.durable, probation: e.probation, orderedAt: e.orderedAt,
-			carriedOver: true, survived: e.survived, crash: e.crash, startResolved: e.startResolved, crashTaken: e.crashTaken,
+			carriedOver: true, survived: e.survived, crash: e.crash, crashBorn: e.crashBorn, startResolved: e.startResolved, crashTaken: e.crashTaken,
 		}
 	}
 	return next, lost
@@ -218,7 +218,7 @@
 	}
 	for _, e := range r.table {
 		if !e.carriedOver {
-			e.survived, e.crash = e.survivedUntil(r.answeredAt), roles[e]
+			e.survived, e.crash, e.crashBorn = e.survivedUntil(r.answeredAt), roles[e], r.identity.born
 		}
 	}
 }
--- a/lease/life_test.go
+++ b/lease/life_test.go
@@ -143,7 +143,7 @@
 		c.Check(table.ProbablyOver(true), qt.IsTrue)
 		c.Check(table.ProbablyOver(true), qt.IsFalse)
 		c.Check(table.Token() > table.start.Token, qt.IsTrue)
-		c.Check(table.TakeSuspects(), qt.DeepEquals, []Suspect{{run1, wire.CrashSuspect}})
+		c.Check(table.TakeSuspects(), qt.DeepEquals, []Suspect{{run1, wire.CrashSuspect, table.Life().Born}})
 		c.Check(table.TakeSuspects(), qt.HasLen, 0)
 		c.Check(table.Empty(), qt.IsFalse)
 
@@ -236,7 +236,7 @@
 		table.ConnectionBroke()
 		table.ConnectionRefused()
 		c.Check(table.ProbablyOver(true), qt.IsTrue)
-		c.Check(table.TakeSuspects(), qt.DeepEquals, []Suspect{{run1, wire.CrashSuspect}})
+		c.Check(table.TakeSuspects(), qt.DeepEquals, []Suspect{{run1, wire.CrashSuspect, table.Life().Born}})
 		table.poll(shown)
 		c.Check(table.TakeSuspects(), qt.HasLen, 0)
 	}
--- a/lease/runs.go
+++ b/lease/runs.go
@@ -135,7 +135,8 @@
 	carriedOver bool
 	survived    time.Duration
 	crash       wire.CrashRole
-	crashTaken  bool // TakeSuspects returned the run
+	crashBorn   int64 // birth of the life whose crash that was; 0 if unknown
+	crashTaken  bool  // TakeSuspects returned the run
 }
 
 // NewRunTable returns the empty table of a life that is not adopted yet.
@@ -321,6 +322,9 @@
 	suspended time.Duration // see RunTable.CountSuspension
 }
 
+// SentAt returns the time at which the renewal was sent.
+func (n Renewal) SentAt() time.Time { return n.sentAt }
+
 // Renew returns the next renewal, which the worker answers after the given wait
 // at the latest. The renewal extends the lease if extendsLease allows it. It
 // lets the lease expire if the worker is silent or a discarded end waits for the
--- a/wire/agent.go
+++ b/wire/agent.go
@@ -145,7 +145,8 @@
 }
 
 // CrashReport is a run that is suspected of a crash of its worker. The run may not be
-// over: a start order without an answer may still be carried out.
+// over: a start order without an answer may still be carried out. The role CrashNone
+// takes an earlier report back: the worker has answered since and did not crash.
 type CrashReport struct {
 	Entry   Incarnation // process that sent the task
 	Key     TaskKey     // of the task, at that process
