--- a/internal/untrustedtest/machine_test.go
+++ b/internal/untrustedtest/machine_test.go
@@ -15,7 +15,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"chicorytray.example/chicorytray/internal/crowdtest"
 	"chicorytray.example/chicorytray/internal/dev"
+	"chicorytray.example/chicorytray/internal/processtest"
 	"chicorytray.example/chicorytray/rpcconn"
 	"chicorytray.example/chicorytray/settings"
 	"chicorytray.example/chicorytray/wire"
@@ -30,7 +32,7 @@
 )
 
 // smallestBounds are that machine's memory and the descriptors.
-var smallestBounds = bounds{peakMiB: smallestMB * 1_000_000 >> 20, descriptors: fewDescriptors}
+var smallestBounds = processtest.Bounds{PeakMiB: smallestMB * 1_000_000 >> 20, Descriptors: fewDescriptors}
 
 // smallestMachine sets the limits of the entry to the machine above.
 func smallestMachine(e *settings.Entry) {
@@ -42,10 +44,10 @@
 func TestConnectionsToAllAddresses(t *testing.T) {
 	s := startSystemWith(t, smallestMachine)
 	for _, address := range []string{s.callers, s.entryPeers, s.entryAdmin} {
-		s.crowd(address, clientsPerGroup, func(int) crowdConn { return crowdConn{data: []byte("GET ")} })
+		s.crowd(address, clientsPerGroup, func(int) crowdtest.Conn { return crowdtest.Conn{Data: []byte("GET ")} })
 	}
-	settle(s.entry)
-	s.checkBounds(s.entry, smallestBounds)
+	s.entry.Settle()
+	s.entry.CheckBounds(s.c, smallestBounds)
 	s.checkAdminServed(s.entryAdmin)
 	s.checkPeersServed(s.entryPeers)
 	s.checkCallersServed()
@@ -64,7 +66,7 @@
 		status := statusOf(req)
 		s.c.Check(status == http.StatusBadRequest || status == http.StatusNotFound || status == http.StatusRequestEntityTooLarge, qt.IsTrue, qt.Commentf("status %d", status))
 	}
-	s.checkBounds(s.entry, smallestBounds)
+	s.entry.CheckBounds(s.c, smallestBounds)
 	s.checkCallersServed()
 }
 
@@ -73,10 +75,10 @@
 func TestLargeBodiesOnTheSmallestMachine(t *testing.T) {
 	s := startSystemWith(t, smallestMachine)
 	token := dev.Token(s.layout.Names.OfficeAccount)
-	s.crowd(s.callers, bodyClients, func(i int) crowdConn { return largeBody("POST", "/v1/jobs", token, 262_144, i) })
-	s.crowd(s.callers, bodyClients, func(int) crowdConn { return largeBody("POST", "/v1/jobs", token, 262_144, 0) })
-	settle(s.entry)
-	s.checkBounds(s.entry, smallestBounds)
+	s.crowd(s.callers, bodyClients, func(i int) crowdtest.Conn { return crowdtest.LargeBody("POST", "/v1/jobs", token, 262_144, i) })
+	s.crowd(s.callers, bodyClients, func(int) crowdtest.Conn { return crowdtest.LargeBody("POST", "/v1/jobs", token, 262_144, 0) })
+	s.entry.Settle()
+	s.entry.CheckBounds(s.c, smallestBounds)
 	s.checkCallersServed()
 }
 
@@ -85,9 +87,9 @@
 func TestWholeMessagesAtEntry(t *testing.T) {
 	s := startSystem(t)
 	call := s.wholeCall(15 << 20)
-	s.crowd(s.entryPeers, frameClients, func(int) crowdConn { return call })
-	settle(s.entry)
-	s.checkBounds(s.entry, frameBounds)
+	s.crowd(s.entryPeers, frameClients, func(int) crowdtest.Conn { return call })
+	s.entry.Settle()
+	s.entry.CheckBounds(s.c, frameBounds)
 	s.checkPeersServed(s.entryPeers)
 	s.checkCallersServed()
 }
@@ -105,7 +107,7 @@
 
 // wholeCall returns what a process sends to the entry to make a call of an unknown
 // method with an argument of the given size.
-func (s *system) wholeCall(size int) crowdConn {
+func (s *system) wholeCall(size int) crowdtest.Conn {
 	var r recorder
 	d := rpcconn.Dialer{Dial: func(ctx context.Context, address string) (net.Conn, error) {
 		var err error
@@ -116,7 +118,7 @@
 	s.c.Assert(err, qt.IsNil)
 	s.c.Assert(conn.Call(s.c.Context(), "No.Method", &wire.Result{Detail: strings.Repeat("x", size)}, &wire.Empty{}), qt.IsNotNil)
 	_ = conn.Close()
-	return crowdConn{data: r.written.Bytes()}
+	return crowdtest.Conn{Data: r.written.Bytes()}
 }
 
 // Guards against heads of very many lines over TLS, and against what many connections
@@ -138,9 +140,9 @@
 		smallestMachine(e)
 		e.Limits.FileDescriptors, e.CallerTLS = descriptors, files
 	})
-	s.crowd(s.callers, clients, func(i int) crowdConn { return heldHead("/v1/jobs", i) })
-	settle(s.entry)
-	s.checkBounds(s.entry, bounds{peakMiB: smallestBounds.peakMiB, descriptors: descriptors})
+	s.crowd(s.callers, clients, func(i int) crowdtest.Conn { return crowdtest.HeldHead("/v1/jobs", i) })
+	s.entry.Settle()
+	s.entry.CheckBounds(s.c, processtest.Bounds{PeakMiB: smallestBounds.PeakMiB, Descriptors: descriptors})
 	s.checkCallersServed()
 }
 
@@ -151,13 +153,13 @@
 	s.silent = true
 	const requests = 3000
 	token := dev.Token(s.layout.Names.OfficeAccount)
-	s.crowd(s.callers, clientsPerGroup, func(int) crowdConn {
-		return crowdConn{data: bytes.Repeat([]byte("GET /v1/jobs/none HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "+token+"\r\n\r\n"), requests)}
+	s.crowd(s.callers, clientsPerGroup, func(int) crowdtest.Conn {
+		return crowdtest.Conn{Data: bytes.Repeat([]byte("GET /v1/jobs/none HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "+token+"\r\n\r\n"), requests)}
 	})
-	s.crowd(s.entryAdmin, clientsPerGroup, func(int) crowdConn {
-		return crowdConn{data: bytes.Repeat([]byte("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n"), requests)}
+	s.crowd(s.entryAdmin, clientsPerGroup, func(int) crowdtest.Conn {
+		return crowdtest.Conn{Data: bytes.Repeat([]byte("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n"), requests)}
 	})
 	s.checkAdminServed(s.entryAdmin)
 	s.checkCallersServed()
-	s.checkBounds(s.entry, smallestBounds)
+	s.entry.CheckBounds(s.c, smallestBounds)
 }
--- a/internal/untrustedtest/system_test.go
+++ b/internal/untrustedtest/system_test.go
@@ -4,13 +4,10 @@
 	"bytes"
 	"crypto/tls"
 	"encoding/json"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -143,68 +140,3 @@
 	}
 	return resp.StatusCode
 }
-
-// bounds are the largest peak of resident memory and the largest number of open
-// descriptors of a process.
-type bounds struct{ peakMiB, descriptors int }
-
-// checkBounds requires that the process lives and has stayed within the bounds.
-func (s *system) checkBounds(p *processtest.Process, b bounds) {
-	s.c.Helper()
-	select {
-	case <-p.Exited:
-		s.c.Fatalf("%s has ended: %s", p.Name, p.State())
-	default:
-	}
-	peak, open := statusField(s.c, p, "VmHWM")>>10, descriptors(p)
-	s.c.Logf("%s: peak %d MiB, %d descriptors", p.Name, peak, open)
-	s.c.Check(peak <= b.peakMiB, qt.IsTrue, qt.Commentf("%s: peak %d MiB, bound %d", p.Name, peak, b.peakMiB))
-	s.c.Check(open <= b.descriptors, qt.IsTrue, qt.Commentf("%s: %d descriptors, bound %d", p.Name, open, b.descriptors))
-}
-
-// statusField returns a number of /proc/PID/status, in the unit that the kernel
-// gives.
-func statusField(c *qt.C, p *processtest.Process, name string) int {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
-	c.Assert(err, qt.IsNil)
-	for line := range strings.SplitSeq(string(data), "\n") {
-		if rest, ok := strings.CutPrefix(line, name+":"); ok {
-			n, err := strconv.Atoi(strings.Fields(rest)[0])
-			c.Assert(err, qt.IsNil)
-			return n
-		}
-	}
-	c.Fatalf("no field %s", name)
-	return 0
-}
-
-func descriptors(p *processtest.Process) int {
-	list, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.PID()))
-	return len(list)
-}
-
-// ticks returns the processor time of the process in clock ticks.
-func ticks(p *processtest.Process) int {
-	data, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID()))
-	f := strings.Fields(string(data[bytes.LastIndexByte(data, ')')+1:]))
-	if len(f) < 13 {
-		return 0
-	}
-	user, _ := strconv.Atoi(f[11])
-	system, _ := strconv.Atoi(f[12])
-	return user + system
-}
-
-// settle waits until the process has handled what it has received, which is
-// taken from its processor time: less than a tenth of a processor for 300 ms.
-func settle(p *processtest.Process) {
-	for quiet := 0; quiet < 3; {
-		before := ticks(p)
-		time.Sleep(100 * time.Millisecond)
-		if ticks(p)-before <= 1 {
-			quiet++
-		} else {
-			quiet = 0
-		}
-	}
-}
--- a/internal/untrustedtest/untrusted_test.go
+++ b/internal/untrustedtest/untrusted_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"chicorytray.example/chicorytray/internal/crowdtest"
 	"chicorytray.example/chicorytray/internal/dev"
 	"chicorytray.example/chicorytray/internal/processtest"
 	"chicorytray.example/chicorytray/rpcconn"
@@ -14,10 +15,10 @@
 // crowds are far below the clients of a real one. A quiet process has a peak of
 // about 25 MiB.
 var (
-	requestBounds = bounds{peakMiB: 64, descriptors: 320}
+	requestBounds = processtest.Bounds{PeakMiB: 64, Descriptors: 320}
 	// frameBounds leave room for a message of 16 MiB, which may hold a
 	// configuration.
-	frameBounds = bounds{peakMiB: 128, descriptors: 320}
+	frameBounds = processtest.Bounds{PeakMiB: 128, Descriptors: 320}
 )
 
 const (
@@ -32,9 +33,9 @@
 // of legal size, whose decoded form is many times larger.
 func TestHeadsOfManyLines(t *testing.T) {
 	s := startSystem(t)
-	s.crowd(s.callers, headClients, func(i int) crowdConn { return heldHead("/v1/jobs", i) })
-	settle(s.entry)
-	s.checkBounds(s.entry, requestBounds)
+	s.crowd(s.callers, headClients, func(i int) crowdtest.Conn { return crowdtest.HeldHead("/v1/jobs", i) })
+	s.entry.Settle()
+	s.entry.CheckBounds(s.c, requestBounds)
 	s.checkCallersServed()
 }
 
@@ -43,9 +44,9 @@
 // 4 KiB and closes the connection.
 func TestEndlessHeads(t *testing.T) {
 	s := startSystem(t)
-	s.crowd(s.callers, headClients, func(i int) crowdConn { return endlessHead("/v1/jobs", i) })
-	settle(s.entry)
-	s.checkBounds(s.entry, requestBounds)
+	s.crowd(s.callers, headClients, func(i int) crowdtest.Conn { return crowdtest.EndlessHead("/v1/jobs", i) })
+	s.entry.Settle()
+	s.entry.CheckBounds(s.c, requestBounds)
 	s.checkCallersServed()
 }
 
@@ -54,9 +55,9 @@
 // empty first line and closes the connection.
 func TestEmptyLines(t *testing.T) {
 	s := startSystem(t)
-	s.crowd(s.callers, headClients, emptyLines)
-	settle(s.entry)
-	s.checkBounds(s.entry, requestBounds)
+	s.crowd(s.callers, headClients, crowdtest.EmptyLines)
+	s.entry.Settle()
+	s.entry.CheckBounds(s.c, requestBounds)
 	s.checkCallersServed()
 }
 
@@ -65,9 +66,9 @@
 func TestLargeBodies(t *testing.T) {
 	s := startSystem(t)
 	token := dev.Token(s.layout.Names.OfficeAccount)
-	s.crowd(s.callers, bodyClients, func(i int) crowdConn { return largeBody("POST", "/v1/jobs", token, 262_144, i) })
-	settle(s.entry)
-	s.checkBounds(s.entry, requestBounds)
+	s.crowd(s.callers, bodyClients, func(i int) crowdtest.Conn { return crowdtest.LargeBody("POST", "/v1/jobs", token, 262_144, i) })
+	s.entry.Settle()
+	s.entry.CheckBounds(s.c, requestBounds)
 	s.checkCallersServed()
 }
 
@@ -94,9 +95,9 @@
 // its peer address.
 func TestUnfinishedMessagesAtEntry(t *testing.T) {
 	s := startSystem(t)
-	s.crowd(s.entryPeers, frameClients, func(i int) crowdConn { return heldFrame(helloOf(), 15<<20, i) })
-	settle(s.entry)
-	s.checkBounds(s.entry, frameBounds)
+	s.crowd(s.entryPeers, frameClients, func(i int) crowdtest.Conn { return crowdtest.HeldFrame(helloOf(), 15<<20, i) })
+	s.entry.Settle()
+	s.entry.CheckBounds(s.c, frameBounds)
 	s.checkPeersServed(s.entryPeers)
 	s.checkCallersServed()
 }
@@ -105,9 +106,9 @@
 // its peer address.
 func TestUnfinishedMessagesAtAgent(t *testing.T) {
 	s := startSystem(t)
-	s.crowd(s.agentPeers, frameClients, func(i int) crowdConn { return heldFrame(helloOf(), 15<<20, i) })
-	settle(s.agent)
-	s.checkBounds(s.agent, frameBounds)
+	s.crowd(s.agentPeers, frameClients, func(i int) crowdtest.Conn { return crowdtest.HeldFrame(helloOf(), 15<<20, i) })
+	s.agent.Settle()
+	s.agent.CheckBounds(s.c, frameBounds)
 	s.checkPeersServed(s.agentPeers)
 	s.checkCallersServed()
 }
@@ -116,9 +117,9 @@
 // their descriptors.
 func TestSilentConnectionsAtAgent(t *testing.T) {
 	s := startSystem(t)
-	s.crowd(s.agentPeers, bodyClients, func(i int) crowdConn { return crowdConn{data: helloOf()[:i%9%8]} })
-	settle(s.agent)
-	s.checkBounds(s.agent, frameBounds)
+	s.crowd(s.agentPeers, bodyClients, func(i int) crowdtest.Conn { return crowdtest.Conn{Data: helloOf()[:i%9%8]} })
+	s.agent.Settle()
+	s.agent.CheckBounds(s.c, frameBounds)
 	s.checkPeersServed(s.agentPeers)
 	s.checkCallersServed()
 }
@@ -127,9 +128,9 @@
 // address.
 func TestHeadsAtEntryAdmin(t *testing.T) {
 	s := startSystem(t)
-	s.crowd(s.entryAdmin, headClients, func(i int) crowdConn { return heldHead("/v1/config", i) })
-	settle(s.entry)
-	s.checkBounds(s.entry, requestBounds)
+	s.crowd(s.entryAdmin, headClients, func(i int) crowdtest.Conn { return crowdtest.HeldHead("/v1/config", i) })
+	s.entry.Settle()
+	s.entry.CheckBounds(s.c, requestBounds)
 	s.checkAdminServed(s.entryAdmin)
 	s.checkCallersServed()
 }
@@ -138,9 +139,11 @@
 // their end at its admin address.
 func TestLargeBodiesAtEntryAdmin(t *testing.T) {
 	s := startSystem(t)
-	s.crowd(s.entryAdmin, adminBodyClients, func(i int) crowdConn { return largeBody("PUT", "/v1/config", "", store.MaxValueBytes, i) })
-	settle(s.entry)
-	s.checkBounds(s.entry, requestBounds)
+	s.crowd(s.entryAdmin, adminBodyClients, func(i int) crowdtest.Conn {
+		return crowdtest.LargeBody("PUT", "/v1/config", "", store.MaxValueBytes, i)
+	})
+	s.entry.Settle()
+	s.entry.CheckBounds(s.c, requestBounds)
 	s.checkAdminServed(s.entryAdmin)
 	s.checkCallersServed()
 }
@@ -149,9 +152,9 @@
 // its admin address.
 func TestHeadsAtAgentAdmin(t *testing.T) {
 	s := startSystem(t)
-	s.crowd(s.agentAdmin, headClients, func(i int) crowdConn { return heldHead("/healthz", i) })
-	settle(s.agent)
-	s.checkBounds(s.agent, requestBounds)
+	s.crowd(s.agentAdmin, headClients, func(i int) crowdtest.Conn { return crowdtest.HeldHead("/healthz", i) })
+	s.agent.Settle()
+	s.agent.CheckBounds(s.c, requestBounds)
 	s.checkAdminServed(s.agentAdmin)
 	s.checkCallersServed()
 }
